Add the thin whole path: daemon, stand-ins, online and batch

Cause: nothing exists yet. The first version carries an online request and a batch job end to end, each part as its own process: dockpointd (three nodes), the model engine, the log and the machine list.

--- /dev/null
+++ b/include/dockpoint/config/configuration_fold.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <msgpack.hpp>
+#include <string>
+
+#include "dockpoint/config/fleet_config.hpp"
+
+/// The configuration stream and its fold.
+///
+/// Operators race: any number of changes may be appended at once, and an append whose answer was
+/// lost may be appended again. The fold reads the stream in offset order and takes a change only
+/// if it names the current revision and validates. So exactly one of several racing changes wins,
+/// every node that has read the same prefix holds the same revision, and no revision reverts.
+namespace dockpoint {
+
+/// A proposed change, as a record of the stream `configuration`.
+struct ConfigurationChange {
+  std::string id;                   ///< Unique; the same for an append that is repeated.
+  std::uint64_t base_revision = 0;  ///< Revision that the change was made from.
+  std::string author;
+  std::string document;  ///< The whole new configuration, JSON.
+  MSGPACK_DEFINE(id, base_revision, author, document)
+};
+
+/// One accepted revision.
+struct ConfigurationRevision {
+  std::uint64_t revision = 0;     ///< 0: none yet.
+  std::uint64_t next_offset = 0;  ///< Offset after the record that brought it.
+  std::string change_id;
+  std::string author;
+  std::string document;
+  MSGPACK_DEFINE(revision, next_offset, change_id, author, document)
+};
+
+/// What became of one change.
+enum class ChangeVerdict { kAccepted, kDuplicate, kConflict, kInvalid };
+
+/// The outcome of one record.
+struct ChangeOutcome {
+  ChangeVerdict verdict = ChangeVerdict::kInvalid;
+  std::uint64_t revision = 0;  ///< Revision in force after the record.
+  std::string detail;          ///< Why it was not taken.
+};
+
+/// Fold of the configuration stream. Not thread-safe.
+class ConfigurationFold {
+ public:
+  /// Applies the record at `offset`, which must be `next_offset()`.
+  ChangeOutcome apply(std::uint64_t offset, const ConfigurationChange& change);
+
+  /// Skips a record that could not be decoded.
+  void skip(std::uint64_t offset) { next_offset_ = offset + 1; }
+
+  /// Takes a revision that a peer holds, if it is newer than what is in force here.
+  /// @return whether it was taken.
+  bool adopt(const ConfigurationRevision& revision);
+
+  /// @return the revision in force; its `revision` is 0 before the first.
+  const ConfigurationRevision& current() const { return current_; }
+
+  /// @return the parsed configuration in force; empty before the first revision. Shared, so that
+  /// readers keep a consistent whole while a newer one takes its place.
+  std::shared_ptr<const FleetConfig> config() const { return config_; }
+
+  /// @return the offset from which to read on.
+  std::uint64_t next_offset() const { return next_offset_; }
+
+  /// @return the most recent revisions this node saw, oldest first, without their documents.
+  const std::deque<ConfigurationRevision>& history() const { return history_; }
+
+ private:
+  void install(ConfigurationRevision revision, FleetConfig config);
+
+  std::uint64_t next_offset_ = 0;
+  ConfigurationRevision current_;
+  std::shared_ptr<const FleetConfig> config_ = std::make_shared<FleetConfig>();
+  std::deque<ConfigurationRevision> history_;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/include/dockpoint/core/error.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <boost/leaf.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "dockpoint/core/result_code.hpp"
+
+/// Errors travel as Boost.LEAF results that carry one `Error`.
+namespace dockpoint {
+
+/// What went wrong, where, and what the caller may conclude from it.
+struct Error {
+  ResultCode code = ResultCode::kInternal;
+  std::string message{};                ///< One sentence without trailing newline.
+  std::string place{};                  ///< Field, key or line at fault; may be empty.
+  RunState run = RunState::kNotRun;     ///< Whether the request ran on an engine.
+  std::chrono::seconds retry_after{0};  ///< Zero: coming back makes no sense.
+};
+
+template <class T>
+using Result = boost::leaf::result<T>;
+
+/// Makes a failed result.
+/// @param place field, key or line at fault.
+inline boost::leaf::error_id fail(ResultCode code, std::string message, std::string place = {}) {
+  return boost::leaf::new_error(Error{code, std::move(message), std::move(place)});
+}
+
+/// Makes a failed result from a complete error.
+inline boost::leaf::error_id fail(Error error) {
+  return boost::leaf::new_error(std::move(error));
+}
+
+/// Runs `function`, which returns `Result<T>`, and turns a failure into its `Error`.
+/// @param on_error called with the error; returns the value to use instead.
+template <class Function, class Handler>
+auto with_error(Function&& function, Handler&& on_error) {
+  return boost::leaf::try_handle_all(
+      std::forward<Function>(function), [&](const Error& error) { return on_error(error); },
+      [&] {
+        return on_error(Error{ResultCode::kInternal, "unidentified error", {}});
+      });
+}
+
+/// Evaluates a fallible function for its error only.
+/// @return nothing on success.
+template <class Function>
+std::optional<Error> error_of(Function&& function) {
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<std::optional<Error>> {
+        auto result = function();
+        if (!result) {
+          return result.error();
+        }
+        return std::optional<Error>{};
+      },
+      [](const Error& error) { return std::optional<Error>{error}; },
+      [] { return std::optional<Error>{Error{}}; });
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/include/dockpoint/core/hash.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/// Stable hashing (XXH3). The values are part of the protocol between nodes: partitions and
+/// rendezvous scores must agree on every node.
+namespace dockpoint {
+
+/// @return a 64-bit hash of `bytes`.
+std::uint64_t hash64(std::string_view bytes, std::uint64_t seed = 0);
+
+/// @return 32 lower-case hexadecimal digits of a 128-bit hash of `bytes`.
+std::string hash128_hex(std::string_view bytes);
+
+/// Score of `candidate` for `key` in rendezvous hashing; the highest score wins.
+std::uint64_t rendezvous_score(std::string_view key, std::string_view candidate);
+
+/// Mixes a value into a running hash.
+std::uint64_t combine_hash(std::uint64_t seed, std::uint64_t value);
+
+}  // namespace dockpoint
--- /dev/null
+++ b/include/dockpoint/core/time.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+/// Time as the decision logic sees it.
+///
+/// Decision classes never read a clock: every call passes `now`. The daemon derives it from the
+/// steady clock, the simulator from its event queue.
+namespace dockpoint {
+
+/// Microseconds are the resolution of all decisions.
+using Duration = std::chrono::microseconds;
+
+/// Tag for time points that come from a monotonic source outside the decision logic.
+struct MonotonicTime {
+  using rep = std::int64_t;
+  using period = std::micro;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<MonotonicTime, Duration>;
+};
+
+using TimePoint = MonotonicTime::time_point;
+
+/// Seconds since the Unix epoch, for values that leave the process (such as `created_at`).
+using UnixSeconds = std::int64_t;
+
+}  // namespace dockpoint
--- /dev/null
+++ b/include/dockpoint/membership/member.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+
+namespace dockpoint {
+
+/// State of a member, ordered: within one incarnation a higher state replaces a lower one.
+enum class MemberState : std::uint8_t { kAlive = 0, kSuspect = 1, kDead = 2, kLeft = 3 };
+
+/// What is known of one node.
+struct Member {
+  std::string id;                 ///< Node name, unique in the fleet.
+  std::uint64_t incarnation = 0;  ///< Set by the member itself; higher replaces lower.
+  MemberState state = MemberState::kAlive;
+  std::string peer_address;  ///< `IP:port` for datagrams between nodes.
+  std::string api_address;   ///< `IP:port` of the HTTP interface.
+  std::string zone;
+  MSGPACK_DEFINE(id, incarnation, state, peer_address, api_address, zone)
+};
+
+/// @return whether `update` says something newer than `known`.
+inline bool supersedes(const Member& update, const Member& known) {
+  if (update.incarnation != known.incarnation) {
+    return update.incarnation > known.incarnation;
+  }
+  return update.state > known.state;
+}
+
+}  // namespace dockpoint
+
+MSGPACK_ADD_ENUM(dockpoint::MemberState)
--- /dev/null
+++ b/include/dockpoint/membership/membership.hpp
@@ -0,0 +1,151 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dockpoint/core/knobs.hpp"
+#include "dockpoint/core/time.hpp"
+#include "dockpoint/membership/messages.hpp"
+
+/// Which nodes are alive, by SWIM-style probes.
+///
+/// Every interval a node pings one member. Without an ack in time it asks a few helpers to ping
+/// on its behalf, which tells a lost link from a lost member. Without any ack the member becomes
+/// suspect, and dead if it does not refute the suspicion, by raising its incarnation, in time.
+/// Changes ride on probes and acks. A leave is final within its incarnation.
+///
+/// Recovery: a node that was cut off is dead to the others. Its address stays a candidate (from
+/// the platform's machine list and the seeds), one candidate is pinged an interval, and the node
+/// refutes its own death as soon as it hears of it.
+namespace dockpoint {
+
+/// Sends datagrams on behalf of the decision logic; must not block.
+class PeerSender {
+ public:
+  virtual ~PeerSender() = default;
+  /// @param address `IP:port`.
+  virtual void send(const std::string& address, const PeerMessage& message) = 0;
+};
+
+/// Membership as one node sees it. Not thread-safe; borrows the sender.
+class Membership {
+ public:
+  /// @param self this node; its incarnation must exceed that of any earlier run.
+  /// @param seed of the choice of whom to probe.
+  Membership(const Knobs& knobs, Member self, std::uint64_t seed, PeerSender& sender);
+
+  /// Replaces the addresses to contact when they are not known as alive.
+  void set_candidates(const std::vector<std::string>& peer_addresses);
+
+  /// Values that ride on every message.
+  void set_configuration_revision(std::uint64_t revision) { configuration_revision_ = revision; }
+  void set_pending_batch_items(std::uint32_t items) { pending_batch_items_ = items; }
+  void set_log_reachable(bool reachable);
+
+  /// Drives probes and timeouts; call at least every 100 ms.
+  void tick(TimePoint now);
+
+  /// Takes a message of any type; answers probes.
+  void receive(const PeerMessage& message, TimePoint now);
+
+  /// Tells the others that this node leaves. No message of this node says otherwise afterwards.
+  void leave();
+
+  /// @return every member not dead or left, this node included while it has not left.
+  std::vector<const Member*> alive() const;
+
+  /// @return the alive members that can reach the log, and so may own partitions.
+  std::vector<const Member*> eligible_owners() const;
+
+  /// @return the member, in whatever state, or null.
+  const Member* find(const std::string& id) const;
+
+  /// @return whether the member is alive or suspect.
+  bool is_alive(const std::string& id) const;
+
+  /// @return since when the member has been alive without a break, if it is.
+  std::optional<TimePoint> alive_since(const std::string& id) const;
+
+  const Member& self() const { return self_; }
+
+  /// @return all members in any state, this node included.
+  std::vector<Member> all() const;
+
+  /// @return nodes, this one included, that said they have batch items to dispatch.
+  int nodes_with_pending_batch() const;
+
+  /// Changes whenever the set of alive members may have changed.
+  std::uint64_t version() const { return version_; }
+
+  /// Builds a message of this node with gossip on it.
+  PeerMessage make_message(PeerMessageType type);
+
+ private:
+  struct Entry {
+    Member member;
+    TimePoint state_since;
+    std::uint32_t pending_batch_items = 0;
+    bool log_reachable = true;
+  };
+  struct Probe {
+    std::string target;
+    TimePoint started;
+    bool helpers_asked = false;
+  };
+  /// A ping sent on behalf of another member.
+  struct RelayedProbe {
+    std::string requester_address;
+    std::uint64_t requester_sequence = 0;
+    TimePoint started;
+  };
+  struct Rumor {
+    Member member;
+    int sent = 0;
+  };
+
+  void start_probe(TimePoint now);
+  void check_probe(TimePoint now);
+  void ask_helpers(const Member& target);
+  void expire_states(TimePoint now);
+  void ping_candidate();
+  void synchronize();
+  /// Adds what is held against `id`, so that it can refute it.
+  void add_accusation(const std::string& id, PeerMessage& message) const;
+  void set_log_reachable(Entry& entry, bool reachable);
+  void answer_sync(const std::string& address);
+  void apply(const Member& update, TimePoint now);
+  void refute(const Member& rumor);
+  void set_state(Entry& entry, MemberState state, TimePoint now);
+  void spread(const Member& member);
+  std::vector<Member> next_rumors();
+  void handle_ack(const PeerMessage& message);
+  void handle_ping_request(const PeerMessage& message, TimePoint now);
+
+  const Knobs knobs_;
+  Member self_;
+  bool left_ = false;
+  std::mt19937_64 random_;
+  PeerSender& sender_;
+
+  std::map<std::string, Entry> members_;  ///< Others only.
+  std::set<std::string> candidates_;
+  std::map<std::string, Rumor> rumors_;
+  std::vector<std::string> probe_order_;
+  std::optional<Probe> probe_;
+  std::map<std::uint64_t, RelayedProbe> relayed_;
+  std::uint64_t next_sequence_ = 1;
+  std::uint64_t probe_sequence_ = 0;
+  TimePoint next_probe_{};
+  TimePoint next_sync_{};
+  std::uint64_t configuration_revision_ = 0;
+  std::uint32_t pending_batch_items_ = 0;
+  bool log_reachable_ = true;
+  std::uint64_t version_ = 1;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/config/configuration_fold.cpp
@@ -0,0 +1,73 @@
+#include "dockpoint/config/configuration_fold.hpp"
+
+#include <algorithm>
+
+namespace dockpoint {
+namespace {
+
+/// Revisions kept for `config history`; older ones stand in the log.
+constexpr std::size_t kHistoryLength = 256;
+
+}  // namespace
+
+ChangeOutcome ConfigurationFold::apply(std::uint64_t offset, const ConfigurationChange& change) {
+  next_offset_ = offset + 1;
+  // A revision adopted from a peer may cover records that the log shows only later.
+  if (offset < current_.next_offset) {
+    return {ChangeVerdict::kDuplicate, current_.revision, "covered by the revision in force"};
+  }
+  const bool seen = std::any_of(history_.begin(), history_.end(), [&](const auto& revision) {
+    return revision.change_id == change.id;
+  });
+  if (seen) {
+    return {ChangeVerdict::kDuplicate, current_.revision, "already taken"};
+  }
+  if (change.base_revision != current_.revision) {
+    return {ChangeVerdict::kConflict, current_.revision,
+            "made from revision " + std::to_string(change.base_revision) + ", but revision " +
+                std::to_string(current_.revision) + " by " + current_.author + " is in force"};
+  }
+  ChangeOutcome outcome;
+  const std::optional<Error> error = error_of([&]() -> Result<void> {
+    BOOST_LEAF_AUTO(config, parse_fleet_config(change.document));
+    if (current_.revision > 0 && config.partitions != config_->partitions) {
+      return fail(ResultCode::kConfigurationInvalid, "partitions cannot change");
+    }
+    install({current_.revision + 1, next_offset_, change.id, change.author, change.document},
+            std::move(config));
+    return {};
+  });
+  if (error) {
+    return {ChangeVerdict::kInvalid, current_.revision, error->message};
+  }
+  return {ChangeVerdict::kAccepted, current_.revision, {}};
+}
+
+bool ConfigurationFold::adopt(const ConfigurationRevision& revision) {
+  if (revision.revision <= current_.revision) {
+    return false;
+  }
+  const std::optional<Error> error = error_of([&]() -> Result<void> {
+    BOOST_LEAF_AUTO(config, parse_fleet_config(revision.document));
+    install(revision, std::move(config));
+    return {};
+  });
+  if (error) {
+    return false;
+  }
+  next_offset_ = std::max(next_offset_, revision.next_offset);
+  return true;
+}
+
+void ConfigurationFold::install(ConfigurationRevision revision, FleetConfig config) {
+  current_ = std::move(revision);
+  config_ = std::make_shared<const FleetConfig>(std::move(config));
+  ConfigurationRevision entry = current_;
+  entry.document.clear();
+  history_.push_back(std::move(entry));
+  if (history_.size() > kHistoryLength) {
+    history_.pop_front();
+  }
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/core/hash.cpp
@@ -0,0 +1,32 @@
+#include "dockpoint/core/hash.hpp"
+
+#include <xxhash.h>
+
+#include <array>
+#include <cstdio>
+
+namespace dockpoint {
+
+std::uint64_t hash64(std::string_view bytes, std::uint64_t seed) {
+  return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
+}
+
+std::string hash128_hex(std::string_view bytes) {
+  const XXH128_hash_t hash = XXH3_128bits(bytes.data(), bytes.size());
+  std::array<char, 33> text{};
+  std::snprintf(text.data(), text.size(), "%016llx%016llx",
+                static_cast<unsigned long long>(hash.high64),
+                static_cast<unsigned long long>(hash.low64));
+  return std::string(text.data(), 32);
+}
+
+std::uint64_t rendezvous_score(std::string_view key, std::string_view candidate) {
+  return hash64(candidate, hash64(key));
+}
+
+std::uint64_t combine_hash(std::uint64_t seed, std::uint64_t value) {
+  const std::array<std::uint64_t, 2> words{seed, value};
+  return XXH3_64bits(words.data(), sizeof(words));
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/http/admin_handler.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+#include <string>
+
+#include "node/control_loop.hpp"
+
+namespace dockpoint {
+
+/// Serves `/admin/v1/*`, what operators see and change.
+class AdminHandler {
+ public:
+  explicit AdminHandler(ControlLoop& control) : control_(control) {}
+
+  void show_configuration(Poco::Net::HTTPServerResponse& response);
+  void show_history(Poco::Net::HTTPServerResponse& response);
+  void apply_configuration(Poco::Net::HTTPServerRequest& request,
+                           Poco::Net::HTTPServerResponse& response);
+  void validate_configuration(Poco::Net::HTTPServerRequest& request,
+                              Poco::Net::HTTPServerResponse& response);
+  void list_engines(Poco::Net::HTTPServerResponse& response);
+  void list_nodes(Poco::Net::HTTPServerResponse& response);
+
+ private:
+  Result<ChangeOutcome> propose(ConfigurationChange change);
+
+  ControlLoop& control_;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/http/api_server.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <atomic>
+
+#include "http/admin_handler.hpp"
+#include "http/batch_handler.hpp"
+#include "http/file_handler.hpp"
+#include "http/http_server.hpp"
+#include "http/online_handler.hpp"
+#include "node/metrics.hpp"
+#include "supervisor/supervisor.hpp"
+
+namespace dockpoint {
+
+/// The HTTP interface of a node: routes each request to the handler of its path. While the node
+/// drains, new work is refused as not run and requests in progress go on.
+class ApiServer : public Part {
+ public:
+  /// What the handlers work with; all outlive the server.
+  struct Dependencies {
+    ControlLoop& control;
+    OnlineCalls& online_calls;
+    FileStore& files;
+    LogClient& log;
+    Metrics& metrics;
+  };
+  struct Options {
+    HttpServerOptions server;
+    std::size_t maximum_body_bytes = 0;
+    std::uint64_t maximum_file_bytes = 0;
+  };
+
+  ApiServer(const Options& options, const Dependencies& dependencies);
+
+  void run(std::stop_token stop) override;
+
+  void begin_drain() { draining_ = true; }
+  /// @return whether an operator asked for a drain through the interface.
+  bool drain_requested() const { return drain_requested_; }
+  /// @return requests in progress, of any kind.
+  int requests_in_progress() const { return requests_in_progress_; }
+
+ private:
+  using Request = Poco::Net::HTTPServerRequest;
+  using Response = Poco::Net::HTTPServerResponse;
+
+  void handle(Request& request, Response& response);
+  bool handle_online(const std::string& path, Request& request, Response& response);
+  bool handle_files(const std::string& path, Request& request, Response& response);
+  bool handle_batches(const std::string& path, Request& request, Response& response);
+  bool handle_admin(const std::string& path, Request& request, Response& response);
+  bool handle_peer(const std::string& path, Request& request, Response& response);
+  bool handle_health(const std::string& path, Response& response);
+  void list_models(const std::string& id, Response& response);
+
+  const Options options_;
+  const Dependencies dependencies_;
+  PeerRequests peers_;
+  OnlineHandler online_;
+  FileHandler files_;
+  BatchHandler batches_;
+  AdminHandler admin_;
+  std::atomic<bool> draining_{false};
+  std::atomic<bool> drain_requested_{false};
+  std::atomic<int> requests_in_progress_{0};
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/http/batch_handler.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+#include <string>
+
+#include "files/file_store.hpp"
+#include "http/peer_requests.hpp"
+#include "node/control_loop.hpp"
+
+namespace dockpoint {
+
+/// Serves `/v1/batches` and the output files of batches. Requests that concern one batch go to the
+/// owner of its partition.
+class BatchHandler {
+ public:
+  BatchHandler(ControlLoop& control, FileStore& files, LogClient& log, PeerRequests& peers);
+
+  void create(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response);
+  void get(const std::string& id, Poco::Net::HTTPServerRequest& request,
+           Poco::Net::HTTPServerResponse& response);
+  void cancel(const std::string& id, Poco::Net::HTTPServerRequest& request,
+              Poco::Net::HTTPServerResponse& response);
+  void list(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response);
+
+  /// @return whether `file_id` names the output or error file of a batch.
+  static bool is_output_file(const std::string& file_id);
+  void describe_output(const std::string& file_id, Poco::Net::HTTPServerRequest& request,
+                       Poco::Net::HTTPServerResponse& response);
+  void output_content(const std::string& file_id, Poco::Net::HTTPServerRequest& request,
+                      Poco::Net::HTTPServerResponse& response);
+
+ private:
+  Result<JobSpec> read_job(const std::string& body, const Poco::Net::HTTPServerRequest& request);
+  Result<JobState> accept(const JobSpec& job);
+  /// How much of a job's state to copy off the control thread.
+  enum class Detail { kSummary, kWithResults };
+  Result<JobState> find(const std::string& id, Detail detail = Detail::kSummary);
+  Result<JobState> stop(const std::string& id);
+  int partition(const std::string& id);
+  /// Passes the request on if another node owns the batch. @return whether it did or refused.
+  bool forward(const std::string& id, const std::string& body,
+               Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response);
+  Result<void> write_results(const JobState& job, bool failures, std::ostream& out);
+
+  ControlLoop& control_;
+  FileStore& files_;
+  LogClient& log_;
+  PeerRequests& peers_;
+};
+
+/// @return the batch as the OpenAI API shows it.
+Poco::JSON::Object::Ptr batch_json(const JobState& job);
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/http/http_server.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/ThreadPool.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "dockpoint/core/error.hpp"
+
+namespace dockpoint {
+
+using HttpHandler =
+    std::function<void(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&)>;
+
+struct HttpServerOptions {
+  std::string address;  ///< `IP:port`.
+  int threads = 512;    ///< Connections served at once, a thread each.
+  int queued = 256;     ///< Connections that wait for a thread.
+};
+
+/// An HTTP server that calls one handler from its threads.
+class HttpServer {
+ public:
+  HttpServer(const HttpServerOptions& options, HttpHandler handler);
+  ~HttpServer();
+
+  void start();
+  /// Takes no new connections; requests in progress go on.
+  void stop_accepting();
+  /// Ends all connections.
+  void stop();
+
+ private:
+  Poco::ThreadPool threads_;
+  std::unique_ptr<Poco::Net::HTTPServer> server_;
+};
+
+/// Splits `/a/b?c=d` into its path.
+std::string path_of(const std::string& uri);
+
+/// @return the value of a query parameter, or an empty string.
+std::string query_parameter(const std::string& uri, const std::string& name);
+
+/// @return whether `path` starts with `prefix`; then the rest is put into `rest`.
+bool split_prefix(const std::string& path, const std::string& prefix, std::string& rest);
+
+/// Reads a whole body of at most `limit` bytes.
+Result<std::string> read_request_body(Poco::Net::HTTPServerRequest& request, std::size_t limit);
+
+void send_json(Poco::Net::HTTPServerResponse& response, int status, const std::string& json);
+
+void send_bytes(Poco::Net::HTTPServerResponse& response, const std::string& content_type,
+                const std::string& bytes);
+
+/// @return the error body that the OpenAI API's users know, with dockpoint's fields:
+/// `{"error":{"message","type","code","param","result_code","run","retry_after"}}`.
+std::string error_json(const Error& error);
+
+void send_error(Poco::Net::HTTPServerResponse& response, const Error& error);
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/http/online_handler.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+#include <string>
+
+#include "http/completion_request.hpp"
+#include "http/engine_stream.hpp"
+#include "http/latency_recorder.hpp"
+#include "http/peer_requests.hpp"
+#include "node/control_loop.hpp"
+#include "node/online_calls.hpp"
+
+namespace dockpoint {
+
+/// Headers that callers may set; docs/API.md describes them.
+inline constexpr const char* kDeadlineHeader = "x-dockpoint-deadline-ms";
+inline constexpr const char* kTenantHeader = "x-dockpoint-tenant";
+inline constexpr const char* kRepeatableHeader = "x-dockpoint-repeatable";
+inline constexpr const char* kPriorityLimitHeader = "x-dockpoint-priority";
+inline constexpr const char* kIdempotencyHeader = "Idempotency-Key";
+
+/// @return the tenant that a request belongs to.
+std::string tenant_of(const Poco::Net::HTTPServerRequest& request);
+
+/// Serves the completion paths. Each request keeps its traffic thread; the control thread decides
+/// on engines and retries, this class sends and streams.
+class OnlineHandler {
+ public:
+  OnlineHandler(ControlLoop& control, OnlineCalls& calls, PeerRequests& peers,
+                LatencyRecorder& latencies, std::size_t maximum_body_bytes);
+
+  void handle(CompletionKind kind, Poco::Net::HTTPServerRequest& request,
+              Poco::Net::HTTPServerResponse& response);
+
+ private:
+  /// A request on its way from the caller to an engine and back.
+  struct Exchange {
+    CompletionKind kind;
+    CompletionRequest completion;
+    std::string body;
+    std::string request_id;
+    std::string attempt_key;  ///< Of a request that must run at most once; may be empty.
+    int priority_limit = 100;
+    OnlineRequest online;
+    TimePoint arrived{};
+    TimePoint first_token{};
+    int attempts = 0;
+    int events_delivered = 0;
+    std::ostream* out = nullptr;  ///< Set once the answer's head was sent.
+    Poco::Net::HTTPServerResponse& response;
+  };
+
+  Result<void> read_headers(const Poco::Net::HTTPServerRequest& request, Exchange& exchange);
+  void serve(Exchange& exchange);
+  void end_with_error(Exchange& exchange, const Error& error);
+  AttemptEnd run_attempt(Exchange& exchange, const AttemptCommand& command);
+  AttemptEnd run_whole(Exchange& exchange, const HttpExchange& request,
+                       const std::string& attempt_id);
+  AttemptEnd run_stream(Exchange& exchange, const HttpExchange& request,
+                        const std::string& attempt_id);
+  /// Passes events on until the stream ends or breaks.
+  AttemptEnd forward_events(Exchange& exchange, EngineStream& stream);
+  AttemptEnd resume(Exchange& exchange, const HttpExchange& request, const std::string& attempt_id);
+  AttemptEnd deliver_answer(Exchange& exchange, const HttpAnswer& answer);
+  void cancel_on_engine(const std::string& address, const std::string& attempt_id);
+
+  ControlLoop& control_;
+  OnlineCalls& calls_;
+  PeerRequests& peers_;
+  LatencyRecorder& latencies_;
+  const std::size_t maximum_body_bytes_;
+  HttpSessionPool sessions_;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/log/log_wire.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+namespace dockpoint {
+
+/// Answer to a read, as it travels.
+struct LogPageWire {
+  std::uint64_t first = 0;
+  std::vector<std::string> records;
+  std::uint64_t end = 0;
+  MSGPACK_DEFINE(first, records, end)
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/node/machine_list_poller.cpp
@@ -0,0 +1,67 @@
+#include "node/machine_list_poller.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "dockpoint/core/json_reader.hpp"
+
+namespace dockpoint {
+namespace {
+
+constexpr std::chrono::milliseconds kPollInterval{1000};
+constexpr std::chrono::milliseconds kTimeout{2000};
+
+}  // namespace
+
+MachineListPoller::MachineListPoller(std::string address, ControlLoop& control)
+    : Part("machine-list"), address_(std::move(address)), control_(control), sessions_(kTimeout) {}
+
+void MachineListPoller::run(std::stop_token stop) {
+  std::mutex mutex;
+  std::condition_variable_any never;
+  while (!stop.stop_requested()) {
+    poll();
+    std::unique_lock<std::mutex> lock(mutex);
+    never.wait_for(lock, stop, kPollInterval, [] { return false; });
+  }
+}
+
+void MachineListPoller::poll() {
+  HttpExchange request;
+  request.address = address_;
+  request.path = "/machines";
+  request.timeout = kTimeout;
+  const HttpOutcome outcome = exchange(sessions_, request);
+  if (!outcome.answer || outcome.answer->status != 200) {
+    return;  // The last list stays in force.
+  }
+  const std::optional<Error> error = error_of([&]() -> Result<void> {
+    BOOST_LEAF_AUTO(machines, parse_machine_list(outcome.answer->body));
+    control_.post([machines](NodeController& controller, TimePoint) {
+      controller.machines_listed(machines);
+    });
+    return {};
+  });
+  if (error) {
+    spdlog::warn("machines: The machine list cannot be read; reason={}", error->message);
+  }
+}
+
+Result<std::vector<MachineEntry>> parse_machine_list(const std::string& json) {
+  BOOST_LEAF_AUTO(object, parse_json_object(json));
+  Problems problems;
+  ObjectReader root(object, "", problems);
+  std::vector<MachineEntry> machines;
+  for (ObjectReader& reader : root.objects("machines")) {
+    MachineEntry machine;
+    machine.address = reader.required_text("address");
+    machine.is_node = reader.choice("kind", {"node", "engine"}, "engine") == "node";
+    machine.leaving = reader.choice("state", {"live", "leaving"}, "live") == "leaving";
+    machines.push_back(std::move(machine));
+  }
+  if (!problems.empty()) {
+    return fail(ResultCode::kMalformedBody, summarize(problems), problems.front().place);
+  }
+  return machines;
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/node/settings.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "dockpoint/core/error.hpp"
+
+namespace dockpoint {
+
+/// Settings of one `dockpointd`. docs/SETTINGS.md lists every key.
+struct Settings {
+  std::string node_name;
+  std::string zone;
+  std::string api_address;       ///< `IP:port` of the HTTP interface.
+  std::string peer_address;      ///< `IP:port` for datagrams between nodes.
+  std::string log_address;       ///< `IP:port` of the platform's log.
+  std::string machines_address;  ///< `IP:port` of the platform's machine list.
+  std::vector<std::string> seeds;
+  int http_threads = 512;
+  int batch_threads = 64;
+  int maximum_body_bytes = 4 * 1024 * 1024;
+  int maximum_file_bytes = 1024 * 1024 * 1024;
+  int drain_seconds = 60;
+  std::string log_level = "info";
+};
+
+/// One setting, for the parser, the printout and the docs.
+struct SettingInfo {
+  std::string key;       ///< Path in the file, such as `listen.api`.
+  std::string flag;      ///< Long option that overrides it.
+  std::string fallback;  ///< Value if absent; empty: required.
+  std::string help;
+};
+
+/// @return every setting, in the order of the docs.
+const std::vector<SettingInfo>& setting_table();
+
+/// Values by key that override the file, from flags.
+using SettingOverrides = std::map<std::string, std::string>;
+
+/// Reads and checks a settings file. The error names file, key, value and what is allowed.
+/// @param path of a JSON file; empty: flags only.
+Result<Settings> load_settings(const std::string& path, const SettingOverrides& overrides);
+
+/// @return the settings in force, one `key = value` a line.
+std::string describe_settings(const Settings& settings);
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/routing/engine_table.cpp
@@ -0,0 +1,131 @@
+#include "dockpoint/routing/engine_table.hpp"
+
+#include <algorithm>
+
+namespace dockpoint {
+
+int EngineView::estimated_online() const {
+  const int reported_online =
+      reported ? static_cast<int>(load.running_online + load.waiting_online) : 0;
+  const int estimate = reported_online + online_sent_since_report - online_ended_since_report;
+  return std::max(estimate, online_in_flight);
+}
+
+double EngineView::online_utilization() const {
+  return static_cast<double>(estimated_online()) / config.slots;
+}
+
+bool EngineView::leaving() const {
+  const bool announced = left_incarnation != 0 && left_incarnation >= load.incarnation;
+  return config.draining || listed_as_leaving || announced;
+}
+
+void EngineTable::configure(std::shared_ptr<const FleetConfig> config) {
+  config_ = std::move(config);
+  std::map<std::string, EngineView> next;
+  for (const auto& [name, engine] : config_->engines) {
+    const auto known = engines_.find(name);
+    const bool same = known != engines_.end() && known->second.config.address == engine.address;
+    EngineView view = same ? known->second : EngineView{};
+    view.config = engine;
+    next.emplace(name, std::move(view));
+  }
+  engines_ = std::move(next);
+  set_leaving_addresses(leaving_addresses_);
+}
+
+bool EngineTable::report(const std::string& engine, const EngineLoad& load, TimePoint now) {
+  const auto found = engines_.find(engine);
+  if (found == engines_.end()) {
+    return false;
+  }
+  EngineView& view = found->second;
+  if (view.reported && !load.newer_than(view.load)) {
+    return false;
+  }
+  if (load.leaving) {
+    view.left_incarnation = load.incarnation;
+  }
+  view.load = load;
+  view.reported = true;
+  view.reported_at = now;
+  view.online_sent_since_report = 0;
+  view.online_ended_since_report = 0;
+  return true;
+}
+
+void EngineTable::set_leaving_addresses(const std::vector<std::string>& addresses) {
+  leaving_addresses_ = addresses;
+  for (auto& [name, view] : engines_) {
+    view.listed_as_leaving =
+        std::find(addresses.begin(), addresses.end(), view.config.address) != addresses.end();
+  }
+}
+
+void EngineTable::started(const std::string& engine, WorkClass work) {
+  const auto found = engines_.find(engine);
+  if (found == engines_.end()) {
+    return;
+  }
+  if (work == WorkClass::kBatch) {
+    ++found->second.batch_in_flight;
+    return;
+  }
+  ++found->second.online_in_flight;
+  ++found->second.online_sent_since_report;
+}
+
+void EngineTable::ended(const std::string& engine, WorkClass work, EngineHealthSignal signal,
+                        TimePoint now) {
+  const auto found = engines_.find(engine);
+  if (found == engines_.end()) {
+    return;
+  }
+  EngineView& view = found->second;
+  if (work == WorkClass::kBatch) {
+    view.batch_in_flight = std::max(0, view.batch_in_flight - 1);
+  } else {
+    view.online_in_flight = std::max(0, view.online_in_flight - 1);
+    ++view.online_ended_since_report;
+  }
+  if (signal == EngineHealthSignal::kAnswered) {
+    view.failures_in_row = 0;
+    view.ejections = 0;
+    return;
+  }
+  ++view.failures_in_row;
+  if (view.failures_in_row >= knobs_.ejection_failures) {
+    eject(view, now);
+  }
+}
+
+void EngineTable::eject(EngineView& engine, TimePoint now) {
+  constexpr int kMaximumDoublings = 10;
+  const Duration time = knobs_.ejection_time * (1 << std::min(engine.ejections, kMaximumDoublings));
+  engine.ejected_until = now + std::min(time, knobs_.ejection_time_limit);
+  ++engine.ejections;
+  // One failure after the ejection ends is enough to eject again.
+  engine.failures_in_row = knobs_.ejection_failures - 1;
+}
+
+bool EngineTable::usable(const EngineView& engine, TimePoint now) const {
+  return !engine.leaving() && now >= engine.ejected_until;
+}
+
+std::vector<const EngineView*> EngineTable::candidates(const ServiceConfig& service,
+                                                       TimePoint now) const {
+  std::vector<const EngineView*> found;
+  for (const auto& [name, view] : engines_) {
+    if (FleetConfig::eligible(view.config, service) && usable(view, now)) {
+      found.push_back(&view);
+    }
+  }
+  return found;
+}
+
+const EngineView* EngineTable::find(const std::string& engine) const {
+  const auto found = engines_.find(engine);
+  return found == engines_.end() ? nullptr : &found->second;
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/supervisor/task_pool.cpp
@@ -0,0 +1,54 @@
+#include "supervisor/task_pool.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace dockpoint {
+
+TaskPool::TaskPool(std::string name, int threads, std::size_t limit)
+    : Part(std::move(name)), threads_(threads), limit_(limit) {}
+
+bool TaskPool::submit(Task task) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (tasks_.size() >= limit_) {
+    return false;
+  }
+  tasks_.push_back(std::move(task));
+  submitted_.notify_one();
+  return true;
+}
+
+void TaskPool::run(std::stop_token stop) {
+  std::vector<std::jthread> workers;
+  for (int index = 0; index < threads_; ++index) {
+    workers.emplace_back([this, stop] { work(stop); });
+  }
+}
+
+void TaskPool::work(std::stop_token stop) {
+  while (true) {
+    Task task;
+    {
+      std::unique_lock<std::mutex> lock(mutex_);
+      if (!submitted_.wait(lock, stop, [this] { return !tasks_.empty(); })) {
+        return;
+      }
+      if (stop.stop_requested()) {
+        return;
+      }
+      task = std::move(tasks_.front());
+      tasks_.pop_front();
+    }
+    try {
+      task();
+    } catch (const std::exception& exception) {
+      spdlog::error("supervisor: A task failed; pool={} reason={}", name(), exception.what());
+    }
+  }
+}
+
+std::size_t TaskPool::waiting() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return tasks_.size();
+}
+
+}  // namespace dockpoint
