Add the deterministic simulator, the scenario language and the explorer

Cause: real processes show faults slowly and not repeatably. The simulator runs the same NodeController that the daemon runs, many nodes in simulated time, from one seed; an explorer draws deployments, loads and faults.

Found and mended: an operator whose change was covered by a revision that its node took from a peer was told success whether it won or lost, since the fold only knew that the record was covered. Revisions now carry the recent changes. Ruled out: a lost answer alone (the repeated append is recognized by its id).

--- /dev/null
+++ b/apps/dockpoint_bench_main.cpp
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
--- a/include/dockpoint/batch/partition_controller.hpp
+++ b/include/dockpoint/batch/partition_controller.hpp
@@ -154,6 +154,7 @@
  private:
   void append(RecordBody body, RecordConfirmation confirmation = {});
   void claim();
+  bool wants_items(const JobState& job) const;
   void settle_inherited_attempts(TimePoint now, UnixSeconds wall_clock);
   void start_attempt_record(const std::string& job, ItemIndex item);
   void record_result(const ItemOutcome& outcome, ResultCode code, UnixSeconds wall_clock);
--- a/include/dockpoint/batch/partition_state.hpp
+++ b/include/dockpoint/batch/partition_state.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "dockpoint/batch/records.hpp"
+#include "dockpoint/core/mechanisms.hpp"
 
 /// The fold of one job partition's stream: pure, so whoever has read the same prefix has the same
 /// state, and any node's checkpoint of a prefix is as good as any other's.
@@ -59,6 +60,8 @@
 /// Fold of one partition's stream. Not thread-safe.
 class PartitionState {
  public:
+  explicit PartitionState(const Mechanisms& mechanisms = {}) : mechanisms_(mechanisms) {}
+
   /// Applies the record at `offset`, which must be `next_offset()`.
   RecordVerdict apply(Offset offset, const PartitionRecord& record);
 
@@ -82,7 +85,8 @@
   /// @return the state as bytes, for a checkpoint.
   std::string snapshot() const;
   /// @return the state, or null if the bytes are malformed.
-  static std::unique_ptr<PartitionState> restore(std::string_view bytes);
+  static std::unique_ptr<PartitionState> restore(std::string_view bytes,
+                                                 const Mechanisms& mechanisms = {});
 
  private:
   RecordVerdict take(Offset offset, const OwnershipClaim& claim);
@@ -94,6 +98,10 @@
   RecordVerdict take(Offset offset, const OnlineAttempt& attempt);
   RecordVerdict take(Offset offset, const OnlineAttemptWithdrawn& withdrawn);
 
+  /// @return whether a record that decides something was written by a former owner.
+  bool stale(Epoch epoch) const;
+
+  Mechanisms mechanisms_;
   Epoch epoch_ = 0;
   std::string owner_;
   std::uint64_t owner_run_ = 0;
--- a/include/dockpoint/config/configuration_fold.hpp
+++ b/include/dockpoint/config/configuration_fold.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "dockpoint/config/fleet_config.hpp"
+#include "dockpoint/core/mechanisms.hpp"
 
 /// The configuration stream and its fold.
 ///
@@ -25,6 +26,15 @@
   MSGPACK_DEFINE(id, base_revision, author, document)
 };
 
+/// An accepted change, without its document.
+struct AcceptedChange {
+  std::uint64_t revision = 0;
+  std::uint64_t offset = 0;  ///< Of its record.
+  std::string change_id;
+  std::string author;
+  MSGPACK_DEFINE(revision, offset, change_id, author)
+};
+
 /// One accepted revision.
 struct ConfigurationRevision {
   std::uint64_t revision = 0;     ///< 0: none yet.
@@ -32,7 +42,10 @@
   std::string change_id;
   std::string author;
   std::string document;
-  MSGPACK_DEFINE(revision, next_offset, change_id, author, document)
+  /// The most recent changes, this one included, oldest first. A node that takes the revision from
+  /// a peer skips their records in the log, and still knows what became of each.
+  std::deque<AcceptedChange> history;
+  MSGPACK_DEFINE(revision, next_offset, change_id, author, document, history)
 };
 
 /// What became of one change.
@@ -48,6 +61,8 @@
 /// Fold of the configuration stream. Not thread-safe.
 class ConfigurationFold {
  public:
+  explicit ConfigurationFold(const Mechanisms& mechanisms = {}) : mechanisms_(mechanisms) {}
+
   /// Applies the record at `offset`, which must be `next_offset()`.
   ChangeOutcome apply(std::uint64_t offset, const ConfigurationChange& change);
 
@@ -68,16 +83,16 @@
   /// @return the offset from which to read on.
   std::uint64_t next_offset() const { return next_offset_; }
 
-  /// @return the most recent revisions this node saw, oldest first, without their documents.
-  const std::deque<ConfigurationRevision>& history() const { return history_; }
+  /// @return the most recent accepted changes, oldest first.
+  const std::deque<AcceptedChange>& history() const { return current_.history; }
 
  private:
   void install(ConfigurationRevision revision, FleetConfig config);
 
+  Mechanisms mechanisms_;
   std::uint64_t next_offset_ = 0;
   ConfigurationRevision current_;
   std::shared_ptr<const FleetConfig> config_ = std::make_shared<FleetConfig>();
-  std::deque<ConfigurationRevision> history_;
 };
 
 }  // namespace dockpoint
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "dockpoint/core/mechanisms.hpp"
 #include "dockpoint/core/time.hpp"
 
 /// Tunables of the decision logic, in one place, with units. Operators do not set these; the
@@ -12,6 +13,8 @@
 using namespace std::chrono_literals;
 
 struct Knobs {
+  Mechanisms mechanisms;
+
   // Membership.
   Duration probe_interval = 1s;         ///< One member is probed an interval.
   Duration probe_timeout = 300ms;       ///< Then the probe goes through helpers.
--- a/include/dockpoint/node/node_controller.hpp
+++ b/include/dockpoint/node/node_controller.hpp
@@ -119,13 +119,15 @@
  private:
   void configuration_changed(TimePoint now);
   void update_partitions(TimePoint now, UnixSeconds wall_clock);
+  /// Recomputes who should own which partition and poll which engine, if members, engines or the
+  /// configuration changed since.
+  void refresh_placement();
   const Member* preferred_owner(int partition) const;
   PartitionController::OwnershipView ownership_view(const PartitionController& partition,
                                                     TimePoint now) const;
   PartitionController* acting_partition(int partition, TimePoint now);
   void poll_engines(TimePoint now);
   void send_digests(TimePoint now);
-  bool is_steward(const std::string& engine) const;
   void dispatch_batch(TimePoint now, UnixSeconds wall_clock);
   std::vector<BatchCandidate> batch_candidates(TimePoint now, UnixSeconds wall_clock);
   bool send_one_item(const std::vector<BatchCandidate>& candidates, TimePoint now);
@@ -133,6 +135,15 @@
   const Selector& selector_of(const JobSpec& job);
   void stop_cancelled_items();
 
+  /// Who should own each partition, and the engines that this node is the steward of.
+  struct Placement {
+    std::uint64_t membership_version = 0;
+    std::uint64_t revision = 0;
+    bool draining = false;
+    std::vector<std::string> owners;  ///< Node ids by partition; empty: nobody can.
+    std::vector<std::string> stewarded_engines;
+  };
+
   const NodeOptions options_;
   NodeActions& actions_;
   RecordIdSource record_ids_;
@@ -147,6 +158,7 @@
   std::map<std::string, ChangeConfirmation> proposed_changes_;
   int batch_in_flight_ = 0;
   bool draining_ = false;
+  Placement placement_;
   TimePoint next_load_poll_{};
   TimePoint next_digest_{};
   TimePoint next_fetch_{};
--- a/src/batch/batch_scheduler.cpp
+++ b/src/batch/batch_scheduler.cpp
@@ -27,6 +27,9 @@
 
 int batch_allowance(const Knobs& knobs, const EngineView& engine, const LimitsConfig& limits,
                     const std::string& node, int nodes, TimePoint now) {
+  if (!knobs.mechanisms.batch_allowance) {
+    return engine.config.slots;
+  }
   const bool known = engine.reported && now - engine.reported_at < knobs.load_stale_after;
   if (!known || engine.load.waiting_online > 0) {
     return 0;
--- a/src/batch/partition_controller.cpp
+++ b/src/batch/partition_controller.cpp
@@ -26,7 +26,7 @@
       identity_(std::move(identity)),
       record_ids_(record_ids),
       actions_(actions),
-      state_(std::make_unique<PartitionState>()) {
+      state_(std::make_unique<PartitionState>(knobs.mechanisms)) {
   actions_.follow(partition_);
 }
 
@@ -38,7 +38,8 @@
   if (!snapshot) {
     return;
   }
-  if (std::unique_ptr<PartitionState> restored = PartitionState::restore(*snapshot)) {
+  if (std::unique_ptr<PartitionState> restored =
+          PartitionState::restore(*snapshot, knobs_.mechanisms)) {
     state_ = std::move(restored);
     last_checkpoint_ = state_->next_offset();
   }
@@ -85,7 +86,8 @@
 }
 
 bool PartitionController::may_act(TimePoint now) const {
-  return owned() && !releasing_ && tail_read_ && now - *tail_read_ < knobs_.owner_lease;
+  const bool fresh = tail_read_ && now - *tail_read_ < knobs_.owner_lease;
+  return owned() && !releasing_ && (fresh || !knobs_.mechanisms.owner_lease);
 }
 
 void PartitionController::update_ownership(const OwnershipView& view, TimePoint now,
@@ -153,9 +155,13 @@
   append(JobCancelled{job, at}, std::move(confirmation));
 }
 
+bool PartitionController::wants_items(const JobState& job) const {
+  return job.in_progress() || (job.cancelled && !knobs_.mechanisms.cancel_stops);
+}
+
 bool PartitionController::has_ready_item(const std::string& job, TimePoint now) {
   const JobState* state = state_->find_job(job);
-  if (state == nullptr || !state->in_progress()) {
+  if (state == nullptr || !wants_items(*state)) {
     return false;
   }
   const auto confirmed = confirmed_attempts_.find(job);
@@ -171,11 +177,11 @@
 
 std::optional<ItemDispatch> PartitionController::take_item(const std::string& job, TimePoint now) {
   const JobState* state = state_->find_job(job);
-  if (state == nullptr || !state->in_progress() || !may_act(now)) {
+  if (state == nullptr || !wants_items(*state) || !may_act(now)) {
     return std::nullopt;
   }
   ItemQueue& queue = queue_of(job);
-  if (state->spec.repeatable) {
+  if (state->spec.repeatable || !knobs_.mechanisms.attempt_records) {
     const std::optional<ItemIndex> item = queue.take(*state, now);
     if (!item) {
       return std::nullopt;
@@ -284,7 +290,7 @@
   std::vector<std::pair<std::string, ItemIndex>> stopped;
   for (auto iterator = queues_.begin(); iterator != queues_.end();) {
     const JobState* job = state_->find_job(iterator->first);
-    const bool over = job == nullptr || !job->in_progress();
+    const bool over = job == nullptr || !wants_items(*job);
     if (over && job != nullptr && job->cancelled) {
       for (const ItemIndex item : iterator->second.in_flight()) {
         stopped.emplace_back(iterator->first, item);
--- a/src/batch/partition_state.cpp
+++ b/src/batch/partition_state.cpp
@@ -58,7 +58,8 @@
 }
 
 RecordVerdict PartitionState::take(Offset, const OwnershipClaim& claim) {
-  if (claim.replaces != epoch_ || claim.epoch != epoch_ + 1) {
+  const bool replaces_current = claim.replaces == epoch_ && claim.epoch == epoch_ + 1;
+  if (mechanisms_.ownership_epochs && !replaces_current) {
     return RecordVerdict::kStaleEpoch;
   }
   epoch_ = claim.epoch;
@@ -68,7 +69,7 @@
 }
 
 RecordVerdict PartitionState::take(Offset, const OwnershipRelease& release) {
-  if (release.epoch != epoch_) {
+  if (stale(release.epoch)) {
     return RecordVerdict::kStaleEpoch;
   }
   owner_.clear();
@@ -77,7 +78,7 @@
 }
 
 RecordVerdict PartitionState::take(Offset, const JobAccepted& accepted) {
-  if (accepted.epoch != epoch_) {
+  if (stale(accepted.epoch)) {
     return RecordVerdict::kStaleEpoch;
   }
   const auto [entry, inserted] = jobs_.try_emplace(accepted.job.id);
@@ -111,7 +112,7 @@
 }
 
 RecordVerdict PartitionState::take(Offset, const ItemAttempt& attempt) {
-  if (attempt.epoch != epoch_) {
+  if (stale(attempt.epoch)) {
     return RecordVerdict::kStaleEpoch;
   }
   const auto found = jobs_.find(attempt.job);
@@ -132,7 +133,14 @@
     return RecordVerdict::kUnknownJob;
   }
   JobState& job = found->second;
-  if (job.cancelled || job.has_result(completed.item)) {
+  if (job.cancelled) {
+    return RecordVerdict::kRepeated;
+  }
+  if (job.has_result(completed.item)) {
+    if (!mechanisms_.first_result_wins) {
+      job.results[completed.item] = offset + 1;
+      job.last_result = std::max(job.last_result, offset);
+    }
     return RecordVerdict::kRepeated;
   }
   job.results[completed.item] = offset + 1;
@@ -149,7 +157,7 @@
 }
 
 RecordVerdict PartitionState::take(Offset, const OnlineAttempt& attempt) {
-  if (attempt.epoch != epoch_) {
+  if (stale(attempt.epoch)) {
     return RecordVerdict::kStaleEpoch;
   }
   return online_attempts_.emplace(attempt.key, attempt.token).second ? RecordVerdict::kTaken
@@ -169,12 +177,17 @@
   return pack(Snapshot{epoch_, owner_, owner_run_, next_offset_, jobs_, online_attempts_});
 }
 
-std::unique_ptr<PartitionState> PartitionState::restore(std::string_view bytes) {
+bool PartitionState::stale(Epoch epoch) const {
+  return mechanisms_.ownership_epochs && epoch != epoch_;
+}
+
+std::unique_ptr<PartitionState> PartitionState::restore(std::string_view bytes,
+                                                        const Mechanisms& mechanisms) {
   std::optional<Snapshot> snapshot = unpack<Snapshot>(bytes);
   if (!snapshot) {
     return nullptr;
   }
-  auto state = std::make_unique<PartitionState>();
+  auto state = std::make_unique<PartitionState>(mechanisms);
   state->epoch_ = snapshot->epoch;
   state->owner_ = std::move(snapshot->owner);
   state->owner_run_ = snapshot->owner_run;
--- a/src/config/configuration_fold.cpp
+++ b/src/config/configuration_fold.cpp
@@ -5,24 +5,25 @@
 namespace dockpoint {
 namespace {
 
-/// Revisions kept for `config history`; older ones stand in the log.
-constexpr std::size_t kHistoryLength = 256;
+/// Changes that travel with a revision; older ones stand in the log.
+constexpr std::size_t kHistoryLength = 64;
 
 }  // namespace
 
 ChangeOutcome ConfigurationFold::apply(std::uint64_t offset, const ConfigurationChange& change) {
   next_offset_ = offset + 1;
-  // A revision adopted from a peer may cover records that the log shows only later.
-  if (offset < current_.next_offset) {
-    return {ChangeVerdict::kDuplicate, current_.revision, "covered by the revision in force"};
-  }
-  const bool seen = std::any_of(history_.begin(), history_.end(), [&](const auto& revision) {
-    return revision.change_id == change.id;
-  });
-  if (seen) {
+  const bool taken_before =
+      std::any_of(history().begin(), history().end(),
+                  [&](const AcceptedChange& accepted) { return accepted.change_id == change.id; });
+  if (taken_before) {
     return {ChangeVerdict::kDuplicate, current_.revision, "already taken"};
   }
-  if (change.base_revision != current_.revision) {
+  // A revision adopted from a peer may cover records that the log shows only later.
+  const bool covered = offset < current_.next_offset;
+  if (covered) {
+    return {ChangeVerdict::kConflict, current_.revision, "another change was taken first"};
+  }
+  if (mechanisms_.revision_check && change.base_revision != current_.revision) {
     return {ChangeVerdict::kConflict, current_.revision,
             "made from revision " + std::to_string(change.base_revision) + ", but revision " +
                 std::to_string(current_.revision) + " by " + current_.author + " is in force"};
@@ -33,8 +34,13 @@
     if (current_.revision > 0 && config.partitions != config_->partitions) {
       return fail(ResultCode::kConfigurationInvalid, "partitions cannot change");
     }
-    install({current_.revision + 1, next_offset_, change.id, change.author, change.document},
-            std::move(config));
+    ConfigurationRevision next{current_.revision + 1, next_offset_,    change.id,
+                               change.author,         change.document, current_.history};
+    next.history.push_back({next.revision, offset, change.id, change.author});
+    if (next.history.size() > kHistoryLength) {
+      next.history.pop_front();
+    }
+    install(std::move(next), std::move(config));
     return {};
   });
   if (error) {
@@ -62,12 +68,6 @@
 void ConfigurationFold::install(ConfigurationRevision revision, FleetConfig config) {
   current_ = std::move(revision);
   config_ = std::make_shared<const FleetConfig>(std::move(config));
-  ConfigurationRevision entry = current_;
-  entry.document.clear();
-  history_.push_back(std::move(entry));
-  if (history_.size() > kHistoryLength) {
-    history_.pop_front();
-  }
 }
 
 }  // namespace dockpoint
--- a/src/http/admin_handler.cpp
+++ b/src/http/admin_handler.cpp
@@ -21,12 +21,12 @@
   return hash128_hex(std::to_string(random()) + "-" + std::to_string(random()));
 }
 
-Poco::JSON::Object::Ptr revision_json(const ConfigurationRevision& revision) {
+Poco::JSON::Object::Ptr change_json(const AcceptedChange& change) {
   Poco::JSON::Object::Ptr entry = new Poco::JSON::Object;
-  entry->set("revision", revision.revision);
-  entry->set("author", revision.author);
-  entry->set("change_id", revision.change_id);
-  entry->set("offset", revision.next_offset == 0 ? 0 : revision.next_offset - 1);
+  entry->set("revision", change.revision);
+  entry->set("author", change.author);
+  entry->set("change_id", change.change_id);
+  entry->set("offset", change.offset);
   return entry;
 }
 
@@ -77,7 +77,9 @@
 void AdminHandler::show_configuration(Poco::Net::HTTPServerResponse& response) {
   const ConfigurationRevision revision = control_.call(
       [](NodeController& controller, TimePoint) { return controller.configuration().current(); });
-  Poco::JSON::Object::Ptr body = revision_json(revision);
+  const AcceptedChange change =
+      revision.history.empty() ? AcceptedChange{} : revision.history.back();
+  Poco::JSON::Object::Ptr body = change_json(change);
   error_of([&]() -> Result<void> {
     if (revision.revision > 0) {
       BOOST_LEAF_AUTO(document, parse_json_object(revision.document));
@@ -92,8 +94,8 @@
   const auto history = control_.call(
       [](NodeController& controller, TimePoint) { return controller.configuration().history(); });
   Poco::JSON::Array::Ptr data = new Poco::JSON::Array;
-  for (const ConfigurationRevision& revision : history) {
-    data->add(revision_json(revision));
+  for (const AcceptedChange& change : history) {
+    data->add(change_json(change));
   }
   send_json(response, 200, list_json(data));
 }
--- a/src/node/controller/node_controller.cpp
+++ b/src/node/controller/node_controller.cpp
@@ -31,6 +31,7 @@
       actions_(actions),
       record_ids_(hash64(options_.self.id, options_.self.incarnation)),
       membership_(options_.knobs, options_.self, options_.random_seed, actions),
+      configuration_(options_.knobs.mechanisms),
       engines_(options_.knobs),
       router_(options_.knobs, engines_, options_.self.zone, options_.random_seed + 1),
       online_(options_.knobs, engines_, router_, actions) {
@@ -39,6 +40,7 @@
 
 void NodeController::tick(TimePoint now, UnixSeconds wall_clock) {
   membership_.tick(now);
+  refresh_placement();
   update_partitions(now, wall_clock);
   poll_engines(now);
   send_digests(now);
@@ -52,7 +54,8 @@
   for (const EngineDigest& digest : message.digests) {
     engines_.report(digest.engine, digest.load, now);
   }
-  const bool newer = message.configuration_revision > configuration_.current().revision;
+  const bool newer = message.configuration_revision > configuration_.current().revision &&
+                     options_.knobs.mechanisms.configuration_spread;
   if (newer && now >= next_fetch_) {
     next_fetch_ = now + kFetchInterval;
     actions_.fetch_configuration(message.sender.api_address);
@@ -141,11 +144,39 @@
 }
 
 const Member* NodeController::preferred_owner(int partition) const {
+  const auto index = static_cast<std::size_t>(partition);
+  const bool known = index < placement_.owners.size() && !placement_.owners[index].empty();
+  return known ? membership_.find(placement_.owners[index]) : nullptr;
+}
+
+void NodeController::refresh_placement() {
+  const std::uint64_t revision = configuration_.current().revision;
+  const bool current = placement_.membership_version == membership_.version() &&
+                       placement_.revision == revision && placement_.draining == draining_;
+  if (current) {
+    return;
+  }
+  placement_.membership_version = membership_.version();
+  placement_.revision = revision;
+  placement_.draining = draining_;
   std::vector<const Member*> eligible = membership_.eligible_owners();
   if (draining_) {
     std::erase(eligible, &membership_.self());
   }
-  return highest_score(eligible, job_stream(partition));
+  placement_.owners.clear();
+  for (int partition = 0; revision > 0 && partition < configuration_.config()->partitions;
+       ++partition) {
+    const Member* owner = highest_score(eligible, job_stream(partition));
+    placement_.owners.push_back(owner == nullptr ? std::string{} : owner->id);
+  }
+  const std::vector<const Member*> alive = membership_.alive();
+  placement_.stewarded_engines.clear();
+  for (const auto& [name, engine] : engines_.all()) {
+    const Member* steward = highest_score(alive, name);
+    if (steward != nullptr && steward->id == options_.self.id) {
+      placement_.stewarded_engines.push_back(name);
+    }
+  }
 }
 
 PartitionController::OwnershipView NodeController::ownership_view(
@@ -286,19 +317,14 @@
   return jobs;
 }
 
-bool NodeController::is_steward(const std::string& engine) const {
-  const Member* steward = highest_score(membership_.alive(), engine);
-  return steward != nullptr && steward->id == options_.self.id;
-}
-
 void NodeController::poll_engines(TimePoint now) {
   if (now < next_load_poll_) {
     return;
   }
   next_load_poll_ = now + options_.knobs.load_poll_interval;
-  for (const auto& [name, engine] : engines_.all()) {
-    if (is_steward(name)) {
-      actions_.poll_load(name, engine.config.address);
+  for (const std::string& name : placement_.stewarded_engines) {
+    if (const EngineView* engine = engines_.find(name)) {
+      actions_.poll_load(name, engine->config.address);
     }
   }
 }
@@ -309,9 +335,10 @@
   }
   next_digest_ = now + options_.knobs.load_digest_interval;
   std::vector<EngineDigest> digests;
-  for (const auto& [name, engine] : engines_.all()) {
-    if (engine.reported && is_steward(name)) {
-      digests.push_back({name, engine.load});
+  for (const std::string& name : placement_.stewarded_engines) {
+    const EngineView* engine = engines_.find(name);
+    if (engine != nullptr && engine->reported) {
+      digests.push_back({name, engine->load});
     }
   }
   for (std::size_t begin = 0; begin < digests.size(); begin += kDigestsPerMessage) {
--- a/src/routing/engine_table.cpp
+++ b/src/routing/engine_table.cpp
@@ -109,7 +109,8 @@
 }
 
 bool EngineTable::usable(const EngineView& engine, TimePoint now) const {
-  return !engine.leaving() && now >= engine.ejected_until;
+  const bool stays = !engine.leaving() || !knobs_.mechanisms.leave_tracking;
+  return stays && now >= engine.ejected_until;
 }
 
 std::vector<const EngineView*> EngineTable::candidates(const ServiceConfig& service,
--- a/src/routing/online_dispatcher.cpp
+++ b/src/routing/online_dispatcher.cpp
@@ -109,8 +109,10 @@
   const auto limit = static_cast<std::size_t>(engines_.config().limits.online_queue_per_node);
   const int weight = engines_.config().tenant_weight(request.tenant);
   const RequestNumber number = request.number;
-  const FairQueue::PushResult pushed = queue_.push(
-      {number, request.tenant, request.estimated_tokens, weight, request.deadline}, limit);
+  const FairQueue::PushResult pushed =
+      queue_.push({number, knobs_.mechanisms.tenant_fairness ? request.tenant : std::string{},
+                   request.estimated_tokens, weight, request.deadline},
+                  limit);
   if (pushed.displaced) {
     finish_with_error(*pushed.displaced, ResultCode::kOverloaded,
                       "the queue is full and this tenant has the most waiting");
@@ -139,7 +141,7 @@
       retry_or_refuse(state, now);
       break;
     case AttemptEnd::kUnknown:
-      if (state.request.repeatable) {
+      if (state.request.repeatable || !knobs_.mechanisms.repeat_only_repeatable) {
         retry_or_refuse(state, now);
       } else {
         finish_with_error(request, ResultCode::kOutcomeUnknown,
@@ -209,7 +211,9 @@
 
 void OnlineDispatcher::finish_with_error(RequestNumber request, ResultCode code,
                                          std::string message) {
-  const RunState run = requests_.at(request).may_have_run ? RunState::kUnknown : RunState::kNotRun;
+  const bool may_have_run =
+      requests_.at(request).may_have_run && knobs_.mechanisms.truthful_not_run;
+  const RunState run = may_have_run ? RunState::kUnknown : RunState::kNotRun;
   Error error{code, std::move(message), {}, run, {}};
   if (describe(code).retry_after) {
     error.retry_after = retry_after();
--- /dev/null
+++ b/src/simulation/explorer.cpp
@@ -0,0 +1,194 @@
+#include "simulation/explorer.hpp"
+
+#include "simulation/checkers.hpp"
+
+#include <algorithm>
+#include <random>
+
+namespace dockpoint::simulation {
+namespace {
+
+constexpr double kFirstFault = 5.0;
+constexpr double kLastFault = 40.0;
+constexpr double kEnd = 60.0;
+
+/// Draws with explicit arithmetic, so that a seed means the same with every standard library.
+class Draw {
+ public:
+  explicit Draw(std::uint64_t seed) : random_(seed) {}
+
+  int between(int lowest, int highest) {
+    const auto span = static_cast<std::uint64_t>(highest - lowest + 1);
+    return lowest + static_cast<int>(random_() % span);
+  }
+  double seconds(double lowest, double highest) {
+    return between(static_cast<int>(lowest * 1000), static_cast<int>(highest * 1000)) / 1000.0;
+  }
+  bool chance(int percent) { return between(0, 99) < percent; }
+
+ private:
+  std::mt19937_64 random_;
+};
+
+std::string node_name(Draw& draw, const Deployment& deployment) {
+  return "node-" + std::to_string(draw.between(1, deployment.nodes));
+}
+
+std::string engine_name(Draw& draw, const Deployment& deployment) {
+  return "engine-" + std::to_string(draw.between(1, deployment.engines));
+}
+
+std::string zone_name(Draw& draw, const Deployment& deployment) {
+  return "zone-" + std::to_string(draw.between(1, deployment.zones));
+}
+
+void draw_jobs(Draw& draw, Scenario& scenario) {
+  const int jobs = draw.between(1, 5);
+  for (int index = 0; index < jobs; ++index) {
+    SubmitStep submit;
+    submit.job = "job-" + std::to_string(index);
+    submit.items = static_cast<std::uint32_t>(draw.between(1, 250));
+    submit.tokens = draw.between(1, 60);
+    submit.repeatable = !draw.chance(35);
+    submit.tenant = draw.chance(50) ? "clinics" : "shops";
+    submit.through = node_name(draw, scenario.deployment);
+    const double at = draw.seconds(1, 30);
+    scenario.steps.push_back({at, submit});
+    if (draw.chance(40)) {
+      scenario.steps.push_back(
+          {at + draw.seconds(0, 15), ResendStep{submit.job, node_name(draw, scenario.deployment)}});
+    }
+    if (draw.chance(25)) {
+      scenario.steps.push_back(
+          {at + draw.seconds(0, 20), CancelStep{submit.job, node_name(draw, scenario.deployment)}});
+    }
+  }
+}
+
+void draw_online(Draw& draw, Scenario& scenario) {
+  OnlineStep plain;
+  plain.name = "plain";
+  plain.rate = draw.between(1, 12);
+  plain.seconds = 45;
+  plain.tokens = draw.between(1, 40);
+  scenario.steps.push_back({4.0, plain});
+  OnlineStep once;
+  once.name = "once";
+  once.rate = draw.between(1, 4);
+  once.seconds = 40;
+  once.tokens = draw.between(1, 20);
+  once.repeatable = false;
+  once.keys = draw.chance(80);
+  once.resend = once.keys && draw.chance(80);
+  once.tenant = "clinics";
+  scenario.steps.push_back({5.0, once});
+}
+
+void draw_changes(Draw& draw, Scenario& scenario) {
+  const int races = draw.between(0, 3);
+  for (int race = 0; race < races; ++race) {
+    const double at = draw.seconds(4, 45);
+    const int operators = draw.between(1, 3);
+    for (int index = 0; index < operators; ++index) {
+      scenario.steps.push_back(
+          {at + draw.seconds(0, 0.05),
+           ApplyStep{"race-" + std::to_string(race) + "-" + std::to_string(index),
+                     node_name(draw, scenario.deployment), -1}});
+    }
+  }
+}
+
+void draw_process_fault(Draw& draw, Scenario& scenario) {
+  const Deployment& deployment = scenario.deployment;
+  const double at = draw.seconds(kFirstFault, kLastFault);
+  const double until = at + draw.seconds(0.2, 15);
+  const int kind = draw.between(0, 99);
+  if (kind < 30) {
+    const std::string node = node_name(draw, deployment);
+    scenario.steps.push_back({at, ProcessStep{"kill", node}});
+    scenario.steps.push_back({until, ProcessStep{"restart", node}});
+  } else if (kind < 50) {
+    const std::string node = node_name(draw, deployment);
+    scenario.steps.push_back({at, ProcessStep{"freeze", node}});
+    scenario.steps.push_back({until, ProcessStep{"wake", node}});
+  } else if (kind < 70) {
+    const std::string engine = engine_name(draw, deployment);
+    scenario.steps.push_back({at, ProcessStep{"kill", engine}});
+    scenario.steps.push_back({until, ProcessStep{"restart", engine}});
+  } else if (kind < 78) {
+    const std::string zone = zone_name(draw, deployment);
+    scenario.steps.push_back({at, ProcessStep{"kill", zone}});
+    scenario.steps.push_back({until, ProcessStep{"restart", zone}});
+  } else if (kind < 90) {
+    const std::string node = node_name(draw, deployment);
+    scenario.steps.push_back({at, ProcessStep{"drain", node}});
+    scenario.steps.push_back({until + 5, ProcessStep{"restart", node}});
+  } else {
+    scenario.steps.push_back({at, ProcessStep{"leave", engine_name(draw, deployment)}});
+  }
+}
+
+void draw_platform_fault(Draw& draw, Scenario& scenario) {
+  const Deployment& deployment = scenario.deployment;
+  FaultStep fault;
+  fault.kind = fault_kinds()[static_cast<std::size_t>(
+      draw.between(0, static_cast<int>(fault_kinds().size()) - 1))];
+  fault.value = draw.between(5, 40);
+  if (fault.kind == "log_slow") {
+    fault.value = draw.between(50, 1500);
+  }
+  if (fault.kind == "network_cut") {
+    fault.from = draw.chance(50) ? zone_name(draw, deployment) : node_name(draw, deployment);
+    fault.to = draw.chance(50) ? zone_name(draw, deployment) : node_name(draw, deployment);
+    fault.both_ways = draw.chance(50);
+  }
+  if (fault.kind == "log_unreachable") {
+    fault.target = node_name(draw, deployment);
+  }
+  scenario.steps.push_back({draw.seconds(kFirstFault, kLastFault), fault});
+}
+
+}  // namespace
+
+Scenario draw_scenario(std::uint64_t seed) {
+  Draw draw(seed);
+  Scenario scenario;
+  scenario.name = "explore-" + std::to_string(seed);
+  scenario.seed = seed;
+  Deployment& deployment = scenario.deployment;
+  deployment.nodes = draw.between(2, 6);
+  deployment.engines = draw.between(2, 6);
+  deployment.zones = draw.between(1, 3);
+  deployment.slots = draw.between(4, 12);
+  deployment.partitions = draw.between(1, 8);
+  deployment.list_lag_ms = draw.between(0, 5000);
+  deployment.clock_spread_percent = draw.chance(30) ? draw.between(1, 5) : 0;
+  draw_jobs(draw, scenario);
+  draw_online(draw, scenario);
+  draw_changes(draw, scenario);
+  const int process_faults = draw.between(0, 5);
+  for (int index = 0; index < process_faults; ++index) {
+    draw_process_fault(draw, scenario);
+  }
+  const int platform_faults = draw.between(0, 3);
+  for (int index = 0; index < platform_faults; ++index) {
+    draw_platform_fault(draw, scenario);
+  }
+  if (draw.chance(50)) {
+    scenario.steps.push_back({draw.seconds(kFirstFault, 55), HealStep{}});
+  }
+  std::stable_sort(scenario.steps.begin(), scenario.steps.end(),
+                   [](const Step& left, const Step& right) { return left.at < right.at; });
+  scenario.end = kEnd;
+  // Load and faults are drawn together, so requests may rightly be slow or refused: how long they
+  // take is for scenarios that are made for it.
+  for (const PropertyInfo& property : property_table()) {
+    if (property.name != "online_before_batch" && property.name != "no_starvation" &&
+        property.name != "refused_at_once") {
+      scenario.checks.push_back(property.name);
+    }
+  }
+  return scenario;
+}
+
+}  // namespace dockpoint::simulation
--- /dev/null
+++ b/src/simulation/sim_log.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "log/log_client.hpp"
+#include "simulation/event_queue.hpp"
+
+namespace dockpoint::simulation {
+
+/// The platform's log in simulated time, with its faults.
+class SimLog {
+ public:
+  using AppendDone = std::function<void(std::optional<std::uint64_t> offset)>;
+  using ReadDone = std::function<void(std::optional<LogPage> page)>;
+
+  SimLog(EventQueue& events, std::uint64_t seed) : events_(events), random_(seed) {}
+
+  /// Appends; `done` gets nothing if the log is down, out of the caller's reach, or lost the
+  /// answer.
+  void append(const std::string& caller, const std::string& stream,
+              const std::vector<std::string>& records, AppendDone done);
+  /// Reads; waits up to half a second for the first record.
+  void read(const std::string& caller, const std::string& stream, std::uint64_t from,
+            std::size_t limit, ReadDone done);
+
+  // Faults.
+  void set_down(bool down) { down_ = down; }
+  void set_slow(Duration delay) { slow_ = delay; }
+  void set_lost_answers(int percent) { lost_answer_percent_ = percent; }
+  void set_unreachable(const std::string& caller, bool unreachable);
+  void heal();
+
+  /// @return all records of a stream, for checkers and naive references.
+  const std::vector<std::string>& records(const std::string& stream) { return streams_[stream]; }
+
+ private:
+  Duration latency();
+  bool refuses(const std::string& caller) const;
+  void answer_read(const std::string& stream, std::uint64_t from, std::size_t limit,
+                   const ReadDone& done);
+
+  EventQueue& events_;
+  std::mt19937_64 random_;
+  std::map<std::string, std::vector<std::string>> streams_;
+  struct Waiter {
+    std::uint64_t from = 0;
+    std::size_t limit = 0;
+    std::shared_ptr<ReadDone> done;  ///< Emptied once answered.
+  };
+  std::map<std::string, std::vector<Waiter>> waiters_;
+  bool down_ = false;
+  Duration slow_{};
+  int lost_answer_percent_ = 0;
+  std::set<std::string> unreachable_;
+};
+
+}  // namespace dockpoint::simulation
--- /dev/null
+++ b/src/simulation/sim_network.cpp
@@ -0,0 +1,62 @@
+#include "simulation/sim_network.hpp"
+
+namespace dockpoint::simulation {
+namespace {
+
+constexpr Duration kWithinZone{100};
+constexpr Duration kBetweenZones{1'000};
+constexpr std::uint64_t kJitterUs = 200;
+constexpr Duration kConnectionTimeout{1'000'000};
+constexpr std::uint64_t kPercent = 100;
+
+}  // namespace
+
+Duration SimNetwork::delay(const Place& from, const Place& to) {
+  const Duration base = from.zone == to.zone ? kWithinZone : kBetweenZones;
+  const auto jitter = kJitterUs + static_cast<std::uint64_t>(extra_delay_.count());
+  return base + Duration(static_cast<std::int64_t>(random_() % jitter));
+}
+
+bool SimNetwork::strikes(int percent) {
+  return percent > 0 && random_() % kPercent < static_cast<std::uint64_t>(percent);
+}
+
+bool SimNetwork::is_cut(const Place& from, const Place& to) const {
+  for (const std::string& source : {from.name, from.zone}) {
+    for (const std::string& target : {to.name, to.zone}) {
+      if (cuts_.contains({source, target})) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void SimNetwork::datagram(const Place& from, const Place& to, std::function<void()> deliver) {
+  ++datagrams_;
+  if (is_cut(from, to) || strikes(loss_percent_)) {
+    return;
+  }
+  if (strikes(doubling_percent_)) {
+    events_.after(delay(from, to), deliver);
+  }
+  events_.after(delay(from, to), std::move(deliver));
+}
+
+void SimNetwork::message(const Place& from, const Place& to, std::function<void()> deliver,
+                         std::function<void()> broken) {
+  if (is_cut(from, to)) {
+    events_.after(kConnectionTimeout, std::move(broken));
+    return;
+  }
+  events_.after(delay(from, to), std::move(deliver));
+}
+
+void SimNetwork::heal() {
+  cuts_.clear();
+  loss_percent_ = 0;
+  doubling_percent_ = 0;
+  extra_delay_ = Duration{};
+}
+
+}  // namespace dockpoint::simulation
--- /dev/null
+++ b/src/simulation/sim_network.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <random>
+#include <set>
+#include <string>
+
+#include "simulation/event_queue.hpp"
+
+namespace dockpoint::simulation {
+
+/// Where a process is.
+struct Place {
+  std::string name;
+  std::string zone;
+};
+
+/// The network between processes: delays, loss, doubling, reordering and cuts.
+class SimNetwork {
+ public:
+  SimNetwork(EventQueue& events, std::uint64_t seed) : events_(events), random_(seed) {}
+
+  /// Sends a datagram, which may be lost, doubled or overtaken.
+  void datagram(const Place& from, const Place& to, std::function<void()> deliver);
+
+  /// Sends over a connection: in time or, if the way is cut, not at all, in which case `broken`
+  /// runs after the connection has timed out.
+  void message(const Place& from, const Place& to, std::function<void()> deliver,
+               std::function<void()> broken);
+
+  // Faults. A cut names a process or a zone on either side.
+  void cut(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
+  void set_loss(int percent) { loss_percent_ = percent; }
+  void set_doubling(int percent) { doubling_percent_ = percent; }
+  void set_extra_delay(Duration delay) { extra_delay_ = delay; }
+  void heal();
+
+  bool is_cut(const Place& from, const Place& to) const;
+
+  std::uint64_t datagrams() const { return datagrams_; }
+
+ private:
+  Duration delay(const Place& from, const Place& to);
+  bool strikes(int percent);
+
+  EventQueue& events_;
+  std::mt19937_64 random_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  int loss_percent_ = 0;
+  int doubling_percent_ = 0;
+  Duration extra_delay_{};
+  std::uint64_t datagrams_ = 0;
+};
+
+}  // namespace dockpoint::simulation
--- a/tests/config/configuration_fold_test.cpp
+++ b/tests/config/configuration_fold_test.cpp
@@ -64,4 +64,17 @@
   BOOST_TEST(behind.current().revision == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(an_adopted_revision_still_tells_who_won) {
+  ConfigurationFold ahead;
+  ahead.apply(0, change("a", 0));
+  ahead.apply(1, change("winner", 1));
+  ahead.apply(2, change("loser", 1));
+  ahead.apply(3, change("c", 2));
+  ConfigurationFold behind;
+  behind.adopt(ahead.current());
+  // The operator's own node reads the records it skipped, and must tell each what became of it.
+  BOOST_TEST((behind.apply(1, change("winner", 1)).verdict == ChangeVerdict::kDuplicate));
+  BOOST_TEST((behind.apply(2, change("loser", 1)).verdict == ChangeVerdict::kConflict));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
