Mend three failures that exploration found

Found by dockpoint-sim explore, each with a scenario: - An owner that was told to hand over waited for ever for items whose attempt was recorded but which it no longer sent: it now sends exactly these. - A node that was restarted and is not the preferred owner never learnt that its former run owns a partition, and the preferred node held the owner to be alive, going by its name: owners are now compared by run. - A node that was paused sent a request to a leaving engine by an old list: it now starts nothing after a pause until it has read the list again, for 1 s at most, so that online service still survives a platform outage.

--- a/include/dockpoint/batch/partition_controller.hpp
+++ b/include/dockpoint/batch/partition_controller.hpp
@@ -124,7 +124,9 @@
   /// @return whether no item is under way and every result is confirmed.
   bool quiescent() const;
   /// @return whether this node owns the partition and its lease is fresh.
-  bool may_act(TimePoint now) const;
+  bool may_send(TimePoint now) const;
+  /// @return whether it may also take on new work, which it may not while it gives up ownership.
+  bool may_act(TimePoint now) const { return may_send(now) && !releasing_; }
   bool owned() const;
   bool caught_up() const { return at_tail_; }
   /// @return whether the node can drop the partition without losing anything.
@@ -138,7 +140,8 @@
   void cancel_job(const std::string& job, UnixSeconds at, RecordConfirmation confirmation);
 
   // Items.
-  /// @return whether the job has an item to send now.
+  /// @return whether the job has an item to send now. While ownership is given up, only items whose
+  /// attempt is already recorded are sent: nobody else may send them any more.
   bool has_ready_item(const std::string& job, TimePoint now);
   /// Takes the job's next item. An item that must not be repeated is returned only once its
   /// attempt is confirmed; until then this starts the recording and returns nothing.
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -34,6 +34,10 @@
   Duration ejection_time = 5s;            ///< Doubled at every further ejection.
   Duration ejection_time_limit = 60s;
 
+  // Pauses of the whole process.
+  Duration pause_threshold = 1500ms;  ///< A longer gap between events means that it was paused.
+  Duration pause_hold = 1s;           ///< Longest wait for fresh news before sending again.
+
   // Online requests.
   int maximum_attempts = 3;
   double retry_budget_reserve = 5;     ///< Retries allowed before any success.
--- a/include/dockpoint/core/mechanisms.hpp
+++ b/include/dockpoint/core/mechanisms.hpp
@@ -35,6 +35,8 @@
   bool online_attempt_records = true;
   /// Engines that leave, by any source, get no new work.
   bool leave_tracking = true;
+  /// A process that was paused sends nothing new before it has heard fresh news.
+  bool pause_hold = true;
   /// A planned stop finishes what is in progress.
   bool drain = true;
   /// A configuration change counts only if it was made from the revision in force.
--- a/include/dockpoint/membership/member.hpp
+++ b/include/dockpoint/membership/member.hpp
@@ -17,7 +17,8 @@
   std::string peer_address;  ///< `IP:port` for datagrams between nodes.
   std::string api_address;   ///< `IP:port` of the HTTP interface.
   std::string zone;
-  MSGPACK_DEFINE(id, incarnation, state, peer_address, api_address, zone)
+  std::uint64_t run = 0;  ///< First incarnation of the process: tells a restart from a refutation.
+  MSGPACK_DEFINE(id, incarnation, state, peer_address, api_address, zone, run)
 };
 
 /// @return whether `update` says something newer than `known`.
--- a/include/dockpoint/node/node_controller.hpp
+++ b/include/dockpoint/node/node_controller.hpp
@@ -51,6 +51,18 @@
   std::string api_address;  ///< Empty: no owner is known now.
 };
 
+/// One partition that a node follows, for operators.
+struct PartitionStatus {
+  int partition = 0;
+  Epoch epoch = 0;
+  std::string owner;        ///< As folded; empty: none.
+  std::string preferred;    ///< Who should own it; empty: nobody can.
+  bool owned_here = false;
+  bool caught_up = false;   ///< The stream was read to its tail.
+  bool quiescent = false;   ///< Nothing under way, everything confirmed.
+  Offset next_offset = 0;
+};
+
 struct NodeOptions {
   Knobs knobs;
   Member self;                     ///< `incarnation` must be unique for each run.
@@ -72,7 +84,7 @@
   void peer_message(const PeerMessage& message, TimePoint now);
   void configuration_read(Offset first, const std::vector<std::string>& records, TimePoint now);
   void configuration_fetched(const ConfigurationRevision& revision, TimePoint now);
-  void machines_listed(const std::vector<MachineEntry>& machines);
+  void machines_listed(const std::vector<MachineEntry>& machines, TimePoint now);
   void load_polled(const std::string& engine, const EngineLoad& load, TimePoint now);
   void log_reachability_changed(bool reachable) { membership_.set_log_reachable(reachable); }
   void checkpoint_loaded(int partition, const std::optional<std::string>& snapshot);
@@ -83,7 +95,8 @@
   void item_ended(const ItemOutcome& outcome, TimePoint now, UnixSeconds wall_clock);
 
   // Callers' and operators' requests.
-  OnlineDispatcher& online() { return online_; }
+  void submit_online(OnlineRequest request, TimePoint now);
+  void online_attempt_ended(RequestNumber request, AttemptEnd end, TimePoint now);
   /// @return nothing if the record is on its way to the log, or why it is not.
   std::optional<Error> accept_job(JobSpec job, TimePoint now, RecordConfirmation confirmation);
   std::optional<Error> cancel_job(const std::string& job, TimePoint now, UnixSeconds wall_clock,
@@ -113,11 +126,16 @@
   const Membership& membership() const { return membership_; }
   const OnlineDispatcher& online() const { return online_; }
   int owned_partitions() const;
+  /// @return the partitions that this node follows.
+  std::vector<PartitionStatus> partition_statuses() const;
   int batch_in_flight() const { return batch_in_flight_; }
   bool draining() const { return draining_; }
 
  private:
   void configuration_changed(TimePoint now);
+  /// Notices that the process was paused: what it knows is old, above all who is leaving.
+  void notice_time(TimePoint now);
+  bool held(TimePoint now) const { return now < held_until_; }
   void update_partitions(TimePoint now, UnixSeconds wall_clock);
   /// Recomputes who should own which partition and poll which engine, if members, engines or the
   /// configuration changed since.
@@ -159,6 +177,8 @@
   int batch_in_flight_ = 0;
   bool draining_ = false;
   Placement placement_;
+  std::optional<TimePoint> last_event_;
+  TimePoint held_until_{};
   TimePoint next_load_poll_{};
   TimePoint next_digest_{};
   TimePoint next_fetch_{};
--- a/include/dockpoint/routing/online_dispatcher.hpp
+++ b/include/dockpoint/routing/online_dispatcher.hpp
@@ -76,6 +76,10 @@
   /// Reports the end of the attempt that `start_attempt` began.
   void attempt_ended(RequestNumber request, AttemptEnd end, TimePoint now);
 
+  /// Starts no attempt before `until` or `release`; requests wait meanwhile.
+  void hold(TimePoint until) { held_until_ = until; }
+  void release(TimePoint now);
+
   /// The caller went away while the request was waiting.
   void abandon(RequestNumber request);
 
@@ -115,6 +119,7 @@
   std::map<RequestNumber, State> requests_;
   double mean_service_seconds_;
   Duration last_wait_estimate_{};
+  TimePoint held_until_{};
   OnlineCounts counts_;
 };
 
--- a/src/batch/partition_controller.cpp
+++ b/src/batch/partition_controller.cpp
@@ -85,9 +85,9 @@
   return state_->owner() == identity_.node && state_->owner_run() == identity_.run;
 }
 
-bool PartitionController::may_act(TimePoint now) const {
+bool PartitionController::may_send(TimePoint now) const {
   const bool fresh = tail_read_ && now - *tail_read_ < knobs_.owner_lease;
-  return owned() && !releasing_ && (fresh || !knobs_.mechanisms.owner_lease);
+  return owned() && (fresh || !knobs_.mechanisms.owner_lease);
 }
 
 void PartitionController::update_ownership(const OwnershipView& view, TimePoint now,
@@ -168,6 +168,9 @@
   if (confirmed != confirmed_attempts_.end() && !confirmed->second.empty()) {
     return true;
   }
+  if (releasing_) {
+    return false;
+  }
   ItemQueue& queue = queue_of(job);
   if (!state->spec.repeatable && queue.in_flight().size() >= knobs_.attempts_ahead) {
     return false;
@@ -177,10 +180,19 @@
 
 std::optional<ItemDispatch> PartitionController::take_item(const std::string& job, TimePoint now) {
   const JobState* state = state_->find_job(job);
-  if (state == nullptr || !wants_items(*state) || !may_act(now)) {
+  if (state == nullptr || !wants_items(*state) || !may_send(now)) {
     return std::nullopt;
   }
   ItemQueue& queue = queue_of(job);
+  std::vector<ItemIndex>& confirmed = confirmed_attempts_[job];
+  if (!confirmed.empty()) {
+    const ItemIndex item = confirmed.back();
+    confirmed.pop_back();
+    return make_dispatch(*state, item, queue.attempts(item) + 1);
+  }
+  if (releasing_) {
+    return std::nullopt;
+  }
   if (state->spec.repeatable || !knobs_.mechanisms.attempt_records) {
     const std::optional<ItemIndex> item = queue.take(*state, now);
     if (!item) {
@@ -188,12 +200,6 @@
     }
     return make_dispatch(*state, *item, queue.attempts(*item) + 1);
   }
-  std::vector<ItemIndex>& confirmed = confirmed_attempts_[job];
-  if (!confirmed.empty()) {
-    const ItemIndex item = confirmed.back();
-    confirmed.pop_back();
-    return make_dispatch(*state, item, queue.attempts(item) + 1);
-  }
   const std::optional<ItemIndex> item = queue.take(*state, now);
   if (!item) {
     return std::nullopt;
--- a/src/core/mechanisms.cpp
+++ b/src/core/mechanisms.cpp
@@ -19,6 +19,7 @@
       {"repeat_only_repeatable", &Mechanisms::repeat_only_repeatable},
       {"online_attempt_records", &Mechanisms::online_attempt_records},
       {"leave_tracking", &Mechanisms::leave_tracking},
+      {"pause_hold", &Mechanisms::pause_hold},
       {"drain", &Mechanisms::drain},
       {"revision_check", &Mechanisms::revision_check},
       {"configuration_spread", &Mechanisms::configuration_spread},
--- a/src/http/online_handler.cpp
+++ b/src/http/online_handler.cpp
@@ -155,7 +155,7 @@
     }
   }
   control_.post([online = exchange.online](NodeController& controller, TimePoint now) {
-    controller.online().submit(online, now);
+    controller.submit_online(online, now);
   });
   while (true) {
     OnlineCommand command = registration.call().wait();
@@ -168,7 +168,7 @@
     }
     const AttemptEnd end = run_attempt(exchange, std::get<AttemptCommand>(command));
     control_.post([number, end](NodeController& controller, TimePoint now) {
-      controller.online().attempt_ended(number, end, now);
+      controller.online_attempt_ended(number, end, now);
     });
     if (end == AttemptEnd::kCompleted || end == AttemptEnd::kCallerGone) {
       latencies_.whole_answer(monotonic_now() - exchange.arrived);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -6,7 +6,9 @@
 namespace dockpoint {
 
 Membership::Membership(const Knobs& knobs, Member self, std::uint64_t seed, PeerSender& sender)
-    : knobs_(knobs), self_(std::move(self)), random_(seed), sender_(sender) {}
+    : knobs_(knobs), self_(std::move(self)), random_(seed), sender_(sender) {
+  self_.run = self_.incarnation;
+}
 
 void Membership::set_candidates(const std::vector<std::string>& peer_addresses) {
   candidates_ = {peer_addresses.begin(), peer_addresses.end()};
--- a/src/node/controller/node_controller.cpp
+++ b/src/node/controller/node_controller.cpp
@@ -38,7 +38,27 @@
   membership_.set_candidates(options_.seeds);
 }
 
+void NodeController::notice_time(TimePoint now) {
+  const bool paused = last_event_ && now - *last_event_ > options_.knobs.pause_threshold;
+  last_event_ = now;
+  if (paused && options_.knobs.mechanisms.pause_hold) {
+    held_until_ = now + options_.knobs.pause_hold;
+    online_.hold(held_until_);
+  }
+}
+
+void NodeController::submit_online(OnlineRequest request, TimePoint now) {
+  notice_time(now);
+  online_.submit(std::move(request), now);
+}
+
+void NodeController::online_attempt_ended(RequestNumber request, AttemptEnd end, TimePoint now) {
+  notice_time(now);
+  online_.attempt_ended(request, end, now);
+}
+
 void NodeController::tick(TimePoint now, UnixSeconds wall_clock) {
+  notice_time(now);
   membership_.tick(now);
   refresh_placement();
   update_partitions(now, wall_clock);
@@ -50,6 +70,7 @@
 }
 
 void NodeController::peer_message(const PeerMessage& message, TimePoint now) {
+  notice_time(now);
   membership_.receive(message, now);
   for (const EngineDigest& digest : message.digests) {
     engines_.report(digest.engine, digest.load, now);
@@ -64,6 +85,7 @@
 
 void NodeController::configuration_read(Offset first, const std::vector<std::string>& records,
                                         TimePoint now) {
+  notice_time(now);
   const std::uint64_t before = configuration_.current().revision;
   for (std::size_t index = 0; index < records.size(); ++index) {
     const Offset offset = first + index;
@@ -103,7 +125,8 @@
   actions_.append_configuration(change);
 }
 
-void NodeController::machines_listed(const std::vector<MachineEntry>& machines) {
+void NodeController::machines_listed(const std::vector<MachineEntry>& machines, TimePoint now) {
+  notice_time(now);
   std::vector<std::string> candidates = options_.seeds;
   std::vector<std::string> leaving_engines;
   for (const MachineEntry& machine : machines) {
@@ -116,9 +139,12 @@
   }
   membership_.set_candidates(candidates);
   engines_.set_leaving_addresses(leaving_engines);
+  held_until_ = TimePoint{};
+  online_.release(now);
 }
 
 void NodeController::load_polled(const std::string& engine, const EngineLoad& load, TimePoint now) {
+  notice_time(now);
   engines_.report(engine, load, now);
 }
 
@@ -132,6 +158,7 @@
 void NodeController::partition_read(int partition, Offset first,
                                     const std::vector<std::string>& records, bool at_tail,
                                     TimePoint read_started, TimePoint now) {
+  notice_time(now);
   const auto found = partitions_.find(partition);
   if (found != partitions_.end()) {
     found->second->records_read(first, records, at_tail, read_started, now);
@@ -190,10 +217,13 @@
   }
   // With nobody to take over, a draining node still gives its partitions up.
   view.preferred_settled = view.preferred_settled || draining_;
-  const std::string& owner = partition.state().owner();
+  // The owner is a process, not a name: a node that was restarted does not know that its former
+  // self owned the partition.
+  const PartitionState& state = partition.state();
   const std::vector<const Member*> eligible = membership_.eligible_owners();
-  view.owner_alive = std::any_of(eligible.begin(), eligible.end(),
-                                 [&](const Member* member) { return member->id == owner; });
+  view.owner_alive = std::any_of(eligible.begin(), eligible.end(), [&](const Member* member) {
+    return member->id == state.owner() && member->run == state.owner_run();
+  });
   return view;
 }
 
@@ -358,7 +388,7 @@
                                                              UnixSeconds wall_clock) {
   std::vector<BatchCandidate> candidates;
   for (const auto& [number, partition] : partitions_) {
-    if (!partition->may_act(now)) {
+    if (!partition->may_send(now)) {
       continue;
     }
     for (const std::string& id : partition->state().open_jobs()) {
@@ -380,6 +410,9 @@
   std::vector<BatchCandidate> candidates = batch_candidates(now, wall_clock);
   membership_.set_pending_batch_items(
       static_cast<std::uint32_t>(candidates.size() + static_cast<std::size_t>(batch_in_flight_)));
+  if (held(now)) {
+    return;
+  }
   while (batch_in_flight_ < options_.maximum_batch_in_flight && !candidates.empty()) {
     if (!send_one_item(candidates, now)) {
       return;
@@ -460,6 +493,7 @@
 }
 
 void NodeController::item_ended(const ItemOutcome& outcome, TimePoint now, UnixSeconds wall_clock) {
+  notice_time(now);
   batch_in_flight_ = std::max(0, batch_in_flight_ - 1);
   const bool failed = outcome.end == ItemEnd::kNotSent || outcome.end == ItemEnd::kUnknown;
   engines_.ended(outcome.engine, WorkClass::kBatch,
@@ -484,6 +518,18 @@
                                         [](const auto& entry) { return entry.second->owned(); }));
 }
 
+std::vector<PartitionStatus> NodeController::partition_statuses() const {
+  std::vector<PartitionStatus> statuses;
+  for (const auto& [number, partition] : partitions_) {
+    const Member* preferred = preferred_owner(number);
+    statuses.push_back({number, partition->state().epoch(), partition->state().owner(),
+                        preferred == nullptr ? std::string{} : preferred->id, partition->owned(),
+                        partition->caught_up(), partition->quiescent(),
+                        partition->state().next_offset()});
+  }
+  return statuses;
+}
+
 void NodeController::begin_drain() {
   draining_ = true;
 }
--- a/src/node/machine_list_poller.cpp
+++ b/src/node/machine_list_poller.cpp
@@ -36,8 +36,8 @@
   }
   const std::optional<Error> error = error_of([&]() -> Result<void> {
     BOOST_LEAF_AUTO(machines, parse_machine_list(outcome.answer->body));
-    control_.post([machines](NodeController& controller, TimePoint) {
-      controller.machines_listed(machines);
+    control_.post([machines](NodeController& controller, TimePoint now) {
+      controller.machines_listed(machines, now);
     });
     return {};
   });
--- a/src/routing/online_dispatcher.cpp
+++ b/src/routing/online_dispatcher.cpp
@@ -72,7 +72,15 @@
   }
 }
 
+void OnlineDispatcher::release(TimePoint now) {
+  held_until_ = TimePoint{};
+  tick(now);
+}
+
 bool OnlineDispatcher::try_start(State& state, TimePoint now) {
+  if (now < held_until_) {
+    return false;
+  }
   const ServiceConfig* service = engines_.config().find_service(state.request.service);
   const RequestNumber number = state.request.number;
   if (service == nullptr) {
--- a/src/simulation/scenario_runner.cpp
+++ b/src/simulation/scenario_runner.cpp
@@ -180,6 +180,37 @@
   std::vector<Violation>& violations_;
 };
 
+/// Adds each node's view at the end to the history, for whoever reads it.
+void trace_final_state(World& world) {
+  for (const auto& [name, node] : world.nodes()) {
+    if (!node->up()) {
+      continue;
+    }
+    std::string line = "end " + name + " sees";
+    for (const Member* member : node->controller().membership().eligible_owners()) {
+      line += " " + member->id;
+    }
+    world.history().trace(world.events().now(), line);
+    for (const PartitionStatus& status : node->controller().partition_statuses()) {
+      world.history().trace(
+          world.events().now(),
+          "end " + name + " partition " + std::to_string(status.partition) + " epoch " +
+              std::to_string(status.epoch) + " owner " + status.owner + " preferred " +
+              status.preferred + (status.owned_here ? " owned" : "") +
+              (status.caught_up ? " caught-up" : "") + (status.quiescent ? " quiescent" : ""));
+    }
+  }
+}
+
+/// Replaces nodes that stopped after the heal, as an operator's machines would be.
+void restart_stopped(World& world) {
+  for (const auto& [name, node] : world.nodes()) {
+    if (!node->up()) {
+      node->start();
+    }
+  }
+}
+
 }  // namespace
 
 RunReport run_scenario(const Scenario& scenario, const RunOptions& options) {
@@ -199,8 +230,10 @@
   const TimePoint limit = world.events().now() + to_duration(scenario.settle);
   while (!all_ended(world) && world.events().now() < limit) {
     world.events().run_until(world.events().now() + kSettleStep);
+    restart_stopped(world);
   }
   world.events().run_until(world.events().now() + kQuietTime);
+  trace_final_state(world);
   const std::vector<Violation> found = check_properties(world, scenario);
   report.violations.insert(report.violations.end(), found.begin(), found.end());
   report.digest = world.history().digest();
--- a/src/simulation/sim_engine.hpp
+++ b/src/simulation/sim_engine.hpp
@@ -57,6 +57,7 @@
 
   bool up() const { return up_; }
   bool frozen() const { return frozen_; }
+  bool leaving() const { return leaving_; }
   /// @return the load as of the last report, or nothing while down or frozen.
   std::optional<EngineLoad> reported_load() const;
   const emulator::EngineModel& model() const { return *model_; }
--- a/src/simulation/sim_node.cpp
+++ b/src/simulation/sim_node.cpp
@@ -194,7 +194,7 @@
 }
 
 void SimNode::poll_machines() {
-  controller_->machines_listed(world_.machine_list());
+  controller_->machines_listed(world_.machine_list(), local_now());
   world_.events().after(kListInterval, guarded([this] { poll_machines(); }));
 }
 
@@ -434,7 +434,7 @@
   request.estimated_tokens = call.spec.tokens;
   request.repeatable = call.spec.repeatable;
   request.deadline = local_now() + call.spec.deadline;
-  controller_->online().submit(request, local_now());
+  controller_->submit_online(request, local_now());
 }
 
 void SimNode::start_attempt(RequestNumber request, const EngineConfig& engine, int priority) {
@@ -526,8 +526,8 @@
   if (end == AttemptEnd::kCompleted) {
     calls_.erase(found);
   }
-  controller_->online().attempt_ended(request, partly ? AttemptEnd::kInterrupted : end,
-                                      local_now());
+  controller_->online_attempt_ended(request, partly ? AttemptEnd::kInterrupted : end,
+                                    local_now());
 }
 
 void SimNode::refuse(RequestNumber request, const Error& error) {
--- a/src/simulation/world.cpp
+++ b/src/simulation/world.cpp
@@ -374,12 +374,16 @@
   log_.heal();
   set_list_stale(false);
   for (auto& [name, engine] : engines_) {
-    if (!engine->up()) {
+    const bool leaves = leaving_[name] || engine->leaving();
+    leaving_[name] = false;
+    if (!engine->up() || leaves) {
+      engine->kill();
       engine->restart();
     } else if (engine->frozen()) {
       engine->wake();
     }
   }
+  set_leaving("", false);
   for (auto& [name, node] : nodes_) {
     if (!node->up()) {
       node->start();
