--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -1,6 +1,10 @@
 #include "node/metrics.hpp"
 
 #include <prometheus/text_serializer.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <fstream>
 
 namespace dockpoint {
 namespace {
@@ -15,6 +19,22 @@
   return std::chrono::duration<double>(time).count();
 }
 
+double process_cpu_seconds() {
+  constexpr double kNanosecondsPerSecond = 1e9;
+  timespec used{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+  return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) / kNanosecondsPerSecond;
+}
+
+/// Reads the second field of /proc/self/statm, in pages.
+double resident_bytes() {
+  std::ifstream file("/proc/self/statm");
+  long total_pages = 0;
+  long resident_pages = 0;
+  file >> total_pages >> resident_pages;
+  return static_cast<double>(resident_pages * sysconf(_SC_PAGESIZE));
+}
+
 /// Values that live on the control thread, read in one go.
 struct ControlValues {
   OnlineCounts online;
@@ -66,6 +86,8 @@
       {"dockpoint_log_unconfirmed_records", "gauge", "Records that the log has not confirmed."},
       {"dockpoint_control_mailbox_length", "gauge", "Events that wait for the control thread."},
       {"dockpoint_control_cpu_seconds_total", "counter", "CPU time of the control thread."},
+      {"dockpoint_process_cpu_seconds_total", "counter", "CPU time of the whole process."},
+      {"dockpoint_process_resident_bytes", "gauge", "Memory of the process that is resident."},
   };
   return table;
 }
@@ -127,6 +149,8 @@
   set("dockpoint_log_unconfirmed_records", static_cast<double>(sources_.log_writer.unconfirmed()));
   set("dockpoint_control_mailbox_length", static_cast<double>(sources_.control.mailbox_length()));
   set("dockpoint_control_cpu_seconds_total", seconds(sources_.control.cpu_time()));
+  set("dockpoint_process_cpu_seconds_total", process_cpu_seconds());
+  set("dockpoint_process_resident_bytes", resident_bytes());
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/src/simulation/sim_network.cpp
+++ b/src/simulation/sim_network.cpp
@@ -8,6 +8,8 @@
 constexpr std::uint64_t kJitterUs = 200;
 constexpr Duration kConnectionTimeout{1'000'000};
 constexpr std::uint64_t kPercent = 100;
+/// Of UDP and IP.
+constexpr std::size_t kHeaderBytes = 28;
 
 }  // namespace
 
@@ -32,8 +34,10 @@
   return false;
 }
 
-void SimNetwork::datagram(const Place& from, const Place& to, std::function<void()> deliver) {
+void SimNetwork::datagram(const Place& from, const Place& to, std::size_t bytes,
+                          std::function<void()> deliver) {
   ++datagrams_;
+  datagram_bytes_ += bytes + kHeaderBytes;
   if (is_cut(from, to) || strikes(loss_percent_)) {
     return;
   }
--- a/src/simulation/sim_network.hpp
+++ b/src/simulation/sim_network.hpp
@@ -21,7 +21,8 @@
   SimNetwork(EventQueue& events, std::uint64_t seed) : events_(events), random_(seed) {}
 
   /// Sends a datagram, which may be lost, doubled or overtaken.
-  void datagram(const Place& from, const Place& to, std::function<void()> deliver);
+  void datagram(const Place& from, const Place& to, std::size_t bytes,
+                std::function<void()> deliver);
 
   /// Sends over a connection: in time or, if the way is cut, not at all, in which case `broken`
   /// runs after the connection has timed out.
@@ -38,6 +39,7 @@
   bool is_cut(const Place& from, const Place& to) const;
 
   std::uint64_t datagrams() const { return datagrams_; }
+  std::uint64_t datagram_bytes() const { return datagram_bytes_; }
 
  private:
   Duration delay(const Place& from, const Place& to);
@@ -50,6 +52,7 @@
   int doubling_percent_ = 0;
   Duration extra_delay_{};
   std::uint64_t datagrams_ = 0;
+  std::uint64_t datagram_bytes_ = 0;
 };
 
 }  // namespace dockpoint::simulation
--- a/src/simulation/sim_node.cpp
+++ b/src/simulation/sim_node.cpp
@@ -229,7 +229,7 @@
     return;
   }
   const std::string bytes = encode(message);
-  world_.network().datagram(place(), target->place(), [target, bytes] {
+  world_.network().datagram(place(), target->place(), bytes.size(), [target, bytes] {
     if (const auto decoded = decode_peer_message(bytes)) {
       target->receive(*decoded);
     }
