Spread load digests through trees within a budget of bytes

Cause: stewards sent digests to every node, 2 datagrams a second to each, so a node's cost grew with the number of nodes (40 kB/s at 50 nodes; the budget at 410 nodes is 23 KB/s). Weighed: gossip with random peers (each digest passed on several times to reach nearly all nodes); aggregating nodes in each zone (their own cost is 50 times the others'). Chosen: eight fixed trees over the live nodes, each node sends a digest on to two children, and the interval stretches with the engines.

--- a/apps/dockpoint_bench_main.cpp
+++ b/apps/dockpoint_bench_main.cpp
@@ -45,8 +45,7 @@
   if (options.engine.empty() || options.node.empty() || options.model.empty()) {
     usage_error("--engine, --node and --model are required");
   }
-  const std::optional<Error> error =
-      error_of([&] { return bench::run_forwarding_bench(options); });
+  const std::optional<Error> error = error_of([&] { return bench::run_forwarding_bench(options); });
   if (error) {
     std::fprintf(stderr, "error: %s\n", error->message.c_str());
     return kExitFailure;
--- a/apps/dockpoint_sim_main.cpp
+++ b/apps/dockpoint_sim_main.cpp
@@ -27,7 +27,8 @@
     "       dockpoint-sim properties | mechanisms\n"
     "\n"
     "run checks each scenario; pairs also checks that it fails without each mechanism that it\n"
-    "names; explore draws deployments, loads and faults from seeds; scale runs the control plane of\n"
+    "names; explore draws deployments, loads and faults from seeds; scale runs the control plane "
+    "of\n"
     "hollow nodes and prints what it costs a node.";
 
 struct SimOptions {
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -27,11 +27,12 @@
   std::size_t sync_members_per_message = 16;
 
   // Engines.
-  Duration load_poll_interval = 250ms;    ///< Steward to engine.
-  Duration load_digest_interval = 500ms;  ///< Steward to every node.
-  Duration load_stale_after = 5s;         ///< Older reports are not believed.
-  int ejection_failures = 3;              ///< Failures in a row that eject an engine.
-  Duration ejection_time = 5s;            ///< Doubled at every further ejection.
+  Duration load_poll_interval = 250ms;         ///< Steward to engine.
+  Duration load_digest_interval = 500ms;       ///< Shortest time between digests of an engine.
+  double load_digest_bytes_per_second = 9000;  ///< That a node may receive; stretches the interval.
+  Duration load_stale_after = 5s;              ///< Older reports are not believed.
+  int ejection_failures = 3;                   ///< Failures in a row that eject an engine.
+  Duration ejection_time = 5s;                 ///< Doubled at every further ejection.
   Duration ejection_time_limit = 60s;
 
   // Pauses of the whole process.
--- a/include/dockpoint/membership/messages.hpp
+++ b/include/dockpoint/membership/messages.hpp
@@ -28,8 +28,9 @@
   kPingRequest = 2,   ///< Ask the receiver to probe `target`.
   kSyncRequest = 3,   ///< Ask for all members.
   kSyncResponse = 4,  ///< A part of all members, in `updates`.
-  kLoadDigest = 5,    ///< Load of the sender's engines, in `digests`.
+  kLoadDigest = 5,    ///< Load on its way down `tree`, in `digests`.
   kLeave = 6,         ///< The sender leaves; its own record stands in `updates`.
+  kLoadToRoot = 7,    ///< Load of the sender's engines, for the root of `tree`.
 };
 
 /// One datagram.
@@ -44,8 +45,9 @@
   std::uint32_t pending_batch_items = 0;     ///< The sender could dispatch now, if it had room.
   std::vector<EngineDigest> digests;
   bool log_reachable = true;  ///< The sender can read and append; otherwise it owns nothing.
+  std::uint8_t tree = 0;      ///< Of load digests.
   MSGPACK_DEFINE(version, type, sequence, sender, target, updates, configuration_revision,
-                 pending_batch_items, digests, log_reachable)
+                 pending_batch_items, digests, log_reachable, tree)
 };
 
 /// @return the bytes of `message`.
--- a/include/dockpoint/node/node_controller.hpp
+++ b/include/dockpoint/node/node_controller.hpp
@@ -10,6 +10,7 @@
 #include "dockpoint/batch/batch_scheduler.hpp"
 #include "dockpoint/batch/partition_controller.hpp"
 #include "dockpoint/config/configuration_fold.hpp"
+#include "dockpoint/membership/digest_relay.hpp"
 #include "dockpoint/membership/membership.hpp"
 #include "dockpoint/routing/online_dispatcher.hpp"
 
@@ -168,6 +169,7 @@
   NodeActions& actions_;
   RecordIdSource record_ids_;
   Membership membership_;
+  DigestRelay digest_relay_;
   ConfigurationFold configuration_;
   EngineTable engines_;
   Router router_;
--- a/include/dockpoint/routing/engine_load.hpp
+++ b/include/dockpoint/routing/engine_load.hpp
@@ -29,9 +29,12 @@
 
 /// The load of one engine, as its steward passes it on.
 struct EngineDigest {
-  std::string engine;
+  std::uint32_t engine_key = 0;  ///< Hash of the engine's name, which would be longer.
   EngineLoad load;
-  MSGPACK_DEFINE(engine, load)
+  MSGPACK_DEFINE(engine_key, load)
 };
 
+/// @return the key of an engine in digests.
+std::uint32_t engine_key(const std::string& name);
+
 }  // namespace dockpoint
--- a/include/dockpoint/routing/engine_table.hpp
+++ b/include/dockpoint/routing/engine_table.hpp
@@ -61,6 +61,9 @@
   /// @return whether it was news.
   bool report(const std::string& engine, const EngineLoad& load, TimePoint now);
 
+  /// Takes a report that a steward passed on.
+  bool report(const EngineDigest& digest, TimePoint now);
+
   /// Takes the machine list: the addresses of leaving engines.
   void set_leaving_addresses(const std::vector<std::string>& addresses);
 
@@ -83,6 +86,7 @@
   const Knobs& knobs_;
   std::shared_ptr<const FleetConfig> config_ = std::make_shared<FleetConfig>();
   std::map<std::string, EngineView> engines_;
+  std::map<std::uint32_t, std::string> names_by_key_;
   std::vector<std::string> leaving_addresses_;
 };
 
--- a/src/bench/forwarding_bench.cpp
+++ b/src/bench/forwarding_bench.cpp
@@ -47,8 +47,9 @@
   request.path = kChatPath;
   request.timeout = std::chrono::seconds(60);
   request.body = R"({"model":")" + options.model + R"(","stream":true,"max_tokens":)" +
-                 std::to_string(options.tokens) + R"(,"messages":[{"role":"user","content":"bench )" +
-                 std::to_string(number) + R"("}]})";
+                 std::to_string(options.tokens) +
+                 R"(,"messages":[{"role":"user","content":"bench )" + std::to_string(number) +
+                 R"("}]})";
   const auto started = SteadyClock::now();
   EngineStream stream(sessions, address);
   const std::string id = "bench-" + address + "-" + std::to_string(number);
--- a/src/bench/forwarding_bench.hpp
+++ b/src/bench/forwarding_bench.hpp
@@ -14,7 +14,7 @@
   int streams = 16;    ///< Requests at once.
   int requests = 400;  ///< On each way.
   int tokens = 32;
-  int rounds = 4;      ///< The ways take turns, so that drift of the machine meets both.
+  int rounds = 4;  ///< The ways take turns, so that drift of the machine meets both.
 };
 
 /// Sends streamed requests straight to the engine and through the node, in turn, and prints times
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -64,6 +64,7 @@
       break;
     case PeerMessageType::kSyncResponse:
     case PeerMessageType::kLoadDigest:
+    case PeerMessageType::kLoadToRoot:
     case PeerMessageType::kLeave:
       break;
   }
--- a/src/node/controller/node_controller.cpp
+++ b/src/node/controller/node_controller.cpp
@@ -8,8 +8,6 @@
 namespace dockpoint {
 namespace {
 
-/// Digests that fit a datagram with room for gossip.
-constexpr std::size_t kDigestsPerMessage = 64;
 /// A peer's newer configuration is asked for at most this often.
 constexpr Duration kFetchInterval = 300ms;
 /// Expected time of one item, for the order of jobs only.
@@ -31,6 +29,7 @@
       actions_(actions),
       record_ids_(hash64(options_.self.id, options_.self.incarnation)),
       membership_(options_.knobs, options_.self, options_.random_seed, actions),
+      digest_relay_(options_.knobs, membership_, actions),
       configuration_(options_.knobs.mechanisms),
       engines_(options_.knobs),
       router_(options_.knobs, engines_, options_.self.zone, options_.random_seed + 1),
@@ -74,8 +73,9 @@
   notice_time(now);
   membership_.receive(message, now);
   for (const EngineDigest& digest : message.digests) {
-    engines_.report(digest.engine, digest.load, now);
+    engines_.report(digest, now);
   }
+  digest_relay_.receive(message);
   const bool newer = message.configuration_revision > configuration_.current().revision &&
                      options_.knobs.mechanisms.configuration_spread;
   if (newer && now >= next_fetch_) {
@@ -365,28 +365,20 @@
 }
 
 void NodeController::send_digests(TimePoint now) {
+  const std::size_t engines = engines_.all().size();
+  digest_relay_.tick(engines, now);
   if (now < next_digest_) {
     return;
   }
-  next_digest_ = now + options_.knobs.load_digest_interval;
+  next_digest_ = now + digest_relay_.interval(engines);
   std::vector<EngineDigest> digests;
   for (const std::string& name : placement_.stewarded_engines) {
     const EngineView* engine = engines_.find(name);
     if (engine != nullptr && engine->reported) {
-      digests.push_back({name, engine->load});
-    }
-  }
-  for (std::size_t begin = 0; begin < digests.size(); begin += kDigestsPerMessage) {
-    const std::size_t end = std::min(digests.size(), begin + kDigestsPerMessage);
-    PeerMessage message = membership_.make_message(PeerMessageType::kLoadDigest);
-    message.digests = {digests.begin() + static_cast<std::ptrdiff_t>(begin),
-                       digests.begin() + static_cast<std::ptrdiff_t>(end)};
-    for (const Member* member : membership_.alive()) {
-      if (member->id != options_.self.id) {
-        actions_.send(member->peer_address, message);
-      }
+      digests.push_back({engine_key(name), engine->load});
     }
   }
+  digest_relay_.publish(digests);
 }
 
 std::vector<BatchCandidate> NodeController::batch_candidates(TimePoint now,
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -23,7 +23,8 @@
   constexpr double kNanosecondsPerSecond = 1e9;
   timespec used{};
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
-  return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) / kNanosecondsPerSecond;
+  return static_cast<double>(used.tv_sec) +
+         static_cast<double>(used.tv_nsec) / kNanosecondsPerSecond;
 }
 
 /// Reads the second field of /proc/self/statm, in pages.
--- a/src/routing/engine_table.cpp
+++ b/src/routing/engine_table.cpp
@@ -2,8 +2,14 @@
 
 #include <algorithm>
 
+#include "dockpoint/core/hash.hpp"
+
 namespace dockpoint {
 
+std::uint32_t engine_key(const std::string& name) {
+  return static_cast<std::uint32_t>(hash64(name));
+}
+
 int EngineView::estimated_online() const {
   const int reported_online =
       reported ? static_cast<int>(load.running_online + load.waiting_online) : 0;
@@ -31,6 +37,10 @@
     next.emplace(name, std::move(view));
   }
   engines_ = std::move(next);
+  names_by_key_.clear();
+  for (const auto& [name, view] : engines_) {
+    names_by_key_[engine_key(name)] = name;
+  }
   set_leaving_addresses(leaving_addresses_);
 }
 
@@ -54,6 +64,11 @@
   return true;
 }
 
+bool EngineTable::report(const EngineDigest& digest, TimePoint now) {
+  const auto name = names_by_key_.find(digest.engine_key);
+  return name != names_by_key_.end() && report(name->second, digest.load, now);
+}
+
 void EngineTable::set_leaving_addresses(const std::vector<std::string>& addresses) {
   leaving_addresses_ = addresses;
   for (auto& [name, view] : engines_) {
--- a/src/simulation/scale_run.cpp
+++ b/src/simulation/scale_run.cpp
@@ -101,9 +101,10 @@
       --left;
     }
   }
-  const double zone_loss = seconds_until(
-      world, [&] { return all_see(world, static_cast<std::size_t>(left)); });
-  const double takeover = zone_loss + seconds_until(world, [&] { return all_partitions_owned(world); });
+  const double zone_loss =
+      seconds_until(world, [&] { return all_see(world, static_cast<std::size_t>(left)); });
+  const double takeover =
+      zone_loss + seconds_until(world, [&] { return all_partitions_owned(world); });
   std::printf("%6d %9.1f %12.1f %11.2f %10.2f %10.2f %9.1f %10.1f %10.1f\n", nodes, datagram_rate,
               byte_rate / 1000, cpu_rate * 100, memory / nodes, change, settled, zone_loss,
               takeover);
--- a/src/simulation/scale_run.hpp
+++ b/src/simulation/scale_run.hpp
@@ -9,7 +9,7 @@
   std::vector<int> nodes{50, 100, 200, 410};
   int engines = 730;
   int partitions = 1024;
-  double seconds = 20;    ///< Simulated, measured after the nodes have settled.
+  double seconds = 20;  ///< Simulated, measured after the nodes have settled.
 };
 
 /// Runs each size and prints, a node: datagrams and bytes a second, CPU time a second, memory, and
