Write the documentation, and compare its lists with the code

Also: answers that carry another request's id count as lost (seen failing with the emulator's new fault cross_answers, whose answers reached the caller before the check), a bench for recovery from a checkpoint, /admin/v1/partitions.

--- a/apps/dockpoint_bench_main.cpp
+++ b/apps/dockpoint_bench_main.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 
 #include "bench/forwarding_bench.hpp"
+#include "bench/recovery_bench.hpp"
 #include "cli/command_line.hpp"
 #include "cli/exit_code.hpp"
 
@@ -12,7 +13,9 @@
 
 constexpr const char* kUsage =
     "Usage: dockpoint-bench forwarding --engine IP:PORT --node IP:PORT --model NAME [OPTION ...]\n"
-    "Measures streamed requests straight to an engine and through a node, in one run.";
+    "       dockpoint-bench recovery\n"
+    "forwarding measures streamed requests straight to an engine and through a node, in one run;\n"
+    "recovery measures taking over a large job from a checkpoint and from the whole history.";
 
 }  // namespace
 
@@ -39,8 +42,12 @@
       {"rounds", "N", "Turns that the ways take (4).", integer("rounds", 1000, options.rounds)},
   };
   const std::vector<std::string> words = parse_command_line(argc, argv, kUsage, table);
+  if (words.size() == 1 && words.front() == "recovery") {
+    bench::run_recovery_bench({50'000, 100'000, 200'000, 450'000});
+    return kExitOk;
+  }
   if (words.size() != 1 || words.front() != "forwarding") {
-    usage_error("forwarding is expected; see --help");
+    usage_error("forwarding or recovery is expected; see --help");
   }
   if (options.engine.empty() || options.node.empty() || options.model.empty()) {
     usage_error("--engine, --node and --model are required");
--- a/src/cli/config_commands.cpp
+++ b/src/cli/config_commands.cpp
@@ -63,8 +63,8 @@
                 shown(ours).c_str());
     return;
   }
-  const auto left = theirs.extract<Poco::JSON::Object::Ptr>();
-  const auto right = ours.extract<Poco::JSON::Object::Ptr>();
+  const auto& left = theirs.extract<Poco::JSON::Object::Ptr>();
+  const auto& right = ours.extract<Poco::JSON::Object::Ptr>();
   std::set<std::string> keys;
   for (const auto& object : {left, right}) {
     const std::vector<std::string> names = object->getNames();
@@ -78,7 +78,7 @@
 /// Turns arrays of named entries into objects by name, so that differences show as entries.
 Poco::Dynamic::Var by_name(const Poco::Dynamic::Var& value) {
   if (value.type() == typeid(Poco::JSON::Array::Ptr)) {
-    const auto array = value.extract<Poco::JSON::Array::Ptr>();
+    const auto& array = value.extract<Poco::JSON::Array::Ptr>();
     Poco::JSON::Object::Ptr entries = new Poco::JSON::Object;
     for (unsigned index = 0; index < array->size(); ++index) {
       if (!array->isObject(index) || !array->getObject(index)->has("name")) {
@@ -89,7 +89,7 @@
     return entries;
   }
   if (value.type() == typeid(Poco::JSON::Object::Ptr)) {
-    const auto object = value.extract<Poco::JSON::Object::Ptr>();
+    const auto& object = value.extract<Poco::JSON::Object::Ptr>();
     Poco::JSON::Object::Ptr copy = new Poco::JSON::Object;
     for (const std::string& key : object->getNames()) {
       copy->set(key, by_name(object->get(key)));
--- a/src/emulator/engine_server.cpp
+++ b/src/emulator/engine_server.cpp
@@ -74,7 +74,7 @@
     : options_(std::move(options)),
       incarnation_(unix_microseconds()),
       faults_({"stall", "leaving", "refuse", "cut_stream_after_tokens", "load_silent",
-               "drop_cache_events_percent"}),
+               "drop_cache_events_percent", "cross_answers"}),
       model_(options_.parameters),
       server_({options_.address},
               [this](auto& request, auto& response) { handle(request, response); }) {}
@@ -142,6 +142,8 @@
                         RunState::kNotRun,
                         std::chrono::seconds(1)});
     }
+    const bool crossed = faults_.value("cross_answers") != 0;
+    response.set("x-request-id", crossed ? id + "-of-another" : id);
     const EngineLoad load = lagging_load();
     response.set("x-engine-load", std::to_string(load.running_online) + "," +
                                       std::to_string(load.running_batch) + "," +
--- a/src/http/admin_handler.cpp
+++ b/src/http/admin_handler.cpp
@@ -178,6 +178,24 @@
   send_json(response, 200, list_json(data));
 }
 
+void AdminHandler::list_partitions(Poco::Net::HTTPServerResponse& response) {
+  const std::vector<PartitionStatus> statuses = control_.call(
+      [](NodeController& controller, TimePoint) { return controller.partition_statuses(); });
+  Poco::JSON::Array::Ptr data = new Poco::JSON::Array;
+  for (const PartitionStatus& status : statuses) {
+    Poco::JSON::Object::Ptr entry = new Poco::JSON::Object;
+    entry->set("partition", status.partition);
+    entry->set("epoch", status.epoch);
+    entry->set("owner", status.owner);
+    entry->set("preferred", status.preferred);
+    entry->set("owned_here", status.owned_here);
+    entry->set("caught_up", status.caught_up);
+    entry->set("next_offset", status.next_offset);
+    data->add(entry);
+  }
+  send_json(response, 200, list_json(data));
+}
+
 void AdminHandler::list_nodes(Poco::Net::HTTPServerResponse& response) {
   const std::vector<Member> members = control_.call(
       [](NodeController& controller, TimePoint) { return controller.membership().all(); });
--- a/src/http/admin_handler.hpp
+++ b/src/http/admin_handler.hpp
@@ -22,6 +22,7 @@
                               Poco::Net::HTTPServerResponse& response);
   void list_engines(Poco::Net::HTTPServerResponse& response);
   void list_nodes(Poco::Net::HTTPServerResponse& response);
+  void list_partitions(Poco::Net::HTTPServerResponse& response);
 
  private:
   Result<ChangeOutcome> propose(ConfigurationChange change);
--- a/src/http/api_server.cpp
+++ b/src/http/api_server.cpp
@@ -231,6 +231,8 @@
     admin_.validate_configuration(request, response);
   } else if (path == "/admin/v1/engines") {
     admin_.list_engines(response);
+  } else if (path == "/admin/v1/partitions") {
+    admin_.list_partitions(response);
   } else if (path == "/admin/v1/nodes") {
     admin_.list_nodes(response);
   } else if (path == "/admin/v1/drain") {
--- a/src/http/engine_protocol.cpp
+++ b/src/http/engine_protocol.cpp
@@ -25,7 +25,10 @@
 
 }  // namespace
 
-EngineAnswer classify_answer(const HttpAnswer& answer) {
+EngineAnswer classify_answer(const HttpAnswer& answer, const std::string& request_id) {
+  if (!answer.request_id.empty() && answer.request_id != request_id) {
+    return EngineAnswer::kUnknown;
+  }
   if (answer.status < kFirstServerError && answer.status != kTooManyRequests) {
     return EngineAnswer::kFinal;
   }
--- a/src/http/engine_protocol.hpp
+++ b/src/http/engine_protocol.hpp
@@ -21,7 +21,8 @@
   kUnknown,  ///< The engine failed; the request may have run.
 };
 
-EngineAnswer classify_answer(const HttpAnswer& answer);
+/// @param request_id that was sent; an answer to another request counts as lost.
+EngineAnswer classify_answer(const HttpAnswer& answer, const std::string& request_id);
 
 /// Reads the answer of `GET /load`.
 Result<EngineLoad> parse_engine_load(const std::string& json);
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -85,7 +85,7 @@
     out.flush();
     Poco::Net::HTTPResponse response;
     std::istream& in = session->receiveResponse(response);
-    HttpAnswer answer{response.getStatus(), {}};
+    HttpAnswer answer{response.getStatus(), {}, response.get("x-request-id", "")};
     if (!read_body(in, request.maximum_answer_bytes, answer.body)) {
       outcome.failure.reason = "the answer is too long or broken off";
       return outcome;
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -37,6 +37,7 @@
 struct HttpAnswer {
   int status = 0;
   std::string body;
+  std::string request_id;  ///< That the answer says it belongs to; empty: it does not say.
 };
 
 /// How an exchange failed.
--- a/src/http/online_handler.cpp
+++ b/src/http/online_handler.cpp
@@ -227,11 +227,12 @@
   if (!outcome.answer) {
     return outcome.failure.sent ? AttemptEnd::kUnknown : AttemptEnd::kNotSent;
   }
-  return deliver_answer(exchange, *outcome.answer);
+  return deliver_answer(exchange, *outcome.answer, attempt_id);
 }
 
-AttemptEnd OnlineHandler::deliver_answer(Exchange& exchange, const HttpAnswer& answer) {
-  switch (classify_answer(answer)) {
+AttemptEnd OnlineHandler::deliver_answer(Exchange& exchange, const HttpAnswer& answer,
+                                         const std::string& attempt_id) {
+  switch (classify_answer(answer, attempt_id)) {
     case EngineAnswer::kNotRun:
       return AttemptEnd::kRefused;
     case EngineAnswer::kUnknown:
@@ -255,7 +256,7 @@
     case EngineStream::Status::kNotSent:
       return AttemptEnd::kNotSent;
     case EngineStream::Status::kAnswered:
-      return deliver_answer(exchange, stream.answer());
+      return deliver_answer(exchange, stream.answer(), attempt_id);
     case EngineStream::Status::kOk:
       break;
     case EngineStream::Status::kEnd:
--- a/src/http/online_handler.hpp
+++ b/src/http/online_handler.hpp
@@ -63,7 +63,8 @@
   /// Passes events on until the stream ends or breaks.
   AttemptEnd forward_events(Exchange& exchange, EngineStream& stream);
   AttemptEnd resume(Exchange& exchange, const HttpExchange& request, const std::string& attempt_id);
-  AttemptEnd deliver_answer(Exchange& exchange, const HttpAnswer& answer);
+  AttemptEnd deliver_answer(Exchange& exchange, const HttpAnswer& answer,
+                            const std::string& attempt_id);
   void cancel_on_engine(const std::string& address, const std::string& attempt_id);
 
   ControlLoop& control_;
--- a/src/node/batch_sender.cpp
+++ b/src/node/batch_sender.cpp
@@ -89,7 +89,7 @@
   }
   outcome.status = exchanged.answer->status;
   outcome.body = exchanged.answer->body;
-  switch (classify_answer(*exchanged.answer)) {
+  switch (classify_answer(*exchanged.answer, request_id)) {
     case EngineAnswer::kFinal:
       break;
     case EngineAnswer::kNotRun:
--- /dev/null
+++ b/tests/docs/docs_test.cpp
@@ -0,0 +1,112 @@
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include "dockpoint/core/mechanisms.hpp"
+#include "dockpoint/core/result_code.hpp"
+#include "node/metrics.hpp"
+#include "node/settings.hpp"
+#include "simulation/checkers.hpp"
+
+/// The pages agree with the code: each list in one stands in the other.
+using namespace dockpoint;
+
+namespace {
+
+std::string read_page(const std::string& name) {
+  std::ifstream file(std::string(DOCKPOINT_SOURCE_DIR) + "/docs/" + name);
+  BOOST_REQUIRE(file.good());
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/// @return the first cells, without back ticks, of the rows whose first cell starts with `prefix`.
+std::set<std::string> first_cells(const std::string& page, const std::string& prefix) {
+  std::set<std::string> cells;
+  std::istringstream lines(page);
+  for (std::string line; std::getline(lines, line);) {
+    const std::string start = "| `" + prefix;
+    if (line.starts_with(start)) {
+      const std::size_t begin = 3;
+      cells.insert(line.substr(begin, line.find('`', begin) - begin));
+    }
+  }
+  return cells;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(docs)
+
+BOOST_AUTO_TEST_CASE(every_setting_has_a_row) {
+  const std::string page = read_page("SETTINGS.md");
+  std::set<std::string> keys;
+  for (const SettingInfo& info : setting_table()) {
+    keys.insert(info.key);
+    const std::string row = "| `" + info.key + "` | `--" + info.flag + "` | " +
+                            (info.fallback.empty() ? "required" : "`" + info.fallback + "`") +
+                            " | " + info.help + " |";
+    BOOST_TEST(page.find(row) != std::string::npos, row);
+  }
+  BOOST_TEST((first_cells(page, "") == keys));
+}
+
+BOOST_AUTO_TEST_CASE(every_result_code_has_a_row) {
+  const std::string page = read_page("RESULT_CODES.md");
+  std::size_t rows = 0;
+  for (const ResultCodeInfo& info : result_code_table()) {
+    const std::string row = "| " + std::to_string(static_cast<int>(info.code)) + " | `" +
+                            std::string(info.name) + "` | " + std::to_string(info.http_status) +
+                            " | " + (info.retry_after ? "yes" : "no") + " | " +
+                            std::string(info.meaning) + " |";
+    BOOST_TEST(page.find(row) != std::string::npos, row);
+    ++rows;
+  }
+  std::size_t found = 0;
+  for (std::size_t at = page.find(" | `"); at != std::string::npos;
+       at = page.find(" | `", at + 1)) {
+    ++found;
+  }
+  BOOST_TEST(found == rows);
+}
+
+BOOST_AUTO_TEST_CASE(every_metric_has_a_row) {
+  const std::string page = read_page("OPERATIONS.md");
+  std::set<std::string> names;
+  for (const MetricInfo& info : metric_table()) {
+    names.insert(info.name);
+    const std::string row = "| `" + info.name + "` | " + info.type + " | " + info.help + " |";
+    BOOST_TEST(page.find(row) != std::string::npos, row);
+  }
+  BOOST_TEST((first_cells(page, "dockpoint_") == names));
+}
+
+BOOST_AUTO_TEST_CASE(every_fault_kind_and_configuration_field_has_a_row) {
+  const std::string scenarios = read_page("SCENARIOS.md");
+  for (const std::string& kind : simulation::fault_kinds()) {
+    BOOST_TEST(scenarios.find("`" + kind + "`") != std::string::npos, kind);
+  }
+  const std::string configuration = read_page("CONFIGURATION.md");
+  for (const char* field :
+       {"partitions", "engines[].name", "engines[].address", "engines[].model", "engines[].slots",
+        "engines[].labels", "engines[].draining", "services[].name", "services[].model",
+        "services[].selector", "services[].priority", "tenants[].name", "tenants[].weight",
+        "limits.online_queue_per_node", "limits.retry_budget_percent", "limits.default_deadline_ms",
+        "limits.maximum_batch_items", "limits.batch_reserve_percent"}) {
+    BOOST_TEST(first_cells(configuration, "").contains(field), field);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(every_mechanism_can_be_switched_off) {
+  for (const MechanismInfo& info : mechanism_table()) {
+    Mechanisms mechanisms;
+    BOOST_TEST(switch_off(mechanisms, info.name));
+    BOOST_TEST(!(mechanisms.*(info.flag)));
+  }
+  Mechanisms mechanisms;
+  BOOST_TEST(!switch_off(mechanisms, "hope"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/system/failures.test.mjs
+++ b/tests/system/failures.test.mjs
@@ -211,6 +211,26 @@
   assert.equal(lost.error.error.run, 'unknown');
 });
 
+test('an answer that belongs to another request reaches nobody', async () => {
+  const prompt = 'crossed';
+  const body = JSON.stringify({
+    model: 'lm', max_tokens: 8, messages: [{ role: 'user', content: prompt }],
+  });
+  const ask = () => fetch(`${urls[0]}/v1/chat/completions`, { method: 'POST', body });
+  const expected = (await (await ask()).json()).choices[0].message.content;
+  const all = [...cluster.engines.values()];
+  for (const engine of all.slice(1)) await cluster.fault(engine.address, { cross_answers: 1 });
+  for (let attempt = 0; attempt < 6; ++attempt) {
+    const answer = await (await ask()).json();
+    if (answer.choices) assert.equal(answer.choices[0].message.content, expected);
+    else assert.equal(answer.error.run, 'unknown');
+  }
+  await cluster.fault(all[0].address, { cross_answers: 1 });
+  assert.equal((await ask()).status >= 500, true);
+  const stream = await streamChat(urls[1], { prompt });
+  assert.equal(stream.whole, false);
+});
+
 test('of racing operators one wins, and the configuration is in force everywhere', async () => {
   const variants = Array.from({ length: 6 }, (_, index) => {
     const variant = structuredClone(cluster.deployment);
