Let the emulator cross answers in earnest, and settle the linter

The fault now gives another prompt's answer. Run with the two checks of the request id taken out: the test fails, a caller gets another prompt's text; with them it passes.

--- a/apps/dockpoint_sim_main.cpp
+++ b/apps/dockpoint_sim_main.cpp
@@ -138,15 +138,17 @@
   };
   {
     std::vector<std::jthread> workers;
+    workers.reserve(static_cast<std::size_t>(options.threads));
     for (int index = 0; index < options.threads; ++index) {
       workers.emplace_back(work);
     }
   }
   const double elapsed =
       std::chrono::duration<double>(std::chrono::steady_clock::now() - started).count();
-  std::printf("%llu seeds, %d failed, %.1f simulated hours in %.0f s (%.2f simulated hours/s)\n",
-              static_cast<unsigned long long>(options.last_seed - options.first_seed + 1),
-              failed.load(), simulated / 3600, elapsed, simulated / 3600 / elapsed);
+  const std::uint64_t seeds = options.last_seed - options.first_seed + 1;
+  std::printf("%s seeds, %d failed, %.1f simulated hours in %.0f s (%.2f simulated hours/s)\n",
+              std::to_string(seeds).c_str(), failed.load(), simulated / 3600, elapsed,
+              simulated / 3600 / elapsed);
   return failed == 0 ? kExitOk : kExitFailure;
 }
 
--- a/include/dockpoint/batch/records.hpp
+++ b/include/dockpoint/batch/records.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -24,7 +25,10 @@
   std::uint64_t writer = 0;  ///< Unique for each run of each node.
   std::uint64_t number = 0;
   MSGPACK_DEFINE(writer, number)
-  friend auto operator<=>(const RecordId&, const RecordId&) = default;
+  friend bool operator==(const RecordId&, const RecordId&) = default;
+  friend bool operator<(const RecordId& left, const RecordId& right) {
+    return std::tie(left.writer, left.number) < std::tie(right.writer, right.number);
+  }
 };
 
 /// A batch job as it was accepted.
--- a/src/emulator/engine_server.cpp
+++ b/src/emulator/engine_server.cpp
@@ -187,7 +187,8 @@
   }
   auto stream = std::make_shared<Stream>();
   stream->id = id;
-  stream->prompt = completion.prompt;
+  const bool crossed = faults_.value("cross_answers") != 0;
+  stream->prompt = crossed ? completion.prompt + " of another" : completion.prompt;
   stream->answer_tokens = answer_tokens;
   stream->being_read = true;
   streams_[id] = stream;
