--- a/include/dockpoint/node/node_controller.hpp
+++ b/include/dockpoint/node/node_controller.hpp
@@ -7,11 +7,12 @@
 #include <string>
 #include <vector>
 
-#include "dockpoint/batch/batch_scheduler.hpp"
+#include "dockpoint/batch/batch_dispatcher.hpp"
 #include "dockpoint/batch/partition_controller.hpp"
 #include "dockpoint/config/configuration_fold.hpp"
 #include "dockpoint/membership/digest_relay.hpp"
 #include "dockpoint/membership/membership.hpp"
+#include "dockpoint/node/placement.hpp"
 #include "dockpoint/routing/online_dispatcher.hpp"
 
 /// All decisions of one node, without I/O, threads or clocks: what the daemon's control thread, the
@@ -131,7 +132,7 @@
   int owned_partitions() const;
   /// @return the partitions that this node follows.
   std::vector<PartitionStatus> partition_statuses() const;
-  int batch_in_flight() const { return batch_in_flight_; }
+  int batch_in_flight() const { return batch_.in_flight(); }
   bool draining() const { return draining_; }
 
  private:
@@ -140,31 +141,14 @@
   void notice_time(TimePoint now);
   bool held(TimePoint now) const { return now < held_until_; }
   void update_partitions(TimePoint now, UnixSeconds wall_clock);
-  /// Recomputes who should own which partition and poll which engine, if members, engines or the
-  /// configuration changed since.
-  void refresh_placement();
-  const Member* preferred_owner(int partition) const;
   PartitionController::OwnershipView ownership_view(const PartitionController& partition,
                                                     TimePoint now) const;
   PartitionController* acting_partition(int partition, TimePoint now);
   void poll_engines(TimePoint now);
   void send_digests(TimePoint now);
   void dispatch_batch(TimePoint now, UnixSeconds wall_clock);
-  std::vector<BatchCandidate> batch_candidates(TimePoint now, UnixSeconds wall_clock);
-  bool send_one_item(const std::vector<BatchCandidate>& candidates, TimePoint now);
-  const EngineView* engine_for_batch(const JobSpec& job, TimePoint now);
-  const Selector& selector_of(const JobSpec& job);
   void stop_cancelled_items();
 
-  /// Who should own each partition, and the engines that this node is the steward of.
-  struct Placement {
-    std::uint64_t membership_version = 0;
-    std::uint64_t revision = 0;
-    bool draining = false;
-    std::vector<std::string> owners;  ///< Node ids by partition; empty: nobody can.
-    std::vector<std::string> stewarded_engines;
-  };
-
   const NodeOptions options_;
   NodeActions& actions_;
   RecordIdSource record_ids_;
@@ -174,13 +158,11 @@
   EngineTable engines_;
   Router router_;
   OnlineDispatcher online_;
-  BatchScheduler batch_scheduler_;
-  std::map<std::string, Selector> job_selectors_;  ///< By their text.
-  std::map<int, std::unique_ptr<PartitionController>> partitions_;
+  Partitions partitions_;
+  BatchDispatcher batch_;
+  Placement placement_;
   std::map<std::string, ChangeConfirmation> proposed_changes_;
-  int batch_in_flight_ = 0;
   bool draining_ = false;
-  Placement placement_;
   std::optional<TimePoint> last_event_;
   TimePoint pause_noticed_{};
   TimePoint held_until_{};
--- a/src/node/controller/node_controller.cpp
+++ b/src/node/controller/node_controller.cpp
@@ -10,17 +10,6 @@
 
 /// A peer's newer configuration is asked for at most this often.
 constexpr Duration kFetchInterval = 300ms;
-/// Expected time of one item, for the order of jobs only.
-constexpr double kExpectedItemSeconds = 1.0;
-
-/// @return the member with the highest rendezvous score for `key`, or null.
-const Member* highest_score(const std::vector<const Member*>& members, const std::string& key) {
-  const auto best =
-      std::max_element(members.begin(), members.end(), [&](const auto* left, const auto* right) {
-        return rendezvous_score(key, left->id) < rendezvous_score(key, right->id);
-      });
-  return best == members.end() ? nullptr : *best;
-}
 
 }  // namespace
 
@@ -33,7 +22,10 @@
       configuration_(options_.knobs.mechanisms),
       engines_(options_.knobs),
       router_(options_.knobs, engines_, options_.self.zone, options_.random_seed + 1),
-      online_(options_.knobs, engines_, router_, actions) {
+      online_(options_.knobs, engines_, router_, actions),
+      batch_(options_.knobs, {options_.self.id, options_.maximum_batch_in_flight}, engines_,
+             partitions_, [&actions](const ItemDispatch& item) { actions.dispatch_item(item); }),
+      placement_(membership_, engines_) {
   membership_.set_candidates(options_.seeds);
 }
 
@@ -60,7 +52,8 @@
 void NodeController::tick(TimePoint now, UnixSeconds wall_clock) {
   notice_time(now);
   membership_.tick(now);
-  refresh_placement();
+  placement_.refresh(configuration_.current().revision, configuration_.config()->partitions,
+                     draining_);
   update_partitions(now, wall_clock);
   poll_engines(now);
   send_digests(now);
@@ -175,46 +168,10 @@
   return found == partitions_.end() ? 0 : found->second->state().next_offset();
 }
 
-const Member* NodeController::preferred_owner(int partition) const {
-  const auto index = static_cast<std::size_t>(partition);
-  const bool known = index < placement_.owners.size() && !placement_.owners[index].empty();
-  return known ? membership_.find(placement_.owners[index]) : nullptr;
-}
-
-void NodeController::refresh_placement() {
-  const std::uint64_t revision = configuration_.current().revision;
-  const bool current = placement_.membership_version == membership_.version() &&
-                       placement_.revision == revision && placement_.draining == draining_;
-  if (current) {
-    return;
-  }
-  placement_.membership_version = membership_.version();
-  placement_.revision = revision;
-  placement_.draining = draining_;
-  std::vector<const Member*> eligible = membership_.eligible_owners();
-  if (draining_) {
-    std::erase(eligible, &membership_.self());
-  }
-  placement_.owners.clear();
-  for (int partition = 0; revision > 0 && partition < configuration_.config()->partitions;
-       ++partition) {
-    const Member* owner = highest_score(eligible, job_stream(partition));
-    placement_.owners.push_back(owner == nullptr ? std::string{} : owner->id);
-  }
-  const std::vector<const Member*> alive = membership_.alive();
-  placement_.stewarded_engines.clear();
-  for (const auto& [name, engine] : engines_.all()) {
-    const Member* steward = highest_score(alive, name);
-    if (steward != nullptr && steward->id == options_.self.id) {
-      placement_.stewarded_engines.push_back(name);
-    }
-  }
-}
-
 PartitionController::OwnershipView NodeController::ownership_view(
     const PartitionController& partition, TimePoint now) const {
   PartitionController::OwnershipView view;
-  const Member* preferred = preferred_owner(partition.partition());
+  const Member* preferred = placement_.preferred_owner(partition.partition());
   view.preferred = preferred != nullptr && preferred->id == options_.self.id;
   if (preferred != nullptr) {
     const std::optional<TimePoint> since = membership_.alive_since(preferred->id);
@@ -237,7 +194,7 @@
     return;
   }
   for (int partition = 0; partition < configuration_.config()->partitions; ++partition) {
-    const Member* preferred = preferred_owner(partition);
+    const Member* preferred = placement_.preferred_owner(partition);
     const bool wanted = preferred != nullptr && preferred->id == options_.self.id;
     const auto found = partitions_.find(partition);
     if (found == partitions_.end() && wanted) {
@@ -269,7 +226,7 @@
   // A follower knows the folded owner; others ask whoever should own the partition.
   const Member* owner = followed != partitions_.end() && followed->second->caught_up()
                             ? membership_.find(followed->second->state().owner())
-                            : preferred_owner(partition);
+                            : placement_.preferred_owner(partition);
   const bool other = owner != nullptr && owner->id != options_.self.id;
   return {false, other ? owner->api_address : std::string{}};
 }
@@ -357,7 +314,7 @@
     return;
   }
   next_load_poll_ = now + options_.knobs.load_poll_interval;
-  for (const std::string& name : placement_.stewarded_engines) {
+  for (const std::string& name : placement_.stewarded_engines()) {
     if (const EngineView* engine = engines_.find(name)) {
       actions_.poll_load(name, engine->config.address);
     }
@@ -372,7 +329,7 @@
   }
   next_digest_ = now + digest_relay_.interval(engines);
   std::vector<EngineDigest> digests;
-  for (const std::string& name : placement_.stewarded_engines) {
+  for (const std::string& name : placement_.stewarded_engines()) {
     const EngineView* engine = engines_.find(name);
     if (engine != nullptr && engine->reported) {
       digests.push_back({engine_key(name), engine->load});
@@ -381,120 +338,16 @@
   digest_relay_.publish(digests);
 }
 
-std::vector<BatchCandidate> NodeController::batch_candidates(TimePoint now,
-                                                             UnixSeconds wall_clock) {
-  std::vector<BatchCandidate> candidates;
-  for (const auto& [number, partition] : partitions_) {
-    if (!partition->may_send(now)) {
-      continue;
-    }
-    for (const std::string& id : partition->sendable_jobs()) {
-      if (!partition->has_ready_item(id, now)) {
-        continue;
-      }
-      const JobState& job = partition->state().jobs().at(id);
-      const double left = static_cast<double>(job.spec.items - job.completed);
-      const auto until_deadline = static_cast<double>(job.spec.deadline - wall_clock);
-      candidates.push_back({number, id, job.spec.tenant,
-                            engines_.config().tenant_weight(job.spec.tenant), job.spec.priority,
-                            until_deadline - left * kExpectedItemSeconds});
-    }
-  }
-  return candidates;
-}
-
 void NodeController::dispatch_batch(TimePoint now, UnixSeconds wall_clock) {
-  std::vector<BatchCandidate> candidates = batch_candidates(now, wall_clock);
-  membership_.set_pending_batch_items(
-      static_cast<std::uint32_t>(candidates.size() + static_cast<std::size_t>(batch_in_flight_)));
-  if (held(now)) {
-    return;
-  }
-  while (batch_in_flight_ < options_.maximum_batch_in_flight && !candidates.empty()) {
-    if (!send_one_item(candidates, now)) {
-      return;
-    }
-    std::erase_if(candidates, [&](const BatchCandidate& candidate) {
-      return !partitions_.at(candidate.partition)->has_ready_item(candidate.job, now);
-    });
-  }
-}
-
-bool NodeController::send_one_item(const std::vector<BatchCandidate>& candidates, TimePoint now) {
-  std::vector<BatchCandidate> servable;
-  for (const BatchCandidate& candidate : candidates) {
-    const JobSpec& job = partitions_.at(candidate.partition)->state().find_job(candidate.job)->spec;
-    if (engine_for_batch(job, now) != nullptr) {
-      servable.push_back(candidate);
-    }
-  }
-  const BatchCandidate* chosen = batch_scheduler_.choose(servable);
-  if (chosen == nullptr) {
-    return false;
-  }
-  PartitionController& partition = *partitions_.at(chosen->partition);
-  const EngineView* engine = engine_for_batch(partition.state().find_job(chosen->job)->spec, now);
-  std::optional<ItemDispatch> item = partition.take_item(chosen->job, now);
-  if (!item) {
-    return true;  // Its attempt is being recorded first.
-  }
-  item->engine = engine->config.name;
-  item->engine_address = engine->config.address;
-  batch_scheduler_.charge(*chosen);
-  engines_.started(item->engine, WorkClass::kBatch);
-  ++batch_in_flight_;
-  actions_.dispatch_item(*item);
-  return true;
-}
-
-const Selector& NodeController::selector_of(const JobSpec& job) {
-  const auto known = job_selectors_.find(job.selector);
-  if (known != job_selectors_.end()) {
-    return known->second;
-  }
-  Selector selector;
-  if (!job.selector.empty()) {
-    // It was checked when the job was accepted.
-    error_of([&]() -> Result<void> {
-      BOOST_LEAF_AUTO(object, parse_json_object(job.selector));
-      Problems problems;
-      selector = Selector::read(ObjectReader(object, "", problems));
-      return {};
-    });
-  }
-  return job_selectors_.emplace(job.selector, std::move(selector)).first->second;
-}
-
-const EngineView* NodeController::engine_for_batch(const JobSpec& job, TimePoint now) {
-  const ServiceConfig* service = engines_.config().find_service(job.service);
-  if (service == nullptr) {
-    return nullptr;
-  }
-  const int nodes = membership_.nodes_with_pending_batch();
-  const EngineView* best = nullptr;
-  int best_room = 0;
-  const Selector& selector = selector_of(job);
-  for (const EngineView* engine : engines_.candidates(*service, now)) {
-    if (!selector.matches(engine->config.labels)) {
-      continue;
-    }
-    const int allowance = batch_allowance(options_.knobs, *engine, engines_.config().limits,
-                                          options_.self.id, nodes, now);
-    const int room = allowance - engine->batch_in_flight;
-    if (room > best_room) {
-      best = engine;
-      best_room = room;
-    }
+  membership_.set_pending_batch_items(batch_.demand(now, wall_clock));
+  if (!held(now)) {
+    batch_.send_items(membership_.nodes_with_pending_batch(), now, wall_clock);
   }
-  return best;
 }
 
 void NodeController::item_ended(const ItemOutcome& outcome, TimePoint now, UnixSeconds wall_clock) {
   notice_time(now);
-  batch_in_flight_ = std::max(0, batch_in_flight_ - 1);
-  const bool failed = outcome.end == ItemEnd::kNotSent || outcome.end == ItemEnd::kUnknown;
-  engines_.ended(outcome.engine, WorkClass::kBatch,
-                 failed ? EngineHealthSignal::kFailed : EngineHealthSignal::kAnswered, now);
+  batch_.item_ended(outcome, now);
   const auto found = partitions_.find(outcome.partition);
   if (found != partitions_.end()) {
     found->second->item_ended(outcome, now, wall_clock);
@@ -518,7 +371,7 @@
 std::vector<PartitionStatus> NodeController::partition_statuses() const {
   std::vector<PartitionStatus> statuses;
   for (const auto& [number, partition] : partitions_) {
-    const Member* preferred = preferred_owner(number);
+    const Member* preferred = placement_.preferred_owner(number);
     statuses.push_back({number, partition->state().epoch(), partition->state().owner(),
                         preferred == nullptr ? std::string{} : preferred->id, partition->owned(),
                         partition->caught_up(), partition->quiescent(),
@@ -532,8 +385,8 @@
 }
 
 bool NodeController::drained() const {
-  return draining_ && online_.in_flight() == 0 && online_.waiting() == 0 && batch_in_flight_ == 0 &&
-         partitions_.empty();
+  return draining_ && online_.in_flight() == 0 && online_.waiting() == 0 &&
+         batch_.in_flight() == 0 && partitions_.empty();
 }
 
 }  // namespace dockpoint
