Say once what stood twice

Signals, the outcome of a dispatched item, error details, entries of a list and waiting for a stop each stood in two or three places.

--- a/apps/dockpoint_emulator_main.cpp
+++ b/apps/dockpoint_emulator_main.cpp
@@ -7,6 +7,7 @@
 
 #include "cli/command_line.hpp"
 #include "cli/exit_code.hpp"
+#include "cli/signals.hpp"
 #include "dockpoint/core/address.hpp"
 #include "emulator/engine_server.hpp"
 #include "emulator/log_server.hpp"
@@ -18,17 +19,6 @@
     "Usage: dockpoint-emulator engine|log|machines --listen IP:PORT [OPTION ...]\n"
     "Runs one stand-in until it gets SIGTERM or SIGINT.";
 
-/// Blocks the signals that end the program, so that every thread inherits it.
-sigset_t block_signals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  signal(SIGPIPE, SIG_IGN);
-  return signals;
-}
-
 template <class Server>
 void serve(Server& server, const sigset_t& signals) {
   server.start();
@@ -79,7 +69,7 @@
   if (arguments.size() != 1 || !Address::parse(engine.address)) {
     usage_error("one of engine, log, machines and --listen IP:PORT are required");
   }
-  const sigset_t signals = block_signals();
+  const sigset_t signals = block_end_signals();
   try {
     if (arguments[0] == "engine") {
       emulator::EngineServer server(engine);
--- a/apps/dockpointd_main.cpp
+++ b/apps/dockpointd_main.cpp
@@ -7,6 +7,7 @@
 
 #include "cli/command_line.hpp"
 #include "cli/exit_code.hpp"
+#include "cli/signals.hpp"
 #include "node/daemon.hpp"
 
 namespace {
@@ -18,23 +19,12 @@
 
 constexpr timespec kSignalPoll{0, 100'000'000};
 
-/// Blocks the signals that end the program, so that every thread inherits it.
-sigset_t block_signals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  signal(SIGPIPE, SIG_IGN);
-  return signals;
-}
-
 bool signal_arrived(const sigset_t& signals) {
   return sigtimedwait(&signals, nullptr, &kSignalPoll) > 0;
 }
 
 int run(const dockpoint::Settings& settings) {
-  const sigset_t signals = block_signals();
+  const sigset_t signals = dockpoint::block_end_signals();
   dockpoint::Daemon daemon(settings);
   daemon.start();
   while (!signal_arrived(signals) && !daemon.drain_requested() && !daemon.failed()) {
--- a/include/dockpoint/batch/partition_controller.hpp
+++ b/include/dockpoint/batch/partition_controller.hpp
@@ -65,6 +65,9 @@
   std::string body;
 };
 
+/// @return the outcome of an item that ended in this way, without an answer.
+ItemOutcome make_outcome(const ItemDispatch& item, ItemEnd end);
+
 /// Effects on a partition's streams; must not block or call back.
 class PartitionActions {
  public:
--- a/include/dockpoint/core/json_reader.hpp
+++ b/include/dockpoint/core/json_reader.hpp
@@ -38,6 +38,9 @@
 /// Writes `object` on one line, keys in alphabetical order.
 std::string to_json(const Poco::JSON::Object& object);
 
+/// @return `{"code","message","type"}`, the error of a batch item.
+std::string error_detail_json(ResultCode code, const std::string& message);
+
 /// Reads the members of one JSON object and collects every problem instead of stopping at the
 /// first. A getter that finds a problem returns the fallback.
 ///
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -16,14 +16,14 @@
   Mechanisms mechanisms;
 
   // Membership.
-  Duration probe_interval = 1s;         ///< One member is probed an interval.
-  Duration probe_timeout = 300ms;       ///< Then the probe goes through helpers.
-  int probe_helpers = 3;                ///< Members asked to probe on our behalf.
-  Duration suspicion_time = 3s;         ///< A suspect that does not refute by then is dead.
-  Duration sync_interval = 20s;         ///< Full exchange with one random member.
-  Duration dead_retention = 10min;      ///< How long a dead or left member is remembered.
-  std::size_t updates_per_message = 8;  ///< Gossip piggybacked on a message.
-  int update_retransmissions = 4;       ///< Times log2(members) that an update is passed on.
+  Duration probe_interval = 1s;          ///< One member is probed an interval.
+  Duration probe_timeout = 300ms;        ///< Then the probe goes through helpers.
+  int probe_helpers = 3;                 ///< Members asked to probe on our behalf.
+  Duration suspicion_time = 3s;          ///< A suspect that does not refute by then is dead.
+  Duration sync_interval = 20s;          ///< Full exchange with one random member.
+  Duration dead_retention = 10min;       ///< How long a dead or left member is remembered.
+  std::size_t updates_per_message = 24;  ///< Gossip piggybacked on a message.
+  int update_retransmissions = 3;        ///< Times log2(members) that an update is passed on.
   std::size_t sync_members_per_message = 16;
 
   // Engines.
--- a/src/batch/partition_controller.cpp
+++ b/src/batch/partition_controller.cpp
@@ -1,24 +1,21 @@
 #include "dockpoint/batch/partition_controller.hpp"
 
-#include <Poco/JSON/Object.h>
-
 #include <algorithm>
 
 #include "dockpoint/core/json_reader.hpp"
 
 namespace dockpoint {
-namespace {
-
-std::string error_body(ResultCode code, const std::string& message) {
-  Poco::JSON::Object error;
-  error.set("code", static_cast<int>(code));
-  error.set("type", std::string(describe(code).name));
-  error.set("message", message);
-  return to_json(error);
+ItemOutcome make_outcome(const ItemDispatch& item, ItemEnd end) {
+  ItemOutcome outcome;
+  outcome.partition = item.partition;
+  outcome.job = item.job;
+  outcome.item = item.item;
+  outcome.engine = item.engine;
+  outcome.attempt = item.attempt;
+  outcome.end = end;
+  return outcome;
 }
 
-}  // namespace
-
 PartitionController::PartitionController(const Knobs& knobs, int partition, Identity identity,
                                          RecordIdSource& record_ids, PartitionActions& actions)
     : knobs_(knobs),
@@ -297,7 +294,7 @@
   completed.status = outcome.status;
   completed.result_code = static_cast<int>(code);
   completed.body =
-      outcome.body.empty() ? error_body(code, "the item did not complete") : outcome.body;
+      outcome.body.empty() ? error_detail_json(code, "the item did not complete") : outcome.body;
   completed.at = wall_clock;
   const std::string job = outcome.job;
   const ItemIndex item = outcome.item;
--- a/src/cli/command_context.cpp
+++ b/src/cli/command_context.cpp
@@ -1,5 +1,7 @@
 #include "cli/command_context.hpp"
 
+#include <Poco/JSON/Array.h>
+
 #include <cstdio>
 
 #include "cli/command_line.hpp"
@@ -37,6 +39,15 @@
   return answer;
 }
 
+std::vector<Poco::JSON::Object::Ptr> data_of(const ApiClient::Answer& answer) {
+  std::vector<Poco::JSON::Object::Ptr> entries;
+  const Poco::JSON::Array::Ptr data = answer.json->getArray("data");
+  for (unsigned index = 0; !data.isNull() && index < data->size(); ++index) {
+    entries.push_back(data->getObject(index));
+  }
+  return entries;
+}
+
 std::string only_argument(const CommandContext& context, const std::string& name) {
   if (context.arguments.size() != 1) {
     usage_error("exactly one " + name + " is expected");
--- a/src/cli/command_context.hpp
+++ b/src/cli/command_context.hpp
@@ -55,6 +55,9 @@
                                                    const std::string& body = {},
                                                    const ApiClient::Headers& headers = {});
 
+/// @return the objects in the answer's `data`.
+std::vector<Poco::JSON::Object::Ptr> data_of(const ApiClient::Answer& answer);
+
 /// @return the command's only argument; ends the program with a usage error without it.
 std::string only_argument(const CommandContext& context, const std::string& name);
 
--- a/src/cli/config_commands.cpp
+++ b/src/cli/config_commands.cpp
@@ -136,9 +136,7 @@
   if (context.options.json_output) {
     return print_json(*answer);
   }
-  const Poco::JSON::Array::Ptr data = answer->json->getArray("data");
-  for (unsigned index = 0; !data.isNull() && index < data->size(); ++index) {
-    const Poco::JSON::Object::Ptr entry = data->getObject(index);
+  for (const Poco::JSON::Object::Ptr& entry : data_of(*answer)) {
     std::printf("%6s  %-20s %s\n", entry->get("revision").toString().c_str(),
                 entry->getValue<std::string>("author").c_str(),
                 entry->getValue<std::string>("change_id").c_str());
--- a/src/cli/job_commands.cpp
+++ b/src/cli/job_commands.cpp
@@ -183,9 +183,8 @@
   if (context.options.json_output) {
     return print_json(*answer);
   }
-  const Poco::JSON::Array::Ptr data = answer->json->getArray("data");
-  for (unsigned index = 0; !data.isNull() && index < data->size(); ++index) {
-    print_progress_line(read_progress(data->getObject(index)));
+  for (const Poco::JSON::Object::Ptr& batch : data_of(*answer)) {
+    print_progress_line(read_progress(batch));
   }
   return kExitOk;
 }
--- a/src/core/json_reader.cpp
+++ b/src/core/json_reader.cpp
@@ -49,6 +49,14 @@
   return out.str();
 }
 
+std::string error_detail_json(ResultCode code, const std::string& message) {
+  Poco::JSON::Object error;
+  error.set("code", static_cast<int>(code));
+  error.set("type", std::string(describe(code).name));
+  error.set("message", message);
+  return to_json(error);
+}
+
 ObjectReader::ObjectReader(Poco::JSON::Object::Ptr object, std::string path, Problems& problems)
     : object_(std::move(object)), path_(std::move(path)), problems_(&problems) {}
 
--- a/src/http/api_server.cpp
+++ b/src/http/api_server.cpp
@@ -3,9 +3,6 @@
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 
-#include <condition_variable>
-#include <mutex>
-
 #include "dockpoint/core/codec.hpp"
 #include "dockpoint/core/json_reader.hpp"
 
@@ -62,10 +59,7 @@
   HttpServer server(options_.server,
                     [this](Request& request, Response& response) { handle(request, response); });
   server.start();
-  std::mutex mutex;
-  std::condition_variable_any never;
-  std::unique_lock<std::mutex> lock(mutex);
-  never.wait(lock, stop, [] { return false; });
+  wait_until_stopped(stop);
   server.stop();
 }
 
--- a/src/http/engine_protocol.cpp
+++ b/src/http/engine_protocol.cpp
@@ -1,7 +1,5 @@
 #include "http/engine_protocol.hpp"
 
-#include <Poco/JSON/Object.h>
-
 #include "dockpoint/core/json_reader.hpp"
 
 namespace dockpoint {
@@ -58,12 +56,4 @@
   return load;
 }
 
-std::string error_detail_json(ResultCode code, const std::string& message) {
-  Poco::JSON::Object error;
-  error.set("code", static_cast<int>(code));
-  error.set("type", std::string(describe(code).name));
-  error.set("message", message);
-  return to_json(error);
-}
-
 }  // namespace dockpoint
--- a/src/http/engine_protocol.hpp
+++ b/src/http/engine_protocol.hpp
@@ -27,7 +27,4 @@
 /// Reads the answer of `GET /load`.
 Result<EngineLoad> parse_engine_load(const std::string& json);
 
-/// @return `{"code","message","type"}`, the error of a batch item.
-std::string error_detail_json(ResultCode code, const std::string& message);
-
 }  // namespace dockpoint
--- a/src/node/batch_sender.cpp
+++ b/src/node/batch_sender.cpp
@@ -12,17 +12,6 @@
 constexpr std::chrono::milliseconds kCancelTimeout{2'000};
 constexpr std::size_t kMaximumWaiting = 100'000;
 
-ItemOutcome outcome_of(const ItemDispatch& item, ItemEnd end) {
-  ItemOutcome outcome;
-  outcome.partition = item.partition;
-  outcome.job = item.job;
-  outcome.item = item.item;
-  outcome.engine = item.engine;
-  outcome.attempt = item.attempt;
-  outcome.end = end;
-  return outcome;
-}
-
 }  // namespace
 
 BatchSender::BatchSender(FileStore& files, int threads)
@@ -38,7 +27,7 @@
   };
   const bool taken = pool_->submit([this, item, report] { report(run(item)); });
   if (!taken) {
-    report(outcome_of(item, ItemEnd::kNotSent));
+    report(make_outcome(item, ItemEnd::kNotSent));
   }
 }
 
@@ -53,12 +42,12 @@
   });
   if (error) {
     const bool later = error->code == ResultCode::kPlatformUnavailable;
-    ItemOutcome outcome = outcome_of(item, later ? ItemEnd::kNotSent : ItemEnd::kInvalid);
+    ItemOutcome outcome = make_outcome(item, later ? ItemEnd::kNotSent : ItemEnd::kInvalid);
     outcome.body = error_detail_json(error->code, error->message);
     return outcome;
   }
   if (!begin(item, request_id)) {
-    return outcome_of(item, ItemEnd::kNotSent);
+    return make_outcome(item, ItemEnd::kNotSent);
   }
   ItemOutcome outcome = exchange_with_engine(item, *batch_item, request_id);
   if (finish(item) && outcome.end != ItemEnd::kAnswered) {
@@ -79,7 +68,7 @@
                      {kPriorityClassHeader, "batch"},
                      {kEpochHeader, std::to_string(item.epoch)}};
   const HttpOutcome exchanged = exchange(sessions_, request);
-  ItemOutcome outcome = outcome_of(item, ItemEnd::kAnswered);
+  ItemOutcome outcome = make_outcome(item, ItemEnd::kAnswered);
   outcome.custom_id = batch_item.custom_id;
   if (!exchanged.answer) {
     outcome.end = exchanged.failure.sent ? ItemEnd::kUnknown : ItemEnd::kNotSent;
--- a/src/node/machine_list_poller.cpp
+++ b/src/node/machine_list_poller.cpp
@@ -16,12 +16,9 @@
     : Part("machine-list"), address_(std::move(address)), control_(control), sessions_(kTimeout) {}
 
 void MachineListPoller::run(std::stop_token stop) {
-  std::mutex mutex;
-  std::condition_variable_any never;
   while (!stop.stop_requested()) {
     poll();
-    std::unique_lock<std::mutex> lock(mutex);
-    never.wait_for(lock, stop, kPollInterval, [] { return false; });
+    wait_until_stopped(stop, kPollInterval);
   }
 }
 
--- a/src/simulation/checkers.cpp
+++ b/src/simulation/checkers.cpp
@@ -37,10 +37,9 @@
 }
 
 /// @return how often each subject was started by any engine.
-std::map<std::string, int> start_counts(const World& world, World& mutable_world) {
-  (void)world;
+std::map<std::string, int> start_counts(World& world) {
   std::map<std::string, int> counts;
-  for (const EngineStart& start : mutable_world.history().starts) {
+  for (const EngineStart& start : world.history().starts) {
     ++counts[start.subject];
   }
   return counts;
@@ -172,7 +171,7 @@
   for (const auto& [name, request] : world.history().online) {
     ++tries[request.key.empty() ? request.name : request.key];
   }
-  const std::map<std::string, int> starts = start_counts(world, world);
+  const std::map<std::string, int> starts = start_counts(world);
   for (const auto& [name, request] : world.history().online) {
     const std::string subject = request.key.empty() ? request.name : request.key;
     const bool refused =
@@ -198,7 +197,7 @@
       once_jobs.insert(job.accepted_ids.begin(), job.accepted_ids.end());
     }
   }
-  for (const auto& [subject, count] : start_counts(world, world)) {
+  for (const auto& [subject, count] : start_counts(world)) {
     const bool must_not_repeat =
         once.contains(subject) || once_jobs.contains(subject.substr(0, subject.find('/')));
     if (must_not_repeat && count > 1) {
--- a/src/simulation/sim_node.hpp
+++ b/src/simulation/sim_node.hpp
@@ -132,7 +132,7 @@
   void submit_online(RequestNumber number);
   void attempt_ended(RequestNumber request, const std::string& attempt_id, AttemptEnd end);
   void send_to_engine(const std::string& engine, const std::string& id, const OnlineCall& call,
-                      RequestNumber request, int priority);
+                      RequestNumber request);
   void end_item(ItemOutcome outcome, const std::string& request_id);
   void record_attempt(const AttemptTicket& ticket, int forwards, AttemptReply reply);
   void withdraw_attempt(const AttemptTicket& ticket, int forwards);
--- a/src/simulation/sim_node_batch.cpp
+++ b/src/simulation/sim_node_batch.cpp
@@ -14,12 +14,7 @@
   const std::string id = item.job + "-" + std::to_string(item.item) + "-e" +
                          std::to_string(item.epoch) + "-a" + std::to_string(item.attempt) + "-" +
                          options_.name + std::to_string(generation_);
-  ItemOutcome outcome;
-  outcome.partition = item.partition;
-  outcome.job = item.job;
-  outcome.item = item.item;
-  outcome.engine = item.engine;
-  outcome.attempt = item.attempt;
+  ItemOutcome outcome = make_outcome(item, ItemEnd::kUnknown);
   outcome.custom_id = "item-" + std::to_string(item.item);
   items_under_way_[id] = item.engine;
   SimEngine* target = world_.engine(item.engine);
--- a/src/simulation/sim_node_online.cpp
+++ b/src/simulation/sim_node_online.cpp
@@ -56,9 +56,9 @@
   controller_->submit_online(request, local_now());
 }
 
-void SimNode::start_attempt(RequestNumber request, const EngineConfig& engine, int priority) {
+void SimNode::start_attempt(RequestNumber request, const EngineConfig& engine, int) {
   // The decision logic must not be called back from within its own call.
-  world_.events().after(Duration{0}, guarded([this, request, engine, priority] {
+  world_.events().after(Duration{0}, guarded([this, request, engine] {
                           const auto found = calls_.find(request);
                           if (found == calls_.end()) {
                             return;
@@ -69,12 +69,12 @@
                           call.attempt_id = options_.name + "-" + std::to_string(generation_) +
                                             "-" + std::to_string(request) + "-a" +
                                             std::to_string(call.attempts);
-                          send_to_engine(engine.name, call.attempt_id, call, request, priority);
+                          send_to_engine(engine.name, call.attempt_id, call, request);
                         }));
 }
 
 void SimNode::send_to_engine(const std::string& engine, const std::string& id,
-                             const OnlineCall& call, RequestNumber request, int) {
+                             const OnlineCall& call, RequestNumber request) {
   SimEngine* target = world_.engine(engine);
   const auto end = [this, request, id](AttemptEnd how) {
     return guarded([this, request, id, how] { attempt_ended(request, id, how); });
--- a/src/supervisor/supervisor.cpp
+++ b/src/supervisor/supervisor.cpp
@@ -6,6 +6,13 @@
 
 namespace dockpoint {
 
+void wait_until_stopped(std::stop_token stop, std::chrono::milliseconds time) {
+  std::mutex mutex;
+  std::condition_variable_any never;
+  std::unique_lock<std::mutex> lock(mutex);
+  never.wait_for(lock, stop, time, [] { return false; });
+}
+
 Supervisor::Supervisor(std::string name, RestartLimits limits)
     : Part(std::move(name)), limits_(limits) {}
 
--- a/src/supervisor/supervisor.hpp
+++ b/src/supervisor/supervisor.hpp
@@ -30,6 +30,10 @@
   const std::string name_;
 };
 
+/// Waits until `stop` is requested, or until `time` has passed if that is sooner.
+void wait_until_stopped(std::stop_token stop,
+                        std::chrono::milliseconds time = std::chrono::hours(24 * 365));
+
 using PartPtr = std::shared_ptr<Part>;
 
 /// How often parts may fail before their supervisor gives up.
--- a/tests/supervisor/supervisor_test.cpp
+++ b/tests/supervisor/supervisor_test.cpp
@@ -22,10 +22,7 @@
     if (++starts <= failures_) {
       throw std::runtime_error("made to fail");
     }
-    std::mutex mutex;
-    std::condition_variable_any never;
-    std::unique_lock<std::mutex> lock(mutex);
-    never.wait(lock, stop, [] { return false; });
+    wait_until_stopped(stop);
     stopped_->push_back(name());
   }
 
