--- a/tests/system/bad_input.test.mjs
+++ b/tests/system/bad_input.test.mjs
@@ -2,12 +2,12 @@
 
 import assert from 'node:assert/strict';
 import { spawnSync } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { after, before, test } from 'node:test';
 
-import { BINARIES, Cluster, batchInput, smallDeployment, streamChat, upload } from './cluster.mjs';
+import { BINARIES, Cluster, SOURCE, batchInput, smallDeployment, streamChat, upload } from './cluster.mjs';
 
 const cluster = new Cluster();
 let url;
@@ -23,7 +23,8 @@
   spawnSync(path.join(BINARIES, program), args, { encoding: 'utf8', timeout: 20000 });
 
 test('each program answers --help and --version and refuses unknown options', () => {
-  for (const program of ['dockpointd', 'dockpoint', 'dockpoint-emulator', 'dockpoint-sim']) {
+  for (const program of ['dockpointd', 'dockpoint', 'dockpoint-emulator', 'dockpoint-sim',
+    'dockpoint-bench']) {
     const help = run(program, '--help');
     assert.equal(help.status, 0, program);
     assert.match(help.stdout, /Usage: /);
@@ -32,6 +33,19 @@
   }
 });
 
+test('docs/COMMANDS.md lists the options that each program prints, and no others', () => {
+  const page = readFileSync(path.join(SOURCE, 'docs', 'COMMANDS.md'), 'utf8');
+  for (const section of page.split('\n## ').slice(1)) {
+    const program = section.slice(0, section.indexOf('\n'));
+    const printed = run(program, '--help').stdout.split('Options:\n')[1].split('\n')
+      .map((line) => line.match(/^  (--[\w-]+)/)?.[1])
+      .filter((option) => option && option !== '--help' && option !== '--version');
+    const listed = [...section.matchAll(/^\| `(--[\w-]+)/gm)].map((match) => match[1]);
+    assert.deepEqual(listed, printed, program);
+  }
+  assert.equal(page.split('\n## ').length, 6);
+});
+
 test('--check-settings prints what is in force and names what is wrong', () => {
   const folder = mkdtempSync(path.join(tmpdir(), 'dockpoint-settings-'));
   const file = path.join(folder, 'node.json');
