--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -54,8 +54,8 @@
   Duration handover_delay = 3s;        ///< A preferred owner must be alive for this long.
   std::size_t attempts_ahead = 64;     ///< Attempts of one job recorded but not yet ended.
   Duration attempt_settle_time = 10s;  ///< Then an inherited attempt ends as outcome unknown.
-  int maximum_item_attempts = 20;     ///< Then the item fails with the last error.
-  Duration item_retry_delay = 500ms;  ///< Doubled an attempt, up to the limit below.
+  int maximum_item_attempts = 20;      ///< Then the item fails with the last error.
+  Duration item_retry_delay = 500ms;   ///< Doubled an attempt, up to the limit below.
   Duration item_retry_delay_limit = 10s;
   std::uint64_t checkpoint_records = 20'000;  ///< Records between checkpoints of a partition.
   std::size_t checkpoint_chunk_bytes = 512 * 1024;
