--- a/src/simulation/explorer.cpp
+++ b/src/simulation/explorer.cpp
@@ -103,26 +103,21 @@
   const double at = draw.seconds(kFirstFault, kLastFault);
   const double until = at + draw.seconds(0.2, 15);
   const int kind = draw.between(0, 99);
+  const auto add = [&](const char* begin, const char* end, const std::string& target,
+                       double end_at) {
+    scenario.steps.push_back({at, ProcessStep{begin, target}});
+    scenario.steps.push_back({end_at, ProcessStep{end, target}});
+  };
   if (kind < 30) {
-    const std::string node = node_name(draw, deployment);
-    scenario.steps.push_back({at, ProcessStep{"kill", node}});
-    scenario.steps.push_back({until, ProcessStep{"restart", node}});
+    add("kill", "restart", node_name(draw, deployment), until);
   } else if (kind < 50) {
-    const std::string node = node_name(draw, deployment);
-    scenario.steps.push_back({at, ProcessStep{"freeze", node}});
-    scenario.steps.push_back({until, ProcessStep{"wake", node}});
+    add("freeze", "wake", node_name(draw, deployment), until);
   } else if (kind < 70) {
-    const std::string engine = engine_name(draw, deployment);
-    scenario.steps.push_back({at, ProcessStep{"kill", engine}});
-    scenario.steps.push_back({until, ProcessStep{"restart", engine}});
+    add("kill", "restart", engine_name(draw, deployment), until);
   } else if (kind < 78) {
-    const std::string zone = zone_name(draw, deployment);
-    scenario.steps.push_back({at, ProcessStep{"kill", zone}});
-    scenario.steps.push_back({until, ProcessStep{"restart", zone}});
+    add("kill", "restart", zone_name(draw, deployment), until);
   } else if (kind < 90) {
-    const std::string node = node_name(draw, deployment);
-    scenario.steps.push_back({at, ProcessStep{"drain", node}});
-    scenario.steps.push_back({until + 5, ProcessStep{"restart", node}});
+    add("drain", "restart", node_name(draw, deployment), until + 5);
   } else {
     scenario.steps.push_back({at, ProcessStep{"leave", engine_name(draw, deployment)}});
   }
