--- a/include/dockpoint/batch/checkpoint.hpp
+++ b/include/dockpoint/batch/checkpoint.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <msgpack.hpp>
+#include "dockpoint/core/codec.hpp"
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,7 +21,7 @@
   std::uint32_t index = 0;
   std::uint32_t count = 0;
   std::string bytes;
-  MSGPACK_DEFINE(covers, writer, index, count, bytes)
+  DOCKPOINT_FIELDS(covers, writer, index, count, bytes)
 };
 
 /// Cuts a snapshot into records of at most `chunk_bytes` and a little.
--- /dev/null
+++ b/include/dockpoint/batch/job_ledger.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dockpoint/core/codec.hpp"
+#include "dockpoint/core/time.hpp"
+#include "dockpoint/log/partitioned_log.hpp"
+
+/// Batch jobs of one partition, as its owner holds them.
+///
+/// Jobs, their ends and the results of items are keyed records of compacted topics. A result is
+/// written once, by the owner whose epoch fences all others, so the offsets of a job's results
+/// order them the same way for every owner that ever loads them: a position, once read, holds.
+namespace dockpoint {
+
+/// One item of a job.
+struct BatchItem {
+  std::string id;
+  std::string path;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+  double tokens = 0;  ///< Prompt and most output.
+  std::vector<std::string> header_list() const;
+};
+
+/// A job as it was accepted.
+struct BatchJob {
+  std::string id;
+  std::string host;
+  std::string path;  ///< That it was submitted to.
+  std::int64_t submitted_ms = 0;  ///< Unix time.
+  std::vector<BatchItem> items;
+};
+
+/// The end of an item.
+struct ItemResult {
+  std::uint32_t item = 0;  ///< Index in the job.
+  bool succeeded = false;
+  std::string text;
+};
+
+/// @return the topic keys and values of a job; each record holds at most `record_bytes`.
+std::vector<KeyedRecord> job_records(const BatchJob& job, std::size_t record_bytes);
+/// @return the record that ends a job.
+KeyedRecord end_record(const std::string& job);
+/// @return the records of an item's result.
+std::vector<KeyedRecord> result_records(const std::string& job, const ItemResult& result,
+                                        std::size_t record_bytes);
+
+/// @return the partition that holds a job.
+int partition_of_job(const std::string& job, int partitions);
+
+/// Puts values together that were cut into several records.
+class ChunkAssembler {
+ public:
+  /// A value that is complete.
+  struct Whole {
+    std::string name;  ///< Key without the number of the chunk.
+    std::string value;
+    LogOffset offset = 0;  ///< Of its last record.
+  };
+  /// Takes a record. @return the value, if this record completes it.
+  std::optional<Whole> add(const KeyedRecord& record);
+
+ private:
+  struct Parts {
+    std::map<std::uint32_t, std::string> chunks;
+    LogOffset offset = 0;
+  };
+  std::map<std::string, Parts> parts_;
+};
+
+/// One job in the ledger.
+struct LedgerJob {
+  BatchJob job;
+  bool ended = false;
+  std::vector<ItemResult> results;      ///< In order of position.
+  std::vector<bool> listed;             ///< An item each: whether it has a result.
+  bool complete() const { return results.size() == job.items.size(); }
+};
+
+/// See the top of this file. Not thread-safe.
+class JobLedger {
+ public:
+  /// Takes a record of the topic of jobs.
+  /// @return the job that it brought or ended, or nothing.
+  std::optional<std::string> take_job_record(const KeyedRecord& record);
+  /// Takes the results of a partition, as loaded.
+  void load_results(std::vector<KeyedRecord> records);
+  /// Adds a result that was written; a second one of the same item is dropped.
+  void add_result(const std::string& job, ItemResult result);
+
+  const LedgerJob* find(const std::string& job) const;
+  const std::map<std::string, LedgerJob>& jobs() const { return jobs_; }
+  void erase(const std::string& job) { jobs_.erase(job); }
+
+ private:
+  /// A key of the topic of jobs was removed.
+  void forget(const std::string& key);
+
+  ChunkAssembler assembler_;
+  std::map<std::string, LedgerJob> jobs_;
+  std::set<std::string> ended_;
+  std::map<std::string, std::vector<ItemResult>> early_results_;  ///< Of jobs not known yet.
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/include/dockpoint/batch/partition_owner.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dockpoint/batch/job_ledger.hpp"
+#include "dockpoint/core/knobs.hpp"
+#include "dockpoint/log/keyed_watch.hpp"
+
+/// One partition of batch jobs at the node that owns it.
+///
+/// Recovery: the new owner first raises the epoch of the topic of results, which fences whoever
+/// owned the partition before, so that nothing is added behind its back. Then it loads jobs and
+/// results and follows the topic of jobs. From there on it alone writes results; each append
+/// carries epoch and sequence, so that one whose answer was lost is repeated without harm. An
+/// owner that was paused and replaced learns it from its next append, or from its group.
+namespace dockpoint {
+
+/// Names of the topics and of the group that deals their partitions out.
+struct BatchTopics {
+  std::string jobs;
+  std::string results;
+  std::string group;
+};
+
+/// Receives what happens in a partition.
+class PartitionOwnerObserver {
+ public:
+  virtual ~PartitionOwnerObserver() = default;
+  virtual void on_partition_active(int partition) = 0;
+  virtual void on_job(int partition, const std::string& job) = 0;
+  virtual void on_job_ended(int partition, const std::string& job) = 0;
+  /// Results were confirmed by the log and can be read.
+  virtual void on_results(int partition, const std::string& job) = 0;
+  /// Another owner has taken over. The partition does nothing more.
+  virtual void on_partition_fenced(int partition) = 0;
+};
+
+/// See the top of this file. Not thread-safe; borrows all references.
+class PartitionOwner : private KeyedWatchObserver {
+ public:
+  /// @param epoch the generation in which the group dealt the partition to this node.
+  PartitionOwner(const Knobs& knobs, PartitionedLog& log, const BatchTopics& topics, int partition,
+                 std::uint64_t epoch, std::uint64_t seed, PartitionOwnerObserver& observer);
+  ~PartitionOwner() override;
+
+  /// Drives calls to the log; call several times a second.
+  void tick(TimePoint now);
+
+  /// Makes sure that no other owner has written: the partition is not active until the log has
+  /// taken an append under its epoch.
+  void verify();
+
+  /// Writes a result; it is listed once the log has confirmed it.
+  void write_result(const std::string& job, ItemResult result);
+
+  /// @return whether jobs and results are loaded, so that reads can be answered.
+  bool active() const { return step_ == Step::kActive && !unverified_; }
+  bool fenced() const { return step_ == Step::kFenced; }
+  const JobLedger& ledger() const { return ledger_; }
+  int partition() const { return partition_; }
+  std::uint64_t epoch() const { return epoch_; }
+  std::size_t unwritten_results() const { return queue_.size() + writing_.size(); }
+  /// @return whether a result of the item was handed in, confirmed or not.
+  bool has_unwritten(const std::string& job, std::uint32_t item) const;
+
+ private:
+  enum class Step { kFencing, kLoadingResults, kLoadingJobs, kActive, kFenced };
+  struct PendingResult {
+    std::string job;
+    ItemResult result;
+  };
+  /// Survives the owner while a call is under way.
+  struct Life {
+    bool alive = true;
+  };
+
+  void on_snapshot(const std::vector<KeyedRecord>& records) override;
+  void on_record(const KeyedRecord& record) override;
+  void on_current() override;
+  void on_reachable(bool reachable) override;
+
+  void raise_epoch();
+  void load_results();
+  void write_queue();
+  void take_append(const AppendOutcome& outcome);
+  void retry_later();
+  void become_fenced();
+  void take_job_record(const KeyedRecord& record);
+  ProducerPosition position() const;
+
+  const Knobs& knobs_;
+  PartitionedLog& log_;
+  const BatchTopics topics_;
+  const int partition_;
+  const std::uint64_t epoch_;
+  std::mt19937_64 random_;
+  PartitionOwnerObserver& observer_;
+  std::shared_ptr<Life> life_ = std::make_shared<Life>();
+
+  Step step_ = Step::kFencing;
+  JobLedger ledger_;
+  KeyedWatch jobs_watch_;
+  bool calling_ = false;
+  TimePoint now_{};
+  TimePoint retry_at_{};
+  int failures_ = 0;
+  std::string page_key_;
+  std::vector<KeyedRecord> loaded_results_;
+  std::uint64_t sequence_ = 0;
+  bool unverified_ = false;
+  std::deque<PendingResult> queue_;
+  std::vector<PendingResult> writing_;     ///< In the append under way or to be repeated.
+  std::vector<KeyedRecord> write_records_;
+};
+
+}  // namespace dockpoint
--- a/include/dockpoint/batch/partition_state.hpp
+++ b/include/dockpoint/batch/partition_state.hpp
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <msgpack.hpp>
+#include "dockpoint/core/codec.hpp"
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -39,7 +39,7 @@
   std::map<ItemIndex, Epoch> attempts;
   Offset first_result = 0;  ///< Bounds of the result records in the stream, inclusive.
   Offset last_result = 0;
-  MSGPACK_DEFINE(spec, cancelled, ended_at, completed, failed, results, attempts, first_result,
+  DOCKPOINT_FIELDS(spec, cancelled, ended_at, completed, failed, results, attempts, first_result,
                  last_result)
 
   JobStatus status() const;
--- a/include/dockpoint/batch/records.hpp
+++ b/include/dockpoint/batch/records.hpp
@@ -2,7 +2,7 @@
 
 #include <cstdint>
 #include <map>
-#include <msgpack.hpp>
+#include "dockpoint/core/codec.hpp"
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,7 +24,7 @@
 struct RecordId {
   std::uint64_t writer = 0;  ///< Unique for each run of each node.
   std::uint64_t number = 0;
-  MSGPACK_DEFINE(writer, number)
+  DOCKPOINT_FIELDS(writer, number)
   friend bool operator==(const RecordId&, const RecordId&) = default;
   friend bool operator<(const RecordId& left, const RecordId& right) {
     return std::tie(left.writer, left.number) < std::tie(right.writer, right.number);
@@ -47,7 +47,7 @@
   UnixSeconds deadline = 0;
   std::string content_digest;  ///< Tells a resent job from a different one under the same key.
   std::map<std::string, std::string> metadata;
-  MSGPACK_DEFINE(id, tenant, input_file_id, endpoint, completion_window, service, items, repeatable,
+  DOCKPOINT_FIELDS(id, tenant, input_file_id, endpoint, completion_window, service, items, repeatable,
                  priority, selector, created_at, deadline, content_digest, metadata)
 };
 
@@ -57,26 +57,26 @@
   Epoch replaces = 0;
   std::string owner;      ///< Node id.
   std::uint64_t run = 0;  ///< Tells a restarted node from its former self.
-  MSGPACK_DEFINE(epoch, replaces, owner, run)
+  DOCKPOINT_FIELDS(epoch, replaces, owner, run)
 };
 
 /// The owner gives the partition up.
 struct OwnershipRelease {
   Epoch epoch = 0;
-  MSGPACK_DEFINE(epoch)
+  DOCKPOINT_FIELDS(epoch)
 };
 
 struct JobAccepted {
   Epoch epoch = 0;
   JobSpec job;
-  MSGPACK_DEFINE(epoch, job)
+  DOCKPOINT_FIELDS(epoch, job)
 };
 
 /// Taken from any epoch: a cancel is the caller's wish, not the owner's decision.
 struct JobCancelled {
   std::string job;
   UnixSeconds at = 0;
-  MSGPACK_DEFINE(job, at)
+  DOCKPOINT_FIELDS(job, at)
 };
 
 /// Precedes the sending of an item that must not be repeated.
@@ -84,7 +84,7 @@
   Epoch epoch = 0;
   std::string job;
   ItemIndex item = 0;
-  MSGPACK_DEFINE(epoch, job, item)
+  DOCKPOINT_FIELDS(epoch, job, item)
 };
 
 /// The end of an item. Taken from any epoch; the first in offset order is the result.
@@ -96,7 +96,7 @@
   int result_code = 0;  ///< `ResultCode`; 0 if the engine answered.
   std::string body;     ///< The engine's answer or the error, JSON.
   UnixSeconds at = 0;
-  MSGPACK_DEFINE(job, item, custom_id, status, result_code, body, at)
+  DOCKPOINT_FIELDS(job, item, custom_id, status, result_code, body, at)
 };
 
 /// Precedes the sending of an online request that must not be repeated and carries a key.
@@ -104,7 +104,7 @@
   Epoch epoch = 0;
   std::string key;    ///< Hash of tenant and idempotency key.
   std::string token;  ///< Unique to the request that wants to be sent.
-  MSGPACK_DEFINE(epoch, key, token)
+  DOCKPOINT_FIELDS(epoch, key, token)
 };
 
 /// The request of an online attempt certainly did not run; its key may be used again. Counts only
@@ -112,7 +112,7 @@
 struct OnlineAttemptWithdrawn {
   std::string key;
   std::string token;
-  MSGPACK_DEFINE(key, token)
+  DOCKPOINT_FIELDS(key, token)
 };
 
 /// Names one request among those that come under one idempotency key.
--- a/include/dockpoint/config/configuration_fold.hpp
+++ b/include/dockpoint/config/configuration_fold.hpp
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
-#include <msgpack.hpp>
+#include "dockpoint/core/codec.hpp"
 #include <string>
 
 #include "dockpoint/config/fleet_config.hpp"
@@ -23,7 +23,7 @@
   std::uint64_t base_revision = 0;  ///< Revision that the change was made from.
   std::string author;
   std::string document;  ///< The whole new configuration, JSON.
-  MSGPACK_DEFINE(id, base_revision, author, document)
+  DOCKPOINT_FIELDS(id, base_revision, author, document)
 };
 
 /// An accepted change, without its document.
@@ -32,7 +32,7 @@
   std::uint64_t offset = 0;  ///< Of its record.
   std::string change_id;
   std::string author;
-  MSGPACK_DEFINE(revision, offset, change_id, author)
+  DOCKPOINT_FIELDS(revision, offset, change_id, author)
 };
 
 /// One accepted revision.
@@ -45,7 +45,7 @@
   /// The most recent changes, this one included, oldest first. A node that takes the revision from
   /// a peer skips their records in the log, and still knows what became of each.
   std::deque<AcceptedChange> history;
-  MSGPACK_DEFINE(revision, next_offset, change_id, author, document, history)
+  DOCKPOINT_FIELDS(revision, next_offset, change_id, author, document, history)
 };
 
 /// What became of one change.
--- a/include/dockpoint/core/json_reader.hpp
+++ b/include/dockpoint/core/json_reader.hpp
@@ -59,6 +59,8 @@
   std::string text(const std::string& key, std::string fallback = {});
   std::int64_t required_integer(const std::string& key, IntegerRange range);
   std::int64_t integer(const std::string& key, IntegerRange range, std::int64_t fallback);
+  /// @return a number of at least `minimum`, which may have a fraction.
+  double number(const std::string& key, double minimum, double fallback);
   bool boolean(const std::string& key, bool fallback);
   /// @return one of `allowed`.
   std::string choice(const std::string& key, const std::vector<std::string>& allowed,
--- /dev/null
+++ b/include/dockpoint/log/keyed_watch.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "dockpoint/core/knobs.hpp"
+#include "dockpoint/log/partitioned_log.hpp"
+
+/// Following one partition of a compacted topic.
+namespace dockpoint {
+
+/// Receives what a watch learns.
+class KeyedWatchObserver {
+ public:
+  virtual ~KeyedWatchObserver() = default;
+  /// All keys as they stand; replaces everything told before.
+  virtual void on_snapshot(const std::vector<KeyedRecord>& records) = 0;
+  /// One record, newer than any told of its key before.
+  virtual void on_record(const KeyedRecord& record) = 0;
+  /// The watch reached the end of the partition.
+  virtual void on_current() = 0;
+  /// Calls fail (`reachable` false) or succeed again.
+  virtual void on_reachable(bool reachable) = 0;
+};
+
+/// Loads the newest records page by page, then follows the log by reads that wait. When history is
+/// gone it loads anew. Failed calls are repeated with a growing, random pause.
+///
+/// Not thread-safe; borrows log and observer. May be destroyed at any time.
+class KeyedWatch {
+ public:
+  KeyedWatch(const Knobs& knobs, PartitionedLog& log, TopicPartition partition, std::uint64_t seed,
+             KeyedWatchObserver& observer);
+  ~KeyedWatch();
+
+  /// Starts what is due; call several times a second.
+  void tick(TimePoint now);
+
+  /// @return whether a snapshot was told and the end was reached since.
+  bool current() const { return state_->current; }
+  /// @return whether the last call succeeded.
+  bool reachable() const { return state_->reachable; }
+  /// @return the offset up to which everything was told.
+  LogOffset position() const { return state_->next; }
+
+ private:
+  /// Survives the watch while a call is under way.
+  struct State {
+    bool alive = true;
+    bool calling = false;
+    bool loaded = false;
+    bool current = false;
+    bool reachable = true;
+    TimePoint retry_at{};
+    int failures = 0;
+    LogOffset next = 0;
+    LogOffset load_end = 0;
+    std::string page_key;
+    bool first_page = true;
+    std::vector<KeyedRecord> pages;
+    std::map<std::string, LogOffset> offsets;  ///< Of the newest record told, a key each.
+  };
+
+  void load_page();
+  void take_page(NewestOutcome outcome);
+  void follow();
+  void take_records(ReadOutcome outcome);
+  void fail();
+  void succeed();
+
+  const Knobs& knobs_;
+  PartitionedLog& log_;
+  const TopicPartition partition_;
+  std::mt19937_64 random_;
+  KeyedWatchObserver& observer_;
+  TimePoint now_{};
+  std::shared_ptr<State> state_ = std::make_shared<State>();
+};
+
+}  // namespace dockpoint
--- a/include/dockpoint/membership/member.hpp
+++ b/include/dockpoint/membership/member.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <msgpack.hpp>
+#include "dockpoint/core/codec.hpp"
 #include <string>
 
 namespace dockpoint {
@@ -18,7 +18,8 @@
   std::string api_address;   ///< `IP:port` of the HTTP interface.
   std::string zone;
   std::uint64_t run = 0;  ///< First incarnation of the process: tells a restart from a refutation.
-  MSGPACK_DEFINE(id, incarnation, state, peer_address, api_address, zone, run)
+  std::string control_address{};  ///< `IP:port` for calls between nodes; empty: the HTTP interface.
+  DOCKPOINT_FIELDS(id, incarnation, state, peer_address, api_address, zone, run, control_address)
 };
 
 /// @return whether `update` says something newer than `known`.
@@ -31,4 +32,3 @@
 
 }  // namespace dockpoint
 
-MSGPACK_ADD_ENUM(dockpoint::MemberState)
--- a/include/dockpoint/membership/messages.hpp
+++ b/include/dockpoint/membership/messages.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <msgpack.hpp>
+#include "dockpoint/core/codec.hpp"
 #include <optional>
 #include <string>
 #include <string_view>
@@ -46,7 +46,7 @@
   std::vector<EngineDigest> digests;
   bool log_reachable = true;  ///< The sender can read and append; otherwise it owns nothing.
   std::uint8_t tree = 0;      ///< Of load digests.
-  MSGPACK_DEFINE(version, type, sequence, sender, target, updates, configuration_revision,
+  DOCKPOINT_FIELDS(version, type, sequence, sender, target, updates, configuration_revision,
                  pending_batch_items, digests, log_reachable, tree)
 };
 
@@ -58,4 +58,3 @@
 
 }  // namespace dockpoint
 
-MSGPACK_ADD_ENUM(dockpoint::PeerMessageType)
--- a/include/dockpoint/routing/engine_load.hpp
+++ b/include/dockpoint/routing/engine_load.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <msgpack.hpp>
+#include "dockpoint/core/codec.hpp"
 #include <string>
 
 namespace dockpoint {
@@ -15,7 +15,7 @@
   std::uint32_t waiting_online = 0;
   std::uint32_t waiting_batch = 0;
   bool leaving = false;  ///< The engine announces that it will stop.
-  MSGPACK_DEFINE(incarnation, sequence, running_online, running_batch, waiting_online,
+  DOCKPOINT_FIELDS(incarnation, sequence, running_online, running_batch, waiting_online,
                  waiting_batch, leaving)
 
   /// @return whether this report is newer than `other`.
@@ -31,7 +31,7 @@
 struct EngineDigest {
   std::uint32_t engine_key = 0;  ///< Hash of the engine's name, which would be longer.
   EngineLoad load;
-  MSGPACK_DEFINE(engine_key, load)
+  DOCKPOINT_FIELDS(engine_key, load)
 };
 
 /// @return the key of an engine in digests.
--- /dev/null
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "dockpoint/core/address.hpp"
+#include "dockpoint/core/knobs.hpp"
+#include "dockpoint/core/time.hpp"
+
+/// What one node knows of the replicas: their records, the load on them, and how they answered.
+///
+/// Load comes from three sources, none of which needs a call: this node's own requests in flight,
+/// the digests that other nodes send of theirs, and the load that replicas state in answers.
+/// Health is passive: failures of this node's own requests eject a replica for a while; it comes
+/// back through one trial request at a time.
+namespace dockpoint {
+
+/// Kind of work, by urgency.
+enum class TrafficClass { kOnline, kBatch };
+
+/// A replica as it registers itself.
+struct ReplicaRecord {
+  std::string id;  ///< Of one life of the replica.
+  std::string service;
+  Address address;
+  std::string zone;
+  int slots = 0;
+  bool draining = false;
+  Duration cold_remaining{};  ///< How long it stays slow, from when the record was written.
+};
+
+/// Load that a replica states in an answer.
+struct ReportedLoad {
+  int running = 0;
+  int waiting = 0;
+  int slots = 0;
+};
+
+/// What the end of a request says about a replica.
+enum class ReplicaSignal {
+  kAnswered,     ///< It answered, whatever the status.
+  kUnreachable,  ///< No connection could be made, or its machine is silent.
+  kBroken,       ///< The connection ended without a whole answer.
+};
+
+/// One replica as seen from this node.
+struct Replica {
+  ReplicaRecord record;
+  std::uint32_t key = 0;  ///< Of the replica in digests.
+  int online = 0;         ///< Requests of this node in flight there.
+  int batch = 0;          ///< Items of this node in flight there.
+  int of_peers = 0;       ///< In flight there from other nodes, by their digests.
+  double prefill_tokens = 0;  ///< Prompt tokens sent by this node and not answered yet.
+  ReportedLoad reported;
+  TimePoint reported_at{};
+  TimePoint cold_until{};
+  int failures_in_row = 0;
+  int ejections = 0;  ///< Since the last answer; above 0 the replica is on trial.
+  TimePoint ejected_until{};
+
+  /// @return requests estimated to run or wait there.
+  int load(TimePoint now) const;
+  bool on_trial() const { return ejections > 0; }
+};
+
+/// Requests in flight of one node, a replica each.
+struct LoadDigestEntry {
+  std::uint32_t replica_key = 0;
+  std::uint32_t in_flight = 0;
+};
+
+/// The replicas of all services. Not thread-safe.
+class ReplicaDirectory {
+ public:
+  explicit ReplicaDirectory(const Knobs& knobs) : knobs_(knobs) {}
+
+  /// Takes a record; what is known of a replica that stays is kept.
+  void upsert(const ReplicaRecord& record, TimePoint now);
+  /// The replica has left; requests in flight to it may still end.
+  void remove(const std::string& id);
+  /// Removes every replica that `ids` does not hold.
+  void retain(const std::vector<std::string>& ids);
+
+  void started(const std::string& id, TrafficClass traffic, double prefill_tokens);
+  /// The first byte of the answer came, or the request ended without one.
+  void prefilled(const std::string& id, double prefill_tokens);
+  void ended(const std::string& id, TrafficClass traffic);
+  void signal(const std::string& id, ReplicaSignal signal, TimePoint now);
+  void report(const std::string& id, const ReportedLoad& load, TimePoint now);
+
+  /// Takes the digest of another node in place of its last one.
+  void set_peer_load(const std::string& node, const std::vector<LoadDigestEntry>& entries,
+                     TimePoint now);
+  /// Forgets digests that were not renewed.
+  void expire_peer_loads(TimePoint now);
+  /// @return this node's requests in flight, replicas without any left out.
+  std::vector<LoadDigestEntry> own_load() const;
+
+  const Replica* find(const std::string& id) const;
+  /// @return replicas of the service that take new work: registered and not draining.
+  std::vector<const Replica*> ready(const std::string& service) const;
+  const std::map<std::string, Replica>& all() const { return replicas_; }
+  bool ejected(const Replica& replica, TimePoint now) const { return now < replica.ejected_until; }
+
+  /// Changes whenever a replica comes, goes or drains.
+  std::uint64_t revision() const { return revision_; }
+
+ private:
+  struct PeerLoad {
+    std::unordered_map<std::uint32_t, std::uint32_t> in_flight;
+    TimePoint received{};
+  };
+
+  Replica* mutable_find(const std::string& id);
+  void eject(Replica& replica, TimePoint now);
+  void sum_peer_loads();
+
+  const Knobs& knobs_;
+  std::map<std::string, Replica> replicas_;
+  std::map<std::string, PeerLoad> peers_;
+  std::uint64_t revision_ = 1;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "dockpoint/routing/replica_directory.hpp"
+
+/// Choice of the replica for one request or batch item.
+///
+/// Each candidate gets a cost: the time until the request would start there. It is made of the
+/// wait for a free slot, the reading of prompts that stand before it, and the reading of its own
+/// prompt as far as the replica's prefix cache is not expected to hold it. A prefix is expected
+/// where this node sent it lately, and at its home: the replica with the highest rendezvous score
+/// for it, which all nodes compute alike without talking. A home that is busy costs more than
+/// reading the prefix again elsewhere, so that load stays bounded.
+namespace dockpoint {
+
+/// One part of a prompt, shared by the requests that name the same id.
+struct PromptPart {
+  std::uint64_t id = 0;
+  double tokens = 0;
+};
+
+/// What the choice depends on.
+struct ReplicaQuery {
+  std::string service;
+  TrafficClass traffic = TrafficClass::kOnline;
+  std::vector<PromptPart> prompt;      ///< In order; the last part is the request's own.
+  std::set<std::string> excluded;      ///< Replicas that failed this request before.
+};
+
+/// The outcome of a choice.
+struct ReplicaChoice {
+  const Replica* replica = nullptr;  ///< Null if no replica can take the request.
+  Duration expected_wait{};          ///< For a slot; zero if one is expected to be free.
+  double missing_tokens = 0;         ///< Prompt tokens expected to be read there.
+};
+
+/// See the top of this file. Not thread-safe; borrows knobs and directory.
+class ReplicaSelector {
+ public:
+  /// @param zone of this node.
+  ReplicaSelector(const Knobs& knobs, const ReplicaDirectory& directory, std::string zone,
+                  std::uint64_t seed);
+
+  ReplicaChoice choose(const ReplicaQuery& query, TimePoint now);
+
+  /// Remembers that a replica has read this prompt.
+  void note_prompt(const std::string& replica, const std::vector<PromptPart>& prompt,
+                   TimePoint now);
+  /// Learns how long requests of a service hold a slot.
+  void note_service_time(const std::string& service, Duration time);
+
+  /// @return slots of the service's ready replicas that are taken, as a share of all.
+  double utilization(const std::string& service, TimePoint now) const;
+
+ private:
+  struct PrefixEntry {
+    std::uint64_t chain = 0;
+    std::vector<std::pair<std::uint32_t, TimePoint>> replicas;  ///< Key and last use.
+  };
+  /// A prefix of the query's prompt with its place in the cache of prefixes.
+  struct PrefixStep {
+    std::uint64_t chain = 0;
+    double tokens = 0;  ///< Of this and all parts before it.
+    const PrefixEntry* entry = nullptr;
+  };
+  struct Candidate {
+    const Replica* replica = nullptr;
+    double cost_ms = 0;
+    double wait_ms = 0;
+    double missing_tokens = 0;
+  };
+
+  std::vector<const Replica*> candidates(const ReplicaQuery& query, TimePoint now) const;
+  std::vector<PrefixStep> steps_of(const std::vector<PromptPart>& prompt) const;
+  /// @return keys of the first and second home of the query's shared parts.
+  std::pair<std::uint32_t, std::uint32_t> homes(const std::vector<const Replica*>& all,
+                                                const std::vector<PrefixStep>& steps) const;
+  double cached_tokens(const Replica& replica, const std::vector<PrefixStep>& steps,
+                       const std::pair<std::uint32_t, std::uint32_t>& homes, TimePoint now) const;
+  double wait_ms(const Replica& replica, const std::string& service, TimePoint now) const;
+  PrefixEntry& touch(std::uint64_t chain);
+
+  const Knobs& knobs_;
+  const ReplicaDirectory& directory_;
+  const std::string zone_;
+  std::mt19937_64 random_;
+  std::list<PrefixEntry> recent_;  ///< Most recently used first.
+  std::unordered_map<std::uint64_t, std::list<PrefixEntry>::iterator> by_chain_;
+  std::unordered_map<std::string, double> service_ms_;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/batch/group_member.cpp
@@ -0,0 +1,144 @@
+#include "dockpoint/batch/group_member.hpp"
+
+#include <algorithm>
+
+namespace dockpoint {
+
+GroupMember::GroupMember(const Knobs& knobs, PartitionedLog& log, std::string group,
+                         std::string topic, std::string name, std::uint64_t seed,
+                         GroupMemberObserver& observer)
+    : knobs_(knobs),
+      log_(log),
+      group_(std::move(group)),
+      topic_(std::move(topic)),
+      name_(std::move(name)),
+      random_(seed),
+      observer_(observer) {}
+
+GroupMember::~GroupMember() { life_->alive = false; }
+
+bool GroupMember::draining() const {
+  return std::any_of(owned_.begin(), owned_.end(),
+                     [](const auto& entry) { return entry.second.revoked; });
+}
+
+void GroupMember::tick(TimePoint now) {
+  now_ = now;
+  if (left_) {
+    return;
+  }
+  std::vector<int> overdue;
+  for (const auto& [partition, owned] : owned_) {
+    if (owned.revoked && now - owned.revoked_at > knobs_.handover_drain) {
+      overdue.push_back(partition);
+    }
+  }
+  for (const int partition : overdue) {
+    released(partition);
+  }
+  if (!calling_ && now >= next_join_) {
+    join();
+  }
+}
+
+void GroupMember::join() {
+  calling_ = true;
+  if (!draining()) {
+    released_generation_ = generation_;
+  }
+  const Duration lease = std::max(knobs_.group_lease, log_.limits().minimum_lease);
+  log_.join(group_, name_, {topic_}, lease, released_generation_,
+            [this, life = life_, sent_at = now_](const JoinOutcome& outcome) {
+              if (life->alive) {
+                calling_ = false;
+                take(outcome, sent_at);
+              }
+            });
+}
+
+void GroupMember::take(const JoinOutcome& outcome, TimePoint sent_at) {
+  if (left_) {
+    return;
+  }
+  const Duration lease = std::max(knobs_.group_lease, log_.limits().minimum_lease);
+  std::uniform_int_distribution<std::int64_t> spread(lease.count() / 4, lease.count() / 3);
+  next_join_ = now_ + Duration(spread(random_));
+  if (outcome.status != LogStatus::kOk) {
+    return;
+  }
+  const bool lapsed = generation_ > 0 && sent_at - renewed_at_ > lease;
+  const bool missed = lapsed || outcome.generation > generation_ + 1;
+  const bool changed = outcome.generation != generation_;
+  renewed_at_ = sent_at;
+  generation_ = outcome.generation;
+  if (!changed) {
+    return;
+  }
+  std::set<int> dealt;
+  for (const TopicPartition& partition : outcome.partitions) {
+    dealt.insert(partition.partition);
+  }
+  const std::map<int, Owned> before = owned_;
+  for (const auto& [partition, owned] : before) {
+    if (dealt.contains(partition)) {
+      if (missed) {
+        observer_.on_doubted(partition);
+      }
+    } else if (lapsed) {
+      lose(partition);
+    } else if (!owned.revoked) {
+      owned_[partition].revoked = true;
+      owned_[partition].revoked_at = now_;
+      observer_.on_revoked(partition);
+    }
+  }
+  for (const int partition : dealt) {
+    const auto found = owned_.find(partition);
+    if (found != owned_.end() && found->second.revoked) {
+      lose(partition);  // Dealt back before it was released: nobody else has had it.
+    }
+    if (!owned_.contains(partition)) {
+      owned_[partition] = {generation_, false, {}};
+      observer_.on_acquired(partition, generation_);
+    }
+  }
+  if (generation_ != released_generation_ && !draining()) {
+    next_join_ = now_;  // Release at once what was taken away.
+  }
+}
+
+void GroupMember::released(int partition) {
+  const auto found = owned_.find(partition);
+  if (found == owned_.end() || !found->second.revoked) {
+    return;
+  }
+  lose(partition);
+  if (!draining()) {
+    next_join_ = now_;
+  }
+}
+
+void GroupMember::fenced(int partition) {
+  lose(partition);
+  next_join_ = now_;  // A higher epoch comes from a later generation, which this node has not heard.
+}
+
+void GroupMember::lose(int partition) {
+  if (owned_.erase(partition) > 0) {
+    observer_.on_lost(partition);
+  }
+}
+
+void GroupMember::leave() {
+  if (left_) {
+    return;
+  }
+  left_ = true;
+  const std::map<int, Owned> before = owned_;
+  for (const auto& [partition, owned] : before) {
+    lose(partition);
+  }
+  log_.leave(group_, name_, [](LogStatus) {});
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/batch/job_ledger.cpp
@@ -0,0 +1,227 @@
+#include "dockpoint/batch/job_ledger.hpp"
+
+#include <algorithm>
+
+#include "dockpoint/core/hash.hpp"
+
+namespace dockpoint {
+namespace {
+
+constexpr char kJobPrefix = 'j';
+constexpr char kEndPrefix = 'e';
+constexpr char kResultPrefix = 'r';
+constexpr char kSeparator = '/';
+
+/// Room that key and framing take in a record, in bytes.
+constexpr std::size_t kRecordOverhead = 512;
+
+struct ItemWire {
+  std::string id;
+  std::string path;
+  std::vector<std::string> headers;  ///< Names and values in turn.
+  std::string body;
+  double tokens = 0;
+  DOCKPOINT_FIELDS(id, path, headers, body, tokens)
+};
+
+struct JobWire {
+  std::string id;
+  std::string host;
+  std::string path;
+  std::int64_t submitted_ms = 0;
+  std::vector<ItemWire> items;
+  DOCKPOINT_FIELDS(id, host, path, submitted_ms, items)
+};
+
+struct ResultWire {
+  std::uint32_t item = 0;
+  bool succeeded = false;
+  std::string text;
+  DOCKPOINT_FIELDS(item, succeeded, text)
+};
+
+/// Four bytes before each piece: how many pieces the value has.
+std::string with_count(std::uint32_t count, std::string_view piece) {
+  std::string value;
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    value += static_cast<char>((count >> shift) & 0xff);
+  }
+  value += piece;
+  return value;
+}
+
+std::vector<KeyedRecord> cut(const std::string& name, std::string_view value,
+                             std::size_t record_bytes) {
+  const std::size_t piece_bytes = record_bytes - std::min(record_bytes / 2, kRecordOverhead);
+  const auto count = static_cast<std::uint32_t>((value.size() + piece_bytes - 1) / piece_bytes);
+  std::vector<KeyedRecord> records;
+  for (std::uint32_t index = 0; index < count; ++index) {
+    const std::string_view piece = value.substr(index * piece_bytes, piece_bytes);
+    records.push_back({name + kSeparator + std::to_string(index), with_count(count, piece), 0});
+  }
+  return records;
+}
+
+JobWire to_wire(const BatchJob& job) {
+  JobWire wire{job.id, job.host, job.path, job.submitted_ms, {}};
+  for (const BatchItem& item : job.items) {
+    wire.items.push_back({item.id, item.path, item.header_list(), item.body, item.tokens});
+  }
+  return wire;
+}
+
+BatchJob from_wire(JobWire wire) {
+  BatchJob job{std::move(wire.id), std::move(wire.host), std::move(wire.path), wire.submitted_ms,
+               {}};
+  for (ItemWire& item : wire.items) {
+    BatchItem taken{std::move(item.id), std::move(item.path), {}, std::move(item.body),
+                    item.tokens};
+    for (std::size_t index = 0; index + 1 < item.headers.size(); index += 2) {
+      taken.headers.emplace_back(std::move(item.headers[index]),
+                                 std::move(item.headers[index + 1]));
+    }
+    job.items.push_back(std::move(taken));
+  }
+  return job;
+}
+
+}  // namespace
+
+std::vector<std::string> BatchItem::header_list() const {
+  std::vector<std::string> list;
+  for (const auto& [name, value] : headers) {
+    list.push_back(name);
+    list.push_back(value);
+  }
+  return list;
+}
+
+std::vector<KeyedRecord> job_records(const BatchJob& job, std::size_t record_bytes) {
+  return cut(kJobPrefix + job.id, pack(to_wire(job)), record_bytes);
+}
+
+KeyedRecord end_record(const std::string& job) { return {kEndPrefix + job, "1", 0}; }
+
+std::vector<KeyedRecord> result_records(const std::string& job, const ItemResult& result,
+                                        std::size_t record_bytes) {
+  const std::string name = kResultPrefix + job + kSeparator + std::to_string(result.item);
+  return cut(name, pack(ResultWire{result.item, result.succeeded, result.text}), record_bytes);
+}
+
+int partition_of_job(const std::string& job, int partitions) {
+  return static_cast<int>(hash64(job) % static_cast<std::uint64_t>(std::max(1, partitions)));
+}
+
+std::optional<ChunkAssembler::Whole> ChunkAssembler::add(const KeyedRecord& record) {
+  constexpr std::size_t kCountBytes = 4;
+  const std::size_t slash = record.key.rfind(kSeparator);
+  if (slash == std::string::npos || record.value.size() < kCountBytes) {
+    return std::nullopt;
+  }
+  std::uint32_t count = 0;
+  for (std::size_t index = 0; index < kCountBytes; ++index) {
+    count = (count << 8) | static_cast<unsigned char>(record.value[index]);
+  }
+  const std::string name = record.key.substr(0, slash);
+  const auto index = static_cast<std::uint32_t>(std::strtoul(record.key.c_str() + slash + 1,
+                                                             nullptr, 10));
+  Parts& parts = parts_[name];
+  parts.chunks[index] = record.value.substr(kCountBytes);
+  parts.offset = std::max(parts.offset, record.offset);
+  if (parts.chunks.size() < count) {
+    return std::nullopt;
+  }
+  Whole whole{name, {}, parts.offset};
+  for (auto& [number, chunk] : parts.chunks) {
+    whole.value += chunk;
+  }
+  parts_.erase(name);
+  return whole;
+}
+
+std::optional<std::string> JobLedger::take_job_record(const KeyedRecord& record) {
+  if (record.key.empty()) {
+    return std::nullopt;
+  }
+  if (record.value.empty()) {
+    forget(record.key);
+    return std::nullopt;
+  }
+  if (record.key.front() == kEndPrefix) {
+    const std::string id = record.key.substr(1);
+    ended_.insert(id);
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+      return std::nullopt;
+    }
+    found->second.ended = true;
+    return id;
+  }
+  const auto whole = assembler_.add(record);
+  if (!whole || whole->name.front() != kJobPrefix) {
+    return std::nullopt;
+  }
+  auto wire = unpack<JobWire>(whole->value);
+  if (!wire || jobs_.contains(wire->id)) {
+    return std::nullopt;
+  }
+  const std::string id = wire->id;
+  LedgerJob& entry = jobs_[id];
+  entry.job = from_wire(std::move(*wire));
+  entry.ended = ended_.contains(id);
+  entry.listed.resize(entry.job.items.size());
+  const auto early = early_results_.extract(id);
+  if (!early.empty()) {
+    for (ItemResult& result : early.mapped()) {
+      add_result(id, std::move(result));
+    }
+  }
+  return id;
+}
+
+void JobLedger::forget(const std::string& key) {
+  const std::string id = key.substr(1, key.find(kSeparator) - 1);
+  ended_.erase(id);
+  jobs_.erase(id);
+}
+
+void JobLedger::load_results(std::vector<KeyedRecord> records) {
+  std::vector<ChunkAssembler::Whole> results;
+  ChunkAssembler assembler;
+  for (const KeyedRecord& record : records) {
+    if (auto whole = assembler.add(record)) {
+      results.push_back(std::move(*whole));
+    }
+  }
+  std::sort(results.begin(), results.end(),
+            [](const auto& one, const auto& other) { return one.offset < other.offset; });
+  for (const ChunkAssembler::Whole& whole : results) {
+    const std::size_t slash = whole.name.rfind(kSeparator);
+    auto wire = unpack<ResultWire>(whole.value);
+    if (slash != std::string::npos && wire) {
+      add_result(whole.name.substr(1, slash - 1),
+                 {wire->item, wire->succeeded, std::move(wire->text)});
+    }
+  }
+}
+
+void JobLedger::add_result(const std::string& job, ItemResult result) {
+  const auto found = jobs_.find(job);
+  if (found == jobs_.end()) {
+    early_results_[job].push_back(std::move(result));
+    return;
+  }
+  LedgerJob& entry = found->second;
+  if (result.item >= entry.listed.size() || entry.listed[result.item]) {
+    return;
+  }
+  entry.listed[result.item] = true;
+  entry.results.push_back(std::move(result));
+}
+
+const LedgerJob* JobLedger::find(const std::string& job) const {
+  const auto found = jobs_.find(job);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/batch/partition_owner.cpp
@@ -0,0 +1,231 @@
+#include "dockpoint/batch/partition_owner.hpp"
+
+#include <algorithm>
+
+namespace dockpoint {
+namespace {
+
+/// All owners write as one producer, so that epochs order them.
+constexpr const char* kProducer = "owner";
+
+}  // namespace
+
+PartitionOwner::PartitionOwner(const Knobs& knobs, PartitionedLog& log, const BatchTopics& topics,
+                               int partition, std::uint64_t epoch, std::uint64_t seed,
+                               PartitionOwnerObserver& observer)
+    : knobs_(knobs),
+      log_(log),
+      topics_(topics),
+      partition_(partition),
+      epoch_(epoch),
+      random_(seed),
+      observer_(observer),
+      jobs_watch_(knobs, log, {topics.jobs, partition}, seed, *this) {}
+
+PartitionOwner::~PartitionOwner() { life_->alive = false; }
+
+void PartitionOwner::tick(TimePoint now) {
+  now_ = now;
+  if (step_ == Step::kFenced) {
+    return;
+  }
+  if (step_ == Step::kLoadingJobs || step_ == Step::kActive) {
+    jobs_watch_.tick(now);
+  }
+  if (calling_ || now < retry_at_) {
+    return;
+  }
+  if (step_ == Step::kFencing) {
+    raise_epoch();
+  } else if (step_ == Step::kLoadingResults) {
+    load_results();
+  } else {
+    write_queue();
+  }
+}
+
+ProducerPosition PartitionOwner::position() const { return {kProducer, epoch_, sequence_}; }
+
+void PartitionOwner::raise_epoch() {
+  calling_ = true;
+  log_.append({topics_.results, partition_}, {}, position(),
+              [this, life = life_](const AppendOutcome& outcome) {
+                if (!life->alive) {
+                  return;
+                }
+                calling_ = false;
+                if (outcome.status == LogStatus::kFenced) {
+                  become_fenced();
+                } else if (outcome.status == LogStatus::kOk) {
+                  failures_ = 0;
+                  ++sequence_;
+                  step_ = Step::kLoadingResults;
+                  load_results();
+                } else if (outcome.status == LogStatus::kOutOfSequence) {
+                  sequence_ = outcome.due_sequence;
+                  retry_later();
+                } else {
+                  retry_later();
+                }
+              });
+}
+
+void PartitionOwner::load_results() {
+  calling_ = true;
+  log_.newest({topics_.results, partition_}, page_key_, [this, life = life_](NewestOutcome outcome) {
+    if (!life->alive) {
+      return;
+    }
+    calling_ = false;
+    if (outcome.status != LogStatus::kOk) {
+      retry_later();
+      return;
+    }
+    failures_ = 0;
+    if (!outcome.records.empty()) {
+      page_key_ = outcome.records.back().key;
+    }
+    std::move(outcome.records.begin(), outcome.records.end(), std::back_inserter(loaded_results_));
+    if (outcome.more) {
+      load_results();
+      return;
+    }
+    ledger_.load_results(std::move(loaded_results_));
+    loaded_results_.clear();
+    step_ = Step::kLoadingJobs;
+    jobs_watch_.tick(now_);
+  });
+}
+
+void PartitionOwner::on_snapshot(const std::vector<KeyedRecord>& records) {
+  for (const KeyedRecord& record : records) {
+    take_job_record(record);
+  }
+}
+
+void PartitionOwner::on_record(const KeyedRecord& record) { take_job_record(record); }
+
+void PartitionOwner::take_job_record(const KeyedRecord& record) {
+  const auto job = ledger_.take_job_record(record);
+  if (!job || step_ != Step::kActive) {
+    return;
+  }
+  if (ledger_.find(*job)->ended) {
+    observer_.on_job_ended(partition_, *job);
+  } else {
+    observer_.on_job(partition_, *job);
+  }
+}
+
+void PartitionOwner::on_current() {
+  if (step_ == Step::kLoadingJobs) {
+    step_ = Step::kActive;
+    observer_.on_partition_active(partition_);
+  }
+}
+
+void PartitionOwner::on_reachable(bool /*reachable*/) {}
+
+void PartitionOwner::verify() {
+  if (step_ == Step::kActive) {
+    unverified_ = true;
+  }
+}
+
+void PartitionOwner::write_result(const std::string& job, ItemResult result) {
+  queue_.push_back({job, std::move(result)});
+  if (!calling_ && now_ >= retry_at_ && step_ == Step::kActive) {
+    write_queue();
+  }
+}
+
+bool PartitionOwner::has_unwritten(const std::string& job, std::uint32_t item) const {
+  const auto matches = [&](const PendingResult& pending) {
+    return pending.result.item == item && pending.job == job;
+  };
+  return std::any_of(queue_.begin(), queue_.end(), matches) ||
+         std::any_of(writing_.begin(), writing_.end(), matches);
+}
+
+void PartitionOwner::write_queue() {
+  const LogLimits& limits = log_.limits();
+  if (writing_.empty()) {
+    std::size_t bytes = 0;
+    while (!queue_.empty()) {
+      std::vector<KeyedRecord> records =
+          result_records(queue_.front().job, queue_.front().result, limits.record_bytes);
+      std::size_t size = 0;
+      for (const KeyedRecord& record : records) {
+        constexpr std::size_t kFramingBytes = 8;
+        size += record.key.size() + record.value.size() + kFramingBytes;
+      }
+      if (!writing_.empty() && bytes + size > limits.call_bytes / 2) {
+        break;
+      }
+      bytes += size;
+      std::move(records.begin(), records.end(), std::back_inserter(write_records_));
+      writing_.push_back(std::move(queue_.front()));
+      queue_.pop_front();
+    }
+  }
+  if (writing_.empty() && !unverified_) {
+    return;
+  }
+  calling_ = true;
+  log_.append({topics_.results, partition_}, write_records_, position(),
+              [this, life = life_](const AppendOutcome& outcome) {
+                if (life->alive) {
+                  calling_ = false;
+                  take_append(outcome);
+                }
+              });
+}
+
+void PartitionOwner::take_append(const AppendOutcome& outcome) {
+  if (outcome.status == LogStatus::kFenced) {
+    become_fenced();
+    return;
+  }
+  if (outcome.status != LogStatus::kOk) {
+    if (outcome.status == LogStatus::kOutOfSequence) {
+      sequence_ = outcome.due_sequence;
+    }
+    retry_later();
+    return;
+  }
+  failures_ = 0;
+  ++sequence_;
+  unverified_ = false;
+  write_records_.clear();
+  const std::vector<PendingResult> written = std::move(writing_);
+  writing_.clear();
+  const auto life = life_;
+  for (const PendingResult& pending : written) {
+    ledger_.add_result(pending.job, pending.result);
+  }
+  for (const PendingResult& pending : written) {
+    observer_.on_results(partition_, pending.job);
+    if (!life->alive) {
+      return;
+    }
+  }
+  if (!calling_) {
+    write_queue();
+  }
+}
+
+void PartitionOwner::retry_later() {
+  ++failures_;
+  const int doublings = std::min(failures_ - 1, 4);
+  const Duration limit =
+      std::min(knobs_.log_retry_delay * (1 << doublings), knobs_.log_retry_delay_limit);
+  std::uniform_int_distribution<std::int64_t> spread(limit.count() / 2, limit.count());
+  retry_at_ = now_ + Duration(spread(random_));
+}
+
+void PartitionOwner::become_fenced() {
+  step_ = Step::kFenced;
+  observer_.on_partition_fenced(partition_);
+}
+
+}  // namespace dockpoint
--- a/src/batch/partition_state.cpp
+++ b/src/batch/partition_state.cpp
@@ -23,7 +23,7 @@
   Offset next_offset = 0;
   std::map<std::string, JobState> jobs;
   std::map<std::string, std::string> online_attempts;
-  MSGPACK_DEFINE(epoch, owner, owner_run, next_offset, jobs, online_attempts)
+  DOCKPOINT_FIELDS(epoch, owner, owner_run, next_offset, jobs, online_attempts)
 };
 
 }  // namespace
--- a/src/batch/records.cpp
+++ b/src/batch/records.cpp
@@ -16,7 +16,7 @@
   RecordId id;
   std::uint8_t type = 0;  ///< Position in `RecordBody`; types are only ever appended.
   std::string body;
-  MSGPACK_DEFINE(version, id, type, body)
+  DOCKPOINT_FIELDS(version, id, type, body)
 };
 
 template <std::size_t Index>
--- a/src/core/json_reader.cpp
+++ b/src/core/json_reader.cpp
@@ -129,6 +129,24 @@
   return fallback;
 }
 
+double ObjectReader::number(const std::string& key, double minimum, double fallback) {
+  if (!has(key)) {
+    read_keys_.insert(key);
+    return fallback;
+  }
+  const Poco::Dynamic::Var found = value(key);
+  if (!found.isNumeric() || found.isBoolean()) {
+    report(key, "must be a number");
+    return fallback;
+  }
+  const double number = found.convert<double>();
+  if (number < minimum) {
+    report(key, "must be at least " + std::to_string(minimum));
+    return fallback;
+  }
+  return number;
+}
+
 bool ObjectReader::boolean(const std::string& key, bool fallback) {
   const Poco::Dynamic::Var found = value(key);
   if (!has(key)) {
--- a/src/files/file_store.hpp
+++ b/src/files/file_store.hpp
@@ -5,7 +5,7 @@
 #include <istream>
 #include <list>
 #include <memory>
-#include <msgpack.hpp>
+#include "dockpoint/core/codec.hpp"
 #include <mutex>
 #include <string>
 #include <vector>
@@ -30,7 +30,7 @@
   std::string endpoint;                ///< Path of every item.
   std::vector<Offset> chunks;          ///< Offsets of the chunk records.
   std::vector<ItemIndex> chunk_items;  ///< First item of each chunk.
-  MSGPACK_DEFINE(filename, bytes, items, created_at, model, endpoint, chunks, chunk_items)
+  DOCKPOINT_FIELDS(filename, bytes, items, created_at, model, endpoint, chunks, chunk_items)
 };
 
 /// One line of a batch input file.
--- /dev/null
+++ b/src/gateway/batch_executor.cpp
@@ -0,0 +1,233 @@
+#include "gateway/batch_executor.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "gateway/item_run.hpp"
+#include "net/clock.hpp"
+
+namespace dockpoint {
+namespace {
+
+/// Longest time that a replica is given for an item.
+constexpr Duration kItemDeadline = std::chrono::seconds(60);
+
+}  // namespace
+
+BatchExecutor::BatchExecutor(GatewayContext& context) : context_(context) {}
+
+BatchExecutor::~BatchExecutor() = default;
+
+void BatchExecutor::add_partition(PartitionOwner& owner) {
+  owners_[owner.partition()] = &owner;
+  suspended_.erase(owner.partition());
+  for (const auto& [id, job] : owner.ledger().jobs()) {
+    add_job(owner, job);
+  }
+}
+
+void BatchExecutor::add_job(PartitionOwner& owner, const LedgerJob& job) {
+  if (job.ended) {
+    return;
+  }
+  for (std::uint32_t item = 0; item < job.job.items.size(); ++item) {
+    if (!job.listed[item] && !owner.has_unwritten(job.job.id, item)) {
+      enqueue({owner.partition(), job.job.id, item});
+    }
+  }
+}
+
+void BatchExecutor::enqueue(const ItemRef& ref) {
+  const LedgerJob* job = job_of(ref);
+  if (job == nullptr) {
+    return;
+  }
+  const RouteConfig* route = route_of(*job, job->job.items[ref.item]);
+  const std::int64_t target_ms = route == nullptr ? 0 : net::to_ms(route->completion_target);
+  const std::int64_t due_ms = job->job.submitted_ms + target_ms;
+  waiting_.insert({net::unix_now_ms() > due_ms, due_ms, ref});
+}
+
+void BatchExecutor::remove_partition(int partition) {
+  owners_.erase(partition);
+  suspended_.erase(partition);
+  const auto runs = runs_;
+  for (const auto& run : runs) {
+    if (run->ref().partition == partition) {
+      run->cancel();
+      runs_.erase(run);
+    }
+  }
+  std::erase_if(waiting_, [&](const Waiting& entry) { return entry.ref.partition == partition; });
+  std::erase_if(delayed_, [&](const auto& entry) { return entry.second.partition == partition; });
+  std::erase_if(progress_, [&](const auto& entry) { return entry.first.partition == partition; });
+}
+
+void BatchExecutor::suspend_partition(int partition) { suspended_.insert(partition); }
+
+void BatchExecutor::end_job(int partition, const std::string& job) {
+  const auto matches = [&](const ItemRef& ref) {
+    return ref.partition == partition && ref.job == job;
+  };
+  const auto runs = runs_;
+  for (const auto& run : runs) {
+    if (matches(run->ref())) {
+      run->cancel();
+      runs_.erase(run);
+    }
+  }
+  std::erase_if(waiting_, [&](const Waiting& entry) { return matches(entry.ref); });
+  std::erase_if(delayed_, [&](const auto& entry) { return matches(entry.second); });
+  std::erase_if(progress_, [&](const auto& entry) { return matches(entry.first); });
+}
+
+bool BatchExecutor::running_in(int partition) const {
+  return std::any_of(runs_.begin(), runs_.end(),
+                     [&](const auto& run) { return run->ref().partition == partition; });
+}
+
+void BatchExecutor::tick(TimePoint now) {
+  const auto runs = runs_;
+  for (const auto& run : runs) {
+    run->tick(now);
+  }
+  if (now >= next_expiry_check_) {
+    constexpr Duration kExpiryInterval = std::chrono::seconds(1);
+    next_expiry_check_ = now + kExpiryInterval;
+    give_up_expired();
+  }
+  while (!delayed_.empty() && delayed_.begin()->first <= now) {
+    const ItemRef ref = delayed_.begin()->second;
+    delayed_.erase(delayed_.begin());
+    enqueue(ref);
+  }
+  start_waiting(now);
+}
+
+std::size_t BatchExecutor::allowance(TimePoint /*now*/) const {
+  int slots = 0;
+  for (const auto& [id, replica] : context_.replicas.all()) {
+    const auto service = context_.configuration->services.find(replica.record.service);
+    const bool engine = service != context_.configuration->services.end() &&
+                        service->second.cache_tokens > 0;
+    slots += engine && !replica.record.draining ? replica.record.slots : 0;
+  }
+  const double share = context_.knobs.batch_slot_share * slots / busy_nodes_;
+  return std::max<std::size_t>(2, static_cast<std::size_t>(share));
+}
+
+void BatchExecutor::start_waiting(TimePoint now) {
+  if (stopped_) {
+    return;
+  }
+  const std::size_t limit = allowance(now);
+  std::vector<Waiting> candidates;
+  for (const Waiting& entry : waiting_) {
+    if (runs_.size() + candidates.size() >= limit) {
+      break;
+    }
+    if (!suspended_.contains(entry.ref.partition)) {
+      candidates.push_back(entry);
+    }
+  }
+  for (const Waiting& entry : candidates) {
+    if (!start(entry.ref, now)) {
+      break;
+    }
+    waiting_.erase(entry);
+  }
+}
+
+const RouteConfig* BatchExecutor::route_of(const LedgerJob& job, const BatchItem& item) const {
+  const RouteConfig* route = context_.configuration->match(job.job.host, item.path);
+  return route != nullptr && route->kind == RouteKind::kBatch
+             ? route
+             : context_.configuration->match(job.job.host, job.job.path);
+}
+
+bool BatchExecutor::start(const ItemRef& ref, TimePoint now) {
+  const LedgerJob* job = job_of(ref);
+  if (job == nullptr || job->ended || job->listed[ref.item]) {
+    return true;
+  }
+  const BatchItem& item = job->job.items[ref.item];
+  const RouteConfig* route = route_of(*job, item);
+  if (route == nullptr || route->services.empty()) {
+    retry(ref, context_.knobs.item_route_wait, now);
+    return true;
+  }
+  RequestInfo info = context_.protocol.read_item(item);
+  const ItemProgress& kept = progress_[ref];
+  ReplicaQuery query{route->services.front().service, TrafficClass::kBatch, info.prompt, {}};
+  if (!kept.last_replica.empty()) {
+    query.excluded.insert(kept.last_replica);
+  }
+  const ReplicaChoice choice = context_.selector.choose(query, now);
+  if (choice.replica == nullptr) {
+    return false;
+  }
+  const net::RequestHead head = context_.protocol.item_request(
+      job->job, item, {choice.replica->record.id, kItemDeadline, kept.last_event});
+  const auto run = std::make_shared<ItemRun>(*this, ref, item.id, std::move(info), query.service,
+                                             std::max(1, route->attempts));
+  runs_.insert(run);
+  run->start(*choice.replica, net::serialize(head) + item.body, choice.missing_tokens, now);
+  return true;
+}
+
+void BatchExecutor::give_up_expired() {
+  const std::int64_t now_ms = net::unix_now_ms();
+  std::vector<ItemRef> expired;
+  const auto check = [&](const ItemRef& ref) {
+    const LedgerJob* job = job_of(ref);
+    const RouteConfig* route =
+        job == nullptr ? nullptr : route_of(*job, job->job.items[ref.item]);
+    const Duration retention = route == nullptr ? Duration{} : route->retention;
+    constexpr std::int64_t kMarginMs = 1'000;
+    if (retention > Duration{} &&
+        now_ms > job->job.submitted_ms + net::to_ms(retention) + kMarginMs) {
+      expired.push_back(ref);
+    }
+  };
+  for (const Waiting& entry : waiting_) {
+    check(entry.ref);
+  }
+  for (const auto& [time, ref] : delayed_) {
+    check(ref);
+  }
+  for (const ItemRef& ref : expired) {
+    std::erase_if(waiting_, [&](const Waiting& entry) { return entry.ref == ref; });
+    std::erase_if(delayed_, [&](const auto& entry) { return entry.second == ref; });
+    spdlog::warn("batch: item given up job={} item={} why=\"its time is over\"", ref.job, ref.item);
+    complete(ref, false, {});
+  }
+}
+
+void BatchExecutor::retry(const ItemRef& ref, Duration delay, TimePoint now) {
+  if (owners_.contains(ref.partition)) {
+    delayed_.emplace(now + delay, ref);
+  }
+}
+
+void BatchExecutor::complete(const ItemRef& ref, bool succeeded, std::string text) {
+  progress_.erase(ref);
+  if (PartitionOwner* owner = owner_of(ref.partition)) {
+    owner->write_result(ref.job, {ref.item, succeeded, std::move(text)});
+  }
+}
+
+void BatchExecutor::run_over(const std::shared_ptr<ItemRun>& run) { runs_.erase(run); }
+
+PartitionOwner* BatchExecutor::owner_of(int partition) const {
+  const auto found = owners_.find(partition);
+  return found == owners_.end() ? nullptr : found->second;
+}
+
+const LedgerJob* BatchExecutor::job_of(const ItemRef& ref) const {
+  const PartitionOwner* owner = owner_of(ref.partition);
+  const LedgerJob* job = owner == nullptr ? nullptr : owner->ledger().find(ref.job);
+  return job != nullptr && ref.item < job->job.items.size() ? job : nullptr;
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/batch_executor.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+
+#include "dockpoint/batch/partition_owner.hpp"
+#include "gateway/gateway_context.hpp"
+
+namespace dockpoint {
+
+class ItemRun;
+
+/// Names one item of a job in a partition of this node.
+struct ItemRef {
+  int partition = 0;
+  std::string job;
+  std::uint32_t item = 0;
+  friend auto operator<=>(const ItemRef&, const ItemRef&) = default;
+};
+
+/// What is known of an item beyond its job: kept between runs, so that a broken one goes on.
+struct ItemProgress {
+  std::string text;                         ///< Data of the events so far.
+  std::optional<std::uint64_t> last_event;  ///< Id of the last event in `text`.
+  int failures = 0;                         ///< Runs that a replica answered with a failure.
+  int interruptions = 0;                    ///< In a row; spaces out further runs.
+  std::string last_replica;                 ///< That interrupted it.
+};
+
+/// Runs batch items of the partitions that this node owns.
+///
+/// The item whose job is due first runs first, jobs that are overdue last. Items go only to
+/// replicas with room below a share of their slots, and no more of them at once than this node's
+/// share of the fleet. A run that breaks goes on behind its last event, wherever there is room.
+///
+/// Single-threaded; borrows the context. Owners are registered while they are active.
+class BatchExecutor {
+ public:
+  explicit BatchExecutor(GatewayContext& context);
+  ~BatchExecutor();
+
+  void add_partition(PartitionOwner& owner);
+  /// Ends all runs of the partition and forgets its items.
+  void remove_partition(int partition);
+  /// Starts no further item of the partition; those that run go on.
+  void suspend_partition(int partition);
+  void add_job(PartitionOwner& owner, const LedgerJob& job);
+  void end_job(int partition, const std::string& job);
+
+  /// Nodes, this one included, that have items to run.
+  void set_busy_nodes(int nodes) { busy_nodes_ = std::max(1, nodes); }
+  /// No further item is started.
+  void stop() { stopped_ = true; }
+
+  void tick(TimePoint now);
+
+  std::size_t waiting() const { return waiting_.size() + delayed_.size(); }
+  std::size_t running() const { return runs_.size(); }
+  bool running_in(int partition) const;
+
+ private:
+  friend class ItemRun;
+
+  /// Order of items that wait.
+  struct Waiting {
+    bool overdue = false;
+    std::int64_t due_ms = 0;
+    ItemRef ref;
+    friend auto operator<=>(const Waiting&, const Waiting&) = default;
+  };
+
+  void start_waiting(TimePoint now);
+  bool start(const ItemRef& ref, TimePoint now);
+  const RouteConfig* route_of(const LedgerJob& job, const BatchItem& item) const;
+  std::size_t allowance(TimePoint now) const;
+  void give_up_expired();
+  void enqueue(const ItemRef& ref);
+  void retry(const ItemRef& ref, Duration delay, TimePoint now);
+  void complete(const ItemRef& ref, bool succeeded, std::string text);
+  void run_over(const std::shared_ptr<ItemRun>& run);
+  PartitionOwner* owner_of(int partition) const;
+  const LedgerJob* job_of(const ItemRef& ref) const;
+
+  GatewayContext& context_;
+  std::map<int, PartitionOwner*> owners_;
+  std::set<int> suspended_;
+  std::set<Waiting> waiting_;
+  std::multimap<TimePoint, ItemRef> delayed_;
+  std::map<ItemRef, ItemProgress> progress_;
+  std::set<std::shared_ptr<ItemRun>> runs_;
+  int busy_nodes_ = 1;
+  bool stopped_ = false;
+  TimePoint next_expiry_check_{};
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/batch_service.cpp
@@ -0,0 +1,423 @@
+#include "gateway/batch_service.hpp"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "dockpoint/core/hash.hpp"
+#include "dockpoint/core/json_reader.hpp"
+#include "net/clock.hpp"
+
+namespace dockpoint {
+namespace {
+
+/// Most bytes of results in one answer.
+constexpr std::size_t kPageBytes = 1'000'000;
+
+/// Longest time that a read waits for its partition to be loaded.
+constexpr Duration kLoadWait = std::chrono::milliseconds(800);
+
+/// How long the owners that the log told are believed without a reason to doubt.
+constexpr Duration kOwnersLifetime = std::chrono::seconds(4);
+/// Shortest time between two questions for owners.
+constexpr Duration kOwnersInterval = std::chrono::milliseconds(400);
+
+/// Time limit of a call passed on to an owner, beside the time that it may wait there.
+constexpr Duration kForwardTimeout = std::chrono::milliseconds(1200);
+
+/// Time that a caller is told to stay away after a refusal, in seconds.
+constexpr const char* kRetryAfter = "0.4";
+
+/// @return the address in a member's name, `IP:port#run`.
+std::string address_of(const std::string& member) { return member.substr(0, member.find('#')); }
+
+std::string member_name(const BatchMemberName& name) {
+  return fmt::format("{}#{:x}", name.control_address, name.run);
+}
+
+/// @return results of `job` from `position` on, as many as one answer holds.
+ResultPage page_of(const LedgerJob& job, std::uint64_t position) {
+  ResultPage page{&job, static_cast<std::size_t>(position), 0};
+  std::size_t bytes = 0;
+  for (std::size_t index = page.first; index < job.results.size(); ++index) {
+    bytes += job.results[index].text.size() + job.results[index].text.size() / 8 + 128;
+    if (page.count > 0 && bytes > kPageBytes) {
+      break;
+    }
+    ++page.count;
+  }
+  return page;
+}
+
+}  // namespace
+
+/// A job on its way into the log.
+struct BatchService::Submission {
+  net::ExchangePtr exchange;
+  std::string job;
+  TopicPartition partition;
+  std::vector<std::vector<KeyedRecord>> appends;  ///< The last one makes the job valid.
+  std::size_t next = 0;
+  bool unknown = false;  ///< An append may have been done without an answer.
+  bool calling = false;
+  int failures = 0;
+  TimePoint retry_at{};
+  TimePoint deadline{};
+};
+
+BatchService::BatchService(GatewayContext& context, PartitionedLog& log, BatchTopics topics,
+                           BatchMemberName name, std::uint64_t seed)
+    : context_(context),
+      log_(log),
+      topics_(std::move(topics)),
+      name_(std::move(name)),
+      seed_(seed),
+      executor_(context),
+      group_(context.knobs, log, topics_.group, topics_.jobs, member_name(name_), seed, *this) {}
+
+BatchService::~BatchService() { *alive_ = false; }
+
+void BatchService::refuse(const net::ExchangePtr& exchange) {
+  exchange->respond(503, {{"Retry-After", kRetryAfter}}, {});
+}
+
+void BatchService::submit(const net::ExchangePtr& exchange, const RouteConfig& route) {
+  std::string problem;
+  std::optional<BatchJob> job = boost::leaf::try_handle_all(
+      [&]() -> Result<std::optional<BatchJob>> {
+        BOOST_LEAF_AUTO(read, context_.protocol.read_job(exchange->request(), exchange->body()));
+        return std::optional<BatchJob>(std::move(read));
+      },
+      [&](const Error& error) {
+        problem = error.message;
+        return std::optional<BatchJob>();
+      },
+      [&] { return std::optional<BatchJob>(); });
+  if (!job) {
+    spdlog::info("batch: job rejected why=\"{}\"", problem);
+    exchange->respond(400, {{"Content-Type", "application/json"}},
+                      error_detail_json(ResultCode::kMalformedBody, problem));
+    return;
+  }
+  job->submitted_ms = net::unix_now_ms();
+  const auto submission = std::make_shared<Submission>();
+  submission->exchange = exchange;
+  submission->job = job->id;
+  submission->partition = {topics_.jobs, partition_of_job(job->id, log_.limits().partitions)};
+  submission->deadline = exchange->received() + context_.knobs.submission_wait;
+  std::size_t bytes = 0;
+  for (KeyedRecord& record : job_records(*job, log_.limits().record_bytes)) {
+    const std::size_t size = record.key.size() + record.value.size();
+    if (submission->appends.empty() || bytes + size > log_.limits().call_bytes / 2) {
+      submission->appends.emplace_back();
+      bytes = 0;
+    }
+    bytes += size;
+    submission->appends.back().push_back(std::move(record));
+  }
+  spdlog::info("batch: job received job={} items={} partition={} route={}", job->id,
+               job->items.size(), submission->partition.partition, route.name);
+  submissions_.push_back(submission);
+  append_submission(submission);
+}
+
+void BatchService::append_submission(const std::shared_ptr<Submission>& submission) {
+  submission->calling = true;
+  log_.append(submission->partition, submission->appends[submission->next], std::nullopt,
+              [this, alive = alive_, submission](const AppendOutcome& outcome) {
+                if (!*alive) {
+                  return;
+                }
+                submission->calling = false;
+                if (outcome.status == LogStatus::kOk) {
+                  ++submission->next;
+                  if (submission->next == submission->appends.size()) {
+                    end_submission(submission, 202);
+                  } else {
+                    append_submission(submission);
+                  }
+                  return;
+                }
+                submission->unknown |= outcome.status == LogStatus::kUnknown;
+                constexpr Duration kPause = std::chrono::milliseconds(120);
+                submission->retry_at = net::steady_now() + kPause * ++submission->failures;
+              });
+}
+
+void BatchService::end_submission(const std::shared_ptr<Submission>& submission, int status) {
+  const Duration took = net::steady_now() - submission->exchange->received();
+  spdlog::info("batch: job {} job={} status={} mayBeInLog={} tookMs={}",
+               status == 202 ? "accepted" : "not accepted", submission->job, status,
+               submission->unknown, net::to_ms(took));
+  if (status == 503) {
+    refuse(submission->exchange);
+  } else {
+    submission->exchange->respond(status, {}, {});
+  }
+  std::erase(submissions_, submission);
+}
+
+void BatchService::handle(const net::ExchangePtr& exchange, const JobCall& call, bool forwarded) {
+  if (call.operation == JobOperation::kEnd) {
+    end_job(exchange, call.job);
+    return;
+  }
+  const int partition = partition_of_job(call.job, log_.limits().partitions);
+  const PartitionOwner* owner = owner_of(partition);
+  if (owner != nullptr) {
+    const TimePoint now = net::steady_now();
+    read({exchange, call, now + std::max(call.wait, kLoadWait), !owner->active()});
+  } else if (forwarded) {
+    exchange->respond(503, {{kNotOwnerHeader, "1"}, {"Retry-After", kRetryAfter}}, {});
+  } else {
+    forward(exchange, call, partition);
+  }
+}
+
+void BatchService::read(Waiter waiter) {
+  if (!try_answer(waiter, false)) {
+    waiters_.push_back(std::move(waiter));
+  }
+}
+
+bool BatchService::try_answer(const Waiter& waiter, bool last_chance) {
+  const int partition = partition_of_job(waiter.call.job, log_.limits().partitions);
+  const PartitionOwner* owner = owner_of(partition);
+  const LedgerJob* job =
+      owner != nullptr && owner->active() ? owner->ledger().find(waiter.call.job) : nullptr;
+  if (job == nullptr) {
+    // Accepted moments ago, perhaps, and not read from the log yet.
+    if (last_chance) {
+      refuse(waiter.exchange);
+    }
+    return last_chance;
+  }
+  if (waiter.call.operation == JobOperation::kItemBody) {
+    const auto& items = job->job.items;
+    const auto item = std::find_if(items.begin(), items.end(), [&](const BatchItem& candidate) {
+      return candidate.id == waiter.call.item;
+    });
+    if (item == items.end()) {
+      waiter.exchange->respond(404, {}, {});
+    } else {
+      waiter.exchange->respond(200, {{"Content-Type", "application/octet-stream"}}, item->body);
+    }
+    return true;
+  }
+  const ResultPage page = page_of(*job, waiter.call.position);
+  const bool waits = waiter.call.wait > Duration{} && !job->complete() && !last_chance;
+  if (page.count == 0 && waits) {
+    return false;
+  }
+  waiter.exchange->respond(200, {{"Content-Type", "application/json"}},
+                           context_.protocol.write_results(page));
+  return true;
+}
+
+void BatchService::serve_waiters(const std::string& job) {
+  waiters_.remove_if([&](const Waiter& waiter) {
+    return waiter.call.job == job && (waiter.exchange->answered() || try_answer(waiter, false));
+  });
+}
+
+void BatchService::end_job(const net::ExchangePtr& exchange, const std::string& job) {
+  const TopicPartition partition{topics_.jobs, partition_of_job(job, log_.limits().partitions)};
+  log_.append(partition, {end_record(job)}, std::nullopt,
+              [this, alive = alive_, exchange, job](const AppendOutcome& outcome) {
+                if (!*alive) {
+                  return;
+                }
+                spdlog::info("batch: end of job job={} outcome={}", job,
+                             static_cast<int>(outcome.status));
+                if (outcome.status == LogStatus::kOk) {
+                  exchange->respond(200, {}, {});
+                } else {
+                  refuse(exchange);
+                }
+              });
+}
+
+void BatchService::forward(const net::ExchangePtr& exchange, const JobCall& call, int partition) {
+  const TimePoint now = net::steady_now();
+  const auto known = owner_addresses_.find(partition);
+  if (known == owner_addresses_.end() || now - owners_refreshed_ > kOwnersLifetime) {
+    refresh_owners();
+  }
+  const auto address =
+      known == owner_addresses_.end() ? std::nullopt : Address::parse(known->second);
+  if (!address || known->second == name_.control_address) {
+    refuse(exchange);
+    return;
+  }
+  net::RequestHead head = exchange->request();
+  head.headers.erase_connection_fields();
+  head.headers.set(kForwardedHeader, "1");
+  net::SimpleCall::start(
+      context_.client, context_.loop, {*address, "control"}, net::serialize(head), {},
+      call.wait + kForwardTimeout,
+      [this, alive = alive_, exchange](net::SimpleCall::Outcome outcome) {
+        if (!*alive) {
+          return;
+        }
+        if (outcome.failure || outcome.head.headers.has(kNotOwnerHeader)) {
+          refresh_owners();
+          refuse(exchange);
+          return;
+        }
+        net::Headers headers = outcome.head.headers;
+        headers.erase_connection_fields();
+        exchange->respond(outcome.head.status, std::move(headers), outcome.body);
+      });
+}
+
+void BatchService::refresh_owners() {
+  const TimePoint now = net::steady_now();
+  if (refreshing_owners_ || now - owners_refreshed_ < kOwnersInterval) {
+    return;
+  }
+  refreshing_owners_ = true;
+  owners_refreshed_ = now;
+  log_.owners(topics_.group, [this, alive = alive_](const OwnersOutcome& outcome) {
+    if (!*alive) {
+      return;
+    }
+    refreshing_owners_ = false;
+    if (outcome.status != LogStatus::kOk) {
+      return;
+    }
+    for (const OwnersOutcome::Row& row : outcome.rows) {
+      if (row.partition.topic == topics_.jobs) {
+        owner_addresses_[row.partition.partition] = address_of(row.member);
+      }
+    }
+  });
+}
+
+void BatchService::suggest_owners(const std::map<int, std::string>& owners) {
+  owner_addresses_.insert(owners.begin(), owners.end());
+}
+
+void BatchService::tick(TimePoint now) {
+  now_ = now;
+  group_.tick(now);
+  for (const auto& [partition, owner] : owners_) {
+    owner->tick(now);
+  }
+  for (const int partition : std::exchange(fenced_, {})) {
+    group_.fenced(partition);
+  }
+  executor_.tick(now);
+  const auto submissions = submissions_;
+  for (const auto& submission : submissions) {
+    if (submission->exchange->answered()) {
+      std::erase(submissions_, submission);  // The caller has gone.
+    } else if (now >= submission->deadline) {
+      end_submission(submission, submission->unknown || submission->calling ? 504 : 503);
+    } else if (!submission->calling && now >= submission->retry_at) {
+      append_submission(submission);
+    }
+  }
+  waiters_.remove_if([&](const Waiter& waiter) {
+    if (waiter.exchange->answered()) {
+      return true;
+    }
+    return now >= waiter.deadline && try_answer(waiter, true);
+  });
+  std::vector<int> idle;
+  for (const auto& [partition, owner] : owners_) {
+    if (!executor_.running_in(partition) && owner->unwritten_results() == 0) {
+      idle.push_back(partition);
+    }
+  }
+  for (const int partition : idle) {
+    group_.released(partition);
+  }
+}
+
+void BatchService::drain() {
+  draining_ = true;
+  executor_.stop();
+}
+
+bool BatchService::drained() const {
+  return executor_.running() == 0 && submissions_.empty() &&
+         std::all_of(owners_.begin(), owners_.end(),
+                     [](const auto& entry) { return entry.second->unwritten_results() == 0; });
+}
+
+void BatchService::leave() { group_.leave(); }
+
+void BatchService::on_acquired(int partition, std::uint64_t epoch) {
+  spdlog::info("batch: partition acquired partition={} epoch={}", partition, epoch);
+  owners_[partition] = std::make_unique<PartitionOwner>(
+      context_.knobs, log_, topics_, partition, epoch,
+      combine_hash(seed_, static_cast<std::uint64_t>(partition) + epoch),
+      static_cast<PartitionOwnerObserver&>(*this));
+  owner_addresses_[partition] = name_.control_address;
+  owners_[partition]->tick(net::steady_now());
+  update_metrics();
+}
+
+void BatchService::on_revoked(int partition) {
+  spdlog::info("batch: partition revoked partition={}", partition);
+  executor_.suspend_partition(partition);
+}
+
+void BatchService::on_doubted(int partition) {
+  if (PartitionOwner* owner = owner_of(partition)) {
+    owner->verify();
+  }
+}
+
+void BatchService::on_lost(int partition) {
+  spdlog::info("batch: partition lost partition={}", partition);
+  executor_.remove_partition(partition);
+  owners_.erase(partition);
+  owner_addresses_.erase(partition);
+  update_metrics();
+}
+
+void BatchService::on_partition_active(int partition) {
+  PartitionOwner* owner = owner_of(partition);
+  spdlog::info("batch: partition active partition={} jobs={}", partition,
+               owner->ledger().jobs().size());
+  executor_.add_partition(*owner);
+  std::vector<std::string> jobs;
+  for (const Waiter& waiter : waiters_) {
+    jobs.push_back(waiter.call.job);
+  }
+  for (const std::string& job : jobs) {
+    serve_waiters(job);
+  }
+}
+
+void BatchService::on_job(int partition, const std::string& job) {
+  PartitionOwner* owner = owner_of(partition);
+  if (owner != nullptr) {
+    executor_.add_job(*owner, *owner->ledger().find(job));
+  }
+  serve_waiters(job);
+}
+
+void BatchService::on_job_ended(int partition, const std::string& job) {
+  spdlog::info("batch: job ended by its client job={}", job);
+  executor_.end_job(partition, job);
+}
+
+void BatchService::on_results(int /*partition*/, const std::string& job) { serve_waiters(job); }
+
+void BatchService::on_partition_fenced(int partition) {
+  spdlog::warn("batch: partition fenced by a newer owner partition={}", partition);
+  fenced_.push_back(partition);
+}
+
+PartitionOwner* BatchService::owner_of(int partition) const {
+  const auto found = owners_.find(partition);
+  return found == owners_.end() ? nullptr : found->second.get();
+}
+
+void BatchService::update_metrics() { context_.metrics.set_partitions_owned(owners_.size()); }
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/fleet_watch.cpp
@@ -0,0 +1,199 @@
+#include "gateway/fleet_watch.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "net/clock.hpp"
+
+namespace dockpoint {
+
+/// Follows one topic and hands its records on.
+class FleetWatch::Follower : public KeyedWatchObserver {
+ public:
+  using Snapshot = std::function<void(const std::vector<KeyedRecord>&)>;
+  using Record = std::function<void(const KeyedRecord&)>;
+
+  Follower(const Knobs& knobs, PartitionedLog& log, TopicPartition partition, std::uint64_t seed,
+           Snapshot on_snapshot, Record on_record)
+      : name_(partition.topic),
+        on_snapshot_(std::move(on_snapshot)),
+        on_record_(std::move(on_record)),
+        watch_(knobs, log, std::move(partition), seed, *this) {}
+
+  void tick(TimePoint now) { watch_.tick(now); }
+  const KeyedWatch& watch() const { return watch_; }
+
+  void on_snapshot(const std::vector<KeyedRecord>& records) override { on_snapshot_(records); }
+  void on_record(const KeyedRecord& record) override { on_record_(record); }
+  void on_current() override {}
+  void on_reachable(bool reachable) override {
+    spdlog::warn("fleet: log {} topic={}", reachable ? "regained" : "lost", name_);
+  }
+
+ private:
+  const std::string name_;
+  Snapshot on_snapshot_;
+  Record on_record_;
+  KeyedWatch watch_;
+};
+
+FleetWatch::FleetWatch(GatewayContext& context, PartitionedLog& log, const FleetReader& reader,
+                       const FleetTopics& topics, std::uint64_t seed,
+                       ConfigurationChanged on_change)
+    : context_(context), reader_(reader), topics_(topics), on_change_(std::move(on_change)) {
+  const auto take_configuration_record = [this](const KeyedRecord& record) {
+    if (record.key == topics_.configuration_key && !record.value.empty()) {
+      take_configuration(record.value, "log");
+    }
+  };
+  configuration_follower_ = std::make_unique<Follower>(
+      context_.knobs, log, topics_.configuration, seed,
+      [take_configuration_record](const std::vector<KeyedRecord>& records) {
+        std::for_each(records.begin(), records.end(), take_configuration_record);
+      },
+      take_configuration_record);
+  replica_follower_ = std::make_unique<Follower>(
+      context_.knobs, log, topics_.replicas, seed + 1,
+      [this](const std::vector<KeyedRecord>& records) {
+        std::vector<std::string> ids;
+        for (const KeyedRecord& record : records) {
+          ids.push_back(record.key);
+          take_replica(record.key, record.value);
+        }
+        retain_replicas(ids);
+        replicas_known_ = true;
+      },
+      [this](const KeyedRecord& record) {
+        if (record.value.empty()) {
+          remove_replica(record.key);
+        } else {
+          take_replica(record.key, record.value);
+        }
+      });
+}
+
+FleetWatch::~FleetWatch() = default;
+
+void FleetWatch::tick(TimePoint now) {
+  now_ = now;
+  configuration_follower_->tick(now);
+  replica_follower_->tick(now);
+}
+
+void FleetWatch::take_configuration(const std::string& value, const std::string& source) {
+  std::string problem;
+  std::optional<RoutingConfiguration> read = boost::leaf::try_handle_all(
+      [&]() -> Result<std::optional<RoutingConfiguration>> {
+        BOOST_LEAF_AUTO(configuration, reader_.read_configuration(value));
+        return std::optional<RoutingConfiguration>(std::move(configuration));
+      },
+      [&](const Error& error) {
+        problem = error.message;
+        return std::optional<RoutingConfiguration>();
+      },
+      [&] { return std::optional<RoutingConfiguration>(); });
+  if (!read) {
+    spdlog::error("fleet: configuration cannot be read source={} why=\"{}\"", source, problem);
+    return;
+  }
+  if (read->version <= context_.configuration->version) {
+    return;
+  }
+  spdlog::info("fleet: configuration in force version={} before={} source={} routes={}",
+               read->version, context_.configuration->version, source, read->routes.size());
+  configuration_value_ = value;
+  context_.configuration = std::make_shared<RoutingConfiguration>(std::move(*read));
+  context_.metrics.set_configuration_version(context_.configuration->version);
+  on_change_();
+}
+
+void FleetWatch::take_replica(const std::string& id, const std::string& value) {
+  const auto known = replica_values_.find(id);
+  if (known != replica_values_.end() && known->second == value) {
+    return;
+  }
+  std::string problem;
+  const std::optional<ReplicaRecord> record = boost::leaf::try_handle_all(
+      [&]() -> Result<std::optional<ReplicaRecord>> {
+        BOOST_LEAF_AUTO(read, reader_.read_replica(id, value));
+        return std::optional<ReplicaRecord>(std::move(read));
+      },
+      [&](const Error& error) {
+        problem = error.message;
+        return std::optional<ReplicaRecord>();
+      },
+      [&] { return std::optional<ReplicaRecord>(); });
+  if (!record) {
+    spdlog::error("fleet: replica cannot be read replica={} why=\"{}\"", id, problem);
+    return;
+  }
+  replica_values_[id] = value;
+  spdlog::info("fleet: replica {} replica={} service={} address={} slots={}",
+               record->draining ? "drains" : "ready", id, record->service,
+               record->address.to_string(), record->slots);
+  context_.replicas.upsert(*record, net::steady_now());
+}
+
+void FleetWatch::remove_replica(const std::string& id) {
+  if (replica_values_.erase(id) > 0) {
+    spdlog::info("fleet: replica gone replica={}", id);
+    context_.replicas.remove(id);
+  }
+}
+
+void FleetWatch::retain_replicas(const std::vector<std::string>& ids) {
+  std::vector<std::string> gone;
+  for (const auto& [id, value] : replica_values_) {
+    if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+      gone.push_back(id);
+    }
+  }
+  for (const std::string& id : gone) {
+    remove_replica(id);
+  }
+}
+
+FleetState FleetWatch::state() const {
+  FleetState state;
+  state.version = context_.configuration->version;
+  state.configuration = configuration_value_;
+  state.replicas_known = replicas_known_;
+  state.replicas_position = std::max(peer_position_, replica_follower_->watch().position());
+  for (const auto& [id, value] : replica_values_) {
+    state.replicas.push_back({id, value});
+  }
+  return state;
+}
+
+void FleetWatch::take(const FleetState& state, const std::string& peer) {
+  if (state.version > context_.configuration->version) {
+    take_configuration(state.configuration, peer);
+  }
+  const KeyedWatch& watch = replica_follower_->watch();
+  const bool log_current = watch.current() && watch.reachable();
+  const LogOffset position = std::max(peer_position_, watch.position());
+  if (!state.replicas_known || log_current ||
+      (replicas_known_ && state.replicas_position <= position)) {
+    return;
+  }
+  peer_position_ = state.replicas_position;
+  replicas_known_ = true;
+  std::vector<std::string> ids;
+  for (const StoredReplica& replica : state.replicas) {
+    ids.push_back(replica.id);
+    take_replica(replica.id, replica.value);
+  }
+  retain_replicas(ids);
+}
+
+bool FleetWatch::needs_peer() const {
+  const KeyedWatch& replicas = replica_follower_->watch();
+  const KeyedWatch& configuration = configuration_follower_->watch();
+  const bool log_follows = replicas.current() && replicas.reachable() && configuration.current() &&
+                           configuration.reachable();
+  return !log_follows;
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/fleet_watch.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dockpoint/core/codec.hpp"
+#include "dockpoint/log/keyed_watch.hpp"
+#include "gateway/gateway_context.hpp"
+
+/// What a node knows of the fleet from outside: the operator's routes and the replicas' records.
+///
+/// Both are compacted topics that the node follows. Every node also answers its peers with what it
+/// has, so that one that starts, or is cut off, while the log is away gets both from them. The
+/// version of the routes only grows within a node's life, wherever a version comes from. Replicas
+/// taken from a peer count until the log is read again, and only if the peer has read further.
+namespace dockpoint {
+
+/// Where the fleet's records lie in the log.
+struct FleetTopics {
+  TopicPartition configuration;
+  std::string configuration_key;
+  TopicPartition replicas;
+};
+
+/// Reads the values of the fleet's records. Stateless.
+class FleetReader {
+ public:
+  virtual ~FleetReader() = default;
+  virtual Result<RoutingConfiguration> read_configuration(const std::string& value) const = 0;
+  virtual Result<ReplicaRecord> read_replica(const std::string& id,
+                                             const std::string& value) const = 0;
+};
+
+/// A replica's record as it lies in the log.
+struct StoredReplica {
+  std::string id;
+  std::string value;
+  DOCKPOINT_FIELDS(id, value)
+};
+
+/// What one node tells another on its start.
+struct FleetState {
+  std::uint64_t version = 0;     ///< Of the configuration; 0: none.
+  std::string configuration;     ///< The record's value.
+  bool replicas_known = false;
+  LogOffset replicas_position = 0;  ///< Offset up to which the replicas' records were read.
+  std::vector<StoredReplica> replicas;
+  std::map<int, std::string> owners;  ///< Control addresses of the owners of partitions.
+  DOCKPOINT_FIELDS(version, configuration, replicas_known, replicas_position, replicas, owners)
+};
+
+/// See the top of this file. Single-threaded; borrows context, log and reader.
+class FleetWatch {
+ public:
+  /// Called when a newer configuration is in force.
+  using ConfigurationChanged = std::function<void()>;
+
+  FleetWatch(GatewayContext& context, PartitionedLog& log, const FleetReader& reader,
+             const FleetTopics& topics, std::uint64_t seed, ConfigurationChanged on_change);
+  ~FleetWatch();
+
+  void tick(TimePoint now);
+
+  /// @return what this node knows, for a peer; owners are left empty.
+  FleetState state() const;
+  /// Takes what a peer knows.
+  void take(const FleetState& state, const std::string& peer);
+
+  /// @return whether the node should ask a peer: it lacks something that the log does not give.
+  bool needs_peer() const;
+  bool has_configuration() const { return context_.configuration->version > 0; }
+
+ private:
+  class Follower;
+
+  void take_configuration(const std::string& value, const std::string& source);
+  void take_replica(const std::string& id, const std::string& value);
+  void remove_replica(const std::string& id);
+  void retain_replicas(const std::vector<std::string>& ids);
+
+  GatewayContext& context_;
+  const FleetReader& reader_;
+  const FleetTopics topics_;
+  ConfigurationChanged on_change_;
+  std::string configuration_value_;
+  std::map<std::string, std::string> replica_values_;
+  LogOffset peer_position_ = 0;  ///< That replicas taken from a peer stand at.
+  bool replicas_known_ = false;
+  TimePoint now_{};
+  std::unique_ptr<Follower> configuration_follower_;
+  std::unique_ptr<Follower> replica_follower_;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,283 @@
+#include "gateway/gateway.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "dockpoint/core/address.hpp"
+#include "dockpoint/core/hash.hpp"
+#include "net/clock.hpp"
+
+namespace dockpoint {
+namespace {
+
+/// Between two rounds of time limits and calls that are due.
+constexpr Duration kTickInterval = std::chrono::milliseconds(50);
+
+/// Callers may keep an answer of the resolver for this long, if the settings allow it.
+constexpr Duration kAddressLifetime = std::chrono::seconds(2);
+
+/// Some callers keep an answer for this many times its lifetime.
+constexpr int kAddressOverstay = 3;
+
+/// The process ends this long before the grace time is over.
+constexpr Duration kGraceMargin = std::chrono::milliseconds(700);
+
+/// Batch items may end for this long after the order to stop.
+constexpr Duration kItemGrace = std::chrono::milliseconds(2500);
+
+constexpr Duration kPeerQuestionInterval = std::chrono::milliseconds(400);
+constexpr Duration kPeerQuestionTimeout = std::chrono::milliseconds(700);
+
+/// Path of the question that nodes ask each other.
+constexpr const char* kStatePath = "/dockpoint/state";
+
+std::uint64_t start_number() { return static_cast<std::uint64_t>(net::unix_now_ms()); }
+
+}  // namespace
+
+Gateway::Gateway(boost::asio::io_context& loop, net::HttpClient& client, const Knobs& knobs,
+                 GatewaySettings settings, const GatewayParts& parts)
+    : loop_(loop),
+      knobs_(knobs),
+      settings_(std::move(settings)),
+      parts_(parts),
+      run_(start_number()),
+      replicas_(knobs),
+      selector_(knobs, replicas_, settings_.zone, combine_hash(hash64(settings_.node), run_)),
+      context_{loop,     knobs,    parts.traffic, client, replicas_,
+               selector_, metrics_, std::make_shared<RoutingConfiguration>(), settings_.node},
+      online_(context_, hash64(settings_.node)),
+      fleet_(context_, parts.log, parts.fleet_reader, parts.fleet_topics, hash64(settings_.node),
+             [this] { apply_configuration(); }),
+      peers_(context_,
+             {settings_.datagram_address, settings_.frontend_address, settings_.control_address},
+             settings_.zone, run_,
+             [this](const Member& member, std::uint64_t) { ask_peer(member.control_address); }),
+      batch_(context_, parts.log, parts.batch_topics, {settings_.control_address, run_},
+             combine_hash(hash64(settings_.node), run_)),
+      frontend_(loop, [this](const auto& exchange) { serve_frontend(exchange); }),
+      readiness_(loop, [this](const auto& exchange) { serve_readiness(exchange); }),
+      resolver_(loop, [this](const auto& exchange) { serve_resolver(exchange); }),
+      control_(loop, [this](const auto& exchange) { serve_control(exchange); }),
+      metrics_server_(loop, [this](const auto& exchange) { serve_metrics(exchange); }),
+      timer_(loop) {}
+
+Gateway::~Gateway() = default;
+
+void Gateway::start() {
+  peers_.open();
+  peers_.set_candidates(seed_datagram_addresses());
+  frontend_.listen(settings_.frontend_address);
+  readiness_.listen(settings_.readiness_address);
+  resolver_.listen(settings_.resolver_address);
+  control_.listen(settings_.control_address);
+  if (!settings_.metrics_address.empty()) {
+    metrics_server_.listen(settings_.metrics_address);
+  }
+  spdlog::info("gateway: started node={} zone={} run={} seeds={}", settings_.node, settings_.zone,
+               run_, settings_.seeds.size());
+  tick();
+}
+
+std::vector<std::string> Gateway::seed_datagram_addresses() const {
+  // All nodes use the same ports: a seed's control address tells its address for datagrams.
+  const std::optional<Address> own = Address::parse(settings_.datagram_address);
+  std::vector<std::string> addresses;
+  for (const std::string& seed : settings_.seeds) {
+    const std::optional<Address> parsed = Address::parse(seed);
+    if (parsed && own) {
+      addresses.push_back(Address{parsed->host, own->port}.to_string());
+    }
+  }
+  return addresses;
+}
+
+void Gateway::reload(const GatewaySettings& settings) {
+  settings_.seeds = settings.seeds;
+  peers_.set_candidates(seed_datagram_addresses());
+  spdlog::info("gateway: settings reloaded seeds={}", settings_.seeds.size());
+}
+
+void Gateway::schedule_tick() {
+  timer_.expires_after(kTickInterval);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      tick();
+    }
+  });
+}
+
+void Gateway::tick() {
+  const TimePoint now = net::steady_now();
+  fleet_.tick(now);
+  peers_.set_pending_items(batch_.pending_items());
+  peers_.tick(now);
+  batch_.set_busy_nodes(peers_.busy_nodes());
+  batch_.tick(now);
+  online_.tick(now);
+  context_.client.tick(now);
+  for (net::HttpServer* server : {&frontend_, &readiness_, &resolver_, &control_}) {
+    server->tick(now);
+  }
+  if (fleet_.needs_peer()) {
+    ask_some_peer(now);
+  }
+  if (stopping_) {
+    tick_stop(now);
+  }
+  if (parts_.on_tick) {
+    parts_.on_tick();
+  }
+  if (!loop_.stopped()) {
+    schedule_tick();
+  }
+}
+
+void Gateway::apply_configuration() {
+  const IngressLimits& limits = context_.configuration->limits;
+  frontend_.set_limits(
+      {limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
+  peers_.set_configuration_version(context_.configuration->version);
+}
+
+void Gateway::serve_frontend(const net::ExchangePtr& exchange) {
+  last_caller_at_ = exchange->received();
+  const std::shared_ptr<const RoutingConfiguration> configuration = context_.configuration;
+  if (configuration->version == 0) {
+    exchange->respond(503, {{"Retry-After", "0.5"}}, {});
+    return;
+  }
+  const net::RequestHead& head = exchange->request();
+  const net::Target target = net::Target::parse(head.target);
+  if (const auto call = context_.protocol.read_job_call(head)) {
+    batch_.handle(exchange, *call, false);
+    return;
+  }
+  const RouteConfig* route = configuration->match(head.headers.get("Host"), target.path);
+  if (route == nullptr) {
+    spdlog::info("online: no route host={} path={} version={}", head.headers.get("Host"),
+                 target.path, configuration->version);
+    exchange->respond(404, {}, {});
+  } else if (route->kind == RouteKind::kBatch) {
+    batch_.submit(exchange, *route);
+  } else {
+    online_.handle(exchange, configuration, *route);
+  }
+}
+
+void Gateway::serve_readiness(const net::ExchangePtr& exchange) {
+  const bool ready = !stopping_ && fleet_.has_configuration();
+  exchange->respond(ready ? 200 : 503, {}, {});
+}
+
+void Gateway::serve_resolver(const net::ExchangePtr& exchange) {
+  if (!parts_.resolver.asks_for_addresses(exchange->request())) {
+    exchange->respond(404, {}, {});
+    return;
+  }
+  std::vector<std::string> addresses = peers_.frontends();
+  if (addresses.empty()) {
+    exchange->respond(503, {{"Retry-After", "0.5"}}, {});
+    return;
+  }
+  const std::size_t limit = parts_.resolver.maximum_addresses();
+  if (addresses.size() > limit) {
+    // Each node tells another part, so that together they tell all.
+    std::rotate(addresses.begin(),
+                addresses.begin() + static_cast<std::ptrdiff_t>(hash64(settings_.node) %
+                                                                addresses.size()),
+                addresses.end());
+    addresses.resize(limit);
+  }
+  const Duration lifetime = std::min(kAddressLifetime, settings_.address_lifetime);
+  exchange->respond(200, {{"Content-Type", "application/json"}},
+                    parts_.resolver.write_addresses(addresses, lifetime));
+}
+
+void Gateway::serve_control(const net::ExchangePtr& exchange) {
+  if (const auto call = context_.protocol.read_job_call(exchange->request())) {
+    batch_.handle(exchange, *call, true);
+    return;
+  }
+  if (net::Target::parse(exchange->request().target).path == kStatePath) {
+    FleetState state = fleet_.state();
+    state.owners = batch_.owner_addresses();
+    exchange->respond(200, {{"Content-Type", "application/msgpack"}}, pack(state));
+    return;
+  }
+  exchange->respond(404, {}, {});
+}
+
+void Gateway::serve_metrics(const net::ExchangePtr& exchange) {
+  exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text());
+}
+
+void Gateway::ask_some_peer(TimePoint now) {
+  if (now < next_peer_question_) {
+    return;
+  }
+  std::vector<std::string> addresses = peers_.control_addresses();
+  if (addresses.empty()) {
+    addresses = settings_.seeds;
+  }
+  std::erase(addresses, settings_.control_address);
+  if (!addresses.empty()) {
+    next_peer_question_ = now + kPeerQuestionInterval;
+    ask_peer(addresses[next_peer_++ % addresses.size()]);
+  }
+}
+
+void Gateway::ask_peer(const std::string& control_address) {
+  const std::optional<Address> address = Address::parse(control_address);
+  if (asking_peer_ || !address) {
+    return;
+  }
+  asking_peer_ = true;
+  const net::RequestHead head{"GET", kStatePath, {{"Host", control_address}}};
+  net::SimpleCall::start(context_.client, loop_, {*address, "control"}, net::serialize(head), {},
+                         kPeerQuestionTimeout,
+                         [this, control_address](const net::SimpleCall::Outcome& outcome) {
+                           asking_peer_ = false;
+                           if (outcome.failure || outcome.head.status != 200) {
+                             return;
+                           }
+                           if (const auto state = unpack<FleetState>(outcome.body)) {
+                             fleet_.take(*state, control_address);
+                             batch_.suggest_owners(state->owners);
+                           }
+                         });
+}
+
+void Gateway::stop() {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stop_requested_at_ = net::steady_now();
+  last_caller_at_ = stop_requested_at_;
+  spdlog::info("gateway: stopping online={} items={}", online_.in_flight(), batch_.pending_items());
+  peers_.leave();
+  frontend_.set_closing(true);
+  batch_.drain();
+}
+
+void Gateway::tick_stop(TimePoint now) {
+  const Duration age = now - stop_requested_at_;
+  if (!left_group_ && (batch_.drained() || age > kItemGrace)) {
+    left_group_ = true;
+    batch_.leave();
+  }
+  const bool addresses_forgotten =
+      age > std::min(kAddressLifetime, settings_.address_lifetime) * kAddressOverstay;
+  const bool callers_gone = online_.in_flight() == 0 && frontend_.active() == 0 &&
+                            now - last_caller_at_ > kAddressLifetime;
+  const bool idle = left_group_ && addresses_forgotten && callers_gone;
+  if (idle || age > settings_.grace - kGraceMargin) {
+    spdlog::info("gateway: stopped afterMs={} online={}", net::to_ms(age), online_.in_flight());
+    loop_.stop();
+  }
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/gateway.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "gateway/batch_service.hpp"
+#include "gateway/fleet_watch.hpp"
+#include "gateway/gateway_settings.hpp"
+#include "gateway/online_proxy.hpp"
+#include "gateway/peer_link.hpp"
+#include "gateway/resolver_protocol.hpp"
+
+/// One node of dockpoint before a fleet of replicas.
+///
+/// Everything runs on one event loop: a node has half a core, and a second thread would only add
+/// switches between the two. Nothing that must last is kept here: routes, replicas and batch jobs
+/// are read from the log when the node starts; membership and load come from the other nodes.
+///
+/// Stop: the node says at once that it is not ready, leaves the answers of its peers' resolvers,
+/// lets batch items end and gives its partitions back. It goes on serving callers that still hold
+/// its address, asking them to leave, and ends when they have, or when the grace time is over.
+namespace dockpoint {
+
+/// What a gateway needs from its surroundings. Everything is borrowed and must outlive it.
+struct GatewayParts {
+  PartitionedLog& log;
+  const TrafficProtocol& traffic;
+  const ResolverProtocol& resolver;
+  const FleetReader& fleet_reader;
+  FleetTopics fleet_topics;
+  BatchTopics batch_topics;
+  std::function<void()> on_tick;  ///< Called several times a second; may be empty.
+};
+
+/// See the top of this file.
+class Gateway {
+ public:
+  Gateway(boost::asio::io_context& loop, net::HttpClient& client, const Knobs& knobs,
+          GatewaySettings settings, const GatewayParts& parts);
+  ~Gateway();
+
+  /// Opens all addresses and begins to serve.
+  /// @throws boost::system::system_error if an address cannot be bound.
+  void start();
+  /// Begins to stop; the event loop ends by itself.
+  void stop();
+  /// Takes settings that may change while the node runs: the seeds.
+  void reload(const GatewaySettings& settings);
+
+  GatewayMetrics& metrics() { return metrics_; }
+
+ private:
+  void schedule_tick();
+  void tick();
+  void tick_stop(TimePoint now);
+  void apply_configuration();
+  void serve_frontend(const net::ExchangePtr& exchange);
+  void serve_readiness(const net::ExchangePtr& exchange);
+  void serve_resolver(const net::ExchangePtr& exchange);
+  void serve_control(const net::ExchangePtr& exchange);
+  void serve_metrics(const net::ExchangePtr& exchange);
+  void ask_peer(const std::string& control_address);
+  void ask_some_peer(TimePoint now);
+  std::vector<std::string> seed_datagram_addresses() const;
+
+  boost::asio::io_context& loop_;
+  const Knobs& knobs_;
+  GatewaySettings settings_;
+  const GatewayParts parts_;
+  const std::uint64_t run_;
+  GatewayMetrics metrics_;
+  ReplicaDirectory replicas_;
+  ReplicaSelector selector_;
+  GatewayContext context_;
+  OnlineProxy online_;
+  FleetWatch fleet_;
+  PeerLink peers_;
+  BatchService batch_;
+  net::HttpServer frontend_;
+  net::HttpServer readiness_;
+  net::HttpServer resolver_;
+  net::HttpServer control_;
+  net::HttpServer metrics_server_;
+  boost::asio::steady_timer timer_;
+  TimePoint next_peer_question_{};
+  bool asking_peer_ = false;
+  std::size_t next_peer_ = 0;
+  TimePoint stop_requested_at_{};
+  TimePoint last_caller_at_{};
+  bool stopping_ = false;
+  bool left_group_ = false;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/gateway_context.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+
+#include "dockpoint/config/routing_configuration.hpp"
+#include "dockpoint/core/knobs.hpp"
+#include "dockpoint/routing/replica_directory.hpp"
+#include "dockpoint/routing/replica_selector.hpp"
+#include "gateway/gateway_metrics.hpp"
+#include "gateway/traffic_protocol.hpp"
+#include "net/http_client.hpp"
+
+namespace dockpoint {
+
+/// What the parts of a gateway share. All of it lives on the event loop's thread.
+struct GatewayContext {
+  boost::asio::io_context& loop;
+  const Knobs& knobs;
+  const TrafficProtocol& protocol;
+  net::HttpClient& client;
+  ReplicaDirectory& replicas;
+  ReplicaSelector& selector;
+  GatewayMetrics& metrics;
+  std::shared_ptr<const RoutingConfiguration> configuration;  ///< Never null.
+  std::string node;
+};
+
+/// @return the endpoint of a replica; connections are not shared between its lives.
+inline net::Endpoint endpoint_of(const ReplicaRecord& replica) {
+  return {replica.address, replica.id};
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/gateway_metrics.cpp
@@ -0,0 +1,86 @@
+#include "gateway/gateway_metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace dockpoint {
+namespace {
+
+/// Upper bounds of the latency histogram, in seconds.
+const prometheus::Histogram::BucketBoundaries& latency_buckets() {
+  static const prometheus::Histogram::BucketBoundaries kBuckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.2,
+                                                                0.3,   0.5,  1,     2,    5};
+  return kBuckets;
+}
+
+prometheus::Gauge& make_gauge(prometheus::Registry& registry, const char* name, const char* help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+}  // namespace
+
+GatewayMetrics::GatewayMetrics()
+    : requests_(prometheus::BuildCounter()
+                    .Name("dockpoint_gateway_requests_total")
+                    .Help("Online requests by kind of route and outcome.")
+                    .Register(registry_)),
+      first_byte_(prometheus::BuildHistogram()
+                      .Name("dockpoint_gateway_first_byte_seconds")
+                      .Help("Time from a request's arrival to the first byte of its answer.")
+                      .Register(registry_)),
+      attempts_(prometheus::BuildCounter()
+                    .Name("dockpoint_gateway_attempts_total")
+                    .Help("Attempts at replicas by outcome.")
+                    .Register(registry_)),
+      items_(prometheus::BuildCounter()
+                 .Name("dockpoint_gateway_batch_items_total")
+                 .Help("Runs of batch items by outcome.")
+                 .Register(registry_)),
+      log_calls_(prometheus::BuildCounter()
+                     .Name("dockpoint_gateway_log_calls_total")
+                     .Help("Calls to the log by kind and outcome.")
+                     .Register(registry_)),
+      configuration_version_(make_gauge(registry_, "dockpoint_gateway_configuration_version",
+                                        "Version of the routes in force.")),
+      partitions_owned_(make_gauge(registry_, "dockpoint_gateway_partitions_owned",
+                                   "Partitions of batch jobs that this node owns.")),
+      log_lines_dropped_(make_gauge(registry_, "dockpoint_gateway_log_lines_dropped",
+                                    "Log lines dropped since the start.")) {}
+
+void GatewayMetrics::count_request(const std::string& kind, const std::string& outcome) {
+  requests_.Add({{"kind", kind}, {"outcome", outcome}}).Increment();
+}
+
+void GatewayMetrics::observe_first_byte(const std::string& kind, Duration time) {
+  first_byte_.Add({{"kind", kind}}, latency_buckets())
+      .Observe(std::chrono::duration<double>(time).count());
+}
+
+void GatewayMetrics::count_attempt(const std::string& outcome) {
+  attempts_.Add({{"outcome", outcome}}).Increment();
+}
+
+void GatewayMetrics::count_item(const std::string& outcome) {
+  items_.Add({{"outcome", outcome}}).Increment();
+}
+
+void GatewayMetrics::count_log_call(const std::string& call, const std::string& outcome) {
+  log_calls_.Add({{"call", call}, {"outcome", outcome}}).Increment();
+}
+
+void GatewayMetrics::set_configuration_version(std::uint64_t version) {
+  configuration_version_.Set(static_cast<double>(version));
+}
+
+void GatewayMetrics::set_partitions_owned(std::size_t count) {
+  partitions_owned_.Set(static_cast<double>(count));
+}
+
+void GatewayMetrics::set_log_lines_dropped(std::uint64_t count) {
+  log_lines_dropped_.Set(static_cast<double>(count));
+}
+
+std::string GatewayMetrics::text() const {
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/gateway_metrics.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+
+#include "dockpoint/core/time.hpp"
+
+namespace dockpoint {
+
+/// Counters and latencies of a gateway, in Prometheus' terms. Used on the event loop's thread.
+class GatewayMetrics {
+ public:
+  GatewayMetrics();
+
+  /// @param outcome `answered`, `refused`, `failed`, `timed_out`, `broken_off` or `caller_gone`.
+  void count_request(const std::string& kind, const std::string& outcome);
+  void observe_first_byte(const std::string& kind, Duration time);
+  void count_attempt(const std::string& outcome);
+  void count_item(const std::string& outcome);
+  void count_log_call(const std::string& call, const std::string& outcome);
+  void set_configuration_version(std::uint64_t version);
+  void set_partitions_owned(std::size_t count);
+  void set_log_lines_dropped(std::uint64_t count);
+
+  /// @return all of it in the text format.
+  std::string text() const;
+
+ private:
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Counter>& requests_;
+  prometheus::Family<prometheus::Histogram>& first_byte_;
+  prometheus::Family<prometheus::Counter>& attempts_;
+  prometheus::Family<prometheus::Counter>& items_;
+  prometheus::Family<prometheus::Counter>& log_calls_;
+  prometheus::Gauge& configuration_version_;
+  prometheus::Gauge& partitions_owned_;
+  prometheus::Gauge& log_lines_dropped_;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/gateway_settings.cpp
@@ -0,0 +1,92 @@
+#include "gateway/gateway_settings.hpp"
+
+#include <fstream>
+#include <sstream>
+
+#include "dockpoint/core/address.hpp"
+#include "dockpoint/core/json_reader.hpp"
+
+namespace dockpoint {
+namespace {
+
+constexpr std::int64_t kLargestLeaseMs = 60'000;
+constexpr std::int64_t kLargestPartitions = 4'096;
+constexpr std::int64_t kLargestBytes = 1'000'000'000;
+constexpr double kDefaultAddressLifetimeSeconds = 2;
+constexpr double kDefaultGraceSeconds = 10;
+
+std::string address(ObjectReader& section, const std::string& key, bool required) {
+  const std::string text = required ? section.required_text(key) : section.text(key);
+  if (!text.empty() && !Address::parse(text)) {
+    section.report(key, "is \"" + text + "\"; IP:port with a port from 1 to 65535 is expected");
+  }
+  return text;
+}
+
+Duration seconds(ObjectReader& section, const std::string& key, double fallback) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(section.number(key, 0.0, fallback)));
+}
+
+GatewaySettings read(const Poco::JSON::Object::Ptr& document, Problems& problems) {
+  GatewaySettings settings;
+  ObjectReader root(document, "", problems);
+  settings.node = root.required_text("node");
+  settings.zone = root.text("zone");
+  settings.region = root.text("region");
+  settings.seeds = root.texts("seeds");
+  for (const std::string& seed : settings.seeds) {
+    if (!Address::parse(seed)) {
+      root.report("seeds", "holds \"" + seed + "\"; IP:port is expected");
+    }
+  }
+  ObjectReader listen = root.object("listen");
+  settings.frontend_address = address(listen, "frontend", true);
+  settings.readiness_address = address(listen, "readiness", true);
+  settings.resolver_address = address(listen, "resolver", true);
+  settings.control_address = address(listen, "control", true);
+  settings.datagram_address = address(listen, "datagrams", true);
+  settings.metrics_address = address(listen, "metrics", false);
+  listen.reject_unknown_keys();
+  ObjectReader log = root.object("log");
+  settings.log_address = address(log, "address", true);
+  settings.log.partitions =
+      static_cast<int>(log.required_integer("partitions", {1, kLargestPartitions}));
+  settings.log.record_bytes =
+      static_cast<std::size_t>(log.required_integer("record_bytes", {1024, kLargestBytes}));
+  settings.log.call_bytes =
+      static_cast<std::size_t>(log.required_integer("call_bytes", {1024, kLargestBytes}));
+  settings.log.minimum_lease =
+      std::chrono::milliseconds(log.integer("minimum_lease_ms", {1, kLargestLeaseMs}, 1'000));
+  log.reject_unknown_keys();
+  ObjectReader times = root.object("times");
+  settings.address_lifetime = seconds(times, "address_lifetime_s", kDefaultAddressLifetimeSeconds);
+  settings.grace = seconds(times, "grace_s", kDefaultGraceSeconds);
+  times.reject_unknown_keys();
+  root.reject_unknown_keys();
+  return settings;
+}
+
+}  // namespace
+
+Result<GatewaySettings> parse_gateway_settings(const std::string& text) {
+  BOOST_LEAF_AUTO(document, parse_json_object(text));
+  Problems problems;
+  GatewaySettings settings = read(document, problems);
+  if (!problems.empty()) {
+    return fail(ResultCode::kSettingsInvalid, summarize(problems), problems.front().place);
+  }
+  return settings;
+}
+
+Result<GatewaySettings> load_gateway_settings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return fail(ResultCode::kSettingsInvalid, "cannot read the settings file", path);
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return parse_gateway_settings(text.str());
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/item_run.cpp
@@ -0,0 +1,183 @@
+#include "gateway/item_run.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/sampling.hpp"
+#include "net/clock.hpp"
+
+namespace dockpoint {
+namespace {
+
+constexpr int kUnprocessable = 422;
+
+/// Pause before an item runs again that a replica had no room for.
+constexpr Duration kNoRoomPause = std::chrono::milliseconds(150);
+
+}  // namespace
+
+ItemRun::ItemRun(BatchExecutor& executor, ItemRef ref, std::string item_id, RequestInfo info,
+                 std::string service, int attempts)
+    : executor_(executor),
+      context_(executor.context_),
+      ref_(std::move(ref)),
+      item_id_(std::move(item_id)),
+      info_(std::move(info)),
+      service_(std::move(service)),
+      attempts_(attempts) {}
+
+ItemRun::~ItemRun() {
+  if (call_) {
+    call_->cancel();
+  }
+}
+
+ItemProgress& ItemRun::progress() { return executor_.progress_[ref_]; }
+
+void ItemRun::start(const Replica& replica, std::string bytes, double missing_tokens,
+                    TimePoint now) {
+  replica_ = replica.record.id;
+  started_ = now;
+  last_progress_ = now;
+  prefill_tokens_ = missing_tokens;
+  context_.replicas.started(replica_, TrafficClass::kBatch, missing_tokens);
+  net::CallOptions options;
+  options.connect_timeout = context_.knobs.replica_connect_timeout;
+  options.maximum_idle = context_.knobs.replica_connection_idle;
+  call_ = context_.client.start(endpoint_of(replica.record), std::move(bytes), options, *this);
+}
+
+void ItemRun::release_replica() {
+  if (replica_.empty()) {
+    return;
+  }
+  if (call_) {
+    call_->cancel();
+    call_.reset();
+  }
+  context_.replicas.prefilled(replica_, std::exchange(prefill_tokens_, 0));
+  context_.replicas.ended(replica_, TrafficClass::kBatch);
+  replica_.clear();
+}
+
+void ItemRun::cancel() { release_replica(); }
+
+bool ItemRun::on_head(const net::ResponseHead& head) {
+  const ReplicaAnswer answer = context_.protocol.read_answer(head, item_id_);
+  if (!answer.belongs) {
+    return false;
+  }
+  const TimePoint now = net::steady_now();
+  last_progress_ = now;
+  status_ = head.status;
+  context_.replicas.prefilled(replica_, std::exchange(prefill_tokens_, 0));
+  if (answer.load) {
+    context_.replicas.report(replica_, *answer.load, now);
+  }
+  turned_away_ = answer.not_run || answer.wrong_replica;
+  if (answer.wrong_replica) {
+    context_.replicas.remove(replica_);
+  }
+  if (status_ / 100 == 2) {
+    context_.selector.note_prompt(replica_, info_.prompt, now);
+  }
+  return true;
+}
+
+void ItemRun::on_body(std::string_view bytes) {
+  last_progress_ = net::steady_now();
+  if (status_ / 100 == 2 && !turned_away_) {
+    framer_.feed(bytes, [this](const StreamEvent& event) { take_event(event); });
+  }
+}
+
+void ItemRun::take_event(const StreamEvent& event) {
+  ItemProgress& kept = progress();
+  if (!event.id || broken_sequence_) {
+    return;
+  }
+  if (kept.last_event && *event.id <= *kept.last_event) {
+    return;
+  }
+  if (kept.last_event && *event.id != *kept.last_event + 1) {
+    broken_sequence_ = true;
+    return;
+  }
+  if (kept.last_event) {
+    kept.text += '\n';
+  }
+  kept.text += event.data;
+  kept.last_event = event.id;
+}
+
+void ItemRun::on_complete() {
+  const auto self = shared_from_this();
+  const TimePoint now = net::steady_now();
+  context_.replicas.signal(replica_, ReplicaSignal::kAnswered, now);
+  release_replica();
+  ItemProgress& kept = progress();
+  if (turned_away_) {
+    context_.metrics.count_item("no_room");
+    executor_.run_over(self);
+    executor_.retry(ref_, kNoRoomPause, now);
+    return;
+  }
+  context_.selector.note_service_time(service_, now - started_);
+  if (status_ / 100 == 2) {
+    if (!framer_.at_boundary() || broken_sequence_ || !kept.last_event) {
+      kept.text.clear();
+      kept.last_event.reset();
+      interrupted(now, "the stream lacks an event");
+      return;
+    }
+    context_.metrics.count_item("succeeded");
+    executor_.run_over(self);
+    executor_.complete(ref_, true, std::move(kept.text));
+    return;
+  }
+  ++kept.failures;
+  context_.metrics.count_item("failed");
+  spdlog::info("batch: item failed job={} item={} status={} failures={}/{}", ref_.job, item_id_,
+               status_, kept.failures, attempts_);
+  executor_.run_over(self);
+  if (status_ == kUnprocessable || kept.failures >= attempts_) {
+    executor_.complete(ref_, false, {});
+  } else {
+    executor_.retry(ref_, kNoRoomPause, now);
+  }
+}
+
+void ItemRun::on_failure(net::CallFailure failure) {
+  const TimePoint now = net::steady_now();
+  context_.replicas.signal(replica_, failure == net::CallFailure::kNotSent
+                                         ? ReplicaSignal::kUnreachable
+                                         : ReplicaSignal::kBroken,
+                           now);
+  interrupted(now, "the connection ended");
+}
+
+void ItemRun::interrupted(TimePoint now, const char* why) {
+  const auto self = shared_from_this();
+  ItemProgress& kept = progress();
+  kept.last_replica = replica_;
+  release_replica();
+  ++kept.interruptions;
+  context_.metrics.count_item("interrupted");
+  if (is_sampled(item_id_)) {
+    spdlog::info("batch: run interrupted job={} item={} events={} why=\"{}\"", ref_.job, item_id_,
+                 kept.last_event.value_or(0), why);
+  }
+  executor_.run_over(self);
+  executor_.retry(ref_, kNoRoomPause * std::min(kept.interruptions, 8), now);
+}
+
+void ItemRun::tick(TimePoint now) {
+  if (now - last_progress_ > context_.knobs.item_silence) {
+    context_.replicas.signal(replica_, ReplicaSignal::kBroken, now);
+    interrupted(now, "the replica is silent");
+  }
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/item_run.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "dockpoint/streaming/event_framer.hpp"
+#include "gateway/batch_executor.hpp"
+
+namespace dockpoint {
+
+/// One run of a batch item at one replica.
+class ItemRun : public net::CallObserver, public std::enable_shared_from_this<ItemRun> {
+ public:
+  ItemRun(BatchExecutor& executor, ItemRef ref, std::string item_id, RequestInfo info,
+          std::string service, int attempts);
+  ~ItemRun() override;
+
+  void start(const Replica& replica, std::string bytes, double missing_tokens, TimePoint now);
+  /// Ends the run; what it has produced is kept.
+  void cancel();
+  void tick(TimePoint now);
+
+  const ItemRef& ref() const { return ref_; }
+  const std::string& replica() const { return replica_; }
+
+  bool on_head(const net::ResponseHead& head) override;
+  void on_body(std::string_view bytes) override;
+  void on_complete() override;
+  void on_failure(net::CallFailure failure) override;
+
+ private:
+  void take_event(const StreamEvent& event);
+  void release_replica();
+  void interrupted(TimePoint now, const char* why);
+  ItemProgress& progress();
+
+  BatchExecutor& executor_;
+  GatewayContext& context_;
+  const ItemRef ref_;
+  const std::string item_id_;
+  const RequestInfo info_;
+  const std::string service_;
+  const int attempts_;
+  std::string replica_;
+  net::CallPtr call_;
+  TimePoint started_{};
+  TimePoint last_progress_{};
+  double prefill_tokens_ = 0;
+  int status_ = 0;
+  bool turned_away_ = false;
+  bool broken_sequence_ = false;  ///< An event is missing between what is kept and what came.
+  EventFramer framer_;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/online_call.cpp
@@ -0,0 +1,409 @@
+#include "gateway/online_call.hpp"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "dockpoint/core/hash.hpp"
+#include "gateway/sampling.hpp"
+#include "net/clock.hpp"
+
+namespace dockpoint {
+namespace {
+
+/// Output that a caller has not taken yet holds the replica up beyond this, in bytes.
+constexpr std::size_t kOutputLimit = 256 * 1024;
+
+/// A request without a limit of its own is held no longer than this.
+constexpr Duration kDefaultTimeout = std::chrono::seconds(60);
+
+/// @return whether a status promises that the request did not run.
+bool promises_not_run(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
+
+OnlineCall::OnlineCall(OnlineProxy& proxy, net::ExchangePtr exchange,
+                       std::shared_ptr<const RoutingConfiguration> configuration,
+                       const RouteConfig& route)
+    : proxy_(proxy),
+      context_(proxy.context_),
+      exchange_(std::move(exchange)),
+      configuration_(std::move(configuration)),
+      route_(route),
+      info_(context_.protocol.read_request(exchange_->request())) {
+  const Duration timeout = route_.timeout > Duration{} ? route_.timeout : kDefaultTimeout;
+  deadline_ = exchange_->received() + std::min(timeout, info_.time_left.value_or(timeout));
+  history_.repeatable = route_.repeatable();
+  history_.resumable = route_.kind == RouteKind::kStreaming && route_.resumable;
+  history_.attempts_allowed = std::max(1, route_.attempts);
+  last_event_ = info_.last_event_id;
+}
+
+OnlineCall::~OnlineCall() {
+  if (call_) {
+    call_->cancel();
+  }
+}
+
+void OnlineCall::start() {
+  exchange_->on_client_gone([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->on_caller_gone();
+    }
+  });
+  exchange_->on_drained([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->on_caller_drained();
+    }
+  });
+  if (info_.id.empty()) {
+    fail(400, "the request has no id");
+    return;
+  }
+  if (route_.services.empty()) {
+    refuse("the route names no service");
+    return;
+  }
+  service_ = proxy_.rotation_.next(route_);
+  send(exchange_->received());
+}
+
+void OnlineCall::send(TimePoint now) {
+  const ReplicaQuery query{service_, TrafficClass::kOnline, info_.prompt, excluded_};
+  ReplicaChoice choice = context_.selector.choose(query, now);
+  if (choice.replica == nullptr && !excluded_.empty()) {
+    // Every replica failed this request once; one of them is tried again.
+    excluded_.clear();
+    choice = context_.selector.choose({service_, TrafficClass::kOnline, info_.prompt, {}}, now);
+  }
+  if (choice.replica == nullptr) {
+    if (exchange_->answered()) {
+      break_off("no replica to go on at");
+    } else if (history_.runs_possible == 0) {
+      refuse("no replica");
+    } else {
+      fail(502, "no replica to repeat at");
+    }
+    return;
+  }
+  const ReplicaRecord& replica = choice.replica->record;
+  const std::string body = exchange_->body();
+  net::RequestHead head = context_.protocol.replica_request(
+      exchange_->request(), body.size(),
+      {replica.id, std::max(deadline_ - now, Duration(std::chrono::milliseconds(1))), last_event_});
+  replica_ = replica.id;
+  sent_at_ = now;
+  last_progress_ = now;
+  head_seen_ = false;
+  turned_away_ = false;
+  streaming_ = false;
+  body_.clear();
+  framer_.discard_partial();
+  ++sends_;
+  prefill_tokens_ = choice.missing_tokens;
+  context_.replicas.started(replica_, TrafficClass::kOnline, prefill_tokens_);
+  if (is_sampled(info_.id) || sends_ > 1) {
+    spdlog::info(
+        "online: sent id={} route={} version={} replica={} attempt={} load={}/{} waitMs={} "
+        "missingTokens={} leftMs={}",
+        info_.id, route_.name, configuration_->version, replica_, sends_,
+        choice.replica->load(now), replica.slots, net::to_ms(choice.expected_wait),
+        static_cast<int>(choice.missing_tokens), net::to_ms(deadline_ - now));
+  }
+  net::CallOptions options;
+  options.connect_timeout = context_.knobs.replica_connect_timeout;
+  options.maximum_idle = context_.knobs.replica_connection_idle;
+  call_ = context_.client.start(endpoint_of(replica), net::serialize(head) + body, options, *this);
+}
+
+bool OnlineCall::on_head(const net::ResponseHead& head) {
+  const ReplicaAnswer answer = context_.protocol.read_answer(head, info_.id);
+  if (!answer.belongs) {
+    spdlog::warn("online: answer of another request skipped id={} replica={} status={}", info_.id,
+                 replica_, head.status);
+    return false;
+  }
+  const TimePoint now = net::steady_now();
+  head_seen_ = true;
+  last_progress_ = now;
+  context_.replicas.prefilled(replica_, std::exchange(prefill_tokens_, 0));
+  if (answer.load) {
+    context_.replicas.report(replica_, *answer.load, now);
+  }
+  head_ = head;
+  turned_away_ = answer.not_run || answer.wrong_replica;
+  if (answer.wrong_replica) {
+    context_.replicas.remove(replica_);
+  }
+  const bool success = head.status / 100 == 2;
+  if (!turned_away_ && success) {
+    context_.selector.note_prompt(replica_, info_.prompt, now);
+    if (route_.kind == RouteKind::kStreaming && answer.genuine) {
+      streaming_ = begin_stream(head);
+    }
+  }
+  return true;
+}
+
+bool OnlineCall::begin_stream(const net::ResponseHead& head) {
+  if (!exchange_->answered()) {
+    context_.metrics.observe_first_byte(kind(), net::steady_now() - exchange_->received());
+    net::ResponseHead passed{head.status, head.reason, head.headers};
+    passed.headers.erase_connection_fields();
+    exchange_->begin(std::move(passed));
+  }
+  return true;
+}
+
+void OnlineCall::on_body(std::string_view bytes) {
+  last_progress_ = net::steady_now();
+  if (!streaming_) {
+    body_.append(bytes);
+    return;
+  }
+  const auto self = shared_from_this();
+  if (history_.resumable) {
+    framer_.feed(bytes, [this](const StreamEvent& event) { pass_event(event); });
+  } else {
+    exchange_->write(bytes);
+  }
+  if (!finished_ && call_ && exchange_->pending_output() > kOutputLimit) {
+    call_->pause_reading();
+  }
+}
+
+void OnlineCall::pass_event(const StreamEvent& event) {
+  if (event.id && last_event_ && *event.id <= *last_event_) {
+    return;  // The caller has it from the run before.
+  }
+  if (event.id) {
+    last_event_ = event.id;
+  }
+  exchange_->write(event.bytes);
+}
+
+void OnlineCall::on_caller_drained() {
+  if (call_) {
+    call_->resume_reading();
+  }
+}
+
+void OnlineCall::on_complete() {
+  const auto self = shared_from_this();
+  const TimePoint now = net::steady_now();
+  context_.replicas.signal(replica_, ReplicaSignal::kAnswered, now);
+  if (turned_away_) {
+    end_attempt();
+    after_failure(AttemptFailure::kNotRun, now);
+    return;
+  }
+  context_.selector.note_service_time(service_, now - sent_at_);
+  if (!streaming_) {
+    complete_whole();
+    return;
+  }
+  if (history_.resumable && !framer_.at_boundary()) {
+    end_attempt();
+    after_failure(AttemptFailure::kInterrupted, now);
+    return;
+  }
+  end_attempt();
+  exchange_->end();
+  finish("answered", "stream complete");
+}
+
+void OnlineCall::complete_whole() {
+  const TimePoint now = net::steady_now();
+  const bool success = head_.status / 100 == 2;
+  if (exchange_->answered()) {
+    // A resumed stream got something else than a stream.
+    end_attempt();
+    after_failure(AttemptFailure::kInterrupted, now);
+    return;
+  }
+  const ReplicaAnswer answer = context_.protocol.read_answer(head_, info_.id);
+  const bool failed = head_.status >= 500 || (success && !answer.genuine);
+  if (failed && history_.repeatable &&
+      history_.runs_possible + 1 < history_.attempts_allowed && now < deadline_) {
+    end_attempt();
+    after_failure(AttemptFailure::kMayHaveRun, now);
+    return;
+  }
+  end_attempt();
+  if ((!success && promises_not_run(head_.status)) || (success && !answer.genuine)) {
+    fail(502, "the replica's answer cannot be passed on");
+    return;
+  }
+  net::Headers headers = head_.headers;
+  headers.erase_connection_fields();
+  context_.metrics.observe_first_byte(kind(), now - exchange_->received());
+  exchange_->respond(head_.status, std::move(headers), body_);
+  finish("answered", success ? "answer complete" : "the replica's failure was passed on");
+}
+
+void OnlineCall::on_failure(net::CallFailure failure) {
+  const auto self = shared_from_this();
+  const TimePoint now = net::steady_now();
+  const bool not_sent = failure == net::CallFailure::kNotSent;
+  context_.replicas.signal(replica_, not_sent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken,
+                           now);
+  spdlog::warn("online: attempt failed id={} replica={} failure={} headSeen={} reused={} afterMs={}",
+               info_.id, replica_, static_cast<int>(failure), head_seen_,
+               call_ && call_->reused(), net::to_ms(now - sent_at_));
+  const bool not_run = not_sent || (turned_away_ && head_seen_);
+  end_attempt();
+  if (not_run) {
+    after_failure(AttemptFailure::kNotRun, now);
+  } else {
+    after_failure(exchange_->answered() ? AttemptFailure::kInterrupted : AttemptFailure::kMayHaveRun,
+                  now);
+  }
+}
+
+void OnlineCall::end_attempt() {
+  if (replica_.empty()) {
+    return;
+  }
+  if (call_) {
+    call_->cancel();
+    call_.reset();
+  }
+  context_.replicas.prefilled(replica_, std::exchange(prefill_tokens_, 0));
+  context_.replicas.ended(replica_, TrafficClass::kOnline);
+  excluded_.insert(replica_);
+  replica_.clear();
+}
+
+void OnlineCall::after_failure(AttemptFailure failure, TimePoint now) {
+  history_.answer_begun = exchange_->answered();
+  context_.metrics.count_attempt(failure == AttemptFailure::kNotRun ? "not_run" : "failed");
+  const NextStep step = decide_after_failure(history_, failure, context_.knobs);
+  if (now >= deadline_) {
+    expire(now);
+    return;
+  }
+  switch (step) {
+    case NextStep::kSendAgain:
+    case NextStep::kResume:
+      send(now);
+      return;
+    case NextStep::kRefuse:
+      refuse("no replica took it");
+      return;
+    case NextStep::kFail:
+      fail(502, "it may have run and may not be repeated");
+      return;
+    case NextStep::kBreakOff:
+      break_off("the stream cannot go on");
+      return;
+  }
+}
+
+void OnlineCall::tick(TimePoint now) {
+  if (finished_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (now >= deadline_) {
+    expire(now);
+  } else if (!replica_.empty()) {
+    watch_silence(now);
+  }
+}
+
+void OnlineCall::watch_silence(TimePoint now) {
+  if (history_.runs_possible + 1 >= history_.attempts_allowed) {
+    return;
+  }
+  const Duration silence = now - last_progress_;
+  const bool waiting_for_head = !head_seen_;
+  if (waiting_for_head ? !history_.repeatable : !(streaming_ && history_.resumable)) {
+    return;
+  }
+  const Duration objective = waiting_for_head ? route_.target : route_.gap_target;
+  const Duration limit =
+      std::max(objective * context_.knobs.silence_objectives, context_.knobs.silence_minimum);
+  if (silence < limit) {
+    return;
+  }
+  spdlog::warn("online: replica is silent id={} replica={} silentMs={}", info_.id, replica_,
+               net::to_ms(silence));
+  context_.replicas.signal(replica_, ReplicaSignal::kBroken, now);
+  end_attempt();
+  after_failure(exchange_->answered() ? AttemptFailure::kInterrupted : AttemptFailure::kMayHaveRun,
+                now);
+}
+
+void OnlineCall::expire(TimePoint /*now*/) {
+  const bool sent = !replica_.empty() && call_ && call_->sent() && !turned_away_;
+  end_attempt();
+  if (exchange_->answered()) {
+    break_off("time is up within the answer");
+  } else if (!sent && history_.runs_possible == 0) {
+    refuse("time is up before it was sent");
+  } else {
+    fail(504, "time is up");
+  }
+}
+
+void OnlineCall::on_caller_gone() {
+  const auto self = shared_from_this();
+  end_attempt();
+  finish("caller_gone", "the caller closed its connection");
+}
+
+void OnlineCall::refuse(const char* why) {
+  const std::uint64_t spread = hash64(info_.id) % 1000;
+  const double seconds =
+      std::chrono::duration<double>(context_.knobs.retry_after_minimum).count() +
+      std::chrono::duration<double>(context_.knobs.retry_after_spread).count() *
+          static_cast<double>(spread) / 1000.0;
+  exchange_->respond(503, {{"Retry-After", fmt::format("{:.2f}", seconds)}}, {});
+  finish("refused", why);
+}
+
+void OnlineCall::fail(int status, const char* why) {
+  exchange_->respond(status, {}, {});
+  finish(status == 504 ? "timed_out" : "failed", why);
+}
+
+void OnlineCall::break_off(const char* why) {
+  exchange_->abort();
+  finish("broken_off", why);
+}
+
+void OnlineCall::finish(const char* outcome, const char* why) {
+  if (finished_) {
+    return;
+  }
+  finished_ = true;
+  context_.metrics.count_request(kind(), outcome);
+  const bool ordinary = std::string_view(outcome) == "answered" && sends_ == 1;
+  if (!ordinary || is_sampled(info_.id)) {
+    spdlog::info(
+        "online: {} id={} route={} version={} service={} sends={} mayHaveRun={} tookMs={} why=\"{}\"",
+        outcome, info_.id, route_.name, configuration_->version, service_, sends_,
+        history_.runs_possible, net::to_ms(net::steady_now() - exchange_->received()), why);
+  }
+  proxy_.calls_.erase(shared_from_this());
+}
+
+const char* OnlineCall::kind() const {
+  switch (route_.kind) {
+    case RouteKind::kIdempotent:
+      return "idempotent";
+    case RouteKind::kNonIdempotent:
+      return "non_idempotent";
+    case RouteKind::kStreaming:
+      return "streaming";
+    case RouteKind::kBatch:
+      return "batch";
+  }
+  return "unknown";
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/online_call.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "dockpoint/routing/attempt_policy.hpp"
+#include "dockpoint/streaming/event_framer.hpp"
+#include "gateway/online_proxy.hpp"
+
+namespace dockpoint {
+
+/// One online request from its arrival to its final answer.
+///
+/// An answer that is not a stream is held until it is whole, so that a broken one can still be
+/// repeated. A stream is passed on as it comes; if it may be resumed, only in whole events, so that
+/// another replica can go on behind the last one. A stream that cannot go on is broken off: the
+/// caller must not take it for complete.
+class OnlineCall : public net::CallObserver, public std::enable_shared_from_this<OnlineCall> {
+ public:
+  OnlineCall(OnlineProxy& proxy, net::ExchangePtr exchange,
+             std::shared_ptr<const RoutingConfiguration> configuration, const RouteConfig& route);
+  ~OnlineCall() override;
+
+  void start();
+  void tick(TimePoint now);
+
+  bool on_head(const net::ResponseHead& head) override;
+  void on_body(std::string_view bytes) override;
+  void on_complete() override;
+  void on_failure(net::CallFailure failure) override;
+
+ private:
+  void send(TimePoint now);
+  void on_caller_gone();
+  void on_caller_drained();
+  bool begin_stream(const net::ResponseHead& head);
+  void pass_event(const StreamEvent& event);
+  void complete_whole();
+  void after_failure(AttemptFailure failure, TimePoint now);
+  /// The attempt is over: nothing of it is in flight any more.
+  void end_attempt();
+  void refuse(const char* why);
+  void fail(int status, const char* why);
+  void break_off(const char* why);
+  /// The request has its final answer.
+  void finish(const char* outcome, const char* why);
+  void expire(TimePoint now);
+  void watch_silence(TimePoint now);
+  const char* kind() const;
+
+  OnlineProxy& proxy_;
+  GatewayContext& context_;
+  net::ExchangePtr exchange_;
+  std::shared_ptr<const RoutingConfiguration> configuration_;
+  const RouteConfig& route_;
+  RequestInfo info_;
+  std::string service_;
+  TimePoint deadline_{};
+  AttemptHistory history_;
+  std::set<std::string> excluded_;
+
+  net::CallPtr call_;
+  std::string replica_;  ///< Of the attempt under way; empty between attempts.
+  TimePoint sent_at_{};
+  double prefill_tokens_ = 0;  ///< Counted at the replica until the first byte.
+  bool head_seen_ = false;
+  bool turned_away_ = false;   ///< The replica said that it did not run the request.
+  bool streaming_ = false;     ///< The answer under way is a stream that is passed on.
+  net::ResponseHead head_;
+  std::string body_;
+  EventFramer framer_;
+  std::optional<std::uint64_t> last_event_;  ///< That the caller has.
+  TimePoint last_progress_{};
+  int sends_ = 0;
+  bool finished_ = false;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/online_proxy.cpp
@@ -0,0 +1,27 @@
+#include "gateway/online_proxy.hpp"
+
+#include "gateway/online_call.hpp"
+
+namespace dockpoint {
+
+OnlineProxy::OnlineProxy(GatewayContext& context, std::uint64_t rotation_offset)
+    : context_(context), rotation_(rotation_offset) {}
+
+OnlineProxy::~OnlineProxy() = default;
+
+void OnlineProxy::handle(const net::ExchangePtr& exchange,
+                         std::shared_ptr<const RoutingConfiguration> configuration,
+                         const RouteConfig& route) {
+  const auto call = std::make_shared<OnlineCall>(*this, exchange, std::move(configuration), route);
+  calls_.insert(call);
+  call->start();
+}
+
+void OnlineProxy::tick(TimePoint now) {
+  const auto calls = calls_;
+  for (const auto& call : calls) {
+    call->tick(now);
+  }
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/online_proxy.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "gateway/gateway_context.hpp"
+#include "net/http_server.hpp"
+
+namespace dockpoint {
+
+class OnlineCall;
+
+/// Serves online requests: matches the route, picks a replica, forwards the answer, and repeats or
+/// resumes what may be repeated. Single-threaded; borrows the context.
+class OnlineProxy {
+ public:
+  explicit OnlineProxy(GatewayContext& context, std::uint64_t rotation_offset);
+  ~OnlineProxy();
+
+  /// Takes a request of `route`.
+  /// @param configuration that holds the route.
+  void handle(const net::ExchangePtr& exchange,
+              std::shared_ptr<const RoutingConfiguration> configuration, const RouteConfig& route);
+
+  /// Enforces time limits; call several times a second.
+  void tick(TimePoint now);
+
+  std::size_t in_flight() const { return calls_.size(); }
+
+ private:
+  friend class OnlineCall;
+
+  GatewayContext& context_;
+  ServiceRotation rotation_;
+  std::set<std::shared_ptr<OnlineCall>> calls_;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/peer_link.cpp
@@ -0,0 +1,174 @@
+#include "gateway/peer_link.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "dockpoint/core/address.hpp"
+#include "net/clock.hpp"
+
+namespace dockpoint {
+namespace {
+
+using boost::asio::ip::udp;
+using ErrorCode = boost::system::error_code;
+
+/// Nodes up to which each digest goes to every other node at the base interval; beyond, the
+/// interval grows with their number, so that a node's messages a second stay the same.
+constexpr std::size_t kDigestBaseNodes = 20;
+
+Member self_member(const GatewayContext& context, const PeerAddresses& addresses,
+                   const std::string& zone, std::uint64_t run) {
+  Member member;
+  member.id = context.node;
+  member.incarnation = run;
+  member.run = run;
+  member.peer_address = addresses.datagrams;
+  member.api_address = addresses.frontend;
+  member.control_address = addresses.control;
+  member.zone = zone;
+  return member;
+}
+
+}  // namespace
+
+PeerLink::PeerLink(GatewayContext& context, const PeerAddresses& addresses, std::string zone,
+                   std::uint64_t run, NewerConfiguration on_newer)
+    : context_(context),
+      addresses_(addresses),
+      membership_(context.knobs, self_member(context, addresses, zone, run), run, *this),
+      on_newer_(std::move(on_newer)),
+      socket_(context.loop) {}
+
+void PeerLink::open() {
+  const std::optional<Address> address = Address::parse(addresses_.datagrams);
+  const udp::endpoint endpoint(
+      boost::asio::ip::make_address(address ? address->host : std::string{}),
+      address ? address->port : std::uint16_t{0});
+  socket_.open(endpoint.protocol());
+  socket_.bind(endpoint);
+  socket_.non_blocking(true);
+  receive();
+}
+
+void PeerLink::set_candidates(const std::vector<std::string>& datagram_addresses) {
+  membership_.set_candidates(datagram_addresses);
+}
+
+void PeerLink::set_configuration_version(std::uint64_t version) {
+  configuration_version_ = version;
+  membership_.set_configuration_revision(version);
+}
+
+void PeerLink::set_pending_items(std::size_t items) {
+  membership_.set_pending_batch_items(static_cast<std::uint32_t>(items));
+}
+
+void PeerLink::tick(TimePoint now) {
+  membership_.tick(now);
+  if (now >= next_digest_) {
+    send_digest(now);
+  }
+}
+
+void PeerLink::send_digest(TimePoint now) {
+  const std::vector<const Member*> alive = membership_.alive();
+  const std::size_t scale = 1 + alive.size() / kDigestBaseNodes;
+  next_digest_ = now + context_.knobs.replica_digest_interval * static_cast<int>(scale);
+  context_.replicas.expire_peer_loads(now);
+  PeerMessage message = membership_.make_message(PeerMessageType::kLoadDigest);
+  for (const LoadDigestEntry& entry : context_.replicas.own_load()) {
+    EngineDigest digest;
+    digest.engine_key = entry.replica_key;
+    digest.load.running_online = entry.in_flight;
+    message.digests.push_back(digest);
+  }
+  const bool empty = message.digests.empty();
+  if (empty && digest_was_empty_) {
+    return;
+  }
+  digest_was_empty_ = empty;
+  const std::string bytes = encode(message);
+  for (const Member* member : alive) {
+    if (member->id != context_.node) {
+      send_bytes(member->peer_address, bytes);
+    }
+  }
+}
+
+void PeerLink::leave() { membership_.leave(); }
+
+std::vector<std::string> PeerLink::frontends() const {
+  std::vector<std::string> sure;
+  std::vector<std::string> all;
+  for (const Member* member : membership_.alive()) {
+    all.push_back(member->api_address);
+    if (member->state == MemberState::kAlive) {
+      sure.push_back(member->api_address);
+    }
+  }
+  return sure.empty() ? all : sure;
+}
+
+std::vector<std::string> PeerLink::control_addresses() const {
+  std::vector<std::string> addresses;
+  for (const Member* member : membership_.alive()) {
+    if (member->id != context_.node && !member->control_address.empty()) {
+      addresses.push_back(member->control_address);
+    }
+  }
+  return addresses;
+}
+
+void PeerLink::send(const std::string& address, const PeerMessage& message) {
+  send_bytes(address, encode(message));
+}
+
+void PeerLink::send_bytes(const std::string& address, const std::string& bytes) {
+  const std::optional<Address> parsed = Address::parse(address);
+  if (!parsed || bytes.size() > kMaximumDatagramBytes) {
+    return;
+  }
+  ErrorCode ignored;
+  socket_.send_to(boost::asio::buffer(bytes),
+                  udp::endpoint(boost::asio::ip::make_address(parsed->host, ignored), parsed->port),
+                  0, ignored);
+}
+
+void PeerLink::receive() {
+  socket_.async_receive_from(boost::asio::buffer(buffer_), sender_,
+                             [this](const ErrorCode& error, std::size_t bytes) {
+                               if (error == boost::asio::error::operation_aborted) {
+                                 return;
+                               }
+                               if (!error) {
+                                 on_datagram(bytes);
+                               }
+                               receive();
+                             });
+}
+
+void PeerLink::on_datagram(std::size_t bytes) {
+  const auto message = decode_peer_message({buffer_.data(), bytes});
+  if (!message) {
+    return;
+  }
+  const TimePoint now = net::steady_now();
+  if (message->type == PeerMessageType::kLoadDigest) {
+    take_digest(*message, now);
+  }
+  membership_.receive(*message, now);
+  if (message->configuration_revision > configuration_version_) {
+    on_newer_(message->sender, message->configuration_revision);
+  }
+}
+
+void PeerLink::take_digest(const PeerMessage& message, TimePoint now) {
+  std::vector<LoadDigestEntry> entries;
+  for (const EngineDigest& digest : message.digests) {
+    entries.push_back({digest.engine_key, digest.load.running_online});
+  }
+  context_.replicas.set_peer_load(message.sender.id, entries, now);
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/peer_link.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "dockpoint/membership/membership.hpp"
+#include "gateway/gateway_context.hpp"
+
+namespace dockpoint {
+
+/// Where this node is met by the others.
+struct PeerAddresses {
+  std::string datagrams;  ///< `IP:port` for messages between nodes.
+  std::string frontend;   ///< `IP:port` for callers.
+  std::string control;    ///< `IP:port` for calls between nodes.
+};
+
+/// Datagrams between nodes: membership, versions of the configuration, and digests of load.
+/// Single-threaded; borrows the context.
+class PeerLink : private PeerSender {
+ public:
+  /// Called when a message shows that `member` has a newer configuration than this node.
+  using NewerConfiguration = std::function<void(const Member& member, std::uint64_t version)>;
+
+  PeerLink(GatewayContext& context, const PeerAddresses& addresses, std::string zone,
+           std::uint64_t run, NewerConfiguration on_newer);
+
+  /// @throws boost::system::system_error if the address cannot be bound.
+  void open();
+  void set_candidates(const std::vector<std::string>& datagram_addresses);
+  void set_configuration_version(std::uint64_t version);
+  void set_pending_items(std::size_t items);
+  void tick(TimePoint now);
+  /// Tells the others that this node takes no new callers.
+  void leave();
+
+  /// @return frontend addresses of nodes that callers may use now.
+  std::vector<std::string> frontends() const;
+  /// @return control addresses of the other nodes that are alive.
+  std::vector<std::string> control_addresses() const;
+  int busy_nodes() const { return membership_.nodes_with_pending_batch(); }
+
+ private:
+  void send(const std::string& address, const PeerMessage& message) override;
+  void send_bytes(const std::string& address, const std::string& bytes);
+  void receive();
+  void on_datagram(std::size_t bytes);
+  void take_digest(const PeerMessage& message, TimePoint now);
+  void send_digest(TimePoint now);
+
+  GatewayContext& context_;
+  const PeerAddresses addresses_;
+  Membership membership_;
+  NewerConfiguration on_newer_;
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::ip::udp::endpoint sender_;
+  std::array<char, kMaximumDatagramBytes + 1> buffer_{};
+  std::uint64_t configuration_version_ = 0;
+  TimePoint next_digest_{};
+  bool digest_was_empty_ = true;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/log/keyed_watch.cpp
@@ -0,0 +1,139 @@
+#include "dockpoint/log/keyed_watch.hpp"
+
+#include <algorithm>
+
+namespace dockpoint {
+
+KeyedWatch::KeyedWatch(const Knobs& knobs, PartitionedLog& log, TopicPartition partition,
+                       std::uint64_t seed, KeyedWatchObserver& observer)
+    : knobs_(knobs),
+      log_(log),
+      partition_(std::move(partition)),
+      random_(seed),
+      observer_(observer) {}
+
+KeyedWatch::~KeyedWatch() { state_->alive = false; }
+
+void KeyedWatch::tick(TimePoint now) {
+  now_ = now;
+  if (state_->calling || now < state_->retry_at) {
+    return;
+  }
+  if (state_->loaded) {
+    follow();
+  } else {
+    load_page();
+  }
+}
+
+void KeyedWatch::load_page() {
+  state_->calling = true;
+  log_.newest(partition_, state_->page_key, [this, state = state_](NewestOutcome outcome) {
+    if (state->alive) {
+      state->calling = false;
+      take_page(std::move(outcome));
+    }
+  });
+}
+
+void KeyedWatch::take_page(NewestOutcome outcome) {
+  if (outcome.status != LogStatus::kOk) {
+    fail();
+    return;
+  }
+  succeed();
+  if (state_->first_page) {
+    state_->first_page = false;
+    state_->load_end = outcome.end;
+  }
+  if (!outcome.records.empty()) {
+    state_->page_key = outcome.records.back().key;
+  }
+  std::move(outcome.records.begin(), outcome.records.end(), std::back_inserter(state_->pages));
+  if (outcome.more && !state_->pages.empty()) {
+    load_page();
+    return;
+  }
+  const std::vector<KeyedRecord> records = std::move(state_->pages);
+  state_->pages.clear();
+  state_->page_key.clear();
+  state_->first_page = true;
+  state_->loaded = true;
+  state_->next = state_->load_end;
+  state_->offsets.clear();
+  for (const KeyedRecord& record : records) {
+    state_->offsets[record.key] = record.offset;
+  }
+  const auto state = state_;
+  observer_.on_snapshot(records);
+  if (state->alive) {
+    state->current = true;
+    observer_.on_current();
+  }
+  if (state->alive) {
+    follow();
+  }
+}
+
+void KeyedWatch::follow() {
+  state_->calling = true;
+  log_.read(partition_, state_->next, knobs_.watch_wait, [this, state = state_](ReadOutcome outcome) {
+    if (state->alive) {
+      state->calling = false;
+      take_records(std::move(outcome));
+    }
+  });
+}
+
+void KeyedWatch::take_records(ReadOutcome outcome) {
+  if (outcome.status == LogStatus::kForgotten) {
+    state_->loaded = false;
+    load_page();
+    return;
+  }
+  if (outcome.status != LogStatus::kOk) {
+    fail();
+    return;
+  }
+  succeed();
+  const auto state = state_;
+  for (const KeyedRecord& record : outcome.records) {
+    state->next = std::max(state->next, record.offset + 1);
+    const auto [known, added] = state->offsets.try_emplace(record.key, record.offset);
+    if (!added && known->second >= record.offset) {
+      continue;
+    }
+    known->second = record.offset;
+    observer_.on_record(record);
+    if (!state->alive) {
+      return;
+    }
+  }
+  observer_.on_current();
+  if (state->alive) {
+    follow();
+  }
+}
+
+void KeyedWatch::fail() {
+  ++state_->failures;
+  const int doublings = std::min(state_->failures - 1, 4);
+  const Duration limit = std::min(knobs_.log_retry_delay * (1 << doublings),
+                                  knobs_.log_retry_delay_limit);
+  std::uniform_int_distribution<std::int64_t> spread(limit.count() / 2, limit.count());
+  state_->retry_at = now_ + Duration(spread(random_));
+  if (state_->reachable) {
+    state_->reachable = false;
+    observer_.on_reachable(false);
+  }
+}
+
+void KeyedWatch::succeed() {
+  state_->failures = 0;
+  if (!state_->reachable) {
+    state_->reachable = true;
+    observer_.on_reachable(true);
+  }
+}
+
+}  // namespace dockpoint
--- a/src/log/log_wire.hpp
+++ b/src/log/log_wire.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <msgpack.hpp>
+#include "dockpoint/core/codec.hpp"
 #include <string>
 #include <vector>
 
@@ -12,7 +12,7 @@
   std::uint64_t first = 0;
   std::vector<std::string> records;
   std::uint64_t end = 0;
-  MSGPACK_DEFINE(first, records, end)
+  DOCKPOINT_FIELDS(first, records, end)
 };
 
 }  // namespace dockpoint
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,406 @@
+#include "net/http_client.hpp"
+
+#include <Poco/NumberParser.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+#include "net/clock.hpp"
+
+namespace dockpoint::net {
+namespace {
+
+using ErrorCode = boost::system::error_code;
+
+/// A kept connection is left this long before the server would close it.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(600);
+
+/// Most kept connections to one server.
+constexpr std::size_t kMaximumIdle = 24;
+
+/// Seconds after which an idle connection to a server is probed.
+constexpr int kServerKeepaliveSeconds = 2;
+
+/// @return the `timeout` of a `Keep-Alive` header.
+std::optional<Duration> keep_alive_timeout(std::string_view value) {
+  constexpr std::string_view kKey = "timeout=";
+  const std::size_t start = value.find(kKey);
+  if (start == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view digits = value.substr(start + kKey.size());
+  const std::size_t end = std::min(digits.find_first_not_of("0123456789"), digits.size());
+  unsigned seconds = 0;
+  if (!Poco::NumberParser::tryParseUnsigned(std::string(digits.substr(0, end)), seconds)) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+Call::~Call() { cancel(); }
+
+void Call::cancel() {
+  observer_ = nullptr;
+  if (const auto connection = std::exchange(connection_, nullptr)) {
+    connection->abandon();
+  }
+}
+
+void Call::pause_reading() {
+  if (connection_ && connection_->connection_) {
+    connection_->connection_->pause();
+  }
+}
+
+void Call::resume_reading() {
+  if (connection_ && connection_->connection_) {
+    connection_->connection_->resume();
+  }
+}
+
+HttpClient::~HttpClient() {
+  retain([](const Endpoint&) { return false; });
+}
+
+CallPtr HttpClient::start(const Endpoint& endpoint, std::string bytes, const CallOptions& options,
+                          CallObserver& observer) {
+  const TimePoint now = steady_now();
+  ++counts_.calls;
+  CallPtr call(new Call(observer, std::move(bytes)));
+  while (const auto connection = take_idle(endpoint, now, options.maximum_idle)) {
+    if (connection->send(call)) {
+      call->reused_ = true;
+      return call;
+    }
+  }
+  ++counts_.connections;
+  const auto connection = std::make_shared<ClientConnection>(*this, endpoint);
+  connection->connect(options, call, now);
+  return call;
+}
+
+std::shared_ptr<ClientConnection> HttpClient::take_idle(const Endpoint& endpoint, TimePoint now,
+                                                        Duration maximum_idle) {
+  const auto found = idle_.find(endpoint);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  std::shared_ptr<ClientConnection> taken;
+  std::vector<std::shared_ptr<ClientConnection>> stale;
+  auto& connections = found->second;
+  while (!connections.empty() && !taken) {
+    const auto candidate = connections.back();
+    connections.pop_back();
+    const Duration limit = std::min(maximum_idle, candidate->server_idle_limit_ - kIdleMargin);
+    if (now - candidate->idle_since_ <= limit && candidate->connection_->quiet()) {
+      taken = candidate;
+    } else {
+      stale.push_back(candidate);
+    }
+  }
+  if (connections.empty()) {
+    idle_.erase(found);
+  }
+  for (const auto& connection : stale) {
+    connection->abandon();
+  }
+  return taken;
+}
+
+void HttpClient::keep(const std::shared_ptr<ClientConnection>& connection) {
+  auto& connections = idle_[connection->endpoint()];
+  if (connections.size() >= kMaximumIdle) {
+    connection->abandon();
+    return;
+  }
+  connection->idle_since_ = steady_now();
+  connections.push_back(connection);
+}
+
+void HttpClient::forget(const std::shared_ptr<ClientConnection>& connection) {
+  connecting_.erase(connection);
+  const auto found = idle_.find(connection->endpoint());
+  if (found != idle_.end()) {
+    std::erase(found->second, connection);
+    if (found->second.empty()) {
+      idle_.erase(found);
+    }
+  }
+}
+
+void HttpClient::retain(const std::function<bool(const Endpoint&)>& keep) {
+  for (auto entry = idle_.begin(); entry != idle_.end();) {
+    if (keep(entry->first)) {
+      ++entry;
+      continue;
+    }
+    const auto connections = std::move(entry->second);
+    entry = idle_.erase(entry);
+    for (const auto& connection : connections) {
+      connection->abandon();
+    }
+  }
+}
+
+void HttpClient::tick(TimePoint now) {
+  const auto connecting = connecting_;
+  for (const auto& connection : connecting) {
+    if (now >= connection->connect_deadline_) {
+      connection->fail_connect();
+    }
+  }
+  std::vector<std::shared_ptr<ClientConnection>> expired;
+  for (const auto& [endpoint, connections] : idle_) {
+    for (const auto& connection : connections) {
+      if (now - connection->idle_since_ > connection->server_idle_limit_ - kIdleMargin) {
+        expired.push_back(connection);
+      }
+    }
+  }
+  for (const auto& connection : expired) {
+    forget(connection);
+    connection->abandon();
+  }
+}
+
+ClientConnection::ClientConnection(HttpClient& client, Endpoint endpoint)
+    : client_(&client), endpoint_(std::move(endpoint)) {}
+
+void ClientConnection::connect(const CallOptions& options, const CallPtr& call, TimePoint now) {
+  call_ = call;
+  call->connection_ = shared_from_this();
+  connect_deadline_ = now + options.connect_timeout;
+  connecting_ = std::make_unique<tcp::socket>(client_->loop_);
+  ErrorCode error;
+  connecting_->open(tcp::v4(), error);
+  const auto address = boost::asio::ip::make_address(endpoint_.address.host, error);
+  set_user_timeout(*connecting_, options.user_timeout_ms);
+  set_keepalive(*connecting_, kServerKeepaliveSeconds);
+  client_->connecting_.insert(shared_from_this());
+  connecting_->async_connect(
+      tcp::endpoint(address, endpoint_.address.port),
+      [self = shared_from_this()](const ErrorCode& result) { self->on_connected(result); });
+}
+
+void ClientConnection::on_connected(const ErrorCode& error) {
+  if (!connecting_) {
+    return;  // Given up meanwhile.
+  }
+  if (error) {
+    fail_connect();
+    return;
+  }
+  client_->connecting_.erase(shared_from_this());
+  connection_ = std::make_shared<TcpConnection>(std::move(*connecting_), *this);
+  connecting_.reset();
+  const CallPtr call = std::exchange(call_, nullptr);
+  connection_->start();
+  if (!send(call)) {
+    call_ = call;
+    fail(CallFailure::kNotSent);
+  }
+}
+
+void ClientConnection::fail_connect() {
+  if (connecting_) {
+    ErrorCode ignored;
+    connecting_->close(ignored);
+    connecting_.reset();
+  }
+  fail(CallFailure::kNotSent);
+}
+
+bool ClientConnection::send(const CallPtr& call) {
+  if (!connection_ || !input_.empty() || !connection_->send(call->bytes_)) {
+    abandon();
+    return false;
+  }
+  call_ = call;
+  call->connection_ = shared_from_this();
+  call->sent_ = true;
+  std::string().swap(call->bytes_);
+  head_taken_ = false;
+  begin_answer();
+  return true;
+}
+
+void ClientConnection::begin_answer() {
+  skipping_ = false;
+  keep_alive_ = true;
+  parser_ = std::make_unique<ResponseParser>(
+      [this](const ResponseHead& head) {
+        note_keep_alive(head);
+        const CallPtr call = call_;
+        skipping_ = !call || call->observer_ == nullptr || !call->observer_->on_head(head);
+        head_taken_ = head_taken_ || !skipping_;
+      },
+      [this](std::string_view bytes) {
+        const CallPtr call = call_;
+        if (!skipping_ && call && call->observer_ != nullptr) {
+          call->observer_->on_body(bytes);
+        }
+      });
+}
+
+void ClientConnection::note_keep_alive(const ResponseHead& head) {
+  keep_alive_ = head.keep_alive;
+  if (const auto limit = keep_alive_timeout(head.headers.get("Keep-Alive"))) {
+    server_idle_limit_ = *limit;
+  }
+}
+
+void ClientConnection::on_bytes(std::string_view bytes) {
+  const auto self = shared_from_this();
+  if (!call_) {
+    // Bytes that belong to nobody: nothing more is asked on this connection.
+    abandon();
+    return;
+  }
+  input_.append(bytes);
+  parse();
+}
+
+void ClientConnection::parse() {
+  while (call_ && parser_ && !input_.empty()) {
+    const ParseStatus status = parser_->feed(input_);
+    if (!call_) {
+      return;  // Cancelled by its observer.
+    }
+    if (status == ParseStatus::kNeedMore) {
+      return;
+    }
+    if (status != ParseStatus::kDone) {
+      fail(head_taken_ ? CallFailure::kInterrupted : CallFailure::kMalformed);
+      return;
+    }
+    if (!skipping_ && parser_->head().status / 100 != 1) {
+      complete();
+      return;
+    }
+    if (!keep_alive_) {
+      fail(CallFailure::kNoAnswer);
+      return;
+    }
+    begin_answer();
+  }
+}
+
+void ClientConnection::complete() {
+  const auto self = shared_from_this();
+  const CallPtr call = std::exchange(call_, nullptr);
+  call->connection_.reset();
+  if (keep_alive_ && input_.empty() && connection_ && connection_->open()) {
+    client_->keep(self);
+  } else {
+    abandon();
+  }
+  if (call->observer_ != nullptr) {
+    std::exchange(call->observer_, nullptr)->on_complete();
+  }
+}
+
+void ClientConnection::on_closed(bool clean) {
+  const auto self = shared_from_this();
+  if (!call_) {
+    abandon();
+    return;
+  }
+  if (clean && parser_ && parser_->feed_end() && !skipping_) {
+    keep_alive_ = false;
+    complete();
+    return;
+  }
+  fail(head_taken_ ? CallFailure::kInterrupted : CallFailure::kNoAnswer);
+}
+
+void ClientConnection::fail(CallFailure failure) {
+  const auto self = shared_from_this();
+  const CallPtr call = std::exchange(call_, nullptr);
+  abandon();
+  if (!call) {
+    return;
+  }
+  call->connection_.reset();
+  if (call->observer_ != nullptr) {
+    std::exchange(call->observer_, nullptr)->on_failure(failure);
+  }
+}
+
+void ClientConnection::abandon() {
+  const auto self = shared_from_this();
+  if (connecting_) {
+    ErrorCode ignored;
+    connecting_->close(ignored);
+    connecting_.reset();
+  }
+  if (connection_) {
+    connection_->detach();
+    connection_->close();
+  }
+  call_.reset();
+  client_->forget(self);
+}
+
+/// Ends a simple call that takes too long.
+struct SimpleCall::Timer {
+  explicit Timer(boost::asio::io_context& loop) : timer(loop) {}
+  boost::asio::steady_timer timer;
+};
+
+SimpleCall::SimpleCall(boost::asio::io_context& loop) : timer_(std::make_shared<Timer>(loop)) {}
+
+std::shared_ptr<SimpleCall> SimpleCall::start(HttpClient& client, boost::asio::io_context& loop,
+                                              const Endpoint& endpoint, std::string bytes,
+                                              const CallOptions& options, Duration timeout,
+                                              Done done) {
+  std::shared_ptr<SimpleCall> simple(new SimpleCall(loop));
+  simple->self_ = simple;
+  simple->done_ = std::move(done);
+  simple->timer_->timer.expires_after(timeout);
+  simple->timer_->timer.async_wait([weak = std::weak_ptr(simple)](const ErrorCode& error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      const bool sent = self->call_ && self->call_->sent();
+      if (self->call_) {
+        self->call_->cancel();
+      }
+      self->finish(sent ? CallFailure::kNoAnswer : CallFailure::kNotSent);
+    }
+  });
+  simple->call_ = client.start(endpoint, std::move(bytes), options, *simple);
+  return simple;
+}
+
+void SimpleCall::cancel() {
+  done_ = nullptr;
+  if (call_) {
+    call_->cancel();
+  }
+  finish(std::nullopt);
+}
+
+bool SimpleCall::on_head(const ResponseHead& head) {
+  outcome_.head = head;
+  return true;
+}
+
+void SimpleCall::on_body(std::string_view bytes) { outcome_.body.append(bytes); }
+
+void SimpleCall::on_complete() { finish(std::nullopt); }
+
+void SimpleCall::on_failure(CallFailure failure) { finish(failure); }
+
+void SimpleCall::finish(std::optional<CallFailure> failure) {
+  const auto self = std::exchange(self_, nullptr);
+  timer_->timer.cancel();
+  outcome_.failure = failure;
+  if (const Done done = std::exchange(done_, nullptr)) {
+    done(std::move(outcome_));
+  }
+}
+
+}  // namespace dockpoint::net
--- /dev/null
+++ b/src/net/http_parser.cpp
@@ -0,0 +1,171 @@
+#include "net/http_parser.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <limits>
+#include <utility>
+
+namespace dockpoint::net {
+namespace http = boost::beast::http;
+namespace {
+
+/// Longest head of an answer, in bytes.
+constexpr std::uint32_t kResponseHeaderLimit = 64 * 1024;
+
+/// Largest body that is reserved at once, in bytes.
+constexpr std::uint64_t kReserveLimit = 256 * 1024;
+
+ParseStatus status_of(const boost::beast::error_code& error) {
+  if (error == http::error::header_limit) {
+    return ParseStatus::kHeaderTooLarge;
+  }
+  if (error == http::error::body_limit) {
+    return ParseStatus::kBodyTooLarge;
+  }
+  return ParseStatus::kMalformed;
+}
+
+/// Feeds `parser` until it is done or has no use for the rest.
+template <class Parser>
+ParseStatus feed_parser(Parser& parser, std::string& buffer) {
+  std::size_t consumed = 0;
+  ParseStatus status = ParseStatus::kNeedMore;
+  while (consumed < buffer.size() && !parser.is_done()) {
+    boost::beast::error_code error;
+    const std::size_t taken = parser.put(
+        boost::asio::const_buffer(buffer.data() + consumed, buffer.size() - consumed), error);
+    consumed += taken;
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      status = status_of(error);
+      break;
+    }
+    if (taken == 0) {
+      break;
+    }
+  }
+  if (parser.is_done() && status == ParseStatus::kNeedMore) {
+    status = ParseStatus::kDone;
+  }
+  buffer.erase(0, consumed);
+  return status;
+}
+
+}  // namespace
+
+RequestParser::RequestParser(std::uint32_t header_limit, std::uint64_t body_limit_bytes) {
+  this->header_limit(header_limit);
+  this->body_limit(body_limit_bytes);
+  this->eager(true);
+}
+
+ParseStatus RequestParser::feed(std::string& buffer) {
+  started_ = started_ || !buffer.empty();
+  const ParseStatus status = feed_parser(static_cast<basic_parser<true>&>(*this), buffer);
+  head_.keep_alive = is_header_done() && keep_alive();
+  return status;
+}
+
+void RequestParser::on_request_impl(http::verb /*method*/, String method_text, String target,
+                                    int /*version*/, ErrorCode& /*error*/) {
+  head_.method.assign(method_text.data(), method_text.size());
+  head_.target.assign(target.data(), target.size());
+}
+
+void RequestParser::on_response_impl(int /*code*/, String /*reason*/, int /*version*/,
+                                     ErrorCode& /*error*/) {}
+
+void RequestParser::on_field_impl(http::field /*field*/, String name, String value,
+                                  ErrorCode& /*error*/) {
+  head_.headers.add(std::string(name.data(), name.size()),
+                    std::string(value.data(), value.size()));
+}
+
+void RequestParser::on_header_impl(ErrorCode& /*error*/) {}
+
+void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                                      ErrorCode& /*error*/) {
+  if (length) {
+    body_.reserve(static_cast<std::size_t>(std::min(*length, kReserveLimit)));
+  }
+}
+
+std::size_t RequestParser::on_body_impl(String bytes, ErrorCode& /*error*/) {
+  body_.append(bytes.data(), bytes.size());
+  return bytes.size();
+}
+
+void RequestParser::on_chunk_header_impl(std::uint64_t /*size*/, String /*extensions*/,
+                                         ErrorCode& /*error*/) {}
+
+std::size_t RequestParser::on_chunk_body_impl(std::uint64_t /*remaining*/, String bytes,
+                                              ErrorCode& /*error*/) {
+  body_.append(bytes.data(), bytes.size());
+  return bytes.size();
+}
+
+void RequestParser::on_finish_impl(ErrorCode& /*error*/) {}
+
+ResponseParser::ResponseParser(HeadSink on_head, BodySink on_body)
+    : on_head_(std::move(on_head)), on_body_(std::move(on_body)) {
+  this->header_limit(kResponseHeaderLimit);
+  this->body_limit(boost::none);
+  this->eager(true);
+}
+
+ParseStatus ResponseParser::feed(std::string& buffer) {
+  return feed_parser(static_cast<basic_parser<false>&>(*this), buffer);
+}
+
+bool ResponseParser::feed_end() {
+  if (!is_header_done() || is_done()) {
+    return is_done();
+  }
+  ErrorCode error;
+  put_eof(error);
+  return !error && is_done();
+}
+
+void ResponseParser::on_request_impl(http::verb /*method*/, String /*method_text*/,
+                                     String /*target*/, int /*version*/, ErrorCode& /*error*/) {}
+
+void ResponseParser::on_response_impl(int code, String reason, int /*version*/,
+                                      ErrorCode& /*error*/) {
+  head_.status = code;
+  head_.reason.assign(reason.data(), reason.size());
+}
+
+void ResponseParser::on_field_impl(http::field /*field*/, String name, String value,
+                                   ErrorCode& /*error*/) {
+  head_.headers.add(std::string(name.data(), name.size()),
+                    std::string(value.data(), value.size()));
+}
+
+void ResponseParser::on_header_impl(ErrorCode& /*error*/) {
+  head_.ends_with_connection = !chunked() && !content_length();
+  head_.keep_alive = keep_alive() && !head_.ends_with_connection;
+  on_head_(head_);
+}
+
+void ResponseParser::on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                                       ErrorCode& /*error*/) {}
+
+std::size_t ResponseParser::on_body_impl(String bytes, ErrorCode& /*error*/) {
+  on_body_({bytes.data(), bytes.size()});
+  return bytes.size();
+}
+
+void ResponseParser::on_chunk_header_impl(std::uint64_t /*size*/, String /*extensions*/,
+                                          ErrorCode& /*error*/) {}
+
+std::size_t ResponseParser::on_chunk_body_impl(std::uint64_t /*remaining*/, String bytes,
+                                               ErrorCode& /*error*/) {
+  on_body_({bytes.data(), bytes.size()});
+  return bytes.size();
+}
+
+void ResponseParser::on_finish_impl(ErrorCode& /*error*/) {}
+
+}  // namespace dockpoint::net
--- /dev/null
+++ b/src/net/http_parser.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "net/http_message.hpp"
+
+/// Incremental parsing of HTTP/1.1 (Boost.Beast), fed with whatever bytes have arrived.
+namespace dockpoint::net {
+
+/// How far a parser came with the bytes that it was given.
+enum class ParseStatus {
+  kNeedMore,
+  kDone,
+  kHeaderTooLarge,
+  kBodyTooLarge,
+  kMalformed,
+};
+
+/// Parses one request and keeps its body. Not thread-safe.
+class RequestParser : private boost::beast::http::basic_parser<true> {
+ public:
+  /// @param header_limit, body_limit in bytes.
+  RequestParser(std::uint32_t header_limit, std::uint64_t body_limit);
+
+  /// Takes bytes from the front of `buffer`, which keeps what belongs to the next request.
+  ParseStatus feed(std::string& buffer);
+
+  /// @return whether the head is complete.
+  bool has_head() const { return is_header_done(); }
+  /// @return whether any byte was taken.
+  bool started() const { return started_; }
+  RequestHead& head() { return head_; }
+  std::string& body() { return body_; }
+
+ private:
+  using String = boost::beast::string_view;
+  using ErrorCode = boost::beast::error_code;
+
+  void on_request_impl(boost::beast::http::verb method, String method_text, String target,
+                       int version, ErrorCode& error) override;
+  void on_response_impl(int code, String reason, int version, ErrorCode& error) override;
+  void on_field_impl(boost::beast::http::field field, String name, String value,
+                     ErrorCode& error) override;
+  void on_header_impl(ErrorCode& error) override;
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length, ErrorCode& error) override;
+  std::size_t on_body_impl(String bytes, ErrorCode& error) override;
+  void on_chunk_header_impl(std::uint64_t size, String extensions, ErrorCode& error) override;
+  std::size_t on_chunk_body_impl(std::uint64_t remaining, String bytes, ErrorCode& error) override;
+  void on_finish_impl(ErrorCode& error) override;
+
+  RequestHead head_;
+  std::string body_;
+  bool started_ = false;
+};
+
+/// Parses one answer and passes its body on as it comes. Not thread-safe.
+class ResponseParser : private boost::beast::http::basic_parser<false> {
+ public:
+  /// Called with a piece of the body.
+  using BodySink = std::function<void(std::string_view)>;
+  /// Called when the head is complete, before any byte of the body.
+  using HeadSink = std::function<void(const ResponseHead&)>;
+
+  ResponseParser(HeadSink on_head, BodySink on_body);
+
+  /// Takes bytes from the front of `buffer`, which keeps what lies behind the answer.
+  ParseStatus feed(std::string& buffer);
+  /// Tells that the peer has closed its side.
+  /// @return whether the answer is complete with that.
+  bool feed_end();
+
+  bool has_head() const { return is_header_done(); }
+  const ResponseHead& head() const { return head_; }
+
+ private:
+  using String = boost::beast::string_view;
+  using ErrorCode = boost::beast::error_code;
+
+  void on_request_impl(boost::beast::http::verb method, String method_text, String target,
+                       int version, ErrorCode& error) override;
+  void on_response_impl(int code, String reason, int version, ErrorCode& error) override;
+  void on_field_impl(boost::beast::http::field field, String name, String value,
+                     ErrorCode& error) override;
+  void on_header_impl(ErrorCode& error) override;
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length, ErrorCode& error) override;
+  std::size_t on_body_impl(String bytes, ErrorCode& error) override;
+  void on_chunk_header_impl(std::uint64_t size, String extensions, ErrorCode& error) override;
+  std::size_t on_chunk_body_impl(std::uint64_t remaining, String bytes, ErrorCode& error) override;
+  void on_finish_impl(ErrorCode& error) override;
+
+  ResponseHead head_;
+  HeadSink on_head_;
+  BodySink on_body_;
+};
+
+}  // namespace dockpoint::net
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,314 @@
+#include "net/http_server.hpp"
+
+#include <utility>
+
+#include "dockpoint/core/address.hpp"
+#include "net/clock.hpp"
+
+namespace dockpoint::net {
+namespace {
+
+using ErrorCode = boost::system::error_code;
+
+/// Most bytes that a client may send ahead of the answer it waits for.
+constexpr std::size_t kPipelineBytes = 256 * 1024;
+
+/// Backlog of connections that wait to be accepted.
+constexpr int kBacklog = 1024;
+
+/// After this time without acknowledgement a client's machine counts as gone, in milliseconds.
+constexpr int kClientUserTimeoutMs = 8'000;
+
+/// Seconds after which an idle client connection is probed.
+constexpr int kClientKeepaliveSeconds = 5;
+
+int status_of(ParseStatus status) {
+  switch (status) {
+    case ParseStatus::kHeaderTooLarge:
+      return 431;
+    case ParseStatus::kBodyTooLarge:
+      return 413;
+    default:
+      return 400;
+  }
+}
+
+}  // namespace
+
+Exchange::Exchange(std::weak_ptr<ServerConnection> connection, RequestHead head, std::string body,
+                   TimePoint received)
+    : connection_(std::move(connection)),
+      head_(std::move(head)),
+      body_(std::move(body)),
+      received_(received) {}
+
+void Exchange::respond(int status, Headers headers, std::string_view body) {
+  const auto connection = connection_.lock();
+  if (answered_ || !connection) {
+    return;
+  }
+  answered_ = true;
+  ended_ = true;
+  const bool keep = connection->keeps_alive();
+  if (!keep) {
+    headers.set("Connection", "close");
+  }
+  headers.set("Content-Length", std::to_string(body.size()));
+  std::string bytes = serialize(ResponseHead{status, {}, std::move(headers)});
+  bytes += body;
+  connection->send(bytes);
+  connection->finish(keep);
+}
+
+void Exchange::begin(ResponseHead head) {
+  const auto connection = connection_.lock();
+  if (answered_ || !connection) {
+    return;
+  }
+  answered_ = true;
+  if (!connection->keeps_alive()) {
+    head.headers.set("Connection", "close");
+    connection->keep_alive_ = false;
+  }
+  head.headers.set("Transfer-Encoding", "chunked");
+  connection->send(serialize(head));
+}
+
+void Exchange::write(std::string_view bytes) {
+  const auto connection = connection_.lock();
+  if (!ended_ && connection && !bytes.empty()) {
+    connection->send(as_chunk(bytes));
+  }
+}
+
+void Exchange::end() {
+  const auto connection = connection_.lock();
+  if (ended_ || !connection) {
+    return;
+  }
+  ended_ = true;
+  connection->send(as_chunk({}));
+  connection->finish(connection->keep_alive_);
+}
+
+void Exchange::abort() {
+  const auto connection = connection_.lock();
+  if (ended_ || !connection) {
+    return;
+  }
+  answered_ = true;
+  ended_ = true;
+  connection->connection_->reset();
+  connection->drop();
+}
+
+std::size_t Exchange::pending_output() const {
+  const auto connection = connection_.lock();
+  return connection ? connection->connection_->pending_output() : 0;
+}
+
+HttpServer::HttpServer(boost::asio::io_context& loop, Handler handler)
+    : loop_(loop), handler_(std::move(handler)), acceptor_(loop) {}
+
+HttpServer::~HttpServer() {
+  for (const auto& connection : std::exchange(connections_, {})) {
+    connection->close();
+  }
+}
+
+void HttpServer::listen(const std::string& address) {
+  const std::optional<Address> parsed = Address::parse(address);
+  const tcp::endpoint endpoint(
+      boost::asio::ip::make_address(parsed ? parsed->host : std::string{}),
+      parsed ? parsed->port : std::uint16_t{0});
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen(kBacklog);
+  accept();
+}
+
+void HttpServer::stop_accepting() {
+  ErrorCode ignored;
+  acceptor_.close(ignored);
+}
+
+void HttpServer::accept() {
+  acceptor_.async_accept([this](const ErrorCode& error, tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted || !acceptor_.is_open()) {
+      return;
+    }
+    if (!error) {
+      set_user_timeout(socket, kClientUserTimeoutMs);
+      set_keepalive(socket, kClientKeepaliveSeconds);
+      auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
+      connections_.insert(connection);
+      connection->start();
+    }
+    accept();
+  });
+}
+
+void HttpServer::remove(const std::shared_ptr<ServerConnection>& connection) {
+  connections_.erase(connection);
+}
+
+void HttpServer::close_idle() {
+  const auto connections = connections_;
+  for (const auto& connection : connections) {
+    if (connection->idle()) {
+      connection->close();
+    }
+  }
+}
+
+void HttpServer::tick(TimePoint now) {
+  const auto connections = connections_;
+  for (const auto& connection : connections) {
+    connection->tick(now);
+  }
+}
+
+std::size_t HttpServer::active() const {
+  std::size_t count = 0;
+  for (const auto& connection : connections_) {
+    count += connection->idle() ? 0 : 1;
+  }
+  return count;
+}
+
+ServerConnection::ServerConnection(HttpServer& server, tcp::socket socket)
+    : server_(&server),
+      connection_(std::make_shared<TcpConnection>(std::move(socket), *this)),
+      since_(steady_now()) {
+  new_parser();
+}
+
+void ServerConnection::start() { connection_->start(); }
+
+void ServerConnection::new_parser() {
+  parser_ = std::make_unique<RequestParser>(server_->limits_.header_bytes,
+                                            server_->limits_.body_bytes);
+  continue_sent_ = false;
+}
+
+void ServerConnection::on_bytes(std::string_view bytes) {
+  const auto self = shared_from_this();
+  if (idle()) {
+    since_ = steady_now();
+  }
+  input_.append(bytes);
+  if (exchange_) {
+    if (input_.size() > kPipelineBytes) {
+      connection_->pause();
+    }
+    return;
+  }
+  parse();
+}
+
+void ServerConnection::parse() {
+  if (parsing_) {
+    return;  // `finish` was called from within the handler; the loop below goes on.
+  }
+  parsing_ = true;
+  while (!exchange_ && !input_.empty() && connection_->open()) {
+    const ParseStatus status = parser_->feed(input_);
+    if (status == ParseStatus::kDone) {
+      dispatch();
+      continue;
+    }
+    if (status != ParseStatus::kNeedMore) {
+      refuse(status_of(status));
+    } else if (parser_->has_head() && !continue_sent_ &&
+               equal_names(parser_->head().headers.get("Expect"), "100-continue")) {
+      continue_sent_ = true;
+      send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    break;
+  }
+  parsing_ = false;
+}
+
+void ServerConnection::dispatch() {
+  keep_alive_ = parser_->head().keep_alive;
+  exchange_ = std::make_shared<Exchange>(weak_from_this(), std::move(parser_->head()),
+                                         std::move(parser_->body()), steady_now());
+  new_parser();
+  const ExchangePtr exchange = exchange_;
+  server_->handler_(exchange);
+}
+
+void ServerConnection::refuse(int status) {
+  Headers headers{{"Connection", "close"}, {"Content-Length", "0"}};
+  send(serialize(ResponseHead{status, {}, std::move(headers)}));
+  connection_->close_after_output();
+  drop();
+}
+
+bool ServerConnection::send(std::string_view bytes) { return connection_->send(bytes); }
+
+bool ServerConnection::keeps_alive() const { return keep_alive_ && !server_->closing_; }
+
+void ServerConnection::finish(bool keep_alive) {
+  const auto self = shared_from_this();
+  exchange_.reset();
+  since_ = steady_now();
+  if (!keep_alive) {
+    connection_->close_after_output();
+    drop();
+    return;
+  }
+  connection_->resume();
+  parse();
+}
+
+void ServerConnection::on_closed(bool /*clean*/) {
+  const auto self = shared_from_this();
+  const ExchangePtr exchange = std::exchange(exchange_, nullptr);
+  drop();
+  if (exchange && !exchange->ended_) {
+    exchange->ended_ = true;
+    exchange->answered_ = true;
+    if (exchange->client_gone_) {
+      exchange->client_gone_();
+    }
+  }
+}
+
+void ServerConnection::on_drained() {
+  if (exchange_ && exchange_->drained_) {
+    const ExchangePtr exchange = exchange_;
+    exchange->drained_();
+  }
+}
+
+void ServerConnection::tick(TimePoint now) {
+  if (exchange_) {
+    return;
+  }
+  const Duration age = now - since_;
+  if (idle()) {
+    if (age > server_->limits_.idle_timeout) {
+      close();
+    }
+  } else if (age > server_->limits_.header_timeout && !parser_->has_head()) {
+    refuse(408);
+  } else if (age > server_->limits_.header_timeout + server_->limits_.idle_timeout) {
+    refuse(408);
+  }
+}
+
+void ServerConnection::close() {
+  connection_->detach();
+  connection_->close();
+  drop();
+}
+
+void ServerConnection::drop() {
+  connection_->detach();
+  exchange_.reset();
+  server_->remove(shared_from_this());
+}
+
+}  // namespace dockpoint::net
--- /dev/null
+++ b/src/routing/replica_directory.cpp
@@ -0,0 +1,172 @@
+#include "dockpoint/routing/replica_directory.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include "dockpoint/core/hash.hpp"
+
+namespace dockpoint {
+namespace {
+
+/// A load that a replica stated counts for this long.
+constexpr Duration kReportFresh = std::chrono::milliseconds(400);
+
+std::uint32_t digest_key(const std::string& id) { return static_cast<std::uint32_t>(hash64(id)); }
+
+}  // namespace
+
+int Replica::load(TimePoint now) const {
+  const int counted = online + batch + of_peers;
+  if (reported.waiting > 0 && now - reported_at < kReportFresh) {
+    return std::max(counted, reported.running + reported.waiting);
+  }
+  return counted;
+}
+
+void ReplicaDirectory::upsert(const ReplicaRecord& record, TimePoint now) {
+  const auto [entry, added] = replicas_.try_emplace(record.id);
+  Replica& replica = entry->second;
+  if (added) {
+    replica.key = digest_key(record.id);
+    replica.cold_until = now + record.cold_remaining;
+  }
+  replica.record = record;
+  ++revision_;
+  if (added) {
+    sum_peer_loads();
+  }
+}
+
+void ReplicaDirectory::remove(const std::string& id) {
+  if (replicas_.erase(id) > 0) {
+    ++revision_;
+  }
+}
+
+void ReplicaDirectory::retain(const std::vector<std::string>& ids) {
+  const std::set<std::string> kept(ids.begin(), ids.end());
+  if (std::erase_if(replicas_, [&](const auto& entry) { return !kept.contains(entry.first); }) > 0) {
+    ++revision_;
+  }
+}
+
+void ReplicaDirectory::started(const std::string& id, TrafficClass traffic, double prefill_tokens) {
+  if (Replica* replica = mutable_find(id)) {
+    ++(traffic == TrafficClass::kOnline ? replica->online : replica->batch);
+    replica->prefill_tokens += prefill_tokens;
+  }
+}
+
+void ReplicaDirectory::prefilled(const std::string& id, double prefill_tokens) {
+  if (Replica* replica = mutable_find(id)) {
+    replica->prefill_tokens = std::max(0.0, replica->prefill_tokens - prefill_tokens);
+  }
+}
+
+void ReplicaDirectory::ended(const std::string& id, TrafficClass traffic) {
+  if (Replica* replica = mutable_find(id)) {
+    int& count = traffic == TrafficClass::kOnline ? replica->online : replica->batch;
+    count = std::max(0, count - 1);
+  }
+}
+
+void ReplicaDirectory::signal(const std::string& id, ReplicaSignal signal, TimePoint now) {
+  Replica* replica = mutable_find(id);
+  if (replica == nullptr) {
+    return;
+  }
+  if (signal == ReplicaSignal::kAnswered) {
+    replica->failures_in_row = 0;
+    replica->ejections = 0;
+    replica->ejected_until = {};
+    return;
+  }
+  ++replica->failures_in_row;
+  if (signal == ReplicaSignal::kUnreachable ||
+      replica->failures_in_row >= knobs_.replica_ejection_failures) {
+    eject(*replica, now);
+  }
+}
+
+void ReplicaDirectory::eject(Replica& replica, TimePoint now) {
+  if (ejected(replica, now)) {
+    return;  // Further requests that were under way fail for the same reason.
+  }
+  const int doublings = std::min(replica.ejections, 10);
+  const Duration time = knobs_.replica_ejection_time * (1 << doublings);
+  replica.ejected_until = now + std::min(time, knobs_.replica_ejection_time_limit);
+  ++replica.ejections;
+}
+
+void ReplicaDirectory::report(const std::string& id, const ReportedLoad& load, TimePoint now) {
+  if (Replica* replica = mutable_find(id)) {
+    replica->reported = load;
+    replica->reported_at = now;
+  }
+}
+
+void ReplicaDirectory::set_peer_load(const std::string& node,
+                                     const std::vector<LoadDigestEntry>& entries, TimePoint now) {
+  PeerLoad& peer = peers_[node];
+  peer.received = now;
+  peer.in_flight.clear();
+  for (const LoadDigestEntry& entry : entries) {
+    peer.in_flight[entry.replica_key] = entry.in_flight;
+  }
+  sum_peer_loads();
+}
+
+void ReplicaDirectory::expire_peer_loads(TimePoint now) {
+  const Duration limit = knobs_.load_digest_lifetime;
+  if (std::erase_if(peers_, [&](const auto& entry) {
+        return now - entry.second.received > limit;
+      }) > 0) {
+    sum_peer_loads();
+  }
+}
+
+void ReplicaDirectory::sum_peer_loads() {
+  std::unordered_map<std::uint32_t, std::uint32_t> sums;
+  for (const auto& [node, peer] : peers_) {
+    for (const auto& [key, count] : peer.in_flight) {
+      sums[key] += count;
+    }
+  }
+  for (auto& [id, replica] : replicas_) {
+    const auto sum = sums.find(replica.key);
+    replica.of_peers = sum == sums.end() ? 0 : static_cast<int>(sum->second);
+  }
+}
+
+std::vector<LoadDigestEntry> ReplicaDirectory::own_load() const {
+  std::vector<LoadDigestEntry> entries;
+  for (const auto& [id, replica] : replicas_) {
+    const int in_flight = replica.online + replica.batch;
+    if (in_flight > 0) {
+      entries.push_back({replica.key, static_cast<std::uint32_t>(in_flight)});
+    }
+  }
+  return entries;
+}
+
+const Replica* ReplicaDirectory::find(const std::string& id) const {
+  const auto found = replicas_.find(id);
+  return found == replicas_.end() ? nullptr : &found->second;
+}
+
+Replica* ReplicaDirectory::mutable_find(const std::string& id) {
+  const auto found = replicas_.find(id);
+  return found == replicas_.end() ? nullptr : &found->second;
+}
+
+std::vector<const Replica*> ReplicaDirectory::ready(const std::string& service) const {
+  std::vector<const Replica*> result;
+  for (const auto& [id, replica] : replicas_) {
+    if (replica.record.service == service && !replica.record.draining) {
+      result.push_back(&replica);
+    }
+  }
+  return result;
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/streaming/event_framer.cpp
@@ -0,0 +1,81 @@
+#include "dockpoint/streaming/event_framer.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace dockpoint {
+namespace {
+
+/// @return the end of the first event in `bytes`, its empty line included, or npos.
+std::size_t end_of_event(std::string_view bytes, std::size_t search_from) {
+  for (std::size_t feed = bytes.find('\n', search_from); feed != std::string_view::npos;
+       feed = bytes.find('\n', feed + 1)) {
+    if (bytes.substr(feed + 1, 1) == "\n") {
+      return feed + 2;
+    }
+    if (bytes.substr(feed + 1, 2) == "\r\n") {
+      return feed + 3;
+    }
+  }
+  return std::string_view::npos;
+}
+
+/// @return the value of a field's line, without the one blank that may precede it.
+std::string_view value_after(std::string_view line, std::size_t colon) {
+  line.remove_prefix(std::min(colon + 1, line.size()));
+  if (line.starts_with(' ')) {
+    line.remove_prefix(1);
+  }
+  return line;
+}
+
+StreamEvent parse_event(std::string_view bytes) {
+  StreamEvent event{bytes, std::nullopt, {}};
+  bool has_data = false;
+  std::string_view rest = bytes;
+  while (!rest.empty()) {
+    const std::size_t feed = std::min(rest.find('\n'), rest.size());
+    std::string_view line = rest.substr(0, feed);
+    rest.remove_prefix(std::min(feed + 1, rest.size()));
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    const std::size_t colon = std::min(line.find(':'), line.size());
+    const std::string_view name = line.substr(0, colon);
+    const std::string_view value = value_after(line, colon);
+    if (name == "data") {
+      event.data += has_data ? "\n" : "";
+      event.data += value;
+      has_data = true;
+    } else if (name == "id") {
+      std::uint64_t number = 0;
+      const auto result = std::from_chars(value.data(), value.data() + value.size(), number);
+      if (result.ec == std::errc{}) {
+        event.id = number;
+      }
+    }
+  }
+  return event;
+}
+
+}  // namespace
+
+void EventFramer::feed(std::string_view bytes, const Sink& sink) {
+  // An event may end in bytes that came before: the empty line can be cut in two.
+  constexpr std::size_t kOverlap = 3;
+  std::size_t search_from = partial_.size() > kOverlap ? partial_.size() - kOverlap : 0;
+  partial_.append(bytes);
+  std::size_t start = 0;
+  while (true) {
+    const std::size_t end = end_of_event(partial_, std::max(start, search_from));
+    if (end == std::string::npos) {
+      break;
+    }
+    sink(parse_event(std::string_view(partial_).substr(start, end - start)));
+    start = end;
+    search_from = end;
+  }
+  partial_.erase(0, start);
+}
+
+}  // namespace dockpoint
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -149,16 +149,11 @@
   PeerMessage message;
   message.sender.id = "a";
   const std::string bytes = encode(message);
-  msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
-  const auto fields = handle.get().as<std::vector<msgpack::object>>();
-  msgpack::sbuffer longer;
-  msgpack::packer<msgpack::sbuffer> packer(longer);
-  packer.pack_array(static_cast<std::uint32_t>(fields.size() + 1));
-  for (const msgpack::object& field : fields) {
-    packer.pack(field);
-  }
-  packer.pack(std::string("from a later version"));
-  const auto decoded = decode_peer_message({longer.data(), longer.size()});
+  nlohmann::json fields = nlohmann::json::from_msgpack(bytes);
+  fields.push_back("from a later version");
+  std::string longer;
+  nlohmann::json::to_msgpack(fields, longer);
+  const auto decoded = decode_peer_message(longer);
   BOOST_TEST_REQUIRE(decoded.has_value());
   BOOST_TEST(decoded->sender.id == "a");
   message.version = kProtocolVersion + 1;
