Send requests elsewhere late in the grace time, and let callers keep addresses for one second

Ruled out: a replica's own cut. Change: answers of the resolver live 1 s, so that callers are gone after 3 s; from 0.55 of the grace time on requests are refused with a time to come back of 0.02 s; the process ends 0.3 s before the grace time is over.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,13 +16,19 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 
 /// Callers may keep an answer of the resolver for this long, if the settings allow it.
-constexpr Duration kAddressLifetime = std::chrono::seconds(2);
+constexpr Duration kAddressLifetime = std::chrono::seconds(1);
 
 /// Some callers keep an answer for this many times its lifetime.
 constexpr int kAddressOverstay = 3;
 
 /// The process ends this long before the grace time is over.
-constexpr Duration kGraceMargin = std::chrono::milliseconds(700);
+constexpr Duration kGraceMargin = std::chrono::milliseconds(300);
+
+/// Share of the grace time after which a request might not end in time: it is sent elsewhere.
+constexpr double kGraceForRequests = 0.55;
+
+/// Callers that are sent elsewhere may go at once.
+constexpr const char* kElsewhereRetryAfter = "0.02";
 
 /// Batch items may end for this long after the order to stop.
 constexpr Duration kItemGrace = std::chrono::milliseconds(2500);
@@ -149,6 +155,11 @@
     exchange->respond(503, {{"Retry-After", "0.5"}}, {});
     return;
   }
+  const Duration stopping_for = exchange->received() - stop_requested_at_;
+  if (stopping_ && stopping_for > std::chrono::duration_cast<Duration>(settings_.grace * kGraceForRequests)) {
+    exchange->respond(503, {{"Retry-After", kElsewhereRetryAfter}}, {});
+    return;
+  }
   const net::RequestHead& head = exchange->request();
   const net::Target target = net::Target::parse(head.target);
   if (const auto call = context_.protocol.read_job_call(head)) {
