Use load digests as heartbeats, so that callers are not sent to silent nodes

Change: digests always go out, and a node is left out after three missed ones, unless most are silent.

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -66,6 +66,7 @@
   Duration replica_ejection_time_limit = 8s;
   Duration load_digest_lifetime = 1500ms;      ///< A digest of another node counts for this long.
   Duration replica_digest_interval = 200ms;    ///< Between a node's digests, up to 20 nodes.
+  int missed_digests = 3;                      ///< Then callers are not sent to a node any more.
   double prefill_tokens_per_ms = 60;           ///< Assumed speed at which a replica reads prompts.
   double slot_pressure_ms = 10;                ///< Cost of a replica that is just full.
   double selection_jitter_ms = 0.5;            ///< Breaks ties differently at every node.
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -17,6 +17,9 @@
 /// interval grows with their number, so that a node's messages a second stay the same.
 constexpr std::size_t kDigestBaseNodes = 20;
 
+/// A gap between two rounds beyond this means that the process was paused.
+constexpr Duration kOwnPause = std::chrono::milliseconds(400);
+
 Member self_member(const GatewayContext& context, const PeerAddresses& addresses,
                    const std::string& zone, std::uint64_t run) {
   Member member;
@@ -65,6 +68,11 @@
 }
 
 void PeerLink::tick(TimePoint now) {
+  if (now - last_tick_ > kOwnPause) {
+    // This process stood still: silence of the others proves nothing.
+    silence_counts_from_ = now;
+  }
+  last_tick_ = now;
   membership_.tick(now);
   if (now >= next_digest_) {
     send_digest(now);
@@ -74,7 +82,8 @@
 void PeerLink::send_digest(TimePoint now) {
   const std::vector<const Member*> alive = membership_.alive();
   const std::size_t scale = 1 + alive.size() / kDigestBaseNodes;
-  next_digest_ = now + context_.knobs.replica_digest_interval * static_cast<int>(scale);
+  digest_interval_ = context_.knobs.replica_digest_interval * static_cast<int>(scale);
+  next_digest_ = now + digest_interval_;
   context_.replicas.expire_peer_loads(now);
   PeerMessage message = membership_.make_message(PeerMessageType::kLoadDigest);
   for (const LoadDigestEntry& entry : context_.replicas.own_load()) {
@@ -83,11 +92,6 @@
     digest.load.running_online = entry.in_flight;
     message.digests.push_back(digest);
   }
-  const bool empty = message.digests.empty();
-  if (empty && digest_was_empty_) {
-    return;
-  }
-  digest_was_empty_ = empty;
   const std::string bytes = encode(message);
   for (const Member* member : alive) {
     if (member->id != context_.node) {
@@ -98,16 +102,29 @@
 
 void PeerLink::leave() { membership_.leave(); }
 
+bool PeerLink::silent(const Member& member, TimePoint now) const {
+  if (member.id == context_.node) {
+    return false;
+  }
+  const auto heard = last_heard_.find(member.id);
+  const TimePoint since = heard == last_heard_.end()
+                              ? silence_counts_from_
+                              : std::max(heard->second, silence_counts_from_);
+  return now - since > digest_interval_ * context_.knobs.missed_digests;
+}
+
 std::vector<std::string> PeerLink::frontends() const {
+  const TimePoint now = net::steady_now();
   std::vector<std::string> sure;
   std::vector<std::string> all;
   for (const Member* member : membership_.alive()) {
     all.push_back(member->api_address);
-    if (member->state == MemberState::kAlive) {
+    if (member->state == MemberState::kAlive && !silent(*member, now)) {
       sure.push_back(member->api_address);
     }
   }
-  return sure.empty() ? all : sure;
+  // If most are silent it is rather this node that is cut off.
+  return sure.size() * 2 > all.size() ? sure : all;
 }
 
 std::vector<std::string> PeerLink::control_addresses() const {
@@ -154,6 +171,7 @@
     return;
   }
   const TimePoint now = net::steady_now();
+  last_heard_[message->sender.id] = now;
   if (message->type == PeerMessageType::kLoadDigest) {
     take_digest(*message, now);
   }
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,9 @@
 };
 
 /// Datagrams between nodes: membership, versions of the configuration, and digests of load.
+///
+/// Digests come at a steady pace, so that they are heartbeats too: a node whose digests stay away
+/// is left out of what callers are told, well before the membership protocol calls it dead.
 /// Single-threaded; borrows the context.
 class PeerLink : private PeerSender {
  public:
@@ -49,6 +53,8 @@
   void send_bytes(const std::string& address, const std::string& bytes);
   void receive();
   void on_datagram(std::size_t bytes);
+  /// @return whether digests of the member have stayed away for too long.
+  bool silent(const Member& member, TimePoint now) const;
   void take_digest(const PeerMessage& message, TimePoint now);
   void send_digest(TimePoint now);
 
@@ -61,7 +67,10 @@
   std::array<char, kMaximumDatagramBytes + 1> buffer_{};
   std::uint64_t configuration_version_ = 0;
   TimePoint next_digest_{};
-  bool digest_was_empty_ = true;
+  Duration digest_interval_{};
+  std::map<std::string, TimePoint> last_heard_;  ///< Of any datagram, a node each.
+  TimePoint last_tick_{};
+  TimePoint silence_counts_from_{};
 };
 
 }  // namespace dockpoint
