Write what unfinished batch items have produced, and tell how far the replicas' records are known

Change: running items are checkpointed every second in the topic of results, in steps, so that text is written once; a partition that is handed over is checkpointed and released at once. Change: nodes tell each other how far they have read the replicas' records, and one that stays behind for 250 ms asks a peer.

--- a/include/dockpoint/batch/job_ledger.hpp
+++ b/include/dockpoint/batch/job_ledger.hpp
@@ -46,6 +46,28 @@
   std::string text;
 };
 
+/// What an unfinished item has produced, so that another run goes on behind it.
+struct ItemCheckpoint {
+  std::string text;                         ///< Data of the events so far.
+  std::optional<std::uint64_t> last_event;  ///< Id of the last event in `text`.
+  int failures = 0;                         ///< Runs that a replica answered with a failure.
+};
+
+/// One step of an item's checkpoint, as a record. Steps add up, so that text is written once.
+struct CheckpointStep {
+  std::uint32_t number = 0;  ///< Of the step, from 0 on.
+  bool restart = false;      ///< What the steps before say is void.
+  std::string text;          ///< Adds to the text so far.
+  std::optional<std::uint64_t> last_event;
+  int failures = 0;
+};
+
+/// @return the record of a step.
+KeyedRecord checkpoint_record(const std::string& job, std::uint32_t item,
+                              const CheckpointStep& step);
+/// @return a record that removes a step.
+KeyedRecord checkpoint_removal(const std::string& job, std::uint32_t item, std::uint32_t number);
+
 /// @return the topic keys and values of a job; each record holds at most `record_bytes`.
 std::vector<KeyedRecord> job_records(const BatchJob& job, std::size_t record_bytes);
 /// @return the record that ends a job.
@@ -92,11 +114,18 @@
   /// Takes a record of the topic of jobs.
   /// @return the job that it brought or ended, or nothing.
   std::optional<std::string> take_job_record(const KeyedRecord& record);
-  /// Takes the results of a partition, as loaded.
+  /// Takes the results and checkpoints of a partition, as loaded.
   void load_results(std::vector<KeyedRecord> records);
   /// Adds a result that was written; a second one of the same item is dropped.
   void add_result(const std::string& job, ItemResult result);
 
+  /// What was loaded of an unfinished item. `steps` is the number of the next step.
+  struct LoadedCheckpoint {
+    ItemCheckpoint checkpoint;
+    std::uint32_t steps = 0;
+  };
+  const LoadedCheckpoint* checkpoint(const std::string& job, std::uint32_t item) const;
+
   const LedgerJob* find(const std::string& job) const;
   const std::map<std::string, LedgerJob>& jobs() const { return jobs_; }
   void erase(const std::string& job) { jobs_.erase(job); }
@@ -108,6 +137,9 @@
   ChunkAssembler assembler_;
   std::map<std::string, LedgerJob> jobs_;
   std::set<std::string> ended_;
+  void load_checkpoints(const std::vector<KeyedRecord>& records);
+
+  std::map<std::pair<std::string, std::uint32_t>, LoadedCheckpoint> checkpoints_;
   std::map<std::string, std::vector<ItemResult>> early_results_;  ///< Of jobs not known yet.
 };
 
--- a/include/dockpoint/batch/partition_owner.hpp
+++ b/include/dockpoint/batch/partition_owner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -56,6 +57,10 @@
 
   /// Writes a result; it is listed once the log has confirmed it.
   void write_result(const std::string& job, ItemResult result);
+  /// Writes what an unfinished item has added since its last checkpoint.
+  /// @param restart what earlier checkpoints say is void.
+  void write_checkpoint(const std::string& job, std::uint32_t item, const ItemCheckpoint& added,
+                        bool restart);
 
   /// @return whether jobs and results are loaded, so that reads can be answered.
   bool active() const { return step_ == Step::kActive && !unverified_; }
@@ -63,15 +68,17 @@
   const JobLedger& ledger() const { return ledger_; }
   int partition() const { return partition_; }
   std::uint64_t epoch() const { return epoch_; }
-  std::size_t unwritten_results() const { return queue_.size() + writing_.size(); }
+  std::size_t unwritten() const { return queue_.size() + writing_.size(); }
   /// @return whether a result of the item was handed in, confirmed or not.
   bool has_unwritten(const std::string& job, std::uint32_t item) const;
 
  private:
   enum class Step { kFencing, kLoadingResults, kLoadingJobs, kActive, kFenced };
-  struct PendingResult {
+  /// Records that go into the log together.
+  struct PendingWrite {
     std::string job;
-    ItemResult result;
+    std::vector<KeyedRecord> records;
+    std::optional<ItemResult> result;  ///< That the records hold, if they hold one.
   };
   /// Survives the owner while a call is under way.
   struct Life {
@@ -86,6 +93,8 @@
   void raise_epoch();
   void load_results();
   void write_queue();
+  void take_from_queue();
+  std::uint32_t& next_step(const std::string& job, std::uint32_t item);
   void take_append(const AppendOutcome& outcome);
   void retry_later();
   void become_fenced();
@@ -112,8 +121,9 @@
   std::vector<KeyedRecord> loaded_results_;
   std::uint64_t sequence_ = 0;
   bool unverified_ = false;
-  std::deque<PendingResult> queue_;
-  std::vector<PendingResult> writing_;     ///< In the append under way or to be repeated.
+  std::deque<PendingWrite> queue_;
+  std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> checkpoint_steps_;  ///< Next numbers.
+  std::vector<PendingWrite> writing_;      ///< In the append under way or to be repeated.
   std::vector<KeyedRecord> write_records_;
 };
 
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -85,8 +85,11 @@
   Duration retry_after_minimum = 300ms;        ///< Told to callers that are refused,
   Duration retry_after_spread = 700ms;         ///< spread by request so that they do not return at once.
 
+  Duration fleet_lag = 250ms;                  ///< A node that is behind its peers for longer asks one.
+
   // Batch items.
   double batch_slot_share = 0.6;               ///< Of all slots, for the items of all nodes.
+  Duration checkpoint_interval = 1s;           ///< Between writes of what unfinished items produced.
   Duration item_silence = 3s;                  ///< A run without a byte for this long goes on elsewhere.
   Duration item_route_wait = 1s;               ///< Pause of an item whose route is not known.
   Duration submission_wait = 2500ms;           ///< A job is offered to the log for this long.
--- a/include/dockpoint/membership/messages.hpp
+++ b/include/dockpoint/membership/messages.hpp
@@ -46,8 +46,10 @@
   std::vector<EngineDigest> digests;
   bool log_reachable = true;  ///< The sender can read and append; otherwise it owns nothing.
   std::uint8_t tree = 0;      ///< Of load digests.
+  std::uint64_t fleet_position = 0;  ///< Up to which the sender has read the replicas' records.
   DOCKPOINT_FIELDS(version, type, sequence, sender, target, updates, configuration_revision,
-                 pending_batch_items, digests, log_reachable, tree)
+                 pending_batch_items, digests, log_reachable, tree,
+                   fleet_position)
 };
 
 /// @return the bytes of `message`.
--- a/src/batch/job_ledger.cpp
+++ b/src/batch/job_ledger.cpp
@@ -1,6 +1,8 @@
 #include "dockpoint/batch/job_ledger.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <tuple>
 
 #include "dockpoint/core/hash.hpp"
 
@@ -10,6 +12,7 @@
 constexpr char kJobPrefix = 'j';
 constexpr char kEndPrefix = 'e';
 constexpr char kResultPrefix = 'r';
+constexpr char kCheckpointPrefix = 'p';
 constexpr char kSeparator = '/';
 
 /// Room that key and framing take in a record, in bytes.
@@ -40,6 +43,20 @@
   DOCKPOINT_FIELDS(item, succeeded, text)
 };
 
+struct StepWire {
+  bool restart = false;
+  std::string text;
+  bool has_event = false;
+  std::uint64_t last_event = 0;
+  int failures = 0;
+  DOCKPOINT_FIELDS(restart, text, has_event, last_event, failures)
+};
+
+std::string checkpoint_key(const std::string& job, std::uint32_t item, std::uint32_t number) {
+  return kCheckpointPrefix + job + kSeparator + std::to_string(item) + kSeparator +
+         std::to_string(number);
+}
+
 /// Four bytes before each piece: how many pieces the value has.
 std::string with_count(std::uint32_t count, std::string_view piece) {
   std::string value;
@@ -62,6 +79,13 @@
   return records;
 }
 
+/// @return the number at a place of a key.
+std::uint32_t to_index(const std::string& key, std::size_t start) {
+  std::uint32_t index = 0;
+  std::from_chars(key.data() + start, key.data() + key.size(), index);
+  return index;
+}
+
 JobWire to_wire(const BatchJob& job) {
   JobWire wire{job.id, job.host, job.path, job.submitted_ms, {}};
   for (const BatchItem& item : job.items) {
@@ -108,6 +132,17 @@
   return cut(name, pack(ResultWire{result.item, result.succeeded, result.text}), record_bytes);
 }
 
+KeyedRecord checkpoint_record(const std::string& job, std::uint32_t item,
+                              const CheckpointStep& step) {
+  const StepWire wire{step.restart, step.text, step.last_event.has_value(),
+                      step.last_event.value_or(0), step.failures};
+  return {checkpoint_key(job, item, step.number), pack(wire), 0};
+}
+
+KeyedRecord checkpoint_removal(const std::string& job, std::uint32_t item, std::uint32_t number) {
+  return {checkpoint_key(job, item, number), {}, 0};
+}
+
 int partition_of_job(const std::string& job, int partitions) {
   return static_cast<int>(hash64(job) % static_cast<std::uint64_t>(std::max(1, partitions)));
 }
@@ -123,8 +158,7 @@
     count = (count << 8) | static_cast<unsigned char>(record.value[index]);
   }
   const std::string name = record.key.substr(0, slash);
-  const auto index = static_cast<std::uint32_t>(std::strtoul(record.key.c_str() + slash + 1,
-                                                             nullptr, 10));
+  const std::uint32_t index = to_index(record.key, slash + 1);
   Parts& parts = parts_[name];
   parts.chunks[index] = record.value.substr(kCountBytes);
   parts.offset = std::max(parts.offset, record.offset);
@@ -189,10 +223,14 @@
   std::vector<ChunkAssembler::Whole> results;
   ChunkAssembler assembler;
   for (const KeyedRecord& record : records) {
+    if (!record.key.starts_with(kResultPrefix)) {
+      continue;
+    }
     if (auto whole = assembler.add(record)) {
       results.push_back(std::move(*whole));
     }
   }
+  load_checkpoints(records);
   std::sort(results.begin(), results.end(),
             [](const auto& one, const auto& other) { return one.offset < other.offset; });
   for (const ChunkAssembler::Whole& whole : results) {
@@ -205,6 +243,50 @@
   }
 }
 
+void JobLedger::load_checkpoints(const std::vector<KeyedRecord>& records) {
+  struct Step {
+    std::string job;
+    std::uint32_t item = 0;
+    std::uint32_t number = 0;
+    StepWire wire;
+  };
+  std::vector<Step> steps;
+  for (const KeyedRecord& record : records) {
+    const std::size_t last = record.key.rfind(kSeparator);
+    if (!record.key.starts_with(kCheckpointPrefix) || last == std::string::npos || last == 0) {
+      continue;
+    }
+    const std::size_t middle = record.key.rfind(kSeparator, last - 1);
+    auto wire = unpack<StepWire>(record.value);
+    if (middle == std::string::npos || !wire) {
+      continue;
+    }
+    steps.push_back({record.key.substr(1, middle - 1), to_index(record.key, middle + 1),
+                     to_index(record.key, last + 1), std::move(*wire)});
+  }
+  std::sort(steps.begin(), steps.end(), [](const Step& one, const Step& other) {
+    return std::tie(one.job, one.item, one.number) < std::tie(other.job, other.item, other.number);
+  });
+  for (Step& step : steps) {
+    LoadedCheckpoint& loaded = checkpoints_[{step.job, step.item}];
+    if (step.wire.restart) {
+      loaded.checkpoint = {};
+    }
+    loaded.checkpoint.text += step.wire.text;
+    loaded.checkpoint.failures = step.wire.failures;
+    if (step.wire.has_event) {
+      loaded.checkpoint.last_event = step.wire.last_event;
+    }
+    loaded.steps = step.number + 1;
+  }
+}
+
+const JobLedger::LoadedCheckpoint* JobLedger::checkpoint(const std::string& job,
+                                                         std::uint32_t item) const {
+  const auto found = checkpoints_.find({job, item});
+  return found == checkpoints_.end() ? nullptr : &found->second;
+}
+
 void JobLedger::add_result(const std::string& job, ItemResult result) {
   const auto found = jobs_.find(job);
   if (found == jobs_.end()) {
--- a/src/batch/partition_owner.cpp
+++ b/src/batch/partition_owner.cpp
@@ -1,6 +1,7 @@
 #include "dockpoint/batch/partition_owner.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace dockpoint {
 namespace {
@@ -132,41 +133,69 @@
   }
 }
 
+std::uint32_t& PartitionOwner::next_step(const std::string& job, std::uint32_t item) {
+  const auto [entry, added] = checkpoint_steps_.try_emplace({job, item}, 0);
+  const JobLedger::LoadedCheckpoint* loaded = added ? ledger_.checkpoint(job, item) : nullptr;
+  if (loaded != nullptr) {
+    entry->second = loaded->steps;
+  }
+  return entry->second;
+}
+
 void PartitionOwner::write_result(const std::string& job, ItemResult result) {
-  queue_.push_back({job, std::move(result)});
+  PendingWrite write{job, result_records(job, result, log_.limits().record_bytes), {}};
+  const std::uint32_t steps = next_step(job, result.item);
+  for (std::uint32_t number = 0; number < steps; ++number) {
+    write.records.push_back(checkpoint_removal(job, result.item, number));
+  }
+  checkpoint_steps_.erase({job, result.item});
+  write.result = std::move(result);
+  queue_.push_back(std::move(write));
   if (!calling_ && now_ >= retry_at_ && step_ == Step::kActive) {
     write_queue();
   }
 }
 
+void PartitionOwner::write_checkpoint(const std::string& job, std::uint32_t item,
+                                      const ItemCheckpoint& added, bool restart) {
+  if (added.text.size() > log_.limits().record_bytes / 2) {
+    return;  // Too long for a step; the item would run again from its last one.
+  }
+  const CheckpointStep step{next_step(job, item)++, restart, added.text, added.last_event,
+                            added.failures};
+  queue_.push_back({job, {checkpoint_record(job, item, step)}, std::nullopt});
+}
+
 bool PartitionOwner::has_unwritten(const std::string& job, std::uint32_t item) const {
-  const auto matches = [&](const PendingResult& pending) {
-    return pending.result.item == item && pending.job == job;
+  const auto matches = [&](const PendingWrite& pending) {
+    return pending.result && pending.result->item == item && pending.job == job;
   };
   return std::any_of(queue_.begin(), queue_.end(), matches) ||
          std::any_of(writing_.begin(), writing_.end(), matches);
 }
 
+void PartitionOwner::take_from_queue() {
+  std::size_t bytes = 0;
+  while (!queue_.empty()) {
+    std::size_t size = 0;
+    for (const KeyedRecord& record : queue_.front().records) {
+      constexpr std::size_t kFramingBytes = 8;
+      size += record.key.size() + record.value.size() + kFramingBytes;
+    }
+    if (!writing_.empty() && bytes + size > log_.limits().call_bytes / 2) {
+      return;
+    }
+    bytes += size;
+    std::vector<KeyedRecord>& records = queue_.front().records;
+    std::move(records.begin(), records.end(), std::back_inserter(write_records_));
+    writing_.push_back(std::move(queue_.front()));
+    queue_.pop_front();
+  }
+}
+
 void PartitionOwner::write_queue() {
-  const LogLimits& limits = log_.limits();
   if (writing_.empty()) {
-    std::size_t bytes = 0;
-    while (!queue_.empty()) {
-      std::vector<KeyedRecord> records =
-          result_records(queue_.front().job, queue_.front().result, limits.record_bytes);
-      std::size_t size = 0;
-      for (const KeyedRecord& record : records) {
-        constexpr std::size_t kFramingBytes = 8;
-        size += record.key.size() + record.value.size() + kFramingBytes;
-      }
-      if (!writing_.empty() && bytes + size > limits.call_bytes / 2) {
-        break;
-      }
-      bytes += size;
-      std::move(records.begin(), records.end(), std::back_inserter(write_records_));
-      writing_.push_back(std::move(queue_.front()));
-      queue_.pop_front();
-    }
+    take_from_queue();
   }
   if (writing_.empty() && !unverified_) {
     return;
@@ -197,14 +226,18 @@
   ++sequence_;
   unverified_ = false;
   write_records_.clear();
-  const std::vector<PendingResult> written = std::move(writing_);
+  const std::vector<PendingWrite> written = std::move(writing_);
   writing_.clear();
   const auto life = life_;
-  for (const PendingResult& pending : written) {
-    ledger_.add_result(pending.job, pending.result);
+  std::set<std::string> jobs;
+  for (const PendingWrite& pending : written) {
+    if (pending.result) {
+      ledger_.add_result(pending.job, *pending.result);
+      jobs.insert(pending.job);
+    }
   }
-  for (const PendingResult& pending : written) {
-    observer_.on_results(partition_, pending.job);
+  for (const std::string& job : jobs) {
+    observer_.on_results(partition_, job);
     if (!life->alive) {
       return;
     }
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -15,6 +15,13 @@
 
 }  // namespace
 
+void ItemProgress::restart() {
+  restarted = restarted || saved_bytes > 0;
+  saved_bytes = 0;
+  produced.text.clear();
+  produced.last_event.reset();
+}
+
 BatchExecutor::BatchExecutor(GatewayContext& context) : context_(context) {}
 
 BatchExecutor::~BatchExecutor() = default;
@@ -43,6 +50,15 @@
   if (job == nullptr) {
     return;
   }
+  const auto [progress, added] = progress_.try_emplace(ref);
+  if (added) {
+    const auto* loaded = owners_[ref.partition]->ledger().checkpoint(ref.job, ref.item);
+    if (loaded != nullptr) {
+      progress->second.produced = loaded->checkpoint;
+      progress->second.saved_bytes = loaded->checkpoint.text.size();
+      progress->second.saved_failures = loaded->checkpoint.failures;
+    }
+  }
   const RouteConfig* route = route_of(*job, job->job.items[ref.item]);
   const std::int64_t target_ms = route == nullptr ? 0 : net::to_ms(route->completion_target);
   const std::int64_t due_ms = job->job.submitted_ms + target_ms;
@@ -64,7 +80,48 @@
   std::erase_if(progress_, [&](const auto& entry) { return entry.first.partition == partition; });
 }
 
-void BatchExecutor::suspend_partition(int partition) { suspended_.insert(partition); }
+void BatchExecutor::hand_over(int partition) {
+  suspended_.insert(partition);
+  const auto runs = runs_;
+  for (const auto& run : runs) {
+    if (run->ref().partition == partition) {
+      run->cancel();
+      runs_.erase(run);
+    }
+  }
+  for (auto& [ref, progress] : progress_) {
+    if (ref.partition == partition) {
+      save_progress(ref, progress);
+    }
+  }
+}
+
+void BatchExecutor::hand_over_all() {
+  for (const auto& [partition, owner] : owners_) {
+    hand_over(partition);
+  }
+}
+
+void BatchExecutor::save_all_progress() {
+  for (auto& [ref, progress] : progress_) {
+    save_progress(ref, progress);
+  }
+}
+
+void BatchExecutor::save_progress(const ItemRef& ref, ItemProgress& progress) {
+  PartitionOwner* owner = owner_of(ref.partition);
+  const bool news = progress.produced.text.size() > progress.saved_bytes || progress.restarted ||
+                    progress.produced.failures != progress.saved_failures;
+  if (owner == nullptr || !news) {
+    return;
+  }
+  const ItemCheckpoint added{progress.produced.text.substr(progress.saved_bytes),
+                             progress.produced.last_event, progress.produced.failures};
+  owner->write_checkpoint(ref.job, ref.item, added, progress.restarted);
+  progress.restarted = false;
+  progress.saved_bytes = progress.produced.text.size();
+  progress.saved_failures = progress.produced.failures;
+}
 
 void BatchExecutor::end_job(int partition, const std::string& job) {
   const auto matches = [&](const ItemRef& ref) {
@@ -97,6 +154,10 @@
     next_expiry_check_ = now + kExpiryInterval;
     give_up_expired();
   }
+  if (now >= next_checkpoint_) {
+    next_checkpoint_ = now + context_.knobs.checkpoint_interval;
+    save_all_progress();
+  }
   while (!delayed_.empty() && delayed_.begin()->first <= now) {
     const ItemRef ref = delayed_.begin()->second;
     delayed_.erase(delayed_.begin());
@@ -118,9 +179,6 @@
 }
 
 void BatchExecutor::start_waiting(TimePoint now) {
-  if (stopped_) {
-    return;
-  }
   const std::size_t limit = allowance(now);
   std::vector<Waiting> candidates;
   for (const Waiting& entry : waiting_) {
@@ -168,7 +226,7 @@
     return false;
   }
   const net::RequestHead head = context_.protocol.item_request(
-      job->job, item, {choice.replica->record.id, kItemDeadline, kept.last_event});
+      job->job, item, {choice.replica->record.id, kItemDeadline, kept.produced.last_event});
   const auto run = std::make_shared<ItemRun>(*this, ref, item.id, std::move(info), query.service,
                                              std::max(1, route->attempts));
   runs_.insert(run);
--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -23,11 +23,15 @@
 
 /// What is known of an item beyond its job: kept between runs, so that a broken one goes on.
 struct ItemProgress {
-  std::string text;                         ///< Data of the events so far.
-  std::optional<std::uint64_t> last_event;  ///< Id of the last event in `text`.
-  int failures = 0;                         ///< Runs that a replica answered with a failure.
-  int interruptions = 0;                    ///< In a row; spaces out further runs.
-  std::string last_replica;                 ///< That interrupted it.
+  ItemCheckpoint produced;
+  std::size_t saved_bytes = 0;  ///< Of the text, in the log.
+  int saved_failures = 0;
+  bool restarted = false;       ///< What the log has of it is void.
+  int interruptions = 0;        ///< In a row; spaces out further runs.
+  std::string last_replica;     ///< That interrupted it.
+
+  /// Forgets what was produced: the item runs from its start.
+  void restart();
 };
 
 /// Runs batch items of the partitions that this node owns.
@@ -45,16 +49,16 @@
   void add_partition(PartitionOwner& owner);
   /// Ends all runs of the partition and forgets its items.
   void remove_partition(int partition);
-  /// Starts no further item of the partition; those that run go on.
-  void suspend_partition(int partition);
+  /// Ends all runs of the partition, starts no further one, and writes what they have produced, so
+  /// that the next owner goes on behind it.
+  void hand_over(int partition);
+  /// Hands all partitions over.
+  void hand_over_all();
   void add_job(PartitionOwner& owner, const LedgerJob& job);
   void end_job(int partition, const std::string& job);
 
   /// Nodes, this one included, that have items to run.
   void set_busy_nodes(int nodes) { busy_nodes_ = std::max(1, nodes); }
-  /// No further item is started.
-  void stop() { stopped_ = true; }
-
   void tick(TimePoint now);
 
   std::size_t waiting() const { return waiting_.size() + delayed_.size(); }
@@ -77,6 +81,8 @@
   const RouteConfig* route_of(const LedgerJob& job, const BatchItem& item) const;
   std::size_t allowance(TimePoint now) const;
   void give_up_expired();
+  void save_progress(const ItemRef& ref, ItemProgress& progress);
+  void save_all_progress();
   void enqueue(const ItemRef& ref);
   void retry(const ItemRef& ref, Duration delay, TimePoint now);
   void complete(const ItemRef& ref, bool succeeded, std::string text);
@@ -92,8 +98,8 @@
   std::map<ItemRef, ItemProgress> progress_;
   std::set<std::shared_ptr<ItemRun>> runs_;
   int busy_nodes_ = 1;
-  bool stopped_ = false;
   TimePoint next_expiry_check_{};
+  TimePoint next_checkpoint_{};
 };
 
 }  // namespace dockpoint
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -327,7 +327,7 @@
   });
   std::vector<int> idle;
   for (const auto& [partition, owner] : owners_) {
-    if (!executor_.running_in(partition) && owner->unwritten_results() == 0) {
+    if (!executor_.running_in(partition) && owner->unwritten() == 0) {
       idle.push_back(partition);
     }
   }
@@ -338,13 +338,13 @@
 
 void BatchService::drain() {
   draining_ = true;
-  executor_.stop();
+  executor_.hand_over_all();
 }
 
 bool BatchService::drained() const {
   return executor_.running() == 0 && submissions_.empty() &&
          std::all_of(owners_.begin(), owners_.end(),
-                     [](const auto& entry) { return entry.second->unwritten_results() == 0; });
+                     [](const auto& entry) { return entry.second->unwritten() == 0; });
 }
 
 void BatchService::leave() { group_.leave(); }
@@ -362,7 +362,7 @@
 
 void BatchService::on_revoked(int partition) {
   spdlog::info("batch: partition revoked partition={}", partition);
-  executor_.suspend_partition(partition);
+  executor_.hand_over(partition);
 }
 
 void BatchService::on_doubted(int partition) {
@@ -383,7 +383,9 @@
   PartitionOwner* owner = owner_of(partition);
   spdlog::info("batch: partition active partition={} jobs={}", partition,
                owner->ledger().jobs().size());
-  executor_.add_partition(*owner);
+  if (!draining_) {
+    executor_.add_partition(*owner);
+  }
   std::vector<std::string> jobs;
   for (const Waiter& waiter : waiters_) {
     jobs.push_back(waiter.call.job);
@@ -395,7 +397,7 @@
 
 void BatchService::on_job(int partition, const std::string& job) {
   PartitionOwner* owner = owner_of(partition);
-  if (owner != nullptr) {
+  if (owner != nullptr && !draining_) {
     executor_.add_job(*owner, *owner->ledger().find(job));
   }
   serve_waiters(job);
--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -57,6 +57,9 @@
   replica_follower_ = std::make_unique<Follower>(
       context_.knobs, log, topics_.replicas, seed + 1,
       [this](const std::vector<KeyedRecord>& records) {
+        if (replicas_known_ && replica_follower_->watch().position() < peer_position_) {
+          return;  // A page from before what a peer has told.
+        }
         std::vector<std::string> ids;
         for (const KeyedRecord& record : records) {
           ids.push_back(record.key);
@@ -66,6 +69,9 @@
         replicas_known_ = true;
       },
       [this](const KeyedRecord& record) {
+        if (record.offset < peer_position_) {
+          return;
+        }
         if (record.value.empty()) {
           remove_replica(record.key);
         } else {
@@ -155,12 +161,16 @@
   }
 }
 
+LogOffset FleetWatch::replicas_position() const {
+  return replicas_known_ ? std::max(peer_position_, replica_follower_->watch().position()) : 0;
+}
+
 FleetState FleetWatch::state() const {
   FleetState state;
   state.version = context_.configuration->version;
   state.configuration = configuration_value_;
   state.replicas_known = replicas_known_;
-  state.replicas_position = std::max(peer_position_, replica_follower_->watch().position());
+  state.replicas_position = replicas_position();
   for (const auto& [id, value] : replica_values_) {
     state.replicas.push_back({id, value});
   }
@@ -171,11 +181,8 @@
   if (state.version > context_.configuration->version) {
     take_configuration(state.configuration, peer);
   }
-  const KeyedWatch& watch = replica_follower_->watch();
-  const bool log_current = watch.current() && watch.reachable();
-  const LogOffset position = std::max(peer_position_, watch.position());
-  if (!state.replicas_known || log_current ||
-      (replicas_known_ && state.replicas_position <= position)) {
+  const bool newer = state.replicas_position > replicas_position();
+  if (!state.replicas_known || (replicas_known_ && !newer)) {
     return;
   }
   peer_position_ = state.replicas_position;
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -15,7 +15,8 @@
 /// Both are compacted topics that the node follows. Every node also answers its peers with what it
 /// has, so that one that starts, or is cut off, while the log is away gets both from them. The
 /// version of the routes only grows within a node's life, wherever a version comes from. Replicas
-/// taken from a peer count until the log is read again, and only if the peer has read further.
+/// are taken from a peer only if it has read further; records that the node reads itself count only
+/// from that point on, so that what it knows never goes back.
 namespace dockpoint {
 
 /// Where the fleet's records lie in the log.
@@ -69,6 +70,9 @@
   /// Takes what a peer knows.
   void take(const FleetState& state, const std::string& peer);
 
+  /// @return the offset up to which the replicas' records are known.
+  LogOffset replicas_position() const;
+
   /// @return whether the node should ask a peer: it lacks something that the log does not give.
   bool needs_peer() const;
   bool has_configuration() const { return context_.configuration->version > 0; }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -60,7 +60,7 @@
       peers_(context_,
              {settings_.datagram_address, settings_.frontend_address, settings_.control_address},
              settings_.zone, run_,
-             [this](const Member& member, std::uint64_t) { ask_peer(member.control_address); }),
+             [this](const Member& member) { ask_peer(member.control_address); }),
       batch_(context_, parts.log, parts.batch_topics, {settings_.control_address, run_},
              combine_hash(hash64(settings_.node), run_)),
       frontend_(loop, [this](const auto& exchange) { serve_frontend(exchange); }),
@@ -118,6 +118,7 @@
 void Gateway::tick() {
   const TimePoint now = net::steady_now();
   fleet_.tick(now);
+  peers_.set_fleet_position(fleet_.replicas_position());
   peers_.set_pending_items(batch_.pending_items());
   peers_.tick(now);
   batch_.set_busy_nodes(peers_.busy_nodes());
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -94,7 +94,7 @@
 }
 
 void ItemRun::take_event(const StreamEvent& event) {
-  ItemProgress& kept = progress();
+  ItemCheckpoint& kept = progress().produced;
   if (!event.id || broken_sequence_) {
     return;
   }
@@ -126,23 +126,22 @@
   }
   context_.selector.note_service_time(service_, now - started_);
   if (status_ / 100 == 2) {
-    if (!framer_.at_boundary() || broken_sequence_ || !kept.last_event) {
-      kept.text.clear();
-      kept.last_event.reset();
+    if (!framer_.at_boundary() || broken_sequence_ || !kept.produced.last_event) {
+      kept.restart();
       interrupted(now, "the stream lacks an event");
       return;
     }
     context_.metrics.count_item("succeeded");
     executor_.run_over(self);
-    executor_.complete(ref_, true, std::move(kept.text));
+    executor_.complete(ref_, true, std::move(kept.produced.text));
     return;
   }
-  ++kept.failures;
+  ++kept.produced.failures;
   context_.metrics.count_item("failed");
   spdlog::info("batch: item failed job={} item={} status={} failures={}/{}", ref_.job, item_id_,
-               status_, kept.failures, attempts_);
+               status_, kept.produced.failures, attempts_);
   executor_.run_over(self);
-  if (status_ == kUnprocessable || kept.failures >= attempts_) {
+  if (status_ == kUnprocessable || kept.produced.failures >= attempts_) {
     executor_.complete(ref_, false, {});
   } else {
     executor_.retry(ref_, kNoRoomPause, now);
@@ -167,7 +166,7 @@
   context_.metrics.count_item("interrupted");
   if (is_sampled(item_id_)) {
     spdlog::info("batch: run interrupted job={} item={} events={} why=\"{}\"", ref_.job, item_id_,
-                 kept.last_event.value_or(0), why);
+                 kept.produced.last_event.value_or(0), why);
   }
   executor_.run_over(self);
   executor_.retry(ref_, kNoRoomPause * std::min(kept.interruptions, 8), now);
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -36,11 +36,11 @@
 }  // namespace
 
 PeerLink::PeerLink(GatewayContext& context, const PeerAddresses& addresses, std::string zone,
-                   std::uint64_t run, NewerConfiguration on_newer)
+                   std::uint64_t run, PeerAhead on_peer_ahead)
     : context_(context),
       addresses_(addresses),
       membership_(context.knobs, self_member(context, addresses, zone, run), run, *this),
-      on_newer_(std::move(on_newer)),
+      on_peer_ahead_(std::move(on_peer_ahead)),
       socket_(context.loop) {}
 
 void PeerLink::open() {
@@ -176,9 +176,32 @@
     take_digest(*message, now);
   }
   membership_.receive(*message, now);
-  if (message->configuration_revision > configuration_version_) {
-    on_newer_(message->sender, message->configuration_revision);
+  note_knowledge(*message, now);
+}
+
+void PeerLink::note_knowledge(const PeerMessage& message, TimePoint now) {
+  if (message.configuration_revision > configuration_version_) {
+    on_peer_ahead_(message.sender);
+    return;
+  }
+  if (message.fleet_position <= fleet_position_) {
+    return;
+  }
+  // The log tells all nodes at almost the same time; only one that stays behind asks.
+  if (behind_since_ == TimePoint{}) {
+    behind_since_ = now;
+  } else if (now - behind_since_ > context_.knobs.fleet_lag) {
+    behind_since_ = {};
+    on_peer_ahead_(message.sender);
+  }
+}
+
+void PeerLink::set_fleet_position(std::uint64_t position) {
+  if (position > fleet_position_) {
+    behind_since_ = {};
   }
+  fleet_position_ = position;
+  membership_.set_fleet_position(position);
 }
 
 void PeerLink::take_digest(const PeerMessage& message, TimePoint now) {
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -27,16 +27,18 @@
 /// Single-threaded; borrows the context.
 class PeerLink : private PeerSender {
  public:
-  /// Called when a message shows that `member` has a newer configuration than this node.
-  using NewerConfiguration = std::function<void(const Member& member, std::uint64_t version)>;
+  /// Called when a message shows that `member` knows more of the fleet than this node.
+  using PeerAhead = std::function<void(const Member& member)>;
 
   PeerLink(GatewayContext& context, const PeerAddresses& addresses, std::string zone,
-           std::uint64_t run, NewerConfiguration on_newer);
+           std::uint64_t run, PeerAhead on_peer_ahead);
 
   /// @throws boost::system::system_error if the address cannot be bound.
   void open();
   void set_candidates(const std::vector<std::string>& datagram_addresses);
   void set_configuration_version(std::uint64_t version);
+  /// @param position up to which this node has read the replicas' records.
+  void set_fleet_position(std::uint64_t position);
   void set_pending_items(std::size_t items);
   void tick(TimePoint now);
   /// Tells the others that this node takes no new callers.
@@ -55,17 +57,21 @@
   void on_datagram(std::size_t bytes);
   /// @return whether digests of the member have stayed away for too long.
   bool silent(const Member& member, TimePoint now) const;
+  /// Asks a peer that knows more of the fleet than this node.
+  void note_knowledge(const PeerMessage& message, TimePoint now);
   void take_digest(const PeerMessage& message, TimePoint now);
   void send_digest(TimePoint now);
 
   GatewayContext& context_;
   const PeerAddresses addresses_;
   Membership membership_;
-  NewerConfiguration on_newer_;
+  PeerAhead on_peer_ahead_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
   std::array<char, kMaximumDatagramBytes + 1> buffer_{};
   std::uint64_t configuration_version_ = 0;
+  std::uint64_t fleet_position_ = 0;
+  TimePoint behind_since_{};  ///< A peer has read further since; zero: none.
   TimePoint next_digest_{};
   Duration digest_interval_{};
   std::map<std::string, TimePoint> last_heard_;  ///< Of any datagram, a node each.
