--- a/include/dockpoint/batch/checkpoint.hpp
+++ b/include/dockpoint/batch/checkpoint.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <cstdint>
-#include "dockpoint/core/codec.hpp"
 #include <optional>
 #include <string>
 #include <vector>
+#include "dockpoint/core/codec.hpp"
 
 #include "dockpoint/batch/records.hpp"
 
--- a/include/dockpoint/batch/job_ledger.hpp
+++ b/include/dockpoint/batch/job_ledger.hpp
@@ -34,7 +34,7 @@
 struct BatchJob {
   std::string id;
   std::string host;
-  std::string path;  ///< That it was submitted to.
+  std::string path;               ///< That it was submitted to.
   std::int64_t submitted_ms = 0;  ///< Unix time.
   std::vector<BatchItem> items;
 };
@@ -77,7 +77,7 @@
                                         std::size_t record_bytes);
 
 /// @return the partition that holds a job.
-int partition_of_job(const std::string& job, int partitions);
+int job_partition(const std::string& job, int partitions);
 
 /// Puts values together that were cut into several records.
 class ChunkAssembler {
@@ -103,8 +103,8 @@
 struct LedgerJob {
   BatchJob job;
   bool ended = false;
-  std::vector<ItemResult> results;      ///< In order of position.
-  std::vector<bool> listed;             ///< An item each: whether it has a result.
+  std::vector<ItemResult> results;  ///< In order of position.
+  std::vector<bool> listed;         ///< An item each: whether it has a result.
   bool complete() const { return results.size() == job.items.size(); }
 };
 
--- a/include/dockpoint/batch/partition_owner.hpp
+++ b/include/dockpoint/batch/partition_owner.hpp
@@ -122,8 +122,9 @@
   std::uint64_t sequence_ = 0;
   bool unverified_ = false;
   std::deque<PendingWrite> queue_;
-  std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> checkpoint_steps_;  ///< Next numbers.
-  std::vector<PendingWrite> writing_;      ///< In the append under way or to be repeated.
+  std::map<std::pair<std::string, std::uint32_t>, std::uint32_t>
+      checkpoint_steps_;               ///< Next numbers.
+  std::vector<PendingWrite> writing_;  ///< In the append under way or to be repeated.
   std::vector<KeyedRecord> write_records_;
 };
 
--- a/include/dockpoint/batch/partition_state.hpp
+++ b/include/dockpoint/batch/partition_state.hpp
@@ -3,11 +3,11 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include "dockpoint/core/codec.hpp"
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
+#include "dockpoint/core/codec.hpp"
 
 #include "dockpoint/batch/records.hpp"
 #include "dockpoint/core/mechanisms.hpp"
@@ -40,7 +40,7 @@
   Offset first_result = 0;  ///< Bounds of the result records in the stream, inclusive.
   Offset last_result = 0;
   DOCKPOINT_FIELDS(spec, cancelled, ended_at, completed, failed, results, attempts, first_result,
-                 last_result)
+                   last_result)
 
   JobStatus status() const;
   bool in_progress() const { return status() == JobStatus::kInProgress; }
--- a/include/dockpoint/batch/records.hpp
+++ b/include/dockpoint/batch/records.hpp
@@ -2,13 +2,13 @@
 
 #include <cstdint>
 #include <map>
-#include "dockpoint/core/codec.hpp"
 #include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
 #include <variant>
 #include <vector>
+#include "dockpoint/core/codec.hpp"
 
 #include "dockpoint/core/time.hpp"
 
@@ -47,8 +47,8 @@
   UnixSeconds deadline = 0;
   std::string content_digest;  ///< Tells a resent job from a different one under the same key.
   std::map<std::string, std::string> metadata;
-  DOCKPOINT_FIELDS(id, tenant, input_file_id, endpoint, completion_window, service, items, repeatable,
-                 priority, selector, created_at, deadline, content_digest, metadata)
+  DOCKPOINT_FIELDS(id, tenant, input_file_id, endpoint, completion_window, service, items,
+                   repeatable, priority, selector, created_at, deadline, content_digest, metadata)
 };
 
 /// A node takes the partition over. Counts only if `replaces` is still the current epoch.
--- a/include/dockpoint/config/configuration_fold.hpp
+++ b/include/dockpoint/config/configuration_fold.hpp
@@ -3,8 +3,8 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
-#include "dockpoint/core/codec.hpp"
 #include <string>
+#include "dockpoint/core/codec.hpp"
 
 #include "dockpoint/config/fleet_config.hpp"
 #include "dockpoint/core/mechanisms.hpp"
--- a/include/dockpoint/config/routing_configuration.hpp
+++ b/include/dockpoint/config/routing_configuration.hpp
@@ -36,10 +36,10 @@
   int priority = 0;                       ///< 0 is the most urgent.
   bool resumable = false;                 ///< A broken stream may go on at another replica.
   Duration timeout{};                     ///< Longest time that a request is held.
-  Duration target{};             ///< Latency objective: to the answer or the first event.
-  Duration gap_target{};         ///< Longest pause between events that is in time.
-  Duration completion_target{};  ///< Batch: from submission to the last result.
-  Duration retention{};          ///< Batch: items may be given up after this time.
+  Duration target{};                      ///< Latency objective: to the answer or the first event.
+  Duration gap_target{};                  ///< Longest pause between events that is in time.
+  Duration completion_target{};           ///< Batch: from submission to the last result.
+  Duration retention{};                   ///< Batch: items may be given up after this time.
 
   /// @return whether a request may be sent again after it may have run.
   bool repeatable() const {
@@ -51,9 +51,9 @@
 struct ReplicaServiceConfig {
   std::string name;
   std::string health_path;
-  int maximum_connections = 0;         ///< That a replica takes from all callers; 0: unknown.
-  int slots = 0;                       ///< Requests that a replica runs at once; 0: unknown.
-  std::uint64_t cache_tokens = 0;      ///< Memory of a replica; 0: not a model engine.
+  int maximum_connections = 0;     ///< That a replica takes from all callers; 0: unknown.
+  int slots = 0;                   ///< Requests that a replica runs at once; 0: unknown.
+  std::uint64_t cache_tokens = 0;  ///< Memory of a replica; 0: not a model engine.
 };
 
 /// What callers may send and how long connections may take.
--- a/include/dockpoint/core/codec.hpp
+++ b/include/dockpoint/core/codec.hpp
@@ -22,12 +22,12 @@
 ///
 /// The bytes are written and read by nlohmann-json: Debian's msgpack-c depends on Boost 1.74, which
 /// cannot be installed beside the Boost 1.81 that holds LEAF.
-#define DOCKPOINT_FIELDS(...)             \
-  auto fields() {                         \
-    return std::tie(__VA_ARGS__);         \
-  }                                       \
-  auto fields() const {                   \
-    return std::tie(__VA_ARGS__);         \
+#define DOCKPOINT_FIELDS(...)     \
+  auto fields() {                 \
+    return std::tie(__VA_ARGS__); \
+  }                               \
+  auto fields() const {           \
+    return std::tie(__VA_ARGS__); \
   }
 
 namespace dockpoint {
@@ -40,7 +40,9 @@
 using Value = nlohmann::json;
 
 template <class T>
-concept Struct = requires(T& value) { value.fields(); };
+concept Struct = requires(T& value) {
+  value.fields();
+};
 
 template <class T>
 struct Converter;
--- a/include/dockpoint/log/partitioned_log.hpp
+++ b/include/dockpoint/log/partitioned_log.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "dockpoint/core/time.hpp"
@@ -68,7 +69,9 @@
   std::string topic;
   int partition = 0;
   friend bool operator==(const TopicPartition&, const TopicPartition&) = default;
-  friend auto operator<=>(const TopicPartition&, const TopicPartition&) = default;
+  friend bool operator<(const TopicPartition& left, const TopicPartition& right) {
+    return std::tie(left.topic, left.partition) < std::tie(right.topic, right.partition);
+  }
 };
 
 struct JoinOutcome {
@@ -88,9 +91,9 @@
 
 /// Limits of the service that holds the log.
 struct LogLimits {
-  int partitions = 1;                       ///< Of each topic.
-  std::size_t record_bytes = 256 * 1024;    ///< Key and value.
-  std::size_t call_bytes = 2 * 1024 * 1024; ///< All records of one append.
+  int partitions = 1;                        ///< Of each topic.
+  std::size_t record_bytes = 256 * 1024;     ///< Key and value.
+  std::size_t call_bytes = 2 * 1024 * 1024;  ///< All records of one append.
   Duration minimum_lease = std::chrono::seconds(1);
 };
 
--- a/include/dockpoint/membership/member.hpp
+++ b/include/dockpoint/membership/member.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <cstdint>
-#include "dockpoint/core/codec.hpp"
 #include <string>
+#include "dockpoint/core/codec.hpp"
 
 namespace dockpoint {
 
@@ -31,4 +31,3 @@
 }
 
 }  // namespace dockpoint
-
--- a/include/dockpoint/routing/engine_load.hpp
+++ b/include/dockpoint/routing/engine_load.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <cstdint>
-#include "dockpoint/core/codec.hpp"
 #include <string>
+#include "dockpoint/core/codec.hpp"
 
 namespace dockpoint {
 
@@ -16,7 +16,7 @@
   std::uint32_t waiting_batch = 0;
   bool leaving = false;  ///< The engine announces that it will stop.
   DOCKPOINT_FIELDS(incarnation, sequence, running_online, running_batch, waiting_online,
-                 waiting_batch, leaving)
+                   waiting_batch, leaving)
 
   /// @return whether this report is newer than `other`.
   bool newer_than(const EngineLoad& other) const {
--- a/include/dockpoint/routing/replica_directory.hpp
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -49,10 +49,10 @@
 /// One replica as seen from this node.
 struct Replica {
   ReplicaRecord record;
-  std::uint32_t key = 0;  ///< Of the replica in digests.
-  int online = 0;         ///< Requests of this node in flight there.
-  int batch = 0;          ///< Items of this node in flight there.
-  int of_peers = 0;       ///< In flight there from other nodes, by their digests.
+  std::uint32_t key = 0;      ///< Of the replica in digests.
+  int online = 0;             ///< Requests of this node in flight there.
+  int batch = 0;              ///< Items of this node in flight there.
+  int of_peers = 0;           ///< In flight there from other nodes, by their digests.
   double prefill_tokens = 0;  ///< Prompt tokens sent by this node and not answered yet.
   ReportedLoad reported;
   TimePoint reported_at{};
--- a/include/dockpoint/routing/replica_selector.hpp
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -30,8 +30,8 @@
 struct ReplicaQuery {
   std::string service;
   TrafficClass traffic = TrafficClass::kOnline;
-  std::vector<PromptPart> prompt;      ///< In order; the last part is the request's own.
-  std::set<std::string> excluded;      ///< Replicas that failed this request before.
+  std::vector<PromptPart> prompt;  ///< In order; the last part is the request's own.
+  std::set<std::string> excluded;  ///< Replicas that failed this request before.
 };
 
 /// The outcome of a choice.
--- a/src/batch/group_member.cpp
+++ b/src/batch/group_member.cpp
@@ -15,7 +15,9 @@
       random_(seed),
       observer_(observer) {}
 
-GroupMember::~GroupMember() { life_->alive = false; }
+GroupMember::~GroupMember() {
+  life_->alive = false;
+}
 
 bool GroupMember::draining() const {
   return std::any_of(owned_.begin(), owned_.end(),
@@ -120,7 +122,8 @@
 
 void GroupMember::fenced(int partition) {
   lose(partition);
-  next_join_ = now_;  // A higher epoch comes from a later generation, which this node has not heard.
+  next_join_ =
+      now_;  // A higher epoch comes from a later generation, which this node has not heard.
 }
 
 void GroupMember::lose(int partition) {
--- a/src/batch/job_ledger.cpp
+++ b/src/batch/job_ledger.cpp
@@ -95,11 +95,11 @@
 }
 
 BatchJob from_wire(JobWire wire) {
-  BatchJob job{std::move(wire.id), std::move(wire.host), std::move(wire.path), wire.submitted_ms,
-               {}};
+  BatchJob job{
+      std::move(wire.id), std::move(wire.host), std::move(wire.path), wire.submitted_ms, {}};
   for (ItemWire& item : wire.items) {
-    BatchItem taken{std::move(item.id), std::move(item.path), {}, std::move(item.body),
-                    item.tokens};
+    BatchItem taken{
+        std::move(item.id), std::move(item.path), {}, std::move(item.body), item.tokens};
     for (std::size_t index = 0; index + 1 < item.headers.size(); index += 2) {
       taken.headers.emplace_back(std::move(item.headers[index]),
                                  std::move(item.headers[index + 1]));
@@ -124,7 +124,9 @@
   return cut(kJobPrefix + job.id, pack(to_wire(job)), record_bytes);
 }
 
-KeyedRecord end_record(const std::string& job) { return {kEndPrefix + job, "1", 0}; }
+KeyedRecord end_record(const std::string& job) {
+  return {kEndPrefix + job, "1", 0};
+}
 
 std::vector<KeyedRecord> result_records(const std::string& job, const ItemResult& result,
                                         std::size_t record_bytes) {
@@ -143,7 +145,7 @@
   return {checkpoint_key(job, item, number), {}, 0};
 }
 
-int partition_of_job(const std::string& job, int partitions) {
+int job_partition(const std::string& job, int partitions) {
   return static_cast<int>(hash64(job) % static_cast<std::uint64_t>(std::max(1, partitions)));
 }
 
--- a/src/batch/partition_owner.cpp
+++ b/src/batch/partition_owner.cpp
@@ -23,7 +23,9 @@
       observer_(observer),
       jobs_watch_(knobs, log, {topics.jobs, partition}, seed, *this) {}
 
-PartitionOwner::~PartitionOwner() { life_->alive = false; }
+PartitionOwner::~PartitionOwner() {
+  life_->alive = false;
+}
 
 void PartitionOwner::tick(TimePoint now) {
   now_ = now;
@@ -45,7 +47,9 @@
   }
 }
 
-ProducerPosition PartitionOwner::position() const { return {kProducer, epoch_, sequence_}; }
+ProducerPosition PartitionOwner::position() const {
+  return {kProducer, epoch_, sequence_};
+}
 
 void PartitionOwner::raise_epoch() {
   calling_ = true;
@@ -73,29 +77,31 @@
 
 void PartitionOwner::load_results() {
   calling_ = true;
-  log_.newest({topics_.results, partition_}, page_key_, [this, life = life_](NewestOutcome outcome) {
-    if (!life->alive) {
-      return;
-    }
-    calling_ = false;
-    if (outcome.status != LogStatus::kOk) {
-      retry_later();
-      return;
-    }
-    failures_ = 0;
-    if (!outcome.records.empty()) {
-      page_key_ = outcome.records.back().key;
-    }
-    std::move(outcome.records.begin(), outcome.records.end(), std::back_inserter(loaded_results_));
-    if (outcome.more) {
-      load_results();
-      return;
-    }
-    ledger_.load_results(std::move(loaded_results_));
-    loaded_results_.clear();
-    step_ = Step::kLoadingJobs;
-    jobs_watch_.tick(now_);
-  });
+  log_.newest({topics_.results, partition_}, page_key_,
+              [this, life = life_](NewestOutcome outcome) {
+                if (!life->alive) {
+                  return;
+                }
+                calling_ = false;
+                if (outcome.status != LogStatus::kOk) {
+                  retry_later();
+                  return;
+                }
+                failures_ = 0;
+                if (!outcome.records.empty()) {
+                  page_key_ = outcome.records.back().key;
+                }
+                std::move(outcome.records.begin(), outcome.records.end(),
+                          std::back_inserter(loaded_results_));
+                if (outcome.more) {
+                  load_results();
+                  return;
+                }
+                ledger_.load_results(std::move(loaded_results_));
+                loaded_results_.clear();
+                step_ = Step::kLoadingJobs;
+                jobs_watch_.tick(now_);
+              });
 }
 
 void PartitionOwner::on_snapshot(const std::vector<KeyedRecord>& records) {
@@ -104,7 +110,9 @@
   }
 }
 
-void PartitionOwner::on_record(const KeyedRecord& record) { take_job_record(record); }
+void PartitionOwner::on_record(const KeyedRecord& record) {
+  take_job_record(record);
+}
 
 void PartitionOwner::take_job_record(const KeyedRecord& record) {
   const auto job = ledger_.take_job_record(record);
--- /dev/null
+++ b/src/emulator/memory_log.cpp
@@ -0,0 +1,304 @@
+#include "emulator/memory_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dockpoint {
+namespace {
+
+/// Time of an answer.
+constexpr Duration kLatency = std::chrono::milliseconds(4);
+/// Time after which a caller gives an answer up.
+constexpr Duration kCallTimeout = std::chrono::milliseconds(1500);
+/// Records in one page.
+constexpr std::size_t kPageRecords = 50;
+/// Answers that are given again when an append is repeated.
+constexpr std::size_t kRecentAnswers = 5;
+
+}  // namespace
+
+MemoryLog::MemoryLog(const LogLimits& limits, std::uint64_t seed)
+    : limits_(limits), random_(seed) {}
+
+void MemoryLog::answer(std::function<void()> run) {
+  events_.push_back({now_ + kLatency, std::move(run)});
+}
+
+void MemoryLog::advance(TimePoint now) {
+  now_ = now;
+  expire(now);
+  std::deque<Event> due;
+  std::deque<Event> later;
+  for (Event& event : std::exchange(events_, {})) {
+    (event.at <= now ? due : later).push_back(std::move(event));
+  }
+  events_ = std::move(later);
+  for (const Event& event : due) {
+    event.run();
+  }
+  for (WaitingRead& read : std::exchange(waiting_, {})) {
+    ReadOutcome outcome = read_now(read.partition, read.from);
+    const bool ready = !outcome.records.empty() || outcome.status != LogStatus::kOk;
+    if (faults.silent || faults.down) {
+      if (now >= read.deadline + kCallTimeout) {
+        read.done({LogStatus::kUnknown, {}, 0});
+      } else {
+        waiting_.push_back(std::move(read));
+      }
+    } else if (ready || now >= read.deadline) {
+      read.done(std::move(outcome));
+    } else {
+      waiting_.push_back(std::move(read));
+    }
+  }
+}
+
+void MemoryLog::forget_history() {
+  for (auto& [id, partition] : partitions_) {
+    partition.first_kept = partition.records.size();
+  }
+}
+
+AppendOutcome MemoryLog::apply(const TopicPartition& id, const std::vector<KeyedRecord>& records,
+                               const std::optional<ProducerPosition>& position) {
+  Partition& partition = partitions_[id];
+  if (position) {
+    Producer& producer = partition.producers[position->producer];
+    if (producer.seen && position->epoch < producer.epoch) {
+      return {LogStatus::kFenced, 0, 0, 0};
+    }
+    if (!producer.seen || position->epoch > producer.epoch) {
+      producer = {position->epoch, true, position->sequence, {}};
+    }
+    for (const auto& [sequence, outcome] : producer.recent) {
+      if (sequence == position->sequence) {
+        return outcome;
+      }
+    }
+    if (position->sequence != producer.next_sequence) {
+      return {LogStatus::kOutOfSequence, 0, 0, producer.next_sequence};
+    }
+  }
+  AppendOutcome outcome{LogStatus::kOk, partition.records.size(), 0, 0};
+  for (KeyedRecord record : records) {
+    record.offset = partition.records.size();
+    partition.records.push_back(record);
+    if (record.value.empty()) {
+      partition.newest.erase(record.key);
+    } else {
+      partition.newest[record.key] = record;
+    }
+  }
+  outcome.end = partition.records.size();
+  if (position) {
+    Producer& producer = partition.producers[position->producer];
+    ++producer.next_sequence;
+    producer.recent.emplace_back(position->sequence, outcome);
+    if (producer.recent.size() > kRecentAnswers) {
+      producer.recent.pop_front();
+    }
+  }
+  return outcome;
+}
+
+void MemoryLog::append(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
+                       const std::optional<ProducerPosition>& position,
+                       std::function<void(AppendOutcome)> done) {
+  std::uniform_real_distribution<double> share(0, 1);
+  if (faults.down) {
+    answer([done = std::move(done)] { done({LogStatus::kRefused, 0, 0, 0}); });
+    return;
+  }
+  const bool delayed = share(random_) < faults.delay_appends;
+  const bool lost = delayed || faults.silent || share(random_) < faults.lose_answers;
+  if (delayed) {
+    std::uniform_int_distribution<std::int64_t> delay(0, faults.longest_delay.count());
+    events_.push_back({now_ + Duration(delay(random_)),
+                       [this, partition, records, position] { apply(partition, records, position); }});
+  }
+  const AppendOutcome outcome = delayed || faults.silent ? AppendOutcome{}
+                                                         : apply(partition, records, position);
+  if (lost) {
+    events_.push_back({now_ + kCallTimeout, [done = std::move(done)] { done(AppendOutcome{}); }});
+  } else {
+    answer([done = std::move(done), outcome] { done(outcome); });
+  }
+}
+
+ReadOutcome MemoryLog::read_now(const TopicPartition& id, LogOffset from) {
+  const Partition& partition = partitions_[id];
+  if (from < partition.first_kept) {
+    return {LogStatus::kForgotten, {}, partition.records.size()};
+  }
+  ReadOutcome outcome{LogStatus::kOk, {}, partition.records.size()};
+  for (std::size_t offset = from; offset < partition.records.size(); ++offset) {
+    outcome.records.push_back(partition.records[offset]);
+  }
+  return outcome;
+}
+
+void MemoryLog::read(const TopicPartition& partition, LogOffset from, Duration wait,
+                     std::function<void(ReadOutcome)> done) {
+  if (faults.down) {
+    answer([done = std::move(done)] { done({LogStatus::kRefused, {}, 0}); });
+    return;
+  }
+  waiting_.push_back({partition, from, now_ + wait, std::move(done)});
+}
+
+void MemoryLog::newest(const TopicPartition& id, const std::string& after_key,
+                       std::function<void(NewestOutcome)> done) {
+  if (faults.down) {
+    answer([done = std::move(done)] { done({LogStatus::kRefused, {}, false, 0}); });
+    return;
+  }
+  if (faults.silent) {
+    events_.push_back({now_ + kCallTimeout,
+                       [done = std::move(done)] { done({LogStatus::kUnknown, {}, false, 0}); }});
+    return;
+  }
+  const Partition& partition = partitions_[id];
+  NewestOutcome outcome{LogStatus::kOk, {}, false, partition.records.size()};
+  for (auto entry = partition.newest.upper_bound(after_key); entry != partition.newest.end();
+       ++entry) {
+    if (outcome.records.size() == kPageRecords) {
+      outcome.more = true;
+      break;
+    }
+    outcome.records.push_back(entry->second);
+  }
+  answer([done = std::move(done), outcome = std::move(outcome)] { done(outcome); });
+}
+
+void MemoryLog::deal(Group& group, const std::vector<std::string>& topics) {
+  ++group.generation;
+  for (const std::string& topic : topics) {
+    for (int number = 0; number < limits_.partitions; ++number) {
+      group.partitions.try_emplace({topic, number});
+    }
+  }
+  std::vector<std::string> members;
+  for (const auto& [member, lease] : group.members) {
+    members.push_back(member);
+  }
+  std::size_t turn = 0;
+  for (auto& [id, partition] : group.partitions) {
+    if (members.empty()) {
+      partition = {};
+      continue;
+    }
+    const std::string& next = members[turn++ % members.size()];
+    if (partition.owner.empty()) {
+      partition.owner = next;
+      partition.generation = group.generation;
+    }
+    partition.heir = next == partition.owner ? std::string() : next;
+  }
+}
+
+void MemoryLog::release(Group& group, const std::string& member, std::uint64_t generation) {
+  for (auto& [id, partition] : group.partitions) {
+    if (partition.owner == member && !partition.heir.empty() && generation >= group.generation) {
+      partition.owner = std::exchange(partition.heir, {});
+      ++group.generation;
+    }
+  }
+}
+
+void MemoryLog::expire(TimePoint now) {
+  if (faults.down || faults.silent) {
+    return;  // Leases wait while the service is away.
+  }
+  for (auto& [name, group] : groups_) {
+    bool changed = false;
+    for (auto member = group.members.begin(); member != group.members.end();) {
+      if (now < member->second) {
+        ++member;
+        continue;
+      }
+      for (auto& [id, partition] : group.partitions) {
+        if (partition.owner == member->first) {
+          partition.owner.clear();
+        }
+      }
+      member = group.members.erase(member);
+      changed = true;
+    }
+    if (changed) {
+      deal(group, {});
+    }
+  }
+}
+
+void MemoryLog::rebalance() {
+  for (auto& [name, group] : groups_) {
+    std::vector<std::string> owners;
+    for (auto& [id, partition] : group.partitions) {
+      owners.push_back(partition.owner);
+    }
+    if (owners.empty()) {
+      continue;
+    }
+    std::rotate(owners.begin(), owners.begin() + 1, owners.end());
+    std::size_t index = 0;
+    for (auto& [id, partition] : group.partitions) {
+      partition.owner = owners[index++];
+      partition.heir.clear();
+    }
+    ++group.generation;
+  }
+}
+
+void MemoryLog::join(const std::string& name, const std::string& member,
+                     const std::vector<std::string>& topics, Duration lease,
+                     std::uint64_t generation, std::function<void(JoinOutcome)> done) {
+  if (faults.down || faults.silent) {
+    const Duration after = faults.down ? kLatency : kCallTimeout;
+    const LogStatus status = faults.down ? LogStatus::kRefused : LogStatus::kUnknown;
+    events_.push_back({now_ + after, [done = std::move(done), status] { done({status, 0, {}}); }});
+    return;
+  }
+  Group& group = groups_[name];
+  const bool added = !group.members.contains(member);
+  group.members[member] = now_ + lease;
+  if (added) {
+    deal(group, topics);
+  }
+  release(group, member, generation);
+  JoinOutcome outcome{LogStatus::kOk, group.generation, {}};
+  for (const auto& [id, partition] : group.partitions) {
+    if (partition.owner == member && partition.heir.empty()) {
+      outcome.partitions.push_back(id);
+    }
+  }
+  answer([done = std::move(done), outcome = std::move(outcome)] { done(outcome); });
+}
+
+void MemoryLog::leave(const std::string& name, const std::string& member,
+                      std::function<void(LogStatus)> done) {
+  if (!faults.down && !faults.silent) {
+    Group& group = groups_[name];
+    group.members.erase(member);
+    for (auto& [id, partition] : group.partitions) {
+      if (partition.owner == member) {
+        partition.owner.clear();
+      }
+    }
+    deal(group, {});
+  }
+  answer([done = std::move(done)] { done(LogStatus::kOk); });
+}
+
+void MemoryLog::owners(const std::string& name, std::function<void(OwnersOutcome)> done) {
+  OwnersOutcome outcome{faults.down ? LogStatus::kRefused : LogStatus::kOk, {}};
+  for (const auto& [id, partition] : groups_[name].partitions) {
+    outcome.rows.push_back({id, partition.owner});
+  }
+  answer([done = std::move(done), outcome = std::move(outcome)] { done(outcome); });
+}
+
+const std::vector<KeyedRecord>& MemoryLog::history(const TopicPartition& partition) {
+  return partitions_[partition].records;
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/emulator/memory_log.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dockpoint/log/partitioned_log.hpp"
+
+/// A stand-in of the service that holds the log, in memory and in simulated time.
+///
+/// It keeps the promises of `PartitionedLog` and can fail in every way that they allow: refuse
+/// calls, lose answers, do appends late, forget history, deal partitions anew.
+namespace dockpoint {
+
+/// How a stand-in log fails from now on.
+struct MemoryLogFaults {
+  bool down = false;          ///< Every call is refused.
+  bool silent = false;        ///< No call is answered or done.
+  double lose_answers = 0;    ///< Share of appends that are done and not answered.
+  double delay_appends = 0;   ///< Share of appends without an answer that are done later.
+  Duration longest_delay = std::chrono::seconds(4);
+};
+
+/// See the top of this file. Time passes only in `advance`. Not thread-safe.
+class MemoryLog : public PartitionedLog {
+ public:
+  MemoryLog(const LogLimits& limits, std::uint64_t seed);
+
+  MemoryLogFaults faults;
+
+  /// Lets time pass: answers come, leases run out, late appends are done.
+  void advance(TimePoint now);
+  /// Forgets all history; the newest record of each key stays.
+  void forget_history();
+  /// Deals the partitions of all groups anew.
+  void rebalance();
+
+  const LogLimits& limits() const override { return limits_; }
+  void append(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
+              const std::optional<ProducerPosition>& position,
+              std::function<void(AppendOutcome)> done) override;
+  void read(const TopicPartition& partition, LogOffset from, Duration wait,
+            std::function<void(ReadOutcome)> done) override;
+  void newest(const TopicPartition& partition, const std::string& after_key,
+              std::function<void(NewestOutcome)> done) override;
+  void join(const std::string& group, const std::string& member,
+            const std::vector<std::string>& topics, Duration lease, std::uint64_t generation,
+            std::function<void(JoinOutcome)> done) override;
+  void leave(const std::string& group, const std::string& member,
+             std::function<void(LogStatus)> done) override;
+  void owners(const std::string& group, std::function<void(OwnersOutcome)> done) override;
+
+  /// @return every record ever appended to a partition, for checks.
+  const std::vector<KeyedRecord>& history(const TopicPartition& partition);
+
+ private:
+  struct Producer {
+    std::uint64_t epoch = 0;
+    bool seen = false;
+    std::uint64_t next_sequence = 0;
+    std::deque<std::pair<std::uint64_t, AppendOutcome>> recent;  ///< Answers of the last appends.
+  };
+  struct Partition {
+    std::vector<KeyedRecord> records;  ///< All; the index is the offset.
+    LogOffset first_kept = 0;
+    std::map<std::string, KeyedRecord> newest;
+    std::map<std::string, Producer> producers;
+  };
+  struct GroupPartition {
+    std::string owner;
+    std::string heir;  ///< Gets it once the owner releases it.
+    std::uint64_t generation = 0;  ///< In which it was last dealt.
+  };
+  struct Group {
+    std::uint64_t generation = 0;
+    std::map<std::string, TimePoint> members;  ///< With the end of the lease.
+    std::map<TopicPartition, GroupPartition> partitions;
+  };
+  struct Event {
+    TimePoint at{};
+    std::function<void()> run;
+  };
+  struct WaitingRead {
+    TopicPartition partition;
+    LogOffset from = 0;
+    TimePoint deadline{};
+    std::function<void(ReadOutcome)> done;
+  };
+
+  AppendOutcome apply(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
+                      const std::optional<ProducerPosition>& position);
+  ReadOutcome read_now(const TopicPartition& partition, LogOffset from);
+  void answer(std::function<void()> run);
+  void deal(Group& group, const std::vector<std::string>& topics);
+  void expire(TimePoint now);
+  void release(Group& group, const std::string& member, std::uint64_t generation);
+
+  const LogLimits limits_;
+  std::mt19937_64 random_;
+  TimePoint now_{};
+  std::map<TopicPartition, Partition> partitions_;
+  std::map<std::string, Group> groups_;
+  std::vector<std::string> topics_;
+  std::deque<Event> events_;
+  std::vector<WaitingRead> waiting_;
+};
+
+}  // namespace dockpoint
--- a/src/files/file_store.hpp
+++ b/src/files/file_store.hpp
@@ -5,10 +5,10 @@
 #include <istream>
 #include <list>
 #include <memory>
-#include "dockpoint/core/codec.hpp"
 #include <mutex>
 #include <string>
 #include <vector>
+#include "dockpoint/core/codec.hpp"
 
 #include "dockpoint/batch/records.hpp"
 #include "log/log_client.hpp"
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -170,8 +170,8 @@
   int slots = 0;
   for (const auto& [id, replica] : context_.replicas.all()) {
     const auto service = context_.configuration->services.find(replica.record.service);
-    const bool engine = service != context_.configuration->services.end() &&
-                        service->second.cache_tokens > 0;
+    const bool engine =
+        service != context_.configuration->services.end() && service->second.cache_tokens > 0;
     slots += engine && !replica.record.draining ? replica.record.slots : 0;
   }
   const double share = context_.knobs.batch_slot_share * slots / busy_nodes_;
@@ -239,8 +239,7 @@
   std::vector<ItemRef> expired;
   const auto check = [&](const ItemRef& ref) {
     const LedgerJob* job = job_of(ref);
-    const RouteConfig* route =
-        job == nullptr ? nullptr : route_of(*job, job->job.items[ref.item]);
+    const RouteConfig* route = job == nullptr ? nullptr : route_of(*job, job->job.items[ref.item]);
     const Duration retention = route == nullptr ? Duration{} : route->retention;
     constexpr std::int64_t kMarginMs = 1'000;
     if (retention > Duration{} &&
@@ -275,7 +274,9 @@
   }
 }
 
-void BatchExecutor::run_over(const std::shared_ptr<ItemRun>& run) { runs_.erase(run); }
+void BatchExecutor::run_over(const std::shared_ptr<ItemRun>& run) {
+  runs_.erase(run);
+}
 
 PartitionOwner* BatchExecutor::owner_of(int partition) const {
   const auto found = owners_.find(partition);
--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -18,7 +18,11 @@
   int partition = 0;
   std::string job;
   std::uint32_t item = 0;
-  friend auto operator<=>(const ItemRef&, const ItemRef&) = default;
+  friend bool operator==(const ItemRef&, const ItemRef&) = default;
+  friend bool operator<(const ItemRef& left, const ItemRef& right) {
+    return std::tie(left.partition, left.job, left.item) <
+           std::tie(right.partition, right.job, right.item);
+  }
 };
 
 /// What is known of an item beyond its job: kept between runs, so that a broken one goes on.
@@ -26,9 +30,9 @@
   ItemCheckpoint produced;
   std::size_t saved_bytes = 0;  ///< Of the text, in the log.
   int saved_failures = 0;
-  bool restarted = false;       ///< What the log has of it is void.
-  int interruptions = 0;        ///< In a row; spaces out further runs.
-  std::string last_replica;     ///< That interrupted it.
+  bool restarted = false;    ///< What the log has of it is void.
+  int interruptions = 0;     ///< In a row; spaces out further runs.
+  std::string last_replica;  ///< That interrupted it.
 
   /// Forgets what was produced: the item runs from its start.
   void restart();
@@ -73,7 +77,10 @@
     bool overdue = false;
     std::int64_t due_ms = 0;
     ItemRef ref;
-    friend auto operator<=>(const Waiting&, const Waiting&) = default;
+    friend bool operator<(const Waiting& left, const Waiting& right) {
+      return std::tie(left.overdue, left.due_ms, left.ref) <
+             std::tie(right.overdue, right.due_ms, right.ref);
+    }
   };
 
   void start_waiting(TimePoint now);
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -31,7 +31,9 @@
 constexpr const char* kRetryAfter = "0.4";
 
 /// @return the address in a member's name, `IP:port#run`.
-std::string address_of(const std::string& member) { return member.substr(0, member.find('#')); }
+std::string address_of(const std::string& member) {
+  return member.substr(0, member.find('#'));
+}
 
 std::string member_name(const BatchMemberName& name) {
   return fmt::format("{}#{:x}", name.control_address, name.run);
@@ -77,7 +79,9 @@
       executor_(context),
       group_(context.knobs, log, topics_.group, topics_.jobs, member_name(name_), seed, *this) {}
 
-BatchService::~BatchService() { *alive_ = false; }
+BatchService::~BatchService() {
+  *alive_ = false;
+}
 
 void BatchService::refuse(const net::ExchangePtr& exchange) {
   exchange->respond(503, {{"Retry-After", kRetryAfter}}, {});
@@ -105,7 +109,7 @@
   const auto submission = std::make_shared<Submission>();
   submission->exchange = exchange;
   submission->job = job->id;
-  submission->partition = {topics_.jobs, partition_of_job(job->id, log_.limits().partitions)};
+  submission->partition = {topics_.jobs, job_partition(job->id, log_.limits().partitions)};
   submission->deadline = exchange->received() + context_.knobs.submission_wait;
   std::size_t bytes = 0;
   for (KeyedRecord& record : job_records(*job, log_.limits().record_bytes)) {
@@ -164,7 +168,7 @@
     end_job(exchange, call.job);
     return;
   }
-  const int partition = partition_of_job(call.job, log_.limits().partitions);
+  const int partition = job_partition(call.job, log_.limits().partitions);
   const PartitionOwner* owner = owner_of(partition);
   if (owner != nullptr) {
     const TimePoint now = net::steady_now();
@@ -183,7 +187,7 @@
 }
 
 bool BatchService::try_answer(const Waiter& waiter, bool last_chance) {
-  const int partition = partition_of_job(waiter.call.job, log_.limits().partitions);
+  const int partition = job_partition(waiter.call.job, log_.limits().partitions);
   const PartitionOwner* owner = owner_of(partition);
   const LedgerJob* job =
       owner != nullptr && owner->active() ? owner->ledger().find(waiter.call.job) : nullptr;
@@ -223,7 +227,7 @@
 }
 
 void BatchService::end_job(const net::ExchangePtr& exchange, const std::string& job) {
-  const TopicPartition partition{topics_.jobs, partition_of_job(job, log_.limits().partitions)};
+  const TopicPartition partition{topics_.jobs, job_partition(job, log_.limits().partitions)};
   log_.append(partition, {end_record(job)}, std::nullopt,
               [this, alive = alive_, exchange, job](const AppendOutcome& outcome) {
                 if (!*alive) {
@@ -254,22 +258,21 @@
   net::RequestHead head = exchange->request();
   head.headers.erase_connection_fields();
   head.headers.set(kForwardedHeader, "1");
-  net::SimpleCall::start(
-      context_.client, context_.loop, {*address, "control"}, net::serialize(head), {},
-      call.wait + kForwardTimeout,
-      [this, alive = alive_, exchange](net::SimpleCall::Outcome outcome) {
-        if (!*alive) {
-          return;
-        }
-        if (outcome.failure || outcome.head.headers.has(kNotOwnerHeader)) {
-          refresh_owners();
-          refuse(exchange);
-          return;
-        }
-        net::Headers headers = outcome.head.headers;
-        headers.erase_connection_fields();
-        exchange->respond(outcome.head.status, std::move(headers), outcome.body);
-      });
+  net::SimpleCall::start(context_.client, context_.loop, {*address, "control"},
+                         net::serialize(head), {}, call.wait + kForwardTimeout,
+                         [this, alive = alive_, exchange](net::SimpleCall::Outcome outcome) {
+                           if (!*alive) {
+                             return;
+                           }
+                           if (outcome.failure || outcome.head.headers.has(kNotOwnerHeader)) {
+                             refresh_owners();
+                             refuse(exchange);
+                             return;
+                           }
+                           net::Headers headers = outcome.head.headers;
+                           headers.erase_connection_fields();
+                           exchange->respond(outcome.head.status, std::move(headers), outcome.body);
+                         });
 }
 
 void BatchService::refresh_owners() {
@@ -347,7 +350,9 @@
                      [](const auto& entry) { return entry.second->unwritten() == 0; });
 }
 
-void BatchService::leave() { group_.leave(); }
+void BatchService::leave() {
+  group_.leave();
+}
 
 void BatchService::on_acquired(int partition, std::uint64_t epoch) {
   spdlog::info("batch: partition acquired partition={} epoch={}", partition, epoch);
@@ -408,7 +413,9 @@
   executor_.end_job(partition, job);
 }
 
-void BatchService::on_results(int /*partition*/, const std::string& job) { serve_waiters(job); }
+void BatchService::on_results(int /*partition*/, const std::string& job) {
+  serve_waiters(job);
+}
 
 void BatchService::on_partition_fenced(int partition) {
   spdlog::warn("batch: partition fenced by a newer owner partition={}", partition);
@@ -420,6 +427,8 @@
   return found == owners_.end() ? nullptr : found->second.get();
 }
 
-void BatchService::update_metrics() { context_.metrics.set_partitions_owned(owners_.size()); }
+void BatchService::update_metrics() {
+  context_.metrics.set_partitions_owned(owners_.size());
+}
 
 }  // namespace dockpoint
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -91,7 +91,8 @@
   std::uint64_t seed_;
   BatchExecutor executor_;
   std::map<int, std::unique_ptr<PartitionOwner>> owners_;
-  std::vector<int> fenced_;  ///< Dropped at the next tick: they may not be destroyed while they tell.
+  std::vector<int>
+      fenced_;  ///< Dropped at the next tick: they may not be destroyed while they tell.
   std::list<Waiter> waiters_;
   std::vector<std::shared_ptr<Submission>> submissions_;
   std::map<int, std::string> owner_addresses_;
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -44,8 +44,8 @@
 
 /// What one node tells another on its start.
 struct FleetState {
-  std::uint64_t version = 0;     ///< Of the configuration; 0: none.
-  std::string configuration;     ///< The record's value.
+  std::uint64_t version = 0;  ///< Of the configuration; 0: none.
+  std::string configuration;  ///< The record's value.
   bool replicas_known = false;
   LogOffset replicas_position = 0;  ///< Offset up to which the replicas' records were read.
   std::vector<StoredReplica> replicas;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,7 +39,9 @@
 /// Path of the question that nodes ask each other.
 constexpr const char* kStatePath = "/dockpoint/state";
 
-std::uint64_t start_number() { return static_cast<std::uint64_t>(net::unix_now_ms()); }
+std::uint64_t start_number() {
+  return static_cast<std::uint64_t>(net::unix_now_ms());
+}
 
 }  // namespace
 
@@ -52,8 +54,9 @@
       run_(start_number()),
       replicas_(knobs),
       selector_(knobs, replicas_, settings_.zone, combine_hash(hash64(settings_.node), run_)),
-      context_{loop,     knobs,    parts.traffic, client, replicas_,
-               selector_, metrics_, std::make_shared<RoutingConfiguration>(), settings_.node},
+      context_{loop,          knobs,     parts.traffic, client,
+               replicas_,     selector_, metrics_,      std::make_shared<RoutingConfiguration>(),
+               settings_.node},
       online_(context_, hash64(settings_.node)),
       fleet_(context_, parts.log, parts.fleet_reader, parts.fleet_topics, hash64(settings_.node),
              [this] { apply_configuration(); }),
@@ -157,7 +160,8 @@
     return;
   }
   const Duration stopping_for = exchange->received() - stop_requested_at_;
-  if (stopping_ && stopping_for > std::chrono::duration_cast<Duration>(settings_.grace * kGraceForRequests)) {
+  if (stopping_ &&
+      stopping_for > std::chrono::duration_cast<Duration>(settings_.grace * kGraceForRequests)) {
     exchange->respond(503, {{"Retry-After", kElsewhereRetryAfter}}, {});
     return;
   }
@@ -197,10 +201,10 @@
   const std::size_t limit = parts_.resolver.maximum_addresses();
   if (addresses.size() > limit) {
     // Each node tells another part, so that together they tell all.
-    std::rotate(addresses.begin(),
-                addresses.begin() + static_cast<std::ptrdiff_t>(hash64(settings_.node) %
-                                                                addresses.size()),
-                addresses.end());
+    std::rotate(
+        addresses.begin(),
+        addresses.begin() + static_cast<std::ptrdiff_t>(hash64(settings_.node) % addresses.size()),
+        addresses.end());
     addresses.resize(limit);
   }
   const Duration lifetime = std::min(kAddressLifetime, settings_.address_lifetime);
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -17,12 +17,12 @@
   std::string region;
 
   // Addresses, `IP:port`.
-  std::string frontend_address;   ///< For callers.
-  std::string readiness_address;  ///< For readiness checks.
-  std::string resolver_address;   ///< For callers that ask for addresses.
-  std::string control_address;    ///< For calls between nodes.
-  std::string datagram_address;   ///< For messages between nodes.
-  std::string metrics_address;    ///< For metrics; empty: none.
+  std::string frontend_address;    ///< For callers.
+  std::string readiness_address;   ///< For readiness checks.
+  std::string resolver_address;    ///< For callers that ask for addresses.
+  std::string control_address;     ///< For calls between nodes.
+  std::string datagram_address;    ///< For messages between nodes.
+  std::string metrics_address;     ///< For metrics; empty: none.
   std::vector<std::string> seeds;  ///< Control addresses of other nodes.
 
   std::string log_address;  ///< Of the service that holds the log.
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -34,7 +34,9 @@
   }
 }
 
-ItemProgress& ItemRun::progress() { return executor_.progress_[ref_]; }
+ItemProgress& ItemRun::progress() {
+  return executor_.progress_[ref_];
+}
 
 void ItemRun::start(const Replica& replica, std::string bytes, double missing_tokens,
                     TimePoint now) {
@@ -62,7 +64,9 @@
   replica_.clear();
 }
 
-void ItemRun::cancel() { release_replica(); }
+void ItemRun::cancel() {
+  release_replica();
+}
 
 bool ItemRun::on_head(const net::ResponseHead& head) {
   const ReplicaAnswer answer = context_.protocol.read_answer(head, item_id_);
@@ -150,10 +154,10 @@
 
 void ItemRun::on_failure(net::CallFailure failure) {
   const TimePoint now = net::steady_now();
-  context_.replicas.signal(replica_, failure == net::CallFailure::kNotSent
-                                         ? ReplicaSignal::kUnreachable
-                                         : ReplicaSignal::kBroken,
-                           now);
+  context_.replicas.signal(
+      replica_,
+      failure == net::CallFailure::kNotSent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken,
+      now);
   interrupted(now, "the connection ended");
 }
 
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -110,9 +110,9 @@
     spdlog::info(
         "online: sent id={} route={} version={} replica={} attempt={} load={}/{} waitMs={} "
         "missingTokens={} leftMs={}",
-        info_.id, route_.name, configuration_->version, replica_, sends_,
-        choice.replica->load(now), replica.slots, net::to_ms(choice.expected_wait),
-        static_cast<int>(choice.missing_tokens), net::to_ms(deadline_ - now));
+        info_.id, route_.name, configuration_->version, replica_, sends_, choice.replica->load(now),
+        replica.slots, net::to_ms(choice.expected_wait), static_cast<int>(choice.missing_tokens),
+        net::to_ms(deadline_ - now));
   }
   net::CallOptions options;
   options.connect_timeout = context_.knobs.replica_connect_timeout;
@@ -227,8 +227,8 @@
   }
   const ReplicaAnswer answer = context_.protocol.read_answer(head_, info_.id);
   const bool failed = head_.status >= 500 || (success && !answer.genuine);
-  if (failed && history_.repeatable &&
-      history_.runs_possible + 1 < history_.attempts_allowed && now < deadline_) {
+  if (failed && history_.repeatable && history_.runs_possible + 1 < history_.attempts_allowed &&
+      now < deadline_) {
     end_attempt();
     after_failure(AttemptFailure::kMayHaveRun, now);
     return;
@@ -249,18 +249,19 @@
   const auto self = shared_from_this();
   const TimePoint now = net::steady_now();
   const bool not_sent = failure == net::CallFailure::kNotSent;
-  context_.replicas.signal(replica_, not_sent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken,
-                           now);
-  spdlog::warn("online: attempt failed id={} replica={} failure={} headSeen={} reused={} afterMs={}",
-               info_.id, replica_, static_cast<int>(failure), head_seen_,
-               call_ && call_->reused(), net::to_ms(now - sent_at_));
+  context_.replicas.signal(replica_,
+                           not_sent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken, now);
+  spdlog::warn(
+      "online: attempt failed id={} replica={} failure={} headSeen={} reused={} afterMs={}",
+      info_.id, replica_, static_cast<int>(failure), head_seen_, call_ && call_->reused(),
+      net::to_ms(now - sent_at_));
   const bool not_run = not_sent || (turned_away_ && head_seen_);
   end_attempt();
   if (not_run) {
     after_failure(AttemptFailure::kNotRun, now);
   } else {
-    after_failure(exchange_->answered() ? AttemptFailure::kInterrupted : AttemptFailure::kMayHaveRun,
-                  now);
+    after_failure(
+        exchange_->answered() ? AttemptFailure::kInterrupted : AttemptFailure::kMayHaveRun, now);
   }
 }
 
@@ -358,10 +359,9 @@
 
 void OnlineCall::refuse(const char* why) {
   const std::uint64_t spread = hash64(info_.id) % 1000;
-  const double seconds =
-      std::chrono::duration<double>(context_.knobs.retry_after_minimum).count() +
-      std::chrono::duration<double>(context_.knobs.retry_after_spread).count() *
-          static_cast<double>(spread) / 1000.0;
+  const double seconds = std::chrono::duration<double>(context_.knobs.retry_after_minimum).count() +
+                         std::chrono::duration<double>(context_.knobs.retry_after_spread).count() *
+                             static_cast<double>(spread) / 1000.0;
   exchange_->respond(503, {{"Retry-After", fmt::format("{:.2f}", seconds)}}, {});
   finish("refused", why);
 }
@@ -385,7 +385,8 @@
   const bool ordinary = std::string_view(outcome) == "answered" && sends_ == 1;
   if (!ordinary || is_sampled(info_.id)) {
     spdlog::info(
-        "online: {} id={} route={} version={} service={} sends={} mayHaveRun={} tookMs={} why=\"{}\"",
+        "online: {} id={} route={} version={} service={} sends={} mayHaveRun={} tookMs={} "
+        "why=\"{}\"",
         outcome, info_.id, route_.name, configuration_->version, service_, sends_,
         history_.runs_possible, net::to_ms(net::steady_now() - exchange_->received()), why);
   }
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -65,8 +65,8 @@
   TimePoint sent_at_{};
   double prefill_tokens_ = 0;  ///< Counted at the replica until the first byte.
   bool head_seen_ = false;
-  bool turned_away_ = false;   ///< The replica said that it did not run the request.
-  bool streaming_ = false;     ///< The answer under way is a stream that is passed on.
+  bool turned_away_ = false;  ///< The replica said that it did not run the request.
+  bool streaming_ = false;    ///< The answer under way is a stream that is passed on.
   net::ResponseHead head_;
   std::string body_;
   EventFramer framer_;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -100,7 +100,9 @@
   }
 }
 
-void PeerLink::leave() { membership_.leave(); }
+void PeerLink::leave() {
+  membership_.leave();
+}
 
 bool PeerLink::silent(const Member& member, TimePoint now) const {
   if (member.id == context_.node) {
--- a/src/gateway/traffic_protocol.hpp
+++ b/src/gateway/traffic_protocol.hpp
@@ -74,7 +74,8 @@
   /// @return the call, or nothing if the request is none about batch jobs.
   virtual std::optional<JobCall> read_job_call(const net::RequestHead& head) const = 0;
   /// Reads a submitted job.
-  virtual Result<BatchJob> read_job(const net::RequestHead& head, const std::string& body) const = 0;
+  virtual Result<BatchJob> read_job(const net::RequestHead& head,
+                                    const std::string& body) const = 0;
   virtual std::string write_results(const ResultPage& page) const = 0;
   virtual net::RequestHead item_request(const BatchJob& job, const BatchItem& item,
                                         const ReplicaSend& send) const = 0;
--- a/src/log/keyed_watch.cpp
+++ b/src/log/keyed_watch.cpp
@@ -12,7 +12,9 @@
       random_(seed),
       observer_(observer) {}
 
-KeyedWatch::~KeyedWatch() { state_->alive = false; }
+KeyedWatch::~KeyedWatch() {
+  state_->alive = false;
+}
 
 void KeyedWatch::tick(TimePoint now) {
   now_ = now;
@@ -77,12 +79,13 @@
 
 void KeyedWatch::follow() {
   state_->calling = true;
-  log_.read(partition_, state_->next, knobs_.watch_wait, [this, state = state_](ReadOutcome outcome) {
-    if (state->alive) {
-      state->calling = false;
-      take_records(std::move(outcome));
-    }
-  });
+  log_.read(partition_, state_->next, knobs_.watch_wait,
+            [this, state = state_](ReadOutcome outcome) {
+              if (state->alive) {
+                state->calling = false;
+                take_records(std::move(outcome));
+              }
+            });
 }
 
 void KeyedWatch::take_records(ReadOutcome outcome) {
@@ -118,8 +121,8 @@
 void KeyedWatch::fail() {
   ++state_->failures;
   const int doublings = std::min(state_->failures - 1, 4);
-  const Duration limit = std::min(knobs_.log_retry_delay * (1 << doublings),
-                                  knobs_.log_retry_delay_limit);
+  const Duration limit =
+      std::min(knobs_.log_retry_delay * (1 << doublings), knobs_.log_retry_delay_limit);
   std::uniform_int_distribution<std::int64_t> spread(limit.count() / 2, limit.count());
   state_->retry_at = now_ + Duration(spread(random_));
   if (state_->reachable) {
--- a/src/log/log_wire.hpp
+++ b/src/log/log_wire.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <cstdint>
-#include "dockpoint/core/codec.hpp"
 #include <string>
 #include <vector>
+#include "dockpoint/core/codec.hpp"
 
 namespace dockpoint {
 
--- a/src/net/clock.hpp
+++ b/src/net/clock.hpp
@@ -9,8 +9,8 @@
 
 /// @return the steady clock as decision time.
 inline TimePoint steady_now() {
-  return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+  return TimePoint(
+      std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
 /// @return milliseconds since the Unix epoch.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -41,7 +41,9 @@
 
 }  // namespace
 
-Call::~Call() { cancel(); }
+Call::~Call() {
+  cancel();
+}
 
 void Call::cancel() {
   observer_ = nullptr;
@@ -388,11 +390,17 @@
   return true;
 }
 
-void SimpleCall::on_body(std::string_view bytes) { outcome_.body.append(bytes); }
+void SimpleCall::on_body(std::string_view bytes) {
+  outcome_.body.append(bytes);
+}
 
-void SimpleCall::on_complete() { finish(std::nullopt); }
+void SimpleCall::on_complete() {
+  finish(std::nullopt);
+}
 
-void SimpleCall::on_failure(CallFailure failure) { finish(failure); }
+void SimpleCall::on_failure(CallFailure failure) {
+  finish(failure);
+}
 
 void SimpleCall::finish(std::optional<CallFailure> failure) {
   const auto self = std::exchange(self_, nullptr);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -83,7 +83,8 @@
  private:
   friend class HttpClient;
   friend class ClientConnection;
-  Call(CallObserver& observer, std::string bytes) : observer_(&observer), bytes_(std::move(bytes)) {}
+  Call(CallObserver& observer, std::string bytes)
+      : observer_(&observer), bytes_(std::move(bytes)) {}
 
   CallObserver* observer_;
   std::string bytes_;
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 8> kConnectionFields = {
-    "Connection",       "Keep-Alive", "Proxy-Connection", "TE",
-    "Transfer-Encoding", "Trailer",   "Upgrade",          "Content-Length"};
+    "Connection",        "Keep-Alive", "Proxy-Connection", "TE",
+    "Transfer-Encoding", "Trailer",    "Upgrade",          "Content-Length"};
 
 char lower(char letter) {
   return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + ('a' - 'A')) : letter;
@@ -125,7 +125,8 @@
 }
 
 std::string as_chunk(std::string_view bytes) {
-  return bytes.empty() ? std::string("0\r\n\r\n") : fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+  return bytes.empty() ? std::string("0\r\n\r\n")
+                       : fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
 }
 
 Target Target::parse(std::string_view target) {
@@ -145,7 +146,8 @@
     if (pair.substr(0, equals) == name) {
       std::string decoded;
       try {
-        Poco::URI::decode(std::string(pair.substr(std::min(equals + 1, pair.size()))), decoded, true);
+        Poco::URI::decode(std::string(pair.substr(std::min(equals + 1, pair.size()))), decoded,
+                          true);
       } catch (const Poco::Exception&) {
         return std::nullopt;
       }
--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -79,8 +79,7 @@
 
 void RequestParser::on_field_impl(http::field /*field*/, String name, String value,
                                   ErrorCode& /*error*/) {
-  head_.headers.add(std::string(name.data(), name.size()),
-                    std::string(value.data(), value.size()));
+  head_.headers.add(std::string(name.data(), name.size()), std::string(value.data(), value.size()));
 }
 
 void RequestParser::on_header_impl(ErrorCode& /*error*/) {}
@@ -139,8 +138,7 @@
 
 void ResponseParser::on_field_impl(http::field /*field*/, String name, String value,
                                    ErrorCode& /*error*/) {
-  head_.headers.add(std::string(name.data(), name.size()),
-                    std::string(value.data(), value.size()));
+  head_.headers.add(std::string(name.data(), name.size()), std::string(value.data(), value.size()));
 }
 
 void ResponseParser::on_header_impl(ErrorCode& /*error*/) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -13,6 +13,9 @@
 /// Most bytes that a client may send ahead of the answer it waits for.
 constexpr std::size_t kPipelineBytes = 256 * 1024;
 
+/// Status for a request that does not arrive in time.
+constexpr int kRequestTimeout = 408;
+
 /// Backlog of connections that wait to be accepted.
 constexpr int kBacklog = 1024;
 
@@ -118,9 +121,8 @@
 
 void HttpServer::listen(const std::string& address) {
   const std::optional<Address> parsed = Address::parse(address);
-  const tcp::endpoint endpoint(
-      boost::asio::ip::make_address(parsed ? parsed->host : std::string{}),
-      parsed ? parsed->port : std::uint16_t{0});
+  const tcp::endpoint endpoint(boost::asio::ip::make_address(parsed ? parsed->host : std::string{}),
+                               parsed ? parsed->port : std::uint16_t{0});
   acceptor_.open(endpoint.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(endpoint);
@@ -184,11 +186,13 @@
   new_parser();
 }
 
-void ServerConnection::start() { connection_->start(); }
+void ServerConnection::start() {
+  connection_->start();
+}
 
 void ServerConnection::new_parser() {
-  parser_ = std::make_unique<RequestParser>(server_->limits_.header_bytes,
-                                            server_->limits_.body_bytes);
+  parser_ =
+      std::make_unique<RequestParser>(server_->limits_.header_bytes, server_->limits_.body_bytes);
   continue_sent_ = false;
 }
 
@@ -246,9 +250,13 @@
   drop();
 }
 
-bool ServerConnection::send(std::string_view bytes) { return connection_->send(bytes); }
+bool ServerConnection::send(std::string_view bytes) {
+  return connection_->send(bytes);
+}
 
-bool ServerConnection::keeps_alive() const { return keep_alive_ && !server_->closing_; }
+bool ServerConnection::keeps_alive() const {
+  return keep_alive_ && !server_->closing_;
+}
 
 void ServerConnection::finish(bool keep_alive) {
   const auto self = shared_from_this();
@@ -288,14 +296,17 @@
     return;
   }
   const Duration age = now - since_;
+  const ServerLimits& limits = server_->limits_;
   if (idle()) {
-    if (age > server_->limits_.idle_timeout) {
+    if (age > limits.idle_timeout) {
       close();
     }
-  } else if (age > server_->limits_.header_timeout && !parser_->has_head()) {
-    refuse(408);
-  } else if (age > server_->limits_.header_timeout + server_->limits_.idle_timeout) {
-    refuse(408);
+    return;
+  }
+  // A body may take longer than a head, but not for ever.
+  const Duration body_time = parser_->has_head() ? limits.idle_timeout : Duration{};
+  if (age > limits.header_timeout + body_time) {
+    refuse(kRequestTimeout);
   }
 }
 
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -19,8 +19,8 @@
 struct ServerLimits {
   std::uint32_t header_bytes = 16 * 1024;
   std::uint64_t body_bytes = 4 * 1024 * 1024;
-  Duration header_timeout = std::chrono::seconds(3);   ///< From the first byte to the whole request.
-  Duration idle_timeout = std::chrono::seconds(15);    ///< Between requests.
+  Duration header_timeout = std::chrono::seconds(3);  ///< From the first byte to the whole request.
+  Duration idle_timeout = std::chrono::seconds(15);   ///< Between requests.
 };
 
 class ServerConnection;
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -4,9 +4,9 @@
 #include <sys/socket.h>
 
 #include <array>
-#include <cerrno>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
+#include <cerrno>
 #include <utility>
 
 namespace dockpoint::net {
@@ -36,9 +36,13 @@
   socket_.set_option(tcp::no_delay(true), ignored);
 }
 
-void TcpConnection::start() { wait_for_input(); }
+void TcpConnection::start() {
+  wait_for_input();
+}
 
-void TcpConnection::pause() { paused_ = true; }
+void TcpConnection::pause() {
+  paused_ = true;
+}
 
 void TcpConnection::resume() {
   if (paused_) {
@@ -52,13 +56,12 @@
     return;
   }
   reading_ = true;
-  socket_.async_wait(tcp::socket::wait_read,
-                     [self = shared_from_this()](const ErrorCode& error) {
-                       self->reading_ = false;
-                       if (!error) {
-                         self->on_readable();
-                       }
-                     });
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode& error) {
+    self->reading_ = false;
+    if (!error) {
+      self->on_readable();
+    }
+  });
 }
 
 void TcpConnection::on_readable() {
@@ -108,13 +111,12 @@
     return;
   }
   writing_ = true;
-  socket_.async_wait(tcp::socket::wait_write,
-                     [self = shared_from_this()](const ErrorCode& error) {
-                       self->writing_ = false;
-                       if (!error) {
-                         self->on_writable();
-                       }
-                     });
+  socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const ErrorCode& error) {
+    self->writing_ = false;
+    if (!error) {
+      self->on_writable();
+    }
+  });
 }
 
 void TcpConnection::on_writable() {
--- a/src/routing/attempt_policy.cpp
+++ b/src/routing/attempt_policy.cpp
@@ -19,8 +19,7 @@
 NextStep decide_after_failure(AttemptHistory& history, AttemptFailure failure, const Knobs& knobs) {
   if (failure == AttemptFailure::kNotRun) {
     ++history.not_run_in_row;
-    return history.not_run_in_row < knobs.maximum_sends_not_run ? go_on(history)
-                                                                : give_up(history);
+    return history.not_run_in_row < knobs.maximum_sends_not_run ? go_on(history) : give_up(history);
   }
   ++history.runs_possible;
   history.not_run_in_row = 0;
--- a/src/routing/replica_directory.cpp
+++ b/src/routing/replica_directory.cpp
@@ -11,7 +11,9 @@
 /// A load that a replica stated counts for this long.
 constexpr Duration kReportFresh = std::chrono::milliseconds(400);
 
-std::uint32_t digest_key(const std::string& id) { return static_cast<std::uint32_t>(hash64(id)); }
+std::uint32_t digest_key(const std::string& id) {
+  return static_cast<std::uint32_t>(hash64(id));
+}
 
 }  // namespace
 
@@ -45,7 +47,8 @@
 
 void ReplicaDirectory::retain(const std::vector<std::string>& ids) {
   const std::set<std::string> kept(ids.begin(), ids.end());
-  if (std::erase_if(replicas_, [&](const auto& entry) { return !kept.contains(entry.first); }) > 0) {
+  if (std::erase_if(replicas_, [&](const auto& entry) { return !kept.contains(entry.first); }) >
+      0) {
     ++revision_;
   }
 }
@@ -118,9 +121,8 @@
 
 void ReplicaDirectory::expire_peer_loads(TimePoint now) {
   const Duration limit = knobs_.load_digest_lifetime;
-  if (std::erase_if(peers_, [&](const auto& entry) {
-        return now - entry.second.received > limit;
-      }) > 0) {
+  if (std::erase_if(peers_,
+                    [&](const auto& entry) { return now - entry.second.received > limit; }) > 0) {
     sum_peer_loads();
   }
 }
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -41,18 +41,17 @@
       best = candidate;
     }
   }
-  return {best.replica,
-          std::chrono::duration_cast<Duration>(
-              std::chrono::duration<double, std::milli>(best.wait_ms)),
-          best.missing_tokens};
+  return {
+      best.replica,
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(best.wait_ms)),
+      best.missing_tokens};
 }
 
 std::vector<const Replica*> ReplicaSelector::candidates(const ReplicaQuery& query,
                                                         TimePoint now) const {
   std::vector<const Replica*> ready = directory_.ready(query.service);
-  std::erase_if(ready, [&](const Replica* replica) {
-    return query.excluded.contains(replica->record.id);
-  });
+  std::erase_if(
+      ready, [&](const Replica* replica) { return query.excluded.contains(replica->record.id); });
   std::vector<const Replica*> open;
   for (const Replica* replica : ready) {
     const bool trial_taken = replica->on_trial() && replica->online + replica->batch > 0;
--- /dev/null
+++ b/tests/batch/job_ledger_test.cpp
@@ -0,0 +1,122 @@
+#include "dockpoint/batch/job_ledger.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace dockpoint;
+
+namespace {
+
+constexpr std::size_t kRecordBytes = 2'048;
+
+BatchJob job(const std::string& id, std::size_t items, std::size_t body_bytes) {
+  BatchJob result{id, "a.example", "/batch/", 1'000, {}};
+  for (std::size_t index = 0; index < items; ++index) {
+    BatchItem item;
+    item.id = id + "-" + std::to_string(index);
+    item.path = "/batch/" + std::to_string(index);
+    item.headers = {{"Model", "m"}};
+    item.body = std::string(body_bytes, static_cast<char>('a' + index));
+    result.items.push_back(std::move(item));
+  }
+  return result;
+}
+
+std::vector<KeyedRecord> at_offset(std::vector<KeyedRecord> records, LogOffset first) {
+  for (KeyedRecord& record : records) {
+    record.offset = first++;
+  }
+  return records;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(job_ledger)
+
+BOOST_AUTO_TEST_CASE(a_job_larger_than_a_record_counts_when_its_last_piece_is_there) {
+  const std::vector<KeyedRecord> records = job_records(job("j1", 3, 3'000), kRecordBytes);
+  BOOST_TEST_REQUIRE(records.size() > 4U);
+  JobLedger ledger;
+  for (std::size_t index = 0; index + 1 < records.size(); ++index) {
+    BOOST_TEST(records[index].key.size() + records[index].value.size() <= kRecordBytes);
+    BOOST_TEST(!ledger.take_job_record(records[index]).has_value());
+  }
+  BOOST_TEST((ledger.take_job_record(records.back()) == "j1"));
+  const BatchJob& read = ledger.find("j1")->job;
+  BOOST_TEST(read.items.size() == 3U);
+  BOOST_TEST(read.items[2].body == std::string(3'000, 'c'));
+  BOOST_TEST(read.items[2].headers[0].second == "m");
+  // The same job again is no news.
+  for (const KeyedRecord& record : records) {
+    BOOST_TEST(!ledger.take_job_record(record).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(positions_follow_the_order_of_the_log_whatever_the_order_of_loading) {
+  std::vector<KeyedRecord> records;
+  LogOffset offset = 0;
+  for (const std::uint32_t item : {2U, 0U, 1U}) {
+    const std::string text(item == 0 ? 5'000 : 10, 'x');
+    for (const KeyedRecord& record :
+         at_offset(result_records("j1", {item, true, text}, kRecordBytes), offset)) {
+      records.push_back(record);
+      ++offset;
+    }
+  }
+  std::reverse(records.begin(), records.end());
+  JobLedger ledger;
+  ledger.load_results(records);
+  for (const KeyedRecord& record : job_records(job("j1", 3, 10), kRecordBytes)) {
+    ledger.take_job_record(record);
+  }
+  const LedgerJob* loaded = ledger.find("j1");
+  BOOST_TEST_REQUIRE(loaded->results.size() == 3U);
+  BOOST_TEST(loaded->results[0].item == 2U);
+  BOOST_TEST(loaded->results[1].item == 0U);
+  BOOST_TEST(loaded->results[1].text.size() == 5'000U);
+  BOOST_TEST(loaded->complete());
+  ledger.add_result("j1", {2, false, "again"});
+  BOOST_TEST(ledger.find("j1")->results.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(an_end_counts_whether_it_is_read_before_or_after_its_job) {
+  const std::vector<KeyedRecord> records = job_records(job("j1", 1, 10), kRecordBytes);
+  JobLedger before;
+  before.take_job_record(end_record("j1"));
+  before.take_job_record(records.front());
+  BOOST_TEST(before.find("j1")->ended);
+  JobLedger after;
+  after.take_job_record(records.front());
+  BOOST_TEST((after.take_job_record(end_record("j1")) == "j1"));
+  BOOST_TEST(after.find("j1")->ended);
+  after.take_job_record({records.front().key, "", 9});
+  BOOST_TEST(after.find("j1") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(checkpoint_steps_add_up_and_a_restart_voids_those_before) {
+  JobLedger ledger;
+  ledger.load_results({checkpoint_record("j1", 4, {1, false, "\nb", 2, 0}),
+                       checkpoint_record("j1", 4, {0, false, "a", 1, 0}),
+                       checkpoint_record("j1", 5, {0, false, "x", 7, 0}),
+                       checkpoint_record("j1", 5, {1, true, "", std::nullopt, 2})});
+  const auto* whole = ledger.checkpoint("j1", 4);
+  BOOST_TEST_REQUIRE(whole != nullptr);
+  BOOST_TEST(whole->checkpoint.text == "a\nb");
+  BOOST_TEST((whole->checkpoint.last_event == 2U));
+  BOOST_TEST(whole->steps == 2U);
+  const auto* restarted = ledger.checkpoint("j1", 5);
+  BOOST_TEST(restarted->checkpoint.text.empty());
+  BOOST_TEST(!restarted->checkpoint.last_event.has_value());
+  BOOST_TEST(restarted->checkpoint.failures == 2);
+  BOOST_TEST(ledger.checkpoint("j1", 6) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(foreign_bytes_are_skipped) {
+  JobLedger ledger;
+  for (const char* key : {"", "j", "j/", "r1/2/3", "p", "p/", "p/1", "pa/1/2", "zzz"}) {
+    BOOST_TEST(!ledger.take_job_record({key, "\x01\x02\x03\x04\x05", 1}).has_value());
+    ledger.load_results({{key, "\xc1", 1}});
+  }
+  BOOST_TEST(ledger.jobs().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/batch/partition_ownership_test.cpp
@@ -0,0 +1,254 @@
+/// Owners of batch partitions under the failures of the log and of their own processes.
+///
+/// A small world of nodes that share a stand-in log. Each node runs the product's group member,
+/// partition owners and checkpoints; its "replica" ends an item a few rounds after it starts. The
+/// checks look at what readers and the log see.
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+#include "dockpoint/batch/group_member.hpp"
+#include "dockpoint/batch/partition_owner.hpp"
+#include "emulator/memory_log.hpp"
+#include "support/fleet.hpp"
+
+using namespace dockpoint;
+using dockpoint::test::at;
+
+namespace {
+
+constexpr int kPartitions = 4;
+constexpr std::int64_t kStepMs = 20;
+const BatchTopics kTopics{"jobs", "results", "owners"};
+
+/// One node of the world.
+class Node : PartitionOwnerObserver, GroupMemberObserver {
+ public:
+  Node(const Knobs& knobs, MemoryLog& log, const std::string& name, std::uint64_t seed)
+      : knobs_(knobs),
+        log_(log),
+        random_(seed),
+        group_(knobs, log, kTopics.group, kTopics.jobs, name, seed,
+               static_cast<GroupMemberObserver&>(*this)) {}
+
+  void tick(TimePoint now) {
+    now_ = now;
+    group_.tick(now);
+    for (auto& [partition, owner] : owners_) {
+      owner->tick(now);
+    }
+    for (const int partition : std::exchange(fenced_, {})) {
+      group_.fenced(partition);
+    }
+    run_items();
+    std::vector<int> idle;
+    for (auto& [partition, owner] : owners_) {
+      if (owner->unwritten() == 0) {
+        idle.push_back(partition);
+      }
+    }
+    for (const int partition : idle) {
+      group_.released(partition);
+    }
+  }
+
+  const LedgerJob* read(const std::string& job) const {
+    const auto owner = owners_.find(job_partition(job, kPartitions));
+    return owner != owners_.end() && owner->second->active() ? owner->second->ledger().find(job)
+                                                             : nullptr;
+  }
+
+ private:
+  void run_items() {
+    for (auto& [partition, owner] : owners_) {
+      if (!owner->active()) {
+        continue;
+      }
+      for (const auto& [id, job] : owner->ledger().jobs()) {
+        for (std::uint32_t item = 0; !job.ended && item < job.job.items.size(); ++item) {
+          if (!job.listed[item] && !owner->has_unwritten(id, item) && random_() % 10 == 0) {
+            owner->write_checkpoint(id, item, {"part", 1, 0}, true);
+            owner->write_result(id, {item, true, id + std::to_string(item)});
+          }
+        }
+      }
+    }
+  }
+
+  void on_partition_active(int) override {}
+  void on_job(int, const std::string&) override {}
+  void on_job_ended(int, const std::string&) override {}
+  void on_results(int, const std::string&) override {}
+  void on_partition_fenced(int partition) override { fenced_.push_back(partition); }
+  void on_acquired(int partition, std::uint64_t epoch) override {
+    owners_[partition] =
+        std::make_unique<PartitionOwner>(knobs_, log_, kTopics, partition, epoch, epoch,
+                                         static_cast<PartitionOwnerObserver&>(*this));
+  }
+  void on_revoked(int) override {}
+  void on_doubted(int partition) override { owners_[partition]->verify(); }
+  void on_lost(int partition) override { owners_.erase(partition); }
+
+  const Knobs& knobs_;
+  MemoryLog& log_;
+  std::mt19937_64 random_;
+  TimePoint now_{};
+  std::map<int, std::unique_ptr<PartitionOwner>> owners_;
+  std::vector<int> fenced_;
+  GroupMember group_;
+};
+
+/// The world, replayed from one seed.
+class World {
+ public:
+  explicit World(std::uint64_t seed) : random_(seed) {
+    for (int index = 0; index < kNodes; ++index) {
+      start(index);
+    }
+  }
+
+  /// @return a sentence about what is wrong, or nothing.
+  std::string play() {
+    constexpr std::int64_t kFaultsEndMs = 30'000;
+    constexpr std::int64_t kEndMs = 50'000;
+    for (now_ = 0; now_ < kEndMs && problem_.empty(); now_ += kStepMs) {
+      if (now_ < kFaultsEndMs) {
+        disturb();
+      } else {
+        log_.faults = {};
+      }
+      log_.advance(at(now_));
+      for (int index = 0; index < kNodes; ++index) {
+        if (nodes_[index] && now_ >= paused_until_[index]) {
+          nodes_[index]->tick(at(now_));
+        } else if (!nodes_[index] && now_ >= restart_at_[index]) {
+          start(index);
+        }
+      }
+      read_everywhere();
+    }
+    check_end();
+    return problem_;
+  }
+
+ private:
+  static constexpr int kNodes = 3;
+
+  void start(int index) {
+    const std::string name = "n" + std::to_string(index) + "#" + std::to_string(++runs_);
+    nodes_[index] = std::make_unique<Node>(knobs_, log_, name, random_());
+  }
+
+  bool chance(int one_in) { return random_() % static_cast<std::uint64_t>(one_in) == 0; }
+
+  void disturb() {
+    const int node = static_cast<int>(random_() % kNodes);
+    if (chance(60)) {
+      submit();
+    }
+    if (chance(200)) {
+      nodes_[node].reset();
+      restart_at_[node] = now_ + static_cast<std::int64_t>(random_() % 4'000);
+    }
+    if (chance(200)) {
+      paused_until_[node] = now_ + static_cast<std::int64_t>(random_() % 6'000);
+    }
+    if (chance(150)) {
+      log_.faults = {};
+      log_.faults.down = chance(3);
+      log_.faults.silent = !log_.faults.down && chance(3);
+      log_.faults.lose_answers = chance(2) ? 0.3 : 0;
+      log_.faults.delay_appends = chance(2) ? 0.2 : 0;
+    }
+    if (chance(300)) {
+      log_.forget_history();
+    }
+    if (chance(300)) {
+      log_.rebalance();
+    }
+  }
+
+  void submit() {
+    BatchJob job{"job" + std::to_string(jobs_.size()), "host", "/", 0, {}};
+    const std::size_t items = 1 + random_() % 4;
+    for (std::size_t index = 0; index < items; ++index) {
+      BatchItem item;
+      item.id = job.id + "-" + std::to_string(index);
+      job.items.push_back(item);
+    }
+    jobs_[job.id] = items;
+    log_.append({kTopics.jobs, job_partition(job.id, kPartitions)}, job_records(job, 4096),
+                std::nullopt, [this, id = job.id](const AppendOutcome& outcome) {
+                  if (outcome.status == LogStatus::kOk) {
+                    accepted_.insert(id);
+                  }
+                });
+  }
+
+  /// What was once read at a position stays there at every node.
+  void read_everywhere() {
+    for (const auto& [id, items] : jobs_) {
+      for (int index = 0; index < kNodes; ++index) {
+        const LedgerJob* job = nodes_[index] ? nodes_[index]->read(id) : nullptr;
+        for (std::size_t place = 0; job != nullptr && place < job->results.size(); ++place) {
+          const auto [seen, added] = positions_.try_emplace({id, place}, job->results[place].item);
+          if (seen->second != job->results[place].item) {
+            problem_ = id + " changed at position " + std::to_string(place);
+          }
+        }
+      }
+    }
+  }
+
+  void check_end() {
+    for (const std::string& id : accepted_) {
+      const LedgerJob* found = nullptr;
+      for (const auto& node : nodes_) {
+        found = found == nullptr && node ? node->read(id) : found;
+      }
+      if (found == nullptr) {
+        problem_ = id + " was accepted and cannot be read";
+      } else if (!found->complete()) {
+        problem_ = id + " was accepted and has unfinished items";
+      }
+    }
+    for (int partition = 0; partition < kPartitions; ++partition) {
+      std::map<std::string, int> written;
+      for (const KeyedRecord& record : log_.history({kTopics.results, partition})) {
+        if (record.key.starts_with('r') && ++written[record.key] > 1) {
+          problem_ = "a result was written twice: " + record.key;
+        }
+      }
+    }
+  }
+
+  std::mt19937_64 random_;
+  Knobs knobs_;
+  MemoryLog log_{LogLimits{kPartitions, 4096, 65536, std::chrono::seconds(1)}, 5};
+  std::int64_t now_ = 0;
+  std::uint64_t runs_ = 0;
+  std::unique_ptr<Node> nodes_[kNodes];
+  std::int64_t restart_at_[kNodes] = {};
+  std::int64_t paused_until_[kNodes] = {};
+  std::map<std::string, std::size_t> jobs_;
+  std::set<std::string> accepted_;
+  std::map<std::pair<std::string, std::size_t>, std::uint32_t> positions_;
+  std::string problem_;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(partition_ownership)
+
+BOOST_AUTO_TEST_CASE(positions_hold_and_accepted_items_end_once_under_every_failure) {
+  constexpr std::uint64_t kSeeds = 150;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const std::string problem = World(seed).play();
+    BOOST_TEST(problem.empty(), "seed " << seed << ": " << problem);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/gateway/stand_ins.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway_context.hpp"
+#include "gateway/online_proxy.hpp"
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+#include "platform/traffic.hpp"
+
+/// Replicas and callers for tests of the gateway, on loopback and one event loop.
+namespace dockpoint::test {
+
+/// A replica whose answers a test scripts.
+class StandInReplica {
+ public:
+  using Handler = std::function<void(const net::ExchangePtr&)>;
+
+  StandInReplica(boost::asio::io_context& loop, std::string id, std::uint16_t port, Handler handler)
+      : id_(std::move(id)),
+        port_(port),
+        handler_(std::move(handler)),
+        server_(loop, [this](const net::ExchangePtr& exchange) {
+          ++requests_;
+          last_ = exchange->request();
+          handler_(exchange);
+        }) {
+    server_.listen("127.0.0.1:" + std::to_string(port_));
+  }
+
+  ReplicaRecord record(const std::string& service) const {
+    return {id_, service, {"127.0.0.1", port_}, "zone-a", 4, false, {}};
+  }
+  int requests() const { return requests_; }
+  const net::RequestHead& last() const { return last_; }
+
+ private:
+  const std::string id_;
+  const std::uint16_t port_;
+  Handler handler_;
+  int requests_ = 0;
+  net::RequestHead last_;
+  net::HttpServer server_;
+};
+
+/// @return the headers of a genuine answer to `exchange`.
+inline net::Headers genuine_headers(const net::ExchangePtr& exchange) {
+  return {{"Attempt-Id", std::string(exchange->request().headers.get("Attempt-Id"))},
+          {"Response-Signature", "signed"}};
+}
+
+/// A proxy with its surroundings and a front server.
+class ProxyWorld {
+ public:
+  explicit ProxyWorld(std::uint16_t port)
+      : selector_(knobs_, directory, "zone-a", 1),
+        context_{loop,      knobs_,   protocol_, client, directory,
+                 selector_, metrics_, std::make_shared<RoutingConfiguration>(), "node"},
+        proxy_(context_, 0),
+        port_(port),
+        front_(loop, [this](const net::ExchangePtr& exchange) {
+          proxy_.handle(exchange, configuration_, configuration_->routes.front());
+        }) {
+    front_.listen("127.0.0.1:" + std::to_string(port));
+  }
+
+  RouteConfig& route() {
+    configuration_->routes.resize(1);
+    RouteConfig& route = configuration_->routes.front();
+    route.name = "route";
+    route.services = {{"lm", 1}};
+    route.timeout = std::chrono::seconds(5);
+    route.target = std::chrono::milliseconds(200);
+    return route;
+  }
+
+  /// Sends a request and runs the loop until it is answered.
+  net::SimpleCall::Outcome ask(net::Headers headers = {}) {
+    headers.add("Host", "a.example");
+    headers.add("Attempt-Id", "request-1");
+    headers.add("Content-Length", "2");
+    std::optional<net::SimpleCall::Outcome> result;
+    const net::RequestHead head{"POST", "/x/1", headers};
+    net::SimpleCall::start(client, loop, {{"127.0.0.1", port_}, "front"},
+                           net::serialize(head) + "hi", {}, std::chrono::seconds(4),
+                           [&](net::SimpleCall::Outcome outcome) { result = std::move(outcome); });
+    run_until([&] { return result.has_value(); });
+    return std::move(*result);
+  }
+
+  /// Runs the loop, with its rounds of time limits, until `done`.
+  void run_until(const std::function<bool()>& done) {
+    while (!done()) {
+      loop.run_one_for(std::chrono::milliseconds(10));
+      const TimePoint now = TimePoint(std::chrono::duration_cast<Duration>(
+          std::chrono::steady_clock::now().time_since_epoch()));
+      proxy_.tick(now);
+      client.tick(now);
+    }
+  }
+
+  std::size_t in_flight() const { return proxy_.in_flight(); }
+
+ private:
+  Knobs knobs_;
+
+ public:
+  boost::asio::io_context loop{1};
+  net::HttpClient client{loop};
+  ReplicaDirectory directory{knobs_};
+
+ private:
+  platform::PlatformTraffic protocol_;
+  GatewayMetrics metrics_;
+  ReplicaSelector selector_;
+  GatewayContext context_;
+  std::shared_ptr<RoutingConfiguration> configuration_ = std::make_shared<RoutingConfiguration>();
+  OnlineProxy proxy_;
+  const std::uint16_t port_;
+  net::HttpServer front_;
+};
+
+}  // namespace dockpoint::test
--- /dev/null
+++ b/tests/log/keyed_watch_test.cpp
@@ -0,0 +1,94 @@
+#include "dockpoint/log/keyed_watch.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include "emulator/memory_log.hpp"
+#include "support/fleet.hpp"
+
+using namespace dockpoint;
+using dockpoint::test::at;
+
+namespace {
+
+const TopicPartition kPartition{"topic", 0};
+
+struct Fixture : KeyedWatchObserver {
+  Knobs knobs;
+  MemoryLog log{LogLimits{1, 4096, 65536, std::chrono::seconds(1)}, 1};
+  KeyedWatch watch{knobs, log, kPartition, 7, *this};
+  std::map<std::string, std::string> values;
+  int snapshots = 0;
+  int losses = 0;
+  std::int64_t now = 0;
+
+  void put(const std::string& key, const std::string& value) {
+    log.append(kPartition, {{key, value, 0}}, std::nullopt, [](const AppendOutcome&) {});
+  }
+  void run(std::int64_t milliseconds) {
+    const std::int64_t end = now + milliseconds;
+    for (; now < end; now += 10) {
+      log.advance(at(now));
+      watch.tick(at(now));
+    }
+  }
+  void on_snapshot(const std::vector<KeyedRecord>& records) override {
+    ++snapshots;
+    values.clear();
+    for (const KeyedRecord& record : records) {
+      values[record.key] = record.value;
+    }
+  }
+  void on_record(const KeyedRecord& record) override {
+    if (record.value.empty()) {
+      values.erase(record.key);
+    } else {
+      values[record.key] = record.value;
+    }
+  }
+  void on_current() override {}
+  void on_reachable(bool reachable) override { losses += reachable ? 0 : 1; }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(keyed_watch, Fixture)
+
+BOOST_AUTO_TEST_CASE(it_loads_all_pages_and_follows) {
+  for (int key = 0; key < 120; ++key) {
+    put("k" + std::to_string(key), "1");
+  }
+  run(200);
+  BOOST_TEST(values.size() == 120U);
+  put("k5", "2");
+  put("k6", "");
+  run(100);
+  BOOST_TEST(values["k5"] == "2");
+  BOOST_TEST(!values.contains("k6"));
+  BOOST_TEST(snapshots == 1);
+}
+
+BOOST_AUTO_TEST_CASE(it_loads_anew_when_history_is_gone) {
+  run(100);
+  log.faults.down = true;
+  run(5'000);
+  log.faults.down = false;
+  put("a", "1");
+  put("b", "1");
+  put("a", "");
+  log.forget_history();
+  run(3'000);
+  BOOST_TEST((values == std::map<std::string, std::string>{{"b", "1"}}));
+  BOOST_TEST(losses == 1);
+}
+
+BOOST_AUTO_TEST_CASE(it_outlives_a_silent_log) {
+  run(100);
+  log.faults.silent = true;
+  run(6'000);
+  log.faults.silent = false;
+  put("a", "1");
+  run(2'000);
+  BOOST_TEST(values["a"] == "1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/net/http_parser_test.cpp
@@ -0,0 +1,140 @@
+#include "net/http_parser.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+using namespace dockpoint::net;
+
+namespace {
+
+constexpr std::uint32_t kHeaderLimit = 1'024;
+constexpr std::uint64_t kBodyLimit = 64;
+
+struct Parsed {
+  ParseStatus status = ParseStatus::kNeedMore;
+  RequestHead head;
+  std::string body;
+  std::string rest;
+};
+
+/// Parses a request that comes in pieces of `size` bytes.
+Parsed parse_in_pieces(std::string_view bytes, std::size_t size) {
+  RequestParser parser(kHeaderLimit, kBodyLimit);
+  Parsed parsed;
+  std::string buffer;
+  while (!bytes.empty() && parsed.status == ParseStatus::kNeedMore) {
+    buffer += bytes.substr(0, size);
+    bytes.remove_prefix(std::min(size, bytes.size()));
+    parsed.status = parser.feed(buffer);
+  }
+  parsed.head = parser.head();
+  parsed.body = parser.body();
+  parsed.rest = buffer + std::string(bytes);
+  return parsed;
+}
+
+ParseStatus status_of(const std::string& bytes) {
+  return parse_in_pieces(bytes, bytes.size()).status;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(http_parser)
+
+BOOST_AUTO_TEST_CASE(a_request_is_the_same_however_its_bytes_are_cut) {
+  const std::string by_length = "POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhelloGET /";
+  const std::string by_chunks =
+      "POST /a?b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nT: v\r\n\r\nGET /";
+  for (const std::string& bytes : {by_length, by_chunks}) {
+    for (std::size_t size = 1; size <= bytes.size(); ++size) {
+      const Parsed parsed = parse_in_pieces(bytes, size);
+      BOOST_TEST((parsed.status == ParseStatus::kDone));
+      BOOST_TEST(parsed.head.method == "POST");
+      BOOST_TEST(parsed.head.target == "/a?b");
+      BOOST_TEST(parsed.head.headers.get("host") == "h");
+      BOOST_TEST(parsed.head.keep_alive);
+      BOOST_TEST(parsed.body == "hello");
+      BOOST_TEST(parsed.rest == "GET /");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(limits_hold) {
+  const std::string long_field = "GET / HTTP/1.1\r\nX: " + std::string(2'000, 'x') + "\r\n\r\n";
+  BOOST_TEST((status_of(long_field) == ParseStatus::kHeaderTooLarge));
+  BOOST_TEST((status_of("POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n") ==
+              ParseStatus::kBodyTooLarge));
+  BOOST_TEST((status_of("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n50\r\n" +
+                        std::string(0x50, 'x') + "\r\n0\r\n\r\n") == ParseStatus::kBodyTooLarge));
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_two_parsers_could_read_differently_are_refused) {
+  for (const char* head : {
+           "Content-Length: 5\r\nContent-Length: 6\r\n",
+           "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+           "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+           "Content-Length: +5\r\n",
+           "Content-Length: 5,6\r\n",
+           "Content-Length: 99999999999999999999999\r\n",
+           "Bad Name: x\r\n",
+           "X : y\r\n",
+           "X: a\rb\r\n",
+       }) {
+    const std::string bytes = std::string("POST / HTTP/1.1\r\n") + head + "\r\nhello";
+    BOOST_TEST((status_of(bytes) == ParseStatus::kMalformed), head);
+  }
+  BOOST_TEST((status_of("GET /\r\n\r\n") == ParseStatus::kMalformed));
+  BOOST_TEST((status_of("GET / HTTP/9.9\r\n\r\n") == ParseStatus::kMalformed));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_length_ends_with_its_connection) {
+  std::string body;
+  ResponseHead head;
+  ResponseParser parser([&](const ResponseHead& seen) { head = seen; },
+                        [&](std::string_view bytes) { body += bytes; });
+  std::string buffer = "HTTP/1.1 200 OK\r\nX: y\r\n\r\nabc";
+  BOOST_TEST((parser.feed(buffer) == ParseStatus::kNeedMore));
+  BOOST_TEST(head.ends_with_connection);
+  BOOST_TEST(!head.keep_alive);
+  BOOST_TEST(parser.feed_end());
+  BOOST_TEST(body == "abc");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_is_cut_is_not_complete) {
+  for (const char* bytes : {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                            "HTTP/1.1 200 O"}) {
+    ResponseParser parser([](const ResponseHead&) {}, [](std::string_view) {});
+    std::string buffer = bytes;
+    BOOST_TEST((parser.feed(buffer) == ParseStatus::kNeedMore));
+    BOOST_TEST(!parser.feed_end());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(mutated_requests_neither_crash_nor_pass_the_limits) {
+  constexpr int kRounds = 30'000;
+  const std::string seed =
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nX: y\r\n\r\n4\r\nabcd\r\n0\r\n\r\n";
+  std::mt19937_64 random(20261202);
+  for (int round = 0; round < kRounds; ++round) {
+    std::string bytes = seed;
+    for (std::uint64_t change = 0; change < 1 + random() % 6; ++change) {
+      const std::size_t place = random() % bytes.size();
+      if (random() % 3 == 0) {
+        bytes.erase(place, random() % 8);
+      } else if (random() % 2 == 0) {
+        bytes[place] = static_cast<char>(random());
+      } else {
+        bytes.insert(place, seed.substr(random() % seed.size(), random() % 12));
+      }
+      if (bytes.empty()) {
+        bytes = seed;
+      }
+    }
+    const Parsed parsed = parse_in_pieces(bytes, 1 + random() % 40);
+    BOOST_REQUIRE(parsed.body.size() <= kBodyLimit);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/routing/replica_directory_test.cpp
@@ -0,0 +1,81 @@
+#include "dockpoint/routing/replica_directory.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/fleet.hpp"
+
+using namespace dockpoint;
+using dockpoint::test::at;
+
+namespace {
+
+ReplicaRecord record(const std::string& id, bool draining = false) {
+  return {id, "lm", {"10.0.0.1", 80}, "zone-a", 4, draining, {}};
+}
+
+struct Fixture {
+  Knobs knobs;
+  ReplicaDirectory directory{knobs};
+  Fixture() {
+    directory.upsert(record("r1"), at(0));
+    directory.upsert(record("r2"), at(0));
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(replica_directory, Fixture)
+
+BOOST_AUTO_TEST_CASE(a_draining_or_removed_replica_gets_no_new_work) {
+  BOOST_TEST(directory.ready("lm").size() == 2U);
+  directory.upsert(record("r1", true), at(1));
+  BOOST_TEST(directory.ready("lm").size() == 1U);
+  directory.remove("r2");
+  BOOST_TEST(directory.ready("lm").empty());
+  directory.ended("r2", TrafficClass::kOnline);  // Its last request ends after it has left.
+}
+
+BOOST_AUTO_TEST_CASE(load_is_own_work_and_that_of_peers) {
+  const std::uint32_t key = directory.find("r1")->key;
+  directory.started("r1", TrafficClass::kOnline, 100);
+  directory.set_peer_load("n2", {{key, 3}}, at(10));
+  directory.set_peer_load("n3", {{key, 1}}, at(10));
+  BOOST_TEST(directory.find("r1")->load(at(10)) == 5);
+  directory.set_peer_load("n2", {}, at(20));
+  BOOST_TEST(directory.find("r1")->load(at(20)) == 2);
+  directory.expire_peer_loads(at(10) + knobs.load_digest_lifetime + Duration(1));
+  BOOST_TEST(directory.find("r1")->load(at(20)) == 1);
+  directory.ended("r1", TrafficClass::kOnline);
+  BOOST_TEST(directory.find("r1")->load(at(20)) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_states_a_queue_counts_as_loaded_for_a_while) {
+  directory.report("r1", {4, 3, 4}, at(0));
+  BOOST_TEST(directory.find("r1")->load(at(100)) == 7);
+  BOOST_TEST(directory.find("r1")->load(at(5'000)) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(an_unreachable_replica_is_ejected_for_longer_each_time_until_it_answers) {
+  directory.signal("r1", ReplicaSignal::kUnreachable, at(0));
+  const Duration first = directory.find("r1")->ejected_until - at(0);
+  BOOST_TEST((first == knobs.replica_ejection_time));
+  // Requests that were under way fail for the same reason.
+  directory.signal("r1", ReplicaSignal::kUnreachable, at(100));
+  BOOST_TEST((directory.find("r1")->ejected_until == at(0) + first));
+  directory.signal("r1", ReplicaSignal::kUnreachable, at(1'000));
+  BOOST_TEST((directory.find("r1")->ejected_until - at(1'000) == 2 * first));
+  directory.signal("r1", ReplicaSignal::kAnswered, at(2'000));
+  BOOST_TEST(!directory.ejected(*directory.find("r1"), at(2'000)));
+  BOOST_TEST(!directory.find("r1")->on_trial());
+}
+
+BOOST_AUTO_TEST_CASE(single_broken_answers_do_not_eject) {
+  for (int failure = 1; failure < knobs.replica_ejection_failures; ++failure) {
+    directory.signal("r1", ReplicaSignal::kBroken, at(failure));
+    BOOST_TEST(!directory.ejected(*directory.find("r1"), at(failure)));
+  }
+  directory.signal("r1", ReplicaSignal::kBroken, at(100));
+  BOOST_TEST(directory.ejected(*directory.find("r1"), at(100)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/routing/replica_selector_test.cpp
@@ -0,0 +1,95 @@
+#include "dockpoint/routing/replica_selector.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "support/fleet.hpp"
+
+using namespace dockpoint;
+using dockpoint::test::at;
+
+namespace {
+
+struct Fixture {
+  Knobs knobs;
+  ReplicaDirectory directory{knobs};
+  Fixture() {
+    for (int number = 1; number <= 4; ++number) {
+      directory.upsert({"r" + std::to_string(number), "lm", {"10.0.0.1", 80}, "zone-a", 4, false, {}},
+                       at(0));
+    }
+  }
+  ReplicaQuery query(double shared_tokens, TrafficClass traffic = TrafficClass::kOnline) const {
+    return {"lm", traffic, {{7, shared_tokens}, {8, 100}}, {}};
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(replica_selector, Fixture)
+
+BOOST_AUTO_TEST_CASE(a_long_shared_prefix_goes_to_the_same_home_from_every_node) {
+  ReplicaSelector one(knobs, directory, "zone-a", 1);
+  ReplicaSelector other(knobs, directory, "zone-b", 2);
+  const std::string home = one.choose(query(13'000), at(0)).replica->record.id;
+  for (int request = 0; request < 20; ++request) {
+    BOOST_TEST(one.choose(query(13'000), at(request)).replica->record.id == home);
+    BOOST_TEST(other.choose(query(13'000), at(request)).replica->record.id == home);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_home_with_a_long_queue_is_left) {
+  ReplicaSelector selector(knobs, directory, "zone-a", 1);
+  const std::string home = selector.choose(query(13'000), at(0)).replica->record.id;
+  for (int request = 0; request < 12; ++request) {
+    directory.started(home, TrafficClass::kOnline, 0);
+  }
+  BOOST_TEST(selector.choose(query(13'000), at(0)).replica->record.id != home);
+}
+
+BOOST_AUTO_TEST_CASE(short_prompts_spread_over_the_replicas) {
+  ReplicaSelector selector(knobs, directory, "zone-a", 1);
+  std::map<std::string, int> counts;
+  for (int request = 0; request < 16; ++request) {
+    const std::string id = selector.choose(query(10), at(0)).replica->record.id;
+    ++counts[id];
+    directory.started(id, TrafficClass::kOnline, 0);
+  }
+  for (const auto& [id, count] : counts) {
+    BOOST_TEST(count <= 6, id);
+  }
+  BOOST_TEST(counts.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(batch_keeps_off_replicas_that_are_nearly_full) {
+  ReplicaSelector selector(knobs, directory, "zone-a", 1);
+  for (const char* id : {"r1", "r2", "r3", "r4"}) {
+    for (int request = 0; request < 4; ++request) {
+      directory.started(id, TrafficClass::kOnline, 0);
+    }
+  }
+  BOOST_TEST(selector.choose(query(10, TrafficClass::kBatch), at(0)).replica == nullptr);
+  const ReplicaChoice online = selector.choose(query(10), at(0));
+  BOOST_TEST(online.replica != nullptr);
+  BOOST_TEST(online.expected_wait.count() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(ejected_replicas_come_back_through_one_trial_and_never_all_are_left_out) {
+  ReplicaSelector selector(knobs, directory, "zone-a", 1);
+  directory.signal("r1", ReplicaSignal::kUnreachable, at(0));
+  for (int request = 0; request < 20; ++request) {
+    BOOST_TEST(selector.choose(query(10), at(1)).replica->record.id != "r1");
+  }
+  directory.started("r1", TrafficClass::kOnline, 0);
+  for (int request = 0; request < 20; ++request) {
+    BOOST_TEST(selector.choose(query(10), at(1'000)).replica->record.id != "r1");
+  }
+  for (const char* id : {"r1", "r2", "r3", "r4"}) {
+    directory.signal(id, ReplicaSignal::kUnreachable, at(1'000));
+  }
+  BOOST_TEST(selector.choose(query(10), at(1'001)).replica != nullptr);
+  BOOST_TEST(selector.choose({"lm", TrafficClass::kOnline, {}, {"r1", "r2", "r3", "r4"}}, at(1'001))
+                 .replica == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
