--- /dev/null
+++ b/tests/gateway/gateway_settings_test.cpp
@@ -0,0 +1,50 @@
+#include "gateway/gateway_settings.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace dockpoint;
+
+namespace {
+
+const char* const kWhole = R"({"node":"n","zone":"z","region":"r","seeds":["10.0.0.1:80"],
+ "listen":{"frontend":"10.0.0.2:1","readiness":"10.0.0.2:2","resolver":"10.0.0.2:3",
+  "control":"10.0.0.2:4","datagrams":"10.0.0.2:5","metrics":"10.0.0.2:6"},
+ "log":{"address":"10.0.0.3:1","partitions":12,"record_bytes":262144,"call_bytes":2097152,
+  "minimum_lease_ms":1000},
+ "times":{"address_lifetime_s":5,"grace_s":7.5}})";
+
+/// @return the problem with `kWhole` after one replacement, or nothing.
+std::string problem_after(const std::string& from, const std::string& to) {
+  std::string text = kWhole;
+  text.replace(text.find(from), from.size(), to);
+  const auto error = error_of([&] { return parse_gateway_settings(text); });
+  return error ? error->message : std::string();
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(gateway_settings)
+
+BOOST_AUTO_TEST_CASE(a_whole_file_is_read) {
+  const auto settings = boost::leaf::try_handle_all(
+      [] { return parse_gateway_settings(kWhole); }, [] { return GatewaySettings{}; });
+  BOOST_TEST(settings.node == "n");
+  BOOST_TEST(settings.log.partitions == 12);
+  BOOST_TEST((settings.grace == std::chrono::milliseconds(7500)));
+  BOOST_TEST(settings.seeds.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(each_fault_is_refused_with_its_place) {
+  BOOST_TEST(problem_after("\"node\":\"n\",", "").find("node") != std::string::npos);
+  BOOST_TEST(problem_after("10.0.0.2:1\"", "host:1\"").find("listen.frontend") !=
+             std::string::npos);
+  BOOST_TEST(problem_after("10.0.0.1:80", "10.0.0.1").find("seeds") != std::string::npos);
+  BOOST_TEST(problem_after("\"partitions\":12", "\"partitions\":0").find("log.partitions") !=
+             std::string::npos);
+  BOOST_TEST(problem_after("\"grace_s\":7.5", "\"grace_s\":\"x\"").find("times.grace_s") !=
+             std::string::npos);
+  BOOST_TEST(problem_after("\"zone\"", "\"zome\"").find("zome") != std::string::npos);
+  BOOST_TEST(!problem_after("{\"node\"", "[\"node\"").empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/system_test.cpp
@@ -0,0 +1,269 @@
+/// The whole path on the platform's words, in one process: two gateways, a stand-in of the store, and
+/// a replica that speaks the published protocol.
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <optional>
+
+#include "gateway/gateway.hpp"
+#include "gateway/stand_ins.hpp"
+#include "platform/fleet.hpp"
+#include "platform/stand_in_store.hpp"
+#include "platform/store_log.hpp"
+#include "platform/traffic.hpp"
+#include "platform/wire_names.hpp"
+
+using namespace dockpoint;
+using namespace dockpoint::test;
+
+namespace {
+
+constexpr std::uint16_t kStorePort = 28'201;
+constexpr std::uint16_t kReplicaPort = 28'202;
+constexpr int kPartitions = 3;
+
+const char* const kRoutes = R"({"version":%V,"routeList":[
+ {"name":"quick","host":"a.example","pathPrefix":"/quick/","type":"idempotent","timeoutMs":3000,
+  "targetMs":300,"priority":0,"service":"lm","attempts":2},
+ {"name":"batch","host":"a.example","pathPrefix":"/batch/","type":"batch","timeoutMs":3000,
+  "targetMs":400,"completionTargetMs":20000,"retentionS":60,"priority":2,"service":"lm","attempts":3}],
+ "services":[{"name":"lm","healthPath":"/healthz","maxConns":50,"engine":{"slots":4,
+  "kvCacheTokens":1000}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,
+  "headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+std::string routes(int version) {
+  std::string text = kRoutes;
+  return text.replace(text.find("%V"), 2, std::to_string(version));
+}
+
+/// One gateway with everything that it borrows.
+struct Node {
+  Node(boost::asio::io_context& loop, int number)
+      : client(loop),
+        store(loop, client, {"127.0.0.1", kStorePort}, {kPartitions, 262'144, 2'097'152}),
+        gateway(loop, client, knobs, settings(number),
+                {store,
+                 traffic,
+                 traffic,
+                 fleet,
+                 {{platform::kConfigurationTopic, 0},
+                  platform::kConfigurationKey,
+                  {platform::kReplicasTopic, 0}},
+                 {platform::kJobsTopic, platform::kResultsTopic, platform::kOwnersGroup},
+                 {}}) {
+    gateway.start();
+  }
+
+  static std::string address(int number, int port) {
+    return "127.0.0.1:" + std::to_string(28'300 + number * 10 + port);
+  }
+  static GatewaySettings settings(int number) {
+    GatewaySettings settings;
+    settings.node = "node-" + std::to_string(number);
+    settings.zone = "zone-a";
+    settings.frontend_address = address(number, 0);
+    settings.readiness_address = address(number, 1);
+    settings.resolver_address = address(number, 2);
+    settings.control_address = address(number, 3);
+    settings.datagram_address = address(number, 4);
+    settings.address_lifetime = std::chrono::seconds(1);
+    settings.grace = std::chrono::seconds(4);
+    return settings;
+  }
+
+  Knobs knobs;
+  net::HttpClient client;
+  platform::PlatformTraffic traffic;
+  platform::PlatformFleet fleet;
+  platform::StoreLog store;
+  Gateway gateway;
+};
+
+struct Fixture {
+  boost::asio::io_context loop{1};
+  StandInStore store{loop, kStorePort, kPartitions};
+  net::HttpClient caller{loop};
+  bool replica_fails = false;
+  StandInReplica replica{loop, "r1", kReplicaPort, [this](const auto& exchange) { run(exchange); }};
+  std::unique_ptr<Node> first = std::make_unique<Node>(loop, 1);
+  std::unique_ptr<Node> second = std::make_unique<Node>(loop, 2);
+
+  Fixture() {
+    store.put(platform::kConfigurationTopic, platform::kConfigurationKey, routes(3));
+    store.put(platform::kReplicasTopic, "r1",
+              R"({"service":"lm","address":"127.0.0.1:28202","zone":"zone-a","slots":4,
+                  "state":"ready","sequence":1})");
+    wait_for([&] { return ask(1, 1, "GET", "/").head.status == 200; });
+    wait_for([&] { return ask(2, 1, "GET", "/").head.status == 200; });
+  }
+
+  void run(const net::ExchangePtr& exchange) {
+    if (replica_fails) {
+      exchange->respond(422, genuine_headers(exchange), {});
+      return;
+    }
+    net::Headers headers = genuine_headers(exchange);
+    if (!exchange->request().target.starts_with("/batch/")) {
+      exchange->respond(200, headers, "done");
+      return;
+    }
+    exchange->begin({200, {}, headers});
+    exchange->write("id: 1\ndata: a\n\nid: 2\ndata: " + exchange->body() + "\n\n");
+    exchange->end();
+  }
+
+  void wait_for(const std::function<bool()>& done) {
+    while (!done()) {
+      turn();
+    }
+  }
+  void turn() {
+    loop.run_one_for(std::chrono::milliseconds(5));
+    store.tick();
+  }
+
+  net::SimpleCall::Outcome ask(int node, int port, const std::string& method,
+                               const std::string& target, net::Headers headers = {},
+                               const std::string& body = {}) {
+    headers.add("Host", "a.example");
+    headers.add("Content-Length", std::to_string(body.size()));
+    std::optional<net::SimpleCall::Outcome> result;
+    const Address address = *Address::parse(Node::address(node, port));
+    net::SimpleCall::start(caller, loop, {address, "caller"},
+                           net::serialize(net::RequestHead{method, target, headers}) + body, {},
+                           std::chrono::seconds(5),
+                           [&](net::SimpleCall::Outcome outcome) { result = std::move(outcome); });
+    wait_for([&] { return result.has_value(); });
+    return std::move(*result);
+  }
+
+  int submit(int node, const std::string& id) {
+    const std::string body =
+        R"({"requests":[{"id":"i1","path":"/batch/1","headers":{"Model":"m"},"body":"aGk="},)"
+        R"({"id":"i2","path":"/batch/2","headers":{},"body":""}]})";
+    return ask(node, 0, "POST", "/batch/x", {{"Attempt-Id", id}}, body).head.status;
+  }
+  nlohmann::json read(int node, const std::string& id) {
+    const auto outcome = ask(node, 0, "GET", "/v1/lots/" + id + "?sinceRevision=0");
+    return outcome.head.status == 200 ? nlohmann::json::parse(outcome.body) : nlohmann::json();
+  }
+  /// Reads until both items of the job are listed.
+  nlohmann::json read_whole(int node, const std::string& id) {
+    nlohmann::json page;
+    wait_for([&] {
+      page = read(node, id);
+      return page.is_object() && page["results"].size() == 2;
+    });
+    return page;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(platform_system, Fixture)
+
+BOOST_AUTO_TEST_CASE(requests_are_served_and_unknown_routes_are_not) {
+  const auto answer = ask(1, 0, "POST", "/quick/1", {{"Attempt-Id", "q1"}});
+  BOOST_TEST(answer.head.status == 200);
+  BOOST_TEST(answer.body == "done");
+  BOOST_TEST(ask(1, 0, "POST", "/elsewhere/1", {{"Attempt-Id", "q2"}}).head.status == 404);
+  BOOST_TEST(ask(2, 0, "POST", "/quick/1").head.status == 400);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_configuration_is_in_force_and_an_older_one_is_not) {
+  std::string other = routes(5);
+  other.replace(other.find("/quick/"), 7, "/other/");
+  store.put(platform::kConfigurationTopic, platform::kConfigurationKey, other);
+  wait_for([&] { return ask(1, 0, "POST", "/other/1", {{"Attempt-Id", "q"}}).head.status == 200; });
+  store.put(platform::kConfigurationTopic, platform::kConfigurationKey, routes(4));
+  for (int round = 0; round < 30; ++round) {
+    BOOST_TEST(ask(1, 0, "POST", "/other/1", {{"Attempt-Id", "q"}}).head.status == 200);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_job_is_run_and_read_alike_at_every_node) {
+  BOOST_TEST(submit(1, "0a") == 202);
+  BOOST_TEST(submit(2, "0a") == 202);
+  const nlohmann::json page = read_whole(2, "0a");
+  BOOST_TEST(page["total"] == 2);
+  BOOST_TEST(page["nextToken"] == 2);
+  for (const auto& result : page["results"]) {
+    BOOST_TEST(result["state"] == "succeeded");
+    BOOST_TEST(result["text"] == (result["id"] == "i1" ? "a\nhi" : "a\n"));
+  }
+  BOOST_TEST((read_whole(1, "0a") == page));
+  const auto body = ask(1, 0, "GET", "/v1/items/0a?id=i1");
+  BOOST_TEST(body.head.status == 200);
+  BOOST_TEST(body.body == "hi");
+  BOOST_TEST(ask(2, 0, "DELETE", "/v1/lots/0a").head.status == 200);
+  BOOST_TEST(ask(1, 0, "DELETE", "/v1/lots/0a").head.status == 200);
+  BOOST_TEST((read_whole(1, "0a") == page));
+}
+
+BOOST_AUTO_TEST_CASE(an_item_that_can_never_be_done_is_listed_as_given_up) {
+  replica_fails = true;
+  BOOST_TEST(submit(1, "0b") == 202);
+  for (const auto& result : read_whole(1, "0b")["results"]) {
+    BOOST_TEST(result["state"] == "dead_lettered");
+  }
+  BOOST_TEST(replica.requests() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(jobs_and_results_outlive_all_nodes) {
+  BOOST_TEST(submit(1, "0c") == 202);
+  const nlohmann::json before = read_whole(1, "0c");
+  BOOST_TEST(submit(2, "0d") == 202);
+  first.reset();
+  second.reset();
+  loop.restart();
+  store.log.forget_history();
+  first = std::make_unique<Node>(loop, 1);
+  second = std::make_unique<Node>(loop, 2);
+  BOOST_TEST((read_whole(2, "0c") == before));
+  BOOST_TEST(read_whole(1, "0d")["results"].size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(without_the_log_no_job_is_promised_and_online_requests_are_served) {
+  store.log.faults.down = true;
+  const int refused = submit(1, "0e");
+  BOOST_TEST(refused == 503);
+  BOOST_TEST(ask(1, 0, "POST", "/quick/1", {{"Attempt-Id", "q"}}).head.status == 200);
+  store.log.faults = {};
+  wait_for([&] { return submit(2, "0e") == 202; });
+  BOOST_TEST(read_whole(1, "0e")["total"] == 2);
+}
+
+BOOST_AUTO_TEST_CASE(malformed_jobs_get_a_clear_error_and_take_no_effect) {
+  const std::string item = R"({"id":"i","path":"/batch/1"})";
+  std::string many = R"({"requests":[)";
+  for (int index = 0; index <= 200; ++index) {
+    many += (index == 0 ? "" : ",") + std::string(R"({"id":")") + std::to_string(index) +
+            R"(","path":"/batch/1"})";
+  }
+  for (const std::string& body :
+       {std::string("not json"), std::string("[]"), std::string(R"({"requests":[]})"),
+        R"({"requests":[)" + item + "," + item + "]}", many + "]}",
+        std::string(R"({"requests":[{"id":"i","path":"batch"}]})"),
+        std::string(R"({"requests":[{"id":"i","path":"/b","body":5}]})"),
+        std::string(R"({"requests":[{"id":"i","path":"/b","headers":{"A":"b\r\nC: d"}}]})"),
+        std::string(R"({"requests":[{"id":7,"path":"/b"}]})")}) {
+    const auto answer = ask(1, 0, "POST", "/batch/x", {{"Attempt-Id", "bad"}}, body);
+    BOOST_TEST(answer.head.status == 400, body.substr(0, 60));
+    BOOST_TEST(answer.body.find("malformed_body") != std::string::npos, answer.body);
+  }
+  BOOST_TEST(submit(1, "bad") == 202);
+}
+
+BOOST_AUTO_TEST_CASE(a_stopping_node_leaves_the_resolvers_answers_and_still_serves) {
+  const std::string resolve = "/v1/resolve?name=a.example&region=r&zone=zone-a";
+  BOOST_TEST(ask(1, 2, "GET", resolve).body.find(Node::address(1, 0)) != std::string::npos);
+  first->gateway.stop();
+  BOOST_TEST(ask(1, 1, "GET", "/").head.status == 503);
+  BOOST_TEST(ask(1, 2, "GET", resolve).body.find(Node::address(1, 0)) == std::string::npos);
+  const auto served = ask(1, 0, "POST", "/quick/1", {{"Attempt-Id", "q"}});
+  BOOST_TEST(served.head.status == 200);
+  BOOST_TEST(served.head.headers.get("Connection") == "close");
+  wait_for([&] { return loop.stopped(); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
