Answer reads of batch jobs only while the ownership is surely this node's; lighter digests

Change: reads are answered within 1 s of the last renewal of the lease, or while no other node reaches the log either (digests tell). Digests became small messages of their own that carry prompt tokens being read, and go out at once for long prompts; kept connections to replicas live 8 s instead of 3.

--- a/include/dockpoint/batch/group_member.hpp
+++ b/include/dockpoint/batch/group_member.hpp
@@ -49,6 +49,10 @@
   void leave();
 
   bool joined() const { return generation_ > 0; }
+  /// @return whether the last renewal is recent enough to answer reads. It counts from when it was
+  /// sent, which is before it arrived. The time is shorter than the lease, because the log may deal
+  /// partitions anew without waiting for leases to run out.
+  bool lease_valid(TimePoint now) const;
   std::uint64_t generation() const { return generation_; }
 
  private:
@@ -65,6 +69,7 @@
   void take(const JoinOutcome& outcome, TimePoint sent_at);
   void lose(int partition);
   bool draining() const;
+  Duration lease() const;
 
   const Knobs& knobs_;
   PartitionedLog& log_;
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -61,27 +61,29 @@
   std::size_t checkpoint_chunk_bytes = 512 * 1024;
 
   // Replicas, as the gateway sees them.
-  int replica_ejection_failures = 3;       ///< Broken answers in a row that eject a replica.
-  int missed_digests = 3;                    ///< Then callers are not sent to a node any more.
-  int maximum_sends_not_run = 4;  ///< Sends in a row that certainly did not run.
-  int silence_objectives = 3;                ///< A repeatable request moves on after so many objectives without a byte.
+  int replica_ejection_failures = 3;  ///< Broken answers in a row that eject a replica.
+  int missed_digests = 3;             ///< Then callers are not sent to a node any more.
+  int maximum_sends_not_run = 4;      ///< Sends in a row that certainly did not run.
+  int silence_objectives =
+      3;  ///< A repeatable request moves on after so many objectives without a byte.
   Duration replica_ejection_time = 500ms;  ///< Doubled at every further ejection.
   Duration replica_ejection_time_limit = 8s;
   Duration load_digest_lifetime = 1500ms;    ///< A digest of another node counts for this long.
   Duration replica_digest_interval = 200ms;  ///< Between a node's digests, up to 20 nodes.
   double prefill_tokens_per_ms = 60;         ///< Assumed speed at which a replica reads prompts.
-  double slot_pressure_ms = 10;              ///< Cost of a replica that is just full.
-  double selection_jitter_ms = 0.5;          ///< Breaks ties differently at every node.
-  double remote_zone_ms = 1.0;               ///< Cost of a replica in another zone.
-  double cold_replica_ms = 50;               ///< Cost of a replica that has just started.
-  double batch_fill = 0.8;                   ///< Batch goes to replicas below this share of slots.
-  Duration prefix_lifetime = 45s;            ///< A prompt is expected in a cache for this long.
-  std::size_t prefix_entries = 4096;         ///< Prefixes remembered.
-  std::size_t prefix_replicas = 4;           ///< Replicas remembered a prefix.
-  double home_confidence = 0.9;              ///< Share of a prefix expected at its home.
+  double announced_prefill_tokens = 3000;  ///< A longer prompt is told to the other nodes at once.
+  double slot_pressure_ms = 10;            ///< Cost of a replica that is just full.
+  double selection_jitter_ms = 0.5;        ///< Breaks ties differently at every node.
+  double remote_zone_ms = 3.0;             ///< Cost of a replica in another zone.
+  double cold_replica_ms = 50;             ///< Cost of a replica that has just started.
+  double batch_fill = 0.8;                 ///< Batch goes to replicas below this share of slots.
+  Duration prefix_lifetime = 45s;          ///< A prompt is expected in a cache for this long.
+  std::size_t prefix_entries = 4096;       ///< Prefixes remembered.
+  std::size_t prefix_replicas = 4;         ///< Replicas remembered a prefix.
+  double home_confidence = 0.9;            ///< Share of a prefix expected at its home.
   double second_home_confidence = 0.4;
   Duration replica_connect_timeout = 300ms;  ///< Then the request certainly has not run.
-  Duration replica_connection_idle = 3s;     ///< Older kept connections are not used.
+  Duration replica_connection_idle = 8s;     ///< Older kept connections are not used.
   Duration silence_minimum = 1s;             ///< objectives without a byte, and not before this.
   Duration retry_after_minimum = 300ms;      ///< Told to callers that are refused,
   Duration retry_after_spread = 700ms;  ///< spread by request so that they do not return at once.
@@ -100,8 +102,8 @@
   Duration log_retry_delay = 150ms;  ///< After a failed call; doubled and spread at random.
   Duration log_retry_delay_limit = 1200ms;
   Duration group_lease = 2000ms;     ///< A silent member loses its partitions after this time.
+  Duration read_validity = 1000ms;   ///< After a renewal of the lease reads are answered this long.
   Duration handover_drain = 2500ms;  ///< Running items may end before a partition is released.
-
 };
 
 }  // namespace dockpoint
--- a/include/dockpoint/membership/membership.hpp
+++ b/include/dockpoint/membership/membership.hpp
@@ -44,7 +44,6 @@
 
   /// Values that ride on every message.
   void set_configuration_revision(std::uint64_t revision) { configuration_revision_ = revision; }
-  void set_fleet_position(std::uint64_t position) { fleet_position_ = position; }
   void set_pending_batch_items(std::uint32_t items) { pending_batch_items_ = items; }
   void set_log_reachable(bool reachable);
 
@@ -145,7 +144,6 @@
   TimePoint next_sync_{};
   std::uint64_t configuration_revision_ = 0;
   std::uint32_t pending_batch_items_ = 0;
-  std::uint64_t fleet_position_ = 0;
   bool log_reachable_ = true;
   std::uint64_t version_ = 1;
 };
--- a/include/dockpoint/membership/messages.hpp
+++ b/include/dockpoint/membership/messages.hpp
@@ -44,11 +44,10 @@
   std::uint64_t configuration_revision = 0;  ///< In force at the sender.
   std::uint32_t pending_batch_items = 0;     ///< The sender could dispatch now, if it had room.
   std::vector<EngineDigest> digests;
-  bool log_reachable = true;         ///< The sender can read and append; otherwise it owns nothing.
-  std::uint8_t tree = 0;             ///< Of load digests.
-  std::uint64_t fleet_position = 0;  ///< Up to which the sender has read the replicas' records.
+  bool log_reachable = true;  ///< The sender can read and append; otherwise it owns nothing.
+  std::uint8_t tree = 0;      ///< Of load digests.
   DOCKPOINT_FIELDS(version, type, sequence, sender, target, updates, configuration_revision,
-                   pending_batch_items, digests, log_reachable, tree, fleet_position)
+                   pending_batch_items, digests, log_reachable, tree)
 };
 
 /// @return the bytes of `message`.
--- a/include/dockpoint/routing/replica_directory.hpp
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -9,6 +9,7 @@
 #include "dockpoint/core/address.hpp"
 #include "dockpoint/core/knobs.hpp"
 #include "dockpoint/core/time.hpp"
+#include "dockpoint/routing/load_digest.hpp"
 
 /// What one node knows of the replicas: their records, the load on them, and how they answered.
 ///
@@ -49,11 +50,13 @@
 /// One replica as seen from this node.
 struct Replica {
   ReplicaRecord record;
-  std::uint32_t key = 0;      ///< Of the replica in digests.
-  int online = 0;             ///< Requests of this node in flight there.
-  int batch = 0;              ///< Items of this node in flight there.
-  int of_peers = 0;           ///< In flight there from other nodes, by their digests.
-  double prefill_tokens = 0;  ///< Prompt tokens sent by this node and not answered yet.
+  std::uint32_t key = 0;           ///< Of the replica in digests.
+  int online = 0;                  ///< Requests of this node in flight there.
+  int batch = 0;                   ///< Items of this node in flight there.
+  int of_peers = 0;                ///< In flight there from other nodes, by their digests.
+  double prefill_tokens = 0;       ///< Prompt tokens sent by this node and not answered yet.
+  double peer_prefill_tokens = 0;  ///< The same of other nodes, when they said so.
+  TimePoint peer_prefill_at{};     ///< When the last of them said so.
   ReportedLoad reported;
   TimePoint reported_at{};
   TimePoint cold_until{};
@@ -66,12 +69,6 @@
   bool on_trial() const { return ejections > 0; }
 };
 
-/// Requests in flight of one node, a replica each.
-struct LoadDigestEntry {
-  std::uint32_t replica_key = 0;
-  std::uint32_t in_flight = 0;
-};
-
 /// The replicas of all services. Not thread-safe.
 class ReplicaDirectory {
  public:
@@ -110,13 +107,13 @@
 
  private:
   struct PeerLoad {
-    std::unordered_map<std::uint32_t, std::uint32_t> in_flight;
+    std::vector<LoadDigestEntry> entries;
     TimePoint received{};
   };
 
   Replica* mutable_find(const std::string& id);
   void eject(Replica& replica, TimePoint now);
-  void sum_peer_loads();
+  void sum_peer_loads(TimePoint now);
 
   const Knobs& knobs_;
   std::map<std::string, Replica> replicas_;
--- a/include/dockpoint/routing/replica_selector.hpp
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -84,6 +84,8 @@
                                                 const std::vector<PrefixStep>& steps) const;
   double cached_tokens(const Replica& replica, const std::vector<PrefixStep>& steps,
                        const std::pair<std::uint32_t, std::uint32_t>& homes, TimePoint now) const;
+  /// @return prompt tokens of other nodes' requests that the replica is expected to be reading.
+  double peer_prefill(const Replica& replica, TimePoint now) const;
   double wait_ms(const Replica& replica, const std::string& service, TimePoint now) const;
   PrefixEntry& touch(std::uint64_t chain);
 
--- a/src/batch/group_member.cpp
+++ b/src/batch/group_member.cpp
@@ -24,6 +24,14 @@
                      [](const auto& entry) { return entry.second.revoked; });
 }
 
+Duration GroupMember::lease() const {
+  return std::max(knobs_.group_lease, log_.limits().minimum_lease);
+}
+
+bool GroupMember::lease_valid(TimePoint now) const {
+  return joined() && now - renewed_at_ < std::min(lease(), knobs_.read_validity);
+}
+
 void GroupMember::tick(TimePoint now) {
   now_ = now;
   if (left_) {
@@ -48,8 +56,7 @@
   if (!draining()) {
     released_generation_ = generation_;
   }
-  const Duration lease = std::max(knobs_.group_lease, log_.limits().minimum_lease);
-  log_.join(group_, name_, {topic_}, lease, released_generation_,
+  log_.join(group_, name_, {topic_}, lease(), released_generation_,
             [this, life = life_, sent_at = now_](const JoinOutcome& outcome) {
               if (life->alive) {
                 calling_ = false;
@@ -62,13 +69,12 @@
   if (left_) {
     return;
   }
-  const Duration lease = std::max(knobs_.group_lease, log_.limits().minimum_lease);
-  std::uniform_int_distribution<std::int64_t> spread(lease.count() / 4, lease.count() / 3);
+  std::uniform_int_distribution<std::int64_t> spread(lease().count() / 4, lease().count() / 3);
   next_join_ = now_ + Duration(spread(random_));
   if (outcome.status != LogStatus::kOk) {
     return;
   }
-  const bool lapsed = generation_ > 0 && sent_at - renewed_at_ > lease;
+  const bool lapsed = generation_ > 0 && sent_at - renewed_at_ > lease();
   const bool missed = lapsed || outcome.generation > generation_ + 1;
   const bool changed = outcome.generation != generation_;
   renewed_at_ = sent_at;
--- a/src/emulator/memory_log.cpp
+++ b/src/emulator/memory_log.cpp
@@ -113,11 +113,12 @@
   const bool lost = delayed || faults.silent || share(random_) < faults.lose_answers;
   if (delayed) {
     std::uniform_int_distribution<std::int64_t> delay(0, faults.longest_delay.count());
-    events_.push_back({now_ + Duration(delay(random_)),
-                       [this, partition, records, position] { apply(partition, records, position); }});
+    events_.push_back({now_ + Duration(delay(random_)), [this, partition, records, position] {
+                         apply(partition, records, position);
+                       }});
   }
-  const AppendOutcome outcome = delayed || faults.silent ? AppendOutcome{}
-                                                         : apply(partition, records, position);
+  const AppendOutcome outcome =
+      delayed || faults.silent ? AppendOutcome{} : apply(partition, records, position);
   if (lost) {
     events_.push_back({now_ + kCallTimeout, [done = std::move(done)] { done(AppendOutcome{}); }});
   } else {
@@ -153,8 +154,9 @@
     return;
   }
   if (faults.silent) {
-    events_.push_back({now_ + kCallTimeout,
-                       [done = std::move(done)] { done({LogStatus::kUnknown, {}, false, 0}); }});
+    events_.push_back({now_ + kCallTimeout, [done = std::move(done)] {
+                         done({LogStatus::kUnknown, {}, false, 0});
+                       }});
     return;
   }
   const Partition& partition = partitions_[id];
--- a/src/emulator/memory_log.hpp
+++ b/src/emulator/memory_log.hpp
@@ -18,11 +18,14 @@
 
 /// How a stand-in log fails from now on.
 struct MemoryLogFaults {
-  bool down = false;          ///< Every call is refused.
-  bool silent = false;        ///< No call is answered or done.
-  double lose_answers = 0;    ///< Share of appends that are done and not answered.
-  double delay_appends = 0;   ///< Share of appends without an answer that are done later.
+  bool down = false;         ///< Every call is refused.
+  bool silent = false;       ///< No call is answered or done.
+  double lose_answers = 0;   ///< Share of appends that are done and not answered.
+  double delay_appends = 0;  ///< Share of appends without an answer that are done later.
   Duration longest_delay = std::chrono::seconds(4);
+
+  /// @return whether nothing fails.
+  bool calm() const { return !down && !silent && lose_answers == 0 && delay_appends == 0; }
 };
 
 /// See the top of this file. Time passes only in `advance`. Not thread-safe.
@@ -72,7 +75,7 @@
   };
   struct GroupPartition {
     std::string owner;
-    std::string heir;  ///< Gets it once the owner releases it.
+    std::string heir;              ///< Gets it once the owner releases it.
     std::uint64_t generation = 0;  ///< In which it was last dealt.
   };
   struct Group {
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -170,8 +170,10 @@
   }
   const int partition = job_partition(call.job, log_.limits().partitions);
   const PartitionOwner* owner = owner_of(partition);
-  if (owner != nullptr) {
-    const TimePoint now = net::steady_now();
+  const TimePoint now = net::steady_now();
+  if (owner != nullptr && !may_answer(now)) {
+    exchange->respond(503, {{kNotOwnerHeader, "1"}, {"Retry-After", kRetryAfter}}, {});
+  } else if (owner != nullptr) {
     read({exchange, call, now + std::max(call.wait, kLoadWait), !owner->active()});
   } else if (forwarded) {
     exchange->respond(503, {{kNotOwnerHeader, "1"}, {"Retry-After", kRetryAfter}}, {});
@@ -189,8 +191,9 @@
 bool BatchService::try_answer(const Waiter& waiter, bool last_chance) {
   const int partition = job_partition(waiter.call.job, log_.limits().partitions);
   const PartitionOwner* owner = owner_of(partition);
-  const LedgerJob* job =
-      owner != nullptr && owner->active() ? owner->ledger().find(waiter.call.job) : nullptr;
+  const LedgerJob* job = owner != nullptr && owner->active() && may_answer(net::steady_now())
+                             ? owner->ledger().find(waiter.call.job)
+                             : nullptr;
   if (job == nullptr) {
     // Accepted moments ago, perhaps, and not read from the log yet.
     if (last_chance) {
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -44,6 +44,12 @@
   void leave();
   bool drained() const;
 
+  /// @return whether this node's partitions are certainly its own.
+  bool lease_valid(TimePoint now) const { return group_.lease_valid(now); }
+  /// Without a valid lease this node answers reads only while no other node reaches the log either:
+  /// otherwise another may own its partitions and have listed more.
+  void set_peers_reach_log(bool reach) { peers_reach_log_ = reach; }
+
   void set_busy_nodes(int nodes) { executor_.set_busy_nodes(nodes); }
   std::size_t pending_items() const { return executor_.waiting() + executor_.running(); }
   /// @return owners by partition, as far as known, for nodes that cannot ask the log.
@@ -75,6 +81,8 @@
   void end_submission(const std::shared_ptr<Submission>& submission, int status);
   void end_job(const net::ExchangePtr& exchange, const std::string& job);
   void read(Waiter waiter);
+  /// @return whether what this node holds of its partitions may be told.
+  bool may_answer(TimePoint now) const { return lease_valid(now) || !peers_reach_log_; }
   /// @return whether the read was answered.
   bool try_answer(const Waiter& waiter, bool last_chance);
   void serve_waiters(const std::string& job);
@@ -99,6 +107,7 @@
   TimePoint owners_refreshed_{};
   bool refreshing_owners_ = false;
   bool draining_ = false;
+  bool peers_reach_log_ = false;
   TimePoint now_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   GroupMember group_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -54,16 +54,16 @@
       run_(start_number()),
       replicas_(knobs),
       selector_(knobs, replicas_, settings_.zone, combine_hash(hash64(settings_.node), run_)),
-      context_{loop,          knobs,     parts.traffic, client,
-               replicas_,     selector_, metrics_,      std::make_shared<RoutingConfiguration>(),
-               settings_.node},
+      context_{loop,           knobs,     parts.traffic, client,
+               replicas_,      selector_, metrics_,      std::make_shared<RoutingConfiguration>(),
+               settings_.node, {}},
       online_(context_, hash64(settings_.node)),
       fleet_(context_, parts.log, parts.fleet_reader, parts.fleet_topics, hash64(settings_.node),
              [this] { apply_configuration(); }),
       peers_(context_,
              {settings_.datagram_address, settings_.frontend_address, settings_.control_address},
              settings_.zone, run_,
-             [this](const Member& member) { ask_peer(member.control_address); }),
+             [this](const std::string& control_address) { ask_peer(control_address); }),
       batch_(context_, parts.log, parts.batch_topics, {settings_.control_address, run_},
              combine_hash(hash64(settings_.node), run_)),
       frontend_(loop, [this](const auto& exchange) { serve_frontend(exchange); }),
@@ -76,6 +76,7 @@
 Gateway::~Gateway() = default;
 
 void Gateway::start() {
+  context_.announce_load = [this] { peers_.announce_load(); };
   peers_.open();
   peers_.set_candidates(seed_datagram_addresses());
   frontend_.listen(settings_.frontend_address);
@@ -123,7 +124,9 @@
   fleet_.tick(now);
   peers_.set_fleet_position(fleet_.replicas_position());
   peers_.set_pending_items(batch_.pending_items());
+  peers_.set_log_reachable(batch_.lease_valid(now));
   peers_.tick(now);
+  batch_.set_peers_reach_log(peers_.some_peer_reaches_log());
   batch_.set_busy_nodes(peers_.busy_nodes());
   batch_.tick(now);
   online_.tick(now);
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -25,6 +26,7 @@
   GatewayMetrics& metrics;
   std::shared_ptr<const RoutingConfiguration> configuration;  ///< Never null.
   std::string node;
+  std::function<void()> announce_load;  ///< Tells the other nodes of this node's load now.
 };
 
 /// @return the endpoint of a replica; connections are not shared between its lives.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -8,7 +8,7 @@
 /// Upper bounds of the latency histogram, in seconds.
 const prometheus::Histogram::BucketBoundaries& latency_buckets() {
   static const prometheus::Histogram::BucketBoundaries buckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.2,
-                                                                0.3,   0.5,  1,     2,    5};
+                                                               0.3,   0.5,  1,     2,    5};
   return buckets;
 }
 
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -106,6 +106,9 @@
   ++sends_;
   prefill_tokens_ = choice.missing_tokens;
   context_.replicas.started(replica_, TrafficClass::kOnline, prefill_tokens_);
+  if (prefill_tokens_ >= context_.knobs.announced_prefill_tokens && context_.announce_load) {
+    context_.announce_load();
+  }
   if (is_sampled(info_.id) || sends_ > 1) {
     spdlog::info(
         "online: sent id={} route={} version={} replica={} attempt={} load={}/{} waitMs={} "
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -84,15 +84,11 @@
   const std::size_t scale = 1 + alive.size() / kDigestBaseNodes;
   digest_interval_ = context_.knobs.replica_digest_interval * static_cast<int>(scale);
   next_digest_ = now + digest_interval_;
+  last_digest_ = now;
   context_.replicas.expire_peer_loads(now);
-  PeerMessage message = membership_.make_message(PeerMessageType::kLoadDigest);
-  for (const LoadDigestEntry& entry : context_.replicas.own_load()) {
-    EngineDigest digest;
-    digest.engine_key = entry.replica_key;
-    digest.load.running_online = entry.in_flight;
-    message.digests.push_back(digest);
-  }
-  const std::string bytes = encode(message);
+  const std::string bytes =
+      encode(LoadDigest{context_.node, configuration_version_, fleet_position_, log_reachable_,
+                        addresses_.control, context_.replicas.own_load()});
   for (const Member* member : alive) {
     if (member->id != context_.node) {
       send_bytes(member->peer_address, bytes);
@@ -100,6 +96,14 @@
   }
 }
 
+void PeerLink::announce_load() {
+  constexpr Duration kShortestInterval = std::chrono::milliseconds(20);
+  const TimePoint now = net::steady_now();
+  if (now - last_digest_ >= kShortestInterval) {
+    send_digest(now);
+  }
+}
+
 void PeerLink::leave() {
   membership_.leave();
 }
@@ -129,6 +133,14 @@
   return sure.size() * 2 > all.size() ? sure : all;
 }
 
+bool PeerLink::some_peer_reaches_log() const {
+  const std::vector<const Member*> alive = membership_.alive();
+  return std::any_of(alive.begin(), alive.end(), [&](const Member* member) {
+    const auto told = reaches_log_.find(member->id);
+    return told != reaches_log_.end() && told->second;
+  });
+}
+
 std::vector<std::string> PeerLink::control_addresses() const {
   std::vector<std::string> addresses;
   for (const Member* member : membership_.alive()) {
@@ -161,32 +173,46 @@
                                  return;
                                }
                                if (!error) {
-                                 on_datagram(bytes);
+                                 on_datagram({buffer_.data(), bytes});
                                }
                                receive();
                              });
 }
 
-void PeerLink::on_datagram(std::size_t bytes) {
-  const auto message = decode_peer_message({buffer_.data(), bytes});
+void PeerLink::on_datagram(std::string_view bytes) {
+  const TimePoint now = net::steady_now();
+  if (is_load_digest(bytes)) {
+    if (const auto digest = decode_load_digest(bytes)) {
+      take_digest(*digest, now);
+    }
+    return;
+  }
+  const auto message = decode_peer_message(bytes);
   if (!message) {
     return;
   }
-  const TimePoint now = net::steady_now();
   last_heard_[message->sender.id] = now;
-  if (message->type == PeerMessageType::kLoadDigest) {
-    take_digest(*message, now);
-  }
   membership_.receive(*message, now);
-  note_knowledge(*message, now);
+  note_knowledge(message->configuration_revision, 0, message->sender.control_address, now);
 }
 
-void PeerLink::note_knowledge(const PeerMessage& message, TimePoint now) {
-  if (message.configuration_revision > configuration_version_) {
-    on_peer_ahead_(message.sender);
+void PeerLink::take_digest(const LoadDigest& digest, TimePoint now) {
+  if (digest.node == context_.node) {
     return;
   }
-  if (message.fleet_position <= fleet_position_) {
+  last_heard_[digest.node] = now;
+  reaches_log_[digest.node] = digest.log_reachable;
+  context_.replicas.set_peer_load(digest.node, digest.entries, now);
+  note_knowledge(digest.configuration_version, digest.fleet_position, digest.control_address, now);
+}
+
+void PeerLink::note_knowledge(std::uint64_t version, std::uint64_t position,
+                              const std::string& control_address, TimePoint now) {
+  if (version > configuration_version_) {
+    on_peer_ahead_(control_address);
+    return;
+  }
+  if (position <= fleet_position_) {
     return;
   }
   // The log tells all nodes at almost the same time; only one that stays behind asks.
@@ -194,7 +220,7 @@
     behind_since_ = now;
   } else if (now - behind_since_ > context_.knobs.fleet_lag) {
     behind_since_ = {};
-    on_peer_ahead_(message.sender);
+    on_peer_ahead_(control_address);
   }
 }
 
@@ -203,15 +229,6 @@
     behind_since_ = {};
   }
   fleet_position_ = position;
-  membership_.set_fleet_position(position);
-}
-
-void PeerLink::take_digest(const PeerMessage& message, TimePoint now) {
-  std::vector<LoadDigestEntry> entries;
-  for (const EngineDigest& digest : message.digests) {
-    entries.push_back({digest.engine_key, digest.load.running_online});
-  }
-  context_.replicas.set_peer_load(message.sender.id, entries, now);
 }
 
 }  // namespace dockpoint
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "dockpoint/membership/membership.hpp"
@@ -27,8 +28,8 @@
 /// Single-threaded; borrows the context.
 class PeerLink : private PeerSender {
  public:
-  /// Called when a message shows that `member` knows more of the fleet than this node.
-  using PeerAhead = std::function<void(const Member& member)>;
+  /// Called when a peer, at its control address, knows more of the fleet than this node.
+  using PeerAhead = std::function<void(const std::string& control_address)>;
 
   PeerLink(GatewayContext& context, const PeerAddresses& addresses, std::string zone,
            std::uint64_t run, PeerAhead on_peer_ahead);
@@ -39,8 +40,11 @@
   void set_configuration_version(std::uint64_t version);
   /// @param position up to which this node has read the replicas' records.
   void set_fleet_position(std::uint64_t position);
+  void set_log_reachable(bool reachable) { log_reachable_ = reachable; }
   void set_pending_items(std::size_t items);
   void tick(TimePoint now);
+  /// Sends a digest now: the load has changed in a way that the others should know of.
+  void announce_load();
   /// Tells the others that this node takes no new callers.
   void leave();
 
@@ -48,18 +52,21 @@
   std::vector<std::string> frontends() const;
   /// @return control addresses of the other nodes that are alive.
   std::vector<std::string> control_addresses() const;
+  /// @return whether a node that counts as alive has last said that it reaches the log.
+  bool some_peer_reaches_log() const;
   int busy_nodes() const { return membership_.nodes_with_pending_batch(); }
 
  private:
   void send(const std::string& address, const PeerMessage& message) override;
   void send_bytes(const std::string& address, const std::string& bytes);
   void receive();
-  void on_datagram(std::size_t bytes);
+  void on_datagram(std::string_view bytes);
   /// @return whether digests of the member have stayed away for too long.
   bool silent(const Member& member, TimePoint now) const;
   /// Asks a peer that knows more of the fleet than this node.
-  void note_knowledge(const PeerMessage& message, TimePoint now);
-  void take_digest(const PeerMessage& message, TimePoint now);
+  void note_knowledge(std::uint64_t version, std::uint64_t position,
+                      const std::string& control_address, TimePoint now);
+  void take_digest(const LoadDigest& digest, TimePoint now);
   void send_digest(TimePoint now);
 
   GatewayContext& context_;
@@ -73,8 +80,11 @@
   std::uint64_t fleet_position_ = 0;
   TimePoint behind_since_{};  ///< A peer has read further since; zero: none.
   TimePoint next_digest_{};
+  TimePoint last_digest_{};
   Duration digest_interval_{};
   std::map<std::string, TimePoint> last_heard_;  ///< Of any datagram, a node each.
+  std::map<std::string, bool> reaches_log_;      ///< As digests last said, a node each.
+  bool log_reachable_ = false;
   TimePoint last_tick_{};
   TimePoint silence_counts_from_{};
 };
--- a/src/http/online_handler.cpp
+++ b/src/http/online_handler.cpp
@@ -87,7 +87,7 @@
 
 void OnlineHandler::handle(CompletionKind kind, Poco::Net::HTTPServerRequest& request,
                            Poco::Net::HTTPServerResponse& response) {
-  Exchange exchange{kind, {}, {}, {}, {}, 100, {}, monotonic_now(), {}, 0, 0, nullptr, response};
+  Exchange exchange(kind, monotonic_now(), response);
   const std::optional<Error> error = error_of([&]() -> Result<void> {
     BOOST_LEAF_ASSIGN(exchange.body, read_request_body(request, maximum_body_bytes_));
     BOOST_LEAF_ASSIGN(exchange.completion, parse_completion_request(exchange.body, kind));
--- a/src/http/online_handler.hpp
+++ b/src/http/online_handler.hpp
@@ -37,6 +37,9 @@
  private:
   /// A request on its way from the caller to an engine and back.
   struct Exchange {
+    Exchange(CompletionKind request_kind, TimePoint arrival, Poco::Net::HTTPServerResponse& answer)
+        : kind(request_kind), arrived(arrival), response(answer) {}
+
     CompletionKind kind;
     CompletionRequest completion;
     std::string body;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -143,7 +143,6 @@
   message.sender = self_;
   message.updates = next_rumors();
   message.configuration_revision = configuration_revision_;
-  message.fleet_position = fleet_position_;
   message.pending_batch_items = pending_batch_items_;
   message.log_reachable = log_reachable_;
   return message;
--- /dev/null
+++ b/src/routing/load_digest.cpp
@@ -0,0 +1,55 @@
+#include "dockpoint/routing/load_digest.hpp"
+
+#include "dockpoint/core/codec.hpp"
+
+namespace dockpoint {
+namespace {
+
+/// First byte of a digest; MessagePack never uses it.
+constexpr char kTag = '\xc1';
+
+/// Numbers of each entry in the flat list.
+constexpr std::size_t kEntryNumbers = 3;
+
+struct Wire {
+  std::string node;
+  std::uint64_t configuration_version = 0;
+  std::uint64_t fleet_position = 0;
+  bool log_reachable = false;
+  std::string control_address;
+  std::vector<std::uint32_t> numbers;  ///< Key, in flight and prompt tokens of each entry.
+  DOCKPOINT_FIELDS(node, configuration_version, fleet_position, log_reachable, control_address, numbers)
+};
+
+}  // namespace
+
+std::string encode(const LoadDigest& digest) {
+  Wire wire{digest.node, digest.configuration_version, digest.fleet_position,
+            digest.log_reachable, digest.control_address, {}};
+  for (const LoadDigestEntry& entry : digest.entries) {
+    wire.numbers.insert(wire.numbers.end(),
+                        {entry.replica_key, entry.in_flight, entry.prefill_tokens});
+  }
+  return kTag + pack(wire);
+}
+
+bool is_load_digest(std::string_view bytes) { return bytes.starts_with(kTag); }
+
+std::optional<LoadDigest> decode_load_digest(std::string_view bytes) {
+  if (!is_load_digest(bytes)) {
+    return std::nullopt;
+  }
+  auto wire = unpack<Wire>(bytes.substr(1));
+  if (!wire || wire->node.empty() || wire->numbers.size() % kEntryNumbers != 0) {
+    return std::nullopt;
+  }
+  LoadDigest digest{std::move(wire->node), wire->configuration_version, wire->fleet_position,
+                    wire->log_reachable, std::move(wire->control_address), {}};
+  for (std::size_t index = 0; index < wire->numbers.size(); index += kEntryNumbers) {
+    digest.entries.push_back(
+        {wire->numbers[index], wire->numbers[index + 1], wire->numbers[index + 2]});
+  }
+  return digest;
+}
+
+}  // namespace dockpoint
--- a/src/routing/replica_directory.cpp
+++ b/src/routing/replica_directory.cpp
@@ -35,7 +35,7 @@
   replica.record = record;
   ++revision_;
   if (added) {
-    sum_peer_loads();
+    sum_peer_loads(now);
   }
 }
 
@@ -110,33 +110,40 @@
 
 void ReplicaDirectory::set_peer_load(const std::string& node,
                                      const std::vector<LoadDigestEntry>& entries, TimePoint now) {
-  PeerLoad& peer = peers_[node];
-  peer.received = now;
-  peer.in_flight.clear();
-  for (const LoadDigestEntry& entry : entries) {
-    peer.in_flight[entry.replica_key] = entry.in_flight;
-  }
-  sum_peer_loads();
+  peers_[node] = {entries, now};
+  sum_peer_loads(now);
 }
 
 void ReplicaDirectory::expire_peer_loads(TimePoint now) {
   const Duration limit = knobs_.load_digest_lifetime;
   if (std::erase_if(peers_,
                     [&](const auto& entry) { return now - entry.second.received > limit; }) > 0) {
-    sum_peer_loads();
+    sum_peer_loads(now);
   }
 }
 
-void ReplicaDirectory::sum_peer_loads() {
-  std::unordered_map<std::uint32_t, std::uint32_t> sums;
+void ReplicaDirectory::sum_peer_loads(TimePoint now) {
+  struct Sum {
+    std::uint32_t in_flight = 0;
+    double prefill_tokens = 0;
+  };
+  std::unordered_map<std::uint32_t, Sum> sums;
   for (const auto& [node, peer] : peers_) {
-    for (const auto& [key, count] : peer.in_flight) {
-      sums[key] += count;
+    const double age_ms = std::chrono::duration<double, std::milli>(now - peer.received).count();
+    for (const LoadDigestEntry& entry : peer.entries) {
+      Sum& sum = sums[entry.replica_key];
+      sum.in_flight += entry.in_flight;
+      // What was read since the peer said so does not count.
+      sum.prefill_tokens +=
+          std::max(0.0, entry.prefill_tokens - age_ms * knobs_.prefill_tokens_per_ms);
     }
   }
   for (auto& [id, replica] : replicas_) {
-    const auto sum = sums.find(replica.key);
-    replica.of_peers = sum == sums.end() ? 0 : static_cast<int>(sum->second);
+    const auto found = sums.find(replica.key);
+    const Sum sum = found == sums.end() ? Sum{} : found->second;
+    replica.of_peers = static_cast<int>(sum.in_flight);
+    replica.peer_prefill_tokens = sum.prefill_tokens;
+    replica.peer_prefill_at = now;
   }
 }
 
@@ -145,7 +152,8 @@
   for (const auto& [id, replica] : replicas_) {
     const int in_flight = replica.online + replica.batch;
     if (in_flight > 0) {
-      entries.push_back({replica.key, static_cast<std::uint32_t>(in_flight)});
+      entries.push_back({replica.key, static_cast<std::uint32_t>(in_flight),
+                         static_cast<std::uint32_t>(replica.prefill_tokens)});
     }
   }
   return entries;
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -30,7 +30,8 @@
   for (const Replica* replica : open) {
     Candidate candidate{replica, 0, wait_ms(*replica, query.service, now), 0};
     candidate.missing_tokens = prompt_tokens - cached_tokens(*replica, steps, home_keys, now);
-    const double reading = replica->prefill_tokens + candidate.missing_tokens;
+    const double reading =
+        replica->prefill_tokens + peer_prefill(*replica, now) + candidate.missing_tokens;
     const int slots = std::max(1, replica->record.slots);
     const double fill = std::min(1.0, static_cast<double>(replica->load(now)) / slots);
     candidate.cost_ms = candidate.wait_ms + reading / knobs_.prefill_tokens_per_ms +
@@ -132,6 +133,11 @@
   return cached;
 }
 
+double ReplicaSelector::peer_prefill(const Replica& replica, TimePoint now) const {
+  const double read = to_milliseconds(now - replica.peer_prefill_at) * knobs_.prefill_tokens_per_ms;
+  return std::max(0.0, replica.peer_prefill_tokens - read);
+}
+
 double ReplicaSelector::wait_ms(const Replica& replica, const std::string& service,
                                 TimePoint now) const {
   const int slots = std::max(1, replica.record.slots);
--- a/tests/batch/partition_ownership_test.cpp
+++ b/tests/batch/partition_ownership_test.cpp
@@ -24,10 +24,79 @@
 constexpr std::int64_t kStepMs = 20;
 const BatchTopics kTopics{"jobs", "results", "owners"};
 
+/// The log as one node reaches it, or does not.
+class CuttableLog : public PartitionedLog {
+ public:
+  explicit CuttableLog(MemoryLog& log) : log_(log) {}
+
+  bool cut = false;
+
+  /// Ends calls that were cut off.
+  void advance(TimePoint now) {
+    now_ = now;
+    std::vector<std::pair<TimePoint, std::function<void()>>> later;
+    for (auto& [at, end] : std::exchange(ends_, {})) {
+      if (at <= now) {
+        end();
+      } else {
+        later.emplace_back(at, std::move(end));
+      }
+    }
+    std::move(later.begin(), later.end(), std::back_inserter(ends_));
+  }
+
+  const LogLimits& limits() const override { return log_.limits(); }
+  void append(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
+              const std::optional<ProducerPosition>& position,
+              std::function<void(AppendOutcome)> done) override {
+    if (!lost([done] { done({}); })) {
+      log_.append(partition, records, position, std::move(done));
+    }
+  }
+  void read(const TopicPartition& partition, LogOffset from, Duration wait,
+            std::function<void(ReadOutcome)> done) override {
+    if (!lost([done] { done({}); })) {
+      log_.read(partition, from, wait, std::move(done));
+    }
+  }
+  void newest(const TopicPartition& partition, const std::string& after_key,
+              std::function<void(NewestOutcome)> done) override {
+    if (!lost([done] { done({}); })) {
+      log_.newest(partition, after_key, std::move(done));
+    }
+  }
+  void join(const std::string& group, const std::string& member,
+            const std::vector<std::string>& topics, Duration lease, std::uint64_t generation,
+            std::function<void(JoinOutcome)> done) override {
+    if (!lost([done] { done({}); })) {
+      log_.join(group, member, topics, lease, generation, std::move(done));
+    }
+  }
+  void leave(const std::string& group, const std::string& member,
+             std::function<void(LogStatus)> done) override {
+    log_.leave(group, member, std::move(done));
+  }
+  void owners(const std::string& group, std::function<void(OwnersOutcome)> done) override {
+    log_.owners(group, std::move(done));
+  }
+
+ private:
+  bool lost(std::function<void()> end) {
+    if (cut) {
+      ends_.emplace_back(now_ + std::chrono::milliseconds(1500), std::move(end));
+    }
+    return cut;
+  }
+
+  MemoryLog& log_;
+  TimePoint now_{};
+  std::vector<std::pair<TimePoint, std::function<void()>>> ends_;
+};
+
 /// One node of the world.
 class Node : PartitionOwnerObserver, GroupMemberObserver {
  public:
-  Node(const Knobs& knobs, MemoryLog& log, const std::string& name, std::uint64_t seed)
+  Node(const Knobs& knobs, CuttableLog& log, const std::string& name, std::uint64_t seed)
       : knobs_(knobs),
         log_(log),
         random_(seed),
@@ -57,6 +126,9 @@
 
   const LedgerJob* read(const std::string& job) const {
     const auto owner = owners_.find(job_partition(job, kPartitions));
+    if (!group_.lease_valid(now_)) {
+      return nullptr;
+    }
     return owner != owners_.end() && owner->second->active() ? owner->second->ledger().find(job)
                                                              : nullptr;
   }
@@ -93,7 +165,7 @@
   void on_lost(int partition) override { owners_.erase(partition); }
 
   const Knobs& knobs_;
-  MemoryLog& log_;
+  CuttableLog& log_;
   std::mt19937_64 random_;
   TimePoint now_{};
   std::map<int, std::unique_ptr<PartitionOwner>> owners_;
@@ -106,6 +178,7 @@
  public:
   explicit World(std::uint64_t seed) : random_(seed) {
     for (int index = 0; index < kNodes; ++index) {
+      links_[index] = std::make_unique<CuttableLog>(log_);
       start(index);
     }
   }
@@ -119,8 +192,14 @@
         disturb();
       } else {
         log_.faults = {};
+        for (auto& link : links_) {
+          link->cut = false;
+        }
       }
       log_.advance(at(now_));
+      for (auto& link : links_) {
+        link->advance(at(now_));
+      }
       for (int index = 0; index < kNodes; ++index) {
         if (nodes_[index] && now_ >= paused_until_[index]) {
           nodes_[index]->tick(at(now_));
@@ -130,7 +209,9 @@
       }
       read_everywhere();
     }
-    check_end();
+    if (problem_.empty()) {
+      check_end();
+    }
     return problem_;
   }
 
@@ -139,7 +220,7 @@
 
   void start(int index) {
     const std::string name = "n" + std::to_string(index) + "#" + std::to_string(++runs_);
-    nodes_[index] = std::make_unique<Node>(knobs_, log_, name, random_());
+    nodes_[index] = std::make_unique<Node>(knobs_, *links_[index], name, random_());
   }
 
   bool chance(int one_in) { return random_() % static_cast<std::uint64_t>(one_in) == 0; }
@@ -163,6 +244,9 @@
       log_.faults.lose_answers = chance(2) ? 0.3 : 0;
       log_.faults.delay_appends = chance(2) ? 0.2 : 0;
     }
+    if (chance(250)) {
+      links_[node]->cut = !links_[node]->cut;
+    }
     if (chance(300)) {
       log_.forget_history();
     }
@@ -199,10 +283,28 @@
             problem_ = id + " changed at position " + std::to_string(place);
           }
         }
+        if (job != nullptr && now_ >= paused_until_[index]) {
+          check_length(id, job->results.size());
+        }
       }
     }
   }
 
+  /// What was read at one node a second ago is there at every other that answers.
+  void check_length(const std::string& id, std::size_t length) {
+    constexpr std::int64_t kSettleMs = 1'000;
+    auto& lengths = lengths_[id];
+    for (const auto& [read_at, read_length] : lengths) {
+      if (read_length > length && read_at + kSettleMs < now_ && log_.faults.calm()) {
+        problem_ = id + " has " + std::to_string(length) + " results where " +
+                   std::to_string(read_length) + " had been read";
+      }
+    }
+    if (lengths.empty() || length > lengths.back().second) {
+      lengths.emplace_back(now_, length);
+    }
+  }
+
   void check_end() {
     for (const std::string& id : accepted_) {
       const LedgerJob* found = nullptr;
@@ -230,7 +332,9 @@
   MemoryLog log_{LogLimits{kPartitions, 4096, 65536, std::chrono::seconds(1)}, 5};
   std::int64_t now_ = 0;
   std::uint64_t runs_ = 0;
+  std::unique_ptr<CuttableLog> links_[kNodes];
   std::unique_ptr<Node> nodes_[kNodes];
+  std::map<std::string, std::vector<std::pair<std::int64_t, std::size_t>>> lengths_;
   std::int64_t restart_at_[kNodes] = {};
   std::int64_t paused_until_[kNodes] = {};
   std::map<std::string, std::size_t> jobs_;
@@ -244,7 +348,7 @@
 BOOST_AUTO_TEST_SUITE(partition_ownership)
 
 BOOST_AUTO_TEST_CASE(positions_hold_and_accepted_items_end_once_under_every_failure) {
-  constexpr std::uint64_t kSeeds = 150;
+  constexpr std::uint64_t kSeeds = 300;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     const std::string problem = World(seed).play();
     BOOST_TEST(problem.empty(), "seed " << seed << ": " << problem);
--- a/tests/gateway/gateway_settings_test.cpp
+++ b/tests/gateway/gateway_settings_test.cpp
@@ -26,8 +26,8 @@
 BOOST_AUTO_TEST_SUITE(gateway_settings)
 
 BOOST_AUTO_TEST_CASE(a_whole_file_is_read) {
-  const auto settings = boost::leaf::try_handle_all(
-      [] { return parse_gateway_settings(kWhole); }, [] { return GatewaySettings{}; });
+  const auto settings = boost::leaf::try_handle_all([] { return parse_gateway_settings(kWhole); },
+                                                    [] { return GatewaySettings{}; });
   BOOST_TEST(settings.node == "n");
   BOOST_TEST(settings.log.partitions == 12);
   BOOST_TEST((settings.grace == std::chrono::milliseconds(7500)));
--- a/tests/gateway/online_proxy_test.cpp
+++ b/tests/gateway/online_proxy_test.cpp
@@ -171,14 +171,15 @@
 BOOST_AUTO_TEST_CASE(an_answer_to_an_earlier_request_is_skipped) {
   ProxyWorld world(kFrontPort);
   world.route().kind = RouteKind::kNonIdempotent;
-  boost::asio::ip::tcp::acceptor acceptor(
-      world.loop, {boost::asio::ip::make_address("127.0.0.1"), kFirstPort});
+  boost::asio::ip::tcp::acceptor acceptor(world.loop,
+                                          {boost::asio::ip::make_address("127.0.0.1"), kFirstPort});
   boost::asio::ip::tcp::socket socket(world.loop);
   const std::string crossed =
       "HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nResponse-Signature: s\r\nContent-Length: 5\r\n\r\n"
       "wrong";
   const std::string own =
-      "HTTP/1.1 200 OK\r\nAttempt-Id: request-1\r\nResponse-Signature: s\r\nContent-Length: 5\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nAttempt-Id: request-1\r\nResponse-Signature: s\r\nContent-Length: "
+      "5\r\n\r\n"
       "right";
   acceptor.async_accept(socket, [&](const boost::system::error_code&) {
     boost::asio::write(socket, boost::asio::buffer(crossed + own));
@@ -213,10 +214,9 @@
   world.directory.upsert(replica.record("lm"), {});
   const net::RequestHead head{
       "POST", "/x/1", {{"Host", "a"}, {"Attempt-Id", "request-1"}, {"Content-Length", "0"}}};
-  const auto call = net::SimpleCall::start(world.client, world.loop,
-                                           {{"127.0.0.1", kFrontPort}, "front"},
-                                           net::serialize(head), {}, std::chrono::seconds(5),
-                                           [](const net::SimpleCall::Outcome&) {});
+  const auto call = net::SimpleCall::start(
+      world.client, world.loop, {{"127.0.0.1", kFrontPort}, "front"}, net::serialize(head), {},
+      std::chrono::seconds(5), [](const net::SimpleCall::Outcome&) {});
   world.run_until([&] { return !held.empty(); });
   call->cancel();
   world.run_until([&] { return replica_saw_close; });
--- a/tests/gateway/stand_ins.hpp
+++ b/tests/gateway/stand_ins.hpp
@@ -58,8 +58,9 @@
  public:
   explicit ProxyWorld(std::uint16_t port)
       : selector_(knobs_, directory, "zone-a", 1),
-        context_{loop,      knobs_,   protocol_, client, directory,
-                 selector_, metrics_, std::make_shared<RoutingConfiguration>(), "node"},
+        context_{loop,      knobs_,    protocol_, client,
+                 directory, selector_, metrics_,  std::make_shared<RoutingConfiguration>(),
+                 "node",    {}},
         proxy_(context_, 0),
         port_(port),
         front_(loop, [this](const net::ExchangePtr& exchange) {
--- a/tests/net/http_parser_test.cpp
+++ b/tests/net/http_parser_test.cpp
@@ -42,7 +42,8 @@
 BOOST_AUTO_TEST_SUITE(http_parser)
 
 BOOST_AUTO_TEST_CASE(a_request_is_the_same_however_its_bytes_are_cut) {
-  const std::string by_length = "POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhelloGET /";
+  const std::string by_length =
+      "POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhelloGET /";
   const std::string by_chunks =
       "POST /a?b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
       "2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nT: v\r\n\r\nGET /";
@@ -63,8 +64,8 @@
 BOOST_AUTO_TEST_CASE(limits_hold) {
   const std::string long_field = "GET / HTTP/1.1\r\nX: " + std::string(2'000, 'x') + "\r\n\r\n";
   BOOST_TEST((status_of(long_field) == ParseStatus::kHeaderTooLarge));
-  BOOST_TEST((status_of("POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n") ==
-              ParseStatus::kBodyTooLarge));
+  BOOST_TEST(
+      (status_of("POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n") == ParseStatus::kBodyTooLarge));
   BOOST_TEST((status_of("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n50\r\n" +
                         std::string(0x50, 'x') + "\r\n0\r\n\r\n") == ParseStatus::kBodyTooLarge));
 }
@@ -102,9 +103,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_answer_that_is_cut_is_not_complete) {
-  for (const char* bytes : {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
-                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
-                            "HTTP/1.1 200 O"}) {
+  for (const char* bytes :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "HTTP/1.1 200 O"}) {
     ResponseParser parser([](const ResponseHead&) {}, [](std::string_view) {});
     std::string buffer = bytes;
     BOOST_TEST((parser.feed(buffer) == ParseStatus::kNeedMore));
@@ -115,7 +116,8 @@
 BOOST_AUTO_TEST_CASE(mutated_requests_neither_crash_nor_pass_the_limits) {
   constexpr int kRounds = 30'000;
   const std::string seed =
-      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nX: y\r\n\r\n4\r\nabcd\r\n0\r\n\r\n";
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nX: "
+      "y\r\n\r\n4\r\nabcd\r\n0\r\n\r\n";
   std::mt19937_64 random(20261202);
   for (int round = 0; round < kRounds; ++round) {
     std::string bytes = seed;
--- a/tests/platform/system_test.cpp
+++ b/tests/platform/system_test.cpp
@@ -1,5 +1,5 @@
-/// The whole path on the platform's words, in one process: two gateways, a stand-in of the store, and
-/// a replica that speaks the published protocol.
+/// The whole path on the platform's words, in one process: two gateways, a stand-in of the store,
+/// and a replica that speaks the published protocol.
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
--- /dev/null
+++ b/tests/routing/load_digest_test.cpp
@@ -0,0 +1,44 @@
+#include "dockpoint/routing/load_digest.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "dockpoint/membership/messages.hpp"
+
+using namespace dockpoint;
+
+BOOST_AUTO_TEST_SUITE(load_digest)
+
+BOOST_AUTO_TEST_CASE(a_digest_travels_whole_and_is_told_from_other_messages) {
+  const LoadDigest digest{"n1", 7, 99, true, "10.0.0.1:80", {{1, 2, 3}, {4'000'000'000U, 5, 0}}};
+  const std::string bytes = encode(digest);
+  BOOST_TEST(is_load_digest(bytes));
+  BOOST_TEST(!decode_peer_message(bytes).has_value());
+  const auto decoded = decode_load_digest(bytes);
+  BOOST_TEST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->node == "n1");
+  BOOST_TEST(decoded->configuration_version == 7U);
+  BOOST_TEST(decoded->fleet_position == 99U);
+  BOOST_TEST_REQUIRE(decoded->entries.size() == 2U);
+  BOOST_TEST(decoded->entries[1].replica_key == 4'000'000'000U);
+  BOOST_TEST(decoded->entries[0].prefill_tokens == 3U);
+  PeerMessage message;
+  message.sender.id = "n2";
+  BOOST_TEST(!is_load_digest(encode(message)));
+}
+
+BOOST_AUTO_TEST_CASE(damaged_digests_are_dropped) {
+  const std::string bytes = encode(LoadDigest{"n1", 7, 99, true, "10.0.0.1:80", {{1, 2, 3}}});
+  BOOST_TEST(!decode_load_digest("").has_value());
+  std::mt19937_64 random(7);
+  constexpr int kRounds = 20'000;
+  for (int round = 0; round < kRounds; ++round) {
+    std::string damaged = bytes.substr(0, random() % (bytes.size() + 1));
+    for (int change = 0; change < 3 && !damaged.empty(); ++change) {
+      damaged[random() % damaged.size()] = static_cast<char>(random());
+    }
+    decode_load_digest(damaged);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/routing/replica_selector_test.cpp
+++ b/tests/routing/replica_selector_test.cpp
@@ -15,8 +15,8 @@
   ReplicaDirectory directory{knobs};
   Fixture() {
     for (int number = 1; number <= 4; ++number) {
-      directory.upsert({"r" + std::to_string(number), "lm", {"10.0.0.1", 80}, "zone-a", 4, false, {}},
-                       at(0));
+      directory.upsert(
+          {"r" + std::to_string(number), "lm", {"10.0.0.1", 80}, "zone-a", 4, false, {}}, at(0));
     }
   }
   ReplicaQuery query(double shared_tokens, TrafficClass traffic = TrafficClass::kOnline) const {
@@ -61,6 +61,27 @@
   BOOST_TEST(counts.size() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_that_reads_a_long_prompt_of_another_node_is_left_until_it_is_read) {
+  ReplicaSelector selector(knobs, directory, "zone-a", 1);
+  const std::uint32_t reading = directory.find("r1")->key;
+  const auto tokens = static_cast<std::uint32_t>(knobs.prefill_tokens_per_ms * 500);
+  directory.set_peer_load("n2", {{reading, 1, tokens}}, at(0));
+  std::set<std::string> early;
+  std::set<std::string> late;
+  for (int request = 0; request < 60; ++request) {
+    early.insert(selector.choose(query(0), at(100)).replica->record.id);
+    late.insert(selector.choose({"lm", TrafficClass::kOnline, {}, {"r2", "r3"}}, at(100))
+                    .replica->record.id);
+  }
+  BOOST_TEST(!early.contains("r1"));
+  BOOST_TEST(!late.contains("r1"));
+  directory.set_peer_load("n2", {}, at(600));
+  directory.started("r4", TrafficClass::kOnline, 0);
+  directory.started("r4", TrafficClass::kOnline, 0);
+  BOOST_TEST(selector.choose({"lm", TrafficClass::kOnline, {}, {"r2", "r3"}}, at(700))
+                 .replica->record.id == "r1");
+}
+
 BOOST_AUTO_TEST_CASE(batch_keeps_off_replicas_that_are_nearly_full) {
   ReplicaSelector selector(knobs, directory, "zone-a", 1);
   for (const char* id : {"r1", "r2", "r3", "r4"}) {
