--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -171,14 +171,12 @@
   const int partition = job_partition(call.job, log_.limits().partitions);
   const PartitionOwner* owner = owner_of(partition);
   const TimePoint now = net::steady_now();
-  if (owner != nullptr && !may_answer(now)) {
-    exchange->respond(503, {{kNotOwnerHeader, "1"}, {"Retry-After", kRetryAfter}}, {});
-  } else if (owner != nullptr) {
+  if (owner != nullptr && may_answer(now)) {
     read({exchange, call, now + std::max(call.wait, kLoadWait), !owner->active()});
-  } else if (forwarded) {
-    exchange->respond(503, {{kNotOwnerHeader, "1"}, {"Retry-After", kRetryAfter}}, {});
-  } else {
+  } else if (owner == nullptr && !forwarded) {
     forward(exchange, call, partition);
+  } else {
+    exchange->respond(503, {{kNotOwnerHeader, "1"}, {"Retry-After", kRetryAfter}}, {});
   }
 }
 
--- a/src/routing/load_digest.cpp
+++ b/src/routing/load_digest.cpp
@@ -18,14 +18,15 @@
   bool log_reachable = false;
   std::string control_address;
   std::vector<std::uint32_t> numbers;  ///< Key, in flight and prompt tokens of each entry.
-  DOCKPOINT_FIELDS(node, configuration_version, fleet_position, log_reachable, control_address, numbers)
+  DOCKPOINT_FIELDS(node, configuration_version, fleet_position, log_reachable, control_address,
+                   numbers)
 };
 
 }  // namespace
 
 std::string encode(const LoadDigest& digest) {
-  Wire wire{digest.node, digest.configuration_version, digest.fleet_position,
-            digest.log_reachable, digest.control_address, {}};
+  Wire wire{digest.node,          digest.configuration_version, digest.fleet_position,
+            digest.log_reachable, digest.control_address,       {}};
   for (const LoadDigestEntry& entry : digest.entries) {
     wire.numbers.insert(wire.numbers.end(),
                         {entry.replica_key, entry.in_flight, entry.prefill_tokens});
@@ -33,7 +34,9 @@
   return kTag + pack(wire);
 }
 
-bool is_load_digest(std::string_view bytes) { return bytes.starts_with(kTag); }
+bool is_load_digest(std::string_view bytes) {
+  return bytes.starts_with(kTag);
+}
 
 std::optional<LoadDigest> decode_load_digest(std::string_view bytes) {
   if (!is_load_digest(bytes)) {
@@ -43,8 +46,8 @@
   if (!wire || wire->node.empty() || wire->numbers.size() % kEntryNumbers != 0) {
     return std::nullopt;
   }
-  LoadDigest digest{std::move(wire->node), wire->configuration_version, wire->fleet_position,
-                    wire->log_reachable, std::move(wire->control_address), {}};
+  LoadDigest digest{std::move(wire->node), wire->configuration_version,      wire->fleet_position,
+                    wire->log_reachable,   std::move(wire->control_address), {}};
   for (std::size_t index = 0; index < wire->numbers.size(); index += kEntryNumbers) {
     digest.entries.push_back(
         {wire->numbers[index], wire->numbers[index + 1], wire->numbers[index + 2]});
