--- a/tests/gateway/online_proxy_test.cpp
+++ b/tests/platform/online_proxy_test.cpp
@@ -3,7 +3,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/stand_ins.hpp"
+#include "platform/stand_ins.hpp"
 
 using namespace dockpoint;
 using namespace dockpoint::test;
--- a/tests/platform/system_test.cpp
+++ b/tests/platform/system_test.cpp
@@ -6,7 +6,7 @@
 #include <optional>
 
 #include "gateway/gateway.hpp"
-#include "gateway/stand_ins.hpp"
+#include "platform/stand_ins.hpp"
 #include "platform/fleet.hpp"
 #include "platform/stand_in_store.hpp"
 #include "platform/store_log.hpp"
