--- a/tests/platform/system_test.cpp
+++ b/tests/platform/system_test.cpp
@@ -6,9 +6,9 @@
 #include <optional>
 
 #include "gateway/gateway.hpp"
-#include "platform/stand_ins.hpp"
 #include "platform/fleet.hpp"
 #include "platform/stand_in_store.hpp"
+#include "platform/stand_ins.hpp"
 #include "platform/store_log.hpp"
 #include "platform/traffic.hpp"
 #include "platform/wire_names.hpp"
