Rename the daemon's OnlineCall: two classes of one name in one namespace

Cause: the gateway has dockpoint::OnlineCall too, and programs that link both (the tests) got one destructor for both classes; the thread sanitizer's unity build crashed on it (SEGV in a variant of the other class). scripts/check-names.sh fails when two headers define the same class; it fails on the former name.

--- a/src/node/online_calls.cpp
+++ b/src/node/online_calls.cpp
@@ -2,13 +2,13 @@
 
 namespace dockpoint {
 
-void OnlineCall::push(OnlineCommand command) {
+void OnlineCommandQueue::push(OnlineCommand command) {
   const std::lock_guard<std::mutex> lock(mutex_);
   commands_.push_back(std::move(command));
   pushed_.notify_one();
 }
 
-OnlineCommand OnlineCall::wait() {
+OnlineCommand OnlineCommandQueue::wait() {
   std::unique_lock<std::mutex> lock(mutex_);
   pushed_.wait(lock, [this] { return !commands_.empty(); });
   OnlineCommand command = std::move(commands_.front());
@@ -22,7 +22,7 @@
         const std::lock_guard<std::mutex> lock(calls.mutex_);
         return calls.next_number_++;
       }()),
-      call_(std::make_shared<OnlineCall>()) {
+      call_(std::make_shared<OnlineCommandQueue>()) {
   const std::lock_guard<std::mutex> lock(calls_.mutex_);
   calls_.calls_[number_] = call_;
 }
@@ -33,7 +33,7 @@
 }
 
 void OnlineCalls::push(RequestNumber number, OnlineCommand command) {
-  std::shared_ptr<OnlineCall> call;
+  std::shared_ptr<OnlineCommandQueue> call;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto found = calls_.find(number);
--- a/src/node/online_calls.hpp
+++ b/src/node/online_calls.hpp
@@ -21,7 +21,7 @@
 using OnlineCommand = std::variant<AttemptCommand, Error>;
 
 /// One online request between its traffic thread, which waits, and the control thread.
-class OnlineCall {
+class OnlineCommandQueue {
  public:
   void push(OnlineCommand command);
   OnlineCommand wait();
@@ -44,12 +44,12 @@
     Registration& operator=(const Registration&) = delete;
 
     RequestNumber number() const { return number_; }
-    OnlineCall& call() { return *call_; }
+    OnlineCommandQueue& call() { return *call_; }
 
    private:
     OnlineCalls& calls_;
     const RequestNumber number_;
-    std::shared_ptr<OnlineCall> call_;
+    std::shared_ptr<OnlineCommandQueue> call_;
   };
 
   /// Passes a command on; ignored if the call has ended.
@@ -60,7 +60,7 @@
  private:
   mutable std::mutex mutex_;
   RequestNumber next_number_ = 1;
-  std::map<RequestNumber, std::shared_ptr<OnlineCall>> calls_;
+  std::map<RequestNumber, std::shared_ptr<OnlineCommandQueue>> calls_;
 };
 
 }  // namespace dockpoint
