--- a/apps/dockpoint_sim_main.cpp
+++ b/apps/dockpoint_sim_main.cpp
@@ -11,7 +11,6 @@
 #include "cli/command_line.hpp"
 #include "cli/exit_code.hpp"
 #include "simulation/explorer.hpp"
-#include "simulation/scale_run.hpp"
 #include "simulation/scenario_runner.hpp"
 
 namespace {
@@ -23,13 +22,10 @@
     "Usage: dockpoint-sim run FILE ... [OPTION ...]\n"
     "       dockpoint-sim pairs FILE ...\n"
     "       dockpoint-sim explore --seeds A-B [OPTION ...]\n"
-    "       dockpoint-sim scale [--nodes N,N,...] [--engines N] [--partitions N]\n"
     "       dockpoint-sim properties | mechanisms\n"
     "\n"
     "run checks each scenario; pairs also checks that it fails without each mechanism that it\n"
-    "names; explore draws deployments, loads and faults from seeds; scale runs the control plane "
-    "of\n"
-    "hollow nodes and prints what it costs a node.";
+    "names; explore draws deployments, loads and faults from seeds.";
 
 struct SimOptions {
   Mechanisms mechanisms;
@@ -38,7 +34,6 @@
   std::uint64_t last_seed = 100;
   int threads = 4;
   std::string failures_folder;
-  ScaleOptions scale;
 };
 
 void print_violations(const std::string& name, const std::vector<Violation>& violations) {
@@ -181,22 +176,6 @@
        [&](const std::string& text) {
          options.threads = parse_option_integer("threads", text, 1, 64);
        }},
-      {"nodes", "N,N,...", "scale: sizes (50,100,200,410).",
-       [&](const std::string& text) {
-         options.scale.nodes.clear();
-         std::istringstream words(text);
-         for (std::string word; std::getline(words, word, ',');) {
-           options.scale.nodes.push_back(parse_option_integer("nodes", word, 2, 1000));
-         }
-       }},
-      {"engines", "N", "scale: engines (730).",
-       [&](const std::string& text) {
-         options.scale.engines = parse_option_integer("engines", text, 1, 10'000);
-       }},
-      {"partitions", "N", "scale: job partitions (1024).",
-       [&](const std::string& text) {
-         options.scale.partitions = parse_option_integer("partitions", text, 1, 4096);
-       }},
       {"failures", "FOLDER", "explore: write a scenario for each seed that fails.",
        [&](const std::string& text) { options.failures_folder = text; }},
   };
@@ -215,10 +194,6 @@
   if (command == "explore") {
     return explore(options);
   }
-  if (command == "scale") {
-    run_scale(options.scale);
-    return kExitOk;
-  }
   if (command == "properties") {
     for (const PropertyInfo& property : property_table()) {
       std::printf("%-22s %s\n", property.name.c_str(), property.meaning.c_str());
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -6,8 +6,9 @@
 sanitizer=$1
 folder=build-${sanitizer%%,*}
 scripts/install-dependencies.sh
-# Only what is run, and with little optimization: the builds would take longer than the tests.
-cmake -S . -B "$folder" -G Ninja -DDOCKPOINT_SANITIZE="$sanitizer" \
+# Only what is run, with little optimization and several sources at once: the builds would take longer
+# than the tests.
+cmake -S . -B "$folder" -G Ninja -DDOCKPOINT_SANITIZE="$sanitizer" -DCMAKE_UNITY_BUILD=ON \
   -DCMAKE_CXX_FLAGS_RELWITHDEBINFO="-O1 -g1" >/dev/null
 ninja -C "$folder" dockpoint-tests dockpointd dockpoint-emulator
 export TSAN_OPTIONS="halt_on_error=1:suppressions=$PWD/scripts/tsan-suppressions.txt"
--- a/src/bench/forwarding_bench.cpp
+++ b/src/bench/forwarding_bench.cpp
@@ -9,6 +9,7 @@
 #include <thread>
 #include <vector>
 
+#include "bench/stopwatch.hpp"
 #include "http/completion_request.hpp"
 #include "http/engine_stream.hpp"
 
@@ -43,10 +44,6 @@
   return run;
 }
 
-double milliseconds_since(SteadyClock::time_point start) {
-  return std::chrono::duration<double, std::milli>(SteadyClock::now() - start).count();
-}
-
 /// Sends one request and adds its times. @return whether the answer was whole.
 bool send_one(HttpSessionPool& sessions, const std::string& address,
               const ForwardingOptions& options, int number, Measurement& measured,
--- a/src/bench/recovery_bench.cpp
+++ b/src/bench/recovery_bench.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <string>
 
+#include "bench/stopwatch.hpp"
 #include "dockpoint/batch/checkpoint.hpp"
 #include "dockpoint/batch/partition_state.hpp"
 
@@ -16,10 +17,6 @@
 constexpr std::size_t kResultBytes = 600;
 constexpr std::size_t kChunkBytes = 512 * 1024;
 
-double milliseconds_since(SteadyClock::time_point start) {
-  return std::chrono::duration<double, std::milli>(SteadyClock::now() - start).count();
-}
-
 std::vector<std::string> make_history(int items) {
   std::vector<std::string> records;
   JobAccepted accepted;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -142,8 +142,9 @@
   if (stopping_) {
     tick_stop(now);
   }
-  if (parts_.on_tick) {
-    parts_.on_tick();
+  if (parts_.process_log != nullptr) {
+    parts_.process_log->drain();
+    metrics_.set_log_lines_dropped(parts_.process_log->dropped());
   }
   if (!loop_.stopped()) {
     schedule_tick();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "gateway/batch_service.hpp"
+#include "gateway/bounded_log.hpp"
 #include "gateway/fleet_watch.hpp"
 #include "gateway/gateway_settings.hpp"
 #include "gateway/online_proxy.hpp"
@@ -33,7 +34,7 @@
   const FleetReader& fleet_reader;
   FleetTopics fleet_topics;
   BatchTopics batch_topics;
-  std::function<void()> on_tick;  ///< Called several times a second; may be empty.
+  BoundedLog* process_log;  ///< Written to its descriptor several times a second; may be null.
 };
 
 /// See the top of this file.
--- a/src/http/batch_handler.cpp
+++ b/src/http/batch_handler.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr std::size_t kMaximumBodyBytes = 256 * 1024;
-constexpr std::chrono::milliseconds kConfirmationWait{5'000};
+constexpr std::chrono::milliseconds kJobWait{5'000};
 constexpr std::size_t kResultPageRecords = 1000;
 constexpr std::size_t kDefaultListLength = 20;
 constexpr std::size_t kMaximumListLength = 100;
@@ -203,7 +203,7 @@
   if (refused) {
     return fail(*refused);
   }
-  if (confirmed.wait_for(kConfirmationWait) != std::future_status::ready) {
+  if (confirmed.wait_for(kJobWait) != std::future_status::ready) {
     return fail(Error{ResultCode::kPlatformUnavailable,
                       "the log did not confirm in time; resend with the same Idempotency-Key",
                       {},
@@ -286,7 +286,7 @@
   if (refused) {
     return fail(*refused);
   }
-  if (confirmed.wait_for(kConfirmationWait) != std::future_status::ready) {
+  if (confirmed.wait_for(kJobWait) != std::future_status::ready) {
     return fail(Error{ResultCode::kPlatformUnavailable,
                       "the log did not confirm in time",
                       {},
--- a/src/http/online_handler.cpp
+++ b/src/http/online_handler.cpp
@@ -14,7 +14,7 @@
 namespace dockpoint {
 namespace {
 
-constexpr std::chrono::milliseconds kCancelTimeout{2'000};
+constexpr std::chrono::milliseconds kRequestCancelTimeout{2'000};
 constexpr std::chrono::milliseconds kResumePause{50};
 constexpr int kResumeAttempts = 3;
 constexpr std::int64_t kLongestDeadlineMs = 3'600'000;
@@ -329,7 +329,7 @@
   request.address = address;
   request.method = "POST";
   request.path = "/cancel?id=" + attempt_id;
-  request.timeout = kCancelTimeout;
+  request.timeout = kRequestCancelTimeout;
   exchange(sessions_, request);
 }
 
--- a/src/http/peer_requests.cpp
+++ b/src/http/peer_requests.cpp
@@ -11,10 +11,9 @@
 namespace dockpoint {
 namespace {
 
-constexpr std::chrono::milliseconds kTimeout{10'000};
-constexpr std::chrono::milliseconds kConfirmationWait{3'000};
+constexpr std::chrono::milliseconds kForwardTimeout{10'000};
+constexpr std::chrono::milliseconds kPeerChangeWait{3'000};
 constexpr int kMaximumForwards = 2;
-constexpr int kOkStatus = 200;
 
 int forwards_of(const Poco::Net::HTTPServerRequest& request) {
   return std::atoi(request.get(kForwardedHeader, "0").c_str());
@@ -34,7 +33,7 @@
 
 }  // namespace
 
-PeerRequests::PeerRequests(ControlLoop& control) : control_(control), sessions_(kTimeout) {}
+PeerRequests::PeerRequests(ControlLoop& control) : control_(control), sessions_(kForwardTimeout) {}
 
 bool PeerRequests::forward(int partition, const std::string& body,
                            Poco::Net::HTTPServerRequest& request,
@@ -111,7 +110,7 @@
   request.address = owner.api_address;
   request.method = "POST";
   request.path = attempt_path(ticket);
-  request.timeout = kTimeout;
+  request.timeout = kForwardTimeout;
   const HttpOutcome outcome = exchange(sessions_, request);
   if (!outcome.answer) {
     withdraw_online_attempt(ticket);
@@ -128,7 +127,7 @@
                       RunState::kUnknown,
                       {}});
   }
-  if (outcome.answer->status != kOkStatus) {
+  if (outcome.answer->status != Poco::Net::HTTPResponse::HTTP_OK) {
     return fail(no_owner());
   }
   return {};
@@ -145,7 +144,7 @@
   if (refused) {
     return fail(*refused);
   }
-  if (confirmed.wait_for(kConfirmationWait) != std::future_status::ready) {
+  if (confirmed.wait_for(kPeerChangeWait) != std::future_status::ready) {
     // The record may still land; the withdrawal lands behind it.
     control_.post([ticket](NodeController& controller, TimePoint now) {
       controller.withdraw_online_attempt(ticket, now);
@@ -184,7 +183,7 @@
   request.address = owner.api_address;
   request.method = "DELETE";
   request.path = attempt_path(ticket);
-  request.timeout = kTimeout;
+  request.timeout = kForwardTimeout;
   exchange(sessions_, request);
 }
 
@@ -194,11 +193,12 @@
     control_.call([&ticket](NodeController& controller, TimePoint now) {
       return controller.withdraw_online_attempt(ticket, now);
     });
-    send_json(response, kOkStatus, "{}");
+    send_json(response, Poco::Net::HTTPResponse::HTTP_OK, "{}");
     return;
   }
   const std::optional<Error> error = error_of([&] { return record_here(ticket); });
-  error ? send_error(response, *error) : send_json(response, kOkStatus, "{}");
+  error ? send_error(response, *error)
+        : send_json(response, Poco::Net::HTTPResponse::HTTP_OK, "{}");
 }
 
 std::vector<std::string> PeerRequests::ask_all(const std::string& path, const Headers& headers) {
@@ -220,7 +220,7 @@
     request.headers = headers;
     request.headers.emplace_back(kForwardedHeader, "1");
     HttpOutcome outcome = exchange(sessions_, request);
-    if (outcome.answer && outcome.answer->status == kOkStatus) {
+    if (outcome.answer && outcome.answer->status == Poco::Net::HTTPResponse::HTTP_OK) {
       bodies.push_back(std::move(outcome.answer->body));
     }
   }
--- a/src/log/http_log_client.cpp
+++ b/src/log/http_log_client.cpp
@@ -6,7 +6,7 @@
 namespace dockpoint {
 namespace {
 
-constexpr std::chrono::milliseconds kTimeout{3000};
+constexpr std::chrono::milliseconds kLogCallTimeout{3000};
 
 boost::leaf::error_id unavailable(const HttpOutcome& outcome) {
   const std::string reason =
@@ -17,7 +17,7 @@
 }  // namespace
 
 HttpLogClient::HttpLogClient(std::string address)
-    : address_(std::move(address)), sessions_(kTimeout) {}
+    : address_(std::move(address)), sessions_(kLogCallTimeout) {}
 
 Result<std::uint64_t> HttpLogClient::append(const std::string& stream,
                                             const std::vector<std::string>& records) {
@@ -27,7 +27,7 @@
   request.path = "/streams/" + stream;
   request.body = pack(records);
   request.content_type = "application/msgpack";
-  request.timeout = kTimeout;
+  request.timeout = kLogCallTimeout;
   const HttpOutcome outcome = exchange(sessions_, request);
   if (!outcome.answer || outcome.answer->status != 200) {
     return unavailable(outcome);
@@ -45,7 +45,7 @@
   request.address = address_;
   request.path = "/streams/" + stream + "?from=" + std::to_string(from) +
                  "&limit=" + std::to_string(limit) + "&wait_ms=" + std::to_string(wait.count());
-  request.timeout = kTimeout + wait;
+  request.timeout = kLogCallTimeout + wait;
   const HttpOutcome outcome = exchange(sessions_, request);
   if (!outcome.answer || outcome.answer->status != 200) {
     return unavailable(outcome);
--- a/src/log/log_writer.cpp
+++ b/src/log/log_writer.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::size_t kMaximumRecordsPerAppend = 1000;
 constexpr std::size_t kMaximumBytesPerAppend = 4 * 1024 * 1024;
-constexpr std::chrono::milliseconds kRetryPause{200};
+constexpr std::chrono::milliseconds kAppendRetryPause{200};
 
 /// Takes the records at the front that go into one append.
 std::vector<std::string> front_records(const std::deque<std::string>& waiting) {
@@ -67,7 +67,7 @@
     }
     const bool confirmed = write(stream, records);
     if (!confirmed) {
-      std::this_thread::sleep_for(kRetryPause);
+      std::this_thread::sleep_for(kAppendRetryPause);
     }
     const std::lock_guard<std::mutex> lock(mutex_);
     Queue& queue = queues_[stream];
--- a/src/node/action_executor.cpp
+++ b/src/node/action_executor.cpp
@@ -10,7 +10,7 @@
 namespace dockpoint {
 namespace {
 
-constexpr std::chrono::milliseconds kTimeout{2000};
+constexpr std::chrono::milliseconds kPeerCallTimeout{2000};
 
 }  // namespace
 
@@ -18,7 +18,7 @@
     : parts_(parts),
       checkpoint_chunk_bytes_(knobs.checkpoint_chunk_bytes),
       writer_(writer),
-      sessions_(kTimeout) {}
+      sessions_(kPeerCallTimeout) {}
 
 void ActionExecutor::send(const std::string& address, const PeerMessage& message) {
   parts_.datagrams.send(address, message);
@@ -66,7 +66,7 @@
   HttpExchange request;
   request.address = api_address;
   request.path = "/peer/v1/configuration";
-  request.timeout = kTimeout;
+  request.timeout = kPeerCallTimeout;
   const HttpOutcome outcome = exchange(sessions_, request);
   if (!outcome.answer || outcome.answer->status != 200) {
     return;
@@ -88,7 +88,7 @@
   HttpExchange request;
   request.address = address;
   request.path = "/load";
-  request.timeout = kTimeout;
+  request.timeout = kPeerCallTimeout;
   const HttpOutcome outcome = exchange(sessions_, request);
   if (!outcome.answer || outcome.answer->status != 200) {
     return;
--- a/src/node/configuration_follower.cpp
+++ b/src/node/configuration_follower.cpp
@@ -5,9 +5,9 @@
 namespace dockpoint {
 namespace {
 
-constexpr std::size_t kPageRecords = 100;
-constexpr std::chrono::milliseconds kReadWait{500};
-constexpr std::chrono::milliseconds kRetryPause{200};
+constexpr std::size_t kConfigurationPageRecords = 100;
+constexpr std::chrono::milliseconds kConfigurationReadWait{500};
+constexpr std::chrono::milliseconds kConfigurationRetryPause{200};
 /// A log that has not answered for so long counts as out of reach.
 constexpr std::chrono::seconds kUnreachableAfter{2};
 
@@ -22,14 +22,15 @@
   while (!stop.stop_requested()) {
     LogPage page;
     const std::optional<Error> error = error_of([&]() -> Result<void> {
-      BOOST_LEAF_ASSIGN(page, log_.read(kConfigurationStream, next, kPageRecords, kReadWait));
+      BOOST_LEAF_ASSIGN(page, log_.read(kConfigurationStream, next, kConfigurationPageRecords,
+                                        kConfigurationReadWait));
       return {};
     });
     if (error) {
       if (std::chrono::steady_clock::now() - last_answer >= kUnreachableAfter) {
         report_reachability(false);
       }
-      std::this_thread::sleep_for(kRetryPause);
+      std::this_thread::sleep_for(kConfigurationRetryPause);
       continue;
     }
     last_answer = std::chrono::steady_clock::now();
--- a/src/node/machine_list_poller.cpp
+++ b/src/node/machine_list_poller.cpp
@@ -8,12 +8,15 @@
 namespace {
 
 constexpr std::chrono::milliseconds kPollInterval{1000};
-constexpr std::chrono::milliseconds kTimeout{2000};
+constexpr std::chrono::milliseconds kMachineListTimeout{2000};
 
 }  // namespace
 
 MachineListPoller::MachineListPoller(std::string address, ControlLoop& control)
-    : Part("machine-list"), address_(std::move(address)), control_(control), sessions_(kTimeout) {}
+    : Part("machine-list"),
+      address_(std::move(address)),
+      control_(control),
+      sessions_(kMachineListTimeout) {}
 
 void MachineListPoller::run(std::stop_token stop) {
   while (!stop.stop_requested()) {
@@ -26,7 +29,7 @@
   HttpExchange request;
   request.address = address_;
   request.path = "/machines";
-  request.timeout = kTimeout;
+  request.timeout = kMachineListTimeout;
   const TimePoint started = monotonic_now();
   const HttpOutcome outcome = exchange(sessions_, request);
   if (!outcome.answer || outcome.answer->status != 200) {
--- a/src/node/partition_followers.cpp
+++ b/src/node/partition_followers.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t kPageRecords = 2000;
 constexpr std::chrono::milliseconds kReadWait{500};
-constexpr std::chrono::milliseconds kRetryPause{200};
+constexpr std::chrono::milliseconds kReadRetryPause{200};
 constexpr std::uint64_t kFirstCheckpointWindow = 16;
 
 }  // namespace
@@ -77,7 +77,7 @@
       return {};
     });
     if (error) {
-      std::this_thread::sleep_for(kRetryPause);
+      std::this_thread::sleep_for(kReadRetryPause);
       continue;
     }
     const bool at_tail = next + page.records.size() >= page.end;
@@ -99,7 +99,7 @@
     if (!error) {
       return snapshot;
     }
-    std::this_thread::sleep_for(kRetryPause);
+    std::this_thread::sleep_for(kReadRetryPause);
   }
   return std::nullopt;
 }
--- a/src/simulation/sim_network.cpp
+++ b/src/simulation/sim_network.cpp
@@ -5,9 +5,9 @@
 
 constexpr Duration kWithinZone{100};
 constexpr Duration kBetweenZones{1'000};
-constexpr std::uint64_t kJitterUs = 200;
+constexpr std::uint64_t kDatagramJitterUs = 200;
 constexpr Duration kConnectionTimeout{1'000'000};
-constexpr std::uint64_t kPercent = 100;
+constexpr std::uint64_t kWholePercent = 100;
 /// Of UDP and IP.
 constexpr std::size_t kHeaderBytes = 28;
 
@@ -15,12 +15,12 @@
 
 Duration SimNetwork::delay(const Place& from, const Place& to) {
   const Duration base = from.zone == to.zone ? kWithinZone : kBetweenZones;
-  const auto jitter = kJitterUs + static_cast<std::uint64_t>(extra_delay_.count());
+  const auto jitter = kDatagramJitterUs + static_cast<std::uint64_t>(extra_delay_.count());
   return base + Duration(static_cast<std::int64_t>(random_() % jitter));
 }
 
 bool SimNetwork::strikes(int percent) {
-  return percent > 0 && random_() % kPercent < static_cast<std::uint64_t>(percent);
+  return percent > 0 && random_() % kWholePercent < static_cast<std::uint64_t>(percent);
 }
 
 bool SimNetwork::is_cut(const Place& from, const Place& to) const {
--- a/tests/platform/system_test.cpp
+++ b/tests/platform/system_test.cpp
@@ -42,15 +42,8 @@
       : client(loop),
         store(loop, client, {"127.0.0.1", kStorePort}, {kPartitions, 262'144, 2'097'152}),
         gateway(loop, client, knobs, settings(number),
-                {store,
-                 traffic,
-                 traffic,
-                 fleet,
-                 {{platform::kConfigurationTopic, 0},
-                  platform::kConfigurationKey,
-                  {platform::kReplicasTopic, 0}},
-                 {platform::kJobsTopic, platform::kResultsTopic, platform::kOwnersGroup},
-                 {}}) {
+                {store, traffic, traffic, fleet, platform::PlatformFleet::fleet_topics(),
+                 platform::PlatformFleet::batch_topics(), &log}) {
     gateway.start();
   }
 
@@ -66,6 +59,7 @@
     settings.resolver_address = address(number, 2);
     settings.control_address = address(number, 3);
     settings.datagram_address = address(number, 4);
+    settings.metrics_address = address(number, 5);
     settings.address_lifetime = std::chrono::seconds(1);
     settings.grace = std::chrono::seconds(4);
     return settings;
@@ -76,6 +70,7 @@
   platform::PlatformTraffic traffic;
   platform::PlatformFleet fleet;
   platform::StoreLog store;
+  BoundedLog log{-1};
   Gateway gateway;
 };
 
@@ -255,6 +250,20 @@
   BOOST_TEST(submit(1, "bad") == 202);
 }
 
+BOOST_AUTO_TEST_CASE(log_lines_that_were_dropped_are_counted_among_the_metrics) {
+  const auto dropped = [&] {
+    const std::string page = ask(1, 5, "GET", "/metrics").body;
+    const std::string name = "\ndockpoint_gateway_log_lines_dropped ";
+    const std::size_t at = page.find(name);
+    return at == std::string::npos ? -1 : std::stoi(page.substr(at + name.size()));
+  };
+  BOOST_TEST(dropped() == 0);
+  for (int line = 0; line < 10'000; ++line) {
+    first->log.log({"dockpoint", spdlog::level::info, "a line"});
+  }
+  wait_for([&] { return dropped() > 0; });
+}
+
 BOOST_AUTO_TEST_CASE(a_stopping_node_leaves_the_resolvers_answers_and_still_serves) {
   const std::string resolve = "/v1/resolve?name=a.example&region=r&zone=zone-a";
   BOOST_TEST(ask(1, 2, "GET", resolve).body.find(Node::address(1, 0)) != std::string::npos);
