Load digests through two relays a zone in fleets of more than 20 nodes

Cause: a node told every other directly; at 90 nodes the interval was stretched to 1 s to bound the datagrams, so the load that choices rest on was up to 1 s old, longer than most requests last.

--- a/include/dockpoint/routing/load_digest.hpp
+++ b/include/dockpoint/routing/load_digest.hpp
@@ -35,4 +35,20 @@
 /// @return the digest, or nothing if the bytes are malformed.
 std::optional<LoadDigest> decode_load_digest(std::string_view bytes);
 
+/// Digests of several nodes, as a relay passes them on.
+struct LoadCollection {
+  std::string zone;                  ///< Of the relay that has collected them.
+  bool passed_on = false;            ///< By a relay of the receiver's zone; it goes no further.
+  std::vector<std::string> digests;  ///< Encoded, one a node.
+};
+
+/// @return datagrams of at most `maximum_bytes` that together hold the collection.
+std::vector<std::string> encode(const LoadCollection& collection, std::size_t maximum_bytes);
+
+/// @return whether the bytes are meant as a collection.
+bool is_load_collection(std::string_view bytes);
+
+/// @return the collection, or nothing if the bytes are malformed.
+std::optional<LoadCollection> decode_load_collection(std::string_view bytes);
+
 }  // namespace dockpoint
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -13,9 +13,8 @@
 using boost::asio::ip::udp;
 using ErrorCode = boost::system::error_code;
 
-/// Nodes up to which each digest goes to every other node at the base interval; beyond, the
-/// interval grows with their number, so that a node's messages a second stay the same.
-constexpr std::size_t kDigestBaseNodes = 20;
+/// Most digests that a relay keeps until it sends them; more are dropped.
+constexpr std::size_t kCollectedDigests = 512;
 
 /// A gap between two rounds beyond this means that the process was paused.
 constexpr Duration kOwnPause = std::chrono::milliseconds(400);
@@ -40,6 +39,8 @@
     : context_(context),
       addresses_(addresses),
       membership_(context.knobs, self_member(context, addresses, zone, run), run, *this),
+      relay_(context.node, zone),
+      collected_{zone, false, {}},
       on_peer_ahead_(std::move(on_peer_ahead)),
       socket_(context.loop) {}
 
@@ -77,25 +78,79 @@
   if (now >= next_digest_) {
     send_digest(now);
   }
+  if (now >= next_collection_) {
+    send_collection(now);
+  }
+}
+
+std::vector<const Member*> PeerLink::members_heard(TimePoint now) const {
+  std::vector<const Member*> members = membership_.alive();
+  const std::size_t alive = members.size();
+  std::vector<const Member*> heard;
+  std::copy_if(members.begin(), members.end(), std::back_inserter(heard),
+               [&](const Member* member) { return !silent(*member, now); });
+  // If most are silent it is rather this node that is cut off.
+  return heard.size() * 2 > alive ? heard : members;
 }
 
 void PeerLink::send_digest(TimePoint now) {
-  const std::vector<const Member*> alive = membership_.alive();
-  const std::size_t scale = 1 + alive.size() / kDigestBaseNodes;
-  digest_interval_ = context_.knobs.replica_digest_interval * static_cast<int>(scale);
-  next_digest_ = now + digest_interval_;
+  next_digest_ = now + context_.knobs.replica_digest_interval;
   last_digest_ = now;
   context_.replicas.expire_peer_loads(now);
+  // In a small fleet a silent member is told too: it may hear, though it is not heard.
+  const std::vector<const Member*> alive = membership_.alive();
+  relay_.set_members(alive.size() <= LoadRelay::kDirectNodes ? alive : members_heard(now));
   const std::string bytes =
       encode(LoadDigest{context_.node, configuration_version_, fleet_position_, log_reachable_,
                         addresses_.control, context_.replicas.own_load()});
-  for (const Member* member : alive) {
-    if (member->id != context_.node) {
-      send_bytes(member->peer_address, bytes);
+  const std::vector<std::string> recipients = relay_.next_digest_recipients();
+  for (const std::string& address : recipients) {
+    send_bytes(address, bytes);
+  }
+  if (recipients.empty() && relay_.relays()) {
+    collected_.digests.push_back(bytes);
+  }
+}
+
+void PeerLink::send_collection(TimePoint now) {
+  next_collection_ = now + context_.knobs.replica_digest_interval;
+  const std::vector<std::string> datagrams = encode(collected_, kMaximumDatagramBytes);
+  collected_.digests.clear();
+  if (datagrams.empty()) {
+    return;
+  }
+  for (const std::string& address : relay_.next_collection_recipients()) {
+    for (const std::string& bytes : datagrams) {
+      send_bytes(address, bytes);
     }
   }
 }
 
+void PeerLink::take_collection(std::string_view bytes, TimePoint now) {
+  auto collection = decode_load_collection(bytes);
+  if (!collection) {
+    return;
+  }
+  if (collection->zone != collected_.zone && !collection->passed_on) {
+    // Whoever sent it took this node for a relay, whatever this node thinks itself.
+    collection->passed_on = true;
+    for (const std::string& passed_on : encode(*collection, kMaximumDatagramBytes)) {
+      for (const std::string& address : relay_.zone_recipients()) {
+        send_bytes(address, passed_on);
+      }
+    }
+  }
+  for (const std::string& digest : collection->digests) {
+    take_encoded_digest(digest, now);
+  }
+}
+
+void PeerLink::take_encoded_digest(const std::string& bytes, TimePoint now) {
+  if (const auto digest = decode_load_digest(bytes)) {
+    take_digest(*digest, now);
+  }
+}
+
 void PeerLink::announce_load() {
   constexpr Duration kShortestInterval = std::chrono::milliseconds(20);
   const TimePoint now = net::steady_now();
@@ -116,7 +171,7 @@
   const TimePoint since = heard == last_heard_.end()
                               ? silence_counts_from_
                               : std::max(heard->second, silence_counts_from_);
-  return now - since > digest_interval_ * context_.knobs.missed_digests;
+  return now - since > context_.knobs.replica_digest_interval * context_.knobs.missed_digests;
 }
 
 std::vector<std::string> PeerLink::frontends() const {
@@ -181,9 +236,14 @@
 
 void PeerLink::on_datagram(std::string_view bytes) {
   const TimePoint now = net::steady_now();
+  if (is_load_collection(bytes)) {
+    take_collection(bytes, now);
+    return;
+  }
   if (is_load_digest(bytes)) {
-    if (const auto digest = decode_load_digest(bytes)) {
-      take_digest(*digest, now);
+    take_encoded_digest(std::string(bytes), now);
+    if (!relay_.direct() && collected_.digests.size() < kCollectedDigests) {
+      collected_.digests.emplace_back(bytes);
     }
     return;
   }
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dockpoint/membership/load_relay.hpp"
 #include "dockpoint/membership/membership.hpp"
 #include "gateway/gateway_context.hpp"
 
@@ -68,10 +69,18 @@
                       const std::string& control_address, TimePoint now);
   void take_digest(const LoadDigest& digest, TimePoint now);
   void send_digest(TimePoint now);
+  /// As a relay, sends what was collected.
+  void send_collection(TimePoint now);
+  /// @param bytes as received, to be passed on.
+  void take_collection(std::string_view bytes, TimePoint now);
+  void take_encoded_digest(const std::string& digest, TimePoint now);
+  std::vector<const Member*> members_heard(TimePoint now) const;
 
   GatewayContext& context_;
   const PeerAddresses addresses_;
   Membership membership_;
+  LoadRelay relay_;
+  LoadCollection collected_;  ///< Since this relay last sent, of its zone.
   PeerAhead on_peer_ahead_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
@@ -80,8 +89,8 @@
   std::uint64_t fleet_position_ = 0;
   TimePoint behind_since_{};  ///< A peer has read further since; zero: none.
   TimePoint next_digest_{};
+  TimePoint next_collection_{};
   TimePoint last_digest_{};
-  Duration digest_interval_{};
   std::map<std::string, TimePoint> last_heard_;  ///< Of any datagram, a node each.
   std::map<std::string, bool> reaches_log_;      ///< As digests last said, a node each.
   bool log_reachable_ = false;
--- a/src/routing/load_digest.cpp
+++ b/src/routing/load_digest.cpp
@@ -8,6 +8,13 @@
 /// First byte of a digest; MessagePack never uses it.
 constexpr char kTag = '\xc1';
 
+/// First byte of a collection; in MessagePack a message between nodes never begins with it.
+constexpr char kCollectionTag = '\xc2';
+
+/// Of a collection beyond its digests' own bytes, and of each digest in it.
+constexpr std::size_t kCollectionOverhead = 16;
+constexpr std::size_t kDigestOverhead = 5;
+
 /// Numbers of each entry in the flat list.
 constexpr std::size_t kEntryNumbers = 3;
 
@@ -22,6 +29,13 @@
                    numbers)
 };
 
+struct CollectionWire {
+  std::string zone;
+  bool passed_on = false;
+  std::vector<std::string> digests;
+  DOCKPOINT_FIELDS(zone, passed_on, digests)
+};
+
 }  // namespace
 
 std::string encode(const LoadDigest& digest) {
@@ -55,4 +69,46 @@
   return digest;
 }
 
+std::vector<std::string> encode(const LoadCollection& collection, std::size_t maximum_bytes) {
+  const std::size_t empty_size = kCollectionOverhead + collection.zone.size();
+  std::vector<std::string> datagrams;
+  CollectionWire wire{collection.zone, collection.passed_on, {}};
+  std::size_t size = empty_size;
+  const auto close = [&] {
+    if (!wire.digests.empty()) {
+      datagrams.push_back(kCollectionTag + pack(wire));
+    }
+    wire.digests.clear();
+    size = empty_size;
+  };
+  for (const std::string& digest : collection.digests) {
+    const std::size_t added = digest.size() + kDigestOverhead;
+    if (empty_size + added > maximum_bytes) {
+      continue;
+    }
+    if (size + added > maximum_bytes) {
+      close();
+    }
+    wire.digests.push_back(digest);
+    size += added;
+  }
+  close();
+  return datagrams;
+}
+
+bool is_load_collection(std::string_view bytes) {
+  return bytes.starts_with(kCollectionTag);
+}
+
+std::optional<LoadCollection> decode_load_collection(std::string_view bytes) {
+  if (!is_load_collection(bytes)) {
+    return std::nullopt;
+  }
+  auto wire = unpack<CollectionWire>(bytes.substr(1));
+  if (!wire) {
+    return std::nullopt;
+  }
+  return LoadCollection{std::move(wire->zone), wire->passed_on, std::move(wire->digests)};
+}
+
 }  // namespace dockpoint
--- /dev/null
+++ b/tests/membership/load_relay_test.cpp
@@ -0,0 +1,171 @@
+#include "dockpoint/membership/load_relay.hpp"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <set>
+
+using namespace dockpoint;
+
+namespace {
+
+/// Nodes of a fleet with what each of them has heard, by address.
+class Fleet {
+ public:
+  explicit Fleet(int nodes_a_zone) {
+    for (const char* zone : {"a", "b", "c"}) {
+      for (int number = 0; number < nodes_a_zone; ++number) {
+        Member member;
+        member.id = std::string(zone) + std::to_string(number);
+        member.zone = zone;
+        member.peer_address = "at-" + member.id;
+        members_.push_back(member);
+      }
+    }
+    for (const Member& member : members_) {
+      relays_.try_emplace(member.peer_address, member.id, member.zone);
+    }
+    set_members({});
+  }
+
+  void set_members(const std::set<std::string>& dead) {
+    std::vector<const Member*> alive;
+    for (const Member& member : members_) {
+      if (!dead.contains(member.id)) {
+        alive.push_back(&member);
+      }
+    }
+    for (auto& [address, relay] : relays_) {
+      relay.set_members(alive);
+    }
+  }
+
+  /// One interval: every node sends its digest, relays send what they have collected.
+  /// @return by address, the nodes of whose digest it was told.
+  std::map<std::string, std::set<std::string>> play(const std::set<std::string>& dead) {
+    std::map<std::string, std::set<std::string>> heard;
+    std::map<std::string, std::set<std::string>> collected;
+    for (const Member& member : members_) {
+      if (dead.contains(member.id)) {
+        continue;
+      }
+      LoadRelay& relay = relays_.at(member.peer_address);
+      const auto recipients = relay.next_digest_recipients();
+      for (const std::string& address : recipients) {
+        send(heard[address], {member.id}, address, dead);
+        collected[address].insert(member.id);
+      }
+      if (recipients.empty()) {
+        collected[member.peer_address].insert(member.id);
+      }
+    }
+    for (const Member& member : members_) {
+      LoadRelay& relay = relays_.at(member.peer_address);
+      if (dead.contains(member.id) || relay.direct() || !relay.relays()) {
+        continue;
+      }
+      for (const std::string& address : relay.next_collection_recipients()) {
+        const std::set<std::string>& digests = collected[member.peer_address];
+        send(heard[address], digests, address, dead);
+        if (zone_of(address) != member.zone) {
+          for (const std::string& next : relays_.at(address).zone_recipients()) {
+            send(heard[next], digests, next, dead);
+          }
+        }
+      }
+    }
+    return heard;
+  }
+
+  std::string relay_of(const std::string& zone) {
+    for (const Member& member : members_) {
+      if (member.zone == zone && relays_.at(member.peer_address).relays()) {
+        return member.id;
+      }
+    }
+    return {};
+  }
+  const std::deque<Member>& members() const { return members_; }
+  std::size_t sent() const { return sent_; }
+
+ private:
+  void send(std::set<std::string>& heard, const std::set<std::string>& digests,
+            const std::string& address, const std::set<std::string>& dead) {
+    ++sent_;
+    if (!dead.contains(address.substr(3))) {
+      heard.insert(digests.begin(), digests.end());
+    }
+  }
+  std::string zone_of(const std::string& address) const { return address.substr(3, 1); }
+
+  std::deque<Member> members_;
+  std::map<std::string, LoadRelay> relays_;
+  std::size_t sent_ = 0;
+};
+
+/// Digests that a live node has not heard in `heard`, over all live nodes.
+std::size_t missing(const Fleet& fleet, const std::set<std::string>& dead,
+                    std::map<std::string, std::set<std::string>> heard) {
+  std::size_t count = 0;
+  for (const Member& member : fleet.members()) {
+    for (const Member& other : fleet.members()) {
+      const bool matters = !dead.contains(member.id) && !dead.contains(other.id);
+      const bool told = member.id == other.id || heard[member.peer_address].contains(other.id);
+      count += matters && !told ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(load_relay)
+
+BOOST_AUTO_TEST_CASE(a_small_fleet_tells_everybody_directly) {
+  Fleet fleet(5);
+  BOOST_TEST(missing(fleet, {}, fleet.play({})) == 0U);
+  BOOST_TEST(fleet.sent() == 15U * 14U);
+}
+
+BOOST_AUTO_TEST_CASE(in_a_large_fleet_everybody_hears_of_everybody_each_round) {
+  Fleet fleet(30);
+  for (int round = 0; round < 4; ++round) {
+    BOOST_TEST(missing(fleet, {}, fleet.play({})) == 0U);
+  }
+  // Each round: a digest a node, and each of two relays a zone tells its zone and two others'.
+  BOOST_TEST(fleet.sent() < 4U * 700U);
+}
+
+BOOST_AUTO_TEST_CASE(a_dead_relay_costs_every_second_digest_until_it_is_left_out) {
+  Fleet fleet(30);
+  const std::set<std::string> dead{fleet.relay_of("a")};
+  auto heard = fleet.play(dead);
+  for (const auto& [address, digests] : fleet.play(dead)) {
+    heard[address].insert(digests.begin(), digests.end());
+  }
+  BOOST_TEST(missing(fleet, dead, heard) == 0U);
+  fleet.set_members(dead);
+  BOOST_TEST(missing(fleet, dead, fleet.play(dead)) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_zone_of_one_node_and_an_empty_fleet_are_served) {
+  LoadRelay alone("a", "x");
+  BOOST_TEST(alone.next_digest_recipients().empty());
+  BOOST_TEST(!alone.relays());
+  std::deque<Member> members;
+  std::vector<const Member*> all;
+  for (int number = 0; number < 25; ++number) {
+    Member member;
+    member.id = "n" + std::to_string(number);
+    member.zone = number == 0 ? "x" : "y";
+    member.peer_address = member.id;
+    all.push_back(&members.emplace_back(member));
+  }
+  LoadRelay only("n0", "x");
+  only.set_members(all);
+  BOOST_TEST(only.relays());
+  BOOST_TEST(only.next_digest_recipients().empty());
+  BOOST_TEST(only.next_collection_recipients().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
