--- /dev/null
+++ b/include/dockpoint/batch/batch_share.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstddef>
+
+#include "dockpoint/core/knobs.hpp"
+
+/// How many batch items one node may have running.
+///
+/// Batch fills what online requests leave: as many slots as the fleet has below a fill level, less
+/// those that online requests of all nodes hold right now, divided among the nodes that have items.
+/// When online requests rise, items with time to spare are broken off and go on later behind what
+/// they have produced. Items that would come late otherwise keep a fixed share of all slots,
+/// whatever online requests do.
+namespace dockpoint {
+
+/// Engines of the fleet as this node sees them.
+struct FleetLoad {
+  int slots = 0;       ///< Of all engines that take new work.
+  int online = 0;      ///< Online requests in flight there, of all nodes.
+  int busy_nodes = 1;  ///< Nodes that have items to run.
+};
+
+/// See the top of this file. Free of I/O and clocks.
+class BatchShare {
+ public:
+  BatchShare(const Knobs& knobs, const FleetLoad& load);
+
+  /// @return items that may run if they have time to spare.
+  std::size_t patient() const { return patient_; }
+  /// @return items that may run if they are urgent; not below `patient`.
+  std::size_t urgent() const { return urgent_; }
+  /// @param running items of this node, @param urgent_running those of them that are urgent.
+  /// @return how many items with time to spare have to make room. A few more than allowed are
+  /// left running, so that a small change of load breaks nothing off.
+  std::size_t excess(std::size_t running, std::size_t urgent_running) const;
+
+ private:
+  const double tolerance_;
+  std::size_t patient_ = 0;
+  std::size_t urgent_ = 0;
+};
+
+}  // namespace dockpoint
--- a/include/dockpoint/routing/load_digest.hpp
+++ b/include/dockpoint/routing/load_digest.hpp
@@ -13,6 +13,7 @@
   std::uint32_t replica_key = 0;
   std::uint32_t in_flight = 0;       ///< Requests and items.
   std::uint32_t prefill_tokens = 0;  ///< Prompt tokens sent and not answered yet.
+  std::uint32_t batch = 0;           ///< Items among those in flight.
 };
 
 /// What a node tells every other a few times a second: its load on the replicas, and how much of
--- a/include/dockpoint/routing/replica_directory.hpp
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -54,6 +54,7 @@
   int online = 0;                  ///< Requests of this node in flight there.
   int batch = 0;                   ///< Items of this node in flight there.
   int of_peers = 0;                ///< In flight there from other nodes, by their digests.
+  int batch_of_peers = 0;          ///< Items among them.
   double prefill_tokens = 0;       ///< Prompt tokens sent by this node and not answered yet.
   double peer_prefill_tokens = 0;  ///< The same of other nodes, when they said so.
   TimePoint peer_prefill_at{};     ///< When the last of them said so.
@@ -64,6 +65,8 @@
   int ejections = 0;  ///< Since the last answer; above 0 the replica is on trial.
   TimePoint ejected_until{};
 
+  /// @return online requests in flight there, of all nodes.
+  int all_online() const { return online + of_peers - batch_of_peers; }
   /// @return requests estimated to run or wait there.
   int load(TimePoint now) const;
   bool on_trial() const { return ejections > 0; }
--- /dev/null
+++ b/src/batch/batch_share.cpp
@@ -0,0 +1,32 @@
+#include "dockpoint/batch/batch_share.hpp"
+
+#include <algorithm>
+
+namespace dockpoint {
+namespace {
+
+/// A node with items may always run so many: else a fleet of many nodes would run none.
+constexpr std::size_t kLeastItems = 2;
+
+}  // namespace
+
+BatchShare::BatchShare(const Knobs& knobs, const FleetLoad& load)
+    : tolerance_(knobs.batch_yield_tolerance) {
+  const double nodes = std::max(1, load.busy_nodes);
+  const double most = knobs.batch_slot_share * load.slots;
+  const double left = knobs.batch_fleet_fill * load.slots - load.online;
+  const double patient = std::clamp(left, 0.0, most);
+  urgent_ = std::max(kLeastItems, static_cast<std::size_t>(most / nodes));
+  patient_ = std::min(urgent_, std::max(kLeastItems, static_cast<std::size_t>(patient / nodes)));
+}
+
+std::size_t BatchShare::excess(std::size_t running, std::size_t urgent_running) const {
+  const auto tolerated = static_cast<std::size_t>(tolerance_ * static_cast<double>(patient_));
+  if (running <= tolerated) {
+    return 0;
+  }
+  const std::size_t others = running - std::min(running, urgent_running);
+  return std::min(running - patient_, others);
+}
+
+}  // namespace dockpoint
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -62,7 +62,7 @@
   const RouteConfig* route = route_of(*job, job->job.items[ref.item]);
   const std::int64_t target_ms = route == nullptr ? 0 : net::to_ms(route->completion_target);
   const std::int64_t due_ms = job->job.submitted_ms + target_ms;
-  waiting_.insert({net::unix_now_ms() > due_ms, due_ms, ref});
+  waiting_.insert({net::unix_now_ms() > due_ms, {due_ms, target_ms}, ref});
 }
 
 void BatchExecutor::remove_partition(int partition) {
@@ -163,25 +163,35 @@
     delayed_.erase(delayed_.begin());
     enqueue(ref);
   }
-  start_waiting(now);
+  const BatchShare current = share();
+  make_room(current);
+  start_waiting(now, current);
 }
 
-std::size_t BatchExecutor::allowance(TimePoint /*now*/) const {
-  int slots = 0;
+BatchShare BatchExecutor::share() const {
+  FleetLoad load;
+  load.busy_nodes = busy_nodes_;
   for (const auto& [id, replica] : context_.replicas.all()) {
     const auto service = context_.configuration->services.find(replica.record.service);
     const bool engine =
         service != context_.configuration->services.end() && service->second.cache_tokens > 0;
-    slots += engine && !replica.record.draining ? replica.record.slots : 0;
+    if (engine && !replica.record.draining) {
+      load.slots += replica.record.slots;
+      load.online += replica.all_online();
+    }
   }
-  const double share = context_.knobs.batch_slot_share * slots / busy_nodes_;
-  return std::max<std::size_t>(2, static_cast<std::size_t>(share));
+  return {context_.knobs, load};
+}
+
+bool BatchExecutor::is_urgent(const DueTime& due) const {
+  const double left = static_cast<double>(due.at_ms - net::unix_now_ms());
+  return left < context_.knobs.batch_urgent_time * static_cast<double>(due.allowed_ms);
 }
 
-void BatchExecutor::start_waiting(TimePoint now) {
-  const std::size_t limit = allowance(now);
+void BatchExecutor::start_waiting(TimePoint now, const BatchShare& share) {
   std::vector<Waiting> candidates;
   for (const Waiting& entry : waiting_) {
+    const std::size_t limit = is_urgent(entry.due) ? share.urgent() : share.patient();
     if (runs_.size() + candidates.size() >= limit) {
       break;
     }
@@ -190,13 +200,35 @@
     }
   }
   for (const Waiting& entry : candidates) {
-    if (!start(entry.ref, now)) {
+    if (!start(entry, now)) {
       break;
     }
     waiting_.erase(entry);
   }
 }
 
+void BatchExecutor::make_room(const BatchShare& share) {
+  std::vector<std::shared_ptr<ItemRun>> patient;
+  std::copy_if(runs_.begin(), runs_.end(), std::back_inserter(patient),
+               [&](const auto& run) { return !is_urgent(run->due()); });
+  const std::size_t excess = share.excess(runs_.size(), runs_.size() - patient.size());
+  if (excess == 0) {
+    return;
+  }
+  spdlog::info("batch: runs make room for online requests count={} running={} allowed={}", excess,
+               runs_.size(), share.patient());
+  std::sort(patient.begin(), patient.end(), [](const auto& left, const auto& right) {
+    return left->due().at_ms > right->due().at_ms;
+  });
+  for (std::size_t index = 0; index < excess; ++index) {
+    const std::shared_ptr<ItemRun>& run = patient[index];
+    run->cancel();
+    runs_.erase(run);
+    context_.metrics.count_item("yielded");
+    enqueue(run->ref());
+  }
+}
+
 const RouteConfig* BatchExecutor::route_of(const LedgerJob& job, const BatchItem& item) const {
   const RouteConfig* route = context_.configuration->match(job.job.host, item.path);
   return route != nullptr && route->kind == RouteKind::kBatch
@@ -204,7 +236,8 @@
              : context_.configuration->match(job.job.host, job.job.path);
 }
 
-bool BatchExecutor::start(const ItemRef& ref, TimePoint now) {
+bool BatchExecutor::start(const Waiting& entry, TimePoint now) {
+  const ItemRef& ref = entry.ref;
   const LedgerJob* job = job_of(ref);
   if (job == nullptr || job->ended || job->listed[ref.item]) {
     return true;
@@ -228,7 +261,7 @@
   const net::RequestHead head = context_.protocol.item_request(
       job->job, item, {choice.replica->record.id, kItemDeadline, kept.produced.last_event});
   const auto run = std::make_shared<ItemRun>(*this, ref, item.id, std::move(info), query.service,
-                                             std::max(1, route->attempts));
+                                             std::max(1, route->attempts), entry.due);
   runs_.insert(run);
   run->start(*choice.replica, net::serialize(head) + item.body, choice.missing_tokens, now);
   return true;
--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <tuple>
 
+#include "dockpoint/batch/batch_share.hpp"
 #include "dockpoint/batch/partition_owner.hpp"
 #include "gateway/gateway_context.hpp"
 
@@ -25,6 +26,12 @@
   }
 };
 
+/// When an item has to be done.
+struct DueTime {
+  std::int64_t at_ms = 0;       ///< Wall clock.
+  std::int64_t allowed_ms = 0;  ///< From the job's submission until then.
+};
+
 /// What is known of an item beyond its job: kept between runs, so that a broken one goes on.
 struct ItemProgress {
   ItemCheckpoint produced;
@@ -41,8 +48,9 @@
 /// Runs batch items of the partitions that this node owns.
 ///
 /// The item whose job is due first runs first, jobs that are overdue last. Items go only to
-/// replicas with room below a share of their slots, and no more of them at once than this node's
-/// share of the fleet. A run that breaks goes on behind its last event, wherever there is room.
+/// replicas with room below a share of their slots, and no more of them at once than BatchShare
+/// allows this node. A run that breaks, or makes room for online requests, goes on behind its last
+/// event, wherever there is room.
 ///
 /// Single-threaded; borrows the context. Owners are registered while they are active.
 class BatchExecutor {
@@ -75,18 +83,22 @@
   /// Order of items that wait.
   struct Waiting {
     bool overdue = false;
-    std::int64_t due_ms = 0;
+    DueTime due;
     ItemRef ref;
     friend bool operator<(const Waiting& left, const Waiting& right) {
-      return std::tie(left.overdue, left.due_ms, left.ref) <
-             std::tie(right.overdue, right.due_ms, right.ref);
+      return std::tie(left.overdue, left.due.at_ms, left.ref) <
+             std::tie(right.overdue, right.due.at_ms, right.ref);
     }
   };
 
-  void start_waiting(TimePoint now);
-  bool start(const ItemRef& ref, TimePoint now);
+  BatchShare share() const;
+  bool is_urgent(const DueTime& due) const;
+  void start_waiting(TimePoint now, const BatchShare& share);
+  /// Breaks runs off that have time to spare if online requests need their slots.
+  void make_room(const BatchShare& share);
+  /// @return whether the item was dealt with; otherwise no replica has room.
+  bool start(const Waiting& entry, TimePoint now);
   const RouteConfig* route_of(const LedgerJob& job, const BatchItem& item) const;
-  std::size_t allowance(TimePoint now) const;
   void give_up_expired();
   void save_progress(const ItemRef& ref, ItemProgress& progress);
   void save_all_progress();
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -12,7 +12,7 @@
 class ItemRun : public net::CallObserver, public std::enable_shared_from_this<ItemRun> {
  public:
   ItemRun(BatchExecutor& executor, ItemRef ref, std::string item_id, RequestInfo info,
-          std::string service, int attempts);
+          std::string service, int attempts, const DueTime& due);
   ~ItemRun() override;
 
   void start(const Replica& replica, std::string bytes, double missing_tokens, TimePoint now);
@@ -20,6 +20,7 @@
   void cancel();
   void tick(TimePoint now);
 
+  const DueTime& due() const { return due_; }
   const ItemRef& ref() const { return ref_; }
   const std::string& replica() const { return replica_; }
 
@@ -41,6 +42,7 @@
   const RequestInfo info_;
   const std::string service_;
   const int attempts_;
+  const DueTime due_;
   std::string replica_;
   net::CallPtr call_;
   TimePoint started_{};
--- a/src/routing/load_digest.cpp
+++ b/src/routing/load_digest.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t kDigestOverhead = 5;
 
 /// Numbers of each entry in the flat list.
-constexpr std::size_t kEntryNumbers = 3;
+constexpr std::size_t kEntryNumbers = 4;
 
 struct Wire {
   std::string node;
@@ -24,7 +24,7 @@
   std::uint64_t fleet_position = 0;
   bool log_reachable = false;
   std::string control_address;
-  std::vector<std::uint32_t> numbers;  ///< Key, in flight and prompt tokens of each entry.
+  std::vector<std::uint32_t> numbers;  ///< Key, in flight, prompt tokens and items of each entry.
   DOCKPOINT_FIELDS(node, configuration_version, fleet_position, log_reachable, control_address,
                    numbers)
 };
@@ -43,7 +43,7 @@
             digest.log_reachable, digest.control_address,       {}};
   for (const LoadDigestEntry& entry : digest.entries) {
     wire.numbers.insert(wire.numbers.end(),
-                        {entry.replica_key, entry.in_flight, entry.prefill_tokens});
+                        {entry.replica_key, entry.in_flight, entry.prefill_tokens, entry.batch});
   }
   return kTag + pack(wire);
 }
@@ -63,8 +63,8 @@
   LoadDigest digest{std::move(wire->node), wire->configuration_version,      wire->fleet_position,
                     wire->log_reachable,   std::move(wire->control_address), {}};
   for (std::size_t index = 0; index < wire->numbers.size(); index += kEntryNumbers) {
-    digest.entries.push_back(
-        {wire->numbers[index], wire->numbers[index + 1], wire->numbers[index + 2]});
+    digest.entries.push_back({wire->numbers[index], wire->numbers[index + 1],
+                              wire->numbers[index + 2], wire->numbers[index + 3]});
   }
   return digest;
 }
--- a/src/routing/replica_directory.cpp
+++ b/src/routing/replica_directory.cpp
@@ -125,6 +125,7 @@
 void ReplicaDirectory::sum_peer_loads(TimePoint now) {
   struct Sum {
     std::uint32_t in_flight = 0;
+    std::uint32_t batch = 0;
     double prefill_tokens = 0;
   };
   std::unordered_map<std::uint32_t, Sum> sums;
@@ -133,6 +134,7 @@
     for (const LoadDigestEntry& entry : peer.entries) {
       Sum& sum = sums[entry.replica_key];
       sum.in_flight += entry.in_flight;
+      sum.batch += std::min(entry.batch, entry.in_flight);
       // What was read since the peer said so does not count.
       sum.prefill_tokens +=
           std::max(0.0, entry.prefill_tokens - age_ms * knobs_.prefill_tokens_per_ms);
@@ -142,6 +144,7 @@
     const auto found = sums.find(replica.key);
     const Sum sum = found == sums.end() ? Sum{} : found->second;
     replica.of_peers = static_cast<int>(sum.in_flight);
+    replica.batch_of_peers = static_cast<int>(sum.batch);
     replica.peer_prefill_tokens = sum.prefill_tokens;
     replica.peer_prefill_at = now;
   }
@@ -153,7 +156,8 @@
     const int in_flight = replica.online + replica.batch;
     if (in_flight > 0) {
       entries.push_back({replica.key, static_cast<std::uint32_t>(in_flight),
-                         static_cast<std::uint32_t>(replica.prefill_tokens)});
+                         static_cast<std::uint32_t>(replica.prefill_tokens),
+                         static_cast<std::uint32_t>(replica.batch)});
     }
   }
   return entries;
--- a/tests/routing/load_digest_test.cpp
+++ b/tests/routing/load_digest_test.cpp
@@ -10,7 +10,8 @@
 BOOST_AUTO_TEST_SUITE(load_digest)
 
 BOOST_AUTO_TEST_CASE(a_digest_travels_whole_and_is_told_from_other_messages) {
-  const LoadDigest digest{"n1", 7, 99, true, "10.0.0.1:80", {{1, 2, 3}, {4'000'000'000U, 5, 0}}};
+  const LoadDigest digest{
+      "n1", 7, 99, true, "10.0.0.1:80", {{1, 2, 3, 1}, {4'000'000'000U, 5, 0, 0}}};
   const std::string bytes = encode(digest);
   BOOST_TEST(is_load_digest(bytes));
   BOOST_TEST(!decode_peer_message(bytes).has_value());
@@ -22,13 +23,14 @@
   BOOST_TEST_REQUIRE(decoded->entries.size() == 2U);
   BOOST_TEST(decoded->entries[1].replica_key == 4'000'000'000U);
   BOOST_TEST(decoded->entries[0].prefill_tokens == 3U);
+  BOOST_TEST(decoded->entries[0].batch == 1U);
   PeerMessage message;
   message.sender.id = "n2";
   BOOST_TEST(!is_load_digest(encode(message)));
 }
 
 BOOST_AUTO_TEST_CASE(damaged_digests_are_dropped) {
-  const std::string bytes = encode(LoadDigest{"n1", 7, 99, true, "10.0.0.1:80", {{1, 2, 3}}});
+  const std::string bytes = encode(LoadDigest{"n1", 7, 99, true, "10.0.0.1:80", {{1, 2, 3, 0}}});
   BOOST_TEST(!decode_load_digest("").has_value());
   std::mt19937_64 random(7);
   constexpr int kRounds = 20'000;
@@ -45,7 +47,8 @@
   LoadCollection collection{"zone-a", true, {}};
   for (int node = 0; node < 50; ++node) {
     const std::string name = "node-" + std::to_string(node);
-    collection.digests.push_back(encode(LoadDigest{name, 7, 99, true, "10.0.0.1:80", {{1, 2, 3}}}));
+    collection.digests.push_back(
+        encode(LoadDigest{name, 7, 99, true, "10.0.0.1:80", {{1, 2, 3, 0}}}));
   }
   constexpr std::size_t kLimit = 700;
   std::vector<std::string> digests;
--- a/tests/routing/replica_selector_test.cpp
+++ b/tests/routing/replica_selector_test.cpp
@@ -65,7 +65,7 @@
   ReplicaSelector selector(knobs, directory, "zone-a", 1);
   const std::uint32_t reading = directory.find("r1")->key;
   const auto tokens = static_cast<std::uint32_t>(knobs.prefill_tokens_per_ms * 500);
-  directory.set_peer_load("n2", {{reading, 1, tokens}}, at(0));
+  directory.set_peer_load("n2", {{reading, 1, tokens, 0}}, at(0));
   std::set<std::string> early;
   std::set<std::string> late;
   for (int request = 0; request < 60; ++request) {
