--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -5,6 +5,7 @@
 
 #include "dockpoint/core/mechanisms.hpp"
 #include "dockpoint/core/result_code.hpp"
+#include "gateway/gateway_metrics.hpp"
 #include "node/metrics.hpp"
 #include "node/settings.hpp"
 #include "simulation/checkers.hpp"
@@ -53,6 +54,29 @@
   BOOST_TEST((first_cells(page, "") == keys));
 }
 
+BOOST_AUTO_TEST_CASE(every_metric_of_the_gateway_has_a_row) {
+  GatewayMetrics metrics;
+  metrics.count_request("idempotent", "answered");
+  metrics.observe_first_byte("idempotent", std::chrono::milliseconds(1));
+  metrics.count_attempt("failed");
+  metrics.count_item("succeeded");
+  metrics.count_log_call("read", "ok");
+  std::set<std::string> served;
+  std::istringstream lines(metrics.text());
+  const std::string type = "# TYPE ";
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with(type)) {
+      served.insert(line.substr(type.size(), line.find(' ', type.size()) - type.size()));
+    }
+  }
+  std::set<std::string> listed;
+  for (const std::string& cell : first_cells(read_page("PLATFORM.md"), "dockpoint_gateway_")) {
+    listed.insert(cell.substr(0, cell.find('{')));
+  }
+  BOOST_TEST(served.size() == 8U);
+  BOOST_TEST((served == listed));
+}
+
 BOOST_AUTO_TEST_CASE(every_result_code_has_a_row) {
   const std::string page = read_page("RESULT_CODES.md");
   std::size_t rows = 0;
