A fault soak of our own: real dockpoint-platform processes, signals and a failing store

tests/platform/soak: the platform as one stand-in process (store, replicas, an address that makes the store fail), nodes on loopback addresses of their own, and a seeded soak that freezes, kills, stops and restarts them, takes the store down, silences it, loses and delays its appends, forgets history and deals partitions anew, while callers and jobs are checked: whole answers, nothing twice, results that stay, refusals that did not run, every accepted item listed at the end.

--- /dev/null
+++ b/tests/platform/soak/soak.mjs
@@ -0,0 +1,300 @@
+// A randomized soak: real dockpoint-platform processes on loopback, faults from outside them (signals,
+// a store that fails), and checks of the promises from what callers and replicas see.
+//
+//     node tests/platform/soak/soak.mjs [--seed N] [--seconds N] [--nodes N]
+//
+// Prints the seed, every fault, and every broken promise; ends with 1 if there was one. The logs of the
+// nodes stay in the folder that it names. It ends only processes that it has started.
+
+import { mkdirSync, mkdtempSync, writeFileSync } from 'node:fs';
+import http from 'node:http';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { parseArgs } from 'node:util';
+
+import { ManagedProcess, eventually, sleep } from '../../system/cluster.mjs';
+
+const { values: options } = parseArgs({
+  options: {
+    seed: { type: 'string', default: String(Date.now() % 1e9) },
+    seconds: { type: 'string', default: '60' },
+    nodes: { type: 'string', default: '4' },
+  },
+});
+const seconds = Number(options.seconds);
+
+const STORE_PORT = 28601;
+const CONTROL_PORT = 28602;
+const FIRST_REPLICA_PORT = 28610;
+const REPLICAS = 4;
+const EVENTS = 8;
+const ITEMS = 5;
+const GRACE_S = 4;
+/** Accepted jobs must be done this long after the last fault. */
+const SETTLE_MS = 40000;
+
+/** Numbers from a seed (mulberry32). */
+function generator(seed) {
+  let state = seed >>> 0;
+  return () => {
+    state = (state + 0x6d2b79f5) >>> 0;
+    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296;
+  };
+}
+const random = generator(Number(options.seed));
+const pick = (list) => list[Math.floor(random() * list.length)];
+const between = (low, high) => low + random() * (high - low);
+
+const folder = mkdtempSync(path.join(tmpdir(), 'dockpoint-soak-'));
+const broken = [];
+const counts = { served: 0, refused: 0, failed: 0, unanswered: 0, jobs: 0, faults: 0 };
+const started = Date.now();
+const say = (text) => console.log(`${((Date.now() - started) / 1000).toFixed(2)} ${text}`);
+
+function violate(promise, detail) {
+  broken.push({ promise, detail });
+  say(`BROKEN ${promise}: ${detail}`);
+}
+
+/** One request on a connection of its own. @return status 0 without a whole answer. */
+function call(ip, port, method, target, { headers = {}, body = '', timeout = 4000 } = {}) {
+  return new Promise((resolve) => {
+    const request = http.request({
+      host: ip, port, method, path: target, agent: false, timeout,
+      headers: { Host: 'soak.example', 'Content-Length': Buffer.byteLength(body), ...headers },
+    }, (response) => {
+      let text = '';
+      response.on('data', (bytes) => { text += bytes; });
+      response.on('end', () => resolve({ status: response.statusCode, text, headers: response.headers }));
+      response.on('error', () => resolve({ status: 0 }));
+      response.on('close', () => resolve({ status: 0 }));
+    });
+    request.on('timeout', () => request.destroy());
+    request.on('error', () => resolve({ status: 0 }));
+    request.end(body);
+  });
+}
+const control = (target) => call('127.0.0.1', CONTROL_PORT, 'POST', target);
+
+/** One machine: its settings, and its process, which starts again when it ends. */
+class Machine {
+  constructor(number) {
+    this.name = `node-${number}`;
+    this.ip = `127.0.0.${10 + number}`;
+    this.frozen = false;
+    this.settings = path.join(folder, `${this.name}.json`);
+    const at = (port) => `${this.ip}:${port}`;
+    writeFileSync(this.settings, JSON.stringify({
+      node: this.name, zone: 'zone-a', region: 'region-a',
+      seeds: ['127.0.0.11:28653', '127.0.0.12:28653'],
+      listen: {
+        frontend: at(28650), readiness: at(28651), resolver: at(28652), control: at(28653),
+        datagrams: at(28654), metrics: at(28655),
+      },
+      log: {
+        address: `127.0.0.1:${STORE_PORT}`, partitions: 4, record_bytes: 262144,
+        call_bytes: 2097152, minimum_lease_ms: 1000,
+      },
+      times: { address_lifetime_s: 5, grace_s: GRACE_S },
+    }));
+  }
+
+  start() {
+    this.process = new ManagedProcess(this.name, 'dockpoint-platform', ['--settings', this.settings], folder);
+    const { process: own } = this;
+    own.exited.then(({ code, signal }) => {
+      if (code !== 0 && signal !== 'SIGKILL' && !this.stopped) {
+        violate('ENDS', `${this.name} ended by itself, code ${code} signal ${signal}`);
+      }
+      this.frozen = false;
+      if (!this.stopped) setTimeout(() => this.stopped || this.start(), between(200, 1000));
+    });
+  }
+
+  async freeze(milliseconds) {
+    this.process.signal('SIGSTOP');
+    this.frozen = true;
+    await sleep(milliseconds);
+    this.process.signal('SIGCONT');
+    this.frozen = false;
+  }
+}
+
+const platform = new ManagedProcess('platform', 'dockpoint-platform-stand-in',
+  [STORE_PORT, CONTROL_PORT, REPLICAS, FIRST_REPLICA_PORT].map(String), folder);
+const machines = Array.from({ length: Number(options.nodes) }, (_, index) => new Machine(index + 1));
+
+let requestNumber = 0;
+let finished = false;
+const onceAnswers = new Map();
+
+async function sendRequests() {
+  while (!finished) {
+    const kind = random() < 0.5 ? 'quick' : 'once';
+    const id = `${kind}${++requestNumber}`;
+    const target = `/${kind}/${requestNumber}`;
+    call(pick(machines).ip, 28650, 'POST', target, { headers: { 'Attempt-Id': id } }).then((answer) => {
+      if (kind === 'once') onceAnswers.set(id, answer.status);
+      if (answer.status === 200) {
+        ++counts.served;
+        if (answer.text !== `done ${target}` || answer.headers['response-signature'] !== 'signed') {
+          violate('MIXED', `${id} got another answer: ${answer.text}`);
+        }
+      } else if (answer.status === 503 || answer.status === 429) {
+        ++counts.refused;
+      } else if (answer.status === 0) {
+        ++counts.unanswered;
+      } else {
+        ++counts.failed;
+        if (answer.status === 404 || answer.status === 400) violate('DENIED', `${id} got ${answer.status}`);
+      }
+    });
+    await sleep(between(5, 30));
+  }
+}
+
+/** Accepted jobs: id, and the results that were read, in order. */
+const jobs = new Map();
+
+async function submitJobs() {
+  for (let number = 1; !finished; ++number) {
+    const id = `aa${number.toString(16).padStart(6, '0')}`;
+    const requests = Array.from({ length: ITEMS }, (_, item) => ({
+      id: `${id}-${item}`, path: item === 0 && number % 5 === 0 ? `/batch/never/${id}` : `/batch/${id}/${item}`,
+      headers: {}, body: '',
+    }));
+    const body = JSON.stringify({ requests });
+    for (let attempt = 0; attempt < 6; ++attempt) {
+      const answer = await call(pick(machines).ip, 28650, 'POST', '/batch/x', { headers: { 'Attempt-Id': id }, body });
+      if (answer.status === 202) {
+        jobs.set(id, { requests, results: [], acceptedAt: Date.now() });
+        ++counts.jobs;
+        break;
+      }
+      if (answer.status >= 400 && answer.status < 500 && answer.status !== 429) {
+        violate('DENIED', `job ${id} got ${answer.status} ${answer.text}`);
+      }
+      await sleep(200);
+    }
+    await sleep(between(100, 500));
+  }
+}
+
+/** Reads a job from the start at one node; what had been read must come again. */
+async function readJob(id, machine) {
+  const job = jobs.get(id);
+  const seen = job.results.length;
+  const answer = await call(machine.ip, 28650, 'GET', `/v1/lots/${id}?sinceRevision=0`);
+  if (answer.status === 404 || answer.status === 410) {
+    violate('LOST', `job ${id} got ${answer.status} at ${machine.name}`);
+  }
+  if (answer.status !== 200) return false;
+  const { results, total } = JSON.parse(answer.text);
+  if (total !== ITEMS) violate('MIXED', `job ${id} has total ${total}`);
+  if (new Set(results.map((result) => result.id)).size !== results.length) {
+    violate('TWICE', `job ${id} lists an item twice`);
+  }
+  for (let index = 0; index < Math.max(seen, results.length); ++index) {
+    const [before, now] = [job.results[index], results[index]];
+    if (index < seen && JSON.stringify(before) !== JSON.stringify(now)) {
+      violate('LOST', `job ${id} position ${index} at ${machine.name}: ${JSON.stringify(before)} became ${JSON.stringify(now)}`);
+    } else if (now && !before) {
+      checkResult(job, now);
+      job.results[index] = now;
+    }
+  }
+  return true;
+}
+
+function checkResult(job, result) {
+  const item = job.requests.find((request) => request.id === result.id);
+  if (!item) {
+    violate('MIXED', `a result of another job: ${result.id}`);
+  } else if (item.path.startsWith('/batch/never')) {
+    if (result.state !== 'dead_lettered') violate('MIXED', `${result.id} is ${result.state}`);
+  } else {
+    const text = Array.from({ length: EVENTS }, (_, event) => `${item.path} ${event + 1}`).join('\n');
+    if (result.state !== 'succeeded' || result.text !== text) {
+      violate('ORDER', `${result.id} is ${result.state}: ${result.text}`);
+    }
+  }
+}
+
+async function readJobs() {
+  while (!finished) {
+    // One at a time for a job: readings of one job must not overtake each other.
+    if (jobs.size > 0) await readJob(pick([...jobs.keys()]), pick(machines));
+    await sleep(20);
+  }
+}
+
+const faults = [
+  ['freeze', async () => { const machine = pick(machines); if (!machine.frozen) await machine.freeze(between(300, 3500)); }],
+  ['kill', async () => pick(machines).process.signal('SIGKILL')],
+  ['kill all', async () => machines.forEach((machine) => machine.process.signal('SIGKILL'))],
+  ['stop', async () => pick(machines).process.signal('SIGTERM')],
+  ['store down', async () => { await control('/faults?down=1'); await sleep(between(500, 4000)); await control('/faults'); }],
+  ['store silent', async () => { await control('/faults?silent=1'); await sleep(between(500, 4000)); await control('/faults'); }],
+  ['answers lost', async () => { await control('/faults?lose=0.3&delay=0.3'); await sleep(between(1000, 4000)); await control('/faults'); }],
+  ['history forgotten', async () => control('/forget')],
+  ['partitions dealt anew', async () => control('/rebalance')],
+];
+
+async function makeFaults() {
+  while (Date.now() - started < seconds * 1000) {
+    const together = random() < 0.3 ? 2 : 1;
+    const chosen = Array.from({ length: together }, () => pick(faults));
+    say(`fault: ${chosen.map(([name]) => name).join(' and ')}`);
+    counts.faults += together;
+    await Promise.all(chosen.map(([, make]) => make()));
+    await sleep(between(300, 2500));
+  }
+}
+
+async function checkAtEnd() {
+  const until = Date.now() + SETTLE_MS;
+  const unfinished = () => [...jobs].filter(([, job]) => job.results.length < ITEMS);
+  while (unfinished().length > 0 && Date.now() < until) {
+    for (const [id] of unfinished()) await readJob(id, pick(machines));
+    await sleep(100);
+  }
+  for (const [id, job] of unfinished()) violate('LOST', `job ${id} has ${job.results.length} of ${ITEMS} results`);
+  for (const id of jobs.keys()) {
+    for (const machine of machines) await readJob(id, machine);
+  }
+  const runs = JSON.parse((await control('/runs')).text);
+  for (const [id, status] of onceAnswers) {
+    const ran = runs[id] ?? 0;
+    if (ran > 1) violate('TWICE', `${id} ran ${ran} times`);
+    if (ran > 0 && [429, 503, 408, 421].includes(status)) violate('REFUSED', `${id} got ${status} and ran`);
+    if (ran === 0 && status === 200) violate('MIXED', `${id} got 200 and did not run`);
+  }
+}
+
+say(`seed ${options.seed}, ${seconds} s, ${machines.length} nodes, logs in ${folder}`);
+mkdirSync(folder, { recursive: true });
+try {
+  await eventually('the platform', async () => (await control('/runs')).status === 200);
+  machines.forEach((machine) => machine.start());
+  for (const machine of machines) {
+    await eventually(machine.name, async () => (await call(machine.ip, 28651, 'GET', '/')).status === 200);
+  }
+  const work = [sendRequests(), submitJobs(), readJobs()];
+  await makeFaults();
+  await control('/faults');
+  say('faults are over');
+  finished = true;
+  await Promise.all(work);
+  await sleep(5000);
+  await checkAtEnd();
+} finally {
+  for (const machine of machines) {
+    machine.stopped = true;
+    if (machine.process) await machine.process.end('SIGKILL');
+  }
+  await platform.end('SIGKILL');
+}
+say(`${JSON.stringify(counts)} broken=${broken.length}`);
+process.exitCode = broken.length > 0 ? 1 : 0;
--- /dev/null
+++ b/tests/platform/soak/stand_in_main.cpp
@@ -0,0 +1,170 @@
+/// The users' platform for the soak, as one process: the store, some replicas, and an address where
+/// the soak makes the store fail and asks what the replicas have run.
+///
+/// Usage: dockpoint-platform-stand-in STORE_PORT CONTROL_PORT REPLICAS FIRST_REPLICA_PORT
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "platform/stand_in_store.hpp"
+#include "platform/stand_ins.hpp"
+#include "platform/wire_names.hpp"
+
+namespace dockpoint::test {
+namespace {
+
+constexpr int kPartitions = 4;
+constexpr int kEvents = 8;
+constexpr Duration kEventInterval = std::chrono::milliseconds(30);
+constexpr Duration kTick = std::chrono::milliseconds(5);
+constexpr int kUnprocessable = 422;
+
+const char* const kRoutes = R"({"version":1,"routeList":[
+ {"name":"quick","host":"soak.example","pathPrefix":"/quick/","type":"idempotent","timeoutMs":3000,
+  "targetMs":300,"priority":0,"service":"lm","attempts":3},
+ {"name":"once","host":"soak.example","pathPrefix":"/once/","type":"non_idempotent",
+  "timeoutMs":3000,"targetMs":300,"priority":0,"service":"lm","attempts":1},
+ {"name":"batch","host":"soak.example","pathPrefix":"/batch/","type":"batch","timeoutMs":20000,
+  "targetMs":400,"completionTargetMs":20000,"retentionS":300,"priority":2,"service":"lm",
+  "attempts":3}],
+ "services":[{"name":"lm","healthPath":"/healthz","maxConns":200,"engine":{"slots":8,
+  "kvCacheTokens":100000}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,
+  "headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+/// One replica: answers short requests at once and streams the events of batch items.
+class SoakReplica {
+ public:
+  SoakReplica(boost::asio::io_context& loop, int number, std::uint16_t port,
+              std::map<std::string, int>& runs)
+      : id_("replica-" + std::to_string(number)),
+        loop_(loop),
+        runs_(runs),
+        replica_(loop, id_, port, [this](const net::ExchangePtr& exchange) { serve(exchange); }) {}
+
+  const std::string& id() const { return id_; }
+
+ private:
+  void serve(const net::ExchangePtr& exchange) {
+    const net::RequestHead& request = exchange->request();
+    if (request.headers.get("Target-Instance") != id_) {
+      net::Headers headers = genuine_headers(exchange);
+      headers.add("Not-Executed", "1");
+      exchange->respond(421, headers, {});
+      return;
+    }
+    ++runs_[std::string(request.headers.get("Attempt-Id"))];
+    if (!request.target.starts_with("/batch/")) {
+      exchange->respond(200, genuine_headers(exchange), "done " + request.target);
+      return;
+    }
+    if (request.target.starts_with("/batch/never")) {
+      exchange->respond(kUnprocessable, genuine_headers(exchange), {});
+      return;
+    }
+    const std::string last(request.headers.get("Last-Event-Id"));
+    exchange->begin({200, {}, genuine_headers(exchange)});
+    send_event(exchange, last.empty() ? 1 : std::atoi(last.c_str()) + 1);
+  }
+
+  void send_event(const net::ExchangePtr& exchange, int number) {
+    if (number > kEvents) {
+      exchange->end();
+      return;
+    }
+    exchange->write("id: " + std::to_string(number) + "\ndata: " + exchange->request().target +
+                    " " + std::to_string(number) + "\n\n");
+    const auto timer = std::make_shared<boost::asio::steady_timer>(loop_, kEventInterval);
+    timer->async_wait([this, exchange, number, timer](const boost::system::error_code& error) {
+      if (!error) {
+        send_event(exchange, number + 1);
+      }
+    });
+  }
+
+  const std::string id_;
+  boost::asio::io_context& loop_;
+  std::map<std::string, int>& runs_;
+  StandInReplica replica_;
+};
+
+/// Store, replicas and control address together.
+class StandInPlatform {
+ public:
+  StandInPlatform(boost::asio::io_context& loop, std::uint16_t store_port,
+                  std::uint16_t control_port, int replicas, std::uint16_t first_replica_port)
+      : store_(loop, store_port, kPartitions),
+        control_(loop, [this](const net::ExchangePtr& exchange) { serve_control(exchange); }),
+        timer_(loop) {
+    store_.put(platform::kConfigurationTopic, platform::kConfigurationKey, kRoutes);
+    for (int number = 0; number < replicas; ++number) {
+      const auto port = static_cast<std::uint16_t>(first_replica_port + number);
+      replicas_.push_back(std::make_unique<SoakReplica>(loop, number, port, runs_));
+      const nlohmann::json record{
+          {"service", "lm"},  {"address", "127.0.0.1:" + std::to_string(port)},
+          {"zone", "zone-a"}, {"slots", 8},
+          {"state", "ready"}, {"sequence", 1}};
+      store_.put(platform::kReplicasTopic, replicas_.back()->id(), record.dump());
+    }
+    control_.listen("127.0.0.1:" + std::to_string(control_port));
+    tick();
+  }
+
+ private:
+  void tick() {
+    store_.tick();
+    timer_.expires_after(kTick);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        tick();
+      }
+    });
+  }
+
+  void serve_control(const net::ExchangePtr& exchange) {
+    const net::Target target = net::Target::parse(exchange->request().target);
+    const auto number = [&](const char* name) {
+      return std::atof(target.parameter(name).value_or("0").c_str());
+    };
+    if (target.path == "/faults") {
+      MemoryLogFaults& faults = store_.log.faults;
+      faults.down = number("down") > 0;
+      faults.silent = number("silent") > 0;
+      faults.lose_answers = number("lose");
+      faults.delay_appends = number("delay");
+    } else if (target.path == "/forget") {
+      store_.log.forget_history();
+    } else if (target.path == "/rebalance") {
+      store_.log.rebalance();
+    }
+    exchange->respond(200, {{"Content-Type", "application/json"}}, nlohmann::json(runs_).dump());
+  }
+
+  StandInStore store_;
+  net::HttpServer control_;
+  boost::asio::steady_timer timer_;
+  std::map<std::string, int> runs_;  ///< By the id that the request came with.
+  std::vector<std::unique_ptr<SoakReplica>> replicas_;
+};
+
+}  // namespace
+}  // namespace dockpoint::test
+
+int main(int argc, char** argv) {
+  constexpr int kArguments = 5;
+  if (argc != kArguments) {
+    std::cerr << "usage: " << argv[0] << " STORE_PORT CONTROL_PORT REPLICAS FIRST_REPLICA_PORT\n";
+    return 2;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context loop(1);
+  const auto port = [&](int index) { return static_cast<std::uint16_t>(std::atoi(argv[index])); };
+  const dockpoint::test::StandInPlatform platform(loop, port(1), port(2), std::atoi(argv[3]),
+                                                  port(4));
+  loop.run();
+  return 0;
+}
