--- a/tests/platform/soak/soak.mjs
+++ b/tests/platform/soak/soak.mjs
@@ -6,7 +6,7 @@
 // Prints the seed, every fault, and every broken promise; ends with 1 if there was one. The logs of the
 // nodes stay in the folder that it names. It ends only processes that it has started.
 
-import { mkdirSync, mkdtempSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, writeFileSync } from 'node:fs';
 import http from 'node:http';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
@@ -26,7 +26,12 @@
 const STORE_PORT = 28601;
 const CONTROL_PORT = 28602;
 const FIRST_REPLICA_PORT = 28610;
+/** The same at every node: each has an address of its own. */
+const NODE_PORTS = {
+  frontend: 28650, readiness: 28651, resolver: 28652, control: 28653, datagrams: 28654, metrics: 28655,
+};
 const REPLICAS = 4;
+const PARTITIONS = 4;
 const EVENTS = 8;
 const ITEMS = 5;
 const GRACE_S = 4;
@@ -85,16 +90,13 @@
     this.ip = `127.0.0.${10 + number}`;
     this.frozen = false;
     this.settings = path.join(folder, `${this.name}.json`);
-    const at = (port) => `${this.ip}:${port}`;
+    const listen = Object.entries(NODE_PORTS).map(([use, port]) => [use, `${this.ip}:${port}`]);
     writeFileSync(this.settings, JSON.stringify({
       node: this.name, zone: 'zone-a', region: 'region-a',
-      seeds: ['127.0.0.11:28653', '127.0.0.12:28653'],
-      listen: {
-        frontend: at(28650), readiness: at(28651), resolver: at(28652), control: at(28653),
-        datagrams: at(28654), metrics: at(28655),
-      },
+      seeds: [11, 12].map((host) => `127.0.0.${host}:${NODE_PORTS.control}`),
+      listen: Object.fromEntries(listen),
       log: {
-        address: `127.0.0.1:${STORE_PORT}`, partitions: 4, record_bytes: 262144,
+        address: `127.0.0.1:${STORE_PORT}`, partitions: PARTITIONS, record_bytes: 262144,
         call_bytes: 2097152, minimum_lease_ms: 1000,
       },
       times: { address_lifetime_s: 5, grace_s: GRACE_S },
@@ -139,7 +141,7 @@
     const kind = random() < 0.5 ? 'quick' : 'once';
     const id = `${kind}${++requestNumber}`;
     const target = `/${kind}/${requestNumber}`;
-    call(pick(machines).ip, 28650, 'POST', target, { headers: { 'Attempt-Id': id } }).then((answer) => {
+    call(pick(machines).ip, NODE_PORTS.frontend, 'POST', target, { headers: { 'Attempt-Id': id } }).then((answer) => {
       if (kind === 'once') onceAnswers.set(id, answer.status);
       if (answer.status === 200) {
         ++counts.served;
@@ -171,7 +173,7 @@
     }));
     const body = JSON.stringify({ requests });
     for (let attempt = 0; attempt < 6; ++attempt) {
-      const answer = await call(pick(machines).ip, 28650, 'POST', '/batch/x', { headers: { 'Attempt-Id': id }, body });
+      const answer = await call(pick(machines).ip, NODE_PORTS.frontend, 'POST', '/batch/x', { headers: { 'Attempt-Id': id }, body });
       if (answer.status === 202) {
         jobs.set(id, { requests, results: [], acceptedAt: Date.now() });
         ++counts.jobs;
@@ -190,7 +192,7 @@
 async function readJob(id, machine) {
   const job = jobs.get(id);
   const seen = job.results.length;
-  const answer = await call(machine.ip, 28650, 'GET', `/v1/lots/${id}?sinceRevision=0`);
+  const answer = await call(machine.ip, NODE_PORTS.frontend, 'GET', `/v1/lots/${id}?sinceRevision=0`);
   if (answer.status === 404 || answer.status === 410) {
     violate('LOST', `job ${id} got ${answer.status} at ${machine.name}`);
   }
@@ -278,12 +280,11 @@
 }
 
 say(`seed ${options.seed}, ${seconds} s, ${machines.length} nodes, logs in ${folder}`);
-mkdirSync(folder, { recursive: true });
 try {
   await eventually('the platform', async () => (await control('/runs')).status === 200);
   machines.forEach((machine) => machine.start());
   for (const machine of machines) {
-    await eventually(machine.name, async () => (await call(machine.ip, 28651, 'GET', '/')).status === 200);
+    await eventually(machine.name, async () => (await call(machine.ip, NODE_PORTS.readiness, 'GET', '/')).status === 200);
   }
   const work = [sendRequests(), submitJobs(), readJobs()];
   await makeFaults();
