Choose replicas by water-filling over stale load; log late answers

With every request logged (trial), the node of a late request believed 1 to 4 requests at the replica's 7 slots while 7 to 15 were there: 64 nodes with one view, 300 ms old, all took the replica that looked least loaded, up to 46 requests in half a second at one of 89. Ruled out: batch in the way (it had yielded), prompts read twice (missing tokens were a few hundred), prefix homes (no two of the replicas were homes of these prompts). WaterFilling pours the requests that are not seen yet (own rate times nodes, or Little's law) over the known load; three replicas are drawn in proportion, and compared with those that hold a long part of the prompt. The wait is an expectation now, smooth around the limit. A late answer is logged whatever the sample, with the replica, the load believed there and the first byte's time.

--- a/include/dockpoint/routing/replica_directory.hpp
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -96,6 +96,8 @@
                      TimePoint now);
   /// Forgets digests that were not renewed.
   void expire_peer_loads(TimePoint now);
+  /// @return nodes whose digests count.
+  std::size_t peers() const { return peers_.size(); }
   /// @return this node's requests in flight, replicas without any left out.
   std::vector<LoadDigestEntry> own_load() const;
 
--- a/include/dockpoint/routing/replica_selector.hpp
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -9,10 +9,13 @@
 #include <vector>
 
 #include "dockpoint/routing/replica_directory.hpp"
+#include "dockpoint/routing/water_filling.hpp"
 
 /// Choice of the replica for one request or batch item.
 ///
-/// Each candidate gets a cost: the time until the request would start there. It is made of the
+/// Few replicas are compared: some that are drawn by what is known of the load (water_filling.hpp
+/// tells why the least loaded is not simply taken), and those that are expected to hold a long part
+/// of the prompt. Each gets a cost: the time until the request would start there. It is made of the
 /// wait for a free slot, the reading of prompts that stand before it, and the reading of its own
 /// prompt as far as the replica's prefix cache is not expected to hold it. A prefix is expected
 /// where this node sent it lately, and at its home: the replica with the highest rendezvous score
@@ -56,9 +59,6 @@
   /// Learns how long requests of a service hold a slot.
   void note_service_time(const std::string& service, Duration time);
 
-  /// @return slots of the service's ready replicas that are taken, as a share of all.
-  double utilization(const std::string& service, TimePoint now) const;
-
  private:
   struct PrefixEntry {
     std::uint64_t chain = 0;
@@ -72,9 +72,15 @@
   };
   struct Candidate {
     const Replica* replica = nullptr;
-    double cost_ms = 0;
-    double wait_ms = 0;
+    double expected_load = 0;  ///< With requests that are not seen yet.
     double missing_tokens = 0;
+    double wait_ms = 0;
+    double cost_ms = 0;
+  };
+  /// What is learnt of a service's requests.
+  struct ServiceHistory {
+    double service_ms = 0;  ///< Mean time that a request holds a slot; 0 if none has ended.
+    ArrivalRate sends;      ///< Of this node.
   };
 
   std::vector<const Replica*> candidates(const ReplicaQuery& query, TimePoint now) const;
@@ -86,7 +92,20 @@
                        const std::pair<std::uint32_t, std::uint32_t>& homes, TimePoint now) const;
   /// @return prompt tokens of other nodes' requests that the replica is expected to be reading.
   double peer_prefill(const Replica& replica, TimePoint now) const;
-  double wait_ms(const Replica& replica, const std::string& service, TimePoint now) const;
+  /// @return requests that the fleet has started since the load was as it is known.
+  double unseen_requests(const std::vector<const Replica*>& open, const std::string& service,
+                         TimePoint now) const;
+  /// @return mean time that a request of the service holds a slot.
+  double service_ms(const std::string& service) const;
+  /// @return the water poured over the candidates.
+  WaterFilling pour(const std::vector<const Replica*>& open, const std::string& service,
+                    TimePoint now) const;
+  /// @return indices of the candidates to compare, those drawn by load first.
+  std::vector<std::size_t> shortlist(const std::vector<Candidate>& all, double prompt_tokens,
+                                     const WaterFilling& filling);
+  double wait_ms(const Replica& replica, double expected_load, const std::string& service) const;
+  double cost_ms(const Candidate& candidate, TimePoint now) const;
+  ServiceHistory& history_of(const std::string& service);
   PrefixEntry& touch(std::uint64_t chain);
 
   const Knobs& knobs_;
@@ -95,7 +114,7 @@
   std::mt19937_64 random_;
   std::list<PrefixEntry> recent_;  ///< Most recently used first.
   std::unordered_map<std::uint64_t, std::list<PrefixEntry>::iterator> by_chain_;
-  std::unordered_map<std::string, double> service_ms_;
+  std::unordered_map<std::string, ServiceHistory> services_;
 };
 
 }  // namespace dockpoint
--- /dev/null
+++ b/include/dockpoint/routing/water_filling.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstddef>
+#include <random>
+#include <span>
+#include <vector>
+
+#include "dockpoint/core/time.hpp"
+
+/// Choice among replicas whose load is known too late.
+///
+/// Load that other nodes cause is known a few hundred milliseconds after the fact. Nodes that all
+/// choose the least loaded replica of that view meet there: the more of them, the worse. So the
+/// requests that the fleet has started since are estimated, and poured over the replicas like
+/// water: those with the least load are raised to a common level. A node then draws a replica with
+/// a probability in proportion to how much of that water it took. With few requests unseen only
+/// the least loaded replicas are drawn; with many, all.
+///
+/// Source: M. Dahlin, "Interpreting stale load information", IEEE Transactions on Parallel and
+/// Distributed Systems 11(10), 2000 (the "basic LI" policy), here with slots of unequal number.
+namespace dockpoint {
+
+/// One replica as far as pouring goes.
+struct SlotLoad {
+  double load = 0;   ///< Requests known to run or wait there.
+  double slots = 1;  ///< Above 0.
+};
+
+/// Where requests that are not seen yet are expected.
+class WaterFilling {
+ public:
+  /// @param unseen requests, at least a small number above 0.
+  WaterFilling(std::span<const SlotLoad> replicas, double unseen);
+
+  /// @return requests expected at each replica beyond the known ones, in the order given.
+  const std::vector<double>& poured() const { return poured_; }
+  /// @param preference of each replica beside others with as much water; above 0.
+  /// @return indices of up to `count` replicas, drawn one after the other without repetition, in
+  /// that order.
+  std::vector<std::size_t> draw(std::size_t count, std::span<const double> preference,
+                                std::mt19937_64& random) const;
+
+ private:
+  std::vector<double> poured_;
+};
+
+/// Requests a second, as an average that forgets. Free of clocks.
+class ArrivalRate {
+ public:
+  /// @param memory after which an arrival counts for a third.
+  explicit ArrivalRate(Duration memory) : memory_(memory) {}
+
+  void note(TimePoint now);
+  double per_second(TimePoint now) const;
+
+ private:
+  double decayed(TimePoint now) const;
+
+  Duration memory_;
+  double count_ = 0;
+  TimePoint last_{};
+};
+
+}  // namespace dockpoint
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -96,6 +96,7 @@
       exchange_->request(), body.size(),
       {replica.id, std::max(deadline_ - now, Duration(std::chrono::milliseconds(1))), last_event_});
   replica_ = replica.id;
+  last_replica_ = replica.id;
   sent_at_ = now;
   last_progress_ = now;
   head_seen_ = false;
@@ -104,6 +105,8 @@
   body_.clear();
   framer_.discard_partial();
   ++sends_;
+  load_at_choice_ = choice.replica->load(now);
+  slots_at_choice_ = replica.slots;
   prefill_tokens_ = choice.missing_tokens;
   context_.replicas.started(replica_, TrafficClass::kOnline, prefill_tokens_);
   if (prefill_tokens_ >= context_.knobs.announced_prefill_tokens && context_.announce_load) {
@@ -113,8 +116,8 @@
     spdlog::info(
         "online: sent id={} route={} version={} replica={} attempt={} load={}/{} waitMs={} "
         "missingTokens={} leftMs={}",
-        info_.id, route_.name, configuration_->version, replica_, sends_, choice.replica->load(now),
-        replica.slots, net::to_ms(choice.expected_wait), static_cast<int>(choice.missing_tokens),
+        info_.id, route_.name, configuration_->version, replica_, sends_, load_at_choice_,
+        slots_at_choice_, net::to_ms(choice.expected_wait), static_cast<int>(choice.missing_tokens),
         net::to_ms(deadline_ - now));
   }
   net::CallOptions options;
@@ -154,7 +157,7 @@
 
 bool OnlineCall::begin_stream(const net::ResponseHead& head) {
   if (!exchange_->answered()) {
-    context_.metrics.observe_first_byte(kind(), net::steady_now() - exchange_->received());
+    note_first_byte();
     net::ResponseHead passed{head.status, head.reason, head.headers};
     passed.headers.erase_connection_fields();
     exchange_->begin(std::move(passed));
@@ -243,7 +246,7 @@
   }
   net::Headers headers = head_.headers;
   headers.erase_connection_fields();
-  context_.metrics.observe_first_byte(kind(), now - exchange_->received());
+  note_first_byte();
   exchange_->respond(head_.status, std::move(headers), body_);
   finish("answered", success ? "answer complete" : "the replica's failure was passed on");
 }
@@ -385,17 +388,23 @@
   }
   finished_ = true;
   context_.metrics.count_request(kind(), outcome);
-  const bool ordinary = std::string_view(outcome) == "answered" && sends_ == 1;
+  const bool ordinary = std::string_view(outcome) == "answered" && sends_ == 1 && !late();
   if (!ordinary || is_sampled(info_.id)) {
     spdlog::info(
-        "online: {} id={} route={} version={} service={} sends={} mayHaveRun={} tookMs={} "
-        "why=\"{}\"",
-        outcome, info_.id, route_.name, configuration_->version, service_, sends_,
-        history_.runs_possible, net::to_ms(net::steady_now() - exchange_->received()), why);
+        "online: {} id={} route={} version={} service={} replica={} sends={} mayHaveRun={} "
+        "load={}/{} firstByteMs={} late={} tookMs={} why=\"{}\"",
+        outcome, info_.id, route_.name, configuration_->version, service_, last_replica_, sends_,
+        history_.runs_possible, load_at_choice_, slots_at_choice_, net::to_ms(first_byte_after_),
+        late(), net::to_ms(net::steady_now() - exchange_->received()), why);
   }
   proxy_.calls_.erase(shared_from_this());
 }
 
+void OnlineCall::note_first_byte() {
+  first_byte_after_ = net::steady_now() - exchange_->received();
+  context_.metrics.observe_first_byte(kind(), first_byte_after_);
+}
+
 const char* OnlineCall::kind() const {
   switch (route_.kind) {
     case RouteKind::kIdempotent:
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -48,6 +48,10 @@
   void expire(TimePoint now);
   void watch_silence(TimePoint now);
   const char* kind() const;
+  /// Notes that the caller gets the first byte of its answer now.
+  void note_first_byte();
+  /// @return whether the first byte came later than the route's objective.
+  bool late() const { return route_.target > Duration{} && first_byte_after_ > route_.target; }
 
   OnlineProxy& proxy_;
   GatewayContext& context_;
@@ -61,7 +65,8 @@
   std::set<std::string> excluded_;
 
   net::CallPtr call_;
-  std::string replica_;  ///< Of the attempt under way; empty between attempts.
+  std::string replica_;       ///< Of the attempt under way; empty between attempts.
+  std::string last_replica_;  ///< Of the last attempt.
   TimePoint sent_at_{};
   double prefill_tokens_ = 0;  ///< Counted at the replica until the first byte.
   bool head_seen_ = false;
@@ -73,6 +78,9 @@
   std::optional<std::uint64_t> last_event_;  ///< That the caller has.
   TimePoint last_progress_{};
   int sends_ = 0;
+  int load_at_choice_ = 0;       ///< Of the replica chosen last, without this request.
+  int slots_at_choice_ = 0;      ///< The same replica's.
+  Duration first_byte_after_{};  ///< From the arrival; zero as long as there is none.
   bool finished_ = false;
 };
 
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -1,12 +1,16 @@
 #include "dockpoint/routing/replica_selector.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 #include "dockpoint/core/hash.hpp"
 
 namespace dockpoint {
 namespace {
 
+/// Beyond this exponent softplus is the identity.
+constexpr double kLargeExponent = 40;
+
 double to_milliseconds(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -25,27 +29,94 @@
   const std::vector<PrefixStep> steps = steps_of(query.prompt);
   const auto home_keys = homes(directory_.ready(query.service), steps);
   const double prompt_tokens = steps.empty() ? 0 : steps.back().tokens;
-  std::uniform_real_distribution<double> jitter(0.0, knobs_.selection_jitter_ms);
-  Candidate best;
+  const WaterFilling filling = pour(open, query.service, now);
+  std::vector<Candidate> all;
+  for (std::size_t index = 0; index < open.size(); ++index) {
+    const Replica& replica = *open[index];
+    Candidate candidate;
+    candidate.replica = &replica;
+    candidate.expected_load = replica.load(now) + filling.poured()[index];
+    candidate.missing_tokens = prompt_tokens - cached_tokens(replica, steps, home_keys, now);
+    all.push_back(candidate);
+  }
+  Candidate* best = nullptr;
+  for (const std::size_t index : shortlist(all, prompt_tokens, filling)) {
+    Candidate& candidate = all[index];
+    candidate.wait_ms = wait_ms(*candidate.replica, candidate.expected_load, query.service);
+    candidate.cost_ms = cost_ms(candidate, now);
+    if (best == nullptr || candidate.cost_ms < best->cost_ms - knobs_.selection_margin_ms) {
+      best = &candidate;
+    }
+  }
+  history_of(query.service).sends.note(now);
+  return {best->replica,
+          std::chrono::duration_cast<Duration>(
+              std::chrono::duration<double, std::milli>(best->wait_ms)),
+          best->missing_tokens};
+}
+
+double ReplicaSelector::unseen_requests(const std::vector<const Replica*>& open,
+                                        const std::string& service, TimePoint now) const {
+  constexpr double kLeast = 0.5;
+  const double delay_ms = to_milliseconds(knobs_.load_view_delay);
+  // Two estimates of the fleet's rate: from this node's own, which follows a change at once, and
+  // from the requests in flight (Little's law), which does not depend on one node.
+  const double nodes = static_cast<double>(directory_.peers()) + 1;
+  const auto known = services_.find(service);
+  const double own = known == services_.end() ? 0 : known->second.sends.per_second(now);
+  double in_flight = 0;
   for (const Replica* replica : open) {
-    Candidate candidate{replica, 0, wait_ms(*replica, query.service, now), 0};
-    candidate.missing_tokens = prompt_tokens - cached_tokens(*replica, steps, home_keys, now);
-    const double reading =
-        replica->prefill_tokens + peer_prefill(*replica, now) + candidate.missing_tokens;
-    const int slots = std::max(1, replica->record.slots);
-    const double fill = std::min(1.0, static_cast<double>(replica->load(now)) / slots);
-    candidate.cost_ms = candidate.wait_ms + reading / knobs_.prefill_tokens_per_ms +
-                        fill * knobs_.slot_pressure_ms + jitter(random_);
-    candidate.cost_ms += replica->record.zone == zone_ ? 0 : knobs_.remote_zone_ms;
-    candidate.cost_ms += now < replica->cold_until ? knobs_.cold_replica_ms : 0;
-    if (best.replica == nullptr || candidate.cost_ms < best.cost_ms) {
-      best = candidate;
+    in_flight += replica->load(now);
+  }
+  constexpr double kMillisecondsPerSecond = 1000;
+  const double by_rate = own * nodes * delay_ms / kMillisecondsPerSecond;
+  const double by_load = in_flight * delay_ms / service_ms(service);
+  return std::max({kLeast, by_rate, by_load});
+}
+
+double ReplicaSelector::service_ms(const std::string& service) const {
+  const auto known = services_.find(service);
+  const bool learnt = known != services_.end() && known->second.service_ms > 0;
+  return learnt ? known->second.service_ms : to_milliseconds(knobs_.initial_service_time);
+}
+
+WaterFilling ReplicaSelector::pour(const std::vector<const Replica*>& open,
+                                   const std::string& service, TimePoint now) const {
+  std::vector<SlotLoad> loads;
+  for (const Replica* replica : open) {
+    loads.push_back({static_cast<double>(replica->load(now)),
+                     static_cast<double>(std::max(1, replica->record.slots))});
+  }
+  return {loads, unseen_requests(open, service, now)};
+}
+
+std::vector<std::size_t> ReplicaSelector::shortlist(const std::vector<Candidate>& all,
+                                                    double prompt_tokens,
+                                                    const WaterFilling& filling) {
+  std::vector<double> preference;
+  for (const Candidate& candidate : all) {
+    const bool own_zone = candidate.replica->record.zone == zone_;
+    preference.push_back(own_zone ? knobs_.own_zone_preference : 1.0);
+  }
+  std::vector<std::size_t> compared = filling.draw(knobs_.selection_draws, preference, random_);
+  for (std::size_t index = 0; index < all.size(); ++index) {
+    if (prompt_tokens - all[index].missing_tokens >= knobs_.affinity_tokens) {
+      compared.push_back(index);
     }
   }
-  return {
-      best.replica,
-      std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(best.wait_ms)),
-      best.missing_tokens};
+  return compared;
+}
+
+double ReplicaSelector::cost_ms(const Candidate& candidate, TimePoint now) const {
+  const Replica& replica = *candidate.replica;
+  const double reading =
+      replica.prefill_tokens + peer_prefill(replica, now) + candidate.missing_tokens;
+  const double fill = candidate.expected_load / std::max(1, replica.record.slots);
+  double cost = candidate.wait_ms + reading / knobs_.prefill_tokens_per_ms;
+  cost += std::min(1.0, fill) * knobs_.slot_pressure_ms;
+  cost += replica.record.zone == zone_ ? 0 : knobs_.remote_zone_ms;
+  cost += now < replica.cold_until ? knobs_.cold_replica_ms : 0;
+  return cost;
 }
 
 std::vector<const Replica*> ReplicaSelector::candidates(const ReplicaQuery& query,
@@ -138,17 +209,14 @@
   return std::max(0.0, replica.peer_prefill_tokens - read);
 }
 
-double ReplicaSelector::wait_ms(const Replica& replica, const std::string& service,
-                                TimePoint now) const {
+double ReplicaSelector::wait_ms(const Replica& replica, double expected_load,
+                                const std::string& service) const {
   const int slots = std::max(1, replica.record.slots);
-  const int beyond = replica.load(now) - slots + 1;
-  if (beyond <= 0) {
-    return 0;
-  }
-  const auto known = service_ms_.find(service);
-  const double service_ms =
-      known == service_ms_.end() ? to_milliseconds(knobs_.initial_service_time) : known->second;
-  return beyond * service_ms / slots;
+  // The load is an expectation: near the limit the request waits with some probability.
+  const double beyond = expected_load + 1 - slots;
+  const double spread = knobs_.load_uncertainty;
+  const double waiting = spread * std::log1p(std::exp(std::min(beyond / spread, kLargeExponent)));
+  return std::max(waiting, beyond) * service_ms(service) / slots;
 }
 
 void ReplicaSelector::note_prompt(const std::string& replica, const std::vector<PromptPart>& prompt,
@@ -192,20 +260,13 @@
 void ReplicaSelector::note_service_time(const std::string& service, Duration time) {
   constexpr double kWeight = 0.05;
   const double sample = to_milliseconds(time);
-  const auto [entry, added] = service_ms_.try_emplace(service, sample);
-  if (!added) {
-    entry->second += kWeight * (sample - entry->second);
-  }
+  double& mean = history_of(service).service_ms;
+  mean = mean <= 0 ? sample : mean + kWeight * (sample - mean);
 }
 
-double ReplicaSelector::utilization(const std::string& service, TimePoint now) const {
-  int slots = 0;
-  int load = 0;
-  for (const Replica* replica : directory_.ready(service)) {
-    slots += std::max(1, replica->record.slots);
-    load += replica->load(now);
-  }
-  return slots == 0 ? 1.0 : static_cast<double>(load) / slots;
+ReplicaSelector::ServiceHistory& ReplicaSelector::history_of(const std::string& service) {
+  return services_.try_emplace(service, ServiceHistory{0, ArrivalRate(knobs_.arrival_memory)})
+      .first->second;
 }
 
 }  // namespace dockpoint
--- /dev/null
+++ b/src/routing/water_filling.cpp
@@ -0,0 +1,66 @@
+#include "dockpoint/routing/water_filling.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <numeric>
+
+namespace dockpoint {
+
+WaterFilling::WaterFilling(std::span<const SlotLoad> replicas, double unseen)
+    : poured_(replicas.size(), 0.0) {
+  std::vector<std::size_t> by_fill(replicas.size());
+  std::iota(by_fill.begin(), by_fill.end(), std::size_t{0});
+  const auto fill = [&](std::size_t index) { return replicas[index].load / replicas[index].slots; };
+  std::sort(by_fill.begin(), by_fill.end(),
+            [&](std::size_t left, std::size_t right) { return fill(left) < fill(right); });
+  // The level rises from replica to replica until all of the water is under it.
+  double level = 0;
+  double width = 0;
+  double loaded = 0;
+  for (std::size_t rank = 0; rank < by_fill.size(); ++rank) {
+    const SlotLoad& replica = replicas[by_fill[rank]];
+    if (rank > 0 && level <= fill(by_fill[rank])) {
+      break;
+    }
+    width += replica.slots;
+    loaded += replica.load;
+    level = (unseen + loaded) / width;
+  }
+  for (std::size_t index = 0; index < replicas.size(); ++index) {
+    poured_[index] = std::max(0.0, level * replicas[index].slots - replicas[index].load);
+  }
+}
+
+std::vector<std::size_t> WaterFilling::draw(std::size_t count, std::span<const double> preference,
+                                            std::mt19937_64& random) const {
+  std::vector<double> chances(poured_.size());
+  std::transform(poured_.begin(), poured_.end(), preference.begin(), chances.begin(),
+                 std::multiplies<>());
+  const auto wet = static_cast<std::size_t>(
+      std::count_if(chances.begin(), chances.end(), [](double chance) { return chance > 0; }));
+  std::vector<std::size_t> drawn;
+  while (drawn.size() < std::min(count, wet)) {
+    std::discrete_distribution<std::size_t> by_chance(chances.begin(), chances.end());
+    const std::size_t index = by_chance(random);
+    chances[index] = 0;
+    drawn.push_back(index);
+  }
+  return drawn;
+}
+
+double ArrivalRate::decayed(TimePoint now) const {
+  const std::chrono::duration<double> age = std::max(now - last_, Duration{});
+  return count_ * std::exp(-age.count() / std::chrono::duration<double>(memory_).count());
+}
+
+void ArrivalRate::note(TimePoint now) {
+  count_ = decayed(now) + 1;
+  last_ = now;
+}
+
+double ArrivalRate::per_second(TimePoint now) const {
+  return decayed(now) / std::chrono::duration<double>(memory_).count();
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/tests/routing/water_filling_test.cpp
@@ -0,0 +1,89 @@
+#include "dockpoint/routing/water_filling.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <numeric>
+
+#include "support/fleet.hpp"
+
+using namespace dockpoint;
+using dockpoint::test::at;
+
+namespace {
+
+double sum(const std::vector<double>& values) {
+  return std::accumulate(values.begin(), values.end(), 0.0);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(water_filling)
+
+BOOST_AUTO_TEST_CASE(few_unseen_requests_are_expected_at_the_least_loaded_replicas) {
+  const std::array<SlotLoad, 3> replicas{{{1, 8}, {3, 8}, {6, 8}}};
+  const WaterFilling filling(replicas, 2);
+  BOOST_TEST(filling.poured()[0] == 2.0, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(filling.poured()[1] == 0.0);
+  BOOST_TEST(filling.poured()[2] == 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(many_unseen_requests_raise_all_replicas_to_one_level) {
+  const std::array<SlotLoad, 3> replicas{{{1, 8}, {3, 8}, {6, 8}}};
+  const WaterFilling filling(replicas, 11);
+  BOOST_TEST(filling.poured()[0] == 6.0, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(filling.poured()[1] == 4.0, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(filling.poured()[2] == 1.0, boost::test_tools::tolerance(1e-9));
+}
+
+BOOST_AUTO_TEST_CASE(replicas_of_unequal_size_are_filled_alike) {
+  const std::array<SlotLoad, 2> replicas{{{0, 4}, {0, 12}}};
+  const WaterFilling filling(replicas, 8);
+  BOOST_TEST(filling.poured()[0] == 2.0, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(filling.poured()[1] == 6.0, boost::test_tools::tolerance(1e-9));
+}
+
+BOOST_AUTO_TEST_CASE(all_water_stands_somewhere_and_draws_follow_it) {
+  std::mt19937_64 random(7);
+  std::uniform_real_distribution<double> load(0, 12);
+  for (int round = 0; round < 200; ++round) {
+    std::vector<SlotLoad> replicas;
+    for (int index = 0; index < 1 + round % 9; ++index) {
+      replicas.push_back({load(random), 1.0 + index});
+    }
+    const double unseen = 0.1 + load(random);
+    const WaterFilling filling(replicas, unseen);
+    BOOST_TEST(sum(filling.poured()) == unseen, boost::test_tools::tolerance(1e-6));
+    const std::vector<double> preference(replicas.size(), 1.0);
+    for (const std::size_t index : filling.draw(3, preference, random)) {
+      BOOST_TEST(filling.poured()[index] > 0);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(preferred_replicas_are_drawn_more_often_and_none_twice) {
+  const std::array<SlotLoad, 3> replicas{{{0, 8}, {0, 8}, {9, 8}}};
+  const WaterFilling filling(replicas, 2);
+  const std::array<double, 3> preference{3, 1, 100};
+  std::mt19937_64 random(3);
+  int first = 0;
+  for (int round = 0; round < 1'000; ++round) {
+    first += filling.draw(1, preference, random).front() == 0 ? 1 : 0;
+  }
+  BOOST_TEST(first > 700);
+  BOOST_TEST(first < 800);
+  std::vector<std::size_t> all = filling.draw(3, preference, random);
+  std::sort(all.begin(), all.end());
+  BOOST_TEST(all == (std::vector<std::size_t>{0, 1}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_rate_follows_arrivals_and_forgets_them) {
+  ArrivalRate rate(std::chrono::milliseconds(500));
+  for (int arrival = 0; arrival < 200; ++arrival) {
+    rate.note(at(arrival * 20));
+  }
+  BOOST_TEST(rate.per_second(at(199 * 20)) == 50.0, boost::test_tools::tolerance(0.05));
+  BOOST_TEST(rate.per_second(at(199 * 20 + 3'000)) < 1.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
