Bound what relays pass on: heartbeats always, load digests in turn

A relay passed every digest of its zone on whole, five times a second, with name and address in each. Sums a replica: larger than the digests themselves where replicas outnumber a node's requests (3,000 replicas: 24 kB a round against 20 kB computed). Subsets of replicas a node: fewer connections too, but another routing; left for later. A longer interval: heartbeats come with digests. DigestCollector names every node heard (five bytes each) and adds digests as far as one datagram of 1,200 bytes goes, those first that have waited longest. Digests carry a 32-bit key instead of name and address. A load counts as long as its node gives signs of life, and the choice of a replica counts on the mean age of what it knows. Loads are summed once a datagram, not once a digest.

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -68,8 +68,9 @@
       3;  ///< A repeatable request moves on after so many objectives without a byte.
   Duration replica_ejection_time = 500ms;  ///< Doubled at every further ejection.
   Duration replica_ejection_time_limit = 8s;
-  Duration load_digest_lifetime = 1500ms;    ///< A digest of another node counts for this long.
-  Duration replica_digest_interval = 200ms;  ///< Between a node's digests, up to 20 nodes.
+  Duration load_digest_lifetime = 1500ms;    ///< Without a sign of life a digest counts this long.
+  Duration replica_digest_interval = 200ms;  ///< Between a node's digests.
+  std::size_t relay_datagram_bytes = 1200;   ///< That a relay sends a node an interval.
   double prefill_tokens_per_ms = 60;         ///< Assumed speed at which a replica reads prompts.
   double announced_prefill_tokens = 3000;  ///< A longer prompt is told to the other nodes at once.
   double slot_pressure_ms = 10;            ///< Cost of a replica that is just full.
@@ -78,7 +79,7 @@
   double own_zone_preference = 3.0;   ///< How much likelier a replica of the own zone is drawn.
   double affinity_tokens = 1000;      ///< A replica that holds so much of a prompt is compared.
   double load_uncertainty = 1.0;      ///< Spread of the real load around the expected one.
-  Duration load_view_delay = 300ms;   ///< Until the load of other nodes is known.
+  Duration load_view_delay = 150ms;   ///< Until a change of load is in a digest and here.
   Duration arrival_memory = 500ms;    ///< Over which a node's sends make its rate.
   double remote_zone_ms = 3.0;        ///< Cost of a replica in another zone.
   double cold_replica_ms = 50;        ///< Cost of a replica that has just started.
--- a/include/dockpoint/routing/load_digest.hpp
+++ b/include/dockpoint/routing/load_digest.hpp
@@ -16,14 +16,17 @@
   std::uint32_t batch = 0;           ///< Items among those in flight.
 };
 
-/// What a node tells every other a few times a second: its load on the replicas, and how much of
+/// @return the number that stands for a node in digests. Two nodes of a large fleet may share one
+/// (once in 50,000 fleets of 400 nodes): the last of them that is heard then counts for both.
+std::uint32_t node_key(std::string_view node);
+
+/// What a node tells the others a few times a second: its load on the replicas, and how much of
 /// the fleet it knows. It is a heartbeat too.
 struct LoadDigest {
-  std::string node;
+  std::uint32_t node = 0;  ///< See `node_key`.
   std::uint64_t configuration_version = 0;
   std::uint64_t fleet_position = 0;  ///< Up to which it has read the replicas' records.
   bool log_reachable = false;        ///< The node holds a valid lease in the log.
-  std::string control_address;       ///< `IP:port` where it can be asked for what it knows.
   std::vector<LoadDigestEntry> entries;
 };
 
@@ -36,15 +39,25 @@
 /// @return the digest, or nothing if the bytes are malformed.
 std::optional<LoadDigest> decode_load_digest(std::string_view bytes);
 
-/// Digests of several nodes, as a relay passes them on.
+/// What a relay has heard in one interval: a heartbeat of each node, and digests as far as they
+/// fit.
 struct LoadCollection {
-  std::string zone;                  ///< Of the relay that has collected them.
-  bool passed_on = false;            ///< By a relay of the receiver's zone; it goes no further.
-  std::vector<std::string> digests;  ///< Encoded, one a node.
+  std::string zone;        ///< Of the relay that has collected it.
+  bool passed_on = false;  ///< By a relay of the receiver's zone; it goes no further.
+  std::vector<std::uint32_t> reaching_log;  ///< Nodes heard that reach the log.
+  std::vector<std::uint32_t> cut_off;       ///< Nodes heard that do not.
+  std::vector<std::string> digests;         ///< Encoded, at most one a node.
+
+  bool empty() const { return reaching_log.empty() && cut_off.empty() && digests.empty(); }
 };
 
-/// @return datagrams of at most `maximum_bytes` that together hold the collection.
-std::vector<std::string> encode(const LoadCollection& collection, std::size_t maximum_bytes);
+/// Most bytes that a collection takes beyond its digests' own, with so many nodes heard.
+std::size_t collection_overhead(const std::string& zone, std::size_t nodes_heard);
+/// Most bytes that a digest takes in a collection beyond its own.
+inline constexpr std::size_t kDigestOverhead = 5;
+
+/// @return the bytes of a collection.
+std::string encode(const LoadCollection& collection);
 
 /// @return whether the bytes are meant as a collection.
 bool is_load_collection(std::string_view bytes);
--- a/include/dockpoint/routing/replica_directory.hpp
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -91,11 +91,14 @@
   void signal(const std::string& id, ReplicaSignal signal, TimePoint now);
   void report(const std::string& id, const ReportedLoad& load, TimePoint now);
 
-  /// Takes the digest of another node in place of its last one.
-  void set_peer_load(const std::string& node, const std::vector<LoadDigestEntry>& entries,
-                     TimePoint now);
-  /// Forgets digests that were not renewed.
+  /// Takes digests of other nodes in place of their last ones.
+  void set_peer_loads(const std::vector<LoadDigest>& digests, TimePoint now);
+  /// A peer gave a sign of life: its last digest goes on to count.
+  void renew_peer(std::uint32_t node, TimePoint now);
+  /// Forgets digests of peers that give no sign of life.
   void expire_peer_loads(TimePoint now);
+  /// @return mean age of the digests that count; zero if there are none.
+  Duration mean_peer_age(TimePoint now) const;
   /// @return nodes whose digests count.
   std::size_t peers() const { return peers_.size(); }
   /// @return this node's requests in flight, replicas without any left out.
@@ -114,6 +117,7 @@
   struct PeerLoad {
     std::vector<LoadDigestEntry> entries;
     TimePoint received{};
+    TimePoint heard{};  ///< Last sign of life.
   };
 
   Replica* mutable_find(const std::string& id);
@@ -122,7 +126,7 @@
 
   const Knobs& knobs_;
   std::map<std::string, Replica> replicas_;
-  std::map<std::string, PeerLoad> peers_;
+  std::unordered_map<std::uint32_t, PeerLoad> peers_;  ///< By node_key.
   std::uint64_t revision_ = 1;
 };
 
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -13,9 +13,6 @@
 using boost::asio::ip::udp;
 using ErrorCode = boost::system::error_code;
 
-/// Most digests that a relay keeps until it sends them; more are dropped.
-constexpr std::size_t kCollectedDigests = 512;
-
 /// A gap between two rounds beyond this means that the process was paused.
 constexpr Duration kOwnPause = std::chrono::milliseconds(400);
 
@@ -40,7 +37,9 @@
       addresses_(addresses),
       membership_(context.knobs, self_member(context, addresses, zone, run), run, *this),
       relay_(context.node, zone),
-      collected_{zone, false, {}},
+      zone_(zone),
+      collector_(zone),
+      own_key_(node_key(context.node)),
       on_peer_ahead_(std::move(on_peer_ahead)),
       socket_(context.loop) {}
 
@@ -100,29 +99,29 @@
   // In a small fleet a silent member is told too: it may hear, though it is not heard.
   const std::vector<const Member*> alive = membership_.alive();
   relay_.set_members(alive.size() <= LoadRelay::kDirectNodes ? alive : members_heard(now));
-  const std::string bytes =
-      encode(LoadDigest{context_.node, configuration_version_, fleet_position_, log_reachable_,
-                        addresses_.control, context_.replicas.own_load()});
+  const std::string bytes = encode(LoadDigest{own_key_, configuration_version_, fleet_position_,
+                                              log_reachable_, context_.replicas.own_load()});
   const std::vector<std::string> recipients = relay_.next_digest_recipients();
   for (const std::string& address : recipients) {
     send_bytes(address, bytes);
   }
   if (recipients.empty() && relay_.relays()) {
-    collected_.digests.push_back(bytes);
+    collector_.add(own_key_, log_reachable_, bytes);
   }
 }
 
 void PeerLink::send_collection(TimePoint now) {
   next_collection_ = now + context_.knobs.replica_digest_interval;
-  const std::vector<std::string> datagrams = encode(collected_, kMaximumDatagramBytes);
-  collected_.digests.clear();
-  if (datagrams.empty()) {
+  if (relay_.direct()) {
+    return;
+  }
+  const LoadCollection collection = collector_.next(context_.knobs.relay_datagram_bytes);
+  if (collection.empty()) {
     return;
   }
+  const std::string bytes = encode(collection);
   for (const std::string& address : relay_.next_collection_recipients()) {
-    for (const std::string& bytes : datagrams) {
-      send_bytes(address, bytes);
-    }
+    send_bytes(address, bytes);
   }
 }
 
@@ -131,24 +130,36 @@
   if (!collection) {
     return;
   }
-  if (collection->zone != collected_.zone && !collection->passed_on) {
+  if (collection->zone != zone_ && !collection->passed_on) {
     // Whoever sent it took this node for a relay, whatever this node thinks itself.
     collection->passed_on = true;
-    for (const std::string& passed_on : encode(*collection, kMaximumDatagramBytes)) {
-      for (const std::string& address : relay_.zone_recipients()) {
-        send_bytes(address, passed_on);
-      }
+    const std::string passed_on = encode(*collection);
+    for (const std::string& address : relay_.zone_recipients()) {
+      send_bytes(address, passed_on);
     }
   }
+  for (const std::uint32_t node : collection->reaching_log) {
+    take_heartbeat(node, true, now);
+  }
+  for (const std::uint32_t node : collection->cut_off) {
+    take_heartbeat(node, false, now);
+  }
+  std::vector<LoadDigest> digests;
   for (const std::string& digest : collection->digests) {
-    take_encoded_digest(digest, now);
+    if (auto decoded = decode_load_digest(digest)) {
+      digests.push_back(std::move(*decoded));
+    }
   }
+  take_digests(std::move(digests), now);
 }
 
-void PeerLink::take_encoded_digest(const std::string& bytes, TimePoint now) {
-  if (const auto digest = decode_load_digest(bytes)) {
-    take_digest(*digest, now);
+void PeerLink::take_heartbeat(std::uint32_t node, bool log_reachable, TimePoint now) {
+  if (node == own_key_) {
+    return;
   }
+  last_heard_[node] = now;
+  reaches_log_[node] = log_reachable;
+  context_.replicas.renew_peer(node, now);
 }
 
 void PeerLink::announce_load() {
@@ -167,7 +178,7 @@
   if (member.id == context_.node) {
     return false;
   }
-  const auto heard = last_heard_.find(member.id);
+  const auto heard = last_heard_.find(node_key(member.id));
   const TimePoint since = heard == last_heard_.end()
                               ? silence_counts_from_
                               : std::max(heard->second, silence_counts_from_);
@@ -191,7 +202,7 @@
 bool PeerLink::some_peer_reaches_log() const {
   const std::vector<const Member*> alive = membership_.alive();
   return std::any_of(alive.begin(), alive.end(), [&](const Member* member) {
-    const auto told = reaches_log_.find(member->id);
+    const auto told = reaches_log_.find(node_key(member->id));
     return told != reaches_log_.end() && told->second;
   });
 }
@@ -241,29 +252,44 @@
     return;
   }
   if (is_load_digest(bytes)) {
-    take_encoded_digest(std::string(bytes), now);
-    if (!relay_.direct() && collected_.digests.size() < kCollectedDigests) {
-      collected_.digests.emplace_back(bytes);
+    auto digest = decode_load_digest(bytes);
+    if (!digest) {
+      return;
+    }
+    if (!relay_.direct()) {
+      collector_.add(digest->node, digest->log_reachable, std::string(bytes));
     }
+    take_digests({std::move(*digest)}, now);
     return;
   }
   const auto message = decode_peer_message(bytes);
   if (!message) {
     return;
   }
-  last_heard_[message->sender.id] = now;
+  last_heard_[node_key(message->sender.id)] = now;
   membership_.receive(*message, now);
   note_knowledge(message->configuration_revision, 0, message->sender.control_address, now);
 }
 
-void PeerLink::take_digest(const LoadDigest& digest, TimePoint now) {
-  if (digest.node == context_.node) {
-    return;
+void PeerLink::take_digests(std::vector<LoadDigest> digests, TimePoint now) {
+  std::erase_if(digests, [&](const LoadDigest& digest) { return digest.node == own_key_; });
+  for (const LoadDigest& digest : digests) {
+    take_heartbeat(digest.node, digest.log_reachable, now);
+    if (digest.configuration_version > configuration_version_ ||
+        digest.fleet_position > fleet_position_) {
+      note_knowledge(digest.configuration_version, digest.fleet_position,
+                     control_address_of(digest.node), now);
+    }
   }
-  last_heard_[digest.node] = now;
-  reaches_log_[digest.node] = digest.log_reachable;
-  context_.replicas.set_peer_load(digest.node, digest.entries, now);
-  note_knowledge(digest.configuration_version, digest.fleet_position, digest.control_address, now);
+  context_.replicas.set_peer_loads(digests, now);
+}
+
+std::string PeerLink::control_address_of(std::uint32_t node) const {
+  const std::vector<const Member*> members = membership_.alive();
+  const auto member = std::find_if(members.begin(), members.end(), [&](const Member* candidate) {
+    return node_key(candidate->id) == node;
+  });
+  return member == members.end() ? std::string{} : (*member)->control_address;
 }
 
 void PeerLink::note_knowledge(std::uint64_t version, std::uint64_t position,
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -4,11 +4,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
-#include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
+#include "dockpoint/membership/digest_collector.hpp"
 #include "dockpoint/membership/load_relay.hpp"
 #include "dockpoint/membership/membership.hpp"
 #include "gateway/gateway_context.hpp"
@@ -67,20 +68,24 @@
   /// Asks a peer that knows more of the fleet than this node.
   void note_knowledge(std::uint64_t version, std::uint64_t position,
                       const std::string& control_address, TimePoint now);
-  void take_digest(const LoadDigest& digest, TimePoint now);
+  void take_heartbeat(std::uint32_t node, bool log_reachable, TimePoint now);
+  void take_digests(std::vector<LoadDigest> digests, TimePoint now);
+  /// @return where the node takes calls of other nodes; empty if it is not known.
+  std::string control_address_of(std::uint32_t node) const;
   void send_digest(TimePoint now);
   /// As a relay, sends what was collected.
   void send_collection(TimePoint now);
   /// @param bytes as received, to be passed on.
   void take_collection(std::string_view bytes, TimePoint now);
-  void take_encoded_digest(const std::string& digest, TimePoint now);
   std::vector<const Member*> members_heard(TimePoint now) const;
 
   GatewayContext& context_;
   const PeerAddresses addresses_;
   Membership membership_;
   LoadRelay relay_;
-  LoadCollection collected_;  ///< Since this relay last sent, of its zone.
+  const std::string zone_;
+  DigestCollector collector_;  ///< Of this node's zone, if it is a relay.
+  const std::uint32_t own_key_;
   PeerAhead on_peer_ahead_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
@@ -91,8 +96,8 @@
   TimePoint next_digest_{};
   TimePoint next_collection_{};
   TimePoint last_digest_{};
-  std::map<std::string, TimePoint> last_heard_;  ///< Of any datagram, a node each.
-  std::map<std::string, bool> reaches_log_;      ///< As digests last said, a node each.
+  std::unordered_map<std::uint32_t, TimePoint> last_heard_;  ///< By node_key, of any sign of life.
+  std::unordered_map<std::uint32_t, bool> reaches_log_;      ///< By node_key, as it last said.
   bool log_reachable_ = false;
   TimePoint last_tick_{};
   TimePoint silence_counts_from_{};
--- a/src/routing/replica_directory.cpp
+++ b/src/routing/replica_directory.cpp
@@ -108,20 +108,37 @@
   }
 }
 
-void ReplicaDirectory::set_peer_load(const std::string& node,
-                                     const std::vector<LoadDigestEntry>& entries, TimePoint now) {
-  peers_[node] = {entries, now};
-  sum_peer_loads(now);
+void ReplicaDirectory::set_peer_loads(const std::vector<LoadDigest>& digests, TimePoint now) {
+  for (const LoadDigest& digest : digests) {
+    peers_[digest.node] = {digest.entries, now, now};
+  }
+  if (!digests.empty()) {
+    sum_peer_loads(now);
+  }
+}
+
+void ReplicaDirectory::renew_peer(std::uint32_t node, TimePoint now) {
+  if (const auto peer = peers_.find(node); peer != peers_.end()) {
+    peer->second.heard = now;
+  }
 }
 
 void ReplicaDirectory::expire_peer_loads(TimePoint now) {
   const Duration limit = knobs_.load_digest_lifetime;
-  if (std::erase_if(peers_,
-                    [&](const auto& entry) { return now - entry.second.received > limit; }) > 0) {
+  const auto expired = [&](const auto& entry) { return now - entry.second.heard > limit; };
+  if (std::erase_if(peers_, expired) > 0) {
     sum_peer_loads(now);
   }
 }
 
+Duration ReplicaDirectory::mean_peer_age(TimePoint now) const {
+  Duration sum{};
+  for (const auto& [node, peer] : peers_) {
+    sum += now - peer.received;
+  }
+  return peers_.empty() ? Duration{} : sum / static_cast<int>(peers_.size());
+}
+
 void ReplicaDirectory::sum_peer_loads(TimePoint now) {
   struct Sum {
     std::uint32_t in_flight = 0;
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -58,7 +58,7 @@
 double ReplicaSelector::unseen_requests(const std::vector<const Replica*>& open,
                                         const std::string& service, TimePoint now) const {
   constexpr double kLeast = 0.5;
-  const double delay_ms = to_milliseconds(knobs_.load_view_delay);
+  const double delay_ms = to_milliseconds(knobs_.load_view_delay + directory_.mean_peer_age(now));
   // Two estimates of the fleet's rate: from this node's own, which follows a change at once, and
   // from the requests in flight (Little's law), which does not depend on one node.
   const double nodes = static_cast<double>(directory_.peers()) + 1;
