--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -177,6 +177,10 @@
   return state;
 }
 
+FleetKnowledge FleetWatch::knowledge() const {
+  return {context_.configuration->version, replicas_known_, replicas_position()};
+}
+
 void FleetWatch::take(const FleetState& state, const std::string& peer) {
   if (state.version > context_.configuration->version) {
     take_configuration(state.configuration, peer);
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -8,6 +8,7 @@
 
 #include "dockpoint/core/codec.hpp"
 #include "dockpoint/log/keyed_watch.hpp"
+#include "gateway/fleet_state.hpp"
 #include "gateway/gateway_context.hpp"
 
 /// What a node knows of the fleet from outside: the operator's routes and the replicas' records.
@@ -35,24 +36,6 @@
                                              const std::string& value) const = 0;
 };
 
-/// A replica's record as it lies in the log.
-struct StoredReplica {
-  std::string id;
-  std::string value;
-  DOCKPOINT_FIELDS(id, value)
-};
-
-/// What one node tells another on its start.
-struct FleetState {
-  std::uint64_t version = 0;  ///< Of the configuration; 0: none.
-  std::string configuration;  ///< The record's value.
-  bool replicas_known = false;
-  LogOffset replicas_position = 0;  ///< Offset up to which the replicas' records were read.
-  std::vector<StoredReplica> replicas;
-  std::map<int, std::string> owners;  ///< Control addresses of the owners of partitions.
-  DOCKPOINT_FIELDS(version, configuration, replicas_known, replicas_position, replicas, owners)
-};
-
 /// See the top of this file. Single-threaded; borrows context, log and reader.
 class FleetWatch {
  public:
@@ -67,6 +50,8 @@
 
   /// @return what this node knows, for a peer; owners are left empty.
   FleetState state() const;
+  /// @return how far this node's knowledge of the fleet reaches.
+  FleetKnowledge knowledge() const;
   /// Takes what a peer knows.
   void take(const FleetState& state, const std::string& peer);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -36,9 +36,6 @@
 constexpr Duration kPeerQuestionInterval = std::chrono::milliseconds(400);
 constexpr Duration kPeerQuestionTimeout = std::chrono::milliseconds(700);
 
-/// Path of the question that nodes ask each other.
-constexpr const char* kStatePath = "/dockpoint/state";
-
 std::uint64_t start_number() {
   return static_cast<std::uint64_t>(net::unix_now_ms());
 }
@@ -223,9 +220,10 @@
     batch_.handle(exchange, *call, true);
     return;
   }
-  if (net::Target::parse(exchange->request().target).path == kStatePath) {
+  if (net::Target::parse(exchange->request().target).path == kFleetStatePath) {
     FleetState state = fleet_.state();
     state.owners = batch_.owner_addresses();
+    leave_out_known(state, asker_knowledge(exchange->request().target));
     exchange->respond(200, {{"Content-Type", "application/msgpack"}}, pack(state));
     return;
   }
@@ -257,7 +255,8 @@
     return;
   }
   asking_peer_ = true;
-  const net::RequestHead head{"GET", kStatePath, {{"Host", control_address}}};
+  const net::RequestHead head{
+      "GET", fleet_state_target(fleet_.knowledge()), {{"Host", control_address}}};
   net::SimpleCall::start(
       context_.client, loop_, {*address, "control"}, net::serialize(head), {}, kPeerQuestionTimeout,
       [this, alive = alive_, control_address](const net::SimpleCall::Outcome& outcome) {
@@ -269,6 +268,10 @@
           return;
         }
         if (const auto state = unpack<FleetState>(outcome.body)) {
+          spdlog::info(
+              "fleet: peer answered peer={} bytes={} version={} position={} ownPosition={}",
+              control_address, outcome.body.size(), state->version, state->replicas_position,
+              fleet_.replicas_position());
           fleet_.take(*state, control_address);
           batch_.suggest_owners(state->owners);
         }
--- /dev/null
+++ b/tests/gateway/fleet_state_test.cpp
@@ -0,0 +1,52 @@
+#include "gateway/fleet_state.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace dockpoint;
+
+namespace {
+
+FleetState whole_state() {
+  return {7, "routes", true, 40, {{"r1", "a"}, {"r2", "b"}}, {{0, "10.0.0.1:80"}}};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(fleet_state)
+
+BOOST_AUTO_TEST_CASE(a_question_tells_what_is_known) {
+  const FleetKnowledge told = asker_knowledge(fleet_state_target({12, true, 345}));
+  BOOST_TEST(told.version == 12U);
+  BOOST_TEST(told.replicas_known);
+  BOOST_TEST(told.replicas_position == 345U);
+  BOOST_TEST(!asker_knowledge(fleet_state_target({12, false, 345})).replicas_known);
+}
+
+BOOST_AUTO_TEST_CASE(a_question_without_numbers_or_with_bad_ones_gets_everything) {
+  for (const char* target :
+       {"/dockpoint/state", "/dockpoint/state?version=x", "/dockpoint/state?"}) {
+    FleetState state = whole_state();
+    leave_out_known(state, asker_knowledge(target));
+    BOOST_TEST(state.configuration == "routes");
+    BOOST_TEST(state.replicas.size() == 2U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_newer_configuration_comes_without_the_replicas_that_are_known) {
+  FleetState state = whole_state();
+  leave_out_known(state, {6, true, 40});
+  BOOST_TEST(state.configuration == "routes");
+  BOOST_TEST(!state.replicas_known);
+  BOOST_TEST(state.replicas.empty());
+  BOOST_TEST(state.owners.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(replicas_of_a_later_position_come_whole) {
+  FleetState state = whole_state();
+  leave_out_known(state, {7, true, 39});
+  BOOST_TEST(state.configuration.empty());
+  BOOST_TEST(state.replicas_known);
+  BOOST_TEST(state.replicas.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
