--- a/include/dockpoint/routing/replica_directory.hpp
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -70,6 +70,7 @@
   TimePoint ejected_until{};
   DecayingCount own_failures{Duration{1}};  ///< That this node saw.
   double failures_of_peers = 0;             ///< That other nodes saw, by their digests.
+  bool outlier = false;                     ///< It fails far more often than the others.
 
   /// @return failures lately, of all nodes.
   double failures(TimePoint now) const { return own_failures.value(now) + failures_of_peers; }
@@ -103,6 +104,10 @@
   void set_peer_loads(const std::vector<LoadDigest>& digests, TimePoint now);
   /// A peer gave a sign of life: its last digest goes on to count.
   void renew_peer(std::uint32_t node, TimePoint now);
+  /// Finds the replicas that fail far more often than the others of their service. Call it several
+  /// times a second.
+  /// @return replicas that have become outliers, or are none any more.
+  std::vector<const Replica*> update_outliers(TimePoint now);
   /// Forgets digests of peers that give no sign of life.
   void expire_peer_loads(TimePoint now);
   /// @return mean age of the digests that count; zero if there are none.
--- a/include/dockpoint/routing/replica_selector.hpp
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -84,9 +84,6 @@
   };
 
   std::vector<const Replica*> candidates(const ReplicaQuery& query, TimePoint now) const;
-  /// @return the replicas that do not fail far more often than the others.
-  std::vector<const Replica*> without_outliers(const std::vector<const Replica*>& ready,
-                                               TimePoint now) const;
   std::vector<PrefixStep> steps_of(const std::vector<PromptPart>& prompt) const;
   /// @return keys of the first and second home of the query's shared parts.
   std::pair<std::uint32_t, std::uint32_t> homes(const std::vector<const Replica*>& all,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -125,6 +125,7 @@
   peers_.set_pending_items(batch_.pending_items());
   peers_.set_log_reachable(batch_.lease_valid(now));
   peers_.tick(now);
+  note_outliers(now);
   batch_.set_peers_reach_log(peers_.some_peer_reaches_log());
   batch_.set_busy_nodes(peers_.busy_nodes());
   batch_.tick(now);
@@ -148,6 +149,14 @@
   }
 }
 
+void Gateway::note_outliers(TimePoint now) {
+  for (const Replica* replica : replicas_.update_outliers(now)) {
+    spdlog::info("fleet: replica {} replica={} service={} failures={:.1f} ownFailures={:.1f}",
+                 replica->outlier ? "left out" : "taken back", replica->record.id,
+                 replica->record.service, replica->failures(now), replica->own_failures.value(now));
+  }
+}
+
 void Gateway::apply_configuration() {
   const IngressLimits& limits = context_.configuration->limits;
   frontend_.set_limits(
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -59,6 +59,8 @@
   void tick();
   void tick_stop(TimePoint now);
   void apply_configuration();
+  /// Finds replicas that fail far more often than others, and logs what has changed.
+  void note_outliers(TimePoint now);
   void serve_frontend(const net::ExchangePtr& exchange);
   void serve_readiness(const net::ExchangePtr& exchange);
   void serve_resolver(const net::ExchangePtr& exchange);
--- a/src/routing/replica_directory.cpp
+++ b/src/routing/replica_directory.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "dockpoint/core/hash.hpp"
+#include "dockpoint/routing/outlier_detection.hpp"
 
 namespace dockpoint {
 namespace {
@@ -129,6 +130,28 @@
   }
 }
 
+std::vector<const Replica*> ReplicaDirectory::update_outliers(TimePoint now) {
+  std::map<std::string, std::vector<Replica*>> services;
+  for (auto& [id, replica] : replicas_) {
+    services[replica.record.service].push_back(&replica);
+  }
+  std::vector<const Replica*> changed;
+  for (const auto& [service, replicas] : services) {
+    std::vector<double> failures;
+    for (const Replica* replica : replicas) {
+      failures.push_back(replica->failures(now));
+    }
+    const std::vector<bool> outliers = find_outliers(failures, knobs_);
+    for (std::size_t index = 0; index < replicas.size(); ++index) {
+      if (replicas[index]->outlier != outliers[index]) {
+        replicas[index]->outlier = outliers[index];
+        changed.push_back(replicas[index]);
+      }
+    }
+  }
+  return changed;
+}
+
 void ReplicaDirectory::expire_peer_loads(TimePoint now) {
   const Duration limit = knobs_.load_digest_lifetime;
   const auto expired = [&](const auto& entry) { return now - entry.second.heard > limit; };
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -4,7 +4,6 @@
 #include <cmath>
 
 #include "dockpoint/core/hash.hpp"
-#include "dockpoint/routing/outlier_detection.hpp"
 
 namespace dockpoint {
 namespace {
@@ -122,13 +121,13 @@
 
 std::vector<const Replica*> ReplicaSelector::candidates(const ReplicaQuery& query,
                                                         TimePoint now) const {
-  std::vector<const Replica*> ready = without_outliers(directory_.ready(query.service), now);
+  std::vector<const Replica*> ready = directory_.ready(query.service);
   std::erase_if(
       ready, [&](const Replica* replica) { return query.excluded.contains(replica->record.id); });
   std::vector<const Replica*> open;
   for (const Replica* replica : ready) {
     const bool trial_taken = replica->on_trial() && replica->online + replica->batch > 0;
-    if (directory_.ejected(*replica, now) || trial_taken) {
+    if (directory_.ejected(*replica, now) || replica->outlier || trial_taken) {
       continue;
     }
     const double limit = knobs_.batch_fill * std::max(1, replica->record.slots);
@@ -143,22 +142,6 @@
   return open;
 }
 
-std::vector<const Replica*> ReplicaSelector::without_outliers(
-    const std::vector<const Replica*>& ready, TimePoint now) const {
-  std::vector<double> failures;
-  for (const Replica* replica : ready) {
-    failures.push_back(replica->failures(now));
-  }
-  const std::vector<bool> outliers = find_outliers(failures, knobs_);
-  std::vector<const Replica*> kept;
-  for (std::size_t index = 0; index < ready.size(); ++index) {
-    if (!outliers[index]) {
-      kept.push_back(ready[index]);
-    }
-  }
-  return kept;
-}
-
 std::vector<ReplicaSelector::PrefixStep> ReplicaSelector::steps_of(
     const std::vector<PromptPart>& prompt) const {
   std::vector<PrefixStep> steps;
--- a/tests/routing/replica_selector_test.cpp
+++ b/tests/routing/replica_selector_test.cpp
@@ -157,6 +157,7 @@
     digests.push_back({node_key("n" + std::to_string(node)), 0, 0, false, {{failing, 0, 0, 0, 1}}});
   }
   directory.set_peer_loads(digests, at(0));
+  BOOST_TEST(directory.update_outliers(at(0)).size() == 1U);
   for (int request = 0; request < 40; ++request) {
     BOOST_TEST(selector.choose(query(100), at(request)).replica->record.id != "r3");
   }
@@ -164,6 +165,7 @@
     digest.entries.clear();
   }
   directory.set_peer_loads(digests, at(10'000));
+  BOOST_TEST(directory.update_outliers(at(10'000)).size() == 1U);
   std::set<std::string> chosen;
   for (int request = 0; request < 40; ++request) {
     const ReplicaQuery any{"lm", TrafficClass::kOnline, {}, {}};
