--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -172,7 +172,7 @@
   const PartitionOwner* owner = owner_of(partition);
   const TimePoint now = net::steady_now();
   if (owner != nullptr && may_answer(now)) {
-    read({exchange, call, now + std::max(call.wait, kLoadWait), !owner->active()});
+    read({exchange, call, now + std::max(call.wait, kLoadWait)});
   } else if (owner == nullptr && !forwarded) {
     forward(exchange, call, partition);
   } else {
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -63,7 +63,6 @@
     net::ExchangePtr exchange;
     JobCall call;
     TimePoint deadline{};
-    bool for_partition = false;  ///< It waits for the partition to be loaded first.
   };
   struct Submission;
 
--- a/tests/platform/online_proxy_test.cpp
+++ b/tests/platform/online_proxy_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "net/clock.hpp"
 #include "platform/stand_ins.hpp"
 
 using namespace dockpoint;
@@ -202,6 +203,47 @@
   BOOST_TEST(world.in_flight() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_silent_replica_is_noted_once_though_the_request_may_not_move_on) {
+  ProxyWorld world(kFrontPort);
+  world.knobs().silence_minimum = std::chrono::milliseconds(30);
+  RouteConfig& route = world.route();
+  route.kind = RouteKind::kNonIdempotent;
+  route.target = std::chrono::milliseconds(10);
+  int rounds_of_silence = 0;
+  net::ExchangePtr held;
+  StandInReplica replica(world.loop, "r1", kFirstPort,
+                         [&](const auto& exchange) { held = exchange; });
+  world.directory.upsert(replica.record("lm"), {});
+  const auto failures = [&] { return world.directory.find("r1")->failures(net::steady_now()); };
+  const net::RequestHead head{
+      "POST", "/x/1", {{"Host", "a"}, {"Attempt-Id", "request-1"}, {"Content-Length", "0"}}};
+  bool answered = false;
+  net::SimpleCall::start(world.client, world.loop, {{"127.0.0.1", kFrontPort}, "front"},
+                         net::serialize(head), {}, std::chrono::seconds(30),
+                         [&](const net::SimpleCall::Outcome&) { answered = true; });
+  world.run_until([&] { return failures() > 0; });
+  constexpr int kRounds = 20;
+  world.run_until([&] { return ++rounds_of_silence > kRounds; });
+  BOOST_TEST(failures() <= 1.0);
+  answer(held, "late");
+  world.run_until([&] { return answered; });
+  BOOST_TEST(replica.requests() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_replicas_word_that_it_failed_is_passed_on_and_noted) {
+  ProxyWorld world(kFrontPort);
+  world.route().kind = RouteKind::kNonIdempotent;
+  StandInReplica replica(world.loop, "r1", kFirstPort, [](const net::ExchangePtr& exchange) {
+    exchange->respond(500, genuine_headers(exchange), "broken");
+  });
+  world.directory.upsert(replica.record("lm"), {});
+  const auto outcome = world.ask();
+  BOOST_TEST(outcome.head.status == 500);
+  BOOST_TEST(outcome.body == "broken");
+  BOOST_TEST(world.directory.find("r1")->failures(net::steady_now()) > 0.5);
+  BOOST_TEST(world.directory.find("r1")->failures_in_row == 0);
+}
+
 BOOST_AUTO_TEST_CASE(the_replicas_connection_is_closed_when_the_caller_goes) {
   ProxyWorld world(kFrontPort);
   world.route().kind = RouteKind::kNonIdempotent;
--- a/tests/platform/stand_ins.hpp
+++ b/tests/platform/stand_ins.hpp
@@ -69,6 +69,7 @@
     front_.listen("127.0.0.1:" + std::to_string(port));
   }
 
+  Knobs& knobs() { return knobs_; }
   RouteConfig& route() {
     configuration_->routes.resize(1);
     RouteConfig& route = configuration_->routes.front();
