--- a/include/dockpoint/batch/batch_share.hpp
+++ b/include/dockpoint/batch/batch_share.hpp
@@ -6,20 +6,26 @@
 
 /// How many batch items one node may have running.
 ///
-/// Batch fills what online requests leave: as many slots as the fleet has below a fill level, less
+/// Batch fills what online requests leave: all slots, less some kept free at each engine, less
 /// those that online requests of all nodes hold right now, divided among the nodes that have items.
-/// When online requests rise, items with time to spare are broken off and go on later behind what
-/// they have produced. Items that would come late otherwise keep a fixed share of all slots,
-/// whatever online requests do.
+/// What is kept free is a number and not a share: loads are known late, so that an engine's load
+/// strays from the mean by about as many requests whether it has 7 slots or 19. When online
+/// requests rise, items with time to spare are broken off and go on later behind what they have
+/// produced. Items that would come late otherwise keep a fixed share of all slots, whatever online
+/// requests do.
 namespace dockpoint {
 
 /// Engines of the fleet as this node sees them.
 struct FleetLoad {
-  int slots = 0;       ///< Of all engines that take new work.
-  int online = 0;      ///< Online requests in flight there, of all nodes.
-  int busy_nodes = 1;  ///< Nodes that have items to run.
+  int slots = 0;        ///< Of all engines that take new work.
+  double reserved = 0;  ///< Of those, kept free of batch; see `reserved_slots`.
+  int online = 0;       ///< Online requests in flight there, of all nodes.
+  int busy_nodes = 1;   ///< Nodes that have items to run.
 };
 
+/// @return how many of an engine's slots are kept free of batch.
+double reserved_slots(const Knobs& knobs, int slots);
+
 /// See the top of this file. Free of I/O and clocks.
 class BatchShare {
  public:
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -103,7 +103,7 @@
 
   // Batch items.
   double batch_slot_share = 0.6;       ///< Of all slots, for the items of all nodes at most.
-  double batch_fleet_fill = 0.6;       ///< Of all slots, up to which items fill what online leaves.
+  double batch_reserved_slots = 3;     ///< Of each engine, that patient items leave free.
   double batch_yield_tolerance = 1.2;  ///< Items run up to so many times what is allowed.
   double batch_urgent_time = 0.5;  ///< An item is urgent in the last part of its time, as a share.
   Duration checkpoint_interval = 1s;  ///< Between writes of what unfinished items produced.
--- a/src/batch/batch_share.cpp
+++ b/src/batch/batch_share.cpp
@@ -10,11 +10,16 @@
 
 }  // namespace
 
+double reserved_slots(const Knobs& knobs, int slots) {
+  constexpr double kMostOfAnEngine = 0.5;
+  return std::min(knobs.batch_reserved_slots, kMostOfAnEngine * slots);
+}
+
 BatchShare::BatchShare(const Knobs& knobs, const FleetLoad& load)
     : tolerance_(knobs.batch_yield_tolerance) {
   const double nodes = std::max(1, load.busy_nodes);
   const double most = knobs.batch_slot_share * load.slots;
-  const double left = knobs.batch_fleet_fill * load.slots - load.online;
+  const double left = load.slots - load.reserved - load.online;
   const double patient = std::clamp(left, 0.0, most);
   urgent_ = std::max(kLeastItems, static_cast<std::size_t>(most / nodes));
   patient_ = std::min(urgent_, std::max(kLeastItems, static_cast<std::size_t>(patient / nodes)));
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -177,6 +177,7 @@
         service != context_.configuration->services.end() && service->second.cache_tokens > 0;
     if (engine && !replica.record.draining) {
       load.slots += replica.record.slots;
+      load.reserved += reserved_slots(context_.knobs, replica.record.slots);
       load.online += replica.all_online();
     }
   }
--- a/tests/batch/batch_share_test.cpp
+++ b/tests/batch/batch_share_test.cpp
@@ -9,7 +9,6 @@
 Knobs knobs() {
   Knobs knobs;
   knobs.batch_slot_share = 0.6;
-  knobs.batch_fleet_fill = 0.9;
   knobs.batch_yield_tolerance = 1.2;
   return knobs;
 }
@@ -19,19 +18,19 @@
 BOOST_AUTO_TEST_SUITE(batch_share)
 
 BOOST_AUTO_TEST_CASE(items_fill_what_online_requests_leave) {
-  BOOST_TEST(BatchShare(knobs(), {100, 0, 1}).patient() == 60U);
-  BOOST_TEST(BatchShare(knobs(), {100, 50, 1}).patient() == 40U);
-  BOOST_TEST(BatchShare(knobs(), {100, 50, 4}).patient() == 10U);
+  BOOST_TEST(BatchShare(knobs(), {100, 10, 0, 1}).patient() == 60U);
+  BOOST_TEST(BatchShare(knobs(), {100, 10, 50, 1}).patient() == 40U);
+  BOOST_TEST(BatchShare(knobs(), {100, 10, 50, 4}).patient() == 10U);
 }
 
 BOOST_AUTO_TEST_CASE(urgent_items_keep_their_share_under_any_load) {
-  const BatchShare share(knobs(), {100, 200, 2});
+  const BatchShare share(knobs(), {100, 10, 200, 2});
   BOOST_TEST(share.urgent() == 30U);
   BOOST_TEST(share.patient() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(a_rise_of_online_requests_breaks_items_off_but_no_urgent_ones) {
-  const BatchShare share(knobs(), {100, 70, 1});
+  const BatchShare share(knobs(), {100, 10, 70, 1});
   BOOST_TEST(share.patient() == 20U);
   BOOST_TEST(share.excess(24, 0) == 0U);
   BOOST_TEST(share.excess(25, 0) == 5U);
@@ -40,8 +39,17 @@
   BOOST_TEST(share.excess(50, 60) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(each_engine_keeps_the_same_number_free_but_never_most_of_its_slots) {
+  Knobs knobs;
+  knobs.batch_reserved_slots = 3;
+  BOOST_TEST(reserved_slots(knobs, 19) == 3.0);
+  BOOST_TEST(reserved_slots(knobs, 7) == 3.0);
+  BOOST_TEST(reserved_slots(knobs, 4) == 2.0);
+  BOOST_TEST(reserved_slots(knobs, 0) == 0.0);
+}
+
 BOOST_AUTO_TEST_CASE(an_unknown_fleet_still_runs_something) {
-  const BatchShare share(knobs(), {0, 0, 0});
+  const BatchShare share(knobs(), {0, 0, 0, 0});
   BOOST_TEST(share.patient() == 2U);
   BOOST_TEST(share.urgent() == 2U);
   BOOST_TEST(share.excess(2, 0) == 0U);
