Spread questions for the fleet's state over peers, own zone first, two answers at a time

After a restart of all, every node asks for the whole state, about 1 MB, and every node began at the first seed. Each node begins at another peer; every second question stays in its zone; a node writes two such answers at a time and sends others on.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,6 +34,8 @@
 constexpr Duration kItemGrace = std::chrono::milliseconds(2500);
 
 constexpr Duration kPeerQuestionInterval = std::chrono::milliseconds(400);
+/// Answers with the fleet's state that are under way at once; one may be a megabyte.
+constexpr std::size_t kStateAnswersAtOnce = 2;
 constexpr Duration kPeerQuestionTimeout = std::chrono::milliseconds(700);
 
 std::uint64_t start_number() {
@@ -230,10 +232,19 @@
     return;
   }
   if (net::Target::parse(exchange->request().target).path == kFleetStatePath) {
+    std::erase_if(state_answers_, [](const auto& answer) {
+      const net::ExchangePtr held = answer.lock();
+      return !held || held->pending_output() == 0;
+    });
+    if (state_answers_.size() >= kStateAnswersAtOnce) {
+      exchange->respond(503, {}, {});  // The one that asks goes on to another peer.
+      return;
+    }
     FleetState state = fleet_.state();
     state.owners = batch_.owner_addresses();
     leave_out_known(state, asker_knowledge(exchange->request().target));
     exchange->respond(200, {{"Content-Type", "application/msgpack"}}, pack(state));
+    state_answers_.push_back(exchange);
     return;
   }
   exchange->respond(404, {}, {});
@@ -247,15 +258,29 @@
   if (now < next_peer_question_) {
     return;
   }
-  std::vector<std::string> addresses = peers_.control_addresses();
+  const std::vector<std::string> addresses = peers_to_ask();
+  if (!addresses.empty()) {
+    next_peer_question_ = now + kPeerQuestionInterval;
+    // Each node begins at another peer: many may ask at once, after a restart of all.
+    ask_peer(addresses[(hash64(settings_.node) + peer_questions_++) % addresses.size()]);
+  }
+}
+
+std::vector<std::string> Gateway::peers_to_ask() const {
+  // Bytes between zones are dear, but a zone may know nothing as a whole: every second question
+  // goes to any zone.
+  std::vector<std::string> addresses;
+  if (peer_questions_ % 2 == 0) {
+    addresses = peers_.zone_control_addresses();
+  }
+  if (addresses.empty()) {
+    addresses = peers_.control_addresses();
+  }
   if (addresses.empty()) {
     addresses = settings_.seeds;
   }
   std::erase(addresses, settings_.control_address);
-  if (!addresses.empty()) {
-    next_peer_question_ = now + kPeerQuestionInterval;
-    ask_peer(addresses[next_peer_++ % addresses.size()]);
-  }
+  return addresses;
 }
 
 void Gateway::ask_peer(const std::string& control_address) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -68,6 +68,8 @@
   void serve_metrics(const net::ExchangePtr& exchange);
   void ask_peer(const std::string& control_address);
   void ask_some_peer(TimePoint now);
+  /// @return control addresses of nodes that may know the fleet.
+  std::vector<std::string> peers_to_ask() const;
   std::vector<std::string> seed_datagram_addresses() const;
 
   boost::asio::io_context& loop_;
@@ -91,7 +93,8 @@
   boost::asio::steady_timer timer_;
   TimePoint next_peer_question_{};
   bool asking_peer_ = false;
-  std::size_t next_peer_ = 0;
+  std::size_t peer_questions_ = 0;
+  std::vector<std::weak_ptr<net::Exchange>> state_answers_;  ///< Under way.
   TimePoint stop_requested_at_{};
   TimePoint last_caller_at_{};
   bool stopping_ = false;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -208,9 +208,19 @@
 }
 
 std::vector<std::string> PeerLink::control_addresses() const {
+  return control_addresses_of([](const Member&) { return true; });
+}
+
+std::vector<std::string> PeerLink::zone_control_addresses() const {
+  return control_addresses_of([&](const Member& member) { return member.zone == zone_; });
+}
+
+std::vector<std::string> PeerLink::control_addresses_of(
+    const std::function<bool(const Member&)>& wanted) const {
   std::vector<std::string> addresses;
   for (const Member* member : membership_.alive()) {
-    if (member->id != context_.node && !member->control_address.empty()) {
+    const bool other = member->id != context_.node && !member->control_address.empty();
+    if (other && wanted(*member)) {
       addresses.push_back(member->control_address);
     }
   }
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -54,6 +54,8 @@
   std::vector<std::string> frontends() const;
   /// @return control addresses of the other nodes that are alive.
   std::vector<std::string> control_addresses() const;
+  /// @return the same, of this node's zone only.
+  std::vector<std::string> zone_control_addresses() const;
   /// @return whether a node that counts as alive has last said that it reaches the log.
   bool some_peer_reaches_log() const;
   int busy_nodes() const { return membership_.nodes_with_pending_batch(); }
@@ -70,6 +72,8 @@
                       const std::string& control_address, TimePoint now);
   void take_heartbeat(std::uint32_t node, bool log_reachable, TimePoint now);
   void take_digests(std::vector<LoadDigest> digests, TimePoint now);
+  std::vector<std::string> control_addresses_of(
+      const std::function<bool(const Member&)>& wanted) const;
   /// @return where the node takes calls of other nodes; empty if it is not known.
   std::string control_address_of(std::uint32_t node) const;
   void send_digest(TimePoint now);
