--- a/include/dockpoint/routing/replica_selector.hpp
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -97,9 +97,9 @@
                          TimePoint now) const;
   /// @return mean time that a request of the service holds a slot.
   double service_ms(const std::string& service) const;
-  /// @return the water poured over the candidates.
-  WaterFilling pour(const std::vector<const Replica*>& open, const std::string& service,
-                    TimePoint now) const;
+  /// @return where the requests that are not seen yet are expected among the candidates.
+  WaterFilling spread_unseen(const std::vector<const Replica*>& open, const std::string& service,
+                             TimePoint now) const;
   /// @return indices of the candidates to compare, those drawn by load first.
   std::vector<std::size_t> shortlist(const std::vector<Candidate>& all, double prompt_tokens,
                                      const WaterFilling& filling);
--- a/include/dockpoint/routing/water_filling.hpp
+++ b/include/dockpoint/routing/water_filling.hpp
@@ -9,16 +9,16 @@
 ///
 /// Load that other nodes cause is known a few hundred milliseconds after the fact. Nodes that all
 /// choose the least loaded replica of that view meet there: the more of them, the worse. So the
-/// requests that the fleet has started since are estimated, and poured over the replicas like
-/// water: those with the least load are raised to a common level. A node then draws a replica with
-/// a probability in proportion to how much of that water it took. With few requests unseen only
-/// the least loaded replicas are drawn; with many, all.
+/// requests that the fleet has started since are estimated and assigned by water-filling: the least
+/// loaded replicas are raised to a common level until all are assigned. A node then draws a replica
+/// with a probability in proportion to what it was assigned. With few requests unseen only the
+/// least loaded replicas are drawn; with many, all.
 ///
 /// Source: M. Dahlin, "Interpreting stale load information", IEEE Transactions on Parallel and
 /// Distributed Systems 11(10), 2000 (the "basic LI" policy), here with slots of unequal number.
 namespace dockpoint {
 
-/// One replica as far as pouring goes.
+/// Known load of one replica.
 struct SlotLoad {
   double load = 0;   ///< Requests known to run or wait there.
   double slots = 1;  ///< Above 0.
@@ -31,15 +31,15 @@
   WaterFilling(std::span<const SlotLoad> replicas, double unseen);
 
   /// @return requests expected at each replica beyond the known ones, in the order given.
-  const std::vector<double>& poured() const { return poured_; }
-  /// @param preference of each replica beside others with as much water; above 0.
+  const std::vector<double>& expected() const { return expected_; }
+  /// @param preference of each replica beside others that expect as much; above 0.
   /// @return indices of up to `count` replicas, drawn one after the other without repetition, in
   /// that order.
   std::vector<std::size_t> draw(std::size_t count, std::span<const double> preference,
                                 std::mt19937_64& random) const;
 
  private:
-  std::vector<double> poured_;
+  std::vector<double> expected_;
 };
 
 }  // namespace dockpoint
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -29,13 +29,13 @@
   const std::vector<PrefixStep> steps = steps_of(query.prompt);
   const auto home_keys = homes(directory_.ready(query.service), steps);
   const double prompt_tokens = steps.empty() ? 0 : steps.back().tokens;
-  const WaterFilling filling = pour(open, query.service, now);
+  const WaterFilling filling = spread_unseen(open, query.service, now);
   std::vector<Candidate> all;
   for (std::size_t index = 0; index < open.size(); ++index) {
     const Replica& replica = *open[index];
     Candidate candidate;
     candidate.replica = &replica;
-    candidate.expected_load = replica.load(now) + filling.poured()[index];
+    candidate.expected_load = replica.load(now) + filling.expected()[index];
     candidate.missing_tokens = prompt_tokens - cached_tokens(replica, steps, home_keys, now);
     all.push_back(candidate);
   }
@@ -80,8 +80,8 @@
   return learnt ? known->second.service_ms : to_milliseconds(knobs_.initial_service_time);
 }
 
-WaterFilling ReplicaSelector::pour(const std::vector<const Replica*>& open,
-                                   const std::string& service, TimePoint now) const {
+WaterFilling ReplicaSelector::spread_unseen(const std::vector<const Replica*>& open,
+                                            const std::string& service, TimePoint now) const {
   std::vector<SlotLoad> loads;
   for (const Replica* replica : open) {
     loads.push_back({static_cast<double>(replica->load(now)),
--- a/tests/routing/water_filling_test.cpp
+++ b/tests/routing/water_filling_test.cpp
@@ -20,27 +20,27 @@
 BOOST_AUTO_TEST_CASE(few_unseen_requests_are_expected_at_the_least_loaded_replicas) {
   const std::array<SlotLoad, 3> replicas{{{1, 8}, {3, 8}, {6, 8}}};
   const WaterFilling filling(replicas, 2);
-  BOOST_TEST(filling.poured()[0] == 2.0, boost::test_tools::tolerance(1e-9));
-  BOOST_TEST(filling.poured()[1] == 0.0);
-  BOOST_TEST(filling.poured()[2] == 0.0);
+  BOOST_TEST(filling.expected()[0] == 2.0, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(filling.expected()[1] == 0.0);
+  BOOST_TEST(filling.expected()[2] == 0.0);
 }
 
 BOOST_AUTO_TEST_CASE(many_unseen_requests_raise_all_replicas_to_one_level) {
   const std::array<SlotLoad, 3> replicas{{{1, 8}, {3, 8}, {6, 8}}};
   const WaterFilling filling(replicas, 11);
-  BOOST_TEST(filling.poured()[0] == 6.0, boost::test_tools::tolerance(1e-9));
-  BOOST_TEST(filling.poured()[1] == 4.0, boost::test_tools::tolerance(1e-9));
-  BOOST_TEST(filling.poured()[2] == 1.0, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(filling.expected()[0] == 6.0, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(filling.expected()[1] == 4.0, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(filling.expected()[2] == 1.0, boost::test_tools::tolerance(1e-9));
 }
 
 BOOST_AUTO_TEST_CASE(replicas_of_unequal_size_are_filled_alike) {
   const std::array<SlotLoad, 2> replicas{{{0, 4}, {0, 12}}};
   const WaterFilling filling(replicas, 8);
-  BOOST_TEST(filling.poured()[0] == 2.0, boost::test_tools::tolerance(1e-9));
-  BOOST_TEST(filling.poured()[1] == 6.0, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(filling.expected()[0] == 2.0, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(filling.expected()[1] == 6.0, boost::test_tools::tolerance(1e-9));
 }
 
-BOOST_AUTO_TEST_CASE(all_water_stands_somewhere_and_draws_follow_it) {
+BOOST_AUTO_TEST_CASE(all_requests_are_expected_somewhere_and_draws_follow_them) {
   std::mt19937_64 random(7);
   std::uniform_real_distribution<double> load(0, 12);
   for (int round = 0; round < 200; ++round) {
@@ -50,10 +50,10 @@
     }
     const double unseen = 0.1 + load(random);
     const WaterFilling filling(replicas, unseen);
-    BOOST_TEST(sum(filling.poured()) == unseen, boost::test_tools::tolerance(1e-6));
+    BOOST_TEST(sum(filling.expected()) == unseen, boost::test_tools::tolerance(1e-6));
     const std::vector<double> preference(replicas.size(), 1.0);
     for (const std::size_t index : filling.draw(3, preference, random)) {
-      BOOST_TEST(filling.poured()[index] > 0);
+      BOOST_TEST(filling.expected()[index] > 0);
     }
   }
 }
