Keep the peers' load at each replica as running sums

Each datagram summed the digests of all peers anew (12,000 entries, 30 times a second a node), each replica that was added did too, and every node counted all slots for batch each round though it had no items. Ruled out: datagrams, which grow with the nodes only since relays pass on a bounded number of bytes. A digest takes its old figures off the sums and adds its new ones; a node without items does not count slots; outliers are looked for only if something failed.

--- a/include/dockpoint/routing/replica_directory.hpp
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -133,13 +133,31 @@
     TimePoint heard{};  ///< Last sign of life.
   };
 
+  /// What all peers together have at one replica, kept up to date digest by digest: a sum over all
+  /// peers would cost a large fleet more than everything else.
+  struct PeerSum {
+    int in_flight = 0;
+    int batch = 0;
+    int failures = 0;
+    double prefill_tokens = 0;
+    TimePoint prefill_at{};
+  };
+
   Replica* mutable_find(const std::string& id);
   void eject(Replica& replica, TimePoint now);
-  void sum_peer_loads(TimePoint now);
+  /// Adds (`sign` 1) or takes off (-1) what a peer has told.
+  void count_peer_load(const PeerLoad& peer, int sign, TimePoint now);
+  /// Copies what peers have there to the replica, if it is known.
+  void show_peer_sum(std::uint32_t key);
+  void forget_key(const Replica& replica);
+  double prefill_left(double tokens, TimePoint since, TimePoint now) const;
 
   const Knobs& knobs_;
   std::map<std::string, Replica> replicas_;
+  std::unordered_map<std::uint32_t, Replica*>
+      by_key_;                                         ///< Of `replicas_`, whose places are stable.
   std::unordered_map<std::uint32_t, PeerLoad> peers_;  ///< By node_key.
+  std::unordered_map<std::uint32_t, PeerSum> peer_sums_;  ///< By the replica's key.
   std::uint64_t revision_ = 1;
 };
 
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -163,6 +163,9 @@
     delayed_.erase(delayed_.begin());
     enqueue(ref);
   }
+  if (waiting_.empty() && runs_.empty()) {
+    return;
+  }
   const BatchShare current = share();
   make_room(current);
   start_waiting(now, current);
--- a/src/routing/replica_directory.cpp
+++ b/src/routing/replica_directory.cpp
@@ -38,21 +38,37 @@
   replica.record = record;
   ++revision_;
   if (added) {
-    sum_peer_loads(now);
+    by_key_[replica.key] = &replica;
+    show_peer_sum(replica.key);
   }
 }
 
 void ReplicaDirectory::remove(const std::string& id) {
-  if (replicas_.erase(id) > 0) {
+  const auto found = replicas_.find(id);
+  if (found != replicas_.end()) {
+    forget_key(found->second);
+    replicas_.erase(found);
     ++revision_;
   }
 }
 
 void ReplicaDirectory::retain(const std::vector<std::string>& ids) {
   const std::set<std::string> kept(ids.begin(), ids.end());
-  if (std::erase_if(replicas_, [&](const auto& entry) { return !kept.contains(entry.first); }) >
-      0) {
-    ++revision_;
+  std::vector<std::string> gone;
+  for (const auto& [id, replica] : replicas_) {
+    if (!kept.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const std::string& id : gone) {
+    remove(id);
+  }
+}
+
+void ReplicaDirectory::forget_key(const Replica& replica) {
+  const auto found = by_key_.find(replica.key);
+  if (found != by_key_.end() && found->second == &replica) {
+    by_key_.erase(found);
   }
 }
 
@@ -117,10 +133,10 @@
 
 void ReplicaDirectory::set_peer_loads(const std::vector<LoadDigest>& digests, TimePoint now) {
   for (const LoadDigest& digest : digests) {
-    peers_[digest.node] = {digest.entries, now, now};
-  }
-  if (!digests.empty()) {
-    sum_peer_loads(now);
+    PeerLoad& peer = peers_[digest.node];
+    count_peer_load(peer, -1, now);
+    peer = {digest.entries, now, now};
+    count_peer_load(peer, 1, now);
   }
 }
 
@@ -131,6 +147,11 @@
 }
 
 std::vector<const Replica*> ReplicaDirectory::update_outliers(TimePoint now) {
+  if (std::none_of(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
+        return entry.second.outlier || entry.second.failures(now) > 0;
+      })) {
+    return {};
+  }
   std::map<std::string, std::vector<Replica*>> services;
   for (auto& [id, replica] : replicas_) {
     services[replica.record.service].push_back(&replica);
@@ -153,10 +174,13 @@
 }
 
 void ReplicaDirectory::expire_peer_loads(TimePoint now) {
-  const Duration limit = knobs_.load_digest_lifetime;
-  const auto expired = [&](const auto& entry) { return now - entry.second.heard > limit; };
-  if (std::erase_if(peers_, expired) > 0) {
-    sum_peer_loads(now);
+  for (auto peer = peers_.begin(); peer != peers_.end();) {
+    if (now - peer->second.heard > knobs_.load_digest_lifetime) {
+      count_peer_load(peer->second, -1, now);
+      peer = peers_.erase(peer);
+    } else {
+      ++peer;
+    }
   }
 }
 
@@ -168,35 +192,42 @@
   return peers_.empty() ? Duration{} : sum / static_cast<int>(peers_.size());
 }
 
-void ReplicaDirectory::sum_peer_loads(TimePoint now) {
-  struct Sum {
-    std::uint32_t in_flight = 0;
-    std::uint32_t batch = 0;
-    std::uint32_t failures = 0;
-    double prefill_tokens = 0;
-  };
-  std::unordered_map<std::uint32_t, Sum> sums;
-  for (const auto& [node, peer] : peers_) {
-    const double age_ms = std::chrono::duration<double, std::milli>(now - peer.received).count();
-    for (const LoadDigestEntry& entry : peer.entries) {
-      Sum& sum = sums[entry.replica_key];
-      sum.in_flight += entry.in_flight;
-      sum.batch += std::min(entry.batch, entry.in_flight);
-      sum.failures += entry.failures;
-      // What was read since the peer said so does not count.
-      sum.prefill_tokens +=
-          std::max(0.0, entry.prefill_tokens - age_ms * knobs_.prefill_tokens_per_ms);
-    }
+double ReplicaDirectory::prefill_left(double tokens, TimePoint since, TimePoint now) const {
+  const double age_ms = std::chrono::duration<double, std::milli>(now - since).count();
+  return std::max(0.0, tokens - age_ms * knobs_.prefill_tokens_per_ms);
+}
+
+void ReplicaDirectory::count_peer_load(const PeerLoad& peer, int sign, TimePoint now) {
+  for (const LoadDigestEntry& entry : peer.entries) {
+    PeerSum& sum = peer_sums_[entry.replica_key];
+    sum.in_flight += sign * static_cast<int>(entry.in_flight);
+    sum.batch += sign * static_cast<int>(std::min(entry.batch, entry.in_flight));
+    sum.failures += sign * static_cast<int>(entry.failures);
+    // What was read since the peer said so does not count.
+    const double left = prefill_left(entry.prefill_tokens, peer.received, now);
+    const double before = prefill_left(sum.prefill_tokens, sum.prefill_at, now);
+    sum.prefill_tokens = std::max(0.0, before + sign * left);
+    sum.prefill_at = now;
+    show_peer_sum(entry.replica_key);
   }
-  for (auto& [id, replica] : replicas_) {
-    const auto found = sums.find(replica.key);
-    const Sum sum = found == sums.end() ? Sum{} : found->second;
-    replica.of_peers = static_cast<int>(sum.in_flight);
-    replica.batch_of_peers = static_cast<int>(sum.batch);
-    replica.failures_of_peers = sum.failures;
-    replica.peer_prefill_tokens = sum.prefill_tokens;
-    replica.peer_prefill_at = now;
+}
+
+void ReplicaDirectory::show_peer_sum(std::uint32_t key) {
+  const auto found = peer_sums_.find(key);
+  const PeerSum sum = found == peer_sums_.end() ? PeerSum{} : found->second;
+  if (found != peer_sums_.end() && sum.in_flight == 0 && sum.failures == 0 &&
+      sum.prefill_tokens <= 0) {
+    peer_sums_.erase(found);
+  }
+  const auto replica = by_key_.find(key);
+  if (replica == by_key_.end()) {
+    return;
   }
+  replica->second->of_peers = sum.in_flight;
+  replica->second->batch_of_peers = sum.batch;
+  replica->second->failures_of_peers = sum.failures;
+  replica->second->peer_prefill_tokens = sum.prefill_tokens;
+  replica->second->peer_prefill_at = sum.prefill_at;
 }
 
 std::vector<LoadDigestEntry> ReplicaDirectory::own_load(TimePoint now) const {
--- a/tests/routing/replica_directory_test.cpp
+++ b/tests/routing/replica_directory_test.cpp
@@ -1,7 +1,10 @@
 #include "dockpoint/routing/replica_directory.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
 
+#include "dockpoint/core/hash.hpp"
 #include "support/fleet.hpp"
 
 using namespace dockpoint;
@@ -49,6 +52,53 @@
   BOOST_TEST(directory.find("r1")->load(at(20)) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(sums_kept_digest_by_digest_are_those_of_all_digests_that_count) {
+  // Peers tell, fall silent and come back, replicas come and go: the sums stay those of a fresh
+  // one.
+  constexpr int kPeers = 12;
+  constexpr int kReplicas = 6;
+  std::mt19937_64 random(5);
+  std::map<std::uint32_t, std::vector<LoadDigestEntry>> last;
+  const auto name = [](std::uint64_t number) { return "s" + std::to_string(number); };
+  for (int step = 0; step < 2'000; ++step) {
+    const std::uint64_t number = random() % kReplicas;
+    if (step % 7 == 0) {
+      directory.upsert(record(name(number)), at(step));
+    } else if (step % 50 == 1) {
+      directory.remove(name(number));
+    }
+    LoadDigest digest{static_cast<std::uint32_t>(random() % kPeers), 0, 0, true, {}};
+    for (std::uint64_t entry = 0; entry < random() % kReplicas; ++entry) {
+      const auto key = static_cast<std::uint32_t>(hash64(name(entry)));
+      const auto load = static_cast<std::uint32_t>(random() % 5);
+      digest.entries.push_back({key, load, 0, load / 2, load / 3});
+    }
+    directory.set_peer_loads({digest}, at(step));
+    last[digest.node] = digest.entries;
+    for (int replica = 0; replica < kReplicas; ++replica) {
+      const Replica* known = directory.find(name(static_cast<std::uint64_t>(replica)));
+      int expected = 0;
+      double failures = 0;
+      for (const auto& [node, entries] : last) {
+        for (const LoadDigestEntry& entry : entries) {
+          expected += known != nullptr && entry.replica_key == known->key ? entry.in_flight : 0;
+          failures += known != nullptr && entry.replica_key == known->key ? entry.failures : 0;
+        }
+      }
+      if (known != nullptr &&
+          (known->of_peers != expected || known->failures_of_peers != failures)) {
+        BOOST_FAIL("step " << step << ": " << known->of_peers << " in place of " << expected);
+      }
+    }
+  }
+  directory.expire_peer_loads(at(10'000));
+  BOOST_TEST(directory.peers() == 0U);
+  for (const auto& [id, replica] : directory.all()) {
+    BOOST_TEST(replica.of_peers == 0);
+    BOOST_TEST(replica.failures_of_peers == 0);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_replica_that_states_a_queue_counts_as_loaded_for_a_while) {
   directory.report("r1", {4, 3, 4}, at(0));
   BOOST_TEST(directory.find("r1")->load(at(100)) == 7);
