--- a/src/routing/replica_directory.cpp
+++ b/src/routing/replica_directory.cpp
@@ -159,6 +159,7 @@
   std::vector<const Replica*> changed;
   for (const auto& [service, replicas] : services) {
     std::vector<double> failures;
+    failures.reserve(replicas.size());
     for (const Replica* replica : replicas) {
       failures.push_back(replica->failures(now));
     }
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -31,6 +31,7 @@
   const double prompt_tokens = steps.empty() ? 0 : steps.back().tokens;
   const WaterFilling filling = spread_unseen(open, query.service, now);
   std::vector<Candidate> all;
+  all.reserve(open.size());
   for (std::size_t index = 0; index < open.size(); ++index) {
     const Replica& replica = *open[index];
     Candidate candidate;
@@ -83,6 +84,7 @@
 WaterFilling ReplicaSelector::spread_unseen(const std::vector<const Replica*>& open,
                                             const std::string& service, TimePoint now) const {
   std::vector<SlotLoad> loads;
+  loads.reserve(open.size());
   for (const Replica* replica : open) {
     loads.push_back({static_cast<double>(replica->load(now)),
                      static_cast<double>(std::max(1, replica->record.slots))});
@@ -94,6 +96,7 @@
                                                     double prompt_tokens,
                                                     const WaterFilling& filling) {
   std::vector<double> preference;
+  preference.reserve(all.size());
   for (const Candidate& candidate : all) {
     const bool own_zone = candidate.replica->record.zone == zone_;
     preference.push_back(own_zone ? knobs_.own_zone_preference : 1.0);
