--- a/src/membership/digest_collector.cpp
+++ b/src/membership/digest_collector.cpp
@@ -29,11 +29,9 @@
   for (const auto& [since, node] : order) {
     const auto waiting = waiting_.find(node);
     const std::size_t added = waiting->second.bytes.size() + kDigestOverhead;
-    if (size + added > maximum_bytes) {
-      // One digest goes even if heartbeats or the digest itself take all the room.
-      if (!collection.digests.empty()) {
-        break;
-      }
+    // One digest goes even if heartbeats or the digest itself take all the room.
+    if (size + added > maximum_bytes && !collection.digests.empty()) {
+      break;
     }
     size += added;
     collection.digests.push_back(std::move(waiting->second.bytes));
