Records of replicas that lapsed while the log was away have two seconds to come back

Ruled out: ignoring removals for a fixed time after every reconnection of one reader. Removals that are learnt late in the grace time would be held into the time in which the store counts as stable again, so the hold ends at one moment for all of them.

Change: RemovalGrace (decision class) holds removals learnt while the log is away, or within 2 s after its return; FleetWatch keeps such replicas in use, does not name them to peers, and removes those that are still missing then.

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -99,17 +99,19 @@
   Duration retry_after_minimum = 300ms;      ///< Told to callers that are refused,
   Duration retry_after_spread = 700ms;  ///< spread by request so that they do not return at once.
 
-  Duration fleet_lag = 250ms;  ///< A node that is behind its peers for longer asks one.
+  Duration fleet_lag = 250ms;   ///< A node that is behind its peers for longer asks one.
+  Duration removal_grace = 2s;  ///< For records that lapsed while the log was away to come back.
 
   // Batch items.
   double batch_slot_share = 0.6;       ///< Of all slots, for the items of all nodes at most.
   double batch_reserved_slots = 3;     ///< Of each engine, that patient items leave free.
   double batch_yield_tolerance = 1.2;  ///< Items run up to so many times what is allowed.
   double batch_urgent_time = 0.5;  ///< An item is urgent in the last part of its time, as a share.
-  Duration checkpoint_interval = 1s;  ///< Between writes of what unfinished items produced.
-  Duration item_silence = 3s;         ///< A run without a byte for this long goes on elsewhere.
-  Duration item_route_wait = 1s;      ///< Pause of an item whose route is not known.
-  Duration submission_wait = 2500ms;  ///< A job is offered to the log for this long.
+  Duration batch_start_delay = 700ms;  ///< After a node's start, until it knows the others' load.
+  Duration checkpoint_interval = 1s;   ///< Between writes of what unfinished items produced.
+  Duration item_silence = 3s;          ///< A run without a byte for this long goes on elsewhere.
+  Duration item_route_wait = 1s;       ///< Pause of an item whose route is not known.
+  Duration submission_wait = 2500ms;   ///< A job is offered to the log for this long.
 
   // The platform's log.
   Duration watch_wait = 2500ms;      ///< A read waits this long for records.
--- /dev/null
+++ b/include/dockpoint/routing/removal_grace.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "dockpoint/core/knobs.hpp"
+
+/// When a replica whose record is gone from the log is taken as gone.
+///
+/// Records are leases: while the log is away nobody can renew them, and all may lapse at once
+/// though every replica lives. Live replicas write theirs again within a grace time after the log's
+/// return. A removal that is learnt while the log is away, or within that time after its return, is
+/// therefore held until the time is over, and forgotten if the record comes back. At all other
+/// times a removal counts at once.
+namespace dockpoint {
+
+/// See the top of this file. Free of I/O and clocks; not thread-safe.
+class RemovalGrace {
+ public:
+  explicit RemovalGrace(const Knobs& knobs) : knobs_(knobs) {}
+
+  /// This node does not reach the log any more.
+  void log_lost() { reachable_ = false; }
+  /// It reaches the log again.
+  void log_regained(TimePoint now);
+
+  /// The record of a replica is gone. @return whether the removal is held for now.
+  bool hold(const std::string& replica, TimePoint now);
+  /// The replica has a record.
+  void present(const std::string& replica) { held_.erase(replica); }
+  /// @return whether a removal of the replica is held.
+  bool holds(const std::string& replica) const { return held_.contains(replica); }
+  /// @return replicas whose time is over: they are gone, and not held any more.
+  std::vector<std::string> take_due(TimePoint now);
+
+ private:
+  const Knobs& knobs_;
+  bool reachable_ = true;
+  TimePoint believed_from_{};              ///< Removals count at once from then on.
+  std::map<std::string, TimePoint> held_;  ///< Until when, a replica each.
+};
+
+}  // namespace dockpoint
--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -14,12 +14,14 @@
  public:
   using Snapshot = std::function<void(const std::vector<KeyedRecord>&)>;
   using Record = std::function<void(const KeyedRecord&)>;
+  using Reachable = std::function<void(bool)>;
 
   Follower(const Knobs& knobs, PartitionedLog& log, TopicPartition partition, std::uint64_t seed,
-           Snapshot on_snapshot, Record on_record)
+           Snapshot on_snapshot, Record on_record, Reachable on_reachable)
       : name_(partition.topic),
         on_snapshot_(std::move(on_snapshot)),
         on_record_(std::move(on_record)),
+        on_reachable_(std::move(on_reachable)),
         watch_(knobs, log, std::move(partition), seed, *this) {}
 
   void tick(TimePoint now) { watch_.tick(now); }
@@ -30,19 +32,25 @@
   void on_current() override {}
   void on_reachable(bool reachable) override {
     spdlog::warn("fleet: log {} topic={}", reachable ? "regained" : "lost", name_);
+    on_reachable_(reachable);
   }
 
  private:
   const std::string name_;
   Snapshot on_snapshot_;
   Record on_record_;
+  Reachable on_reachable_;
   KeyedWatch watch_;
 };
 
 FleetWatch::FleetWatch(GatewayContext& context, PartitionedLog& log, const FleetReader& reader,
                        const FleetTopics& topics, std::uint64_t seed,
                        ConfigurationChanged on_change)
-    : context_(context), reader_(reader), topics_(topics), on_change_(std::move(on_change)) {
+    : context_(context),
+      reader_(reader),
+      topics_(topics),
+      on_change_(std::move(on_change)),
+      removal_grace_(context.knobs) {
   const auto take_configuration_record = [this](const KeyedRecord& record) {
     if (record.key == topics_.configuration_key && !record.value.empty()) {
       take_configuration(record.value, "log");
@@ -53,7 +61,7 @@
       [take_configuration_record](const std::vector<KeyedRecord>& records) {
         std::for_each(records.begin(), records.end(), take_configuration_record);
       },
-      take_configuration_record);
+      take_configuration_record, [](bool) {});
   replica_follower_ = std::make_unique<Follower>(
       context_.knobs, log, topics_.replicas, seed + 1,
       [this](const std::vector<KeyedRecord>& records) {
@@ -73,11 +81,12 @@
           return;
         }
         if (record.value.empty()) {
-          remove_replica(record.key);
+          drop_record(record.key);
         } else {
           take_replica(record.key, record.value);
         }
-      });
+      },
+      [this](bool reachable) { note_reachable(reachable); });
 }
 
 FleetWatch::~FleetWatch() = default;
@@ -86,6 +95,17 @@
   now_ = now;
   configuration_follower_->tick(now);
   replica_follower_->tick(now);
+  for (const std::string& id : removal_grace_.take_due(now)) {
+    remove_replica(id);
+  }
+}
+
+void FleetWatch::note_reachable(bool reachable) {
+  if (reachable) {
+    removal_grace_.log_regained(now_);
+  } else {
+    removal_grace_.log_lost();
+  }
 }
 
 void FleetWatch::take_configuration(const std::string& value, const std::string& source) {
@@ -116,6 +136,7 @@
 }
 
 void FleetWatch::take_replica(const std::string& id, const std::string& value) {
+  removal_grace_.present(id);
   const auto known = replica_values_.find(id);
   if (known != replica_values_.end() && known->second == value) {
     return;
@@ -142,6 +163,17 @@
   context_.replicas.upsert(*record, net::steady_now());
 }
 
+void FleetWatch::drop_record(const std::string& id) {
+  if (!replica_values_.contains(id) || removal_grace_.holds(id)) {
+    return;
+  }
+  if (removal_grace_.hold(id, now_)) {
+    spdlog::info("fleet: replica lapsed, kept for now replica={}", id);
+  } else {
+    remove_replica(id);
+  }
+}
+
 void FleetWatch::remove_replica(const std::string& id) {
   if (replica_values_.erase(id) > 0) {
     spdlog::info("fleet: replica gone replica={}", id);
@@ -157,7 +189,7 @@
     }
   }
   for (const std::string& id : gone) {
-    remove_replica(id);
+    drop_record(id);
   }
 }
 
@@ -172,7 +204,9 @@
   state.replicas_known = replicas_known_;
   state.replicas_position = replicas_position();
   for (const auto& [id, value] : replica_values_) {
-    state.replicas.push_back({id, value});
+    if (!removal_grace_.holds(id)) {
+      state.replicas.push_back({id, value});
+    }
   }
   return state;
 }
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -8,6 +8,7 @@
 
 #include "dockpoint/core/codec.hpp"
 #include "dockpoint/log/keyed_watch.hpp"
+#include "dockpoint/routing/removal_grace.hpp"
 #include "gateway/fleet_state.hpp"
 #include "gateway/gateway_context.hpp"
 
@@ -17,7 +18,8 @@
 /// has, so that one that starts, or is cut off, while the log is away gets both from them. The
 /// version of the routes only grows within a node's life, wherever a version comes from. Replicas
 /// are taken from a peer only if it has read further; records that the node reads itself count only
-/// from that point on, so that what it knows never goes back.
+/// from that point on, so that what it knows never goes back. Records that lapsed while the log was
+/// away have time to come back, see removal_grace.hpp.
 namespace dockpoint {
 
 /// Where the fleet's records lie in the log.
@@ -67,15 +69,20 @@
 
   void take_configuration(const std::string& value, const std::string& source);
   void take_replica(const std::string& id, const std::string& value);
+  /// The record of a replica is gone: so is the replica, at once or after its grace time.
+  void drop_record(const std::string& id);
   void remove_replica(const std::string& id);
   void retain_replicas(const std::vector<std::string>& ids);
+  /// The log is lost or regained.
+  void note_reachable(bool reachable);
 
   GatewayContext& context_;
   const FleetReader& reader_;
   const FleetTopics topics_;
   ConfigurationChanged on_change_;
   std::string configuration_value_;
-  std::map<std::string, std::string> replica_values_;
+  std::map<std::string, std::string> replica_values_;  ///< Those whose removal is held included.
+  RemovalGrace removal_grace_;
   LogOffset peer_position_ = 0;  ///< That replicas taken from a peer stand at.
   bool replicas_known_ = false;
   TimePoint now_{};
