Slots for batch items go to nodes in proportion to their items; none in the first 700 ms of a node

(1) Slots were divided evenly among nodes that have items, and how many nodes have any came with membership probes, of which a node hears one from each peer in as many seconds as there are nodes. (2) After a restart of all nodes every node took itself for the only one with items, and no load of peers was known: all of them started up to 0.6 of all slots at once, on top of the requests that had waited for the restart.

Ruled out: a central division (needs an owner); counting jobs in place of items (they differ by 30 times).

Change: digests carry the items that a node runs or has to run; BatchShare divides by them. A node starts no item before 700 ms of its life, when three digests of each peer have had time to come.

--- a/include/dockpoint/batch/batch_share.hpp
+++ b/include/dockpoint/batch/batch_share.hpp
@@ -7,7 +7,8 @@
 /// How many batch items one node may have running.
 ///
 /// Batch fills what online requests leave: all slots, less some kept free at each engine, less
-/// those that online requests of all nodes hold right now, divided among the nodes that have items.
+/// those that online requests of all nodes hold right now, divided among the nodes in proportion to
+/// the items that each has to run.
 /// What is kept free is a number and not a share: loads are known late, so that an engine's load
 /// strays from the mean by about as many requests whether it has 7 slots or 19. When online
 /// requests rise, items with time to spare are broken off and go on later behind what they have
@@ -17,10 +18,11 @@
 
 /// Engines of the fleet as this node sees them.
 struct FleetLoad {
-  int slots = 0;        ///< Of all engines that take new work.
-  double reserved = 0;  ///< Of those, kept free of batch; see `reserved_slots`.
-  int online = 0;       ///< Online requests in flight there, of all nodes.
-  int busy_nodes = 1;   ///< Nodes that have items to run.
+  int slots = 0;         ///< Of all engines that take new work.
+  double reserved = 0;   ///< Of those, kept free of batch; see `reserved_slots`.
+  int online = 0;        ///< Online requests in flight there, of all nodes.
+  double own_items = 0;  ///< That this node runs or has to run.
+  double all_items = 0;  ///< That all nodes do, this one included.
 };
 
 /// @return how many of an engine's slots are kept free of batch.
--- a/include/dockpoint/routing/load_digest.hpp
+++ b/include/dockpoint/routing/load_digest.hpp
@@ -21,13 +21,14 @@
 /// (once in 50,000 fleets of 400 nodes): the last of them that is heard then counts for both.
 std::uint32_t node_key(std::string_view node);
 
-/// What a node tells the others a few times a second: its load on the replicas, and how much of
-/// the fleet it knows. It is a heartbeat too.
+/// What a node tells the others a few times a second: its load on the replicas, its batch items,
+/// and how much of the fleet it knows. It is a heartbeat too.
 struct LoadDigest {
   std::uint32_t node = 0;  ///< See `node_key`.
   std::uint64_t configuration_version = 0;
   std::uint64_t fleet_position = 0;  ///< Up to which it has read the replicas' records.
   bool log_reachable = false;        ///< The node holds a valid lease in the log.
+  std::uint32_t pending_items = 0;   ///< Batch items that it runs or has to run.
   std::vector<LoadDigestEntry> entries;
 };
 
--- a/include/dockpoint/routing/replica_directory.hpp
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -114,6 +114,8 @@
   Duration mean_peer_age(TimePoint now) const;
   /// @return nodes whose digests count.
   std::size_t peers() const { return peers_.size(); }
+  /// @return batch items that those nodes run or have to run.
+  std::int64_t pending_items_of_peers() const { return pending_items_of_peers_; }
   /// @return this node's requests in flight and the failures it saw, replicas without any left out.
   std::vector<LoadDigestEntry> own_load(TimePoint now) const;
 
@@ -129,6 +131,7 @@
  private:
   struct PeerLoad {
     std::vector<LoadDigestEntry> entries;
+    std::uint32_t pending_items = 0;
     TimePoint received{};
     TimePoint heard{};  ///< Last sign of life.
   };
@@ -157,6 +160,7 @@
   std::unordered_map<std::uint32_t, Replica*>
       by_key_;                                         ///< Of `replicas_`, whose places are stable.
   std::unordered_map<std::uint32_t, PeerLoad> peers_;  ///< By node_key.
+  std::int64_t pending_items_of_peers_ = 0;            ///< Their sum.
   std::unordered_map<std::uint32_t, PeerSum> peer_sums_;  ///< By the replica's key.
   std::uint64_t revision_ = 1;
 };
--- a/src/batch/batch_share.cpp
+++ b/src/batch/batch_share.cpp
@@ -17,12 +17,12 @@
 
 BatchShare::BatchShare(const Knobs& knobs, const FleetLoad& load)
     : tolerance_(knobs.batch_yield_tolerance) {
-  const double nodes = std::max(1, load.busy_nodes);
+  const double part = load.all_items > 0 ? std::min(1.0, load.own_items / load.all_items) : 1;
   const double most = knobs.batch_slot_share * load.slots;
   const double left = load.slots - load.reserved - load.online;
   const double patient = std::clamp(left, 0.0, most);
-  urgent_ = std::max(kLeastItems, static_cast<std::size_t>(most / nodes));
-  patient_ = std::min(urgent_, std::max(kLeastItems, static_cast<std::size_t>(patient / nodes)));
+  urgent_ = std::max(kLeastItems, static_cast<std::size_t>(most * part));
+  patient_ = std::min(urgent_, std::max(kLeastItems, static_cast<std::size_t>(patient * part)));
 }
 
 std::size_t BatchShare::excess(std::size_t running, std::size_t urgent_running) const {
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -145,6 +145,9 @@
 }
 
 void BatchExecutor::tick(TimePoint now) {
+  if (held_until_ == TimePoint{}) {
+    held_until_ = now + context_.knobs.batch_start_delay;
+  }
   const auto runs = runs_;
   for (const auto& run : runs) {
     run->tick(now);
@@ -168,12 +171,15 @@
   }
   const BatchShare current = share();
   make_room(current);
-  start_waiting(now, current);
+  if (now >= held_until_) {
+    start_waiting(now, current);
+  }
 }
 
 BatchShare BatchExecutor::share() const {
   FleetLoad load;
-  load.busy_nodes = busy_nodes_;
+  load.own_items = static_cast<double>(pending());
+  load.all_items = load.own_items + static_cast<double>(context_.replicas.pending_items_of_peers());
   for (const auto& [id, replica] : context_.replicas.all()) {
     const auto service = context_.configuration->services.find(replica.record.service);
     const bool engine =
--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -49,7 +49,8 @@
 ///
 /// The item whose job is due first runs first, jobs that are overdue last. Items go only to
 /// replicas with room below a share of their slots, and no more of them at once than BatchShare
-/// allows this node. A run that breaks, or makes room for online requests, goes on behind its last
+/// allows this node; none before a node that has just started can know the load of the others. A
+/// run that breaks, or makes room for online requests, goes on behind its last
 /// event, wherever there is room.
 ///
 /// Single-threaded; borrows the context. Owners are registered while they are active.
@@ -69,12 +70,11 @@
   void add_job(PartitionOwner& owner, const LedgerJob& job);
   void end_job(int partition, const std::string& job);
 
-  /// Nodes, this one included, that have items to run.
-  void set_busy_nodes(int nodes) { busy_nodes_ = std::max(1, nodes); }
   void tick(TimePoint now);
 
-  std::size_t waiting() const { return waiting_.size() + delayed_.size(); }
   std::size_t running() const { return runs_.size(); }
+  /// @return items that run or have to run.
+  std::size_t pending() const { return waiting_.size() + delayed_.size() + runs_.size(); }
   bool running_in(int partition) const;
 
  private:
@@ -116,7 +116,7 @@
   std::multimap<TimePoint, ItemRef> delayed_;
   std::map<ItemRef, ItemProgress> progress_;
   std::set<std::shared_ptr<ItemRun>> runs_;
-  int busy_nodes_ = 1;
+  TimePoint held_until_{};  ///< No item starts before; set by the first round.
   TimePoint next_expiry_check_{};
   TimePoint next_checkpoint_{};
 };
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -50,8 +50,7 @@
   /// otherwise another may own its partitions and have listed more.
   void set_peers_reach_log(bool reach) { peers_reach_log_ = reach; }
 
-  void set_busy_nodes(int nodes) { executor_.set_busy_nodes(nodes); }
-  std::size_t pending_items() const { return executor_.waiting() + executor_.running(); }
+  std::size_t pending_items() const { return executor_.pending(); }
   /// @return owners by partition, as far as known, for nodes that cannot ask the log.
   const std::map<int, std::string>& owner_addresses() const { return owner_addresses_; }
   /// Takes owners from another node where this one knows none.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -129,7 +129,6 @@
   peers_.tick(now);
   note_outliers(now);
   batch_.set_peers_reach_log(peers_.some_peer_reaches_log());
-  batch_.set_busy_nodes(peers_.busy_nodes());
   batch_.tick(now);
   online_.tick(now);
   context_.client.tick(now);
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -63,10 +63,6 @@
   membership_.set_configuration_revision(version);
 }
 
-void PeerLink::set_pending_items(std::size_t items) {
-  membership_.set_pending_batch_items(static_cast<std::uint32_t>(items));
-}
-
 void PeerLink::tick(TimePoint now) {
   if (now - last_tick_ > kOwnPause) {
     // This process stood still: silence of the others proves nothing.
@@ -99,8 +95,9 @@
   // In a small fleet a silent member is told too: it may hear, though it is not heard.
   const std::vector<const Member*> alive = membership_.alive();
   relay_.set_members(alive.size() <= LoadRelay::kDirectNodes ? alive : members_heard(now));
-  const std::string bytes = encode(LoadDigest{own_key_, configuration_version_, fleet_position_,
-                                              log_reachable_, context_.replicas.own_load(now)});
+  const std::string bytes =
+      encode(LoadDigest{own_key_, configuration_version_, fleet_position_, log_reachable_,
+                        pending_items_, context_.replicas.own_load(now)});
   const std::vector<std::string> recipients = relay_.next_digest_recipients();
   for (const std::string& address : recipients) {
     send_bytes(address, bytes);
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -43,7 +43,8 @@
   /// @param position up to which this node has read the replicas' records.
   void set_fleet_position(std::uint64_t position);
   void set_log_reachable(bool reachable) { log_reachable_ = reachable; }
-  void set_pending_items(std::size_t items);
+  /// @param items of batch jobs that this node runs or has to run.
+  void set_pending_items(std::size_t items) { pending_items_ = static_cast<std::uint32_t>(items); }
   void tick(TimePoint now);
   /// Sends a digest now: the load has changed in a way that the others should know of.
   void announce_load();
@@ -58,7 +59,6 @@
   std::vector<std::string> zone_control_addresses() const;
   /// @return whether a node that counts as alive has last said that it reaches the log.
   bool some_peer_reaches_log() const;
-  int busy_nodes() const { return membership_.nodes_with_pending_batch(); }
 
  private:
   void send(const std::string& address, const PeerMessage& message) override;
@@ -103,6 +103,7 @@
   std::unordered_map<std::uint32_t, TimePoint> last_heard_;  ///< By node_key, of any sign of life.
   std::unordered_map<std::uint32_t, bool> reaches_log_;      ///< By node_key, as it last said.
   bool log_reachable_ = false;
+  std::uint32_t pending_items_ = 0;
   TimePoint last_tick_{};
   TimePoint silence_counts_from_{};
 };
--- a/src/routing/load_digest.cpp
+++ b/src/routing/load_digest.cpp
@@ -24,8 +24,10 @@
   std::uint64_t configuration_version = 0;
   std::uint64_t fleet_position = 0;
   bool log_reachable = false;
+  std::uint32_t pending_items = 0;
   std::vector<std::uint32_t> numbers;  ///< Those of each entry, in the order of its fields.
-  DOCKPOINT_FIELDS(node, configuration_version, fleet_position, log_reachable, numbers)
+  DOCKPOINT_FIELDS(node, configuration_version, fleet_position, log_reachable, pending_items,
+                   numbers)
 };
 
 struct CollectionWire {
@@ -44,8 +46,8 @@
 }
 
 std::string encode(const LoadDigest& digest) {
-  Wire wire{
-      digest.node, digest.configuration_version, digest.fleet_position, digest.log_reachable, {}};
+  Wire wire{digest.node,          digest.configuration_version, digest.fleet_position,
+            digest.log_reachable, digest.pending_items,         {}};
   for (const LoadDigestEntry& entry : digest.entries) {
     wire.numbers.insert(wire.numbers.end(), {entry.replica_key, entry.in_flight,
                                              entry.prefill_tokens, entry.batch, entry.failures});
@@ -65,8 +67,8 @@
   if (!wire || wire->numbers.size() % kEntryNumbers != 0) {
     return std::nullopt;
   }
-  LoadDigest digest{
-      wire->node, wire->configuration_version, wire->fleet_position, wire->log_reachable, {}};
+  LoadDigest digest{wire->node,          wire->configuration_version, wire->fleet_position,
+                    wire->log_reachable, wire->pending_items,         {}};
   for (std::size_t index = 0; index < wire->numbers.size(); index += kEntryNumbers) {
     digest.entries.push_back({wire->numbers[index], wire->numbers[index + 1],
                               wire->numbers[index + 2], wire->numbers[index + 3],
--- a/src/routing/replica_directory.cpp
+++ b/src/routing/replica_directory.cpp
@@ -135,7 +135,7 @@
   for (const LoadDigest& digest : digests) {
     PeerLoad& peer = peers_[digest.node];
     count_peer_load(peer, -1, now);
-    peer = {digest.entries, now, now};
+    peer = {digest.entries, digest.pending_items, now, now};
     count_peer_load(peer, 1, now);
   }
 }
@@ -199,6 +199,7 @@
 }
 
 void ReplicaDirectory::count_peer_load(const PeerLoad& peer, int sign, TimePoint now) {
+  pending_items_of_peers_ += sign * static_cast<std::int64_t>(peer.pending_items);
   for (const LoadDigestEntry& entry : peer.entries) {
     PeerSum& sum = peer_sums_[entry.replica_key];
     sum.in_flight += sign * static_cast<int>(entry.in_flight);
--- a/tests/batch/batch_share_test.cpp
+++ b/tests/batch/batch_share_test.cpp
@@ -18,19 +18,25 @@
 BOOST_AUTO_TEST_SUITE(batch_share)
 
 BOOST_AUTO_TEST_CASE(items_fill_what_online_requests_leave) {
-  BOOST_TEST(BatchShare(knobs(), {100, 10, 0, 1}).patient() == 60U);
-  BOOST_TEST(BatchShare(knobs(), {100, 10, 50, 1}).patient() == 40U);
-  BOOST_TEST(BatchShare(knobs(), {100, 10, 50, 4}).patient() == 10U);
+  BOOST_TEST(BatchShare(knobs(), {100, 10, 0, 60, 60}).patient() == 60U);
+  BOOST_TEST(BatchShare(knobs(), {100, 10, 50, 60, 60}).patient() == 40U);
+  BOOST_TEST(BatchShare(knobs(), {100, 10, 50, 15, 60}).patient() == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(slots_go_to_nodes_in_proportion_to_their_items) {
+  // One node has a job of 90 items, nine nodes have one item each.
+  BOOST_TEST(BatchShare(knobs(), {100, 10, 0, 90, 99}).patient() == 54U);
+  BOOST_TEST(BatchShare(knobs(), {100, 10, 0, 1, 99}).patient() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(urgent_items_keep_their_share_under_any_load) {
-  const BatchShare share(knobs(), {100, 10, 200, 2});
+  const BatchShare share(knobs(), {100, 10, 200, 40, 80});
   BOOST_TEST(share.urgent() == 30U);
   BOOST_TEST(share.patient() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(a_rise_of_online_requests_breaks_items_off_but_no_urgent_ones) {
-  const BatchShare share(knobs(), {100, 10, 70, 1});
+  const BatchShare share(knobs(), {100, 10, 70, 60, 60});
   BOOST_TEST(share.patient() == 20U);
   BOOST_TEST(share.excess(24, 0) == 0U);
   BOOST_TEST(share.excess(25, 0) == 5U);
@@ -49,7 +55,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_unknown_fleet_still_runs_something) {
-  const BatchShare share(knobs(), {0, 0, 0, 0});
+  const BatchShare share(knobs(), {0, 0, 0, 0, 0});
   BOOST_TEST(share.patient() == 2U);
   BOOST_TEST(share.urgent() == 2U);
   BOOST_TEST(share.excess(2, 0) == 0U);
--- a/tests/membership/digest_collector_test.cpp
+++ b/tests/membership/digest_collector_test.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t kDatagram = 1'200;
 
 std::string digest_of(std::uint32_t node, std::size_t replicas, std::uint32_t load) {
-  LoadDigest digest{node, 1, 1, true, {}};
+  LoadDigest digest{node, 1, 1, true, 0, {}};
   for (std::size_t replica = 0; replica < replicas; ++replica) {
     digest.entries.push_back({static_cast<std::uint32_t>(0x8000'0000U + replica), load, 0, 0, 0});
   }
--- a/tests/routing/load_digest_test.cpp
+++ b/tests/routing/load_digest_test.cpp
@@ -10,8 +10,8 @@
 BOOST_AUTO_TEST_SUITE(load_digest)
 
 BOOST_AUTO_TEST_CASE(a_digest_travels_whole_and_is_told_from_other_messages) {
-  const LoadDigest digest{
-      node_key("n1"), 7, 99, true, {{1, 2, 3, 1, 7}, {4'000'000'000U, 5, 0, 0, 0}}};
+  const LoadDigest digest{node_key("n1"), 7,  99,
+                          true,           12, {{1, 2, 3, 1, 7}, {4'000'000'000U, 5, 0, 0, 0}}};
   const std::string bytes = encode(digest);
   BOOST_TEST(is_load_digest(bytes));
   BOOST_TEST(!decode_peer_message(bytes).has_value());
@@ -20,6 +20,7 @@
   BOOST_TEST(decoded->node == node_key("n1"));
   BOOST_TEST(decoded->configuration_version == 7U);
   BOOST_TEST(decoded->fleet_position == 99U);
+  BOOST_TEST(decoded->pending_items == 12U);
   BOOST_TEST_REQUIRE(decoded->entries.size() == 2U);
   BOOST_TEST(decoded->entries[1].replica_key == 4'000'000'000U);
   BOOST_TEST(decoded->entries[0].prefill_tokens == 3U);
@@ -31,7 +32,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(damaged_digests_are_dropped) {
-  const std::string bytes = encode(LoadDigest{node_key("n1"), 7, 99, true, {{1, 2, 3, 0, 0}}});
+  const std::string bytes = encode(LoadDigest{node_key("n1"), 7, 99, true, 0, {{1, 2, 3, 0, 0}}});
   BOOST_TEST(!decode_load_digest("").has_value());
   std::mt19937_64 random(7);
   constexpr int kRounds = 20'000;
@@ -49,7 +50,7 @@
   std::size_t digest_bytes = 0;
   for (int node = 0; node < 50; ++node) {
     const std::uint32_t key = node_key("node-" + std::to_string(node));
-    collection.digests.push_back(encode(LoadDigest{key, 7, 99, true, {{1, 2, 3, 0, 0}}}));
+    collection.digests.push_back(encode(LoadDigest{key, 7, 99, true, 0, {{1, 2, 3, 0, 0}}}));
     digest_bytes += collection.digests.back().size() + kDigestOverhead;
   }
   const std::string bytes = encode(collection);
--- a/tests/routing/replica_directory_test.cpp
+++ b/tests/routing/replica_directory_test.cpp
@@ -41,10 +41,10 @@
 BOOST_AUTO_TEST_CASE(load_is_own_work_and_that_of_peers) {
   const std::uint32_t key = directory.find("r1")->key;
   directory.started("r1", TrafficClass::kOnline, 100);
-  directory.set_peer_loads({{node_key("n2"), 0, 0, false, {{key, 3, 0, 2, 0}}}}, at(10));
-  directory.set_peer_loads({{node_key("n3"), 0, 0, false, {{key, 1, 0, 0, 0}}}}, at(10));
+  directory.set_peer_loads({{node_key("n2"), 0, 0, false, 0, {{key, 3, 0, 2, 0}}}}, at(10));
+  directory.set_peer_loads({{node_key("n3"), 0, 0, false, 0, {{key, 1, 0, 0, 0}}}}, at(10));
   BOOST_TEST(directory.find("r1")->load(at(10)) == 5);
-  directory.set_peer_loads({{node_key("n2"), 0, 0, false, {}}}, at(20));
+  directory.set_peer_loads({{node_key("n2"), 0, 0, false, 0, {}}}, at(20));
   BOOST_TEST(directory.find("r1")->load(at(20)) == 2);
   directory.expire_peer_loads(at(10) + knobs.load_digest_lifetime + Duration(1));
   BOOST_TEST(directory.find("r1")->load(at(20)) == 1);
@@ -59,6 +59,7 @@
   constexpr int kReplicas = 6;
   std::mt19937_64 random(5);
   std::map<std::uint32_t, std::vector<LoadDigestEntry>> last;
+  std::map<std::uint32_t, std::int64_t> items;
   const auto name = [](std::uint64_t number) { return "s" + std::to_string(number); };
   for (int step = 0; step < 2'000; ++step) {
     const std::uint64_t number = random() % kReplicas;
@@ -67,7 +68,8 @@
     } else if (step % 50 == 1) {
       directory.remove(name(number));
     }
-    LoadDigest digest{static_cast<std::uint32_t>(random() % kPeers), 0, 0, true, {}};
+    LoadDigest digest{static_cast<std::uint32_t>(random() % kPeers), 0, 0, true,
+                      static_cast<std::uint32_t>(random() % 9),      {}};
     for (std::uint64_t entry = 0; entry < random() % kReplicas; ++entry) {
       const auto key = static_cast<std::uint32_t>(hash64(name(entry)));
       const auto load = static_cast<std::uint32_t>(random() % 5);
@@ -75,6 +77,14 @@
     }
     directory.set_peer_loads({digest}, at(step));
     last[digest.node] = digest.entries;
+    items[digest.node] = digest.pending_items;
+    std::int64_t expected_items = 0;
+    for (const auto& [node, pending] : items) {
+      expected_items += pending;
+    }
+    if (directory.pending_items_of_peers() != expected_items) {
+      BOOST_FAIL("step " << step << ": " << directory.pending_items_of_peers() << " items");
+    }
     for (int replica = 0; replica < kReplicas; ++replica) {
       const Replica* known = directory.find(name(static_cast<std::uint64_t>(replica)));
       int expected = 0;
@@ -93,6 +103,7 @@
   }
   directory.expire_peer_loads(at(10'000));
   BOOST_TEST(directory.peers() == 0U);
+  BOOST_TEST(directory.pending_items_of_peers() == 0);
   for (const auto& [id, replica] : directory.all()) {
     BOOST_TEST(replica.of_peers == 0);
     BOOST_TEST(replica.failures_of_peers == 0);
--- a/tests/routing/replica_selector_test.cpp
+++ b/tests/routing/replica_selector_test.cpp
@@ -66,7 +66,7 @@
   ReplicaSelector selector(knobs, directory, "zone-a", 1);
   const std::uint32_t reading = directory.find("r1")->key;
   const auto tokens = static_cast<std::uint32_t>(knobs.prefill_tokens_per_ms * 500);
-  directory.set_peer_loads({{node_key("n2"), 0, 0, false, {{reading, 1, tokens, 0, 0}}}}, at(0));
+  directory.set_peer_loads({{node_key("n2"), 0, 0, false, 0, {{reading, 1, tokens, 0, 0}}}}, at(0));
   std::set<std::string> early;
   std::set<std::string> late;
   for (int request = 0; request < 60; ++request) {
@@ -76,7 +76,7 @@
   }
   BOOST_TEST(!early.contains("r1"));
   BOOST_TEST(!late.contains("r1"));
-  directory.set_peer_loads({{node_key("n2"), 0, 0, false, {}}}, at(4'900));
+  directory.set_peer_loads({{node_key("n2"), 0, 0, false, 0, {}}}, at(4'900));
   directory.started("r4", TrafficClass::kOnline, 0);
   directory.started("r4", TrafficClass::kOnline, 0);
   // Seconds later, when the requests above are not taken for unseen load any more.
@@ -100,7 +100,7 @@
     known.push_back({wide.find("w" + std::to_string(number))->key, load, 0, 0, 0});
   }
   for (int node = 1; node < kNodes; ++node) {
-    wide.set_peer_loads({{node_key("n" + std::to_string(node)), 0, 0, false,
+    wide.set_peer_loads({{node_key("n" + std::to_string(node)), 0, 0, false, 0,
                           node == 1 ? known : std::vector<LoadDigestEntry>{}}},
                         at(0));
   }
@@ -154,7 +154,8 @@
   const std::uint32_t failing = directory.find("r3")->key;
   std::vector<LoadDigest> digests;
   for (int node = 2; node < 7; ++node) {
-    digests.push_back({node_key("n" + std::to_string(node)), 0, 0, false, {{failing, 0, 0, 0, 1}}});
+    digests.push_back(
+        {node_key("n" + std::to_string(node)), 0, 0, false, 0, {{failing, 0, 0, 0, 1}}});
   }
   directory.set_peer_loads(digests, at(0));
   BOOST_TEST(directory.update_outliers(at(0)).size() == 1U);
