Send a write to the log again while its answer is still awaited

Cause: the store does writes and loses their answers, and nothing more comes on such a connection.

Ruled out: a shorter time limit of the call (under a slow store every call would be given up and asked anew). Client retries alone: that is how it was.

Change: HedgedLog (decision class between the gateway and its log) sends a write once more after 120 ms, or twice the mean time of recent writes if that is longer, three calls at most; the first answer that settles its fate counts. Appends of owners are numbered, all others write one value under one key, joins may be repeated; after a leave nothing is sent again.

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -117,6 +117,8 @@
   Duration watch_wait = 2500ms;      ///< A read waits this long for records.
   Duration log_retry_delay = 150ms;  ///< After a failed call; doubled and spread at random.
   Duration log_retry_delay_limit = 1200ms;
+  Duration log_hedge_delay = 120ms;  ///< A write without an answer is sent again after this time;
+  int log_hedge_calls = 3;           ///< so many calls at most, each waits twice as long.
   Duration group_lease = 2000ms;     ///< A silent member loses its partitions after this time.
   Duration read_validity = 1000ms;   ///< After a renewal of the lease reads are answered this long.
   Duration handover_drain = 2500ms;  ///< Running items may end before a partition is released.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -57,13 +57,14 @@
                replicas_,      selector_, metrics_,      std::make_shared<RoutingConfiguration>(),
                settings_.node, {}},
       online_(context_, hash64(settings_.node)),
-      fleet_(context_, parts.log, parts.fleet_reader, parts.fleet_topics, hash64(settings_.node),
+      log_(knobs, parts.log),
+      fleet_(context_, log_, parts.fleet_reader, parts.fleet_topics, hash64(settings_.node),
              [this] { apply_configuration(); }),
       peers_(context_,
              {settings_.datagram_address, settings_.frontend_address, settings_.control_address},
              settings_.zone, run_,
              [this](const std::string& control_address) { ask_peer(control_address); }),
-      batch_(context_, parts.log, parts.batch_topics, {settings_.control_address, run_},
+      batch_(context_, log_, parts.batch_topics, {settings_.control_address, run_},
              combine_hash(hash64(settings_.node), run_)),
       frontend_(loop, [this](const auto& exchange) { serve_frontend(exchange); }),
       readiness_(loop, [this](const auto& exchange) { serve_readiness(exchange); }),
@@ -122,6 +123,7 @@
 
 void Gateway::tick() {
   const TimePoint now = net::steady_now();
+  log_.tick(now);
   fleet_.tick(now);
   peers_.set_fleet_position(fleet_.replicas_position());
   peers_.set_pending_items(batch_.pending_items());
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "dockpoint/log/hedged_log.hpp"
 #include "gateway/batch_service.hpp"
 #include "gateway/bounded_log.hpp"
 #include "gateway/fleet_watch.hpp"
@@ -82,6 +83,7 @@
   ReplicaSelector selector_;
   GatewayContext context_;
   OnlineProxy online_;
+  HedgedLog log_;
   FleetWatch fleet_;
   PeerLink peers_;
   BatchService batch_;
--- /dev/null
+++ b/src/log/hedged_log.cpp
@@ -0,0 +1,149 @@
+#include "dockpoint/log/hedged_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dockpoint {
+namespace {
+
+/// @return whether the fate of a write is certain, whatever its other calls come to.
+bool settles(LogStatus status) {
+  return status != LogStatus::kRefused && status != LogStatus::kUnknown;
+}
+
+}  // namespace
+
+/// One write whose answers are of one kind.
+template <class Outcome>
+class HedgedLog::Write : public HedgedWrite,
+                         public std::enable_shared_from_this<HedgedLog::Write<Outcome>> {
+ public:
+  using Done = std::function<void(Outcome)>;
+  using Send = std::function<void(Done)>;
+
+  Write(const Knobs& knobs, std::shared_ptr<Shared> shared, Send send, Done done)
+      : knobs_(knobs),
+        shared_(std::move(shared)),
+        send_(std::move(send)),
+        done_(std::move(done)),
+        started_(shared_->now) {}
+
+  void send() {
+    const Duration delay = std::max(knobs_.log_hedge_delay, 2 * shared_->mean_time);
+    next_at_ = shared_->now + delay * (1 << sent_);
+    ++sent_;
+    ++under_way_;
+    send_([self = this->shared_from_this()](Outcome outcome) { self->take(std::move(outcome)); });
+  }
+
+  bool tick() override {
+    if (!over_ && !stopped_ && sent_ < knobs_.log_hedge_calls && shared_->now >= next_at_) {
+      send();
+    }
+    return over_;
+  }
+
+  void stop() override { stopped_ = true; }
+
+ private:
+  void take(Outcome outcome) {
+    --under_way_;
+    if (over_ || !shared_->alive) {
+      return;
+    }
+    may_be_done_ = may_be_done_ || outcome.status == LogStatus::kUnknown;
+    if (!settles(outcome.status)) {
+      if (under_way_ > 0) {
+        return;
+      }
+      outcome.status = may_be_done_ ? LogStatus::kUnknown : LogStatus::kRefused;
+    } else {
+      constexpr int kMemory = 5;  // Writes that the mean spans.
+      shared_->mean_time += (shared_->now - started_ - shared_->mean_time) / kMemory;
+    }
+    over_ = true;
+    const Done done = std::move(done_);
+    done(std::move(outcome));
+  }
+
+  const Knobs& knobs_;
+  const std::shared_ptr<Shared> shared_;
+  const Send send_;
+  Done done_;
+  const TimePoint started_;
+  TimePoint next_at_{};
+  int sent_ = 0;
+  int under_way_ = 0;
+  bool may_be_done_ = false;  ///< One of the calls ended without an answer.
+  bool over_ = false;
+  bool stopped_ = false;
+};
+
+HedgedLog::~HedgedLog() {
+  shared_->alive = false;
+}
+
+template <class Outcome>
+void HedgedLog::start(std::function<void(std::function<void(Outcome)>)> send,
+                      std::function<void(Outcome)> done) {
+  const auto write =
+      std::make_shared<Write<Outcome>>(knobs_, shared_, std::move(send), std::move(done));
+  writes_.push_back(write);
+  write->send();
+}
+
+void HedgedLog::tick(TimePoint now) {
+  shared_->now = now;
+  // A write that is sent again may end at once, and its callback may start others.
+  const std::list<std::shared_ptr<HedgedWrite>> writes = std::move(writes_);
+  writes_.clear();
+  for (const auto& write : writes) {
+    if (!write->tick()) {
+      writes_.push_back(write);
+    }
+  }
+}
+
+void HedgedLog::append(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
+                       const std::optional<ProducerPosition>& position,
+                       std::function<void(AppendOutcome)> done) {
+  start<AppendOutcome>(
+      [this, partition, records, position](std::function<void(AppendOutcome)> answered) {
+        log_.append(partition, records, position, std::move(answered));
+      },
+      std::move(done));
+}
+
+void HedgedLog::read(const TopicPartition& partition, LogOffset from, Duration wait,
+                     std::function<void(ReadOutcome)> done) {
+  log_.read(partition, from, wait, std::move(done));
+}
+
+void HedgedLog::newest(const TopicPartition& partition, const std::string& after_key,
+                       std::function<void(NewestOutcome)> done) {
+  log_.newest(partition, after_key, std::move(done));
+}
+
+void HedgedLog::join(const std::string& group, const std::string& member,
+                     const std::vector<std::string>& topics, Duration lease,
+                     std::uint64_t generation, std::function<void(JoinOutcome)> done) {
+  start<JoinOutcome>(
+      [this, group, member, topics, lease, generation](std::function<void(JoinOutcome)> answered) {
+        log_.join(group, member, topics, lease, generation, std::move(answered));
+      },
+      std::move(done));
+}
+
+void HedgedLog::leave(const std::string& group, const std::string& member,
+                      std::function<void(LogStatus)> done) {
+  for (const auto& write : writes_) {
+    write->stop();  // A join that comes after it would enter the group again.
+  }
+  log_.leave(group, member, std::move(done));
+}
+
+void HedgedLog::owners(const std::string& group, std::function<void(OwnersOutcome)> done) {
+  log_.owners(group, std::move(done));
+}
+
+}  // namespace dockpoint
--- a/tests/batch/partition_ownership_test.cpp
+++ b/tests/batch/partition_ownership_test.cpp
@@ -12,6 +12,7 @@
 
 #include "dockpoint/batch/group_member.hpp"
 #include "dockpoint/batch/partition_owner.hpp"
+#include "dockpoint/log/hedged_log.hpp"
 #include "emulator/memory_log.hpp"
 #include "support/fleet.hpp"
 
@@ -98,13 +99,14 @@
  public:
   Node(const Knobs& knobs, CuttableLog& log, const std::string& name, std::uint64_t seed)
       : knobs_(knobs),
-        log_(log),
+        log_(knobs, log),
         random_(seed),
-        group_(knobs, log, kTopics.group, kTopics.jobs, name, seed,
+        group_(knobs, log_, kTopics.group, kTopics.jobs, name, seed,
                static_cast<GroupMemberObserver&>(*this)) {}
 
   void tick(TimePoint now) {
     now_ = now;
+    log_.tick(now);
     group_.tick(now);
     for (auto& [partition, owner] : owners_) {
       owner->tick(now);
@@ -165,7 +167,7 @@
   void on_lost(int partition) override { owners_.erase(partition); }
 
   const Knobs& knobs_;
-  CuttableLog& log_;
+  HedgedLog log_;
   std::mt19937_64 random_;
   TimePoint now_{};
   std::map<int, std::unique_ptr<PartitionOwner>> owners_;
