Items: a sole replica is tried again, only what says so counts as a failure, retention by every clock

Cause: (1) An item that was interrupted at a replica is not sent there next; where that replica is the only one with room, or the only one of its service, the item waited until its retention was over and was given up. (2) Every answer that was no success counted as a failed attempt, also a 504 or a stray status; an item could be listed as given up after fewer failures than its route allows. A failed item went to the replica that had failed it, which a replica that fails a part of its requests repeats. (3) Retention was taken as over one second after it by the node's own time of day; that clock and the one that stamped the job may each be wrong by seconds (clock_step), so that an item could be given up early.

Change: the exclusion yields when nothing else has room; 500 counts, 422 ends the item, anything else is an interruption with a growing pause; a failing replica is told to the directory as one. When an item is due, urgent or over is a decision class now (batch/due_time), which reckons with the error of both clocks.

Also: two slots of each engine are kept free of batch in place of three.

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -104,10 +104,11 @@
 
   // Batch items.
   double batch_slot_share = 0.6;       ///< Of all slots, for the items of all nodes at most.
-  double batch_reserved_slots = 3;     ///< Of each engine, that patient items leave free.
+  double batch_reserved_slots = 2;     ///< Of each engine, that patient items leave free.
   double batch_yield_tolerance = 1.2;  ///< Items run up to so many times what is allowed.
   double batch_urgent_time = 0.5;  ///< An item is urgent in the last part of its time, as a share.
   Duration batch_start_delay = 700ms;  ///< After a node's start, until it knows the others' load.
+  Duration clock_error = 5s;           ///< The time of day may be wrong by so much at a node.
   Duration checkpoint_interval = 1s;   ///< Between writes of what unfinished items produced.
   Duration item_silence = 3s;          ///< A run without a byte for this long goes on elsewhere.
   Duration item_route_wait = 1s;       ///< Pause of an item whose route is not known.
--- /dev/null
+++ b/src/batch/due_time.cpp
@@ -0,0 +1,28 @@
+#include "dockpoint/batch/due_time.hpp"
+
+namespace dockpoint {
+namespace {
+
+std::int64_t to_ms(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}  // namespace
+
+bool DueTime::urgent(const Knobs& knobs, std::int64_t now_ms) const {
+  const auto left = static_cast<double>(at_ms - now_ms);
+  return left < knobs.batch_urgent_time * static_cast<double>(allowed_ms);
+}
+
+DueTime due_time(std::int64_t submitted_ms, Duration target) {
+  return {submitted_ms + to_ms(target), to_ms(target)};
+}
+
+bool may_give_up(const Knobs& knobs, std::int64_t submitted_ms, Duration retention,
+                 std::int64_t now_ms) {
+  constexpr int kClocks = 2;
+  return retention > Duration{} &&
+         now_ms > submitted_ms + to_ms(retention + kClocks * knobs.clock_error);
+}
+
+}  // namespace dockpoint
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -60,9 +60,9 @@
     }
   }
   const RouteConfig* route = route_of(*job, job->job.items[ref.item]);
-  const std::int64_t target_ms = route == nullptr ? 0 : net::to_ms(route->completion_target);
-  const std::int64_t due_ms = job->job.submitted_ms + target_ms;
-  waiting_.insert({net::unix_now_ms() > due_ms, {due_ms, target_ms}, ref});
+  const DueTime due =
+      due_time(job->job.submitted_ms, route == nullptr ? Duration{} : route->completion_target);
+  waiting_.insert({due.overdue(net::unix_now_ms()), due, ref});
 }
 
 void BatchExecutor::remove_partition(int partition) {
@@ -194,8 +194,7 @@
 }
 
 bool BatchExecutor::is_urgent(const DueTime& due) const {
-  const double left = static_cast<double>(due.at_ms - net::unix_now_ms());
-  return left < context_.knobs.batch_urgent_time * static_cast<double>(due.allowed_ms);
+  return due.urgent(context_.knobs, net::unix_now_ms());
 }
 
 void BatchExecutor::start_waiting(TimePoint now, const BatchShare& share) {
@@ -264,7 +263,11 @@
   if (!kept.last_replica.empty()) {
     query.excluded.insert(kept.last_replica);
   }
-  const ReplicaChoice choice = context_.selector.choose(query, now);
+  ReplicaChoice choice = context_.selector.choose(query, now);
+  if (choice.replica == nullptr && !query.excluded.empty()) {
+    query.excluded.clear();  // Better where it was interrupted than nowhere.
+    choice = context_.selector.choose(query, now);
+  }
   if (choice.replica == nullptr) {
     return false;
   }
@@ -280,21 +283,15 @@
 void BatchExecutor::give_up_expired() {
   const std::int64_t now_ms = net::unix_now_ms();
   std::vector<ItemRef> expired;
-  const auto check = [&](const ItemRef& ref) {
-    const LedgerJob* job = job_of(ref);
-    const RouteConfig* route = job == nullptr ? nullptr : route_of(*job, job->job.items[ref.item]);
-    const Duration retention = route == nullptr ? Duration{} : route->retention;
-    constexpr std::int64_t kMarginMs = 1'000;
-    if (retention > Duration{} &&
-        now_ms > job->job.submitted_ms + net::to_ms(retention) + kMarginMs) {
-      expired.push_back(ref);
-    }
-  };
   for (const Waiting& entry : waiting_) {
-    check(entry.ref);
+    if (has_expired(entry.ref, now_ms)) {
+      expired.push_back(entry.ref);
+    }
   }
   for (const auto& [time, ref] : delayed_) {
-    check(ref);
+    if (has_expired(ref, now_ms)) {
+      expired.push_back(ref);
+    }
   }
   for (const ItemRef& ref : expired) {
     std::erase_if(waiting_, [&](const Waiting& entry) { return entry.ref == ref; });
@@ -304,6 +301,13 @@
   }
 }
 
+bool BatchExecutor::has_expired(const ItemRef& ref, std::int64_t now_ms) const {
+  const LedgerJob* job = job_of(ref);
+  const RouteConfig* route = job == nullptr ? nullptr : route_of(*job, job->job.items[ref.item]);
+  return route != nullptr &&
+         may_give_up(context_.knobs, job->job.submitted_ms, route->retention, now_ms);
+}
+
 void BatchExecutor::retry(const ItemRef& ref, Duration delay, TimePoint now) {
   if (owners_.contains(ref.partition)) {
     delayed_.emplace(now + delay, ref);
--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -7,6 +7,7 @@
 #include <tuple>
 
 #include "dockpoint/batch/batch_share.hpp"
+#include "dockpoint/batch/due_time.hpp"
 #include "dockpoint/batch/partition_owner.hpp"
 #include "gateway/gateway_context.hpp"
 
@@ -26,12 +27,6 @@
   }
 };
 
-/// When an item has to be done.
-struct DueTime {
-  std::int64_t at_ms = 0;       ///< Wall clock.
-  std::int64_t allowed_ms = 0;  ///< From the job's submission until then.
-};
-
 /// What is known of an item beyond its job: kept between runs, so that a broken one goes on.
 struct ItemProgress {
   ItemCheckpoint produced;
@@ -93,6 +88,8 @@
 
   BatchShare share() const;
   bool is_urgent(const DueTime& due) const;
+  /// @return whether the time of an item is over: it may be given up.
+  bool has_expired(const ItemRef& ref, std::int64_t now_ms) const;
   void start_waiting(TimePoint now, const BatchShare& share);
   /// Breaks runs off that have time to spare if online requests need their slots.
   void make_room(const BatchShare& share);
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -11,7 +11,10 @@
 namespace dockpoint {
 namespace {
 
-constexpr int kUnprocessable = 422;
+/// The replica tried the item and failed.
+constexpr int kItemFailed = 500;
+/// The item can never be done.
+constexpr int kItemImpossible = 422;
 
 /// Pause before an item runs again that a replica had no room for.
 constexpr Duration kNoRoomPause = std::chrono::milliseconds(150);
@@ -42,6 +45,7 @@
 void ItemRun::start(const Replica& replica, std::string bytes, double missing_tokens,
                     TimePoint now) {
   replica_ = replica.record.id;
+  used_replica_ = replica_;
   started_ = now;
   last_progress_ = now;
   prefill_tokens_ = missing_tokens;
@@ -120,7 +124,9 @@
 void ItemRun::on_complete() {
   const auto self = shared_from_this();
   const TimePoint now = net::steady_now();
-  context_.replicas.signal(replica_, ReplicaSignal::kAnswered, now);
+  const bool failed = !turned_away_ && status_ == kItemFailed;
+  context_.replicas.signal(replica_, failed ? ReplicaSignal::kFailed : ReplicaSignal::kAnswered,
+                           now);
   release_replica();
   ItemProgress& kept = progress();
   if (turned_away_) {
@@ -141,12 +147,17 @@
     executor_.complete(ref_, true, std::move(kept.produced.text));
     return;
   }
+  if (status_ != kItemFailed && status_ != kItemImpossible) {
+    interrupted(now, "the answer says nothing of the item");
+    return;
+  }
+  kept.last_replica = used_replica_;  // It may be the replica that fails: try another.
   ++kept.produced.failures;
   context_.metrics.count_item("failed");
   spdlog::info("batch: item failed job={} item={} status={} failures={}/{}", ref_.job, item_id_,
                status_, kept.produced.failures, attempts_);
   executor_.run_over(self);
-  if (status_ == kUnprocessable || kept.produced.failures >= attempts_) {
+  if (status_ == kItemImpossible || kept.produced.failures >= attempts_) {
     executor_.complete(ref_, false, {});
   } else {
     executor_.retry(ref_, kNoRoomPause, now);
@@ -165,7 +176,7 @@
 void ItemRun::interrupted(TimePoint now, const char* why) {
   const auto self = shared_from_this();
   ItemProgress& kept = progress();
-  kept.last_replica = replica_;
+  kept.last_replica = used_replica_;
   release_replica();
   ++kept.interruptions;
   context_.metrics.count_item("interrupted");
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -43,7 +43,8 @@
   const std::string service_;
   const int attempts_;
   const DueTime due_;
-  std::string replica_;
+  std::string replica_;       ///< Empty once the run is over.
+  std::string used_replica_;  ///< The same, kept.
   net::CallPtr call_;
   TimePoint started_{};
   TimePoint last_progress_{};
--- a/tests/platform/system_test.cpp
+++ b/tests/platform/system_test.cpp
@@ -78,7 +78,8 @@
   boost::asio::io_context loop{1};
   StandInStore store{loop, kStorePort, kPartitions};
   net::HttpClient caller{loop};
-  bool replica_fails = false;
+  int failure_status = 0;   ///< That the replica answers with,
+  int failures_left = 100;  ///< so many times.
   StandInReplica replica{loop, "r1", kReplicaPort, [this](const auto& exchange) { run(exchange); }};
   std::unique_ptr<Node> first = std::make_unique<Node>(loop, 1);
   std::unique_ptr<Node> second = std::make_unique<Node>(loop, 2);
@@ -93,8 +94,8 @@
   }
 
   void run(const net::ExchangePtr& exchange) {
-    if (replica_fails) {
-      exchange->respond(422, genuine_headers(exchange), {});
+    if (failure_status != 0 && failures_left-- > 0) {
+      exchange->respond(failure_status, genuine_headers(exchange), {});
       return;
     }
     net::Headers headers = genuine_headers(exchange);
@@ -196,7 +197,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_item_that_can_never_be_done_is_listed_as_given_up) {
-  replica_fails = true;
+  failure_status = 422;
   BOOST_TEST(submit(1, "0b") == 202);
   const nlohmann::json page = read_whole(1, "0b");
   for (const auto& result : page["results"]) {
@@ -205,6 +206,26 @@
   BOOST_TEST(replica.requests() == 2);
 }
 
+BOOST_AUTO_TEST_CASE(an_item_is_given_up_after_as_many_failures_as_its_route_allows) {
+  failure_status = 500;
+  BOOST_TEST(submit(1, "0f") == 202);
+  const nlohmann::json page = read_whole(1, "0f");
+  for (const auto& result : page["results"]) {
+    BOOST_TEST(result["state"] == "dead_lettered");
+  }
+  BOOST_TEST(replica.requests() == 6);
+}
+
+BOOST_AUTO_TEST_CASE(answers_that_say_nothing_of_an_item_do_not_count_as_its_failures) {
+  failure_status = 504;
+  failures_left = 8;  // More than both items together may fail.
+  BOOST_TEST(submit(1, "10") == 202);
+  const nlohmann::json page = read_whole(1, "10");
+  for (const auto& result : page["results"]) {
+    BOOST_TEST(result["state"] == "succeeded");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(jobs_and_results_outlive_all_nodes) {
   BOOST_TEST(submit(1, "0c") == 202);
   const nlohmann::json before = read_whole(1, "0c");
