Refuse at once, once a caller, what the replicas are too busy to answer in time

Cause: nothing was ever refused for load.

Change: OverloadPolicy (decision class). A request whose expected wait is over twice its route's objective is refused before it is sent anywhere, with a time to come back between 0.12 and 0.32 of its time, spread by its id. A request that has used a part of its time already, learnt from what callers of the route give, is never refused for load: callers come back once, and late is better than not at all.

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -99,6 +99,12 @@
   Duration retry_after_minimum = 300ms;      ///< Told to callers that are refused,
   Duration retry_after_spread = 700ms;  ///< spread by request so that they do not return at once.
 
+  // Overload of the replicas.
+  double overload_objectives = 2;     ///< Refuse if the expected wait is so many objectives,
+  double overload_whole_time = 0.97;  ///< and the caller has so much of its time left, as a share;
+  double overload_return_earliest = 0.12;  ///< it may come back after so much of its time,
+  double overload_return_latest = 0.32;    ///< or so much: callers wait no more than a third.
+
   Duration fleet_lag = 250ms;   ///< A node that is behind its peers for longer asks one.
   Duration removal_grace = 2s;  ///< For records that lapsed while the log was away to come back.
 
--- /dev/null
+++ b/src/admission/overload_policy.cpp
@@ -0,0 +1,25 @@
+#include "dockpoint/admission/overload_policy.hpp"
+
+#include <algorithm>
+
+namespace dockpoint {
+
+std::optional<Duration> OverloadPolicy::refuse(const std::string& route,
+                                               const OverloadQuestion& question,
+                                               std::uint64_t spread) {
+  Duration& longest = longest_time_[route];
+  longest = std::max(longest, question.time_left);
+  const bool whole_time_left = question.time_left >= longest * knobs_.overload_whole_time;
+  const bool late = question.objective > Duration{} &&
+                    question.expected_wait > question.objective * knobs_.overload_objectives;
+  if (!late || !whole_time_left) {
+    return std::nullopt;
+  }
+  constexpr std::uint64_t kSteps = 1000;
+  const double place = static_cast<double>(spread % kSteps) / kSteps;
+  const double share = knobs_.overload_return_earliest +
+                       place * (knobs_.overload_return_latest - knobs_.overload_return_earliest);
+  return std::chrono::duration_cast<Duration>(question.time_left * share);
+}
+
+}  // namespace dockpoint
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -93,6 +93,9 @@
     }
     return;
   }
+  if (refuse_for_load(choice, now)) {
+    return;
+  }
   const ReplicaRecord& replica = choice.replica->record;
   const std::string body = exchange_->body();
   net::RequestHead head = context_.protocol.replica_request(
@@ -377,11 +380,29 @@
   finish("caller_gone", "the caller closed its connection");
 }
 
+bool OnlineCall::refuse_for_load(const ReplicaChoice& choice, TimePoint now) {
+  if (sends_ > 0 || info_.last_event_id) {
+    return false;
+  }
+  const OverloadQuestion question{route_.target, deadline_ - now, choice.expected_wait};
+  const auto pause = proxy_.overload_.refuse(route_.name, question, hash64(info_.id));
+  if (pause) {
+    load_at_choice_ = choice.replica->load(now);
+    slots_at_choice_ = choice.replica->record.slots;
+    refuse("the replicas are too busy to answer in time", *pause);
+  }
+  return pause.has_value();
+}
+
 void OnlineCall::refuse(const char* why) {
-  const std::uint64_t spread = hash64(info_.id) % 1000;
-  const double seconds = std::chrono::duration<double>(context_.knobs.retry_after_minimum).count() +
-                         std::chrono::duration<double>(context_.knobs.retry_after_spread).count() *
-                             static_cast<double>(spread) / 1000.0;
+  constexpr std::uint64_t kSteps = 1000;
+  const double place = static_cast<double>(hash64(info_.id) % kSteps) / kSteps;
+  refuse(why, context_.knobs.retry_after_minimum +
+                  std::chrono::duration_cast<Duration>(context_.knobs.retry_after_spread * place));
+}
+
+void OnlineCall::refuse(const char* why, Duration pause) {
+  const double seconds = std::chrono::duration<double>(pause).count();
   exchange_->respond(503, {{"Retry-After", fmt::format("{:.2f}", seconds)}}, {});
   finish("refused", why);
 }
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -40,7 +40,12 @@
   void after_failure(AttemptFailure failure, TimePoint now);
   /// The attempt is over: nothing of it is in flight any more.
   void end_attempt();
+  /// Refuses the request if it has not been sent yet and would be answered late.
+  /// @return whether it was refused.
+  bool refuse_for_load(const ReplicaChoice& choice, TimePoint now);
   void refuse(const char* why);
+  /// @param pause after which the caller may come back.
+  void refuse(const char* why, Duration pause);
   void fail(int status, const char* why);
   void break_off(const char* why);
   /// The request has its final answer.
--- a/src/gateway/online_proxy.cpp
+++ b/src/gateway/online_proxy.cpp
@@ -5,7 +5,7 @@
 namespace dockpoint {
 
 OnlineProxy::OnlineProxy(GatewayContext& context, std::uint64_t rotation_offset)
-    : context_(context), rotation_(rotation_offset) {}
+    : context_(context), rotation_(rotation_offset), overload_(context.knobs) {}
 
 OnlineProxy::~OnlineProxy() = default;
 
--- a/src/gateway/online_proxy.hpp
+++ b/src/gateway/online_proxy.hpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 
+#include "dockpoint/admission/overload_policy.hpp"
 #include "gateway/gateway_context.hpp"
 #include "net/http_server.hpp"
 
@@ -33,6 +34,7 @@
 
   GatewayContext& context_;
   ServiceRotation rotation_;
+  OverloadPolicy overload_;
   std::set<std::shared_ptr<OnlineCall>> calls_;
 };
 
--- a/tests/platform/online_proxy_test.cpp
+++ b/tests/platform/online_proxy_test.cpp
@@ -84,6 +84,25 @@
   BOOST_TEST(replica.requests() >= 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_would_be_late_is_refused_once_and_served_when_it_comes_back) {
+  ProxyWorld world(kFrontPort);
+  world.route().kind = RouteKind::kNonIdempotent;
+  StandInReplica replica(world.loop, "r1", kFirstPort,
+                         [](const auto& exchange) { answer(exchange, "whole"); });
+  world.directory.upsert(replica.record("lm"), {});
+  const std::uint32_t key = world.directory.find("r1")->key;
+  const LoadDigest busy{node_key("n2"), 0, 0, false, 0, {{key, 60, 0, 0, 0}}};
+  world.directory.set_peer_loads({busy}, net::steady_now());
+  const auto refused = world.ask({{"Deadline-Ms", "4000"}});
+  BOOST_TEST(refused.head.status == 503);
+  const double pause = std::stod(std::string(refused.head.headers.get("Retry-After")));
+  BOOST_TEST(pause > 0.4);
+  BOOST_TEST(pause < 4.0 / 3);
+  BOOST_TEST(replica.requests() == 0);
+  BOOST_TEST(world.ask({{"Deadline-Ms", "3400"}}).head.status == 200);
+  BOOST_TEST(replica.requests() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(what_may_have_run_is_not_repeated_and_gets_no_promise) {
   ProxyWorld world(kFrontPort);
   world.route().kind = RouteKind::kNonIdempotent;
