--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -30,13 +30,8 @@
       info_(std::move(info)),
       service_(std::move(service)),
       attempts_(attempts),
-      due_(due) {}
-
-ItemRun::~ItemRun() {
-  if (call_) {
-    call_->cancel();
-  }
-}
+      due_(due),
+      attempt_(context_, TrafficClass::kBatch) {}
 
 ItemProgress& ItemRun::progress() {
   return executor_.progress_[ref_];
@@ -44,53 +39,22 @@
 
 void ItemRun::start(const Replica& replica, std::string bytes, double missing_tokens,
                     TimePoint now) {
-  replica_ = replica.record.id;
-  used_replica_ = replica_;
   started_ = now;
   last_progress_ = now;
-  prefill_tokens_ = missing_tokens;
-  context_.replicas.started(replica_, TrafficClass::kBatch, missing_tokens);
-  net::CallOptions options;
-  options.connect_timeout = context_.knobs.replica_connect_timeout;
-  options.maximum_idle = context_.knobs.replica_connection_idle;
-  call_ = context_.client.start(endpoint_of(replica.record), std::move(bytes), options, *this);
-}
-
-void ItemRun::release_replica() {
-  if (replica_.empty()) {
-    return;
-  }
-  if (call_) {
-    call_->cancel();
-    call_.reset();
-  }
-  context_.replicas.prefilled(replica_, std::exchange(prefill_tokens_, 0));
-  context_.replicas.ended(replica_, TrafficClass::kBatch);
-  replica_.clear();
-}
-
-void ItemRun::cancel() {
-  release_replica();
+  attempt_.start(replica, std::move(bytes), missing_tokens, *this);
 }
 
 bool ItemRun::on_head(const net::ResponseHead& head) {
-  const ReplicaAnswer answer = context_.protocol.read_answer(head, item_id_);
-  if (!answer.belongs) {
+  const TimePoint now = net::steady_now();
+  const std::optional<ReplicaAnswer> answer = attempt_.take_head(head, item_id_, now);
+  if (!answer) {
     return false;
   }
-  const TimePoint now = net::steady_now();
   last_progress_ = now;
   status_ = head.status;
-  context_.replicas.prefilled(replica_, std::exchange(prefill_tokens_, 0));
-  if (answer.load) {
-    context_.replicas.report(replica_, *answer.load, now);
-  }
-  turned_away_ = answer.not_run || answer.wrong_replica;
-  if (answer.wrong_replica) {
-    context_.replicas.remove(replica_);
-  }
+  turned_away_ = answer->not_run || answer->wrong_replica;
   if (status_ / 100 == 2) {
-    context_.selector.note_prompt(replica_, info_.prompt, now);
+    context_.selector.note_prompt(attempt_.replica(), info_.prompt, now);
   }
   return true;
 }
@@ -125,9 +89,8 @@
   const auto self = shared_from_this();
   const TimePoint now = net::steady_now();
   const bool failed = !turned_away_ && status_ == kItemFailed;
-  context_.replicas.signal(replica_, failed ? ReplicaSignal::kFailed : ReplicaSignal::kAnswered,
-                           now);
-  release_replica();
+  attempt_.signal(failed ? ReplicaSignal::kFailed : ReplicaSignal::kAnswered, now);
+  attempt_.end();
   ItemProgress& kept = progress();
   if (turned_away_) {
     context_.metrics.count_item("no_room");
@@ -151,7 +114,7 @@
     interrupted(now, "the answer says nothing of the item");
     return;
   }
-  kept.last_replica = used_replica_;  // It may be the replica that fails: try another.
+  kept.last_replica = attempt_.replica();  // It may be the replica that fails: try another.
   ++kept.produced.failures;
   context_.metrics.count_item("failed");
   spdlog::info("batch: item failed job={} item={} status={} failures={}/{}", ref_.job, item_id_,
@@ -166,18 +129,16 @@
 
 void ItemRun::on_failure(net::CallFailure failure) {
   const TimePoint now = net::steady_now();
-  context_.replicas.signal(
-      replica_,
-      failure == net::CallFailure::kNotSent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken,
-      now);
+  const bool not_sent = failure == net::CallFailure::kNotSent;
+  attempt_.signal(not_sent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken, now);
   interrupted(now, "the connection ended");
 }
 
 void ItemRun::interrupted(TimePoint now, const char* why) {
   const auto self = shared_from_this();
   ItemProgress& kept = progress();
-  kept.last_replica = used_replica_;
-  release_replica();
+  kept.last_replica = attempt_.replica();
+  attempt_.end();
   ++kept.interruptions;
   context_.metrics.count_item("interrupted");
   if (is_sampled(item_id_)) {
@@ -190,7 +151,7 @@
 
 void ItemRun::tick(TimePoint now) {
   if (now - last_progress_ > context_.knobs.item_silence) {
-    context_.replicas.signal(replica_, ReplicaSignal::kBroken, now);
+    attempt_.signal(ReplicaSignal::kBroken, now);
     interrupted(now, "the replica is silent");
   }
 }
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -5,6 +5,7 @@
 
 #include "dockpoint/streaming/event_framer.hpp"
 #include "gateway/batch_executor.hpp"
+#include "gateway/replica_attempt.hpp"
 
 namespace dockpoint {
 
@@ -13,16 +14,14 @@
  public:
   ItemRun(BatchExecutor& executor, ItemRef ref, std::string item_id, RequestInfo info,
           std::string service, int attempts, const DueTime& due);
-  ~ItemRun() override;
 
   void start(const Replica& replica, std::string bytes, double missing_tokens, TimePoint now);
   /// Ends the run; what it has produced is kept.
-  void cancel();
+  void cancel() { attempt_.end(); }
   void tick(TimePoint now);
 
   const DueTime& due() const { return due_; }
   const ItemRef& ref() const { return ref_; }
-  const std::string& replica() const { return replica_; }
 
   bool on_head(const net::ResponseHead& head) override;
   void on_body(std::string_view bytes) override;
@@ -31,7 +30,6 @@
 
  private:
   void take_event(const StreamEvent& event);
-  void release_replica();
   void interrupted(TimePoint now, const char* why);
   ItemProgress& progress();
 
@@ -43,12 +41,9 @@
   const std::string service_;
   const int attempts_;
   const DueTime due_;
-  std::string replica_;       ///< Empty once the run is over.
-  std::string used_replica_;  ///< The same, kept.
-  net::CallPtr call_;
+  ReplicaAttempt attempt_;
   TimePoint started_{};
   TimePoint last_progress_{};
-  double prefill_tokens_ = 0;
   int status_ = 0;
   bool turned_away_ = false;
   bool broken_sequence_ = false;  ///< An event is missing between what is kept and what came.
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -37,7 +37,8 @@
       exchange_(std::move(exchange)),
       configuration_(std::move(configuration)),
       route_(route),
-      info_(context_.protocol.read_request(exchange_->request())) {
+      info_(context_.protocol.read_request(exchange_->request())),
+      attempt_(context_, TrafficClass::kOnline) {
   const Duration timeout = route_.timeout > Duration{} ? route_.timeout : kDefaultTimeout;
   deadline_ = exchange_->received() + std::min(timeout, info_.time_left.value_or(timeout));
   history_.repeatable = route_.repeatable();
@@ -46,12 +47,6 @@
   last_event_ = info_.last_event_id;
 }
 
-OnlineCall::~OnlineCall() {
-  if (call_) {
-    call_->cancel();
-  }
-}
-
 void OnlineCall::start() {
   exchange_->on_client_gone([weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
@@ -101,8 +96,6 @@
   net::RequestHead head = context_.protocol.replica_request(
       exchange_->request(), body.size(),
       {replica.id, std::max(deadline_ - now, Duration(std::chrono::milliseconds(1))), last_event_});
-  replica_ = replica.id;
-  last_replica_ = replica.id;
   sent_at_ = now;
   last_progress_ = now;
   head_seen_ = false;
@@ -114,48 +107,36 @@
   ++sends_;
   load_at_choice_ = choice.replica->load(now);
   slots_at_choice_ = replica.slots;
-  prefill_tokens_ = choice.missing_tokens;
-  context_.replicas.started(replica_, TrafficClass::kOnline, prefill_tokens_);
-  if (prefill_tokens_ >= context_.knobs.announced_prefill_tokens && context_.announce_load) {
+  attempt_.start(*choice.replica, net::serialize(head) + body, choice.missing_tokens, *this);
+  if (choice.missing_tokens >= context_.knobs.announced_prefill_tokens && context_.announce_load) {
     context_.announce_load();
   }
   if (is_sampled(info_.id) || sends_ > 1) {
     spdlog::info(
         "online: sent id={} route={} version={} replica={} attempt={} load={}/{} waitMs={} "
         "missingTokens={} leftMs={}",
-        info_.id, route_.name, configuration_->version, replica_, sends_, load_at_choice_,
+        info_.id, route_.name, configuration_->version, attempt_.replica(), sends_, load_at_choice_,
         slots_at_choice_, net::to_ms(choice.expected_wait), static_cast<int>(choice.missing_tokens),
         net::to_ms(deadline_ - now));
   }
-  net::CallOptions options;
-  options.connect_timeout = context_.knobs.replica_connect_timeout;
-  options.maximum_idle = context_.knobs.replica_connection_idle;
-  call_ = context_.client.start(endpoint_of(replica), net::serialize(head) + body, options, *this);
 }
 
 bool OnlineCall::on_head(const net::ResponseHead& head) {
-  const ReplicaAnswer answer = context_.protocol.read_answer(head, info_.id);
-  if (!answer.belongs) {
+  const TimePoint now = net::steady_now();
+  const std::optional<ReplicaAnswer> answer = attempt_.take_head(head, info_.id, now);
+  if (!answer) {
     spdlog::warn("online: answer of another request skipped id={} replica={} status={}", info_.id,
-                 replica_, head.status);
+                 attempt_.replica(), head.status);
     return false;
   }
-  const TimePoint now = net::steady_now();
   head_seen_ = true;
   last_progress_ = now;
-  context_.replicas.prefilled(replica_, std::exchange(prefill_tokens_, 0));
-  if (answer.load) {
-    context_.replicas.report(replica_, *answer.load, now);
-  }
   head_ = head;
-  turned_away_ = answer.not_run || answer.wrong_replica;
-  if (answer.wrong_replica) {
-    context_.replicas.remove(replica_);
-  }
+  turned_away_ = answer->not_run || answer->wrong_replica;
   const bool success = head.status / 100 == 2;
   if (!turned_away_ && success) {
-    context_.selector.note_prompt(replica_, info_.prompt, now);
-    if (route_.kind == RouteKind::kStreaming && answer.genuine) {
+    context_.selector.note_prompt(attempt_.replica(), info_.prompt, now);
+    if (route_.kind == RouteKind::kStreaming && answer->genuine) {
       streaming_ = begin_stream(head);
     }
   }
@@ -184,8 +165,8 @@
   } else {
     exchange_->write(bytes);
   }
-  if (!finished_ && call_ && exchange_->pending_output() > kOutputLimit) {
-    call_->pause_reading();
+  if (!finished_ && attempt_.call() && exchange_->pending_output() > kOutputLimit) {
+    attempt_.call()->pause_reading();
   }
 }
 
@@ -200,16 +181,15 @@
 }
 
 void OnlineCall::on_caller_drained() {
-  if (call_) {
-    call_->resume_reading();
+  if (attempt_.call()) {
+    attempt_.call()->resume_reading();
   }
 }
 
 void OnlineCall::on_complete() {
   const auto self = shared_from_this();
   const TimePoint now = net::steady_now();
-  context_.replicas.signal(
-      replica_, tells_failure() ? ReplicaSignal::kFailed : ReplicaSignal::kAnswered, now);
+  attempt_.signal(tells_failure() ? ReplicaSignal::kFailed : ReplicaSignal::kAnswered, now);
   if (turned_away_) {
     end_attempt();
     after_failure(AttemptFailure::kNotRun, now);
@@ -263,12 +243,11 @@
   const auto self = shared_from_this();
   const TimePoint now = net::steady_now();
   const bool not_sent = failure == net::CallFailure::kNotSent;
-  context_.replicas.signal(replica_,
-                           not_sent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken, now);
+  attempt_.signal(not_sent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken, now);
   spdlog::warn(
       "online: attempt failed id={} replica={} failure={} headSeen={} reused={} afterMs={}",
-      info_.id, replica_, static_cast<int>(failure), head_seen_, call_ && call_->reused(),
-      net::to_ms(now - sent_at_));
+      info_.id, attempt_.replica(), static_cast<int>(failure), head_seen_,
+      attempt_.call() && attempt_.call()->reused(), net::to_ms(now - sent_at_));
   const bool not_run = not_sent || (turned_away_ && head_seen_);
   end_attempt();
   if (not_run) {
@@ -280,17 +259,10 @@
 }
 
 void OnlineCall::end_attempt() {
-  if (replica_.empty()) {
-    return;
-  }
-  if (call_) {
-    call_->cancel();
-    call_.reset();
+  if (attempt_.under_way()) {
+    excluded_.insert(attempt_.replica());
+    attempt_.end();
   }
-  context_.replicas.prefilled(replica_, std::exchange(prefill_tokens_, 0));
-  context_.replicas.ended(replica_, TrafficClass::kOnline);
-  excluded_.insert(replica_);
-  replica_.clear();
 }
 
 void OnlineCall::after_failure(AttemptFailure failure, TimePoint now) {
@@ -325,7 +297,7 @@
   const auto self = shared_from_this();
   if (now >= deadline_) {
     expire(now);
-  } else if (!replica_.empty()) {
+  } else if (attempt_.under_way()) {
     watch_silence(now);
   }
 }
@@ -340,13 +312,13 @@
   }
   if (!may_move_on()) {
     if (!std::exchange(silence_told_, true)) {
-      context_.replicas.signal(replica_, ReplicaSignal::kSilent, now);
+      attempt_.signal(ReplicaSignal::kSilent, now);
     }
     return;
   }
-  spdlog::warn("online: replica is silent id={} replica={} silentMs={}", info_.id, replica_,
-               net::to_ms(silence));
-  context_.replicas.signal(replica_, ReplicaSignal::kBroken, now);
+  spdlog::warn("online: replica is silent id={} replica={} silentMs={}", info_.id,
+               attempt_.replica(), net::to_ms(silence));
+  attempt_.signal(ReplicaSignal::kBroken, now);
   end_attempt();
   after_failure(exchange_->answered() ? AttemptFailure::kInterrupted : AttemptFailure::kMayHaveRun,
                 now);
@@ -363,7 +335,7 @@
 }
 
 void OnlineCall::expire(TimePoint /*now*/) {
-  const bool sent = !replica_.empty() && call_ && call_->sent() && !turned_away_;
+  const bool sent = attempt_.call() && attempt_.call()->sent() && !turned_away_;
   end_attempt();
   if (exchange_->answered()) {
     break_off("time is up within the answer");
@@ -428,9 +400,10 @@
     spdlog::info(
         "online: {} id={} route={} version={} service={} replica={} sends={} mayHaveRun={} "
         "load={}/{} firstByteMs={} late={} tookMs={} why=\"{}\"",
-        outcome, info_.id, route_.name, configuration_->version, service_, last_replica_, sends_,
-        history_.runs_possible, load_at_choice_, slots_at_choice_, net::to_ms(first_byte_after_),
-        late(), net::to_ms(net::steady_now() - exchange_->received()), why);
+        outcome, info_.id, route_.name, configuration_->version, service_, attempt_.replica(),
+        sends_, history_.runs_possible, load_at_choice_, slots_at_choice_,
+        net::to_ms(first_byte_after_), late(),
+        net::to_ms(net::steady_now() - exchange_->received()), why);
   }
   proxy_.calls_.erase(shared_from_this());
 }
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -7,6 +7,7 @@
 #include "dockpoint/routing/attempt_policy.hpp"
 #include "dockpoint/streaming/event_framer.hpp"
 #include "gateway/online_proxy.hpp"
+#include "gateway/replica_attempt.hpp"
 
 namespace dockpoint {
 
@@ -20,7 +21,6 @@
  public:
   OnlineCall(OnlineProxy& proxy, net::ExchangePtr exchange,
              std::shared_ptr<const RoutingConfiguration> configuration, const RouteConfig& route);
-  ~OnlineCall() override;
 
   void start();
   void tick(TimePoint now);
@@ -73,11 +73,8 @@
   AttemptHistory history_;
   std::set<std::string> excluded_;
 
-  net::CallPtr call_;
-  std::string replica_;       ///< Of the attempt under way; empty between attempts.
-  std::string last_replica_;  ///< Of the last attempt.
+  ReplicaAttempt attempt_;
   TimePoint sent_at_{};
-  double prefill_tokens_ = 0;  ///< Counted at the replica until the first byte.
   bool head_seen_ = false;
   bool turned_away_ = false;   ///< The replica said that it did not run the request.
   bool streaming_ = false;     ///< The answer under way is a stream that is passed on.
