Soak: proxies that delay, reset, silence or cut one way the links to the store and to replicas

Change: faulty_proxy.mjs between each machine and the store and before each replica; three faults more (one machine's link to the store, one replica's, all replicas').

--- a/tests/platform/soak/soak.mjs
+++ b/tests/platform/soak/soak.mjs
@@ -1,5 +1,6 @@
 // A randomized soak: real dockpoint-platform processes on loopback, faults from outside them (signals,
-// a store that fails), and checks of the promises from what callers and replicas see.
+// a store that fails, proxies that delay, reset, silence or cut one way the connections to the store and
+// to replicas), and checks of the promises from what callers and replicas see.
 //
 //     node tests/platform/soak/soak.mjs [--seed N] [--seconds N] [--nodes N]
 //
@@ -13,6 +14,7 @@
 import { parseArgs } from 'node:util';
 
 import { ManagedProcess, eventually, sleep } from '../../system/cluster.mjs';
+import { FaultyProxy, MODES } from './faulty_proxy.mjs';
 
 const { values: options } = parseArgs({
   options: {
@@ -26,6 +28,10 @@
 const STORE_PORT = 28601;
 const CONTROL_PORT = 28602;
 const FIRST_REPLICA_PORT = 28610;
+/** Proxies before the replicas: what nodes are told. */
+const FIRST_REPLICA_PROXY_PORT = 28630;
+/** Proxies before the store, one for each machine. */
+const FIRST_STORE_PROXY_PORT = 28640;
 /** The same at every node: each has an address of its own. */
 const NODE_PORTS = {
   frontend: 28650, readiness: 28651, resolver: 28652, control: 28653, datagrams: 28654, metrics: 28655,
@@ -90,13 +96,15 @@
     this.ip = `127.0.0.${10 + number}`;
     this.frozen = false;
     this.settings = path.join(folder, `${this.name}.json`);
+    const storeProxyPort = FIRST_STORE_PROXY_PORT + number;
+    this.storeLink = new FaultyProxy({ host: '127.0.0.1', port: storeProxyPort }, { host: '127.0.0.1', port: STORE_PORT }, random);
     const listen = Object.entries(NODE_PORTS).map(([use, port]) => [use, `${this.ip}:${port}`]);
     writeFileSync(this.settings, JSON.stringify({
       node: this.name, zone: 'zone-a', region: 'region-a',
       seeds: [11, 12].map((host) => `127.0.0.${host}:${NODE_PORTS.control}`),
       listen: Object.fromEntries(listen),
       log: {
-        address: `127.0.0.1:${STORE_PORT}`, partitions: PARTITIONS, record_bytes: 262144,
+        address: `127.0.0.1:${storeProxyPort}`, partitions: PARTITIONS, record_bytes: 262144,
         call_bytes: 2097152, minimum_lease_ms: 1000,
       },
       times: { address_lifetime_s: 5, grace_s: GRACE_S },
@@ -129,7 +137,10 @@
 }
 
 const platform = new ManagedProcess('platform', 'dockpoint-platform-stand-in',
-  [STORE_PORT, CONTROL_PORT, REPLICAS, FIRST_REPLICA_PORT].map(String), folder);
+  [STORE_PORT, CONTROL_PORT, REPLICAS, FIRST_REPLICA_PORT, FIRST_REPLICA_PROXY_PORT].map(String), folder);
+const replicaLinks = Array.from({ length: REPLICAS }, (_, index) => new FaultyProxy(
+  { host: '127.0.0.1', port: FIRST_REPLICA_PROXY_PORT + index },
+  { host: '127.0.0.1', port: FIRST_REPLICA_PORT + index }, random));
 const machines = Array.from({ length: Number(options.nodes) }, (_, index) => new Machine(index + 1));
 
 let requestNumber = 0;
@@ -236,6 +247,13 @@
   }
 }
 
+/** Lets a link misbehave in one way for a while. */
+async function disturb(link, longest) {
+  link.set(pick(MODES));
+  await sleep(between(300, longest));
+  link.set('pass');
+}
+
 const faults = [
   ['freeze', async () => { const machine = pick(machines); if (!machine.frozen) await machine.freeze(between(300, 3500)); }],
   ['kill', async () => pick(machines).process.signal('SIGKILL')],
@@ -244,6 +262,9 @@
   ['store down', async () => { await control('/faults?down=1'); await sleep(between(500, 4000)); await control('/faults'); }],
   ['store silent', async () => { await control('/faults?silent=1'); await sleep(between(500, 4000)); await control('/faults'); }],
   ['answers lost', async () => { await control('/faults?lose=0.3&delay=0.3'); await sleep(between(1000, 4000)); await control('/faults'); }],
+  ['link to the store', async () => disturb(pick(machines).storeLink, 5000)],
+  ['link to a replica', async () => disturb(pick(replicaLinks), 4000)],
+  ['links to all replicas', async () => Promise.all(replicaLinks.map((link) => disturb(link, 2000)))],
   ['history forgotten', async () => control('/forget')],
   ['partitions dealt anew', async () => control('/rebalance')],
 ];
@@ -282,6 +303,8 @@
 say(`seed ${options.seed}, ${seconds} s, ${machines.length} nodes, logs in ${folder}`);
 try {
   await eventually('the platform', async () => (await control('/runs')).status === 200);
+  const links = [...replicaLinks, ...machines.map((machine) => machine.storeLink)];
+  await Promise.all(links.map((link) => link.ready));
   machines.forEach((machine) => machine.start());
   for (const machine of machines) {
     await eventually(machine.name, async () => (await call(machine.ip, NODE_PORTS.readiness, 'GET', '/')).status === 200);
@@ -300,6 +323,7 @@
     if (machine.process) await machine.process.end('SIGKILL');
   }
   await platform.end('SIGKILL');
+  for (const link of [...replicaLinks, ...machines.map((machine) => machine.storeLink)]) link.close();
 }
 say(`${JSON.stringify(counts)} broken=${broken.length}`);
 process.exitCode = broken.length > 0 ? 1 : 0;
--- a/tests/platform/soak/stand_in_main.cpp
+++ b/tests/platform/soak/stand_in_main.cpp
@@ -106,7 +106,8 @@
 class StandInPlatform {
  public:
   StandInPlatform(boost::asio::io_context& loop, std::uint16_t store_port,
-                  std::uint16_t control_port, int replicas, std::uint16_t first_replica_port)
+                  std::uint16_t control_port, int replicas, std::uint16_t first_replica_port,
+                  std::uint16_t first_published_port)
       : store_(loop, store_port, kPartitions),
         control_(loop, [this](const net::ExchangePtr& exchange) { serve_control(exchange); }),
         timer_(loop) {
@@ -114,10 +115,14 @@
     for (int number = 0; number < replicas; ++number) {
       const auto port = static_cast<std::uint16_t>(first_replica_port + number);
       replicas_.push_back(std::make_unique<SoakReplica>(loop, number, port, runs_));
+      // Nodes are told of the proxy before the replica.
       const nlohmann::json record{
-          {"service", "lm"},  {"address", "127.0.0.1:" + std::to_string(port)},
-          {"zone", "zone-a"}, {"slots", 8},
-          {"state", "ready"}, {"sequence", 1}};
+          {"service", "lm"},
+          {"address", "127.0.0.1:" + std::to_string(first_published_port + number)},
+          {"zone", "zone-a"},
+          {"slots", 8},
+          {"state", "ready"},
+          {"sequence", 1}};
       store_.put(platform::kReplicasTopic, replicas_.back()->id(), record.dump());
     }
     control_.listen("127.0.0.1:" + std::to_string(control_port));
@@ -165,16 +170,18 @@
 }  // namespace dockpoint::test
 
 int main(int argc, char** argv) {
-  constexpr int kArguments = 5;
+  constexpr int kArguments = 6;
   if (argc != kArguments) {
-    std::cerr << "usage: " << argv[0] << " STORE_PORT CONTROL_PORT REPLICAS FIRST_REPLICA_PORT\n";
+    std::cerr << "usage: " << argv[0]
+              << " STORE_PORT CONTROL_PORT REPLICAS FIRST_REPLICA_PORT "
+                 "FIRST_PUBLISHED_PORT\n";
     return 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context loop(1);
   const auto port = [&](int index) { return static_cast<std::uint16_t>(std::atoi(argv[index])); };
   const dockpoint::test::StandInPlatform platform(loop, port(1), port(2), std::atoi(argv[3]),
-                                                  port(4));
+                                                  port(4), port(5));
   loop.run();
   return 0;
 }
