--- a/include/dockpoint/admission/overload_policy.hpp
+++ b/include/dockpoint/admission/overload_policy.hpp
@@ -10,8 +10,9 @@
 /// When a request is refused because the replicas are too busy to answer it in time.
 ///
 /// Under overload a queue makes everybody late: whoever is admitted waits behind all others. A
-/// request whose expected wait exceeds its route's objective is therefore refused at once, with a
-/// time to come back that spreads the returns; those that are admitted are answered in time.
+/// request whose expected wait exceeds a multiple of its route's objective
+/// (`Knobs::overload_objectives`) is therefore refused at once, with a time to come back that
+/// spreads the returns, so that those who are admitted do not wait behind it.
 ///
 /// Callers come back once. A request that has used a part of its time already, because it was
 /// refused before or met a dead node, is never refused for load: late is better than not at all.
