Limit the tokens of batch items that wait on a route, over all nodes

Cause: the limit in a route's configuration was not read at all.

Ruled out: budgets dealt between owners (a job can be larger than a twelfth of the limit); one node that counts (its successor does not know what it granted last); shares by digests with a margin (a burst passes the margin within one digest); all jobs of a route in one partition (one node would run them all).

Change: a job holds a reservation, a record in a compacted topic. A node that takes a job reads the topic to its end and appends by compare and set, so all nodes decide in one order. Far below the limit a node has an allotment and writes job and reservation side by side, which keeps the 202 in time when the store is slow. Owners audit reservations against their ledgers: finished items make room, orphans go. A job that does not fit gets 429 with the time at which it is expected to fit; one that never can is told so. New: ReservationTable, TokenQuota, conditional append, a watch on demand; the way of a job into the log has left BatchService for JobSubmissions.

--- a/include/dockpoint/batch/job_ledger.hpp
+++ b/include/dockpoint/batch/job_ledger.hpp
@@ -106,6 +106,8 @@
   std::vector<ItemResult> results;  ///< In order of position.
   std::vector<bool> listed;         ///< An item each: whether it has a result.
   bool complete() const { return results.size() == job.items.size(); }
+  /// @return tokens of the items without a result; 0 once the job is ended.
+  double waiting_tokens() const;
 };
 
 /// See the top of this file. Not thread-safe.
--- a/include/dockpoint/batch/partition_owner.hpp
+++ b/include/dockpoint/batch/partition_owner.hpp
@@ -24,6 +24,7 @@
 struct BatchTopics {
   std::string jobs;
   std::string results;
+  std::string reservations;  ///< Of the limits on waiting tokens.
   std::string group;
 };
 
--- a/include/dockpoint/config/routing_configuration.hpp
+++ b/include/dockpoint/config/routing_configuration.hpp
@@ -40,6 +40,7 @@
   Duration gap_target{};                  ///< Longest pause between events that is in time.
   Duration completion_target{};           ///< Batch: from submission to the last result.
   Duration retention{};                   ///< Batch: items may be given up after this time.
+  double max_waiting_tokens = 0;  ///< Batch: of unfinished items, over all nodes; 0: no limit.
 
   /// @return whether a request may be sent again after it may have run.
   bool repeatable() const {
--- a/include/dockpoint/core/decaying_count.hpp
+++ b/include/dockpoint/core/decaying_count.hpp
@@ -10,7 +10,8 @@
  public:
   explicit DecayingCount(Duration memory) : memory_(memory) {}
 
-  void add(TimePoint now);
+  /// @param weight counts as so many events.
+  void add(TimePoint now, double weight = 1);
   /// @return events, each for what it still counts.
   double value(TimePoint now) const;
   /// @return events a second.
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -120,6 +120,20 @@
   Duration item_route_wait = 1s;       ///< Pause of an item whose route is not known.
   Duration submission_wait = 2500ms;   ///< A job is offered to the log for this long.
 
+  // The limit on waiting tokens of a route.
+  Duration quota_allotment_time = 2s;          ///< A node relies on what it read for this long.
+  Duration quota_audit_interval = 3s;          ///< Between checks of reservations by owners,
+  Duration quota_audit_interval_near = 300ms;  ///< and where more than this share is in use,
+  double quota_near = 0.25;                    ///< of the limit.
+  Duration quota_orphan_age = 15s;     ///< A reservation without a job is removed after this time:
+                                       ///< `submission_wait`, and twice `clock_error`.
+  Duration quota_recent = 4s;          ///< A repeated submission renews an older reservation.
+  Duration quota_finished_age = 150s;  ///< An empty reservation is removed after this time; jobs
+                                       ///< are looked at for 120 s.
+  Duration quota_release_memory = 5s;  ///< Over which finished items make the rate of release.
+  Duration quota_retry_earliest = 500ms;  ///< Least and most time that a caller is told to wait
+  Duration quota_retry_latest = 10s;      ///< for room under the limit.
+
   // The platform's log.
   Duration watch_wait = 2500ms;      ///< A read waits this long for records.
   Duration log_retry_delay = 150ms;  ///< After a failed call; doubled and spread at random.
--- a/include/dockpoint/log/hedged_log.hpp
+++ b/include/dockpoint/log/hedged_log.hpp
@@ -20,7 +20,9 @@
 ///
 /// Only calls that may be done twice are hedged: appends that carry a producer's position are
 /// deduplicated by the log, all others of dockpoint write one value under one key, and joining a
-/// group again changes nothing. Reads pass through.
+/// group again changes nothing. Of the calls of a conditional append one at most is done; the
+/// answer may then be that of another, `kEndMoved`: the writer reads the partition again and finds
+/// its own records. Reads pass through.
 namespace dockpoint {
 
 /// One write and the calls that are under way for it. Knows nothing of its kind.
@@ -47,6 +49,9 @@
   void append(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
               const std::optional<ProducerPosition>& position,
               std::function<void(AppendOutcome)> done) override;
+  void append_at(const TopicPartition& partition, LogOffset expected_end,
+                 const std::vector<KeyedRecord>& records,
+                 std::function<void(AppendOutcome)> done) override;
   void read(const TopicPartition& partition, LogOffset from, Duration wait,
             std::function<void(ReadOutcome)> done) override;
   void newest(const TopicPartition& partition, const std::string& after_key,
--- a/include/dockpoint/log/keyed_watch.hpp
+++ b/include/dockpoint/log/keyed_watch.hpp
@@ -25,19 +25,29 @@
   virtual void on_reachable(bool reachable) = 0;
 };
 
-/// Loads the newest records page by page, then follows the log by reads that wait. When history is
-/// gone it loads anew. Failed calls are repeated with a growing, random pause.
+/// When a watch reads on.
+enum class WatchMode {
+  kFollow,    ///< Always, by reads that wait for records.
+  kOnDemand,  ///< After `refresh`, up to the end of the partition.
+};
+
+/// Loads the newest records page by page, then follows the log. When history is gone it loads anew.
+/// Failed calls are repeated with a growing, random pause.
 ///
 /// Not thread-safe; borrows log and observer. May be destroyed at any time.
 class KeyedWatch {
  public:
   KeyedWatch(const Knobs& knobs, PartitionedLog& log, TopicPartition partition, std::uint64_t seed,
-             KeyedWatchObserver& observer);
+             KeyedWatchObserver& observer, WatchMode mode = WatchMode::kFollow);
   ~KeyedWatch();
 
   /// Starts what is due; call several times a second.
   void tick(TimePoint now);
 
+  /// Reads what was appended until now, if the watch reads on demand; `on_current` is told when it
+  /// has. A read that is under way does not count: it may have begun before.
+  void refresh();
+
   /// @return whether a snapshot was told and the end was reached since.
   bool current() const { return state_->current; }
   /// @return whether the last call succeeded.
@@ -53,6 +63,7 @@
     bool loaded = false;
     bool current = false;
     bool reachable = true;
+    bool wanted = false;  ///< A refresh was asked for after the read under way began.
     TimePoint retry_at{};
     int failures = 0;
     LogOffset next = 0;
@@ -63,6 +74,7 @@
     std::map<std::string, LogOffset> offsets;  ///< Of the newest record told, a key each.
   };
 
+  void proceed();
   void load_page();
   void take_page(NewestOutcome outcome);
   void follow();
@@ -75,6 +87,7 @@
   const TopicPartition partition_;
   std::mt19937_64 random_;
   KeyedWatchObserver& observer_;
+  const WatchMode mode_;
   TimePoint now_{};
   std::shared_ptr<State> state_ = std::make_shared<State>();
 };
--- a/include/dockpoint/log/partitioned_log.hpp
+++ b/include/dockpoint/log/partitioned_log.hpp
@@ -34,6 +34,7 @@
   kUnknown,        ///< No answer: it may have been done, or may be done later.
   kFenced,         ///< A higher epoch has been seen. Nothing was done.
   kOutOfSequence,  ///< Another sequence number is due. Nothing was done.
+  kEndMoved,       ///< The partition does not end where the writer expected. Nothing was done.
   kForgotten,      ///< The records asked for are gone.
   kNotMember,      ///< The group's generation does not match.
 };
@@ -109,6 +110,12 @@
   virtual void append(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
                       const std::optional<ProducerPosition>& position,
                       std::function<void(AppendOutcome)> done) = 0;
+  /// Appends all records if the partition ends at `expected_end` (compare and set); otherwise none,
+  /// and the status is `kEndMoved`. Writers that decide by what the partition holds are serialized
+  /// by it.
+  virtual void append_at(const TopicPartition& partition, LogOffset expected_end,
+                         const std::vector<KeyedRecord>& records,
+                         std::function<void(AppendOutcome)> done) = 0;
   /// Reads from an offset on; waits up to `wait` for a record.
   virtual void read(const TopicPartition& partition, LogOffset from, Duration wait,
                     std::function<void(ReadOutcome)> done) = 0;
--- a/src/batch/job_ledger.cpp
+++ b/src/batch/job_ledger.cpp
@@ -120,6 +120,14 @@
   return list;
 }
 
+double LedgerJob::waiting_tokens() const {
+  double tokens = 0;
+  for (std::size_t item = 0; !ended && item < job.items.size(); ++item) {
+    tokens += listed[item] ? 0 : job.items[item].tokens;
+  }
+  return tokens;
+}
+
 std::vector<KeyedRecord> job_records(const BatchJob& job, std::size_t record_bytes) {
   return cut(kJobPrefix + job.id, pack(to_wire(job)), record_bytes);
 }
--- /dev/null
+++ b/src/batch/token_quota.cpp
@@ -0,0 +1,341 @@
+#include "dockpoint/batch/token_quota.hpp"
+
+#include <algorithm>
+
+namespace dockpoint {
+namespace {
+
+/// Pause after a call that failed.
+constexpr Duration kRetryPause = std::chrono::milliseconds(120);
+
+/// Share of the limit below which nodes have allotments, which make up the rest.
+constexpr double kAllottedShare = 0.5;
+
+/// A node that has just started does not know how many others there are.
+constexpr Duration kFleetUnknown = std::chrono::seconds(3);
+
+/// Most corrections in one append.
+constexpr std::size_t kMostCorrections = 200;
+
+std::int64_t to_ms(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}  // namespace
+
+TokenQuota::TokenQuota(const Knobs& knobs, PartitionedLog& log, TopicPartition partition,
+                       std::string route, const OwnedJobs& jobs, std::uint64_t seed)
+    : knobs_(knobs),
+      log_(log),
+      partition_(std::move(partition)),
+      route_name_(std::move(route)),
+      jobs_(jobs),
+      table_(route_name_),
+      watch_(knobs, log, partition_, seed, *this, WatchMode::kOnDemand),
+      released_(knobs.quota_release_memory) {}
+
+TokenQuota::~TokenQuota() {
+  life_->alive = false;
+}
+
+void TokenQuota::on_snapshot(const std::vector<KeyedRecord>& records) {
+  table_.clear();
+  for (const KeyedRecord& record : records) {
+    table_.take(record);
+  }
+  for (const auto& [job, reservation] : table_.all()) {
+    note_job_size(reservation.tokens);
+  }
+}
+
+void TokenQuota::on_record(const KeyedRecord& record) {
+  const double released = table_.take(record);
+  if (released > 0) {
+    released_.add(now_, released);
+  }
+}
+
+void TokenQuota::on_current() {
+  refreshed_ = refresh_asked_;
+  next_audit_ = std::min(next_audit_, now_ + audit_interval());
+  renew_allotment();
+  const auto life = life_;
+  decide();
+  if (life->alive && audit_due_) {
+    audit();
+  }
+}
+
+void TokenQuota::on_reachable(bool /*reachable*/) {}
+
+void TokenQuota::note_job_size(double tokens) {
+  largest_job_ = std::max(largest_job_, tokens);
+}
+
+bool TokenQuota::wide() const {
+  return kAllottedShare * route_.limit / static_cast<double>(route_.nodes) >= largest_job_;
+}
+
+double TokenQuota::usable_limit() const {
+  if (!wide()) {
+    return route_.limit;
+  }
+  // Allotments were given at most so long ago, and their jobs are accepted or given up by now.
+  const Duration oldest =
+      knobs_.quota_allotment_time + knobs_.submission_wait + knobs_.clock_error / 2;
+  const double old = table_.tokens_reserved_before(now_ms_ - to_ms(oldest));
+  const double allotted = old >= kAllottedShare * route_.limit ? 0 : kAllottedShare;
+  return (1 - allotted) * route_.limit;
+}
+
+void TokenQuota::renew_allotment() {
+  allotment_ = 0;
+  const bool fleet_known = now_ - started_ >= kFleetUnknown;
+  if (!fleet_known || !wide() || table_.tokens() >= kAllottedShare * route_.limit) {
+    return;
+  }
+  allotment_ = kAllottedShare * route_.limit / static_cast<double>(route_.nodes);
+  for (const Pending& pending : allotted_) {
+    allotment_ -= pending.request.tokens;  // Not seen in the topic yet.
+  }
+  allotment_until_ = refreshed_ + knobs_.quota_allotment_time;
+}
+
+bool TokenQuota::recent(const TokenReservation& reservation) const {
+  return now_ms_ - reservation.reserved_ms < to_ms(knobs_.quota_recent);
+}
+
+Duration TokenQuota::time_to_free(double tokens) const {
+  constexpr Duration kUnknownRate = std::chrono::seconds(1);
+  const double rate = released_.per_second(now_);
+  const Duration expected =
+      rate <= 0
+          ? kUnknownRate
+          : std::chrono::duration_cast<Duration>(std::chrono::duration<double>(tokens / rate));
+  return std::clamp(expected, knobs_.quota_retry_earliest, knobs_.quota_retry_latest);
+}
+
+QuotaStart TokenQuota::reserve(QuotaRequest request, Done done) {
+  note_job_size(request.tokens);
+  const bool covered = now_ < allotment_until_ && request.tokens <= allotment_ && wide() &&
+                       !table_.find(request.job);
+  if (covered) {
+    allotment_ -= request.tokens;
+    allotted_.push_back({std::move(request), std::move(done)});
+    write_allotted();
+    return QuotaStart::kGoAhead;
+  }
+  waiting_.push_back({std::move(request), std::move(done)});
+  refresh_asked_ = now_;
+  watch_.refresh();
+  return QuotaStart::kWait;
+}
+
+void TokenQuota::decide() {
+  if (deciding_ || waiting_.empty() || now_ < retry_at_) {
+    return;
+  }
+  const double limit = usable_limit();
+  double tokens = table_.tokens();
+  PendingList known;
+  PendingList taken;
+  PendingList refused;
+  std::vector<Duration> pauses;
+  for (Pending& pending : std::exchange(waiting_, {})) {
+    const auto held = table_.find(pending.request.job);
+    if (held && recent(*held)) {
+      known.push_back(std::move(pending));
+    } else if (held || tokens + pending.request.tokens <= limit) {
+      tokens += held ? 0 : pending.request.tokens;
+      taken.push_back(std::move(pending));
+    } else {
+      pauses.push_back(time_to_free(tokens + pending.request.tokens - limit));
+      refused.push_back(std::move(pending));
+    }
+  }
+  const auto life = life_;
+  append_reservations(std::move(taken));
+  answer(std::move(known), QuotaVerdict::kReserved);
+  for (std::size_t index = 0; life->alive && index < refused.size(); ++index) {
+    refused[index].done({QuotaVerdict::kOverLimit, pauses[index]});
+  }
+}
+
+void TokenQuota::append_reservations(PendingList taken) {
+  if (taken.empty()) {
+    return;
+  }
+  std::vector<KeyedRecord> records;
+  for (const Pending& pending : taken) {
+    const auto held = table_.find(pending.request.job);
+    const double tokens = held ? held->tokens : pending.request.tokens;
+    records.push_back(reservation_record(route_name_, pending.request.job, {tokens, now_ms_}));
+  }
+  deciding_ = true;
+  log_.append_at(
+      partition_, watch_.position(), records,
+      [this, life = life_, taken = std::move(taken)](const AppendOutcome& outcome) mutable {
+        if (!life->alive) {
+          return;
+        }
+        deciding_ = false;
+        if (outcome.status == LogStatus::kOk) {
+          answer(std::move(taken), QuotaVerdict::kReserved);
+          return;
+        }
+        // Another node was first, or the answer was lost: the topic tells.
+        std::move(taken.begin(), taken.end(), std::back_inserter(waiting_));
+        if (outcome.status != LogStatus::kEndMoved) {
+          retry_at_ = now_ + kRetryPause;
+        }
+        refresh_asked_ = now_;
+        watch_.refresh();
+      });
+}
+
+void TokenQuota::write_allotted() {
+  if (writing_ || allotted_.empty() || now_ < retry_at_) {
+    return;
+  }
+  std::vector<KeyedRecord> records;
+  for (const Pending& pending : allotted_) {
+    records.push_back(
+        reservation_record(route_name_, pending.request.job, {pending.request.tokens, now_ms_}));
+  }
+  writing_ = true;
+  const std::size_t count = allotted_.size();
+  log_.append(partition_, records, std::nullopt,
+              [this, life = life_, count](const AppendOutcome& outcome) {
+                if (!life->alive) {
+                  return;
+                }
+                writing_ = false;
+                if (outcome.status != LogStatus::kOk) {
+                  retry_at_ = now_ + kRetryPause;
+                  return;
+                }
+                // Those that came meanwhile stand behind; none leaves the list while it is written.
+                const auto end = allotted_.begin() + static_cast<std::ptrdiff_t>(count);
+                PendingList written(std::make_move_iterator(allotted_.begin()),
+                                    std::make_move_iterator(end));
+                allotted_.erase(allotted_.begin(), end);
+                answer(std::move(written), QuotaVerdict::kReserved);
+              });
+}
+
+void TokenQuota::answer(PendingList pending, QuotaVerdict verdict) {
+  for (const Pending& entry : pending) {
+    entry.done({verdict, {}});
+  }
+}
+
+void TokenQuota::tick(TimePoint now, std::int64_t now_ms, const QuotaRoute& route) {
+  now_ = now;
+  now_ms_ = now_ms;
+  route_ = {route.limit, std::max({route.nodes, route_.nodes, std::size_t{1}})};
+  if (started_ == TimePoint{}) {
+    started_ = now;
+    next_audit_ = now + knobs_.quota_audit_interval_near;
+  }
+  const auto life = life_;
+  watch_.tick(now);
+  if (!life->alive) {
+    return;
+  }
+  expire();
+  if (!life->alive) {
+    return;
+  }
+  write_allotted();
+  const bool decision_due = !waiting_.empty() && !deciding_ && now >= retry_at_;
+  if (now >= next_audit_) {
+    next_audit_ = now + audit_interval();
+    audit_due_ = true;
+  }
+  if (decision_due || audit_due_) {
+    refresh_asked_ = now;
+    watch_.refresh();
+  }
+}
+
+void TokenQuota::expire() {
+  const auto over = [&](const Pending& pending) { return now_ >= pending.request.deadline; };
+  PendingList late;
+  const auto take_late = [&](PendingList& list) {
+    const auto first = std::stable_partition(
+        list.begin(), list.end(), [&](const Pending& pending) { return !over(pending); });
+    std::move(first, list.end(), std::back_inserter(late));
+    list.erase(first, list.end());
+  };
+  take_late(waiting_);
+  if (!writing_) {
+    take_late(allotted_);
+  }
+  answer(std::move(late), QuotaVerdict::kUnavailable);
+}
+
+Duration TokenQuota::audit_interval() const {
+  const bool near = table_.tokens() > knobs_.quota_near * route_.limit;
+  return near ? knobs_.quota_audit_interval_near : knobs_.quota_audit_interval;
+}
+
+void TokenQuota::audit() {
+  if (deciding_) {
+    return;
+  }
+  audit_due_ = false;
+  const std::vector<KeyedRecord> differences = corrections();
+  if (!differences.empty()) {
+    // Writing late what an owner knew is safe: waiting tokens only become fewer.
+    log_.append(partition_, differences, std::nullopt, [](const AppendOutcome& /*outcome*/) {
+      // What was not written differs still when the next audit comes.
+    });
+    return;
+  }
+  const std::vector<KeyedRecord> records = removals();
+  if (records.empty()) {
+    return;
+  }
+  deciding_ = true;
+  log_.append_at(partition_, watch_.position(), records,
+                 [this, life = life_](const AppendOutcome& /*outcome*/) {
+                   if (life->alive) {
+                     deciding_ = false;
+                   }
+                 });
+}
+
+std::vector<KeyedRecord> TokenQuota::corrections() const {
+  std::vector<KeyedRecord> records;
+  for (const auto& [job, held] : table_.all()) {
+    const auto state = jobs_.find(job);
+    if (state && state->known && state->waiting_tokens != held.tokens) {
+      records.push_back(
+          reservation_record(route_name_, job, {state->waiting_tokens, held.reserved_ms}));
+    }
+  }
+  for (const auto& [job, tokens] : jobs_.open_jobs(route_name_)) {
+    if (tokens > 0 && !table_.find(job)) {
+      records.push_back(reservation_record(route_name_, job, {tokens, now_ms_}));
+    }
+  }
+  records.resize(std::min(records.size(), kMostCorrections));
+  return records;
+}
+
+std::vector<KeyedRecord> TokenQuota::removals() const {
+  std::vector<KeyedRecord> records;
+  for (const auto& [job, held] : table_.all()) {
+    const auto state = jobs_.find(job);
+    const std::int64_t age = now_ms_ - held.reserved_ms;
+    const bool orphan = state && !state->known && age > to_ms(knobs_.quota_orphan_age);
+    const bool forgotten =
+        state && state->known && held.tokens <= 0 && age > to_ms(knobs_.quota_finished_age);
+    if ((orphan || forgotten) && records.size() < kMostCorrections) {
+      records.push_back(reservation_removal(route_name_, job));
+    }
+  }
+  return records;
+}
+
+}  // namespace dockpoint
--- a/src/core/decaying_count.cpp
+++ b/src/core/decaying_count.cpp
@@ -5,8 +5,8 @@
 
 namespace dockpoint {
 
-void DecayingCount::add(TimePoint now) {
-  count_ = value(now) + 1;
+void DecayingCount::add(TimePoint now, double weight) {
+  count_ = value(now) + weight;
   last_ = now;
 }
 
--- a/src/emulator/memory_log.cpp
+++ b/src/emulator/memory_log.cpp
@@ -60,8 +60,12 @@
 }
 
 AppendOutcome MemoryLog::apply(const TopicPartition& id, const std::vector<KeyedRecord>& records,
-                               const std::optional<ProducerPosition>& position) {
+                               const AppendCondition& condition) {
   Partition& partition = partitions_[id];
+  const std::optional<ProducerPosition>& position = condition.position;
+  if (condition.end && *condition.end != partition.records.size()) {
+    return {LogStatus::kEndMoved, 0, partition.records.size(), 0};
+  }
   if (position) {
     Producer& producer = partition.producers[position->producer];
     if (producer.seen && position->epoch < producer.epoch) {
@@ -104,6 +108,19 @@
 void MemoryLog::append(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
                        const std::optional<ProducerPosition>& position,
                        std::function<void(AppendOutcome)> done) {
+  append_with_faults(partition, records, {position, std::nullopt}, std::move(done));
+}
+
+void MemoryLog::append_at(const TopicPartition& partition, LogOffset expected_end,
+                          const std::vector<KeyedRecord>& records,
+                          std::function<void(AppendOutcome)> done) {
+  append_with_faults(partition, records, {std::nullopt, expected_end}, std::move(done));
+}
+
+void MemoryLog::append_with_faults(const TopicPartition& partition,
+                                   const std::vector<KeyedRecord>& records,
+                                   const AppendCondition& condition,
+                                   std::function<void(AppendOutcome)> done) {
   std::uniform_real_distribution<double> share(0, 1);
   if (faults.down) {
     answer([done = std::move(done)] { done({LogStatus::kRefused, 0, 0, 0}); });
@@ -113,12 +130,12 @@
   const bool lost = delayed || faults.silent || share(random_) < faults.lose_answers;
   if (delayed) {
     std::uniform_int_distribution<std::int64_t> delay(0, faults.longest_delay.count());
-    events_.push_back({now_ + Duration(delay(random_)), [this, partition, records, position] {
-                         apply(partition, records, position);
+    events_.push_back({now_ + Duration(delay(random_)), [this, partition, records, condition] {
+                         apply(partition, records, condition);
                        }});
   }
   const AppendOutcome outcome =
-      delayed || faults.silent ? AppendOutcome{} : apply(partition, records, position);
+      delayed || faults.silent ? AppendOutcome{} : apply(partition, records, condition);
   if (lost) {
     events_.push_back({now_ + kCallTimeout, [done = std::move(done)] { done(AppendOutcome{}); }});
   } else {
--- a/src/emulator/memory_log.hpp
+++ b/src/emulator/memory_log.hpp
@@ -46,6 +46,9 @@
   void append(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
               const std::optional<ProducerPosition>& position,
               std::function<void(AppendOutcome)> done) override;
+  void append_at(const TopicPartition& partition, LogOffset expected_end,
+                 const std::vector<KeyedRecord>& records,
+                 std::function<void(AppendOutcome)> done) override;
   void read(const TopicPartition& partition, LogOffset from, Duration wait,
             std::function<void(ReadOutcome)> done) override;
   void newest(const TopicPartition& partition, const std::string& after_key,
@@ -94,8 +97,18 @@
     std::function<void(ReadOutcome)> done;
   };
 
+  /// What an append asks of its partition.
+  struct AppendCondition {
+    std::optional<ProducerPosition> position;
+    std::optional<LogOffset> end;
+  };
+
   AppendOutcome apply(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
-                      const std::optional<ProducerPosition>& position);
+                      const AppendCondition& condition);
+  /// Appends now, late or not at all, as the faults say.
+  void append_with_faults(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
+                          const AppendCondition& condition,
+                          std::function<void(AppendOutcome)> done);
   ReadOutcome read_now(const TopicPartition& partition, LogOffset from);
   void answer(std::function<void()> run);
   void deal(Group& group, const std::vector<std::string>& topics);
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -27,9 +27,6 @@
 /// Time limit of a call passed on to an owner, beside the time that it may wait there.
 constexpr Duration kForwardTimeout = std::chrono::milliseconds(1200);
 
-/// Time that a caller is told to stay away after a refusal, in seconds.
-constexpr const char* kRetryAfter = "0.4";
-
 /// @return the address in a member's name, `IP:port#run`.
 std::string address_of(const std::string& member) {
   return member.substr(0, member.find('#'));
@@ -55,20 +52,6 @@
 
 }  // namespace
 
-/// A job on its way into the log.
-struct BatchService::Submission {
-  net::ExchangePtr exchange;
-  std::string job;
-  TopicPartition partition;
-  std::vector<std::vector<KeyedRecord>> appends;  ///< The last one makes the job valid.
-  std::size_t next = 0;
-  bool unknown = false;  ///< An append may have been done without an answer.
-  bool calling = false;
-  int failures = 0;
-  TimePoint retry_at{};
-  TimePoint deadline{};
-};
-
 BatchService::BatchService(GatewayContext& context, PartitionedLog& log, BatchTopics topics,
                            BatchMemberName name, std::uint64_t seed)
     : context_(context),
@@ -77,6 +60,7 @@
       name_(std::move(name)),
       seed_(seed),
       executor_(context),
+      submissions_(context, log, topics_, *this, seed),
       group_(context.knobs, log, topics_.group, topics_.jobs, member_name(name_), seed, *this) {}
 
 BatchService::~BatchService() {
@@ -87,82 +71,6 @@
   exchange->respond(503, {{"Retry-After", kRetryAfter}}, {});
 }
 
-void BatchService::submit(const net::ExchangePtr& exchange, const RouteConfig& route) {
-  std::string problem;
-  std::optional<BatchJob> job = boost::leaf::try_handle_all(
-      [&]() -> Result<std::optional<BatchJob>> {
-        BOOST_LEAF_AUTO(read, context_.protocol.read_job(exchange->request(), exchange->body()));
-        return std::optional<BatchJob>(std::move(read));
-      },
-      [&](const Error& error) {
-        problem = error.message;
-        return std::optional<BatchJob>();
-      },
-      [&] { return std::optional<BatchJob>(); });
-  if (!job) {
-    spdlog::info("batch: job rejected why=\"{}\"", problem);
-    exchange->respond(400, {{"Content-Type", "application/json"}},
-                      error_detail_json(ResultCode::kMalformedBody, problem));
-    return;
-  }
-  job->submitted_ms = net::unix_now_ms();
-  const auto submission = std::make_shared<Submission>();
-  submission->exchange = exchange;
-  submission->job = job->id;
-  submission->partition = {topics_.jobs, job_partition(job->id, log_.limits().partitions)};
-  submission->deadline = exchange->received() + context_.knobs.submission_wait;
-  std::size_t bytes = 0;
-  for (KeyedRecord& record : job_records(*job, log_.limits().record_bytes)) {
-    const std::size_t size = record.key.size() + record.value.size();
-    if (submission->appends.empty() || bytes + size > log_.limits().call_bytes / 2) {
-      submission->appends.emplace_back();
-      bytes = 0;
-    }
-    bytes += size;
-    submission->appends.back().push_back(std::move(record));
-  }
-  spdlog::info("batch: job received job={} items={} partition={} route={}", job->id,
-               job->items.size(), submission->partition.partition, route.name);
-  submissions_.push_back(submission);
-  append_submission(submission);
-}
-
-void BatchService::append_submission(const std::shared_ptr<Submission>& submission) {
-  submission->calling = true;
-  log_.append(submission->partition, submission->appends[submission->next], std::nullopt,
-              [this, alive = alive_, submission](const AppendOutcome& outcome) {
-                if (!*alive) {
-                  return;
-                }
-                submission->calling = false;
-                if (outcome.status == LogStatus::kOk) {
-                  ++submission->next;
-                  if (submission->next == submission->appends.size()) {
-                    end_submission(submission, 202);
-                  } else {
-                    append_submission(submission);
-                  }
-                  return;
-                }
-                submission->unknown |= outcome.status == LogStatus::kUnknown;
-                constexpr Duration kPause = std::chrono::milliseconds(120);
-                submission->retry_at = net::steady_now() + kPause * ++submission->failures;
-              });
-}
-
-void BatchService::end_submission(const std::shared_ptr<Submission>& submission, int status) {
-  const Duration took = net::steady_now() - submission->exchange->received();
-  spdlog::info("batch: job {} job={} status={} mayBeInLog={} tookMs={}",
-               status == 202 ? "accepted" : "not accepted", submission->job, status,
-               submission->unknown, net::to_ms(took));
-  if (status == 503) {
-    refuse(submission->exchange);
-  } else {
-    submission->exchange->respond(status, {}, {});
-  }
-  std::erase(submissions_, submission);
-}
-
 void BatchService::handle(const net::ExchangePtr& exchange, const JobCall& call, bool forwarded) {
   if (call.operation == JobOperation::kEnd) {
     end_job(exchange, call.job);
@@ -313,16 +221,7 @@
     group_.fenced(partition);
   }
   executor_.tick(now);
-  const auto submissions = submissions_;
-  for (const auto& submission : submissions) {
-    if (submission->exchange->answered()) {
-      std::erase(submissions_, submission);  // The caller has gone.
-    } else if (now >= submission->deadline) {
-      end_submission(submission, submission->unknown || submission->calling ? 504 : 503);
-    } else if (!submission->calling && now >= submission->retry_at) {
-      append_submission(submission);
-    }
-  }
+  submissions_.tick(now);
   waiters_.remove_if([&](const Waiter& waiter) {
     if (waiter.exchange->answered()) {
       return true;
@@ -423,6 +322,35 @@
   fenced_.push_back(partition);
 }
 
+std::optional<OwnedJobs::State> BatchService::find(const std::string& job) const {
+  const PartitionOwner* owner = owner_of(job_partition(job, log_.limits().partitions));
+  if (owner == nullptr || !owner->active()) {
+    return std::nullopt;
+  }
+  const LedgerJob* entry = owner->ledger().find(job);
+  return entry == nullptr ? State{false, 0} : State{true, entry->waiting_tokens()};
+}
+
+std::vector<std::pair<std::string, double>> BatchService::open_jobs(
+    const std::string& route) const {
+  std::vector<std::pair<std::string, double>> open;
+  for (const auto& [partition, owner] : owners_) {
+    if (!owner->active()) {
+      continue;
+    }
+    for (const auto& [id, entry] : owner->ledger().jobs()) {
+      if (entry.ended || entry.complete()) {
+        continue;
+      }
+      const RouteConfig* matched = context_.configuration->match(entry.job.host, entry.job.path);
+      if (matched != nullptr && matched->name == route) {
+        open.emplace_back(id, entry.waiting_tokens());
+      }
+    }
+  }
+  return open;
+}
+
 PartitionOwner* BatchService::owner_of(int partition) const {
   const auto found = owners_.find(partition);
   return found == owners_.end() ? nullptr : found->second.get();
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -10,6 +10,7 @@
 #include "dockpoint/batch/partition_owner.hpp"
 #include "gateway/batch_executor.hpp"
 #include "gateway/gateway_context.hpp"
+#include "gateway/job_submissions.hpp"
 #include "net/http_server.hpp"
 
 namespace dockpoint {
@@ -23,16 +24,19 @@
 /// Batch jobs at one node: takes them from any caller, runs those of the partitions that it owns,
 /// and answers reads, passing those of other partitions on to their owners.
 ///
-/// A job is accepted once the log holds all of it. If the log's answer is lost, the caller gets
-/// no promise: the job may run. Single-threaded; borrows context and log.
-class BatchService : private PartitionOwnerObserver, private GroupMemberObserver {
+/// Single-threaded; borrows context and log.
+class BatchService : private PartitionOwnerObserver,
+                     private GroupMemberObserver,
+                     private OwnedJobs {
  public:
   BatchService(GatewayContext& context, PartitionedLog& log, BatchTopics topics,
                BatchMemberName name, std::uint64_t seed);
   ~BatchService() override;
 
   /// Takes a job that a caller submits.
-  void submit(const net::ExchangePtr& exchange, const RouteConfig& route);
+  void submit(const net::ExchangePtr& exchange, const RouteConfig& route) {
+    submissions_.submit(exchange, route);
+  }
   /// Takes a call about a job.
   /// @param forwarded it came from another node, and is not passed on again.
   void handle(const net::ExchangePtr& exchange, const JobCall& call, bool forwarded);
@@ -63,7 +67,6 @@
     JobCall call;
     TimePoint deadline{};
   };
-  struct Submission;
 
   void on_partition_active(int partition) override;
   void on_job(int partition, const std::string& job) override;
@@ -75,8 +78,9 @@
   void on_doubted(int partition) override;
   void on_lost(int partition) override;
 
-  void append_submission(const std::shared_ptr<Submission>& submission);
-  void end_submission(const std::shared_ptr<Submission>& submission, int status);
+  std::optional<State> find(const std::string& job) const override;
+  std::vector<std::pair<std::string, double>> open_jobs(const std::string& route) const override;
+
   void end_job(const net::ExchangePtr& exchange, const std::string& job);
   void read(Waiter waiter);
   /// @return whether what this node holds of its partitions may be told.
@@ -96,11 +100,11 @@
   const BatchMemberName name_;
   std::uint64_t seed_;
   BatchExecutor executor_;
+  JobSubmissions submissions_;
   std::map<int, std::unique_ptr<PartitionOwner>> owners_;
   std::vector<int>
       fenced_;  ///< Dropped at the next tick: they may not be destroyed while they tell.
   std::list<Waiter> waiters_;
-  std::vector<std::shared_ptr<Submission>> submissions_;
   std::map<int, std::string> owner_addresses_;
   TimePoint owners_refreshed_{};
   bool refreshing_owners_ = false;
--- /dev/null
+++ b/src/gateway/job_submissions.cpp
@@ -0,0 +1,261 @@
+#include "gateway/job_submissions.hpp"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "dockpoint/core/hash.hpp"
+#include "dockpoint/core/json_reader.hpp"
+#include "net/clock.hpp"
+
+namespace dockpoint {
+namespace {
+
+/// First pause before an append that failed is repeated.
+constexpr Duration kAppendRetryPause = std::chrono::milliseconds(120);
+
+double tokens_of(const BatchJob& job) {
+  double tokens = 0;
+  for (const BatchItem& item : job.items) {
+    tokens += item.tokens;
+  }
+  return tokens;
+}
+
+}  // namespace
+
+/// A job on its way into the log.
+struct JobSubmissions::Submission {
+  net::ExchangePtr exchange;
+  std::string job;
+  double tokens = 0;
+  TopicPartition partition;
+  std::vector<std::vector<KeyedRecord>> appends;  ///< The last one makes the job valid.
+  std::size_t next = 0;
+  bool may_write = false;  ///< The job may be appended.
+  bool reserved = false;   ///< The limit of its route leaves room for it.
+  bool unknown = false;    ///< An append may have been done without an answer.
+  bool calling = false;
+  bool over = false;
+  int failures = 0;
+  TimePoint retry_at{};
+  TimePoint deadline{};
+
+  bool written() const { return next == appends.size(); }
+  /// @return whether the log may hold the job.
+  bool may_run() const { return written() || unknown || calling; }
+};
+
+JobSubmissions::JobSubmissions(GatewayContext& context, PartitionedLog& log,
+                               const BatchTopics& topics, const OwnedJobs& owned_jobs,
+                               std::uint64_t seed)
+    : context_(context), log_(log), topics_(topics), owned_jobs_(owned_jobs), seed_(seed) {}
+
+JobSubmissions::~JobSubmissions() {
+  *alive_ = false;
+}
+
+void JobSubmissions::submit(const net::ExchangePtr& exchange, const RouteConfig& route) {
+  std::string problem;
+  std::optional<BatchJob> job = boost::leaf::try_handle_all(
+      [&]() -> Result<std::optional<BatchJob>> {
+        BOOST_LEAF_AUTO(read, context_.protocol.read_job(exchange->request(), exchange->body()));
+        return std::optional<BatchJob>(std::move(read));
+      },
+      [&](const Error& error) {
+        problem = error.message;
+        return std::optional<BatchJob>();
+      },
+      [&] { return std::optional<BatchJob>(); });
+  if (!job) {
+    spdlog::info("batch: job rejected why=\"{}\"", problem);
+    exchange->respond(400, {{"Content-Type", "application/json"}},
+                      error_detail_json(ResultCode::kMalformedBody, problem));
+    return;
+  }
+  job->submitted_ms = net::unix_now_ms();
+  const auto submission = std::make_shared<Submission>();
+  submission->exchange = exchange;
+  submission->job = job->id;
+  submission->tokens = tokens_of(*job);
+  submission->partition = {topics_.jobs, job_partition(job->id, log_.limits().partitions)};
+  submission->deadline = exchange->received() + context_.knobs.submission_wait;
+  std::size_t bytes = 0;
+  for (KeyedRecord& record : job_records(*job, log_.limits().record_bytes)) {
+    const std::size_t size = record.key.size() + record.value.size();
+    if (submission->appends.empty() || bytes + size > log_.limits().call_bytes / 2) {
+      submission->appends.emplace_back();
+      bytes = 0;
+    }
+    bytes += size;
+    submission->appends.back().push_back(std::move(record));
+  }
+  spdlog::info("batch: job received job={} items={} tokens={} partition={} route={}", job->id,
+               job->items.size(), submission->tokens, submission->partition.partition, route.name);
+  submissions_.push_back(submission);
+  reserve(submission, route);
+  if (submission->may_write && !submission->over) {
+    append(submission);
+  }
+}
+
+void JobSubmissions::reserve(const SubmissionPtr& submission, const RouteConfig& route) {
+  if (route.max_waiting_tokens <= 0) {
+    submission->may_write = true;
+    submission->reserved = true;
+    return;
+  }
+  const double limit = route.max_waiting_tokens;
+  const QuotaStart start =
+      tick_quota(route, submission->exchange->received())
+          .reserve({submission->job, submission->tokens, submission->deadline},
+                   [this, alive = alive_, submission, limit](const QuotaAnswer& answer) {
+                     if (*alive && !submission->over) {
+                       take_quota_answer(submission, answer, limit);
+                     }
+                   });
+  submission->may_write = submission->may_write || start == QuotaStart::kGoAhead;
+}
+
+TokenQuota& JobSubmissions::quota_of(const std::string& route) {
+  std::unique_ptr<TokenQuota>& quota = quotas_[route];
+  if (!quota) {
+    const std::uint64_t hash = hash64(route);
+    const auto partitions = static_cast<std::uint64_t>(std::max(1, log_.limits().partitions));
+    quota = std::make_unique<TokenQuota>(
+        context_.knobs, log_,
+        TopicPartition{topics_.reservations, static_cast<int>(hash % partitions)}, route,
+        owned_jobs_, combine_hash(seed_, hash));
+  }
+  return *quota;
+}
+
+void JobSubmissions::take_quota_answer(const SubmissionPtr& submission, const QuotaAnswer& answer,
+                                       double limit) {
+  switch (answer.verdict) {
+    case QuotaVerdict::kReserved:
+      submission->reserved = true;
+      if (!std::exchange(submission->may_write, true)) {
+        append(submission);
+      }
+      accept_if_complete(submission);
+      return;
+    case QuotaVerdict::kOverLimit:
+      refuse_over_limit(submission, answer.fits_after, limit);
+      return;
+    case QuotaVerdict::kUnavailable:
+      give_up(submission);
+      return;
+  }
+}
+
+void JobSubmissions::append(const SubmissionPtr& submission) {
+  submission->calling = true;
+  log_.append(submission->partition, submission->appends[submission->next], std::nullopt,
+              [this, alive = alive_, submission](const AppendOutcome& outcome) {
+                if (!*alive) {
+                  return;
+                }
+                submission->calling = false;
+                if (outcome.status == LogStatus::kOk) {
+                  ++submission->next;
+                  if (submission->written()) {
+                    accept_if_complete(submission);
+                  } else {
+                    append(submission);
+                  }
+                  return;
+                }
+                submission->unknown |= outcome.status == LogStatus::kUnknown;
+                submission->retry_at =
+                    net::steady_now() + kAppendRetryPause * ++submission->failures;
+              });
+}
+
+void JobSubmissions::accept_if_complete(const SubmissionPtr& submission) {
+  if (submission->written() && submission->reserved && !submission->over) {
+    submission->exchange->respond(202, {}, {});
+    finish(submission, 202);
+  }
+}
+
+void JobSubmissions::give_up(const SubmissionPtr& submission) {
+  if (submission->may_run()) {
+    submission->exchange->respond(504, {}, {});
+    finish(submission, 504);
+  } else {
+    submission->exchange->respond(503, {{"Retry-After", kRetryAfter}}, {});
+    finish(submission, 503);
+  }
+}
+
+void JobSubmissions::refuse_over_limit(const SubmissionPtr& submission, Duration fits_after,
+                                       double limit) {
+  const bool never_fits = submission->tokens > limit;
+  const std::string message =
+      never_fits ? fmt::format(
+                       "the job has {:.0f} tokens, more than the {:.0f} that may wait on "
+                       "its route: divide it",
+                       submission->tokens, limit)
+                 : fmt::format("the route's limit of {:.0f} waiting tokens has no room for {:.0f}",
+                               limit, submission->tokens);
+  net::Headers headers{{"Content-Type", "application/json"}};
+  if (!never_fits) {
+    headers.add("Retry-After",
+                fmt::format("{:.2f}", std::chrono::duration<double>(fits_after).count()));
+  }
+  spdlog::info("batch: job refused job={} tokens={} limit={} fitsAfterMs={} why=\"{}\"",
+               submission->job, submission->tokens, limit, net::to_ms(fits_after),
+               never_fits ? "it can never fit" : "too many tokens wait");
+  submission->exchange->respond(429, std::move(headers),
+                                error_detail_json(ResultCode::kOverloaded, message));
+  finish(submission, 429);
+}
+
+void JobSubmissions::finish(const SubmissionPtr& submission, int status) {
+  submission->over = true;
+  const Duration took = net::steady_now() - submission->exchange->received();
+  spdlog::info("batch: job {} job={} status={} mayBeInLog={} tookMs={}",
+               status == 202 ? "accepted" : "not accepted", submission->job, status,
+               submission->may_run(), net::to_ms(took));
+  std::erase(submissions_, submission);
+}
+
+void JobSubmissions::tick(TimePoint now) {
+  tick_quotas(now);
+  const auto submissions = submissions_;
+  for (const SubmissionPtr& submission : submissions) {
+    if (submission->over) {
+      continue;
+    }
+    if (submission->exchange->answered()) {
+      submission->over = true;  // The caller has gone.
+      std::erase(submissions_, submission);
+    } else if (now >= submission->deadline) {
+      give_up(submission);
+    } else if (submission->may_write && !submission->written() && !submission->calling &&
+               now >= submission->retry_at) {
+      append(submission);
+    }
+  }
+}
+
+void JobSubmissions::tick_quotas(TimePoint now) {
+  const auto configuration = context_.configuration;
+  for (const RouteConfig& route : configuration->routes) {
+    if (route.kind == RouteKind::kBatch && route.max_waiting_tokens > 0) {
+      tick_quota(route, now);
+    }
+  }
+}
+
+TokenQuota& JobSubmissions::tick_quota(const RouteConfig& route, TimePoint now) {
+  TokenQuota& quota = quota_of(route.name);
+  const std::size_t nodes = context_.replicas.peers() + 1;
+  quota.tick(now, net::unix_now_ms(), {route.max_waiting_tokens, nodes});
+  return quota;
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/job_submissions.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dockpoint/batch/partition_owner.hpp"
+#include "dockpoint/batch/token_quota.hpp"
+#include "gateway/gateway_context.hpp"
+#include "net/http_server.hpp"
+
+namespace dockpoint {
+
+/// Time that a caller is told to stay away after a refusal that load has not caused, in seconds.
+inline constexpr const char* kRetryAfter = "0.4";
+
+/// Jobs on their way into the log.
+///
+/// A job is accepted once the log holds all of it and, where its route limits the tokens that wait,
+/// its reservation. A caller is refused only while nothing can have been written of the job; if an
+/// answer of the log is lost, it gets no promise: the job may run.
+///
+/// Single-threaded; borrows context, log and owned jobs.
+class JobSubmissions {
+ public:
+  JobSubmissions(GatewayContext& context, PartitionedLog& log, const BatchTopics& topics,
+                 const OwnedJobs& owned_jobs, std::uint64_t seed);
+  ~JobSubmissions();
+
+  /// Takes a job that a caller submits.
+  void submit(const net::ExchangePtr& exchange, const RouteConfig& route);
+  void tick(TimePoint now);
+  /// @return whether no job is on its way.
+  bool empty() const { return submissions_.empty(); }
+
+ private:
+  struct Submission;
+  using SubmissionPtr = std::shared_ptr<Submission>;
+
+  void tick_quotas(TimePoint now);
+  /// Tells a route's quota what the configuration and the fleet are now.
+  TokenQuota& tick_quota(const RouteConfig& route, TimePoint now);
+  TokenQuota& quota_of(const std::string& route);
+  void reserve(const SubmissionPtr& submission, const RouteConfig& route);
+  void take_quota_answer(const SubmissionPtr& submission, const QuotaAnswer& answer, double limit);
+  void append(const SubmissionPtr& submission);
+  void accept_if_complete(const SubmissionPtr& submission);
+  /// Ends a submission that cannot be completed, with a promise only where it is true.
+  void give_up(const SubmissionPtr& submission);
+  void refuse_over_limit(const SubmissionPtr& submission, Duration fits_after, double limit);
+  void finish(const SubmissionPtr& submission, int status);
+
+  GatewayContext& context_;
+  PartitionedLog& log_;
+  const BatchTopics topics_;
+  const OwnedJobs& owned_jobs_;
+  const std::uint64_t seed_;
+  std::map<std::string, std::unique_ptr<TokenQuota>> quotas_;  ///< By route.
+  std::vector<SubmissionPtr> submissions_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace dockpoint
--- a/src/log/hedged_log.cpp
+++ b/src/log/hedged_log.cpp
@@ -114,6 +114,16 @@
       std::move(done));
 }
 
+void HedgedLog::append_at(const TopicPartition& partition, LogOffset expected_end,
+                          const std::vector<KeyedRecord>& records,
+                          std::function<void(AppendOutcome)> done) {
+  start<AppendOutcome>(
+      [this, partition, expected_end, records](std::function<void(AppendOutcome)> answered) {
+        log_.append_at(partition, expected_end, records, std::move(answered));
+      },
+      std::move(done));
+}
+
 void HedgedLog::read(const TopicPartition& partition, LogOffset from, Duration wait,
                      std::function<void(ReadOutcome)> done) {
   log_.read(partition, from, wait, std::move(done));
--- a/src/log/keyed_watch.cpp
+++ b/src/log/keyed_watch.cpp
@@ -5,12 +5,13 @@
 namespace dockpoint {
 
 KeyedWatch::KeyedWatch(const Knobs& knobs, PartitionedLog& log, TopicPartition partition,
-                       std::uint64_t seed, KeyedWatchObserver& observer)
+                       std::uint64_t seed, KeyedWatchObserver& observer, WatchMode mode)
     : knobs_(knobs),
       log_(log),
       partition_(std::move(partition)),
       random_(seed),
-      observer_(observer) {}
+      observer_(observer),
+      mode_(mode) {}
 
 KeyedWatch::~KeyedWatch() {
   state_->alive = false;
@@ -18,7 +19,20 @@
 
 void KeyedWatch::tick(TimePoint now) {
   now_ = now;
-  if (state_->calling || now < state_->retry_at) {
+  if (!state_->calling && now >= state_->retry_at) {
+    proceed();
+  }
+}
+
+void KeyedWatch::refresh() {
+  state_->wanted = true;
+  if (!state_->calling && now_ >= state_->retry_at) {
+    proceed();
+  }
+}
+
+void KeyedWatch::proceed() {
+  if (mode_ == WatchMode::kOnDemand && !state_->wanted) {
     return;
   }
   if (state_->loaded) {
@@ -30,6 +44,9 @@
 
 void KeyedWatch::load_page() {
   state_->calling = true;
+  if (state_->first_page) {
+    state_->wanted = false;
+  }
   log_.newest(partition_, state_->page_key, [this, state = state_](NewestOutcome outcome) {
     if (state->alive) {
       state->calling = false;
@@ -72,20 +89,21 @@
     state->current = true;
     observer_.on_current();
   }
-  if (state->alive) {
-    follow();
+  if (state->alive && !state->calling) {
+    proceed();
   }
 }
 
 void KeyedWatch::follow() {
   state_->calling = true;
-  log_.read(partition_, state_->next, knobs_.watch_wait,
-            [this, state = state_](ReadOutcome outcome) {
-              if (state->alive) {
-                state->calling = false;
-                take_records(std::move(outcome));
-              }
-            });
+  state_->wanted = false;
+  const Duration wait = mode_ == WatchMode::kFollow ? knobs_.watch_wait : Duration{};
+  log_.read(partition_, state_->next, wait, [this, state = state_](ReadOutcome outcome) {
+    if (state->alive) {
+      state->calling = false;
+      take_records(std::move(outcome));
+    }
+  });
 }
 
 void KeyedWatch::take_records(ReadOutcome outcome) {
@@ -112,13 +130,18 @@
       return;
     }
   }
+  if (mode_ == WatchMode::kOnDemand && !outcome.records.empty() && state->next < outcome.end) {
+    follow();  // The answer holds a part of what there is.
+    return;
+  }
   observer_.on_current();
-  if (state->alive) {
-    follow();
+  if (state->alive && !state->calling) {
+    proceed();
   }
 }
 
 void KeyedWatch::fail() {
+  state_->wanted = true;
   ++state_->failures;
   const int doublings = std::min(state_->failures - 1, 4);
   const Duration limit =
--- a/tests/batch/partition_ownership_test.cpp
+++ b/tests/batch/partition_ownership_test.cpp
@@ -23,7 +23,7 @@
 
 constexpr int kPartitions = 4;
 constexpr std::int64_t kStepMs = 20;
-const BatchTopics kTopics{"jobs", "results", "owners"};
+const BatchTopics kTopics{"jobs", "results", "reservations", "owners"};
 
 /// The log as one node reaches it, or does not.
 class CuttableLog : public PartitionedLog {
@@ -54,6 +54,13 @@
       log_.append(partition, records, position, std::move(done));
     }
   }
+  void append_at(const TopicPartition& partition, LogOffset expected_end,
+                 const std::vector<KeyedRecord>& records,
+                 std::function<void(AppendOutcome)> done) override {
+    if (!lost([done] { done({}); })) {
+      log_.append_at(partition, expected_end, records, std::move(done));
+    }
+  }
   void read(const TopicPartition& partition, LogOffset from, Duration wait,
             std::function<void(ReadOutcome)> done) override {
     if (!lost([done] { done({}); })) {
--- a/tests/log/hedged_log_test.cpp
+++ b/tests/log/hedged_log_test.cpp
@@ -126,4 +126,15 @@
   BOOST_TEST(outcomes.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_conditional_append_whose_answer_is_lost_is_done_once) {
+  log.faults.lose_answers = 1;
+  hedged.append_at(kPartition, 0, {{"key", "value", 0}},
+                   [this](const AppendOutcome& outcome) { outcomes.push_back(outcome.status); });
+  log.faults.lose_answers = 0;
+  run(400);
+  BOOST_REQUIRE(outcomes.size() == 1);
+  BOOST_TEST((outcomes[0] == LogStatus::kEndMoved));  // The writer reads, and finds its record.
+  BOOST_TEST(appended() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/log/keyed_watch_test.cpp
+++ b/tests/log/keyed_watch_test.cpp
@@ -91,4 +91,46 @@
   BOOST_TEST(values["a"] == "1");
 }
 
+BOOST_AUTO_TEST_CASE(on_demand_it_reads_to_the_end_and_only_when_asked) {
+  KeyedWatch on_demand{knobs, log, kPartition, 8, *this, WatchMode::kOnDemand};
+  const auto run_on_demand = [&] {
+    for (const std::int64_t end = now + 200; now < end; now += 10) {
+      log.advance(at(now));
+      on_demand.tick(at(now));
+    }
+  };
+  put("a", "1");
+  run_on_demand();
+  BOOST_TEST(values.empty());
+  on_demand.refresh();
+  run_on_demand();
+  BOOST_TEST(values.at("a") == "1");
+  BOOST_TEST(on_demand.position() == 1);
+  put("a", "2");
+  run_on_demand();
+  BOOST_TEST(values.at("a") == "1");
+  on_demand.refresh();
+  run_on_demand();
+  BOOST_TEST(values.at("a") == "2");
+  BOOST_TEST(on_demand.position() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_refresh_that_fails_is_repeated) {
+  KeyedWatch on_demand{knobs, log, kPartition, 8, *this, WatchMode::kOnDemand};
+  put("a", "1");
+  log.faults.down = true;
+  on_demand.refresh();
+  const auto run_on_demand = [&] {
+    for (const std::int64_t end = now + 2'000; now < end; now += 10) {
+      log.advance(at(now));
+      on_demand.tick(at(now));
+    }
+  };
+  run_on_demand();
+  BOOST_TEST(values.empty());
+  log.faults.down = false;
+  run_on_demand();
+  BOOST_TEST(values.at("a") == "1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/stand_in_store.hpp
+++ b/tests/platform/stand_in_store.hpp
@@ -144,19 +144,28 @@
           *producer, std::strtoull(target.parameter("epoch").value_or("0").c_str(), nullptr, 10),
           std::strtoull(target.parameter("sequence").value_or("0").c_str(), nullptr, 10)};
     }
-    log.append(partition, read_records(exchange->body()), position,
-               [exchange](const AppendOutcome& outcome) {
-                 if (refused(exchange, outcome.status)) {
-                   return;
-                 }
-                 if (outcome.status == LogStatus::kOk) {
-                   reply(exchange, 200, {{"offset", outcome.first}, {"end", outcome.end}});
-                 } else if (outcome.status == LogStatus::kFenced) {
-                   reply(exchange, 409, {{"why", "fenced"}});
-                 } else {
-                   reply(exchange, 409, {{"why", "seq"}, {"sequence", outcome.due_sequence}});
-                 }
-               });
+    const auto answer = [exchange](const AppendOutcome& outcome) {
+      if (refused(exchange, outcome.status)) {
+        return;
+      }
+      if (outcome.status == LogStatus::kEndMoved) {
+        reply(exchange, 412, {{"end", outcome.end}});
+        return;
+      }
+      if (outcome.status == LogStatus::kOk) {
+        reply(exchange, 200, {{"offset", outcome.first}, {"end", outcome.end}});
+      } else if (outcome.status == LogStatus::kFenced) {
+        reply(exchange, 409, {{"why", "fenced"}});
+      } else {
+        reply(exchange, 409, {{"why", "seq"}, {"sequence", outcome.due_sequence}});
+      }
+    };
+    if (const auto end = target.parameter("timestamp")) {
+      log.append_at(partition, std::strtoull(end->c_str(), nullptr, 10),
+                    read_records(exchange->body()), answer);
+    } else {
+      log.append(partition, read_records(exchange->body()), position, answer);
+    }
   }
 
   void serve_group(const net::ExchangePtr& exchange, const std::string& path) {
