Pass jobs on to a node that reaches the log; items give their slot to the request that needs it

Online requests that came late waited at replicas that were full of items, while averages 200 ms old made room elsewhere.

(1) A job that the log has not confirmed after 200 ms, or at once where the node's lease or an append has failed, goes to a node that says it reaches the log; the first way that ends counts, and a promise is given only if neither may have written. (2) A node that sends a request to a replica that is expected to be full breaks off an item of its own there, or asks the node that runs one (SlotRequest, a datagram). The selector reckons with it, so batch may fill more: 0.8 of all slots for 0.6, one slot free at each engine for two, replicas up to 0.9 for 0.8. (3) Knobs can be changed in the settings file for experiments; ablations need no build.

--- a/include/dockpoint/batch/batch_share.hpp
+++ b/include/dockpoint/batch/batch_share.hpp
@@ -23,6 +23,7 @@
   int online = 0;        ///< Online requests in flight there, of all nodes.
   double own_items = 0;  ///< That this node runs or has to run.
   double all_items = 0;  ///< That all nodes do, this one included.
+  double rounding = 0;  ///< From 0 to 1, spread over the nodes: share of a slot that counts as one.
 };
 
 /// @return how many of an engine's slots are kept free of batch.
--- a/include/dockpoint/core/hash.hpp
+++ b/include/dockpoint/core/hash.hpp
@@ -20,4 +20,10 @@
 /// Mixes a value into a running hash.
 std::uint64_t combine_hash(std::uint64_t seed, std::uint64_t value);
 
+/// @return a number from 0 to 1 that a hash stands for.
+constexpr double fraction_of(std::uint64_t hash) {
+  constexpr std::uint64_t kSteps = 1'000;
+  return static_cast<double>(hash % kSteps) / static_cast<double>(kSteps);
+}
+
 }  // namespace dockpoint
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -87,7 +87,7 @@
   Duration arrival_memory = 500ms;    ///< Over which a node's sends make its rate.
   double remote_zone_ms = 3.0;        ///< Cost of a replica in another zone.
   double cold_replica_ms = 50;        ///< Cost of a replica that has just started.
-  double batch_fill = 0.8;            ///< Batch goes to replicas below this share of slots.
+  double batch_fill = 0.9;            ///< Batch goes to replicas below this share of slots.
   Duration prefix_lifetime = 45s;     ///< A prompt is expected in a cache for this long.
   std::size_t prefix_entries = 4096;  ///< Prefixes remembered.
   std::size_t prefix_replicas = 4;    ///< Replicas remembered a prefix.
@@ -109,9 +109,16 @@
   Duration removal_grace = 2s;  ///< For records that lapsed while the log was away to come back.
 
   // Batch items.
-  double batch_slot_share = 0.6;       ///< Of all slots, for the items of all nodes at most.
-  double batch_reserved_slots = 2;     ///< Of each engine, that patient items leave free.
-  double batch_yield_tolerance = 1.2;  ///< Items run up to so many times what is allowed.
+  double batch_slot_share = 0.8;     ///< Of all slots, for the items of all nodes at most.
+  double batch_urgent_share = 0.6;   ///< Of all slots, for urgent items whatever online does.
+  double batch_least_items = 2;      ///< That a node with items runs in any case.
+  double yield_request_load = 1.15;  ///< Of a replica's slots, expected to be taken, from which on
+                                     ///< an item there gives its slot to an online request.
+  double yield_trust = 1;            ///< Share of the items at a replica that are reckoned to give
+                                     ///< way when an online request needs it.
+  Duration yield_request_pause = 50ms;  ///< Until an item that gave way runs again.
+  double batch_reserved_slots = 1;      ///< Of each engine, that patient items leave free.
+  double batch_yield_tolerance = 1.2;   ///< Items run up to so many times what is allowed.
   double batch_urgent_time = 0.5;  ///< An item is urgent in the last part of its time, as a share.
   Duration batch_start_delay = 700ms;  ///< After a node's start, until it knows the others' load.
   Duration clock_error = 5s;           ///< The time of day may be wrong by so much at a node.
@@ -119,6 +126,9 @@
   Duration item_silence = 3s;          ///< A run without a byte for this long goes on elsewhere.
   Duration item_route_wait = 1s;       ///< Pause of an item whose route is not known.
   Duration submission_wait = 2500ms;   ///< A job is offered to the log for this long.
+  Duration submission_forward_delay = 200ms;  ///< Without the log's word a job is passed on then;
+                                              ///< objectives for accepting are 400 ms and more.
+  int submission_forwards = 2;  ///< Nodes that a job is passed on to, one after the other.
 
   // The limit on waiting tokens of a route.
   Duration quota_allotment_time = 2s;          ///< A node relies on what it read for this long.
--- a/include/dockpoint/routing/replica_directory.hpp
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -76,6 +77,8 @@
   double failures(TimePoint now) const { return own_failures.value(now) + failures_of_peers; }
   /// @return online requests in flight there, of all nodes.
   int all_online() const { return online + of_peers - batch_of_peers; }
+  /// @return items in flight there, of all nodes.
+  int all_batch() const { return batch + batch_of_peers; }
   /// @return requests estimated to run or wait there.
   int load(TimePoint now) const;
   bool on_trial() const { return ejections > 0; }
@@ -119,7 +122,13 @@
   /// @return this node's requests in flight and the failures it saw, replicas without any left out.
   std::vector<LoadDigestEntry> own_load(TimePoint now) const;
 
+  /// Finds a node that runs an item at a replica, and counts one less there until it tells its load
+  /// again. @return the node, see `node_key`, or nothing if no peer is known to run one.
+  std::optional<std::uint32_t> take_item_of_peer(std::uint32_t replica_key, TimePoint now);
+
   const Replica* find(const std::string& id) const;
+  /// @return the replica with a key in digests, or null.
+  const Replica* find_key(std::uint32_t replica_key) const;
   /// @return replicas of the service that take new work: registered and not draining.
   std::vector<const Replica*> ready(const std::string& service) const;
   const std::map<std::string, Replica>& all() const { return replicas_; }
--- a/include/dockpoint/routing/replica_selector.hpp
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -42,6 +42,7 @@
   const Replica* replica = nullptr;  ///< Null if no replica can take the request.
   Duration expected_wait{};          ///< For a slot; zero if one is expected to be free.
   double missing_tokens = 0;         ///< Prompt tokens expected to be read there.
+  double expected_load = 0;          ///< Requests and items expected there, this one left out.
 };
 
 /// See the top of this file. Not thread-safe; borrows knobs and directory.
@@ -73,6 +74,7 @@
   struct Candidate {
     const Replica* replica = nullptr;
     double expected_load = 0;  ///< With requests that are not seen yet.
+    double yielding = 0;       ///< Batch items among them that would give way to the request.
     double missing_tokens = 0;
     double wait_ms = 0;
     double cost_ms = 0;
@@ -98,8 +100,10 @@
   /// @return mean time that a request of the service holds a slot.
   double service_ms(const std::string& service) const;
   /// @return where the requests that are not seen yet are expected among the candidates.
-  WaterFilling spread_unseen(const std::vector<const Replica*>& open, const std::string& service,
+  WaterFilling spread_unseen(const std::vector<const Replica*>& open, const ReplicaQuery& query,
                              TimePoint now) const;
+  /// @return items at a replica that are expected to give way to a request.
+  double yielding_items(const Replica& replica, TrafficClass traffic) const;
   /// @return indices of the candidates to compare, those drawn by load first.
   std::vector<std::size_t> shortlist(const std::vector<Candidate>& all, double prompt_tokens,
                                      const WaterFilling& filling);
--- a/src/admission/overload_policy.cpp
+++ b/src/admission/overload_policy.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "dockpoint/core/hash.hpp"
+
 namespace dockpoint {
 
 std::optional<Duration> OverloadPolicy::refuse(const std::string& route,
@@ -15,8 +17,7 @@
   if (!late || !whole_time_left) {
     return std::nullopt;
   }
-  constexpr std::uint64_t kSteps = 1000;
-  const double place = static_cast<double>(spread % kSteps) / kSteps;
+  const double place = fraction_of(spread);
   const double share = knobs_.overload_return_earliest +
                        place * (knobs_.overload_return_latest - knobs_.overload_return_earliest);
   return std::chrono::duration_cast<Duration>(question.time_left * share);
--- a/src/batch/batch_share.cpp
+++ b/src/batch/batch_share.cpp
@@ -3,12 +3,7 @@
 #include <algorithm>
 
 namespace dockpoint {
-namespace {
-
-/// A node with items may always run so many: else a fleet of many nodes would run none.
-constexpr std::size_t kLeastItems = 2;
-
-}  // namespace
+namespace {}  // namespace
 
 double reserved_slots(const Knobs& knobs, int slots) {
   constexpr double kMostOfAnEngine = 0.5;
@@ -21,8 +16,13 @@
   const double most = knobs.batch_slot_share * load.slots;
   const double left = load.slots - load.reserved - load.online;
   const double patient = std::clamp(left, 0.0, most);
-  urgent_ = std::max(kLeastItems, static_cast<std::size_t>(most * part));
-  patient_ = std::min(urgent_, std::max(kLeastItems, static_cast<std::size_t>(patient * part)));
+  const auto least = static_cast<std::size_t>(knobs.batch_least_items);
+  // Parts below one are rounded up at some nodes and down at others.
+  const auto own = [&](double slots) {
+    return std::max(least, static_cast<std::size_t>(slots * part + load.rounding));
+  };
+  patient_ = own(patient);
+  urgent_ = std::max(patient_, own(knobs.batch_urgent_share * load.slots));
 }
 
 std::size_t BatchShare::excess(std::size_t running, std::size_t urgent_running) const {
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "dockpoint/core/hash.hpp"
 #include "gateway/item_run.hpp"
 #include "net/clock.hpp"
 
@@ -13,6 +14,14 @@
 /// Longest time that a replica is given for an item.
 constexpr Duration kItemDeadline = std::chrono::seconds(60);
 
+/// @return whether `left` can better wait than `right`: what is late already, then what is due
+/// last.
+bool yields_before(const ItemRun& left, const ItemRun& right, std::int64_t now_ms) {
+  const bool left_late = left.due().overdue(now_ms);
+  const bool right_late = right.due().overdue(now_ms);
+  return left_late != right_late ? left_late : left.due().at_ms > right.due().at_ms;
+}
+
 }  // namespace
 
 void ItemProgress::restart() {
@@ -22,7 +31,8 @@
   produced.last_event.reset();
 }
 
-BatchExecutor::BatchExecutor(GatewayContext& context) : context_(context) {}
+BatchExecutor::BatchExecutor(GatewayContext& context)
+    : context_(context), rounding_(fraction_of(hash64(context.node))) {}
 
 BatchExecutor::~BatchExecutor() = default;
 
@@ -178,6 +188,7 @@
 
 BatchShare BatchExecutor::share() const {
   FleetLoad load;
+  load.rounding = rounding_;
   load.own_items = static_cast<double>(pending());
   load.all_items = load.own_items + static_cast<double>(context_.replicas.pending_items_of_peers());
   for (const auto& [id, replica] : context_.replicas.all()) {
@@ -216,6 +227,25 @@
   }
 }
 
+bool BatchExecutor::yield_slot(const std::string& replica) {
+  const std::int64_t now_ms = net::unix_now_ms();
+  std::shared_ptr<ItemRun> chosen;
+  for (const auto& run : runs_) {
+    if (run->replica() == replica && (!chosen || yields_before(*run, *chosen, now_ms))) {
+      chosen = run;
+    }
+  }
+  if (!chosen) {
+    return false;
+  }
+  progress_[chosen->ref()].last_replica = replica;
+  chosen->cancel();
+  runs_.erase(chosen);
+  context_.metrics.count_item("yielded");
+  retry(chosen->ref(), context_.knobs.yield_request_pause, net::steady_now());
+  return true;
+}
+
 void BatchExecutor::make_room(const BatchShare& share) {
   std::vector<std::shared_ptr<ItemRun>> patient;
   std::copy_if(runs_.begin(), runs_.end(), std::back_inserter(patient),
--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -42,11 +42,11 @@
 
 /// Runs batch items of the partitions that this node owns.
 ///
-/// The item whose job is due first runs first, jobs that are overdue last. Items go only to
-/// replicas with room below a share of their slots, and no more of them at once than BatchShare
-/// allows this node; none before a node that has just started can know the load of the others. A
-/// run that breaks, or makes room for online requests, goes on behind its last
-/// event, wherever there is room.
+/// The item whose job is due first runs first, jobs that are overdue last.
+/// Items go only to replicas with room below a share of their slots, and no more of them at once
+/// than BatchShare allows this node; none before a node that has just started can know the load of
+/// the others. A run that breaks, or makes room for online requests, goes on behind its last event,
+/// wherever there is room.
 ///
 /// Single-threaded; borrows the context. Owners are registered while they are active.
 class BatchExecutor {
@@ -67,6 +67,10 @@
 
   void tick(TimePoint now);
 
+  /// Breaks an item off that runs at a replica, the one that can best wait: an online request needs
+  /// its slot. @return whether there was one.
+  bool yield_slot(const std::string& replica);
+
   std::size_t running() const { return runs_.size(); }
   /// @return items that run or have to run.
   std::size_t pending() const { return waiting_.size() + delayed_.size() + runs_.size(); }
@@ -107,6 +111,7 @@
   const LedgerJob* job_of(const ItemRef& ref) const;
 
   GatewayContext& context_;
+  const double rounding_;  ///< See FleetLoad.
   std::map<int, PartitionOwner*> owners_;
   std::set<int> suspended_;
   std::set<Waiting> waiting_;
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -221,7 +221,7 @@
     group_.fenced(partition);
   }
   executor_.tick(now);
-  submissions_.tick(now);
+  submissions_.tick(now, lease_valid(now));
   waiters_.remove_if([&](const Waiter& waiter) {
     if (waiter.exchange->answered()) {
       return true;
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -33,9 +33,11 @@
                BatchMemberName name, std::uint64_t seed);
   ~BatchService() override;
 
-  /// Takes a job that a caller submits.
-  void submit(const net::ExchangePtr& exchange, const RouteConfig& route) {
-    submissions_.submit(exchange, route);
+  /// Takes a job that a caller submits, or that another node passes on.
+  /// @param forwarded_wait see JobSubmissions.
+  void submit(const net::ExchangePtr& exchange, const RouteConfig& route,
+              std::optional<Duration> forwarded_wait) {
+    submissions_.submit(exchange, route, forwarded_wait);
   }
   /// Takes a call about a job.
   /// @param forwarded it came from another node, and is not passed on again.
@@ -54,6 +56,9 @@
   /// otherwise another may own its partitions and have listed more.
   void set_peers_reach_log(bool reach) { peers_reach_log_ = reach; }
 
+  /// See BatchExecutor.
+  bool yield_slot(const std::string& replica) { return executor_.yield_slot(replica); }
+
   std::size_t pending_items() const { return executor_.pending(); }
   /// @return owners by partition, as far as known, for nodes that cannot ask the log.
   const std::map<int, std::string>& owner_addresses() const { return owner_addresses_; }
@@ -115,8 +120,6 @@
   GroupMember group_;
 };
 
-/// Header that marks a call which another node passed on.
-inline constexpr const char* kForwardedHeader = "Dockpoint-Forwarded";
 /// Header of a refusal by a node that does not own the job's partition.
 inline constexpr const char* kNotOwnerHeader = "Dockpoint-Not-Owner";
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "dockpoint/core/address.hpp"
@@ -53,17 +54,19 @@
       run_(start_number()),
       replicas_(knobs),
       selector_(knobs, replicas_, settings_.zone, combine_hash(hash64(settings_.node), run_)),
-      context_{loop,           knobs,     parts.traffic, client,
-               replicas_,      selector_, metrics_,      std::make_shared<RoutingConfiguration>(),
-               settings_.node, {}},
+      context_{loop,          knobs,     parts.traffic, client,
+               replicas_,     selector_, metrics_,      std::make_shared<RoutingConfiguration>(),
+               settings_.node},
       online_(context_, hash64(settings_.node)),
       log_(knobs, parts.log),
       fleet_(context_, log_, parts.fleet_reader, parts.fleet_topics, hash64(settings_.node),
              [this] { apply_configuration(); }),
-      peers_(context_,
-             {settings_.datagram_address, settings_.frontend_address, settings_.control_address},
-             settings_.zone, run_,
-             [this](const std::string& control_address) { ask_peer(control_address); }),
+      peers_(
+          context_,
+          {settings_.datagram_address, settings_.frontend_address, settings_.control_address},
+          settings_.zone, run_,
+          [this](const std::string& control_address) { ask_peer(control_address); },
+          [this](const SlotRequest& request) { take_slot_request(request); }),
       batch_(context_, log_, parts.batch_topics, {settings_.control_address, run_},
              combine_hash(hash64(settings_.node), run_)),
       frontend_(loop, [this](const auto& exchange) { serve_frontend(exchange); }),
@@ -79,6 +82,8 @@
 
 void Gateway::start() {
   context_.announce_load = [this] { peers_.announce_load(); };
+  context_.peers_reaching_log = [this] { return peers_.control_addresses_reaching_log(); };
+  context_.request_slot = [this](const Replica& replica) { request_slot(replica); };
   peers_.open();
   peers_.set_candidates(seed_datagram_addresses());
   frontend_.listen(settings_.frontend_address);
@@ -152,6 +157,22 @@
   }
 }
 
+void Gateway::request_slot(const Replica& replica) {
+  if (batch_.yield_slot(replica.record.id)) {
+    return;
+  }
+  const auto node = replicas_.take_item_of_peer(replica.key, net::steady_now());
+  if (node) {
+    peers_.send_slot_request(*node, {replica.key});
+  }
+}
+
+void Gateway::take_slot_request(const SlotRequest& request) {
+  if (const Replica* replica = replicas_.find_key(request.replica_key)) {
+    batch_.yield_slot(replica->record.id);
+  }
+}
+
 void Gateway::note_outliers(TimePoint now) {
   for (const Replica* replica : replicas_.update_outliers(now)) {
     spdlog::info("fleet: replica {} replica={} service={} failures={:.1f} ownFailures={:.1f}",
@@ -192,7 +213,7 @@
                  target.path, configuration->version);
     exchange->respond(404, {}, {});
   } else if (route->kind == RouteKind::kBatch) {
-    batch_.submit(exchange, *route);
+    batch_.submit(exchange, *route, std::nullopt);
   } else {
     online_.handle(exchange, configuration, *route);
   }
@@ -227,7 +248,26 @@
                     parts_.resolver.write_addresses(addresses, lifetime));
 }
 
+void Gateway::serve_forwarded_job(const net::ExchangePtr& exchange) {
+  const net::RequestHead& head = exchange->request();
+  const std::shared_ptr<const RoutingConfiguration> configuration = context_.configuration;
+  const RouteConfig* route =
+      configuration->match(head.headers.get("Host"), net::Target::parse(head.target).path);
+  if (route == nullptr || route->kind != RouteKind::kBatch) {
+    exchange->respond(503, {}, {});  // The nodes know different configurations.
+    return;
+  }
+  const std::string_view wait_ms = head.headers.get(kForwardedHeader);
+  std::int64_t wait = 0;
+  std::from_chars(wait_ms.data(), wait_ms.data() + wait_ms.size(), wait);
+  batch_.submit(exchange, *route, std::chrono::milliseconds(wait));
+}
+
 void Gateway::serve_control(const net::ExchangePtr& exchange) {
+  if (exchange->request().method == "POST" && exchange->request().headers.has(kForwardedHeader)) {
+    serve_forwarded_job(exchange);
+    return;
+  }
   if (const auto call = context_.protocol.read_job_call(exchange->request())) {
     batch_.handle(exchange, *call, true);
     return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -62,10 +62,15 @@
   void apply_configuration();
   /// Finds replicas that fail far more often than others, and logs what has changed.
   void note_outliers(TimePoint now);
+  /// An online request was sent to a replica that is full: a batch item there gives its slot up.
+  void request_slot(const Replica& replica);
+  void take_slot_request(const SlotRequest& request);
   void serve_frontend(const net::ExchangePtr& exchange);
   void serve_readiness(const net::ExchangePtr& exchange);
   void serve_resolver(const net::ExchangePtr& exchange);
   void serve_control(const net::ExchangePtr& exchange);
+  /// Takes a job that another node could not bring into the log.
+  void serve_forwarded_job(const net::ExchangePtr& exchange);
   void serve_metrics(const net::ExchangePtr& exchange);
   void ask_peer(const std::string& control_address);
   void ask_some_peer(TimePoint now);
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "dockpoint/config/routing_configuration.hpp"
 #include "dockpoint/core/knobs.hpp"
@@ -26,7 +27,11 @@
   GatewayMetrics& metrics;
   std::shared_ptr<const RoutingConfiguration> configuration;  ///< Never null.
   std::string node;
-  std::function<void()> announce_load;  ///< Tells the other nodes of this node's load now.
+  std::function<void()> announce_load = {};  ///< Tells the other nodes of this node's load now.
+  /// @return control addresses of other nodes that reach the log.
+  std::function<std::vector<std::string>()> peers_reaching_log = {};
+  /// Asks whoever runs a batch item at a replica to break it off for an online request.
+  std::function<void(const Replica&)> request_slot = {};
 };
 
 /// @return the endpoint of a replica; connections are not shared between its lives.
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -5,6 +5,7 @@
 
 #include "dockpoint/core/address.hpp"
 #include "dockpoint/core/json_reader.hpp"
+#include "dockpoint/core/knob_table.hpp"
 
 namespace dockpoint {
 namespace {
@@ -28,6 +29,15 @@
       std::chrono::duration<double>(section.number(key, 0.0, fallback)));
 }
 
+void read_experiment(ObjectReader& section, Knobs& knobs) {
+  for (const std::string& name : section.keys()) {
+    const double value = section.number(name, 0.0, 0.0);
+    if (!set_knob(knobs, name, value)) {
+      section.report(name, "is no knob that an experiment may change");
+    }
+  }
+}
+
 GatewaySettings read(const Poco::JSON::Object::Ptr& document, Problems& problems) {
   GatewaySettings settings;
   ObjectReader root(document, "", problems);
@@ -63,6 +73,8 @@
   settings.address_lifetime = seconds(times, "address_lifetime_s", kDefaultAddressLifetimeSeconds);
   settings.grace = seconds(times, "grace_s", kDefaultGraceSeconds);
   times.reject_unknown_keys();
+  ObjectReader experiment = root.object("experiment");
+  read_experiment(experiment, settings.knobs);
   root.reject_unknown_keys();
   return settings;
 }
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "dockpoint/core/error.hpp"
+#include "dockpoint/core/knobs.hpp"
 #include "dockpoint/core/time.hpp"
 #include "dockpoint/log/partitioned_log.hpp"
 
@@ -30,6 +31,8 @@
 
   Duration address_lifetime{};  ///< Longest time that callers may keep an answer of the resolver.
   Duration grace{};             ///< From the order to stop to the end.
+
+  Knobs knobs;  ///< With the changes of an experiment, if the file asks for one.
 };
 
 /// Reads and checks a settings file.
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -21,6 +21,7 @@
   void tick(TimePoint now);
 
   const DueTime& due() const { return due_; }
+  const std::string& replica() const { return attempt_.replica(); }
   const ItemRef& ref() const { return ref_; }
 
   bool on_head(const net::ResponseHead& head) override;
--- a/src/gateway/job_submissions.cpp
+++ b/src/gateway/job_submissions.cpp
@@ -16,6 +16,10 @@
 /// First pause before an append that failed is repeated.
 constexpr Duration kAppendRetryPause = std::chrono::milliseconds(120);
 
+/// A node that a job is passed on to answers so long before the first node gives the job up, so
+/// that its answer, which may be a promise, still counts.
+constexpr Duration kForwardMargin = std::chrono::milliseconds(250);
+
 double tokens_of(const BatchJob& job) {
   double tokens = 0;
   for (const BatchItem& item : job.items) {
@@ -39,13 +43,15 @@
   bool unknown = false;    ///< An append may have been done without an answer.
   bool calling = false;
   bool over = false;
+  int forwards_left = 0;
+  bool forwarding = false;  ///< Another node has the job and has not answered.
   int failures = 0;
   TimePoint retry_at{};
   TimePoint deadline{};
 
   bool written() const { return next == appends.size(); }
   /// @return whether the log may hold the job.
-  bool may_run() const { return written() || unknown || calling; }
+  bool may_run() const { return written() || unknown || calling || forwarding; }
 };
 
 JobSubmissions::JobSubmissions(GatewayContext& context, PartitionedLog& log,
@@ -57,7 +63,8 @@
   *alive_ = false;
 }
 
-void JobSubmissions::submit(const net::ExchangePtr& exchange, const RouteConfig& route) {
+void JobSubmissions::submit(const net::ExchangePtr& exchange, const RouteConfig& route,
+                            std::optional<Duration> forwarded_wait) {
   std::string problem;
   std::optional<BatchJob> job = boost::leaf::try_handle_all(
       [&]() -> Result<std::optional<BatchJob>> {
@@ -81,7 +88,8 @@
   submission->job = job->id;
   submission->tokens = tokens_of(*job);
   submission->partition = {topics_.jobs, job_partition(job->id, log_.limits().partitions)};
-  submission->deadline = exchange->received() + context_.knobs.submission_wait;
+  submission->deadline =
+      exchange->received() + forwarded_wait.value_or(context_.knobs.submission_wait);
   std::size_t bytes = 0;
   for (KeyedRecord& record : job_records(*job, log_.limits().record_bytes)) {
     const std::size_t size = record.key.size() + record.value.size();
@@ -92,6 +100,7 @@
     bytes += size;
     submission->appends.back().push_back(std::move(record));
   }
+  submission->forwards_left = forwarded_wait ? 0 : context_.knobs.submission_forwards;
   spdlog::info("batch: job received job={} items={} tokens={} partition={} route={}", job->id,
                job->items.size(), submission->tokens, submission->partition.partition, route.name);
   submissions_.push_back(submission);
@@ -99,6 +108,66 @@
   if (submission->may_write && !submission->over) {
     append(submission);
   }
+  forward_if_due(submission, exchange->received());
+}
+
+void JobSubmissions::forward_if_due(const SubmissionPtr& submission, TimePoint now) {
+  const Duration waited = now - submission->exchange->received();
+  const bool doubtful = !log_reachable_ || submission->failures > 0 ||
+                        waited >= context_.knobs.submission_forward_delay;
+  if (submission->over || submission->forwarding || submission->forwards_left <= 0 || !doubtful) {
+    return;
+  }
+  const Duration wait = submission->deadline - now - kForwardMargin;
+  const std::vector<std::string> peers = context_.peers_reaching_log();
+  if (peers.empty() || wait <= Duration{}) {
+    return;
+  }
+  const std::uint64_t turn =
+      hash64(submission->job) + static_cast<std::uint64_t>(submission->forwards_left);
+  const std::optional<Address> address = Address::parse(peers[turn % peers.size()]);
+  if (!address) {
+    return;
+  }
+  --submission->forwards_left;
+  submission->forwarding = true;
+  net::RequestHead head = submission->exchange->request();
+  const std::string& body = submission->exchange->body();
+  head.headers.erase_connection_fields();
+  head.headers.set(kForwardedHeader, std::to_string(net::to_ms(wait)));
+  head.headers.set("Content-Length", std::to_string(body.size()));
+  spdlog::info("batch: job passed on job={} to={} logReachable={} waitedMs={}", submission->job,
+               address->to_string(), log_reachable_, net::to_ms(waited));
+  net::SimpleCall::start(
+      context_.client, context_.loop, {*address, "control"}, net::serialize(head) + body, {},
+      submission->deadline - now,
+      [this, alive = alive_, submission](const net::SimpleCall::Outcome& outcome) {
+        if (*alive) {
+          take_forwarded_answer(submission, outcome);
+        }
+      });
+}
+
+void JobSubmissions::take_forwarded_answer(const SubmissionPtr& submission,
+                                           const net::SimpleCall::Outcome& outcome) {
+  submission->forwarding = false;
+  const bool not_sent = outcome.failure == net::CallFailure::kNotSent;
+  const int status = outcome.failure ? 0 : outcome.head.status;
+  // The other node gives these only where nothing can have been written.
+  const bool not_written = not_sent || status == 503 || status == 429;
+  submission->unknown = submission->unknown || !not_written;
+  if (submission->over) {
+    return;
+  }
+  if (status == 202) {
+    submission->exchange->respond(202, {}, {});
+    finish(submission, 202);
+  } else if (status == 429 && !submission->may_run()) {
+    net::Headers headers = outcome.head.headers;
+    headers.erase_connection_fields();
+    submission->exchange->respond(429, std::move(headers), outcome.body);
+    finish(submission, 429);
+  }
 }
 
 void JobSubmissions::reserve(const SubmissionPtr& submission, const RouteConfig& route) {
@@ -223,7 +292,8 @@
   std::erase(submissions_, submission);
 }
 
-void JobSubmissions::tick(TimePoint now) {
+void JobSubmissions::tick(TimePoint now, bool log_reachable) {
+  log_reachable_ = log_reachable;
   tick_quotas(now);
   const auto submissions = submissions_;
   for (const SubmissionPtr& submission : submissions) {
@@ -235,9 +305,12 @@
       std::erase(submissions_, submission);
     } else if (now >= submission->deadline) {
       give_up(submission);
-    } else if (submission->may_write && !submission->written() && !submission->calling &&
-               now >= submission->retry_at) {
-      append(submission);
+    } else {
+      const bool retry_due = !submission->calling && now >= submission->retry_at;
+      if (submission->may_write && !submission->written() && retry_due) {
+        append(submission);
+      }
+      forward_if_due(submission, now);
     }
   }
 }
--- a/src/gateway/job_submissions.hpp
+++ b/src/gateway/job_submissions.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,12 +16,20 @@
 /// Time that a caller is told to stay away after a refusal that load has not caused, in seconds.
 inline constexpr const char* kRetryAfter = "0.4";
 
+/// Header that marks a call which another node passed on; of a job it holds the milliseconds that
+/// the other node waits for the answer.
+inline constexpr const char* kForwardedHeader = "Dockpoint-Forwarded";
+
 /// Jobs on their way into the log.
 ///
 /// A job is accepted once the log holds all of it and, where its route limits the tokens that wait,
 /// its reservation. A caller is refused only while nothing can have been written of the job; if an
 /// answer of the log is lost, it gets no promise: the job may run.
 ///
+/// The log may turn this node away while it serves others. So a job that the log has not confirmed
+/// after a short time is also passed on to a node that reaches the log; whichever way ends first
+/// counts. That both write the job does no harm: it is one job under one key.
+///
 /// Single-threaded; borrows context, log and owned jobs.
 class JobSubmissions {
  public:
@@ -29,8 +38,12 @@
   ~JobSubmissions();
 
   /// Takes a job that a caller submits.
-  void submit(const net::ExchangePtr& exchange, const RouteConfig& route);
-  void tick(TimePoint now);
+  /// @param forwarded_wait if another node passes it on: how long that node waits for the answer. A
+  /// job is passed on once only.
+  void submit(const net::ExchangePtr& exchange, const RouteConfig& route,
+              std::optional<Duration> forwarded_wait);
+  /// @param log_reachable whether the log has answered this node lately.
+  void tick(TimePoint now, bool log_reachable);
   /// @return whether no job is on its way.
   bool empty() const { return submissions_.empty(); }
 
@@ -45,6 +58,10 @@
   void reserve(const SubmissionPtr& submission, const RouteConfig& route);
   void take_quota_answer(const SubmissionPtr& submission, const QuotaAnswer& answer, double limit);
   void append(const SubmissionPtr& submission);
+  /// Passes the job on, if that is due and some node reaches the log.
+  void forward_if_due(const SubmissionPtr& submission, TimePoint now);
+  void take_forwarded_answer(const SubmissionPtr& submission,
+                             const net::SimpleCall::Outcome& outcome);
   void accept_if_complete(const SubmissionPtr& submission);
   /// Ends a submission that cannot be completed, with a promise only where it is true.
   void give_up(const SubmissionPtr& submission);
@@ -58,6 +75,7 @@
   const std::uint64_t seed_;
   std::map<std::string, std::unique_ptr<TokenQuota>> quotas_;  ///< By route.
   std::vector<SubmissionPtr> submissions_;
+  bool log_reachable_ = true;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -108,6 +108,11 @@
   load_at_choice_ = choice.replica->load(now);
   slots_at_choice_ = replica.slots;
   attempt_.start(*choice.replica, net::serialize(head) + body, choice.missing_tokens, *this);
+  const bool would_wait =
+      choice.expected_load >= context_.knobs.yield_request_load * std::max(1, replica.slots);
+  if (would_wait && choice.replica->all_batch() > 0 && context_.request_slot) {
+    context_.request_slot(*choice.replica);
+  }
   if (choice.missing_tokens >= context_.knobs.announced_prefill_tokens && context_.announce_load) {
     context_.announce_load();
   }
@@ -367,8 +372,7 @@
 }
 
 void OnlineCall::refuse(const char* why) {
-  constexpr std::uint64_t kSteps = 1000;
-  const double place = static_cast<double>(hash64(info_.id) % kSteps) / kSteps;
+  const double place = fraction_of(hash64(info_.id));
   refuse(why, context_.knobs.retry_after_minimum +
                   std::chrono::duration_cast<Duration>(context_.knobs.retry_after_spread * place));
 }
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -32,7 +32,7 @@
 }  // namespace
 
 PeerLink::PeerLink(GatewayContext& context, const PeerAddresses& addresses, std::string zone,
-                   std::uint64_t run, PeerAhead on_peer_ahead)
+                   std::uint64_t run, PeerAhead on_peer_ahead, SlotRequested on_slot_requested)
     : context_(context),
       addresses_(addresses),
       membership_(context.knobs, self_member(context, addresses, zone, run), run, *this),
@@ -41,6 +41,7 @@
       collector_(zone),
       own_key_(node_key(context.node)),
       on_peer_ahead_(std::move(on_peer_ahead)),
+      on_slot_requested_(std::move(on_slot_requested)),
       socket_(context.loop) {}
 
 void PeerLink::open() {
@@ -212,6 +213,14 @@
   return control_addresses_of([&](const Member& member) { return member.zone == zone_; });
 }
 
+std::vector<std::string> PeerLink::control_addresses_reaching_log() const {
+  const TimePoint now = net::steady_now();
+  return control_addresses_of([&](const Member& member) {
+    const auto told = reaches_log_.find(node_key(member.id));
+    return told != reaches_log_.end() && told->second && !silent(member, now);
+  });
+}
+
 std::vector<std::string> PeerLink::control_addresses_of(
     const std::function<bool(const Member&)>& wanted) const {
   std::vector<std::string> addresses;
@@ -269,6 +278,12 @@
     take_digests({std::move(*digest)}, now);
     return;
   }
+  if (is_slot_request(bytes)) {
+    if (const auto request = decode_slot_request(bytes)) {
+      on_slot_requested_(*request);
+    }
+    return;
+  }
   const auto message = decode_peer_message(bytes);
   if (!message) {
     return;
@@ -291,12 +306,23 @@
   context_.replicas.set_peer_loads(digests, now);
 }
 
-std::string PeerLink::control_address_of(std::uint32_t node) const {
+const Member* PeerLink::member_of(std::uint32_t node) const {
   const std::vector<const Member*> members = membership_.alive();
   const auto member = std::find_if(members.begin(), members.end(), [&](const Member* candidate) {
     return node_key(candidate->id) == node;
   });
-  return member == members.end() ? std::string{} : (*member)->control_address;
+  return member == members.end() ? nullptr : *member;
+}
+
+std::string PeerLink::control_address_of(std::uint32_t node) const {
+  const Member* member = member_of(node);
+  return member == nullptr ? std::string{} : member->control_address;
+}
+
+void PeerLink::send_slot_request(std::uint32_t node, const SlotRequest& request) {
+  if (const Member* member = member_of(node)) {
+    send_bytes(member->peer_address, encode(request));
+  }
 }
 
 void PeerLink::note_knowledge(std::uint64_t version, std::uint64_t position,
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -12,6 +12,7 @@
 #include "dockpoint/membership/digest_collector.hpp"
 #include "dockpoint/membership/load_relay.hpp"
 #include "dockpoint/membership/membership.hpp"
+#include "dockpoint/routing/slot_request.hpp"
 #include "gateway/gateway_context.hpp"
 
 namespace dockpoint {
@@ -33,8 +34,11 @@
   /// Called when a peer, at its control address, knows more of the fleet than this node.
   using PeerAhead = std::function<void(const std::string& control_address)>;
 
+  /// Called when a peer asks for the slot of a batch item.
+  using SlotRequested = std::function<void(const SlotRequest&)>;
+
   PeerLink(GatewayContext& context, const PeerAddresses& addresses, std::string zone,
-           std::uint64_t run, PeerAhead on_peer_ahead);
+           std::uint64_t run, PeerAhead on_peer_ahead, SlotRequested on_slot_requested);
 
   /// @throws boost::system::system_error if the address cannot be bound.
   void open();
@@ -48,6 +52,8 @@
   void tick(TimePoint now);
   /// Sends a digest now: the load has changed in a way that the others should know of.
   void announce_load();
+  /// Sends a request to a node, see `node_key`.
+  void send_slot_request(std::uint32_t node, const SlotRequest& request);
   /// Tells the others that this node takes no new callers.
   void leave();
 
@@ -57,6 +63,8 @@
   std::vector<std::string> control_addresses() const;
   /// @return the same, of this node's zone only.
   std::vector<std::string> zone_control_addresses() const;
+  /// @return the same, of the nodes that have said lately that they reach the log.
+  std::vector<std::string> control_addresses_reaching_log() const;
   /// @return whether a node that counts as alive has last said that it reaches the log.
   bool some_peer_reaches_log() const;
 
@@ -74,6 +82,8 @@
   void take_digests(std::vector<LoadDigest> digests, TimePoint now);
   std::vector<std::string> control_addresses_of(
       const std::function<bool(const Member&)>& wanted) const;
+  /// @return the member that a node's key stands for, or null.
+  const Member* member_of(std::uint32_t node) const;
   /// @return where the node takes calls of other nodes; empty if it is not known.
   std::string control_address_of(std::uint32_t node) const;
   void send_digest(TimePoint now);
@@ -91,6 +101,7 @@
   DigestCollector collector_;  ///< Of this node's zone, if it is a relay.
   const std::uint32_t own_key_;
   PeerAhead on_peer_ahead_;
+  SlotRequested on_slot_requested_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
   std::array<char, kMaximumDatagramBytes + 1> buffer_{};
--- a/src/routing/replica_directory.cpp
+++ b/src/routing/replica_directory.cpp
@@ -246,6 +246,36 @@
   return entries;
 }
 
+std::optional<std::uint32_t> ReplicaDirectory::take_item_of_peer(std::uint32_t replica_key,
+                                                                 TimePoint now) {
+  PeerLoad* most = nullptr;
+  LoadDigestEntry* entry_of_most = nullptr;
+  std::uint32_t node = 0;
+  for (auto& [peer_key, peer] : peers_) {
+    for (LoadDigestEntry& entry : peer.entries) {
+      const bool more = entry_of_most == nullptr || entry.batch > entry_of_most->batch;
+      if (entry.replica_key == replica_key && entry.batch > 0 && more) {
+        most = &peer;
+        entry_of_most = &entry;
+        node = peer_key;
+      }
+    }
+  }
+  if (most == nullptr) {
+    return std::nullopt;
+  }
+  count_peer_load(*most, -1, now);
+  --entry_of_most->batch;
+  entry_of_most->in_flight -= std::min(entry_of_most->in_flight, 1U);
+  count_peer_load(*most, 1, now);
+  return node;
+}
+
+const Replica* ReplicaDirectory::find_key(std::uint32_t replica_key) const {
+  const auto found = by_key_.find(replica_key);
+  return found == by_key_.end() ? nullptr : found->second;
+}
+
 const Replica* ReplicaDirectory::find(const std::string& id) const {
   const auto found = replicas_.find(id);
   return found == replicas_.end() ? nullptr : &found->second;
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -29,7 +29,7 @@
   const std::vector<PrefixStep> steps = steps_of(query.prompt);
   const auto home_keys = homes(directory_.ready(query.service), steps);
   const double prompt_tokens = steps.empty() ? 0 : steps.back().tokens;
-  const WaterFilling filling = spread_unseen(open, query.service, now);
+  const WaterFilling filling = spread_unseen(open, query, now);
   std::vector<Candidate> all;
   all.reserve(open.size());
   for (std::size_t index = 0; index < open.size(); ++index) {
@@ -37,13 +37,15 @@
     Candidate candidate;
     candidate.replica = &replica;
     candidate.expected_load = replica.load(now) + filling.expected()[index];
+    candidate.yielding = yielding_items(replica, query.traffic);
     candidate.missing_tokens = prompt_tokens - cached_tokens(replica, steps, home_keys, now);
     all.push_back(candidate);
   }
   Candidate* best = nullptr;
   for (const std::size_t index : shortlist(all, prompt_tokens, filling)) {
     Candidate& candidate = all[index];
-    candidate.wait_ms = wait_ms(*candidate.replica, candidate.expected_load, query.service);
+    candidate.wait_ms =
+        wait_ms(*candidate.replica, candidate.expected_load - candidate.yielding, query.service);
     candidate.cost_ms = cost_ms(candidate, now);
     if (best == nullptr || candidate.cost_ms < best->cost_ms - knobs_.selection_margin_ms) {
       best = &candidate;
@@ -53,7 +55,7 @@
   return {best->replica,
           std::chrono::duration_cast<Duration>(
               std::chrono::duration<double, std::milli>(best->wait_ms)),
-          best->missing_tokens};
+          best->missing_tokens, best->expected_load};
 }
 
 double ReplicaSelector::unseen_requests(const std::vector<const Replica*>& open,
@@ -82,14 +84,18 @@
 }
 
 WaterFilling ReplicaSelector::spread_unseen(const std::vector<const Replica*>& open,
-                                            const std::string& service, TimePoint now) const {
+                                            const ReplicaQuery& query, TimePoint now) const {
   std::vector<SlotLoad> loads;
   loads.reserve(open.size());
   for (const Replica* replica : open) {
-    loads.push_back({static_cast<double>(replica->load(now)),
+    loads.push_back({replica->load(now) - yielding_items(*replica, query.traffic),
                      static_cast<double>(std::max(1, replica->record.slots))});
   }
-  return {loads, unseen_requests(open, service, now)};
+  return {loads, unseen_requests(open, query.service, now)};
+}
+
+double ReplicaSelector::yielding_items(const Replica& replica, TrafficClass traffic) const {
+  return traffic == TrafficClass::kOnline ? knobs_.yield_trust * replica.all_batch() : 0;
 }
 
 std::vector<std::size_t> ReplicaSelector::shortlist(const std::vector<Candidate>& all,
@@ -114,7 +120,8 @@
   const Replica& replica = *candidate.replica;
   const double reading =
       replica.prefill_tokens + peer_prefill(replica, now) + candidate.missing_tokens;
-  const double fill = candidate.expected_load / std::max(1, replica.record.slots);
+  const double fill =
+      (candidate.expected_load - candidate.yielding) / std::max(1, replica.record.slots);
   double cost = candidate.wait_ms + reading / knobs_.prefill_tokens_per_ms;
   cost += std::min(1.0, fill) * knobs_.slot_pressure_ms;
   cost += replica.record.zone == zone_ ? 0 : knobs_.remote_zone_ms;
--- a/tests/batch/batch_share_test.cpp
+++ b/tests/batch/batch_share_test.cpp
@@ -61,4 +61,15 @@
   BOOST_TEST(share.excess(2, 0) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(parts_of_a_slot_are_rounded_up_at_some_nodes_only) {
+  Knobs knobs;
+  knobs.batch_least_items = 0;
+  // Ten nodes share five slots.
+  std::size_t slots = 0;
+  for (int node = 0; node < 10; ++node) {
+    slots += BatchShare(knobs, {100, 10, 85, 1, 10, 0.05 + 0.1 * node}).patient();
+  }
+  BOOST_TEST(slots == 5U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/fleet_watch_test.cpp
+++ b/tests/gateway/fleet_watch_test.cpp
@@ -24,7 +24,7 @@
   ReplicaSelector selector{knobs, directory, "zone-a", 1};
   GatewayContext context{loop,      knobs,    protocol, client,
                          directory, selector, metrics,  std::make_shared<RoutingConfiguration>(),
-                         "node",    {}};
+                         "node"};
   MemoryLog log{LogLimits{1, 4096, 65536, std::chrono::seconds(1)}, 1};
   const FleetTopics topics = platform::PlatformFleet::fleet_topics();
   FleetWatch watch{context, log, reader, topics, 7, [] {}};
--- a/tests/gateway/gateway_settings_test.cpp
+++ b/tests/gateway/gateway_settings_test.cpp
@@ -47,4 +47,15 @@
   BOOST_TEST(!problem_after("{\"node\"", "[\"node\"").empty());
 }
 
+BOOST_AUTO_TEST_CASE(an_experiment_changes_knobs_by_name) {
+  std::string text = kWhole;
+  text.insert(1, R"("experiment":{"batch_slot_share":0.25,"batch_start_delay":90},)");
+  const auto settings = boost::leaf::try_handle_all([&] { return parse_gateway_settings(text); },
+                                                    [] { return GatewaySettings{}; });
+  BOOST_TEST(settings.knobs.batch_slot_share == 0.25);
+  BOOST_TEST((settings.knobs.batch_start_delay == std::chrono::milliseconds(90)));
+  BOOST_TEST(problem_after("{\"node\"", "{\"experiment\":{\"no_knob\":1},\"node\"")
+                 .find("experiment.no_knob") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/stand_ins.hpp
+++ b/tests/platform/stand_ins.hpp
@@ -60,7 +60,7 @@
       : selector_(knobs_, directory, "zone-a", 1),
         context_{loop,      knobs_,    protocol_, client,
                  directory, selector_, metrics_,  std::make_shared<RoutingConfiguration>(),
-                 "node",    {}},
+                 "node"},
         proxy_(context_, 0),
         port_(port),
         front_(loop, [this](const net::ExchangePtr& exchange) {
--- a/tests/platform/system_test.cpp
+++ b/tests/platform/system_test.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::uint16_t kStorePort = 28'201;
 constexpr std::uint16_t kReplicaPort = 28'202;
+constexpr std::uint16_t kRefusingStorePort = 28'203;
 constexpr int kPartitions = 3;
 
 const char* const kRoutes = R"({"version":%V,"routeList":[
@@ -38,9 +39,9 @@
 
 /// One gateway with everything that it borrows.
 struct Node {
-  Node(boost::asio::io_context& loop, int number)
+  Node(boost::asio::io_context& loop, int number, std::uint16_t store_port = kStorePort)
       : client(loop),
-        store(loop, client, {"127.0.0.1", kStorePort}, {kPartitions, 262'144, 2'097'152}),
+        store(loop, client, {"127.0.0.1", store_port}, {kPartitions, 262'144, 2'097'152}),
         gateway(loop, client, knobs, settings(number),
                 {store, traffic, traffic, fleet, platform::PlatformFleet::fleet_topics(),
                  platform::PlatformFleet::batch_topics(), &log}) {
@@ -48,11 +49,13 @@
   }
 
   static std::string address(int number, int port) {
-    return "127.0.0.1:" + std::to_string(28'300 + number * 10 + port);
+    // All nodes use the same ports, as machines do.
+    return "127.0.0." + std::to_string(number) + ":" + std::to_string(28'300 + port);
   }
   static GatewaySettings settings(int number) {
     GatewaySettings settings;
     settings.node = "node-" + std::to_string(number);
+    settings.seeds = {address(1, 3), address(2, 3)};
     settings.zone = "zone-a";
     settings.frontend_address = address(number, 0);
     settings.readiness_address = address(number, 1);
@@ -250,6 +253,38 @@
   BOOST_TEST(read_whole(1, "0e")["total"] == 2);
 }
 
+BOOST_AUTO_TEST_CASE(a_node_that_the_log_turns_away_passes_jobs_on) {
+  net::HttpServer refusing(loop, [](const auto& exchange) { exchange->respond(503, {}, {}); });
+  refusing.listen("127.0.0.1:" + std::to_string(kRefusingStorePort));
+  Node third(loop, 3, kRefusingStorePort);
+  wait_for([&] { return ask(3, 1, "GET", "/").head.status == 200; });
+  wait_for([&] { return submit(3, "0f") == 202; });
+  BOOST_TEST(read_whole(1, "0f")["total"] == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_over_its_routes_limit_is_refused_and_takes_no_effect) {
+  std::string limited = routes(4);
+  limited.insert(limited.find("\"retentionS\""), "\"maxQueuedTokens\":100,");
+  store.put(platform::kConfigurationTopic, platform::kConfigurationKey, limited);
+  const auto send = [&](const std::string& id, int tokens) {
+    const std::string body = R"({"requests":[{"id":"i1","path":"/batch/1","tokenCount":)" +
+                             std::to_string(tokens) + "}]}";
+    return ask(1, 0, "POST", "/batch/x", {{"Attempt-Id", id}}, body);
+  };
+  failure_status = 503;  // Nothing is done, so that what is accepted waits.
+  wait_for([&] { return send("a1", 101).head.status == 429; });
+  const auto never = send("a2", 101);
+  BOOST_TEST(!never.head.headers.has("Retry-After"));
+  BOOST_TEST(never.body.find("divide") != std::string::npos);
+  BOOST_TEST(send("a3", 60).head.status == 202);
+  const auto full = send("a4", 60);
+  BOOST_TEST(full.head.status == 429);
+  BOOST_TEST(full.head.headers.has("Retry-After"));
+  BOOST_TEST(send("a3", 60).head.status == 202);  // It is the same job.
+  failures_left = 0;
+  wait_for([&] { return send("a4", 60).head.status == 202; });
+}
+
 BOOST_AUTO_TEST_CASE(malformed_jobs_get_a_clear_error_and_take_no_effect) {
   const std::string item = R"({"id":"i","path":"/batch/1"})";
   std::string many = R"({"requests":[)";
--- a/tests/routing/replica_selector_test.cpp
+++ b/tests/routing/replica_selector_test.cpp
@@ -175,4 +175,20 @@
   BOOST_TEST(chosen.contains("r3"));
 }
 
+BOOST_AUTO_TEST_CASE(items_that_give_way_do_not_keep_online_requests_off_a_replica) {
+  ReplicaSelector selector(knobs, directory, "zone-a", 1);
+  const auto fill = [&](const std::string& id, TrafficClass traffic) {
+    for (int request = 0; request < 4; ++request) {
+      directory.started(id, traffic, 0);
+    }
+  };
+  fill("r1", TrafficClass::kBatch);
+  fill("r2", TrafficClass::kOnline);
+  fill("r3", TrafficClass::kOnline);
+  fill("r4", TrafficClass::kOnline);
+  const ReplicaChoice choice = selector.choose(query(10), at(0));
+  BOOST_TEST(choice.replica->record.id == "r1");
+  BOOST_TEST(choice.expected_load >= 4.0);  // Items included: the caller asks for a slot.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
