--- a/include/dockpoint/core/time.hpp
+++ b/include/dockpoint/core/time.hpp
@@ -25,4 +25,9 @@
 /// Seconds since the Unix epoch, for values that leave the process (such as `created_at`).
 using UnixSeconds = std::int64_t;
 
+/// @return whole milliseconds of a duration.
+inline std::int64_t to_ms(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 }  // namespace dockpoint
--- a/src/batch/due_time.cpp
+++ b/src/batch/due_time.cpp
@@ -1,13 +1,6 @@
 #include "dockpoint/batch/due_time.hpp"
 
 namespace dockpoint {
-namespace {
-
-std::int64_t to_ms(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
-}  // namespace
 
 bool DueTime::urgent(const Knobs& knobs, std::int64_t now_ms) const {
   const auto left = static_cast<double>(at_ms - now_ms);
--- a/src/batch/token_quota.cpp
+++ b/src/batch/token_quota.cpp
@@ -17,10 +17,6 @@
 /// Most corrections in one append.
 constexpr std::size_t kMostCorrections = 200;
 
-std::int64_t to_ms(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 }  // namespace
 
 TokenQuota::TokenQuota(const Knobs& knobs, PartitionedLog& log, TopicPartition partition,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -378,7 +378,7 @@
                             now - last_caller_at_ > kAddressLifetime;
   const bool idle = left_group_ && addresses_forgotten && callers_gone;
   if (idle || age > settings_.grace - kGraceMargin) {
-    spdlog::info("gateway: stopped afterMs={} online={}", net::to_ms(age), online_.in_flight());
+    spdlog::info("gateway: stopped afterMs={} online={}", to_ms(age), online_.in_flight());
     loop_.stop();
   }
 }
--- a/src/gateway/job_submissions.cpp
+++ b/src/gateway/job_submissions.cpp
@@ -35,6 +35,7 @@
   net::ExchangePtr exchange;
   std::string job;
   double tokens = 0;
+  double limit = 0;  ///< Of the route, on tokens that wait; 0: none.
   TopicPartition partition;
   std::vector<std::vector<KeyedRecord>> appends;  ///< The last one makes the job valid.
   std::size_t next = 0;
@@ -44,7 +45,8 @@
   bool calling = false;
   bool over = false;
   int forwards_left = 0;
-  bool forwarding = false;  ///< Another node has the job and has not answered.
+  bool forwarding = false;                ///< Another node has the job and has not answered.
+  std::optional<QuotaAnswer> over_limit;  ///< This node found no room; the other one may yet.
   int failures = 0;
   TimePoint retry_at{};
   TimePoint deadline{};
@@ -134,10 +136,10 @@
   net::RequestHead head = submission->exchange->request();
   const std::string& body = submission->exchange->body();
   head.headers.erase_connection_fields();
-  head.headers.set(kForwardedHeader, std::to_string(net::to_ms(wait)));
+  head.headers.set(kForwardedHeader, std::to_string(to_ms(wait)));
   head.headers.set("Content-Length", std::to_string(body.size()));
   spdlog::info("batch: job passed on job={} to={} logReachable={} waitedMs={}", submission->job,
-               address->to_string(), log_reachable_, net::to_ms(waited));
+               address->to_string(), log_reachable_, to_ms(waited));
   net::SimpleCall::start(
       context_.client, context_.loop, {*address, "control"}, net::serialize(head) + body, {},
       submission->deadline - now,
@@ -167,6 +169,8 @@
     headers.erase_connection_fields();
     submission->exchange->respond(429, std::move(headers), outcome.body);
     finish(submission, 429);
+  } else if (submission->over_limit) {
+    refuse_over_limit(submission);
   }
 }
 
@@ -176,13 +180,13 @@
     submission->reserved = true;
     return;
   }
-  const double limit = route.max_waiting_tokens;
+  submission->limit = route.max_waiting_tokens;
   const QuotaStart start =
       tick_quota(route, submission->exchange->received())
           .reserve({submission->job, submission->tokens, submission->deadline},
-                   [this, alive = alive_, submission, limit](const QuotaAnswer& answer) {
+                   [this, alive = alive_, submission](const QuotaAnswer& answer) {
                      if (*alive && !submission->over) {
-                       take_quota_answer(submission, answer, limit);
+                       take_quota_answer(submission, answer);
                      }
                    });
   submission->may_write = submission->may_write || start == QuotaStart::kGoAhead;
@@ -201,8 +205,7 @@
   return *quota;
 }
 
-void JobSubmissions::take_quota_answer(const SubmissionPtr& submission, const QuotaAnswer& answer,
-                                       double limit) {
+void JobSubmissions::take_quota_answer(const SubmissionPtr& submission, const QuotaAnswer& answer) {
   switch (answer.verdict) {
     case QuotaVerdict::kReserved:
       submission->reserved = true;
@@ -212,7 +215,8 @@
       accept_if_complete(submission);
       return;
     case QuotaVerdict::kOverLimit:
-      refuse_over_limit(submission, answer.fits_after, limit);
+      submission->over_limit = answer;
+      refuse_over_limit(submission);
       return;
     case QuotaVerdict::kUnavailable:
       give_up(submission);
@@ -260,8 +264,12 @@
   }
 }
 
-void JobSubmissions::refuse_over_limit(const SubmissionPtr& submission, Duration fits_after,
-                                       double limit) {
+void JobSubmissions::refuse_over_limit(const SubmissionPtr& submission) {
+  if (submission->may_run()) {
+    return;  // The node that it was passed on to decides.
+  }
+  const Duration fits_after = submission->over_limit->fits_after;
+  const double limit = submission->limit;
   const bool never_fits = submission->tokens > limit;
   const std::string message =
       never_fits ? fmt::format(
@@ -276,7 +284,7 @@
                 fmt::format("{:.2f}", std::chrono::duration<double>(fits_after).count()));
   }
   spdlog::info("batch: job refused job={} tokens={} limit={} fitsAfterMs={} why=\"{}\"",
-               submission->job, submission->tokens, limit, net::to_ms(fits_after),
+               submission->job, submission->tokens, limit, to_ms(fits_after),
                never_fits ? "it can never fit" : "too many tokens wait");
   submission->exchange->respond(429, std::move(headers),
                                 error_detail_json(ResultCode::kOverloaded, message));
@@ -288,7 +296,7 @@
   const Duration took = net::steady_now() - submission->exchange->received();
   spdlog::info("batch: job {} job={} status={} mayBeInLog={} tookMs={}",
                status == 202 ? "accepted" : "not accepted", submission->job, status,
-               submission->may_run(), net::to_ms(took));
+               submission->may_run(), to_ms(took));
   std::erase(submissions_, submission);
 }
 
--- a/src/gateway/job_submissions.hpp
+++ b/src/gateway/job_submissions.hpp
@@ -56,7 +56,7 @@
   TokenQuota& tick_quota(const RouteConfig& route, TimePoint now);
   TokenQuota& quota_of(const std::string& route);
   void reserve(const SubmissionPtr& submission, const RouteConfig& route);
-  void take_quota_answer(const SubmissionPtr& submission, const QuotaAnswer& answer, double limit);
+  void take_quota_answer(const SubmissionPtr& submission, const QuotaAnswer& answer);
   void append(const SubmissionPtr& submission);
   /// Passes the job on, if that is due and some node reaches the log.
   void forward_if_due(const SubmissionPtr& submission, TimePoint now);
@@ -65,7 +65,8 @@
   void accept_if_complete(const SubmissionPtr& submission);
   /// Ends a submission that cannot be completed, with a promise only where it is true.
   void give_up(const SubmissionPtr& submission);
-  void refuse_over_limit(const SubmissionPtr& submission, Duration fits_after, double limit);
+  /// Refuses a job that does not fit, unless another node may accept it.
+  void refuse_over_limit(const SubmissionPtr& submission);
   void finish(const SubmissionPtr& submission, int status);
 
   GatewayContext& context_;
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -121,8 +121,8 @@
         "online: sent id={} route={} version={} replica={} attempt={} load={}/{} waitMs={} "
         "missingTokens={} leftMs={}",
         info_.id, route_.name, configuration_->version, attempt_.replica(), sends_, load_at_choice_,
-        slots_at_choice_, net::to_ms(choice.expected_wait), static_cast<int>(choice.missing_tokens),
-        net::to_ms(deadline_ - now));
+        slots_at_choice_, to_ms(choice.expected_wait), static_cast<int>(choice.missing_tokens),
+        to_ms(deadline_ - now));
   }
 }
 
@@ -252,7 +252,7 @@
   spdlog::warn(
       "online: attempt failed id={} replica={} failure={} headSeen={} reused={} afterMs={}",
       info_.id, attempt_.replica(), static_cast<int>(failure), head_seen_,
-      attempt_.call() && attempt_.call()->reused(), net::to_ms(now - sent_at_));
+      attempt_.call() && attempt_.call()->reused(), to_ms(now - sent_at_));
   const bool not_run = not_sent || (turned_away_ && head_seen_);
   end_attempt();
   if (not_run) {
@@ -322,7 +322,7 @@
     return;
   }
   spdlog::warn("online: replica is silent id={} replica={} silentMs={}", info_.id,
-               attempt_.replica(), net::to_ms(silence));
+               attempt_.replica(), to_ms(silence));
   attempt_.signal(ReplicaSignal::kBroken, now);
   end_attempt();
   after_failure(exchange_->answered() ? AttemptFailure::kInterrupted : AttemptFailure::kMayHaveRun,
@@ -405,9 +405,8 @@
         "online: {} id={} route={} version={} service={} replica={} sends={} mayHaveRun={} "
         "load={}/{} firstByteMs={} late={} tookMs={} why=\"{}\"",
         outcome, info_.id, route_.name, configuration_->version, service_, attempt_.replica(),
-        sends_, history_.runs_possible, load_at_choice_, slots_at_choice_,
-        net::to_ms(first_byte_after_), late(),
-        net::to_ms(net::steady_now() - exchange_->received()), why);
+        sends_, history_.runs_possible, load_at_choice_, slots_at_choice_, to_ms(first_byte_after_),
+        late(), to_ms(net::steady_now() - exchange_->received()), why);
   }
   proxy_.calls_.erase(shared_from_this());
 }
--- a/src/net/clock.hpp
+++ b/src/net/clock.hpp
@@ -20,9 +20,4 @@
       .count();
 }
 
-/// @return whole milliseconds of a duration.
-inline std::int64_t to_ms(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 }  // namespace dockpoint::net
