Read as a newcomer: one way to read a value or its problem, one Life, shorter submissions and selector

What stood more than once: turning a failed result into nothing and a message (routes, replicas, jobs, settings: now value_or_problem), the flag that outlives an owner in its callbacks (three times: now core/life.hpp), drawing faults of the stand-in log in two explorations, reading on in TokenQuota. JobSubmissions::submit and forward_if_due are cut into steps; the selector keeps the load that competes with a request in place of a difference that was taken twice.

Left: the declarations that each implementation of PartitionedLog repeats are its interface; the tables of mechanisms and knobs hold different types and stand in programs that are to part.

--- a/include/dockpoint/batch/group_member.hpp
+++ b/include/dockpoint/batch/group_member.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "dockpoint/core/knobs.hpp"
+#include "dockpoint/core/life.hpp"
 #include "dockpoint/log/partitioned_log.hpp"
 
 /// This node's membership in the group that owns the partitions of batch jobs.
@@ -56,9 +57,6 @@
   std::uint64_t generation() const { return generation_; }
 
  private:
-  struct Life {
-    bool alive = true;
-  };
   struct Owned {
     std::uint64_t epoch = 0;
     bool revoked = false;
--- a/include/dockpoint/batch/partition_owner.hpp
+++ b/include/dockpoint/batch/partition_owner.hpp
@@ -9,6 +9,7 @@
 
 #include "dockpoint/batch/job_ledger.hpp"
 #include "dockpoint/core/knobs.hpp"
+#include "dockpoint/core/life.hpp"
 #include "dockpoint/log/keyed_watch.hpp"
 
 /// One partition of batch jobs at the node that owns it.
@@ -81,10 +82,6 @@
     std::vector<KeyedRecord> records;
     std::optional<ItemResult> result;  ///< That the records hold, if they hold one.
   };
-  /// Survives the owner while a call is under way.
-  struct Life {
-    bool alive = true;
-  };
 
   void on_snapshot(const std::vector<KeyedRecord>& records) override;
   void on_record(const KeyedRecord& record) override;
--- a/include/dockpoint/batch/token_quota.hpp
+++ b/include/dockpoint/batch/token_quota.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -12,6 +11,7 @@
 #include "dockpoint/batch/reservation_table.hpp"
 #include "dockpoint/core/decaying_count.hpp"
 #include "dockpoint/core/knobs.hpp"
+#include "dockpoint/core/life.hpp"
 #include "dockpoint/log/keyed_watch.hpp"
 
 /// The limit on the tokens of batch items that wait on a route, over all nodes.
@@ -108,10 +108,6 @@
     Done done;
   };
   using PendingList = std::vector<Pending>;
-  /// Survives the quota while a call is under way.
-  struct Life {
-    bool alive = true;
-  };
 
   void on_snapshot(const std::vector<KeyedRecord>& records) override;
   void on_record(const KeyedRecord& record) override;
@@ -128,6 +124,8 @@
   bool recent(const TokenReservation& reservation) const;
   Duration time_to_free(double tokens) const;
 
+  /// Reads the topic to its end.
+  void refresh();
   void decide();
   void append_reservations(PendingList taken);
   void write_allotted();
--- a/include/dockpoint/core/error.hpp
+++ b/include/dockpoint/core/error.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <type_traits>
 #include <utility>
 
 #include "dockpoint/core/result_code.hpp"
@@ -45,6 +46,22 @@
       });
 }
 
+/// Evaluates a fallible function, which returns `Result<T>`.
+/// @return its value, or nothing: then `problem` is the error's message.
+template <class Function>
+auto value_or_problem(Function&& function, std::string& problem) {
+  using Value = std::remove_cvref_t<decltype(function().value())>;
+  return with_error(
+      [&]() -> Result<std::optional<Value>> {
+        BOOST_LEAF_AUTO(value, function());
+        return std::optional<Value>(std::move(value));
+      },
+      [&](const Error& error) {
+        problem = error.message;
+        return std::optional<Value>();
+      });
+}
+
 /// Evaluates a fallible function for its error only.
 /// @return nothing on success.
 template <class Function>
--- a/include/dockpoint/routing/replica_selector.hpp
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -73,8 +73,8 @@
   };
   struct Candidate {
     const Replica* replica = nullptr;
-    double expected_load = 0;  ///< With requests that are not seen yet.
-    double yielding = 0;       ///< Batch items among them that would give way to the request.
+    double expected_load = 0;   ///< With requests that are not seen yet.
+    double competing_load = 0;  ///< The same without batch items that would give way.
     double missing_tokens = 0;
     double wait_ms = 0;
     double cost_ms = 0;
--- a/src/batch/token_quota.cpp
+++ b/src/batch/token_quota.cpp
@@ -122,9 +122,13 @@
     return QuotaStart::kGoAhead;
   }
   waiting_.push_back({std::move(request), std::move(done)});
+  refresh();
+  return QuotaStart::kWait;
+}
+
+void TokenQuota::refresh() {
   refresh_asked_ = now_;
   watch_.refresh();
-  return QuotaStart::kWait;
 }
 
 void TokenQuota::decide() {
@@ -184,8 +188,7 @@
         if (outcome.status != LogStatus::kEndMoved) {
           retry_at_ = now_ + kRetryPause;
         }
-        refresh_asked_ = now_;
-        watch_.refresh();
+        refresh();
       });
 }
 
@@ -249,17 +252,15 @@
     audit_due_ = true;
   }
   if (decision_due || audit_due_) {
-    refresh_asked_ = now;
-    watch_.refresh();
+    refresh();
   }
 }
 
 void TokenQuota::expire() {
-  const auto over = [&](const Pending& pending) { return now_ >= pending.request.deadline; };
+  const auto in_time = [&](const Pending& pending) { return now_ < pending.request.deadline; };
   PendingList late;
   const auto take_late = [&](PendingList& list) {
-    const auto first = std::stable_partition(
-        list.begin(), list.end(), [&](const Pending& pending) { return !over(pending); });
+    const auto first = std::stable_partition(list.begin(), list.end(), in_time);
     std::move(first, list.end(), std::back_inserter(late));
     list.erase(first, list.end());
   };
--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -110,16 +110,8 @@
 
 void FleetWatch::take_configuration(const std::string& value, const std::string& source) {
   std::string problem;
-  std::optional<RoutingConfiguration> read = boost::leaf::try_handle_all(
-      [&]() -> Result<std::optional<RoutingConfiguration>> {
-        BOOST_LEAF_AUTO(configuration, reader_.read_configuration(value));
-        return std::optional<RoutingConfiguration>(std::move(configuration));
-      },
-      [&](const Error& error) {
-        problem = error.message;
-        return std::optional<RoutingConfiguration>();
-      },
-      [&] { return std::optional<RoutingConfiguration>(); });
+  std::optional<RoutingConfiguration> read =
+      value_or_problem([&] { return reader_.read_configuration(value); }, problem);
   if (!read) {
     spdlog::error("fleet: configuration cannot be read source={} why=\"{}\"", source, problem);
     return;
@@ -142,16 +134,8 @@
     return;
   }
   std::string problem;
-  const std::optional<ReplicaRecord> record = boost::leaf::try_handle_all(
-      [&]() -> Result<std::optional<ReplicaRecord>> {
-        BOOST_LEAF_AUTO(read, reader_.read_replica(id, value));
-        return std::optional<ReplicaRecord>(std::move(read));
-      },
-      [&](const Error& error) {
-        problem = error.message;
-        return std::optional<ReplicaRecord>();
-      },
-      [&] { return std::optional<ReplicaRecord>(); });
+  const std::optional<ReplicaRecord> record =
+      value_or_problem([&] { return reader_.read_replica(id, value); }, problem);
   if (!record) {
     spdlog::error("fleet: replica cannot be read replica={} why=\"{}\"", id, problem);
     return;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -257,10 +257,13 @@
     exchange->respond(503, {}, {});  // The nodes know different configurations.
     return;
   }
-  const std::string_view wait_ms = head.headers.get(kForwardedHeader);
-  std::int64_t wait = 0;
-  std::from_chars(wait_ms.data(), wait_ms.data() + wait_ms.size(), wait);
-  batch_.submit(exchange, *route, std::chrono::milliseconds(wait));
+  const std::string_view text = head.headers.get(kForwardedHeader);
+  std::int64_t wait_ms = 0;
+  if (std::from_chars(text.data(), text.data() + text.size(), wait_ms).ec != std::errc{}) {
+    // No time to wait: the other node goes on by itself.
+    spdlog::warn("batch: job passed on without a time limit header=\"{}\"", text);
+  }
+  batch_.submit(exchange, *route, std::chrono::milliseconds(wait_ms));
 }
 
 void Gateway::serve_control(const net::ExchangePtr& exchange) {
--- a/src/gateway/job_submissions.cpp
+++ b/src/gateway/job_submissions.cpp
@@ -28,6 +28,23 @@
   return tokens;
 }
 
+/// @return the records of a job, in as many appends as the log's limits ask for.
+std::vector<std::vector<KeyedRecord>> divide_into_appends(const BatchJob& job,
+                                                          const LogLimits& limits) {
+  std::vector<std::vector<KeyedRecord>> appends;
+  std::size_t bytes = 0;
+  for (KeyedRecord& record : job_records(job, limits.record_bytes)) {
+    const std::size_t size = record.key.size() + record.value.size();
+    if (appends.empty() || bytes + size > limits.call_bytes / 2) {
+      appends.emplace_back();
+      bytes = 0;
+    }
+    bytes += size;
+    appends.back().push_back(std::move(record));
+  }
+  return appends;
+}
+
 }  // namespace
 
 /// A job on its way into the log.
@@ -68,16 +85,8 @@
 void JobSubmissions::submit(const net::ExchangePtr& exchange, const RouteConfig& route,
                             std::optional<Duration> forwarded_wait) {
   std::string problem;
-  std::optional<BatchJob> job = boost::leaf::try_handle_all(
-      [&]() -> Result<std::optional<BatchJob>> {
-        BOOST_LEAF_AUTO(read, context_.protocol.read_job(exchange->request(), exchange->body()));
-        return std::optional<BatchJob>(std::move(read));
-      },
-      [&](const Error& error) {
-        problem = error.message;
-        return std::optional<BatchJob>();
-      },
-      [&] { return std::optional<BatchJob>(); });
+  std::optional<BatchJob> job = value_or_problem(
+      [&] { return context_.protocol.read_job(exchange->request(), exchange->body()); }, problem);
   if (!job) {
     spdlog::info("batch: job rejected why=\"{}\"", problem);
     exchange->respond(400, {{"Content-Type", "application/json"}},
@@ -92,16 +101,7 @@
   submission->partition = {topics_.jobs, job_partition(job->id, log_.limits().partitions)};
   submission->deadline =
       exchange->received() + forwarded_wait.value_or(context_.knobs.submission_wait);
-  std::size_t bytes = 0;
-  for (KeyedRecord& record : job_records(*job, log_.limits().record_bytes)) {
-    const std::size_t size = record.key.size() + record.value.size();
-    if (submission->appends.empty() || bytes + size > log_.limits().call_bytes / 2) {
-      submission->appends.emplace_back();
-      bytes = 0;
-    }
-    bytes += size;
-    submission->appends.back().push_back(std::move(record));
-  }
+  submission->appends = divide_into_appends(*job, log_.limits());
   submission->forwards_left = forwarded_wait ? 0 : context_.knobs.submission_forwards;
   spdlog::info("batch: job received job={} items={} tokens={} partition={} route={}", job->id,
                job->items.size(), submission->tokens, submission->partition.partition, route.name);
@@ -128,9 +128,14 @@
   const std::uint64_t turn =
       hash64(submission->job) + static_cast<std::uint64_t>(submission->forwards_left);
   const std::optional<Address> address = Address::parse(peers[turn % peers.size()]);
-  if (!address) {
-    return;
+  if (address) {
+    spdlog::info("batch: job passed on job={} to={} logReachable={} waitedMs={}", submission->job,
+                 address->to_string(), log_reachable_, to_ms(waited));
+    forward(submission, *address, wait);
   }
+}
+
+void JobSubmissions::forward(const SubmissionPtr& submission, const Address& peer, Duration wait) {
   --submission->forwards_left;
   submission->forwarding = true;
   net::RequestHead head = submission->exchange->request();
@@ -138,11 +143,9 @@
   head.headers.erase_connection_fields();
   head.headers.set(kForwardedHeader, std::to_string(to_ms(wait)));
   head.headers.set("Content-Length", std::to_string(body.size()));
-  spdlog::info("batch: job passed on job={} to={} logReachable={} waitedMs={}", submission->job,
-               address->to_string(), log_reachable_, to_ms(waited));
   net::SimpleCall::start(
-      context_.client, context_.loop, {*address, "control"}, net::serialize(head) + body, {},
-      submission->deadline - now,
+      context_.client, context_.loop, {peer, "control"}, net::serialize(head) + body, {},
+      wait + kForwardMargin,
       [this, alive = alive_, submission](const net::SimpleCall::Outcome& outcome) {
         if (*alive) {
           take_forwarded_answer(submission, outcome);
--- a/src/gateway/job_submissions.hpp
+++ b/src/gateway/job_submissions.hpp
@@ -60,6 +60,8 @@
   void append(const SubmissionPtr& submission);
   /// Passes the job on, if that is due and some node reaches the log.
   void forward_if_due(const SubmissionPtr& submission, TimePoint now);
+  /// @param wait how long the peer may take.
+  void forward(const SubmissionPtr& submission, const Address& peer, Duration wait);
   void take_forwarded_answer(const SubmissionPtr& submission,
                              const net::SimpleCall::Outcome& outcome);
   void accept_if_complete(const SubmissionPtr& submission);
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -37,15 +37,14 @@
     Candidate candidate;
     candidate.replica = &replica;
     candidate.expected_load = replica.load(now) + filling.expected()[index];
-    candidate.yielding = yielding_items(replica, query.traffic);
+    candidate.competing_load = candidate.expected_load - yielding_items(replica, query.traffic);
     candidate.missing_tokens = prompt_tokens - cached_tokens(replica, steps, home_keys, now);
     all.push_back(candidate);
   }
   Candidate* best = nullptr;
   for (const std::size_t index : shortlist(all, prompt_tokens, filling)) {
     Candidate& candidate = all[index];
-    candidate.wait_ms =
-        wait_ms(*candidate.replica, candidate.expected_load - candidate.yielding, query.service);
+    candidate.wait_ms = wait_ms(*candidate.replica, candidate.competing_load, query.service);
     candidate.cost_ms = cost_ms(candidate, now);
     if (best == nullptr || candidate.cost_ms < best->cost_ms - knobs_.selection_margin_ms) {
       best = &candidate;
@@ -120,8 +119,7 @@
   const Replica& replica = *candidate.replica;
   const double reading =
       replica.prefill_tokens + peer_prefill(replica, now) + candidate.missing_tokens;
-  const double fill =
-      (candidate.expected_load - candidate.yielding) / std::max(1, replica.record.slots);
+  const double fill = candidate.competing_load / std::max(1, replica.record.slots);
   double cost = candidate.wait_ms + reading / knobs_.prefill_tokens_per_ms;
   cost += std::min(1.0, fill) * knobs_.slot_pressure_ms;
   cost += replica.record.zone == zone_ ? 0 : knobs_.remote_zone_ms;
--- a/tests/batch/token_quota_test.cpp
+++ b/tests/batch/token_quota_test.cpp
@@ -9,9 +9,11 @@
 #include "dockpoint/log/hedged_log.hpp"
 #include "emulator/memory_log.hpp"
 #include "support/fleet.hpp"
+#include "support/log_faults.hpp"
 
 using namespace dockpoint;
 using dockpoint::test::at;
+using dockpoint::test::draw_log_faults;
 
 namespace {
 
@@ -119,11 +121,7 @@
       paused_until_[node] = now_ + static_cast<std::int64_t>(random_() % 6'000);
     }
     if (chance(400)) {
-      log_.faults = {};
-      log_.faults.down = chance(3);
-      log_.faults.silent = !log_.faults.down && chance(3);
-      log_.faults.lose_answers = chance(2) ? 0.3 : 0;
-      log_.faults.delay_appends = chance(2) ? 0.2 : 0;
+      log_.faults = draw_log_faults(random_);
     }
     if (chance(600)) {
       log_.forget_history();
