Read bursts of records in few calls

Cause: a read of a followed topic waits for records and answers with the first one; the next read began at once. Ruled out: renewals of leases (a tenth of a call each), retries while the store is away. Change: after records the next read waits 200 ms (watch_pause); a record that comes alone is still told at once. Test: keyed_watch/many_records_in_a_row_come_in_few_reads (200 reads before, 13 at most now).

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -146,6 +146,9 @@
 
   // The platform's log.
   Duration watch_wait = 2500ms;      ///< A read waits this long for records.
+  Duration watch_pause = 200ms;      ///< After records the next read waits this long, so that many
+                                     ///< records in a row come in few reads. A tenth of the 2 s
+                                     ///< within which a drain or a configuration must be in force.
   Duration log_retry_delay = 150ms;  ///< After a failed call; doubled and spread at random.
   Duration log_retry_delay_limit = 1200ms;
   Duration log_hedge_delay = 120ms;  ///< A write without an answer is sent again after this time;
--- a/include/dockpoint/log/keyed_watch.hpp
+++ b/include/dockpoint/log/keyed_watch.hpp
@@ -32,7 +32,9 @@
 };
 
 /// Loads the newest records page by page, then follows the log. When history is gone it loads anew.
-/// Failed calls are repeated with a growing, random pause.
+/// Failed calls are repeated with a growing, random pause. After a read that brought the records up
+/// to the end the next one waits a little (`Knobs::watch_pause`): hundreds of replicas that
+/// register one after the other would cost every node a call each.
 ///
 /// Not thread-safe; borrows log and observer. May be destroyed at any time.
 class KeyedWatch {
@@ -63,8 +65,8 @@
     bool loaded = false;
     bool current = false;
     bool reachable = true;
-    bool wanted = false;  ///< A refresh was asked for after the read under way began.
-    TimePoint retry_at{};
+    bool wanted = false;       ///< A refresh was asked for after the read under way began.
+    TimePoint next_call_at{};  ///< After a failure, or after records that may not come alone.
     int failures = 0;
     LogOffset next = 0;
     LogOffset load_end = 0;
--- a/src/emulator/memory_log.cpp
+++ b/src/emulator/memory_log.cpp
@@ -157,6 +157,7 @@
 
 void MemoryLog::read(const TopicPartition& partition, LogOffset from, Duration wait,
                      std::function<void(ReadOutcome)> done) {
+  ++reads_;
   if (faults.down) {
     answer([done = std::move(done)] { done({LogStatus::kRefused, {}, 0}); });
     return;
--- a/src/emulator/memory_log.hpp
+++ b/src/emulator/memory_log.hpp
@@ -62,6 +62,8 @@
 
   /// @return every record ever appended to a partition, for checks.
   const std::vector<KeyedRecord>& history(const TopicPartition& partition);
+  /// @return calls to `read` so far.
+  std::size_t reads() const { return reads_; }
 
  private:
   struct Producer {
@@ -123,6 +125,7 @@
   std::vector<std::string> topics_;
   std::deque<Event> events_;
   std::vector<WaitingRead> waiting_;
+  std::size_t reads_ = 0;
 };
 
 }  // namespace dockpoint
--- a/src/log/keyed_watch.cpp
+++ b/src/log/keyed_watch.cpp
@@ -19,14 +19,14 @@
 
 void KeyedWatch::tick(TimePoint now) {
   now_ = now;
-  if (!state_->calling && now >= state_->retry_at) {
+  if (!state_->calling && now >= state_->next_call_at) {
     proceed();
   }
 }
 
 void KeyedWatch::refresh() {
   state_->wanted = true;
-  if (!state_->calling && now_ >= state_->retry_at) {
+  if (!state_->calling && now_ >= state_->next_call_at) {
     proceed();
   }
 }
@@ -134,8 +134,11 @@
     follow();  // The answer holds a part of what there is.
     return;
   }
+  if (mode_ == WatchMode::kFollow && !outcome.records.empty() && state->next >= outcome.end) {
+    state->next_call_at = now_ + knobs_.watch_pause;
+  }
   observer_.on_current();
-  if (state->alive && !state->calling) {
+  if (state->alive && !state->calling && now_ >= state->next_call_at) {
     proceed();
   }
 }
@@ -147,7 +150,7 @@
   const Duration limit =
       std::min(knobs_.log_retry_delay * (1 << doublings), knobs_.log_retry_delay_limit);
   std::uniform_int_distribution<std::int64_t> spread(limit.count() / 2, limit.count());
-  state_->retry_at = now_ + Duration(spread(random_));
+  state_->next_call_at = now_ + Duration(spread(random_));
   if (state_->reachable) {
     state_->reachable = false;
     observer_.on_reachable(false);
--- a/tests/log/keyed_watch_test.cpp
+++ b/tests/log/keyed_watch_test.cpp
@@ -67,6 +67,25 @@
   BOOST_TEST(snapshots == 1);
 }
 
+BOOST_AUTO_TEST_CASE(many_records_in_a_row_come_in_few_reads) {
+  run(200);
+  const std::size_t before = log.reads();
+  for (int key = 0; key < 200; ++key) {
+    put("k" + std::to_string(key), "1");
+    run(10);
+  }
+  run(500);
+  BOOST_TEST(values.size() == 200U);
+  BOOST_TEST(log.reads() - before <= 13U);  // One in 200 ms, over 2.5 s.
+}
+
+BOOST_AUTO_TEST_CASE(a_record_that_comes_alone_is_told_at_once) {
+  run(1'000);
+  put("k", "1");
+  run(20);
+  BOOST_TEST(values.contains("k"));
+}
+
 BOOST_AUTO_TEST_CASE(it_loads_anew_when_history_is_gone) {
   run(100);
   log.faults.down = true;
