Estimate the fleet's arrivals from all nodes' requests, corrected by this node's own

Cause: the requests that a node cannot see yet were taken as its own rate times the nodes. Batch items in flight and their run times of 4 s were mixed in as well. Change: arrival_estimate: in flight over service time, corrected upwards by the node's own count under a prior. Service times are learnt from online requests alone.

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -85,6 +85,9 @@
   double load_uncertainty = 1.0;      ///< Spread of the real load around the expected one.
   Duration load_view_delay = 150ms;   ///< Until a change of load is in a digest and here.
   Duration arrival_memory = 500ms;    ///< Over which a node's sends make its rate.
+  double arrival_prior_requests = 1;  ///< Own requests that weigh as much as what digests tell of
+                                      ///< the fleet's rate. More misses a burst that only the
+                                      ///< nodes themselves see yet (replica_selector_test.cpp).
   double remote_zone_ms = 3.0;        ///< Cost of a replica in another zone.
   double cold_replica_ms = 50;        ///< Cost of a replica that has just started.
   double batch_fill = 0.9;            ///< Batch goes to replicas below this share of slots.
@@ -109,13 +112,13 @@
   Duration removal_grace = 2s;  ///< For records that lapsed while the log was away to come back.
 
   // Batch items.
-  double batch_slot_share = 0.8;     ///< Of all slots, for the items of all nodes at most.
-  double batch_urgent_share = 0.6;   ///< Of all slots, for urgent items whatever online does.
-  double batch_least_items = 2;      ///< That a node with items runs in any case.
+  double batch_slot_share = 0.8;    ///< Of all slots, for the items of all nodes at most.
+  double batch_urgent_share = 0.6;  ///< Of all slots, for urgent items whatever online does.
+  double batch_least_items = 2;     ///< That a node with items runs in any case.
   double yield_request_load = 1.15;  ///< Of a replica's slots, expected to be taken, from which on
-                                     ///< an item there gives its slot to an online request.
-  double yield_trust = 1;            ///< Share of the items at a replica that are reckoned to give
-                                     ///< way when an online request needs it.
+                                    ///< an item there gives its slot to an online request.
+  double yield_trust = 1;           ///< Share of the items at a replica that are reckoned to give
+                                    ///< way when an online request needs it.
   Duration yield_request_pause = 50ms;  ///< Until an item that gave way runs again.
   double batch_reserved_slots = 1;      ///< Of each engine, that patient items leave free.
   double batch_yield_tolerance = 1.2;   ///< Items run up to so many times what is allowed.
--- a/include/dockpoint/routing/replica_selector.hpp
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -57,7 +57,8 @@
   /// Remembers that a replica has read this prompt.
   void note_prompt(const std::string& replica, const std::vector<PromptPart>& prompt,
                    TimePoint now);
-  /// Learns how long requests of a service hold a slot.
+  /// Learns how long online requests of a service hold a slot. Items take several times as long
+  /// and give way: neither a wait nor a rate of requests follows from theirs.
   void note_service_time(const std::string& service, Duration time);
 
  private:
@@ -81,7 +82,7 @@
   };
   /// What is learnt of a service's requests.
   struct ServiceHistory {
-    double service_ms = 0;  ///< Mean time that a request holds a slot; 0 if none has ended.
+    double service_ms = 0;  ///< Mean time that an online request holds a slot; 0: none has ended.
     DecayingCount sends;    ///< Of this node.
   };
 
--- a/src/core/knob_table.cpp
+++ b/src/core/knob_table.cpp
@@ -22,6 +22,7 @@
 
 const std::vector<KnobInfo>& knob_table() {
   static const std::vector<KnobInfo> table{
+      {"arrival_prior_requests", &Knobs::arrival_prior_requests},
       {"batch_fill", &Knobs::batch_fill},
       {"batch_least_items", &Knobs::batch_least_items},
       {"batch_reserved_slots", &Knobs::batch_reserved_slots},
@@ -33,6 +34,7 @@
       {"checkpoint_interval", &Knobs::checkpoint_interval},
       {"home_confidence", &Knobs::home_confidence},
       {"load_uncertainty", &Knobs::load_uncertainty},
+      {"load_view_delay", &Knobs::load_view_delay},
       {"log_hedge_calls", &Knobs::log_hedge_calls},
       {"outlier_failures", &Knobs::outlier_failures},
       {"overload_objectives", &Knobs::overload_objectives},
@@ -42,6 +44,7 @@
       {"second_home_confidence", &Knobs::second_home_confidence},
       {"submission_forward_delay", &Knobs::submission_forward_delay},
       {"submission_forwards", &Knobs::submission_forwards},
+      {"watch_pause", &Knobs::watch_pause},
       {"yield_request_load", &Knobs::yield_request_load},
       {"yield_request_pause", &Knobs::yield_request_pause},
       {"yield_trust", &Knobs::yield_trust},
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -39,7 +39,6 @@
 
 void ItemRun::start(const Replica& replica, std::string bytes, double missing_tokens,
                     TimePoint now) {
-  started_ = now;
   last_progress_ = now;
   attempt_.start(replica, std::move(bytes), missing_tokens, *this);
 }
@@ -98,7 +97,6 @@
     executor_.retry(ref_, kNoRoomPause, now);
     return;
   }
-  context_.selector.note_service_time(service_, now - started_);
   if (status_ / 100 == 2) {
     if (!framer_.at_boundary() || broken_sequence_ || !kept.produced.last_event) {
       kept.restart();
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -43,7 +43,6 @@
   const int attempts_;
   const DueTime due_;
   ReplicaAttempt attempt_;
-  TimePoint started_{};
   TimePoint last_progress_{};
   int status_ = 0;
   bool turned_away_ = false;
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "dockpoint/core/hash.hpp"
+#include "dockpoint/routing/arrival_estimate.hpp"
 
 namespace dockpoint {
 namespace {
@@ -60,20 +61,18 @@
 double ReplicaSelector::unseen_requests(const std::vector<const Replica*>& open,
                                         const std::string& service, TimePoint now) const {
   constexpr double kLeast = 0.5;
-  const double delay_ms = to_milliseconds(knobs_.load_view_delay + directory_.mean_peer_age(now));
-  // Two estimates of the fleet's rate: from this node's own, which follows a change at once, and
-  // from the requests in flight (Little's law), which does not depend on one node.
-  const double nodes = static_cast<double>(directory_.peers()) + 1;
-  const auto known = services_.find(service);
-  const double own = known == services_.end() ? 0 : known->second.sends.per_second(now);
-  double in_flight = 0;
+  ArrivalObservation observation;
   for (const Replica* replica : open) {
-    in_flight += replica->load(now);
+    observation.in_flight += replica->all_online();
   }
-  constexpr double kMillisecondsPerSecond = 1000;
-  const double by_rate = own * nodes * delay_ms / kMillisecondsPerSecond;
-  const double by_load = in_flight * delay_ms / service_ms(service);
-  return std::max({kLeast, by_rate, by_load});
+  observation.service_ms = service_ms(service);
+  const auto known = services_.find(service);
+  observation.own_requests = known == services_.end() ? 0 : known->second.sends.value(now);
+  observation.memory = knobs_.arrival_memory;
+  observation.nodes = static_cast<double>(directory_.peers()) + 1;
+  observation.prior_requests = knobs_.arrival_prior_requests;
+  const Duration delay = knobs_.load_view_delay + directory_.mean_peer_age(now);
+  return std::max(kLeast, expected_arrivals(observation, delay));
 }
 
 double ReplicaSelector::service_ms(const std::string& service) const {
