Ask for a slot before a replica is full; relays send 2,400 bytes a round

Cause: an online request that met a replica full of items asked for one of their slots only from 1.15 of the slots on, so that it waited behind batch at a full one. At 50 nodes a zone, 1,200 bytes a round hold a third of what digests tell: loads were renewed every 400 to 800 ms, as long as a request lasts. Change: yield_request_load 0.9, relay_datagram_bytes 2400.

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -74,7 +74,9 @@
   double outlier_share = 0.34;             ///< Of a service's replicas that may be left out for it.
   Duration load_digest_lifetime = 1500ms;  ///< Without a sign of life a digest counts this long.
   Duration replica_digest_interval = 200ms;  ///< Between a node's digests.
-  std::size_t relay_datagram_bytes = 1200;   ///< That a relay sends a node an interval.
+  std::size_t relay_datagram_bytes = 2400;   ///< That a relay sends a node an interval: what 50
+                                             ///< nodes with two requests each, and four with
+                                             ///< 25 items each, have to tell.
   double prefill_tokens_per_ms = 60;         ///< Assumed speed at which a replica reads prompts.
   double announced_prefill_tokens = 3000;  ///< A longer prompt is told to the other nodes at once.
   double slot_pressure_ms = 10;            ///< Cost of a replica that is just full.
@@ -115,7 +117,7 @@
   double batch_slot_share = 0.8;    ///< Of all slots, for the items of all nodes at most.
   double batch_urgent_share = 0.6;  ///< Of all slots, for urgent items whatever online does.
   double batch_least_items = 2;     ///< That a node with items runs in any case.
-  double yield_request_load = 1.15;  ///< Of a replica's slots, expected to be taken, from which on
+  double yield_request_load = 0.9;  ///< Of a replica's slots, expected to be taken, from which on
                                     ///< an item there gives its slot to an online request.
   double yield_trust = 1;           ///< Share of the items at a replica that are reckoned to give
                                     ///< way when an online request needs it.
