Arrivals in durations, items without the service they do not use any more

Cause: reading the diff: a second conversion to milliseconds, and a member that nothing reads since items do not teach service times. No behaviour changes; the tests of the classes pass unchanged but for the field's type.

--- a/include/dockpoint/routing/arrival_estimate.hpp
+++ b/include/dockpoint/routing/arrival_estimate.hpp
@@ -26,7 +26,7 @@
 /// What a node knows of the requests to one service.
 struct ArrivalObservation {
   double in_flight = 0;       ///< Online requests of all nodes at the service's replicas.
-  double service_ms = 1;      ///< Mean time that one of them takes; above 0.
+  Duration service_time{};    ///< Mean that one of them takes; above 0.
   double own_requests = 0;    ///< That this node has started within `memory`.
   Duration memory{};          ///< Above 0.
   double nodes = 1;           ///< That start requests, this one included.
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -303,7 +303,7 @@
   }
   const net::RequestHead head = context_.protocol.item_request(
       job->job, item, {choice.replica->record.id, kItemDeadline, kept.produced.last_event});
-  const auto run = std::make_shared<ItemRun>(*this, ref, item.id, std::move(info), query.service,
+  const auto run = std::make_shared<ItemRun>(*this, ref, item.id, std::move(info),
                                              std::max(1, route->attempts), entry.due);
   runs_.insert(run);
   run->start(*choice.replica, net::serialize(head) + item.body, choice.missing_tokens, now);
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -22,13 +22,12 @@
 }  // namespace
 
 ItemRun::ItemRun(BatchExecutor& executor, ItemRef ref, std::string item_id, RequestInfo info,
-                 std::string service, int attempts, const DueTime& due)
+                 int attempts, const DueTime& due)
     : executor_(executor),
       context_(executor.context_),
       ref_(std::move(ref)),
       item_id_(std::move(item_id)),
       info_(std::move(info)),
-      service_(std::move(service)),
       attempts_(attempts),
       due_(due),
       attempt_(context_, TrafficClass::kBatch) {}
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -12,8 +12,8 @@
 /// One run of a batch item at one replica.
 class ItemRun : public net::CallObserver, public std::enable_shared_from_this<ItemRun> {
  public:
-  ItemRun(BatchExecutor& executor, ItemRef ref, std::string item_id, RequestInfo info,
-          std::string service, int attempts, const DueTime& due);
+  ItemRun(BatchExecutor& executor, ItemRef ref, std::string item_id, RequestInfo info, int attempts,
+          const DueTime& due);
 
   void start(const Replica& replica, std::string bytes, double missing_tokens, TimePoint now);
   /// Ends the run; what it has produced is kept.
@@ -39,7 +39,6 @@
   const ItemRef ref_;
   const std::string item_id_;
   const RequestInfo info_;
-  const std::string service_;
   const int attempts_;
   const DueTime due_;
   ReplicaAttempt attempt_;
--- a/src/routing/arrival_estimate.cpp
+++ b/src/routing/arrival_estimate.cpp
@@ -5,19 +5,20 @@
 namespace dockpoint {
 namespace {
 
-double milliseconds_of(Duration duration) {
-  return std::chrono::duration<double, std::milli>(duration).count();
+double ratio(Duration part, Duration whole) {
+  return std::chrono::duration<double>(part) / std::chrono::duration<double>(whole);
 }
 
 }  // namespace
 
 double expected_arrivals(const ArrivalObservation& observation, Duration span) {
-  const double fleet_per_ms = observation.in_flight / observation.service_ms;
-  const double expected_own =
-      fleet_per_ms * milliseconds_of(observation.memory) / observation.nodes;
-  const double correction = std::max(1.0, (observation.own_requests + observation.prior_requests) /
-                                              (expected_own + observation.prior_requests));
-  return fleet_per_ms * correction * milliseconds_of(span);
+  const auto started_within = [&](Duration time) {
+    return observation.in_flight * ratio(time, observation.service_time);
+  };
+  const double expected_own = started_within(observation.memory) / observation.nodes;
+  const double correction = (observation.own_requests + observation.prior_requests) /
+                            (expected_own + observation.prior_requests);
+  return started_within(span) * std::max(1.0, correction);
 }
 
 }  // namespace dockpoint
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -16,6 +16,11 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+Duration from_milliseconds(double milliseconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(milliseconds));
+}
+
 }  // namespace
 
 ReplicaSelector::ReplicaSelector(const Knobs& knobs, const ReplicaDirectory& directory,
@@ -52,10 +57,8 @@
     }
   }
   history_of(query.service).sends.add(now);
-  return {best->replica,
-          std::chrono::duration_cast<Duration>(
-              std::chrono::duration<double, std::milli>(best->wait_ms)),
-          best->missing_tokens, best->expected_load};
+  return {best->replica, from_milliseconds(best->wait_ms), best->missing_tokens,
+          best->expected_load};
 }
 
 double ReplicaSelector::unseen_requests(const std::vector<const Replica*>& open,
@@ -65,7 +68,7 @@
   for (const Replica* replica : open) {
     observation.in_flight += replica->all_online();
   }
-  observation.service_ms = service_ms(service);
+  observation.service_time = from_milliseconds(service_ms(service));
   const auto known = services_.find(service);
   observation.own_requests = known == services_.end() ? 0 : known->second.sends.value(now);
   observation.memory = knobs_.arrival_memory;
--- a/tests/routing/arrival_estimate_test.cpp
+++ b/tests/routing/arrival_estimate_test.cpp
@@ -14,9 +14,9 @@
 /// A fleet that starts `per_second` requests of 800 ms each, of which one node has started `own`.
 ArrivalObservation observe(double per_second, double nodes, double own) {
   const Knobs knobs;
-  constexpr double kServiceMs = 800;
-  return {per_second * kServiceMs / 1000, kServiceMs, own,
-          knobs.arrival_memory,           nodes,      knobs.arrival_prior_requests};
+  constexpr Duration kServiceTime = 800ms;
+  return {per_second * 0.8,     kServiceTime, own,
+          knobs.arrival_memory, nodes,        knobs.arrival_prior_requests};
 }
 
 }  // namespace
