--- a/tests/routing/placement_replay_test.cpp
+++ b/tests/routing/placement_replay_test.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <deque>
 #include <map>
 #include <memory>
 #include <random>
