Sight: how long the log was silent, how old the configuration and the replicas' records are, questions without an answer

Lost and regained say sinceAnswerMs and the position; a refusal for want of a route and each logged choice of a replica say the age of what they used; two gauges show it. The watch's flags current and reachable become one state with names (loading, following, lost). No decision changes.

--- a/include/dockpoint/log/keyed_watch.hpp
+++ b/include/dockpoint/log/keyed_watch.hpp
@@ -22,9 +22,20 @@
   /// The watch reached the end of the partition.
   virtual void on_current() = 0;
   /// Calls fail (`reachable` false) or succeed again.
-  virtual void on_reachable(bool reachable) = 0;
+  /// @param silence time between the last answer before and now.
+  virtual void on_reachable(bool reachable, Duration silence) = 0;
 };
 
+/// How a watch stands to its partition.
+enum class WatchState {
+  kLoading,    ///< Nothing was told yet, or history is gone and is loaded anew.
+  kFollowing,  ///< The last call succeeded.
+  kLost,       ///< The last call failed.
+};
+
+/// @return the state as logs name it.
+const char* name_of(WatchState state);
+
 /// When a watch reads on.
 enum class WatchMode {
   kFollow,    ///< Always, by reads that wait for records.
@@ -50,10 +61,10 @@
   /// has. A read that is under way does not count: it may have begun before.
   void refresh();
 
-  /// @return whether a snapshot was told and the end was reached since.
-  bool current() const { return state_->current; }
-  /// @return whether the last call succeeded.
-  bool reachable() const { return state_->reachable; }
+  WatchState state() const;
+  /// @return when the log last confirmed that everything up to the end of the partition was told;
+  /// the start of time: never.
+  TimePoint confirmed_at() const { return state_->confirmed_at; }
   /// @return the offset up to which everything was told.
   LogOffset position() const { return state_->next; }
 
@@ -63,11 +74,12 @@
     bool alive = true;
     bool calling = false;
     bool loaded = false;
-    bool current = false;
     bool reachable = true;
     bool wanted = false;       ///< A refresh was asked for after the read under way began.
     TimePoint next_call_at{};  ///< After a failure, or after records that may not come alone.
     int failures = 0;
+    TimePoint answered_at{};   ///< The last call that succeeded.
+    TimePoint confirmed_at{};  ///< The end of the partition was reached.
     LogOffset next = 0;
     LogOffset load_end = 0;
     std::string page_key;
--- a/src/batch/partition_owner.cpp
+++ b/src/batch/partition_owner.cpp
@@ -133,7 +133,7 @@
   }
 }
 
-void PartitionOwner::on_reachable(bool /*reachable*/) {}
+void PartitionOwner::on_reachable(bool /*reachable*/, Duration /*silence*/) {}
 
 void PartitionOwner::verify() {
   if (step_ == Step::kActive) {
--- a/src/batch/token_quota.cpp
+++ b/src/batch/token_quota.cpp
@@ -62,7 +62,7 @@
   }
 }
 
-void TokenQuota::on_reachable(bool /*reachable*/) {}
+void TokenQuota::on_reachable(bool /*reachable*/, Duration /*silence*/) {}
 
 void TokenQuota::note_job_size(double tokens) {
   largest_job_ = std::max(largest_job_, tokens);
--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -30,8 +30,9 @@
   void on_snapshot(const std::vector<KeyedRecord>& records) override { on_snapshot_(records); }
   void on_record(const KeyedRecord& record) override { on_record_(record); }
   void on_current() override {}
-  void on_reachable(bool reachable) override {
-    spdlog::warn("fleet: log {} topic={}", reachable ? "regained" : "lost", name_);
+  void on_reachable(bool reachable, Duration silence) override {
+    spdlog::warn("fleet: log {} topic={} sinceAnswerMs={} position={}",
+                 reachable ? "regained" : "lost", name_, to_ms(silence), watch_.position());
     on_reachable_(reachable);
   }
 
@@ -92,6 +93,9 @@
 FleetWatch::~FleetWatch() = default;
 
 void FleetWatch::tick(TimePoint now) {
+  if (started_at_ == TimePoint{}) {
+    started_at_ = now;
+  }
   now_ = now;
   configuration_follower_->tick(now);
   replica_follower_->tick(now);
@@ -218,11 +222,21 @@
 }
 
 bool FleetWatch::needs_peer() const {
-  const KeyedWatch& replicas = replica_follower_->watch();
-  const KeyedWatch& configuration = configuration_follower_->watch();
-  const bool log_follows = replicas.current() && replicas.reachable() && configuration.current() &&
-                           configuration.reachable();
-  return !log_follows;
+  return replica_follower_->watch().state() != WatchState::kFollowing ||
+         configuration_follower_->watch().state() != WatchState::kFollowing;
+}
+
+WatchAge FleetWatch::age_of(const Follower& follower, TimePoint now) const {
+  const TimePoint confirmed_at = follower.watch().confirmed_at();
+  return {follower.watch().state(), now - std::max(confirmed_at, started_at_)};
+}
+
+WatchAge FleetWatch::configuration_age(TimePoint now) const {
+  return age_of(*configuration_follower_, now);
+}
+
+WatchAge FleetWatch::replicas_age(TimePoint now) const {
+  return age_of(*replica_follower_, now);
 }
 
 }  // namespace dockpoint
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -29,6 +29,12 @@
   TopicPartition replicas;
 };
 
+/// How old what a node knows from a topic may be, by the log's own word. Peers may have told more.
+struct WatchAge {
+  WatchState state = WatchState::kLoading;
+  Duration age{};  ///< Since the log last confirmed it; since the process's start if it never did.
+};
+
 /// Reads the values of the fleet's records. Stateless.
 class FleetReader {
  public:
@@ -62,6 +68,9 @@
 
   /// @return whether the node should ask a peer: it lacks something that the log does not give.
   bool needs_peer() const;
+  /// @return what the node can say of the age of the configuration, and of the replicas' records.
+  WatchAge configuration_age(TimePoint now) const;
+  WatchAge replicas_age(TimePoint now) const;
   bool has_configuration() const { return context_.configuration->version > 0; }
 
  private:
@@ -75,6 +84,7 @@
   void retain_replicas(const std::vector<std::string>& ids);
   /// The log is lost or regained.
   void note_reachable(bool reachable);
+  WatchAge age_of(const Follower& follower, TimePoint now) const;
 
   GatewayContext& context_;
   const FleetReader& reader_;
@@ -86,6 +96,7 @@
   LogOffset peer_position_ = 0;  ///< That replicas taken from a peer stand at.
   bool replicas_known_ = false;
   TimePoint now_{};
+  TimePoint started_at_{};
   std::unique_ptr<Follower> configuration_follower_;
   std::unique_ptr<Follower> replica_follower_;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -83,6 +83,7 @@
 void Gateway::start() {
   context_.announce_load = [this] { peers_.announce_load(); };
   context_.peers_reaching_log = [this] { return peers_.control_addresses_reaching_log(); };
+  context_.replica_records_age = [this] { return fleet_.replicas_age(net::steady_now()).age; };
   context_.request_slot = [this](const Replica& replica) { request_slot(replica); };
   peers_.open();
   peers_.set_candidates(seed_datagram_addresses());
@@ -130,6 +131,7 @@
   const TimePoint now = net::steady_now();
   log_.tick(now);
   fleet_.tick(now);
+  metrics_.set_fleet_age(fleet_.configuration_age(now).age, fleet_.replicas_age(now).age);
   peers_.set_fleet_position(fleet_.replicas_position());
   peers_.set_pending_items(batch_.pending_items());
   peers_.set_log_reachable(batch_.lease_valid(now));
@@ -209,8 +211,10 @@
   }
   const RouteConfig* route = configuration->match(head.headers.get("Host"), target.path);
   if (route == nullptr) {
-    spdlog::info("online: no route host={} path={} version={}", head.headers.get("Host"),
-                 target.path, configuration->version);
+    const WatchAge age = fleet_.configuration_age(exchange->received());
+    spdlog::info("online: no route host={} path={} version={} log={} confirmedMsAgo={}",
+                 head.headers.get("Host"), target.path, configuration->version, name_of(age.state),
+                 to_ms(age.age));
     exchange->respond(404, {}, {});
   } else if (route->kind == RouteKind::kBatch) {
     batch_.submit(exchange, *route, std::nullopt);
@@ -343,6 +347,9 @@
         }
         asking_peer_ = false;
         if (outcome.failure || outcome.head.status != 200) {
+          spdlog::info("fleet: peer did not answer peer={} status={} failure={}", control_address,
+                       outcome.head.status,
+                       outcome.failure ? static_cast<int>(*outcome.failure) : -1);
           return;
         }
         if (const auto state = unpack<FleetState>(outcome.body)) {
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -32,6 +32,8 @@
   std::function<std::vector<std::string>()> peers_reaching_log = {};
   /// Asks whoever runs a batch item at a replica to break it off for an online request.
   std::function<void(const Replica&)> request_slot = {};
+  /// @return time since the log last confirmed the replicas' records.
+  std::function<Duration()> replica_records_age = {};
 };
 
 /// @return the endpoint of a replica; connections are not shared between its lives.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -41,6 +41,10 @@
                      .Register(registry_)),
       configuration_version_(make_gauge(registry_, "dockpoint_gateway_configuration_version",
                                         "Version of the routes in force.")),
+      configuration_age_(make_gauge(registry_, "dockpoint_gateway_configuration_age_seconds",
+                                    "Time since the log last confirmed the configuration.")),
+      replicas_age_(make_gauge(registry_, "dockpoint_gateway_replica_records_age_seconds",
+                               "Time since the log last confirmed the replicas' records.")),
       partitions_owned_(make_gauge(registry_, "dockpoint_gateway_partitions_owned",
                                    "Partitions of batch jobs that this node owns.")),
       log_lines_dropped_(make_gauge(registry_, "dockpoint_gateway_log_lines_dropped",
@@ -71,6 +75,11 @@
   configuration_version_.Set(static_cast<double>(version));
 }
 
+void GatewayMetrics::set_fleet_age(Duration configuration, Duration replicas) {
+  configuration_age_.Set(std::chrono::duration<double>(configuration).count());
+  replicas_age_.Set(std::chrono::duration<double>(replicas).count());
+}
+
 void GatewayMetrics::set_partitions_owned(std::size_t count) {
   partitions_owned_.Set(static_cast<double>(count));
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -24,6 +24,8 @@
   void count_item(const std::string& outcome);
   void count_log_call(const std::string& call, const std::string& outcome);
   void set_configuration_version(std::uint64_t version);
+  /// Time since the log last confirmed the configuration, and the replicas' records.
+  void set_fleet_age(Duration configuration, Duration replicas);
   void set_partitions_owned(std::size_t count);
   void set_log_lines_dropped(std::uint64_t count);
 
@@ -38,6 +40,8 @@
   prometheus::Family<prometheus::Counter>& items_;
   prometheus::Family<prometheus::Counter>& log_calls_;
   prometheus::Gauge& configuration_version_;
+  prometheus::Gauge& configuration_age_;
+  prometheus::Gauge& replicas_age_;
   prometheus::Gauge& partitions_owned_;
   prometheus::Gauge& log_lines_dropped_;
 };
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -117,12 +117,14 @@
     context_.announce_load();
   }
   if (is_sampled(info_.id) || sends_ > 1) {
+    const Duration records_age =
+        context_.replica_records_age ? context_.replica_records_age() : Duration{};
     spdlog::info(
-        "online: sent id={} route={} version={} replica={} attempt={} load={}/{} waitMs={} "
-        "missingTokens={} leftMs={}",
-        info_.id, route_.name, configuration_->version, attempt_.replica(), sends_, load_at_choice_,
-        slots_at_choice_, to_ms(choice.expected_wait), static_cast<int>(choice.missing_tokens),
-        to_ms(deadline_ - now));
+        "online: sent id={} route={} version={} replica={} recordsAgeMs={} attempt={} load={}/{} "
+        "waitMs={} missingTokens={} leftMs={}",
+        info_.id, route_.name, configuration_->version, attempt_.replica(), to_ms(records_age),
+        sends_, load_at_choice_, slots_at_choice_, to_ms(choice.expected_wait),
+        static_cast<int>(choice.missing_tokens), to_ms(deadline_ - now));
   }
 }
 
--- a/src/log/keyed_watch.cpp
+++ b/src/log/keyed_watch.cpp
@@ -1,9 +1,21 @@
 #include "dockpoint/log/keyed_watch.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dockpoint {
 
+const char* name_of(WatchState state) {
+  switch (state) {
+    case WatchState::kLoading:
+      return "loading";
+    case WatchState::kFollowing:
+      return "following";
+    default:
+      return "lost";
+  }
+}
+
 KeyedWatch::KeyedWatch(const Knobs& knobs, PartitionedLog& log, TopicPartition partition,
                        std::uint64_t seed, KeyedWatchObserver& observer, WatchMode mode)
     : knobs_(knobs),
@@ -17,6 +29,13 @@
   state_->alive = false;
 }
 
+WatchState KeyedWatch::state() const {
+  if (!state_->loaded) {
+    return WatchState::kLoading;
+  }
+  return state_->reachable ? WatchState::kFollowing : WatchState::kLost;
+}
+
 void KeyedWatch::tick(TimePoint now) {
   now_ = now;
   if (!state_->calling && now >= state_->next_call_at) {
@@ -86,7 +105,7 @@
   const auto state = state_;
   observer_.on_snapshot(records);
   if (state->alive) {
-    state->current = true;
+    state->confirmed_at = now_;
     observer_.on_current();
   }
   if (state->alive && !state->calling) {
@@ -137,6 +156,7 @@
   if (mode_ == WatchMode::kFollow && !outcome.records.empty() && state->next >= outcome.end) {
     state->next_call_at = now_ + knobs_.watch_pause;
   }
+  state->confirmed_at = now_;
   observer_.on_current();
   if (state->alive && !state->calling && now_ >= state->next_call_at) {
     proceed();
@@ -153,15 +173,16 @@
   state_->next_call_at = now_ + Duration(spread(random_));
   if (state_->reachable) {
     state_->reachable = false;
-    observer_.on_reachable(false);
+    observer_.on_reachable(false, now_ - state_->answered_at);
   }
 }
 
 void KeyedWatch::succeed() {
   state_->failures = 0;
+  const Duration silence = now_ - std::exchange(state_->answered_at, now_);
   if (!state_->reachable) {
     state_->reachable = true;
-    observer_.on_reachable(true);
+    observer_.on_reachable(true, silence);
   }
 }
 
--- a/tests/log/keyed_watch_test.cpp
+++ b/tests/log/keyed_watch_test.cpp
@@ -46,7 +46,7 @@
     }
   }
   void on_current() override {}
-  void on_reachable(bool reachable) override { losses += reachable ? 0 : 1; }
+  void on_reachable(bool reachable, Duration /*silence*/) override { losses += reachable ? 0 : 1; }
 };
 
 }  // namespace
