Derive the waits of a watch from the bound on the age of what a node believes

Cause: a read that waits 2.5 s for records and is lost without a sign (the log is silent, its connection dead) held the watch for 3.25 s, then up to 1.2 s of pause: longer than the 2 s within which a configuration must be in force and a drain be known. Class: a time limit that stands beside a bound by chance, and a sign of life (the read's answer) that is the same as the news it waits for. As the silence begins for all nodes at once they are in step, and no peer knows more.

Change: FreshnessBudget shares the bound out among wait, time limit, pause and answer; the settings give the bound. While the log is lost no read waits. Waits are drawn at random, and longer where many nodes follow and tell each other. A node that is behind its peers goes on asking until it has caught up; an overdue read counts as a reason to ask.

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -110,7 +110,6 @@
   double overload_return_earliest = 0.12;  ///< it may come back after so much of its time,
   double overload_return_latest = 0.32;    ///< or so much: callers wait no more than a third.
 
-  Duration fleet_lag = 250ms;   ///< A node that is behind its peers for longer asks one.
   Duration removal_grace = 2s;  ///< For records that lapsed while the log was away to come back.
 
   // Batch items.
@@ -150,11 +149,12 @@
   Duration quota_retry_latest = 10s;      ///< for room under the limit.
 
   // The platform's log.
-  Duration watch_wait = 2500ms;      ///< A read waits this long for records.
+  Duration freshness_bound = 2s;     ///< From a record's confirmation until all nodes act on it, as
+                                     ///< the settings ask; see FreshnessBudget.
   Duration watch_pause = 200ms;      ///< After records the next read waits this long, so that many
                                      ///< records in a row come in few reads. A tenth of the 2 s
                                      ///< within which a drain or a configuration must be in force.
-  Duration log_retry_delay = 150ms;  ///< After a failed call; doubled and spread at random.
+  Duration log_retry_delay = 150ms;  ///< After a failed write; doubled and spread at random.
   Duration log_retry_delay_limit = 1200ms;
   Duration log_hedge_delay = 120ms;  ///< A write without an answer is sent again after this time;
   int log_hedge_calls = 3;           ///< so many calls at most, each waits twice as long.
--- a/include/dockpoint/core/time.hpp
+++ b/include/dockpoint/core/time.hpp
@@ -26,7 +26,7 @@
 using UnixSeconds = std::int64_t;
 
 /// @return whole milliseconds of a duration.
-inline std::int64_t to_ms(Duration duration) {
+constexpr std::int64_t to_ms(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
--- a/include/dockpoint/log/keyed_watch.hpp
+++ b/include/dockpoint/log/keyed_watch.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "dockpoint/core/knobs.hpp"
+#include "dockpoint/log/freshness_budget.hpp"
 #include "dockpoint/log/partitioned_log.hpp"
 
 /// Following one partition of a compacted topic.
@@ -29,7 +30,8 @@
 /// How a watch stands to its partition.
 enum class WatchState {
   kLoading,    ///< Nothing was told yet, or history is gone and is loaded anew.
-  kFollowing,  ///< The last call succeeded.
+  kFollowing,  ///< The last call succeeded, and none is overdue.
+  kOverdue,    ///< The call under way should have been answered by now: the log may be silent.
   kLost,       ///< The last call failed.
 };
 
@@ -43,9 +45,10 @@
 };
 
 /// Loads the newest records page by page, then follows the log. When history is gone it loads anew.
-/// Failed calls are repeated with a growing, random pause. After a read that brought the records up
-/// to the end the next one waits a little (`Knobs::watch_pause`): hundreds of replicas that
-/// register one after the other would cost every node a call each.
+/// Waits, time limits and pauses are those of `FreshnessBudget`: a read that is lost without a sign
+/// must not keep the watch from news for longer than the bound. After a read that brought the
+/// records up to the end the next one waits a little (`Knobs::watch_pause`): hundreds of replicas
+/// that register one after the other would cost every node a call each.
 ///
 /// Not thread-safe; borrows log and observer. May be destroyed at any time.
 class KeyedWatch {
@@ -57,11 +60,14 @@
   /// Starts what is due; call several times a second.
   void tick(TimePoint now);
 
+  /// @param count other nodes that follow the partition and tell this one when they are ahead.
+  void set_peers(std::size_t count) { peers_ = count; }
+
   /// Reads what was appended until now, if the watch reads on demand; `on_current` is told when it
   /// has. A read that is under way does not count: it may have begun before.
   void refresh();
 
-  WatchState state() const;
+  WatchState state(TimePoint now) const;
   /// @return when the log last confirmed that everything up to the end of the partition was told;
   /// the start of time: never.
   TimePoint confirmed_at() const { return state_->confirmed_at; }
@@ -78,6 +84,7 @@
     bool wanted = false;       ///< A refresh was asked for after the read under way began.
     TimePoint next_call_at{};  ///< After a failure, or after records that may not come alone.
     int failures = 0;
+    TimePoint overdue_at{};    ///< Of the call under way.
     TimePoint answered_at{};   ///< The last call that succeeded.
     TimePoint confirmed_at{};  ///< The end of the partition was reached.
     LogOffset next = 0;
@@ -102,6 +109,8 @@
   std::mt19937_64 random_;
   KeyedWatchObserver& observer_;
   const WatchMode mode_;
+  const FreshnessBudget budget_;
+  std::size_t peers_ = 0;
   TimePoint now_{};
   std::shared_ptr<State> state_ = std::make_shared<State>();
 };
--- a/include/dockpoint/log/partitioned_log.hpp
+++ b/include/dockpoint/log/partitioned_log.hpp
@@ -59,6 +59,12 @@
   LogOffset end = 0;  ///< End of the partition when it was read.
 };
 
+/// Time that a read may take.
+struct ReadTimes {
+  Duration wait{};   ///< For a record, where there is none yet.
+  Duration limit{};  ///< For the answer, beyond the wait; then the read is given up as `kUnknown`.
+};
+
 struct NewestOutcome {
   LogStatus status = LogStatus::kUnknown;
   std::vector<KeyedRecord> records;  ///< In order of key.
@@ -99,7 +105,7 @@
 };
 
 /// The log. Calls return at once; each callback comes once, later, on the thread of the caller's
-/// event loop, within a time limit of the implementation.
+/// event loop, within a time limit: of the caller for reads, of the implementation for all others.
 class PartitionedLog {
  public:
   virtual ~PartitionedLog() = default;
@@ -116,8 +122,8 @@
   virtual void append_at(const TopicPartition& partition, LogOffset expected_end,
                          const std::vector<KeyedRecord>& records,
                          std::function<void(AppendOutcome)> done) = 0;
-  /// Reads from an offset on; waits up to `wait` for a record.
-  virtual void read(const TopicPartition& partition, LogOffset from, Duration wait,
+  /// Reads from an offset on.
+  virtual void read(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
                     std::function<void(ReadOutcome)> done) = 0;
   /// Reads the newest record of each key behind `after_key`, a page at a time. The pages do not
   /// form a snapshot.
--- a/src/emulator/memory_log.cpp
+++ b/src/emulator/memory_log.cpp
@@ -10,8 +10,6 @@
 constexpr Duration kLatency = std::chrono::milliseconds(4);
 /// Time after which a caller gives an answer up.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1500);
-/// The same for a read, after the time that it may wait for records.
-constexpr Duration kReadTimeout = std::chrono::milliseconds(750);
 /// Records in one page.
 constexpr std::size_t kPageRecords = 50;
 /// Answers that are given again when an append is repeated.
@@ -43,7 +41,7 @@
     const bool ready = !outcome.records.empty() || outcome.status != LogStatus::kOk;
     read.dead = read.dead || faults.silent;
     if (read.dead || faults.down) {
-      if (now >= read.deadline + kReadTimeout) {
+      if (now >= read.deadline + read.limit) {
         read.done({LogStatus::kUnknown, {}, 0});
       } else {
         waiting_.push_back(std::move(read));
@@ -158,14 +156,15 @@
   return outcome;
 }
 
-void MemoryLog::read(const TopicPartition& partition, LogOffset from, Duration wait,
+void MemoryLog::read(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
                      std::function<void(ReadOutcome)> done) {
   ++reads_;
   if (faults.down) {
     answer([done = std::move(done)] { done({LogStatus::kRefused, {}, 0}); });
     return;
   }
-  waiting_.push_back({partition, from, now_ + wait, std::move(done), faults.silent});
+  waiting_.push_back(
+      {partition, from, now_ + times.wait, times.limit, std::move(done), faults.silent});
 }
 
 void MemoryLog::newest(const TopicPartition& id, const std::string& after_key,
--- a/src/emulator/memory_log.hpp
+++ b/src/emulator/memory_log.hpp
@@ -50,7 +50,7 @@
   void append_at(const TopicPartition& partition, LogOffset expected_end,
                  const std::vector<KeyedRecord>& records,
                  std::function<void(AppendOutcome)> done) override;
-  void read(const TopicPartition& partition, LogOffset from, Duration wait,
+  void read(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
             std::function<void(ReadOutcome)> done) override;
   void newest(const TopicPartition& partition, const std::string& after_key,
               std::function<void(NewestOutcome)> done) override;
@@ -97,6 +97,7 @@
     TopicPartition partition;
     LogOffset from = 0;
     TimePoint deadline{};
+    Duration limit{};  ///< After the deadline the caller gives the read up.
     std::function<void(ReadOutcome)> done;
     bool dead = false;  ///< Nothing comes on its connection any more.
   };
--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -24,7 +24,10 @@
         on_reachable_(std::move(on_reachable)),
         watch_(knobs, log, std::move(partition), seed, *this) {}
 
-  void tick(TimePoint now) { watch_.tick(now); }
+  void tick(TimePoint now, std::size_t peers) {
+    watch_.set_peers(peers);
+    watch_.tick(now);
+  }
   const KeyedWatch& watch() const { return watch_; }
 
   void on_snapshot(const std::vector<KeyedRecord>& records) override { on_snapshot_(records); }
@@ -92,13 +95,13 @@
 
 FleetWatch::~FleetWatch() = default;
 
-void FleetWatch::tick(TimePoint now) {
+void FleetWatch::tick(TimePoint now, std::size_t peers) {
   if (started_at_ == TimePoint{}) {
     started_at_ = now;
   }
   now_ = now;
-  configuration_follower_->tick(now);
-  replica_follower_->tick(now);
+  configuration_follower_->tick(now, peers);
+  replica_follower_->tick(now, peers);
   for (const std::string& id : removal_grace_.take_due(now)) {
     remove_replica(id);
   }
@@ -221,14 +224,14 @@
   retain_replicas(ids);
 }
 
-bool FleetWatch::needs_peer() const {
-  return replica_follower_->watch().state() != WatchState::kFollowing ||
-         configuration_follower_->watch().state() != WatchState::kFollowing;
+bool FleetWatch::needs_peer(TimePoint now) const {
+  return replicas_age(now).state != WatchState::kFollowing ||
+         configuration_age(now).state != WatchState::kFollowing;
 }
 
 WatchAge FleetWatch::age_of(const Follower& follower, TimePoint now) const {
   const TimePoint confirmed_at = follower.watch().confirmed_at();
-  return {follower.watch().state(), now - std::max(confirmed_at, started_at_)};
+  return {follower.watch().state(now), now - std::max(confirmed_at, started_at_)};
 }
 
 WatchAge FleetWatch::configuration_age(TimePoint now) const {
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -54,7 +54,8 @@
              const FleetTopics& topics, std::uint64_t seed, ConfigurationChanged on_change);
   ~FleetWatch();
 
-  void tick(TimePoint now);
+  /// @param peers nodes that reach the log and tell this one when they are ahead of it.
+  void tick(TimePoint now, std::size_t peers);
 
   /// @return what this node knows, for a peer; owners are left empty.
   FleetState state() const;
@@ -67,7 +68,7 @@
   LogOffset replicas_position() const;
 
   /// @return whether the node should ask a peer: it lacks something that the log does not give.
-  bool needs_peer() const;
+  bool needs_peer(TimePoint now) const;
   /// @return what the node can say of the age of the configuration, and of the replicas' records.
   WatchAge configuration_age(TimePoint now) const;
   WatchAge replicas_age(TimePoint now) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,13 +31,15 @@
 /// Callers that are sent elsewhere may go at once.
 constexpr const char* kElsewhereRetryAfter = "0.02";
 
+/// A caller whose route this node may not know yet: the next question to a peer is answered by
+/// then.
+constexpr const char* kUnsureRetryAfter = "0.5";
+
 /// Batch items may end for this long after the order to stop.
 constexpr Duration kItemGrace = std::chrono::milliseconds(2500);
 
-constexpr Duration kPeerQuestionInterval = std::chrono::milliseconds(400);
 /// Answers with the fleet's state that are under way at once; one may be a megabyte.
 constexpr std::size_t kStateAnswersAtOnce = 2;
-constexpr Duration kPeerQuestionTimeout = std::chrono::milliseconds(700);
 
 std::uint64_t start_number() {
   return static_cast<std::uint64_t>(net::unix_now_ms());
@@ -52,6 +54,7 @@
       settings_(std::move(settings)),
       parts_(parts),
       run_(start_number()),
+      freshness_(knobs.freshness_bound),
       replicas_(knobs),
       selector_(knobs, replicas_, settings_.zone, combine_hash(hash64(settings_.node), run_)),
       context_{loop,          knobs,     parts.traffic, client,
@@ -130,7 +133,7 @@
 void Gateway::tick() {
   const TimePoint now = net::steady_now();
   log_.tick(now);
-  fleet_.tick(now);
+  fleet_.tick(now, peers_.peers_reaching_log());
   metrics_.set_fleet_age(fleet_.configuration_age(now).age, fleet_.replicas_age(now).age);
   peers_.set_fleet_position(fleet_.replicas_position());
   peers_.set_pending_items(batch_.pending_items());
@@ -144,7 +147,7 @@
   for (net::HttpServer* server : {&frontend_, &readiness_, &resolver_, &control_}) {
     server->tick(now);
   }
-  if (fleet_.needs_peer()) {
+  if (fleet_.needs_peer(now)) {
     ask_some_peer(now);
   }
   if (stopping_) {
@@ -211,11 +214,7 @@
   }
   const RouteConfig* route = configuration->match(head.headers.get("Host"), target.path);
   if (route == nullptr) {
-    const WatchAge age = fleet_.configuration_age(exchange->received());
-    spdlog::info("online: no route host={} path={} version={} log={} confirmedMsAgo={}",
-                 head.headers.get("Host"), target.path, configuration->version, name_of(age.state),
-                 to_ms(age.age));
-    exchange->respond(404, {}, {});
+    refuse_without_route(exchange, target.path);
   } else if (route->kind == RouteKind::kBatch) {
     batch_.submit(exchange, *route, std::nullopt);
   } else {
@@ -223,6 +222,20 @@
   }
 }
 
+void Gateway::refuse_without_route(const net::ExchangePtr& exchange, std::string_view path) {
+  const WatchAge age = fleet_.configuration_age(exchange->received());
+  spdlog::info("online: no route host={} path={} version={} log={} confirmedMsAgo={}",
+               exchange->request().headers.get("Host"), path, context_.configuration->version,
+               name_of(age.state), to_ms(age.age));
+  if (age.state == WatchState::kFollowing) {
+    exchange->respond(404, {}, {});
+    return;
+  }
+  // The route may have been added since the log was lost. A caller takes 404 as final; after 503 it
+  // asks another node, which may know.
+  exchange->respond(503, {{"Retry-After", kUnsureRetryAfter}}, {});
+}
+
 void Gateway::serve_readiness(const net::ExchangePtr& exchange) {
   const bool ready = !stopping_ && fleet_.has_configuration();
   exchange->respond(ready ? 200 : 503, {}, {});
@@ -308,7 +321,7 @@
   }
   const std::vector<std::string> addresses = peers_to_ask();
   if (!addresses.empty()) {
-    next_peer_question_ = now + kPeerQuestionInterval;
+    next_peer_question_ = now + freshness_.question_interval();
     // Each node begins at another peer: many may ask at once, after a restart of all.
     ask_peer(addresses[(hash64(settings_.node) + peer_questions_++) % addresses.size()]);
   }
@@ -339,8 +352,12 @@
   asking_peer_ = true;
   const net::RequestHead head{
       "GET", fleet_state_target(fleet_.knowledge()), {{"Host", control_address}}};
+  // A kept connection may be silent for good while new ones work.
+  net::CallOptions options;
+  options.maximum_idle = Duration{};
   net::SimpleCall::start(
-      context_.client, loop_, {*address, "control"}, net::serialize(head), {}, kPeerQuestionTimeout,
+      context_.client, loop_, {*address, "control"}, net::serialize(head), options,
+      freshness_.question_limit(),
       [this, alive = alive_, control_address](const net::SimpleCall::Outcome& outcome) {
         if (!*alive) {
           return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -66,6 +66,8 @@
   void request_slot(const Replica& replica);
   void take_slot_request(const SlotRequest& request);
   void serve_frontend(const net::ExchangePtr& exchange);
+  /// No route of the configuration in force matches the request.
+  void refuse_without_route(const net::ExchangePtr& exchange, std::string_view path);
   void serve_readiness(const net::ExchangePtr& exchange);
   void serve_resolver(const net::ExchangePtr& exchange);
   void serve_control(const net::ExchangePtr& exchange);
@@ -83,6 +85,7 @@
   GatewaySettings settings_;
   const GatewayParts parts_;
   const std::uint64_t run_;
+  const FreshnessBudget freshness_;
   GatewayMetrics metrics_;
   ReplicaDirectory replicas_;
   ReplicaSelector selector_;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -1,11 +1,13 @@
 #include "gateway/gateway_settings.hpp"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
 #include "dockpoint/core/address.hpp"
 #include "dockpoint/core/json_reader.hpp"
 #include "dockpoint/core/knob_table.hpp"
+#include "dockpoint/log/freshness_budget.hpp"
 
 namespace dockpoint {
 namespace {
@@ -15,6 +17,8 @@
 constexpr std::int64_t kLargestBytes = 1'000'000'000;
 constexpr double kDefaultAddressLifetimeSeconds = 2;
 constexpr double kDefaultGraceSeconds = 10;
+constexpr std::int64_t kDefaultFreshnessMs = 2'000;
+constexpr std::int64_t kLargestFreshnessMs = 600'000;
 
 std::string address(ObjectReader& section, const std::string& key, bool required) {
   const std::string text = required ? section.required_text(key) : section.text(key);
@@ -29,6 +33,17 @@
       std::chrono::duration<double>(section.number(key, 0.0, fallback)));
 }
 
+/// @return the shorter of the two bounds on the age of what a node acts on.
+Duration read_freshness_bound(ObjectReader& times) {
+  constexpr std::int64_t kShortestMs = to_ms(FreshnessBudget::kShortestBound);
+  const auto bound = [&](const char* key) {
+    return times.integer(key, {kShortestMs, kLargestFreshnessMs}, kDefaultFreshnessMs);
+  };
+  const std::int64_t configuration = bound("configuration_in_force_ms");
+  const std::int64_t drain = bound("drain_known_ms");
+  return std::chrono::milliseconds(std::min(configuration, drain));
+}
+
 void read_experiment(ObjectReader& section, Knobs& knobs) {
   for (const std::string& name : section.keys()) {
     const double value = section.number(name, 0.0, 0.0);
@@ -72,6 +87,7 @@
   ObjectReader times = root.object("times");
   settings.address_lifetime = seconds(times, "address_lifetime_s", kDefaultAddressLifetimeSeconds);
   settings.grace = seconds(times, "grace_s", kDefaultGraceSeconds);
+  settings.knobs.freshness_bound = read_freshness_bound(times);
   times.reject_unknown_keys();
   ObjectReader experiment = root.object("experiment");
   read_experiment(experiment, settings.knobs);
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -34,6 +34,7 @@
 PeerLink::PeerLink(GatewayContext& context, const PeerAddresses& addresses, std::string zone,
                    std::uint64_t run, PeerAhead on_peer_ahead, SlotRequested on_slot_requested)
     : context_(context),
+      freshness_(context.knobs.freshness_bound),
       addresses_(addresses),
       membership_(context.knobs, self_member(context, addresses, zone, run), run, *this),
       relay_(context.node, zone),
@@ -95,6 +96,10 @@
   context_.replicas.expire_peer_loads(now);
   // In a small fleet a silent member is told too: it may hear, though it is not heard.
   const std::vector<const Member*> alive = membership_.alive();
+  peers_reaching_log_ =
+      static_cast<std::size_t>(std::count_if(alive.begin(), alive.end(), [&](const Member* member) {
+        return said_to_reach_log(*member, now);
+      }));
   relay_.set_members(alive.size() <= LoadRelay::kDirectNodes ? alive : members_heard(now));
   const std::string bytes =
       encode(LoadDigest{own_key_, configuration_version_, fleet_position_, log_reachable_,
@@ -215,10 +220,12 @@
 
 std::vector<std::string> PeerLink::control_addresses_reaching_log() const {
   const TimePoint now = net::steady_now();
-  return control_addresses_of([&](const Member& member) {
-    const auto told = reaches_log_.find(node_key(member.id));
-    return told != reaches_log_.end() && told->second && !silent(member, now);
-  });
+  return control_addresses_of([&](const Member& member) { return said_to_reach_log(member, now); });
+}
+
+bool PeerLink::said_to_reach_log(const Member& member, TimePoint now) const {
+  const auto told = reaches_log_.find(node_key(member.id));
+  return told != reaches_log_.end() && told->second && !silent(member, now);
 }
 
 std::vector<std::string> PeerLink::control_addresses_of(
@@ -334,11 +341,11 @@
   if (position <= fleet_position_) {
     return;
   }
-  // The log tells all nodes at almost the same time; only one that stays behind asks.
+  // The log tells all nodes at almost the same time; only one that stays behind asks, with each
+  // digest of a node that is ahead until it has caught up: a question may go unanswered.
   if (behind_since_ == TimePoint{}) {
     behind_since_ = now;
-  } else if (now - behind_since_ > context_.knobs.fleet_lag) {
-    behind_since_ = {};
+  } else if (now - behind_since_ > freshness_.peer_lag()) {
     on_peer_ahead_(control_address);
   }
 }
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "dockpoint/log/freshness_budget.hpp"
 #include "dockpoint/membership/digest_collector.hpp"
 #include "dockpoint/membership/load_relay.hpp"
 #include "dockpoint/membership/membership.hpp"
@@ -65,6 +66,8 @@
   std::vector<std::string> zone_control_addresses() const;
   /// @return the same, of the nodes that have said lately that they reach the log.
   std::vector<std::string> control_addresses_reaching_log() const;
+  /// @return nodes heard lately that said that they reach the log, as of the last digest sent.
+  std::size_t peers_reaching_log() const { return peers_reaching_log_; }
   /// @return whether a node that counts as alive has last said that it reaches the log.
   bool some_peer_reaches_log() const;
 
@@ -91,9 +94,12 @@
   void send_collection(TimePoint now);
   /// @param bytes as received, to be passed on.
   void take_collection(std::string_view bytes, TimePoint now);
+  /// @return whether the member was heard lately and has last said that it reaches the log.
+  bool said_to_reach_log(const Member& member, TimePoint now) const;
   std::vector<const Member*> members_heard(TimePoint now) const;
 
   GatewayContext& context_;
+  const FreshnessBudget freshness_;
   const PeerAddresses addresses_;
   Membership membership_;
   LoadRelay relay_;
@@ -114,6 +120,7 @@
   std::unordered_map<std::uint32_t, TimePoint> last_heard_;  ///< By node_key, of any sign of life.
   std::unordered_map<std::uint32_t, bool> reaches_log_;      ///< By node_key, as it last said.
   bool log_reachable_ = false;
+  std::size_t peers_reaching_log_ = 0;
   std::uint32_t pending_items_ = 0;
   TimePoint last_tick_{};
   TimePoint silence_counts_from_{};
--- a/src/log/hedged_log.cpp
+++ b/src/log/hedged_log.cpp
@@ -124,9 +124,9 @@
       std::move(done));
 }
 
-void HedgedLog::read(const TopicPartition& partition, LogOffset from, Duration wait,
+void HedgedLog::read(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
                      std::function<void(ReadOutcome)> done) {
-  log_.read(partition, from, wait, std::move(done));
+  log_.read(partition, from, times, std::move(done));
 }
 
 void HedgedLog::newest(const TopicPartition& partition, const std::string& after_key,
--- a/src/log/keyed_watch.cpp
+++ b/src/log/keyed_watch.cpp
@@ -11,6 +11,8 @@
       return "loading";
     case WatchState::kFollowing:
       return "following";
+    case WatchState::kOverdue:
+      return "overdue";
     default:
       return "lost";
   }
@@ -23,17 +25,22 @@
       partition_(std::move(partition)),
       random_(seed),
       observer_(observer),
-      mode_(mode) {}
+      mode_(mode),
+      budget_(knobs.freshness_bound) {}
 
 KeyedWatch::~KeyedWatch() {
   state_->alive = false;
 }
 
-WatchState KeyedWatch::state() const {
+WatchState KeyedWatch::state(TimePoint now) const {
   if (!state_->loaded) {
     return WatchState::kLoading;
   }
-  return state_->reachable ? WatchState::kFollowing : WatchState::kLost;
+  if (!state_->reachable) {
+    return WatchState::kLost;
+  }
+  const bool overdue = state_->calling && now >= state_->overdue_at;
+  return overdue ? WatchState::kOverdue : WatchState::kFollowing;
 }
 
 void KeyedWatch::tick(TimePoint now) {
@@ -116,8 +123,13 @@
 void KeyedWatch::follow() {
   state_->calling = true;
   state_->wanted = false;
-  const Duration wait = mode_ == WatchMode::kFollow ? knobs_.watch_wait : Duration{};
-  log_.read(partition_, state_->next, wait, [this, state = state_](ReadOutcome outcome) {
+  // While the log is lost no read waits for records: one that begins just before the log's return
+  // would hide it for the whole wait (2.5 s and more, at all nodes at once).
+  const bool waits = mode_ == WatchMode::kFollow && state_->reachable;
+  const Duration wait = waits ? budget_.draw_wait(peers_, random_) : Duration{};
+  const Duration limit = budget_.read_limit(state_->failures);
+  state_->overdue_at = now_ + wait + limit / 2;
+  log_.read(partition_, state_->next, {wait, limit}, [this, state = state_](ReadOutcome outcome) {
     if (state->alive) {
       state->calling = false;
       take_records(std::move(outcome));
@@ -166,11 +178,7 @@
 void KeyedWatch::fail() {
   state_->wanted = true;
   ++state_->failures;
-  const int doublings = std::min(state_->failures - 1, 4);
-  const Duration limit =
-      std::min(knobs_.log_retry_delay * (1 << doublings), knobs_.log_retry_delay_limit);
-  std::uniform_int_distribution<std::int64_t> spread(limit.count() / 2, limit.count());
-  state_->next_call_at = now_ + Duration(spread(random_));
+  state_->next_call_at = now_ + budget_.draw_pause(state_->failures, random_);
   if (state_->reachable) {
     state_->reachable = false;
     observer_.on_reachable(false, now_ - state_->answered_at);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -138,6 +138,10 @@
   }
 }
 
+void HttpClient::abandon_idle(const Endpoint& endpoint) {
+  retain([&](const Endpoint& kept) { return kept < endpoint || endpoint < kept; });
+}
+
 void HttpClient::retain(const std::function<bool(const Endpoint&)>& keep) {
   for (auto entry = idle_.begin(); entry != idle_.end();) {
     if (keep(entry->first)) {
@@ -391,16 +395,22 @@
   simple->self_ = simple;
   simple->done_ = std::move(done);
   simple->timer_->timer.expires_after(timeout);
-  simple->timer_->timer.async_wait([weak = std::weak_ptr(simple)](const ErrorCode& error) {
-    const auto self = weak.lock();
-    if (!error && self) {
-      const bool sent = self->call_ && self->call_->sent();
-      if (self->call_) {
-        self->call_->cancel();
-      }
-      self->finish(sent ? CallFailure::kNoAnswer : CallFailure::kNotSent);
-    }
-  });
+  simple->timer_->timer.async_wait(
+      [weak = std::weak_ptr(simple), &client, endpoint](const ErrorCode& error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+          const bool sent = self->call_ && self->call_->sent();
+          if (sent && self->call_->reused()) {
+            // All connections may have gone silent together: each later call would wait in vain
+            // too.
+            client.abandon_idle(endpoint);
+          }
+          if (self->call_) {
+            self->call_->cancel();
+          }
+          self->finish(sent ? CallFailure::kNoAnswer : CallFailure::kNotSent);
+        }
+      });
   simple->call_ = client.start(endpoint, std::move(bytes), options, *simple);
   return simple;
 }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -113,6 +113,8 @@
   CallPtr start(const Endpoint& endpoint, std::string bytes, const CallOptions& options,
                 CallObserver& observer);
 
+  /// Closes the kept connections of an endpoint.
+  void abandon_idle(const Endpoint& endpoint);
   /// Closes kept connections to servers that `keep` does not name any more.
   void retain(const std::function<bool(const Endpoint&)>& keep);
   /// Enforces timeouts; call several times a second.
--- a/tests/batch/partition_ownership_test.cpp
+++ b/tests/batch/partition_ownership_test.cpp
@@ -63,10 +63,10 @@
       log_.append_at(partition, expected_end, records, std::move(done));
     }
   }
-  void read(const TopicPartition& partition, LogOffset from, Duration wait,
+  void read(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
             std::function<void(ReadOutcome)> done) override {
     if (!lost([done] { done({}); })) {
-      log_.read(partition, from, wait, std::move(done));
+      log_.read(partition, from, times, std::move(done));
     }
   }
   void newest(const TopicPartition& partition, const std::string& after_key,
--- a/tests/gateway/fleet_watch_test.cpp
+++ b/tests/gateway/fleet_watch_test.cpp
@@ -39,7 +39,7 @@
     const std::int64_t end = now + milliseconds;
     for (; now < end; now += 10) {
       log.advance(at(now));
-      watch.tick(at(now));
+      watch.tick(at(now), 0);
     }
   }
   std::size_t ready() const { return directory.ready("lm").size(); }
--- a/tests/platform/stand_in_store.hpp
+++ b/tests/platform/stand_in_store.hpp
@@ -35,6 +35,9 @@
  private:
   using Json = nlohmann::json;
 
+  /// A silent read is dropped after this time; its caller has given it up long before.
+  static constexpr Duration kAnswerLimit = std::chrono::seconds(1);
+
   static std::string number_bytes(std::uint64_t number, int bytes) {
     std::string text;
     for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8) {
@@ -95,7 +98,7 @@
     } else if (target.path == "/v1/log-read") {
       const LogOffset from = std::strtoull(text("rangeStart").c_str(), nullptr, 10);
       const Duration wait = std::chrono::milliseconds(std::atoi(text("waitMs").c_str()));
-      log.read(partition, from, wait, [exchange](const ReadOutcome& outcome) {
+      log.read(partition, from, {wait, kAnswerLimit}, [exchange](const ReadOutcome& outcome) {
         if (refused(exchange, outcome.status)) {
           return;
         }
