CatchUp decides whom a node asks; after a call without an answer no kept connection to that server is used

Change: the rule leaves Gateway and PeerLink for a class without I/O, membership/catch_up; a node that is behind asks with each digest until it has caught up; questions take new connections; a call that times out on a kept connection closes the others to that server. http_client/after_a_call_without_an_answer... fails without the last (3 connections, 4 due).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -64,11 +64,16 @@
       log_(knobs, parts.log),
       fleet_(context_, log_, parts.fleet_reader, parts.fleet_topics, hash64(settings_.node),
              [this] { apply_configuration(); }),
+      catch_up_(freshness_, hash64(settings_.node)),
       peers_(
           context_,
           {settings_.datagram_address, settings_.frontend_address, settings_.control_address},
           settings_.zone, run_,
-          [this](const std::string& control_address) { ask_peer(control_address); },
+          [this](const FleetPosition& position, const std::string& control_address) {
+            const TimePoint now = net::steady_now();
+            catch_up_.heard(position, control_address, now);
+            catch_up(now);
+          },
           [this](const SlotRequest& request) { take_slot_request(request); }),
       batch_(context_, log_, parts.batch_topics, {settings_.control_address, run_},
              combine_hash(hash64(settings_.node), run_)),
@@ -135,7 +140,7 @@
   log_.tick(now);
   fleet_.tick(now, peers_.peers_reaching_log());
   metrics_.set_fleet_age(fleet_.configuration_age(now).age, fleet_.replicas_age(now).age);
-  peers_.set_fleet_position(fleet_.replicas_position());
+  announce_knowledge();
   peers_.set_pending_items(batch_.pending_items());
   peers_.set_log_reachable(batch_.lease_valid(now));
   peers_.tick(now);
@@ -147,9 +152,7 @@
   for (net::HttpServer* server : {&frontend_, &readiness_, &resolver_, &control_}) {
     server->tick(now);
   }
-  if (fleet_.needs_peer(now)) {
-    ask_some_peer(now);
-  }
+  catch_up(now);
   if (stopping_) {
     tick_stop(now);
   }
@@ -190,7 +193,7 @@
   const IngressLimits& limits = context_.configuration->limits;
   frontend_.set_limits(
       {limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
-  peers_.set_configuration_version(context_.configuration->version);
+  announce_knowledge();
 }
 
 void Gateway::serve_frontend(const net::ExchangePtr& exchange) {
@@ -315,29 +318,25 @@
   exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text());
 }
 
-void Gateway::ask_some_peer(TimePoint now) {
-  if (now < next_peer_question_) {
-    return;
-  }
-  const std::vector<std::string> addresses = peers_to_ask();
-  if (!addresses.empty()) {
-    next_peer_question_ = now + freshness_.question_interval();
-    // Each node begins at another peer: many may ask at once, after a restart of all.
-    ask_peer(addresses[(hash64(settings_.node) + peer_questions_++) % addresses.size()]);
-  }
+void Gateway::announce_knowledge() {
+  const FleetKnowledge known = fleet_.knowledge();
+  peers_.set_fleet_position({known.version, known.replicas_position});
 }
 
-std::vector<std::string> Gateway::peers_to_ask() const {
-  // Bytes between zones are dear, but a zone may know nothing as a whole: every second question
-  // goes to any zone.
-  std::vector<std::string> addresses;
-  if (peer_questions_ % 2 == 0) {
-    addresses = peers_.zone_control_addresses();
+void Gateway::catch_up(TimePoint now) {
+  const FleetKnowledge known = fleet_.knowledge();
+  catch_up_.set_known({known.version, known.replicas_position});
+  const auto address = catch_up_.next_question(
+      now, !fleet_.needs_peer(now), [this](bool own_zone) { return peers_to_ask(own_zone); });
+  if (address) {
+    ask_peer(*address);
   }
-  if (addresses.empty()) {
-    addresses = peers_.control_addresses();
-  }
-  if (addresses.empty()) {
+}
+
+std::vector<std::string> Gateway::peers_to_ask(bool own_zone) const {
+  std::vector<std::string> addresses =
+      own_zone ? peers_.zone_control_addresses() : peers_.control_addresses();
+  if (addresses.empty() && !own_zone) {
     addresses = settings_.seeds;
   }
   std::erase(addresses, settings_.control_address);
@@ -346,10 +345,11 @@
 
 void Gateway::ask_peer(const std::string& control_address) {
   const std::optional<Address> address = Address::parse(control_address);
-  if (asking_peer_ || !address) {
+  if (!address) {
+    spdlog::warn("fleet: address of a peer cannot be read address={}", control_address);
+    catch_up_.question_ended();
     return;
   }
-  asking_peer_ = true;
   const net::RequestHead head{
       "GET", fleet_state_target(fleet_.knowledge()), {{"Host", control_address}}};
   // A kept connection may be silent for good while new ones work.
@@ -362,7 +362,7 @@
         if (!*alive) {
           return;
         }
-        asking_peer_ = false;
+        catch_up_.question_ended();
         if (outcome.failure || outcome.head.status != 200) {
           spdlog::info("fleet: peer did not answer peer={} status={} failure={}", control_address,
                        outcome.head.status,
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -74,10 +74,13 @@
   /// Takes a job that another node could not bring into the log.
   void serve_forwarded_job(const net::ExchangePtr& exchange);
   void serve_metrics(const net::ExchangePtr& exchange);
+  /// Tells the other nodes, with the next digest, how far this node's knowledge reaches.
+  void announce_knowledge();
+  /// Asks a peer what it knows of the fleet, if it is time to.
+  void catch_up(TimePoint now);
   void ask_peer(const std::string& control_address);
-  void ask_some_peer(TimePoint now);
   /// @return control addresses of nodes that may know the fleet.
-  std::vector<std::string> peers_to_ask() const;
+  std::vector<std::string> peers_to_ask(bool own_zone) const;
   std::vector<std::string> seed_datagram_addresses() const;
 
   boost::asio::io_context& loop_;
@@ -93,6 +96,7 @@
   OnlineProxy online_;
   HedgedLog log_;
   FleetWatch fleet_;
+  CatchUp catch_up_;
   PeerLink peers_;
   BatchService batch_;
   net::HttpServer frontend_;
@@ -101,9 +105,6 @@
   net::HttpServer control_;
   net::HttpServer metrics_server_;
   boost::asio::steady_timer timer_;
-  TimePoint next_peer_question_{};
-  bool asking_peer_ = false;
-  std::size_t peer_questions_ = 0;
   std::vector<std::weak_ptr<net::Exchange>> state_answers_;  ///< Under way.
   TimePoint stop_requested_at_{};
   TimePoint last_caller_at_{};
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -34,7 +34,6 @@
 PeerLink::PeerLink(GatewayContext& context, const PeerAddresses& addresses, std::string zone,
                    std::uint64_t run, PeerAhead on_peer_ahead, SlotRequested on_slot_requested)
     : context_(context),
-      freshness_(context.knobs.freshness_bound),
       addresses_(addresses),
       membership_(context.knobs, self_member(context, addresses, zone, run), run, *this),
       relay_(context.node, zone),
@@ -60,9 +59,9 @@
   membership_.set_candidates(datagram_addresses);
 }
 
-void PeerLink::set_configuration_version(std::uint64_t version) {
-  configuration_version_ = version;
-  membership_.set_configuration_revision(version);
+void PeerLink::set_fleet_position(const FleetPosition& position) {
+  fleet_position_ = position;
+  membership_.set_configuration_revision(position.version);
 }
 
 void PeerLink::tick(TimePoint now) {
@@ -102,7 +101,7 @@
       }));
   relay_.set_members(alive.size() <= LoadRelay::kDirectNodes ? alive : members_heard(now));
   const std::string bytes =
-      encode(LoadDigest{own_key_, configuration_version_, fleet_position_, log_reachable_,
+      encode(LoadDigest{own_key_, fleet_position_.version, fleet_position_.replicas, log_reachable_,
                         pending_items_, context_.replicas.own_load(now)});
   const std::vector<std::string> recipients = relay_.next_digest_recipients();
   for (const std::string& address : recipients) {
@@ -297,17 +296,19 @@
   }
   last_heard_[node_key(message->sender.id)] = now;
   membership_.receive(*message, now);
-  note_knowledge(message->configuration_revision, 0, message->sender.control_address, now);
+  const FleetPosition position{message->configuration_revision, 0};
+  if (ahead(position)) {
+    on_peer_ahead_(position, message->sender.control_address);
+  }
 }
 
 void PeerLink::take_digests(std::vector<LoadDigest> digests, TimePoint now) {
   std::erase_if(digests, [&](const LoadDigest& digest) { return digest.node == own_key_; });
   for (const LoadDigest& digest : digests) {
     take_heartbeat(digest.node, digest.log_reachable, now);
-    if (digest.configuration_version > configuration_version_ ||
-        digest.fleet_position > fleet_position_) {
-      note_knowledge(digest.configuration_version, digest.fleet_position,
-                     control_address_of(digest.node), now);
+    const FleetPosition position{digest.configuration_version, digest.fleet_position};
+    if (ahead(position)) {
+      on_peer_ahead_(position, control_address_of(digest.node));
     }
   }
   context_.replicas.set_peer_loads(digests, now);
@@ -332,29 +333,8 @@
   }
 }
 
-void PeerLink::note_knowledge(std::uint64_t version, std::uint64_t position,
-                              const std::string& control_address, TimePoint now) {
-  if (version > configuration_version_) {
-    on_peer_ahead_(control_address);
-    return;
-  }
-  if (position <= fleet_position_) {
-    return;
-  }
-  // The log tells all nodes at almost the same time; only one that stays behind asks, with each
-  // digest of a node that is ahead until it has caught up: a question may go unanswered.
-  if (behind_since_ == TimePoint{}) {
-    behind_since_ = now;
-  } else if (now - behind_since_ > freshness_.peer_lag()) {
-    on_peer_ahead_(control_address);
-  }
-}
-
-void PeerLink::set_fleet_position(std::uint64_t position) {
-  if (position > fleet_position_) {
-    behind_since_ = {};
-  }
-  fleet_position_ = position;
+bool PeerLink::ahead(const FleetPosition& peer) const {
+  return peer.version > fleet_position_.version || peer.replicas > fleet_position_.replicas;
 }
 
 }  // namespace dockpoint
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "dockpoint/log/freshness_budget.hpp"
+#include "dockpoint/membership/catch_up.hpp"
 #include "dockpoint/membership/digest_collector.hpp"
 #include "dockpoint/membership/load_relay.hpp"
 #include "dockpoint/membership/membership.hpp"
@@ -32,8 +32,10 @@
 /// Single-threaded; borrows the context.
 class PeerLink : private PeerSender {
  public:
-  /// Called when a peer, at its control address, knows more of the fleet than this node.
-  using PeerAhead = std::function<void(const std::string& control_address)>;
+  /// Called when a peer, at its control address, says that it knows more of the fleet than this
+  /// node.
+  using PeerAhead =
+      std::function<void(const FleetPosition& position, const std::string& control_address)>;
 
   /// Called when a peer asks for the slot of a batch item.
   using SlotRequested = std::function<void(const SlotRequest&)>;
@@ -44,9 +46,8 @@
   /// @throws boost::system::system_error if the address cannot be bound.
   void open();
   void set_candidates(const std::vector<std::string>& datagram_addresses);
-  void set_configuration_version(std::uint64_t version);
-  /// @param position up to which this node has read the replicas' records.
-  void set_fleet_position(std::uint64_t position);
+  /// How far this node's knowledge of the fleet reaches.
+  void set_fleet_position(const FleetPosition& position);
   void set_log_reachable(bool reachable) { log_reachable_ = reachable; }
   /// @param items of batch jobs that this node runs or has to run.
   void set_pending_items(std::size_t items) { pending_items_ = static_cast<std::uint32_t>(items); }
@@ -78,9 +79,8 @@
   void on_datagram(std::string_view bytes);
   /// @return whether digests of the member have stayed away for too long.
   bool silent(const Member& member, TimePoint now) const;
-  /// Asks a peer that knows more of the fleet than this node.
-  void note_knowledge(std::uint64_t version, std::uint64_t position,
-                      const std::string& control_address, TimePoint now);
+  /// @return whether a peer that knows so much is ahead of this node.
+  bool ahead(const FleetPosition& peer) const;
   void take_heartbeat(std::uint32_t node, bool log_reachable, TimePoint now);
   void take_digests(std::vector<LoadDigest> digests, TimePoint now);
   std::vector<std::string> control_addresses_of(
@@ -99,7 +99,6 @@
   std::vector<const Member*> members_heard(TimePoint now) const;
 
   GatewayContext& context_;
-  const FreshnessBudget freshness_;
   const PeerAddresses addresses_;
   Membership membership_;
   LoadRelay relay_;
@@ -111,9 +110,7 @@
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
   std::array<char, kMaximumDatagramBytes + 1> buffer_{};
-  std::uint64_t configuration_version_ = 0;
-  std::uint64_t fleet_position_ = 0;
-  TimePoint behind_since_{};  ///< A peer has read further since; zero: none.
+  FleetPosition fleet_position_;
   TimePoint next_digest_{};
   TimePoint next_collection_{};
   TimePoint last_digest_{};
--- a/tests/gateway/gateway_settings_test.cpp
+++ b/tests/gateway/gateway_settings_test.cpp
@@ -43,10 +43,23 @@
              std::string::npos);
   BOOST_TEST(problem_after("\"grace_s\":7.5", "\"grace_s\":\"x\"").find("times.grace_s") !=
              std::string::npos);
+  BOOST_TEST(
+      problem_after("\"grace_s\":7.5", "\"drain_known_ms\":499").find("times.drain_known_ms") !=
+      std::string::npos);
   BOOST_TEST(problem_after("\"zone\"", "\"zome\"").find("zome") != std::string::npos);
   BOOST_TEST(!problem_after("{\"node\"", "[\"node\"").empty());
 }
 
+BOOST_AUTO_TEST_CASE(the_shorter_bound_on_the_age_of_what_a_node_knows_counts) {
+  std::string text = kWhole;
+  const std::string times = "\"times\":{";
+  text.insert(text.find(times) + times.size(),
+              R"("configuration_in_force_ms":15000,"drain_known_ms":1500,)");
+  const auto settings = boost::leaf::try_handle_all([&] { return parse_gateway_settings(text); },
+                                                    [] { return GatewaySettings{}; });
+  BOOST_TEST((settings.knobs.freshness_bound == std::chrono::milliseconds(1'500)));
+}
+
 BOOST_AUTO_TEST_CASE(an_experiment_changes_knobs_by_name) {
   std::string text = kWhole;
   text.insert(1, R"("experiment":{"batch_slot_share":0.25,"batch_start_delay":90},)");
--- /dev/null
+++ b/tests/net/http_client_test.cpp
@@ -0,0 +1,72 @@
+#include "net/http_client.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include "net/http_server.hpp"
+
+using namespace dockpoint;
+
+namespace {
+
+constexpr std::uint16_t kPort = 28'402;
+constexpr int kKeptConnections = 3;
+
+/// A server that answers, or takes requests and says nothing, and a client that calls it.
+struct Fixture {
+  boost::asio::io_context loop{1};
+  bool silent = false;
+  std::vector<net::ExchangePtr> unanswered;
+  net::HttpServer server{loop, [this](const net::ExchangePtr& exchange) {
+                           if (silent) {
+                             unanswered.push_back(exchange);
+                           } else {
+                             exchange->respond(200, {}, {});
+                           }
+                         }};
+  net::HttpClient client{loop};
+  int answered = 0;
+  int failed = 0;
+
+  Fixture() { server.listen("127.0.0.1:" + std::to_string(kPort)); }
+
+  void call() {
+    const net::Endpoint endpoint{{"127.0.0.1", kPort}, "server"};
+    const net::RequestHead head{"GET", "/", {{"Host", "server"}}};
+    net::SimpleCall::start(client, loop, endpoint, net::serialize(head), {},
+                           std::chrono::milliseconds(300),
+                           [this](const net::SimpleCall::Outcome& outcome) {
+                             ++(outcome.failure ? failed : answered);
+                           });
+  }
+  void run_until_ended(int calls) {
+    while (answered + failed < calls) {
+      loop.run_one_for(std::chrono::milliseconds(50));
+    }
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(http_client, Fixture)
+
+// All open connections of a node may go silent at once, for good, while new ones work. Each call
+// that took another kept one waited in vain for its whole time limit.
+BOOST_AUTO_TEST_CASE(after_a_call_without_an_answer_no_other_kept_connection_is_used) {
+  for (int calls = 0; calls < kKeptConnections; ++calls) {
+    call();
+  }
+  run_until_ended(kKeptConnections);
+  BOOST_TEST(client.counts().connections == std::uint64_t{kKeptConnections});
+  silent = true;
+  call();
+  run_until_ended(kKeptConnections + 1);
+  BOOST_TEST(failed == 1);
+  BOOST_TEST(client.counts().connections == std::uint64_t{kKeptConnections});
+  silent = false;
+  call();
+  run_until_ended(kKeptConnections + 2);
+  BOOST_TEST(answered == kKeptConnections + 1);
+  BOOST_TEST(client.counts().connections == std::uint64_t{kKeptConnections + 1});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
