--- a/tests/gateway/freshness_exploration_test.cpp
+++ b/tests/gateway/freshness_exploration_test.cpp
@@ -13,6 +13,8 @@
 
 #include <cstdlib>
 #include <deque>
+#include <map>
+#include <set>
 
 #include <spdlog/spdlog.h>
 
@@ -187,8 +189,9 @@
   std::int64_t in_touch_from = kSettleMs;  ///< Failures that touched it have settled by then.
   std::int64_t digest_at = 0;
   std::uint64_t version_seen = 0;
-  std::size_t peers = 0;         ///< Heard lately to reach the log.
-  std::size_t calls_before = 0;  ///< A second ago.
+  std::set<std::string> seen_to_drain;  ///< Replicas.
+  std::size_t peers = 0;                ///< Heard lately to reach the log.
+  std::size_t calls_before = 0;         ///< A second ago.
 };
 
 /// A fact that the log has confirmed.
@@ -203,9 +206,10 @@
   std::size_t too_old = 0;
   std::size_t went_back = 0;
   std::size_t too_many_calls = 0;
+  std::size_t disagreements = 0;
   std::string first;
 
-  bool none() const { return too_old + went_back + too_many_calls == 0; }
+  bool none() const { return too_old + went_back + too_many_calls + disagreements == 0; }
 };
 
 /// What the nodes of a run do.
@@ -232,6 +236,7 @@
     for (now_ = 0; now_ < kDayMs; now_ += kStepMs) {
       step();
     }
+    check_agreement();
     return findings_;
   }
 
@@ -262,7 +267,7 @@
       fail_something();
       next_failure_ = now_ + 300 + static_cast<std::int64_t>(draw(6'000));
     }
-    if (now_ >= next_change_) {
+    if (now_ >= next_change_ && now_ < kDayMs - 4'000) {
       change_something();
       next_change_ = now_ + 200 + static_cast<std::int64_t>(draw(2'500));
     }
@@ -350,6 +355,7 @@
     node.life->link.advance(at(now_));
     node.life->link.set_fault(node.link);
     node.version_seen = 0;
+    node.seen_to_drain.clear();
     node.calls_before = 0;
   }
 
@@ -510,6 +516,37 @@
       note(index, "went back to an older configuration");
     }
     node.version_seen = version;
+    if (now_ % kTickMs != 0) {
+      return;
+    }
+    // By the records themselves: a replica without one gets work, or none, by the node's judgement.
+    for (const StoredReplica& replica : node.life->watch.state().replicas) {
+      if (replica.value == "draining") {
+        node.seen_to_drain.insert(replica.id);
+      } else if (node.seen_to_drain.contains(replica.id)) {
+        ++findings_.went_back;
+        note(index, "took a replica that drains for ready again: " + replica.id);
+      }
+    }
+  }
+
+  /// After a calm time every node has the newest record of each replica, and no other replica.
+  void check_agreement() {
+    std::map<std::string, std::string> newest;
+    for (const KeyedRecord& record : log_.history(kTopics.replicas)) {
+      newest[record.key] = record.value;
+    }
+    std::erase_if(newest, [](const auto& entry) { return entry.second.empty(); });
+    for (std::size_t index = 0; index < nodes_.size(); ++index) {
+      std::map<std::string, std::string> known;
+      for (const auto& [id, replica] : nodes_[index].life->directory.all()) {
+        known[id] = replica.record.draining ? "draining" : "ready";
+      }
+      if (known != newest) {
+        ++findings_.disagreements;
+        note(index, "does not have the log's replicas at the end");
+      }
+    }
   }
 
   void check_calls(std::size_t index) {
@@ -569,7 +606,7 @@
       BOOST_TEST_MESSAGE("seed " << seed << ", " << setup.nodes << " nodes: " << findings.first
                                  << " (too old " << findings.too_old << ", went back "
                                  << findings.went_back << ", calls " << findings.too_many_calls
-                                 << ")");
+                                 << ", disagree " << findings.disagreements << ")");
     }
   }
   spdlog::set_level(level);
