--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -24,4 +24,6 @@
 (cd tests/system && npm ci --no-audit --no-fund --silent) || failures=$((failures + 1))
 run "system tests" env DOCKPOINT_BINARIES="$PWD/$folder" \
   node --test --test-concurrency=1 --test-reporter=spec tests/system/
+run "soak of real processes, short" env DOCKPOINT_BINARIES="$PWD/$folder" \
+  node tests/platform/soak/soak.mjs --seed 201 --seconds 40
 [ "$failures" = 0 ]
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -369,7 +369,11 @@
                        outcome.failure ? static_cast<int>(*outcome.failure) : -1);
           return;
         }
-        if (const auto state = unpack<FleetState>(outcome.body)) {
+        const auto state = unpack<FleetState>(outcome.body);
+        if (!state) {
+          spdlog::warn("fleet: answer of a peer cannot be read peer={} bytes={}", control_address,
+                       outcome.body.size());
+        } else {
           spdlog::info(
               "fleet: peer answered peer={} bytes={} version={} position={} ownPosition={}",
               control_address, outcome.body.size(), state->version, state->replicas_position,
--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -5,6 +5,7 @@
 
 #include "dockpoint/core/mechanisms.hpp"
 #include "dockpoint/core/result_code.hpp"
+#include "dockpoint/log/freshness_budget.hpp"
 #include "gateway/gateway_metrics.hpp"
 #include "node/metrics.hpp"
 #include "node/settings.hpp"
@@ -77,6 +78,34 @@
   BOOST_TEST((served == listed));
 }
 
+BOOST_AUTO_TEST_CASE(the_table_of_waits_is_that_of_the_freshness_budget) {
+  const std::string page = read_page("PLATFORM.md");
+  const auto check_row = [&](const std::string& name, auto&& wait) {
+    std::string row = "| `" + name + "` |";
+    for (const int bound_ms : {500, 2'000, 15'000}) {
+      const FreshnessBudget budget{std::chrono::milliseconds(bound_ms)};
+      row += " " + std::to_string(to_ms(wait(budget))) + " |";
+    }
+    BOOST_TEST(page.find(row) != std::string::npos, row);
+  };
+  constexpr int kManyFailures = 9;
+  check_row("lone_wait", [](const auto& budget) { return budget.lone_wait(); });
+  check_row("longest_wait_12", [](const auto& budget) { return budget.longest_wait(11); });
+  check_row("longest_wait_295", [](const auto& budget) { return budget.longest_wait(294); });
+  check_row("read_limit", [](const auto& budget) { return budget.read_limit(0); });
+  check_row("longest_read_limit",
+            [](const auto& budget) { return budget.read_limit(kManyFailures); });
+  check_row("first_pause", [](const auto& budget) { return budget.longest_pause(1); });
+  check_row("longest_pause",
+            [](const auto& budget) { return budget.longest_pause(kManyFailures); });
+  check_row("peer_lag", [](const auto& budget) { return budget.peer_lag(); });
+  check_row("question_limit", [](const auto& budget) { return budget.question_limit(); });
+  check_row("question_interval", [](const auto& budget) { return budget.question_interval(); });
+  check_row("greatest_age_following",
+            [](const auto& budget) { return budget.greatest_age_following(0); });
+  check_row("greatest_age_asking", [](const auto& budget) { return budget.greatest_age_asking(); });
+}
+
 BOOST_AUTO_TEST_CASE(every_result_code_has_a_row) {
   const std::string page = read_page("RESULT_CODES.md");
   std::size_t rows = 0;
--- a/tests/platform/soak/soak.mjs
+++ b/tests/platform/soak/soak.mjs
@@ -1,10 +1,13 @@
 // A randomized soak: real dockpoint-platform processes on loopback, faults from outside them (signals,
 // a store that fails, proxies that delay, reset, silence or cut one way the connections to the store and
-// to replicas), and checks of the promises from what callers and replicas see.
+// to replicas), and checks of the promises from what callers and replicas see. Faults come alone, together
+// and in series that overlap; half of the callers keep their connections until the node is gone. Between
+// them, when all has been calm for a while, the configuration changes and a replica drains: within the bound
+// each node serves the new route, and nothing reaches the replica any more. Versions never go back.
 //
-//     node tests/platform/soak/soak.mjs [--seed N] [--seconds N] [--nodes N]
+//     node tests/platform/soak/soak.mjs [--seed N] [--seconds N] [--nodes N] [--instance N]
 //
-// Prints the seed, every fault, and every broken promise; ends with 1 if there was one. The logs of the
+// Instances 0 to 30 take ports of their own and may run side by side. Prints the seed, every fault, and every broken promise; ends with 1 if there was one. The logs of the
 // nodes stay in the folder that it names. It ends only processes that it has started.
 
 import { mkdtempSync, writeFileSync } from 'node:fs';
@@ -21,26 +24,33 @@
     seed: { type: 'string', default: String(Date.now() % 1e9) },
     seconds: { type: 'string', default: '60' },
     nodes: { type: 'string', default: '4' },
+    instance: { type: 'string', default: '0' },
   },
 });
 const seconds = Number(options.seconds);
 
-const STORE_PORT = 28601;
-const CONTROL_PORT = 28602;
-const FIRST_REPLICA_PORT = 28610;
+const BASE_PORT = 28600 + 100 * Number(options.instance);
+const STORE_PORT = BASE_PORT + 1;
+const CONTROL_PORT = BASE_PORT + 2;
+const FIRST_REPLICA_PORT = BASE_PORT + 10;
 /** Proxies before the replicas: what nodes are told. */
-const FIRST_REPLICA_PROXY_PORT = 28630;
-/** Proxies before the store, one for each machine. */
-const FIRST_STORE_PROXY_PORT = 28640;
+const FIRST_REPLICA_PROXY_PORT = BASE_PORT + 20;
+/** Proxies before the store, one at the address of each machine. */
+const STORE_PROXY_PORT = BASE_PORT + 40;
 /** The same at every node: each has an address of its own. */
 const NODE_PORTS = {
-  frontend: 28650, readiness: 28651, resolver: 28652, control: 28653, datagrams: 28654, metrics: 28655,
+  frontend: BASE_PORT + 50, readiness: BASE_PORT + 51, resolver: BASE_PORT + 52, control: BASE_PORT + 53,
+  datagrams: BASE_PORT + 54, metrics: BASE_PORT + 55,
 };
 const REPLICAS = 4;
 const PARTITIONS = 4;
 const EVENTS = 8;
 const ITEMS = 5;
 const GRACE_S = 4;
+/** Within this time each node acts on a change, */
+const BOUND_MS = 2000;
+/** counted for nodes that nothing has happened to for so long. */
+const CALM_MS = 3000;
 /** Accepted jobs must be done this long after the last fault. */
 const SETTLE_MS = 40000;
 
@@ -69,11 +79,11 @@
   say(`BROKEN ${promise}: ${detail}`);
 }
 
-/** One request on a connection of its own. @return status 0 without a whole answer. */
-function call(ip, port, method, target, { headers = {}, body = '', timeout = 4000 } = {}) {
+/** One request, on a connection of its own unless an agent is given. @return status 0 without a whole answer. */
+function call(ip, port, method, target, { headers = {}, body = '', timeout = 4000, agent = false } = {}) {
   return new Promise((resolve) => {
     const request = http.request({
-      host: ip, port, method, path: target, agent: false, timeout,
+      host: ip, port, method, path: target, agent, timeout,
       headers: { Host: 'soak.example', 'Content-Length': Buffer.byteLength(body), ...headers },
     }, (response) => {
       let text = '';
@@ -96,15 +106,14 @@
     this.ip = `127.0.0.${10 + number}`;
     this.frozen = false;
     this.settings = path.join(folder, `${this.name}.json`);
-    const storeProxyPort = FIRST_STORE_PROXY_PORT + number;
-    this.storeLink = new FaultyProxy({ host: '127.0.0.1', port: storeProxyPort }, { host: '127.0.0.1', port: STORE_PORT }, random);
+    this.storeLink = new FaultyProxy({ host: this.ip, port: STORE_PROXY_PORT }, { host: '127.0.0.1', port: STORE_PORT }, random);
     const listen = Object.entries(NODE_PORTS).map(([use, port]) => [use, `${this.ip}:${port}`]);
     writeFileSync(this.settings, JSON.stringify({
       node: this.name, zone: 'zone-a', region: 'region-a',
       seeds: [11, 12].map((host) => `127.0.0.${host}:${NODE_PORTS.control}`),
       listen: Object.fromEntries(listen),
       log: {
-        address: `127.0.0.1:${storeProxyPort}`, partitions: PARTITIONS, record_bytes: 262144,
+        address: `${this.ip}:${STORE_PROXY_PORT}`, partitions: PARTITIONS, record_bytes: 262144,
         call_bytes: 2097152, minimum_lease_ms: 1000,
       },
       times: { address_lifetime_s: 5, grace_s: GRACE_S },
@@ -143,6 +152,9 @@
   { host: '127.0.0.1', port: FIRST_REPLICA_PORT + index }, random));
 const machines = Array.from({ length: Number(options.nodes) }, (_, index) => new Machine(index + 1));
 
+/** Callers that keep their connections open as long as they can. */
+const keepingAgent = new http.Agent({ keepAlive: true, maxSockets: 64, timeout: 15000 });
+
 let requestNumber = 0;
 let finished = false;
 const onceAnswers = new Map();
@@ -152,7 +164,8 @@
     const kind = random() < 0.5 ? 'quick' : 'once';
     const id = `${kind}${++requestNumber}`;
     const target = `/${kind}/${requestNumber}`;
-    call(pick(machines).ip, NODE_PORTS.frontend, 'POST', target, { headers: { 'Attempt-Id': id } }).then((answer) => {
+    const agent = random() < 0.5 ? keepingAgent : false;
+    call(pick(machines).ip, NODE_PORTS.frontend, 'POST', target, { headers: { 'Attempt-Id': id }, agent }).then((answer) => {
       if (kind === 'once') onceAnswers.set(id, answer.status);
       if (answer.status === 200) {
         ++counts.served;
@@ -247,6 +260,53 @@
   }
 }
 
+/** Version of the configuration that a node says is in force; 0 without an answer. */
+async function versionAt(machine) {
+  const answer = await call(machine.ip, NODE_PORTS.metrics, 'GET', '/metrics', { timeout: 1000 });
+  const line = answer.status === 200 && answer.text.match(/^dockpoint_gateway_configuration_version (\d+)/m);
+  return line ? Number(line[1]) : 0;
+}
+
+async function watchVersions() {
+  while (!finished) {
+    for (const machine of machines) {
+      const life = machine.process;
+      const version = await versionAt(machine);
+      if (version > 0 && machine.process === life) {
+        if (life.highestVersion > version) {
+          violate('CONFIG', `${machine.name} went back from version ${life.highestVersion} to ${version}`);
+        }
+        life.highestVersion = version;
+      }
+    }
+    await sleep(100);
+  }
+}
+
+let version = 1;
+/** In a calm moment: a route is added, a replica drains; both are known everywhere within the bound. */
+async function changeSomething() {
+  await sleep(CALM_MS);
+  const lives = machines.map((machine) => machine.process);
+  const replica = Math.floor(random() * REPLICAS);
+  version += 1 + Math.floor(random() * 3);
+  await control(`/configuration?version=${version}`);
+  await control(`/replica?number=${replica}&state=draining`);
+  await sleep(BOUND_MS);
+  const before = JSON.parse((await control('/arrivals')).text)[replica];
+  for (const [index, machine] of machines.entries()) {
+    const { status } = await call(machine.ip, NODE_PORTS.frontend, 'GET', `/added-${version}/x`, { headers: { 'Attempt-Id': `added${++requestNumber}` } });
+    if (status === 404 && machine.process === lives[index]) {
+      violate('CONFIG', `${machine.name} does not serve the route of version ${version}`);
+    }
+  }
+  await sleep(500);
+  const after = JSON.parse((await control('/arrivals')).text)[replica];
+  if (after > before) violate('DRAIN', `${after - before} requests reached replica-${replica} after the bound`);
+  counts.changes = (counts.changes ?? 0) + 1;
+  await control(`/replica?number=${replica}&state=ready`);
+}
+
 /** Lets a link misbehave in one way for a while. */
 async function disturb(link, longest) {
   link.set(pick(MODES));
@@ -269,8 +329,31 @@
   ['partitions dealt anew', async () => control('/rebalance')],
 ];
 
+/** Faults that begin shortly after each other, whatever the former ones still do. */
+async function makeSeries() {
+  const length = 3 + Math.floor(random() * 4);
+  const running = [];
+  for (let index = 0; index < length; ++index) {
+    const [name, make] = pick(faults);
+    say(`fault in a series: ${name}`);
+    ++counts.faults;
+    running.push(make());
+    await sleep(between(50, 600));
+  }
+  await Promise.all(running);
+}
+
 async function makeFaults() {
   while (Date.now() - started < seconds * 1000) {
+    const turn = random();
+    if (turn < 0.15) {
+      await makeSeries();
+      continue;
+    }
+    if (turn < 0.3) {
+      await changeSomething();
+      continue;
+    }
     const together = random() < 0.3 ? 2 : 1;
     const chosen = Array.from({ length: together }, () => pick(faults));
     say(`fault: ${chosen.map(([name]) => name).join(' and ')}`);
@@ -309,7 +392,7 @@
   for (const machine of machines) {
     await eventually(machine.name, async () => (await call(machine.ip, NODE_PORTS.readiness, 'GET', '/')).status === 200);
   }
-  const work = [sendRequests(), submitJobs(), readJobs()];
+  const work = [sendRequests(), submitJobs(), readJobs(), watchVersions()];
   await makeFaults();
   await control('/faults');
   say('faults are over');
@@ -324,6 +407,7 @@
   }
   await platform.end('SIGKILL');
   for (const link of [...replicaLinks, ...machines.map((machine) => machine.storeLink)]) link.close();
+  keepingAgent.destroy();
 }
 say(`${JSON.stringify(counts)} broken=${broken.length}`);
 process.exitCode = broken.length > 0 ? 1 : 0;
--- a/tests/platform/soak/stand_in_main.cpp
+++ b/tests/platform/soak/stand_in_main.cpp
@@ -29,18 +29,29 @@
 /// One short request in so many is run, and its connection ends without an answer.
 constexpr std::uint64_t kCutEvery = 25;
 
-const char* const kRoutes = R"({"version":1,"routeList":[
+/// A configuration in two parts; the version stands before the first, further routes between them.
+const char* const kRoutesStart = R"(,"routeList":[
  {"name":"quick","host":"soak.example","pathPrefix":"/quick/","type":"idempotent","timeoutMs":3000,
   "targetMs":300,"priority":0,"service":"lm","attempts":3},
  {"name":"once","host":"soak.example","pathPrefix":"/once/","type":"non_idempotent",
   "timeoutMs":3000,"targetMs":300,"priority":0,"service":"lm","attempts":1},
  {"name":"batch","host":"soak.example","pathPrefix":"/batch/","type":"batch","timeoutMs":20000,
   "targetMs":400,"completionTargetMs":20000,"retentionS":300,"priority":2,"service":"lm",
-  "attempts":3}],
+  "attempts":3})";
+const char* const kRoutesEnd = R"(],
  "services":[{"name":"lm","healthPath":"/healthz","maxConns":200,"engine":{"slots":8,
   "kvCacheTokens":100000}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,
   "headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
+/// @return a configuration with a route `/added-VERSION/`.
+std::string configuration(int version) {
+  const std::string name = "added-" + std::to_string(version);
+  return "{\"version\":" + std::to_string(version) + kRoutesStart + R"(,{"name":")" + name +
+         R"(","host":"soak.example","pathPrefix":"/)" + name +
+         R"(/","type":"idempotent","timeoutMs":3000,"targetMs":300,"priority":0,"service":"lm",)" +
+         R"("attempts":3})" + kRoutesEnd;
+}
+
 /// One replica: answers short requests at once and streams the events of batch items.
 class SoakReplica {
  public:
@@ -52,10 +63,13 @@
         replica_(loop, id_, port, [this](const net::ExchangePtr& exchange) { serve(exchange); }) {}
 
   const std::string& id() const { return id_; }
+  /// @return requests that have reached it.
+  int arrivals() const { return arrivals_; }
 
  private:
   void serve(const net::ExchangePtr& exchange) {
     const net::RequestHead& request = exchange->request();
+    ++arrivals_;
     if (request.headers.get("Target-Instance") != id_) {
       net::Headers headers = genuine_headers(exchange);
       headers.add("Not-Executed", "1");
@@ -99,6 +113,7 @@
   std::mt19937_64 random_{hash64(id_)};
   boost::asio::io_context& loop_;
   std::map<std::string, int>& runs_;
+  int arrivals_ = 0;
   StandInReplica replica_;
 };
 
@@ -109,21 +124,14 @@
                   std::uint16_t control_port, int replicas, std::uint16_t first_replica_port,
                   std::uint16_t first_published_port)
       : store_(loop, store_port, kPartitions),
+        first_published_port_(first_published_port),
         control_(loop, [this](const net::ExchangePtr& exchange) { serve_control(exchange); }),
         timer_(loop) {
-    store_.put(platform::kConfigurationTopic, platform::kConfigurationKey, kRoutes);
+    store_.put(platform::kConfigurationTopic, platform::kConfigurationKey, configuration(1));
     for (int number = 0; number < replicas; ++number) {
       const auto port = static_cast<std::uint16_t>(first_replica_port + number);
       replicas_.push_back(std::make_unique<SoakReplica>(loop, number, port, runs_));
-      // Nodes are told of the proxy before the replica.
-      const nlohmann::json record{
-          {"service", "lm"},
-          {"address", "127.0.0.1:" + std::to_string(first_published_port + number)},
-          {"zone", "zone-a"},
-          {"slots", 8},
-          {"state", "ready"},
-          {"sequence", 1}};
-      store_.put(platform::kReplicasTopic, replicas_.back()->id(), record.dump());
+      publish(number, "ready");
     }
     control_.listen("127.0.0.1:" + std::to_string(control_port));
     tick();
@@ -140,6 +148,27 @@
     });
   }
 
+  /// Writes a replica's record. Nodes are told of the proxy before the replica.
+  void publish(int number, const std::string& state) {
+    const nlohmann::json record{
+        {"service", "lm"},
+        {"address", "127.0.0.1:" + std::to_string(first_published_port_ + number)},
+        {"zone", "zone-a"},
+        {"slots", 8},
+        {"state", state},
+        {"sequence", ++sequence_}};
+    store_.put(platform::kReplicasTopic, replicas_.at(static_cast<std::size_t>(number))->id(),
+               record.dump());
+  }
+
+  nlohmann::json arrivals() const {
+    nlohmann::json counts = nlohmann::json::array();
+    for (const auto& replica : replicas_) {
+      counts.push_back(replica->arrivals());
+    }
+    return counts;
+  }
+
   void serve_control(const net::ExchangePtr& exchange) {
     const net::Target target = net::Target::parse(exchange->request().target);
     const auto number = [&](const char* name) {
@@ -155,11 +184,19 @@
       store_.log.forget_history();
     } else if (target.path == "/rebalance") {
       store_.log.rebalance();
+    } else if (target.path == "/configuration") {
+      store_.put(platform::kConfigurationTopic, platform::kConfigurationKey,
+                 configuration(static_cast<int>(number("version"))));
+    } else if (target.path == "/replica") {
+      publish(static_cast<int>(number("number")), target.parameter("state").value_or("ready"));
     }
-    exchange->respond(200, {{"Content-Type", "application/json"}}, nlohmann::json(runs_).dump());
+    const nlohmann::json answer = target.path == "/arrivals" ? arrivals() : nlohmann::json(runs_);
+    exchange->respond(200, {{"Content-Type", "application/json"}}, answer.dump());
   }
 
   StandInStore store_;
+  const std::uint16_t first_published_port_;
+  int sequence_ = 0;
   net::HttpServer control_;
   boost::asio::steady_timer timer_;
   std::map<std::string, int> runs_;  ///< By the id that the request came with.
