--- a/tests/gateway/freshness_exploration_test.cpp
+++ b/tests/gateway/freshness_exploration_test.cpp
@@ -44,7 +44,7 @@
 constexpr std::uint64_t kSeedsInCi = 400;
 
 const std::string kConfigurationKey = "config";
-const FleetTopics kTopics{{"keyed.configuration", 0}, kConfigurationKey, {"keyed.replicas", 0}};
+const FleetTopics kTopics{{"configuration", 0}, kConfigurationKey, {"replicas", 0}};
 
 /// Values are a version, and `ready` or `draining`.
 class PlainReader : public FleetReader {
