Replicas whose records lapsed together stay in use; fewer than half that are missing get no work

Cause: seed 3102 of the exploration: three of seven replicas had left while a lone node was cut off for 14 s, and more than a third was taken for a lapse of all. The judgement was also made anew at each tick, so that in a real lapse the last third to come back would have got no work.

Change: more than half of a service, held at the same time, is a lapse; it is judged once, until none are held. Seeds 207, 2754 and 3102 stand as a test.

--- a/include/dockpoint/routing/removal_grace.hpp
+++ b/include/dockpoint/routing/removal_grace.hpp
@@ -15,10 +15,10 @@
 /// therefore held until the time is over, and forgotten if the record comes back. At all other
 /// times a removal counts at once.
 ///
-/// A replica whose removal is held gets work only if so many of its service are held that they must
-/// have lapsed together. One or two that are gone have rather left while this node was cut off: it
-/// may have missed that they drain, and would send to them for the grace time on top of its own
-/// absence.
+/// A replica whose removal is held gets work only if more than half of its service have been held
+/// together: they must have lapsed, and those that are not back yet stay in use. Fewer that are
+/// gone have rather left while this node was cut off: it may have missed that they drain, and would
+/// send to them for the grace time on top of its own absence.
 namespace dockpoint {
 
 /// See the top of this file. Free of I/O and clocks; not thread-safe.
@@ -39,7 +39,8 @@
   bool holds(const std::string& replica) const { return held_.contains(replica); }
   /// @return whether no removal is held.
   bool empty() const { return held_.empty(); }
-  /// @return whether so many removals of a service look like a lapse of all.
+  /// @return whether so many removals held at once, of the known replicas of a service, look like a
+  /// lapse of all.
   static bool lapsed_together(std::size_t held, std::size_t known);
   /// @return replicas whose time is over: they are gone, and not held any more.
   std::vector<std::string> take_due(TimePoint now);
--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -105,7 +105,9 @@
   for (const std::string& id : removal_grace_.take_due(now)) {
     remove_replica(id);
   }
-  if (!removal_grace_.empty()) {
+  if (removal_grace_.empty()) {
+    lapsed_services_.clear();
+  } else {
     review_held();
   }
 }
@@ -124,11 +126,15 @@
     ++count.known;
     count.held += removal_grace_.holds(id) ? 1 : 0;
   }
+  for (const auto& [service, count] : services) {
+    if (RemovalGrace::lapsed_together(count.held, count.known)) {
+      lapsed_services_.insert(service);
+    }
+  }
   std::vector<ReplicaRecord> changed;
   for (const auto& [id, replica] : context_.replicas.all()) {
-    const Count& count = services[replica.record.service];
     const bool suspend =
-        removal_grace_.holds(id) && !RemovalGrace::lapsed_together(count.held, count.known);
+        removal_grace_.holds(id) && !lapsed_services_.contains(replica.record.service);
     if (suspend && !replica.record.draining) {
       suspended_.insert(id);
       changed.push_back(replica.record);
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -97,8 +97,9 @@
   std::string configuration_value_;
   std::map<std::string, std::string> replica_values_;  ///< Those whose removal is held included.
   RemovalGrace removal_grace_;
-  std::set<std::string> suspended_;  ///< Held, and without new work.
-  LogOffset peer_position_ = 0;      ///< That replicas taken from a peer stand at.
+  std::set<std::string> suspended_;        ///< Held, and without new work.
+  std::set<std::string> lapsed_services_;  ///< Whose records lapsed together, while any are held.
+  LogOffset peer_position_ = 0;            ///< That replicas taken from a peer stand at.
   bool replicas_known_ = false;
   TimePoint now_{};
   TimePoint started_at_{};
--- a/src/routing/removal_grace.cpp
+++ b/src/routing/removal_grace.cpp
@@ -17,9 +17,8 @@
 }
 
 bool RemovalGrace::lapsed_together(std::size_t held, std::size_t known) {
-  // Two thirds of a service's replicas bear its load for the grace time; fewer might not.
-  constexpr std::size_t kLeastShare = 3;
-  return held * kLeastShare > known;
+  // Half of a service's replicas bear much of its load for the grace time; fewer do not.
+  return held * 2 > known;
 }
 
 std::vector<std::string> RemovalGrace::take_due(TimePoint now) {
--- a/tests/gateway/freshness_exploration_test.cpp
+++ b/tests/gateway/freshness_exploration_test.cpp
@@ -594,6 +594,13 @@
   return seed % 20 == 0 ? 60 : kSizes[seed % std::size(kSizes)];
 }
 
+/// @return what one seed finds.
+Findings run_seed(std::uint64_t seed) {
+  Setup setup;
+  setup.nodes = nodes_of(seed);
+  return World(setup, seed).run();
+}
+
 /// @return seeds on which something was found, each reported with its first finding.
 std::vector<std::uint64_t> explore(const Setup& base, std::uint64_t seeds, bool report) {
   const auto level = spdlog::get_level();
@@ -625,15 +632,25 @@
 BOOST_AUTO_TEST_CASE(nobody_acts_on_what_is_older_than_the_bound) {
   const std::uint64_t one_seed = number_from_environment("DOCKPOINT_FRESHNESS_SEED", 0);
   if (one_seed > 0) {
-    Setup setup;
-    setup.nodes = nodes_of(one_seed);
-    const Findings findings = World(setup, one_seed).run();
+    const Findings findings = run_seed(one_seed);
     BOOST_TEST(findings.none(), findings.first);
     return;
   }
   explore(Setup{}, number_from_environment("DOCKPOINT_FRESHNESS_SEEDS", kSeedsInCi), true);
 }
 
+// Seeds that found something while the nodes were built. A lone node was cut off while one replica
+// (207, 2754) or three of seven (3102) drained and left, took their records for lapsed leases and
+// sent to them for the grace time on top of its absence:
+//   fleet: log regained topic=replicas sinceAnswerMs=7500 position=15
+//   fleet: replica lapsed, kept for now replica=r3
+BOOST_AUTO_TEST_CASE(a_node_that_was_away_while_replicas_left_does_not_send_to_them) {
+  for (const std::uint64_t seed : {207, 2754, 3102}) {
+    const Findings findings = run_seed(seed);
+    BOOST_TEST(findings.none(), "seed " << seed << ": " << findings.first);
+  }
+}
+
 // With waits that another bound allows, the same seeds find what the incident found.
 BOOST_AUTO_TEST_CASE(with_waits_of_a_longer_bound_it_finds_old_knowledge) {
   Setup setup;
