Failing test: results confirmed by the repetition of an empty append

Traced by the nodes' logs and the code: an owner that was told to doubt its partition appended nothing to make sure of its epoch; the answer was lost, and the repetition under the same sequence number held results that had ended meanwhile.

--- /dev/null
+++ b/tests/batch/partition_owner_test.cpp
@@ -0,0 +1,78 @@
+#include "dockpoint/batch/partition_owner.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include "emulator/memory_log.hpp"
+#include "support/fleet.hpp"
+
+using namespace dockpoint;
+using dockpoint::test::at;
+
+namespace {
+
+constexpr std::size_t kRecordBytes = 4096;
+const BatchTopics kTopics{"jobs", "results", "reservations", "group"};
+
+/// An owner of one partition on a stand-in log, in simulated time.
+struct Fixture : PartitionOwnerObserver {
+  Knobs knobs;
+  MemoryLog log{LogLimits{1, kRecordBytes, 16 * kRecordBytes, std::chrono::seconds(1)}, 1};
+  std::unique_ptr<PartitionOwner> owner = make_owner(1);
+  std::int64_t now = 0;
+
+  std::unique_ptr<PartitionOwner> make_owner(std::uint64_t epoch) {
+    return std::make_unique<PartitionOwner>(knobs, log, kTopics, 0, epoch, epoch, *this);
+  }
+  void run(std::int64_t milliseconds) {
+    const std::int64_t end = now + milliseconds;
+    for (; now < end; now += 10) {
+      log.advance(at(now));
+      owner->tick(at(now));
+    }
+  }
+  void submit(const std::string& id, std::size_t items) {
+    BatchJob job;
+    job.id = id;
+    job.items.resize(items);
+    log.append({kTopics.jobs, 0}, job_records(job, kRecordBytes), std::nullopt,
+               [](const AppendOutcome&) {});
+  }
+  std::size_t results(const std::string& id) const {
+    const LedgerJob* job = owner->ledger().find(id);
+    return job == nullptr ? 0 : job->results.size();
+  }
+
+  void on_partition_active(int /*partition*/) override {}
+  void on_job(int /*partition*/, const std::string& /*job*/) override {}
+  void on_job_ended(int /*partition*/, const std::string& /*job*/) override {}
+  void on_results(int /*partition*/, const std::string& /*job*/) override {}
+  void on_partition_fenced(int /*partition*/) override {}
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(partition_owner, Fixture)
+
+// An owner that makes sure of its epoch appends nothing under its next sequence number. The answer
+// was lost; until the append was repeated, items had ended, and their results went into the
+// repetition. The log took it for the one that it had done and confirmed it: the results were read,
+// but never written. The next owner ran the items again and listed them in another order:
+//   BROKEN LOST: position 0: item 1 became item 0, position 1: item 4 became item 1
+BOOST_AUTO_TEST_CASE(results_are_not_confirmed_by_an_append_that_was_sent_before_them) {
+  submit("a", 2);
+  run(500);
+  BOOST_TEST(owner->active());
+  log.faults.lose_answers = 1;
+  owner->verify();
+  run(50);
+  owner->write_result("a", {1, true, "text"});
+  run(500);
+  log.faults.lose_answers = 0;
+  run(5'000);
+  BOOST_TEST(results("a") == 1U);
+  owner = make_owner(2);
+  run(500);
+  BOOST_TEST(results("a") == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
