An append that is open is repeated with the same records

Cause: under one sequence number the log does the first append that it gets. An owner's empty append (to make sure of its epoch) whose answer was lost took the queue into its repetition. Ruled out: a second run of items in one owner, crossed answers, offsets read wrong, two owners of one epoch (none in the nodes' logs). Same class looked for: raising the epoch repeats an empty append and loads only then; conditional appends carry no sequence.

--- a/include/dockpoint/batch/partition_owner.hpp
+++ b/include/dockpoint/batch/partition_owner.hpp
@@ -17,8 +17,9 @@
 /// Recovery: the new owner first raises the epoch of the topic of results, which fences whoever
 /// owned the partition before, so that nothing is added behind its back. Then it loads jobs and
 /// results and follows the topic of jobs. From there on it alone writes results; each append
-/// carries epoch and sequence, so that one whose answer was lost is repeated without harm. An
-/// owner that was paused and replaced learns it from its next append, or from its group.
+/// carries epoch and sequence, so that one whose answer was lost is repeated without harm, with the
+/// very same records: the log may have done it and would confirm others unwritten. An owner that
+/// was paused and replaced learns it from its next append, or from its group.
 namespace dockpoint {
 
 /// Names of the topics and of the group that deals their partitions out.
@@ -119,6 +120,7 @@
   std::vector<KeyedRecord> loaded_results_;
   std::uint64_t sequence_ = 0;
   bool unverified_ = false;
+  bool append_open_ = false;  ///< An append was sent under `sequence_` and has not been confirmed.
   std::deque<PendingWrite> queue_;
   std::map<std::pair<std::string, std::uint32_t>, std::uint32_t>
       checkpoint_steps_;               ///< Next numbers.
--- a/src/batch/partition_owner.cpp
+++ b/src/batch/partition_owner.cpp
@@ -202,12 +202,16 @@
 }
 
 void PartitionOwner::write_queue() {
-  if (writing_.empty()) {
+  // Under one sequence number the log does the first append that it gets, and gives its answer to
+  // all others: an empty one must be repeated empty, or results would be confirmed and never
+  // written.
+  if (!append_open_) {
     take_from_queue();
   }
   if (writing_.empty() && !unverified_) {
     return;
   }
+  append_open_ = true;
   calling_ = true;
   log_.append({topics_.results, partition_}, write_records_, position(),
               [this, life = life_](const AppendOutcome& outcome) {
@@ -232,6 +236,7 @@
   }
   failures_ = 0;
   ++sequence_;
+  append_open_ = false;
   unverified_ = false;
   write_records_.clear();
   const std::vector<PendingWrite> written = std::move(writing_);
