--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -25,5 +25,5 @@
 run "system tests" env DOCKPOINT_BINARIES="$PWD/$folder" \
   node --test --test-concurrency=1 --test-reporter=spec tests/system/
 run "soak of real processes, short" env DOCKPOINT_BINARIES="$PWD/$folder" \
-  node tests/platform/soak/soak.mjs --seed 201 --seconds 40
+  node tests/platform/soak/soak.mjs --seed 201 --seconds 30
 [ "$failures" = 0 ]
