Exploration: a link's callback outlives the link

The address sanitizer found a use after free in the test (not in the product): an answer of the stand-in log came after its node had restarted.

--- a/tests/gateway/freshness_exploration_test.cpp
+++ b/tests/gateway/freshness_exploration_test.cpp
@@ -77,7 +77,7 @@
   void set_fault(LinkFault fault) {
     fault_ = fault;
     if (fault == LinkFault::kSilent) {
-      ++breaks_;
+      ++*breaks_;
     }
   }
   void advance(TimePoint now) {
@@ -144,8 +144,9 @@
     if (fault_ == LinkFault::kSilent) {
       return;
     }
-    call([this, end, breaks = breaks_](Outcome outcome) {
-      if (breaks == breaks_) {
+    // The log may answer after this link is gone.
+    call([end, breaks = breaks_, breaks_before = *breaks_](Outcome outcome) {
+      if (*breaks == breaks_before) {
         end(std::move(outcome));
       }
     });
@@ -153,7 +154,7 @@
 
   MemoryLog& log_;
   LinkFault fault_ = LinkFault::kNone;
-  int breaks_ = 0;
+  std::shared_ptr<int> breaks_ = std::make_shared<int>(0);  ///< Times that it fell silent.
   TimePoint now_{};
   std::deque<Ending> endings_;
   std::size_t calls_ = 0;
