After a fence the dealing is taken once more

Cause: a fenced member waited for a newer generation; its partition had gone away and come back within generations that it had already heard, so that none came, and nobody owned the partition. Ruled out by the logs: a lost join (it went on renewing), a partition of another member (the last line of each other node is lost or revoked).

The partition is acquired under the newest generation heard, which is at least the epoch that fenced it, if it is still dealt to this node.

--- a/include/dockpoint/batch/group_member.hpp
+++ b/include/dockpoint/batch/group_member.hpp
@@ -44,7 +44,8 @@
   void tick(TimePoint now);
   /// The work on a revoked partition has ended.
   void released(int partition);
-  /// The node was fenced on this partition: it is lost until it is dealt anew.
+  /// The node was fenced on this partition: it is lost, and acquired again under the newest
+  /// generation if it is still dealt to this node.
   void fenced(int partition);
   /// Gives all partitions back; no call after this.
   void leave();
@@ -83,6 +84,7 @@
   TimePoint renewed_at_{};
   bool calling_ = false;
   bool left_ = false;
+  bool fenced_ = false;                    ///< On some partition, since the dealing was last taken.
   std::uint64_t generation_ = 0;           ///< Last heard.
   std::uint64_t released_generation_ = 0;  ///< Last whose revocations are carried out.
   std::map<int, Owned> owned_;
--- a/src/batch/group_member.cpp
+++ b/src/batch/group_member.cpp
@@ -1,6 +1,7 @@
 #include "dockpoint/batch/group_member.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dockpoint {
 
@@ -76,7 +77,8 @@
   }
   const bool lapsed = generation_ > 0 && sent_at - renewed_at_ > lease();
   const bool missed = lapsed || outcome.generation > generation_ + 1;
-  const bool changed = outcome.generation != generation_;
+  const bool fenced = std::exchange(fenced_, false);
+  const bool changed = fenced || outcome.generation != generation_;
   renewed_at_ = sent_at;
   generation_ = outcome.generation;
   if (!changed) {
@@ -128,8 +130,10 @@
 
 void GroupMember::fenced(int partition) {
   lose(partition);
-  next_join_ =
-      now_;  // A higher epoch comes from a later generation, which this node has not heard.
+  // The epoch that fenced it may be of a generation that this node has heard: the partition was
+  // away and came back while it could not hear. It is still dealt to it then, and nobody else's.
+  fenced_ = true;
+  next_join_ = now_;
 }
 
 void GroupMember::lose(int partition) {
