--- /dev/null
+++ b/include/dockpoint/admission/tenant_rate_limiter.hpp
@@ -0,0 +1,150 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "dockpoint/config/tenant_directory.hpp"
+#include "dockpoint/core/decaying_count.hpp"
+#include "dockpoint/core/knobs.hpp"
+#include "dockpoint/core/time.hpp"
+
+/// The rate limits of tenants, counted over all nodes without a central counter.
+///
+/// Load pattern: one tenant sends many times its usual from one moment to the next, to all nodes at
+/// once or to a few. It must neither get through above its limit nor take the slots of others; a
+/// tenant below its limit must not be refused, however its requests fall on the nodes.
+///
+/// Every node keeps a token bucket for each tenant in use, filled at the tenant's rate, and takes
+/// out what it admits itself and what the other nodes say in their load digests that they have
+/// admitted. So the buckets agree but for what was admitted since the last digests. That much a
+/// node can overspend; two bounds keep it small:
+///
+/// - Between digests a node admits no more than twice its part of the tokens that are there, by its
+///   share of the tenant's requests lately, an even one at least. A burst that all nodes see at
+///   once then takes at most twice what is left, and the debt is paid before the next request.
+/// - A node that does not hear others has only its part of the limit: nodes that hear each other
+///   share `heard / known` of it. Parts of a fleet that is cut apart add up to the limit, whatever
+///   they admit. The number of known nodes only shrinks while most of them are heard.
+///
+/// A node that starts knows nothing of what was spent: its buckets begin empty, and until it knows
+/// how many others there are it reckons with a large fleet. A restart of all nodes therefore grants
+/// no second burst.
+namespace dockpoint {
+
+/// How exactly the limits are to be kept.
+struct RateWindow {
+  Duration length = std::chrono::seconds(5);  ///< Over which requests are counted.
+  double overage = 0;                         ///< Share of the limit that may be exceeded,
+  double slack = 0;                           ///< and requests on top of it.
+};
+
+/// @return the number that stands for a tenant between nodes. Two of 11,000 tenants share one in
+/// 1.4% of fleets; they then share the stricter account of both.
+std::uint32_t tenant_key(std::string_view name);
+
+/// What one node has admitted of a tenant.
+struct TenantSpend {
+  std::uint32_t tenant = 0;  ///< See `tenant_key`.
+  std::uint32_t total = 0;   ///< Since the node's start; wraps around.
+  std::uint32_t recent = 0;  ///< Of these, within `Knobs::rate_report_time`.
+  friend bool operator==(const TenantSpend&, const TenantSpend&) = default;
+};
+
+/// What one node tells the others.
+struct SpendReport {
+  std::uint32_t run = 0;          ///< Tells the lives of the process apart.
+  std::uint32_t number = 0;       ///< Counts the reports of a life, from 1 on; wraps around.
+  std::uint32_t known_nodes = 0;  ///< Nodes that it reckons with, itself included.
+  std::vector<TenantSpend> spends;
+};
+
+/// The decision on one request.
+struct RateVerdict {
+  bool admitted = true;
+  Duration retry_after{};  ///< If it is refused: until a token is there.
+  double tokens = 0;       ///< In the bucket, before the request; below 0 if nodes overspent.
+  std::size_t heard = 1;   ///< Nodes that share the bucket,
+  std::size_t known = 1;   ///< of so many.
+};
+
+/// See the top of this file. Free of I/O and clocks; not thread-safe.
+class TenantRateLimiter {
+ public:
+  /// @param run tells the lives of this process apart.
+  TenantRateLimiter(const Knobs& knobs, const RateWindow& window, std::uint32_t run);
+
+  /// Takes the limits of a configuration. Tenants that have none cost nothing.
+  void set_limits(const TenantDirectory& tenants);
+
+  /// Decides on a request of a tenant, and counts it if it is admitted.
+  RateVerdict admit(const Tenant& tenant, TimePoint now);
+  /// A request that was admitted has certainly not run.
+  void give_back(const Tenant& tenant, TimePoint now);
+
+  /// @return what the other nodes should know now.
+  SpendReport report(TimePoint now);
+  /// Takes what another node tells.
+  void take(std::uint32_t node, const SpendReport& report, TimePoint now);
+  /// Another node gave a sign of life.
+  void renew(std::uint32_t node, TimePoint now);
+  /// Forgets what no longer matters; call it several times a second.
+  void tick(TimePoint now);
+
+  /// @return tenants with an account at this node.
+  std::size_t accounts() const { return accounts_.size(); }
+
+ private:
+  /// One tenant's bucket as this node reckons it.
+  struct Account {
+    double tokens = 0;
+    TimePoint filled_at{};
+    DecayingCount unreported;  ///< Admitted here, and not known to the others yet.
+    DecayingCount own;         ///< Admitted here lately.
+    DecayingCount of_peers;    ///< Admitted by the others lately.
+    std::uint32_t total = 0;
+    std::deque<TimePoint> recent;  ///< When requests were admitted here.
+    TimePoint changed_at{};        ///< Last change of `total`.
+  };
+  /// What another node has told of a tenant before.
+  struct ToldSpend {
+    std::uint32_t total = 0;
+    TimePoint at{};
+  };
+  struct Peer {
+    std::uint32_t run = 0;
+    std::uint32_t number = 0;  ///< Of its newest report.
+    TimePoint heard{};
+    std::unordered_map<std::uint32_t, ToldSpend> told;  ///< By tenant.
+  };
+
+  Account& account_of(std::uint32_t tenant, const RateLimit& limit, TimePoint now);
+  void fill(Account& account, const RateLimit& limit, TimePoint now) const;
+  /// Takes requests that another node has admitted out of a bucket; negative if it gave some back.
+  void charge(Account& account, const RateLimit& limit, double requests, TimePoint now) const;
+  /// @return most tokens in the bucket that this node shares with those it hears.
+  double capacity(const RateLimit& limit) const;
+  /// @return requests that this node may admit before the others know of them.
+  double allowance(const Account& account, const RateLimit& limit, TimePoint now) const;
+  /// @return part of the limit that the nodes which hear each other share.
+  double part() const;
+  void count_nodes(TimePoint now);
+  void forget_recent(Account& account, TimePoint now) const;
+
+  const Knobs& knobs_;
+  const RateWindow window_;
+  const std::uint32_t run_;
+  TimePoint started_{};
+  std::unordered_map<std::uint32_t, RateLimit> limits_;  ///< Of tenants that have one.
+  std::unordered_map<std::uint32_t, Account> accounts_;
+  std::unordered_map<std::uint32_t, Peer> peers_;
+  std::uint32_t reports_ = 0;
+  std::size_t heard_ = 1;
+  std::size_t known_ = 1;
+  std::size_t told_nodes_ = 0;  ///< By nodes that have run for longer, while this one starts.
+};
+
+}  // namespace dockpoint
--- a/include/dockpoint/batch/job_ledger.hpp
+++ b/include/dockpoint/batch/job_ledger.hpp
@@ -32,13 +32,18 @@
 
 /// A job as it was accepted.
 struct BatchJob {
-  std::string id;
+  std::string id;  ///< Unique over all tenants, see `tenant_job_id`.
   std::string host;
   std::string path;               ///< That it was submitted to.
   std::int64_t submitted_ms = 0;  ///< Unix time.
   std::vector<BatchItem> items;
+  std::string tenant{};  ///< That submitted it, and under whose name its items run; may be empty.
 };
 
+/// @return the id of a tenant's job. Jobs of different tenants never share one: no tenant can read,
+/// end or overwrite the job of another, or learn that it exists.
+std::string tenant_job_id(const std::string& tenant, const std::string& id);
+
 /// The end of an item.
 struct ItemResult {
   std::uint32_t item = 0;  ///< Index in the job.
--- a/include/dockpoint/batch/reservation_table.hpp
+++ b/include/dockpoint/batch/reservation_table.hpp
@@ -7,13 +7,15 @@
 
 #include "dockpoint/log/partitioned_log.hpp"
 
-/// Which jobs hold how much of a route's limit on waiting tokens, as the log has it.
+/// Which jobs hold how much of the limit on waiting tokens that each tenant has on a route, as the
+/// log has it.
 namespace dockpoint {
 
 /// What one job holds.
 struct TokenReservation {
   double tokens = 0;             ///< Of items that are not finished; 0 once all are.
   std::int64_t reserved_ms = 0;  ///< Unix time of the last submission that relied on it.
+  std::string tenant{};          ///< Whose limit it counts against; empty without tenants.
   friend bool operator==(const TokenReservation&, const TokenReservation&) = default;
 };
 
@@ -33,20 +35,26 @@
   /// @return tokens by which the job's reservation has shrunk.
   double take(const KeyedRecord& record);
 
+  /// @return the reservation that a record is about, as it stands before the record is taken.
+  std::optional<TokenReservation> find_record(const KeyedRecord& record) const;
   /// @return the reservation of a job, or nothing.
   std::optional<TokenReservation> find(const std::string& job) const;
   const std::map<std::string, TokenReservation>& all() const { return by_job_; }
-  /// @return tokens of all reservations.
-  double tokens() const { return tokens_; }
-  /// @return tokens of the reservations made before a time.
-  double tokens_reserved_before(std::int64_t unix_ms) const;
+  /// @return tokens of all reservations of a tenant.
+  double tokens(const std::string& tenant) const;
+  /// @return tokens of the tenant that has most.
+  double most_tokens() const;
+  /// @return tokens of a tenant's reservations made before a time.
+  double tokens_reserved_before(const std::string& tenant, std::int64_t unix_ms) const;
 
  private:
   double replace(const std::string& job, const std::optional<TokenReservation>& reservation);
 
+  void add_tokens(const std::string& tenant, double tokens);
+
   const std::string route_;
   std::map<std::string, TokenReservation> by_job_;
-  double tokens_ = 0;
+  std::map<std::string, double> tokens_by_tenant_;  ///< Tenants without any are left out.
 };
 
 }  // namespace dockpoint
--- a/include/dockpoint/batch/token_quota.hpp
+++ b/include/dockpoint/batch/token_quota.hpp
@@ -14,7 +14,9 @@
 #include "dockpoint/core/life.hpp"
 #include "dockpoint/log/keyed_watch.hpp"
 
-/// The limit on the tokens of batch items that wait on a route, over all nodes.
+/// The limit on the tokens of batch items that a tenant may have waiting on a route, over all
+/// nodes. Without tenants all callers together are one. All tenants of a route share a topic and
+/// its reads: a node makes no more calls for many of them than for one.
 ///
 /// There is no central counter. Each job holds a reservation, a record in a compacted topic; their
 /// sum is what counts against the limit. A node that takes a job reads the topic to its end and
@@ -42,6 +44,7 @@
   std::string job;
   double tokens = 0;     ///< Of all its items.
   TimePoint deadline{};  ///< Then it is no use any more.
+  std::string tenant{};  ///< Whose limit it counts against.
 };
 
 /// How a request ended.
@@ -64,7 +67,7 @@
 
 /// A route as the configuration in force has it, and the fleet around it.
 struct QuotaRoute {
-  double limit = 0;       ///< Most tokens that may wait.
+  double limit = 0;       ///< Most tokens of a tenant that may wait.
   std::size_t nodes = 1;  ///< That may take jobs.
 };
 
@@ -75,11 +78,16 @@
     bool known = false;         ///< The log has the job.
     double waiting_tokens = 0;  ///< Of its items that are not finished.
   };
+  struct OpenJob {
+    std::string id;
+    std::string tenant;
+    double waiting_tokens = 0;
+  };
   virtual ~OwnedJobs() = default;
   /// @return the state of a job, or nothing if its partition is not this node's or not loaded.
   virtual std::optional<State> find(const std::string& job) const = 0;
   /// @return the open jobs of a route that this node owns, with the tokens that wait.
-  virtual std::vector<std::pair<std::string, double>> open_jobs(const std::string& route) const = 0;
+  virtual std::vector<OpenJob> open_jobs(const std::string& route) const = 0;
 };
 
 /// The limit of one route at one node; see the top of this file. Not thread-safe, free of clocks;
@@ -99,8 +107,8 @@
   /// @param now_ms unix time.
   void tick(TimePoint now, std::int64_t now_ms, const QuotaRoute& route);
 
-  /// @return tokens that wait, as last read.
-  double waiting_tokens() const { return table_.tokens(); }
+  /// @return tokens of a tenant that wait, as last read.
+  double waiting_tokens(const std::string& tenant = {}) const { return table_.tokens(tenant); }
 
  private:
   struct Pending {
@@ -117,12 +125,14 @@
   void note_job_size(double tokens);
   /// @return whether the limit is so wide that nodes may have allotments.
   bool wide() const;
-  /// @return tokens that reservations by compare and set may come to.
-  double usable_limit() const;
-  void renew_allotment();
+  /// @return tokens that a tenant's reservations by compare and set may come to.
+  double usable_limit(const std::string& tenant) const;
+  void renew_allotments();
+  /// @return tokens of a tenant that may be taken without reading.
+  double allotment(const std::string& tenant) const;
   /// @return whether a reservation can be relied upon without writing it again.
   bool recent(const TokenReservation& reservation) const;
-  Duration time_to_free(double tokens) const;
+  Duration time_to_free(const std::string& tenant, double tokens) const;
 
   /// Reads the topic to its end.
   void refresh();
@@ -153,12 +163,14 @@
   TimePoint started_{};
   TimePoint refreshed_{};      ///< When the last refresh that ended was asked for.
   TimePoint refresh_asked_{};  ///< When the one under way was.
-  DecayingCount released_;     ///< Tokens by which reservations have shrunk.
-  double largest_job_ = 0;     ///< In tokens, of all that were seen.
-  double allotment_ = 0;       ///< Tokens that may be taken without reading.
-  TimePoint allotment_until_{};
-  bool deciding_ = false;  ///< A compare and set is under way.
-  bool writing_ = false;   ///< Reservations out of the allotment are being written.
+  std::map<std::string, DecayingCount>
+      released_;            ///< Tokens by which reservations have shrunk, by tenant.
+  double largest_job_ = 0;  ///< In tokens, of all that were seen.
+  std::map<std::string, double>
+      allotted_tokens_;           ///< By tenant: taken without reading since the last read.
+  TimePoint allotments_until_{};  ///< Without reading; in the past: nothing may be taken so.
+  bool deciding_ = false;         ///< A compare and set is under way.
+  bool writing_ = false;          ///< Reservations out of the allotment are being written.
   TimePoint retry_at_{};
   TimePoint next_audit_{};
   bool audit_due_ = false;
--- a/include/dockpoint/config/routing_configuration.hpp
+++ b/include/dockpoint/config/routing_configuration.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dockpoint/config/tenant_directory.hpp"
 #include "dockpoint/core/time.hpp"
 
 /// The operator's routes: which service answers which path of which host, and how.
@@ -34,13 +35,15 @@
   std::vector<WeightedService> services;  ///< Requests are shared out by weight.
   int attempts = 1;                       ///< Most replicas that one request may run on.
   int priority = 0;                       ///< 0 is the most urgent.
+  bool needs_key = true;                  ///< Where there are tenants: open to them only.
   bool resumable = false;                 ///< A broken stream may go on at another replica.
   Duration timeout{};                     ///< Longest time that a request is held.
   Duration target{};                      ///< Latency objective: to the answer or the first event.
   Duration gap_target{};                  ///< Longest pause between events that is in time.
   Duration completion_target{};           ///< Batch: from submission to the last result.
   Duration retention{};                   ///< Batch: items may be given up after this time.
-  double max_waiting_tokens = 0;  ///< Batch: of unfinished items, over all nodes; 0: no limit.
+  double max_waiting_tokens = 0;  ///< Batch: of a tenant's unfinished items, over all nodes; 0: no
+                                  ///< limit. Without tenants, of all callers together.
 
   /// @return whether a request may be sent again after it may have run.
   bool repeatable() const {
@@ -71,6 +74,7 @@
   std::vector<RouteConfig> routes;
   std::map<std::string, ReplicaServiceConfig> services;
   IngressLimits limits;
+  TenantDirectory tenants;
 
   /// @return the route of `host` with the longest prefix of `path`, or null.
   const RouteConfig* match(std::string_view host, std::string_view path) const;
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -134,6 +134,18 @@
                                               ///< objectives for accepting are 400 ms and more.
   int submission_forwards = 2;  ///< Nodes that a job is passed on to, one after the other.
 
+  // The rate limits of tenants.
+  Duration rate_report_delay = 400ms;  ///< Until the other nodes know what one has admitted: two
+                                       ///< digests, and one relay.
+  Duration rate_report_time = 800ms;   ///< A request is told in each digest for this long, so that
+                                       ///< three lost datagrams in a row lose nothing.
+  Duration rate_silence = 800ms;    ///< A node without a sign of life for so long shares no bucket:
+                                    ///< four digests.
+  Duration rate_node_memory = 15s;  ///< A silent node may still admit its part for this long.
+  Duration rate_start_time = 1s;    ///< After its start a node does not know the others yet, and
+  std::size_t rate_start_nodes = 50;  ///< reckons with so many at least.
+  int rate_shared = 1;  ///< 0: each node keeps to an even part by itself, without the others' word.
+
   // The limit on waiting tokens of a route.
   Duration quota_allotment_time = 2s;          ///< A node relies on what it read for this long.
   Duration quota_audit_interval = 3s;          ///< Between checks of reservations by owners,
--- a/include/dockpoint/routing/replica_directory.hpp
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -26,16 +26,28 @@
 enum class TrafficClass { kOnline, kBatch };
 
 /// A replica as it registers itself.
+///
+/// A replica that crashes may start again under the name that it had. All that is known of a
+/// replica belongs to one life of it: load, prefixes, failures, connections, what other nodes tell.
+/// So `id` differs between lives, and everything in the product but the request itself goes by it.
 struct ReplicaRecord {
-  std::string id;  ///< Of one life of the replica.
+  std::string id;  ///< Of one life of the replica, see `replica_life_id`.
   std::string service;
   Address address;
   std::string zone;
   int slots = 0;
   bool draining = false;
-  Duration cold_remaining{};  ///< How long it stays slow, from when the record was written.
+  Duration cold_remaining{};    ///< How long it stays slow, from when the record was written.
+  std::string name{};           ///< Under which it registers; empty: the same as `id`.
+  std::int64_t started_ms = 0;  ///< Unix time of the start of this life; 0: it does not say.
+
+  /// @return the name that the replica itself goes by.
+  const std::string& registered_name() const { return name.empty() ? id : name; }
 };
 
+/// @return the id of the life of a replica that began at a time.
+std::string replica_life_id(const std::string& name, std::int64_t started_ms);
+
 /// Load that a replica states in an answer.
 struct ReportedLoad {
   int running = 0;
@@ -93,6 +105,10 @@
   void upsert(const ReplicaRecord& record, TimePoint now);
   /// The replica has left; requests in flight to it may still end.
   void remove(const std::string& id);
+  /// The replica has started again: this life of it is over, and so is what is in flight there.
+  void end_life(const std::string& id, TimePoint now);
+  /// @return whether `end_life` was called for the id lately.
+  bool life_ended(const std::string& id) const { return ended_lives_.contains(id); }
   /// Removes every replica that `ids` does not hold.
   void retain(const std::vector<std::string>& ids);
 
@@ -171,6 +187,8 @@
   std::unordered_map<std::uint32_t, PeerLoad> peers_;  ///< By node_key.
   std::int64_t pending_items_of_peers_ = 0;            ///< Their sum.
   std::unordered_map<std::uint32_t, PeerSum> peer_sums_;  ///< By the replica's key.
+  std::map<std::string, TimePoint>
+      ended_lives_;  ///< Of late, and when they were learnt to be over.
   std::uint64_t revision_ = 1;
 };
 
--- /dev/null
+++ b/src/admission/caller_identity.cpp
@@ -0,0 +1,27 @@
+#include "dockpoint/admission/caller_identity.hpp"
+
+namespace dockpoint {
+
+CallerIdentity identify_caller(const TenantDirectory& tenants, bool key_needed,
+                               const Credential& credential,
+                               const ConfigurationConfidence& confidence,
+                               const RevocationPolicy& policy) {
+  if (!tenants.enabled() || !key_needed) {
+    return {CallerVerdict::kNoTenant, nullptr};
+  }
+  if (credential.count > 1) {
+    return {CallerVerdict::kMalformed, nullptr};
+  }
+  const Tenant* tenant = tenants.find_by_key(credential.key);
+  if (tenant == nullptr) {
+    // Without a key no version can help.
+    const bool certain = confidence.following || credential.key.empty();
+    return {certain ? CallerVerdict::kUnknownKey : CallerVerdict::kUnsure, nullptr};
+  }
+  if (policy.strict && confidence.age > policy.bound) {
+    return {CallerVerdict::kUnsure, nullptr};
+  }
+  return {CallerVerdict::kTenant, tenant};
+}
+
+}  // namespace dockpoint
--- a/src/batch/job_ledger.cpp
+++ b/src/batch/job_ledger.cpp
@@ -33,7 +33,8 @@
   std::string path;
   std::int64_t submitted_ms = 0;
   std::vector<ItemWire> items;
-  DOCKPOINT_FIELDS(id, host, path, submitted_ms, items)
+  std::string tenant;  ///< Absent in records of versions without tenants.
+  DOCKPOINT_FIELDS(id, host, path, submitted_ms, items, tenant)
 };
 
 struct ResultWire {
@@ -87,7 +88,7 @@
 }
 
 JobWire to_wire(const BatchJob& job) {
-  JobWire wire{job.id, job.host, job.path, job.submitted_ms, {}};
+  JobWire wire{job.id, job.host, job.path, job.submitted_ms, {}, job.tenant};
   for (const BatchItem& item : job.items) {
     wire.items.push_back({item.id, item.path, item.header_list(), item.body, item.tokens});
   }
@@ -96,7 +97,8 @@
 
 BatchJob from_wire(JobWire wire) {
   BatchJob job{
-      std::move(wire.id), std::move(wire.host), std::move(wire.path), wire.submitted_ms, {}};
+      std::move(wire.id),    std::move(wire.host), std::move(wire.path), wire.submitted_ms, {},
+      std::move(wire.tenant)};
   for (ItemWire& item : wire.items) {
     BatchItem taken{
         std::move(item.id), std::move(item.path), {}, std::move(item.body), item.tokens};
@@ -153,6 +155,11 @@
   return {checkpoint_key(job, item, number), {}, 0};
 }
 
+std::string tenant_job_id(const std::string& tenant, const std::string& id) {
+  // The hash has a fixed length, so that no id of one tenant begins like those of another.
+  return tenant.empty() ? id : hash128_hex(tenant) + id;
+}
+
 int job_partition(const std::string& job, int partitions) {
   return static_cast<int>(hash64(job) % static_cast<std::uint64_t>(std::max(1, partitions)));
 }
--- a/src/batch/reservation_table.cpp
+++ b/src/batch/reservation_table.cpp
@@ -12,7 +12,8 @@
 struct ReservationWire {
   double tokens = 0;
   std::int64_t reserved_ms = 0;
-  DOCKPOINT_FIELDS(tokens, reserved_ms)
+  std::string tenant;  ///< Absent in records of versions without tenants.
+  DOCKPOINT_FIELDS(tokens, reserved_ms, tenant)
 };
 
 /// Routes may share a partition: keys begin with the route's hash, which has a fixed length.
@@ -28,7 +29,8 @@
 KeyedRecord reservation_record(const std::string& route, const std::string& job,
                                const TokenReservation& reservation) {
   return {key_prefix(route) + job,
-          pack(ReservationWire{reservation.tokens, reservation.reserved_ms}), 0};
+          pack(ReservationWire{reservation.tokens, reservation.reserved_ms, reservation.tenant}),
+          0};
 }
 
 KeyedRecord reservation_removal(const std::string& route, const std::string& job) {
@@ -37,7 +39,7 @@
 
 void ReservationTable::clear() {
   by_job_.clear();
-  tokens_ = 0;
+  tokens_by_tenant_.clear();
 }
 
 double ReservationTable::take(const KeyedRecord& record) {
@@ -53,21 +55,49 @@
   if (!wire) {
     return 0;
   }
-  return replace(job, TokenReservation{std::max(0.0, wire->tokens), wire->reserved_ms});
+  return replace(job,
+                 TokenReservation{std::max(0.0, wire->tokens), wire->reserved_ms, wire->tenant});
 }
 
 double ReservationTable::replace(const std::string& job,
                                  const std::optional<TokenReservation>& reservation) {
   const auto held = find(job);
-  const double before = held ? held->tokens : 0;
-  const double after = reservation ? reservation->tokens : 0;
-  tokens_ += after - before;
+  if (held) {
+    add_tokens(held->tenant, -held->tokens);
+  }
   if (reservation) {
+    add_tokens(reservation->tenant, reservation->tokens);
     by_job_[job] = *reservation;
   } else {
     by_job_.erase(job);
   }
-  return std::max(0.0, before - after);
+  return std::max(0.0, (held ? held->tokens : 0) - (reservation ? reservation->tokens : 0));
+}
+
+void ReservationTable::add_tokens(const std::string& tenant, double tokens) {
+  const auto sum = tokens_by_tenant_.try_emplace(tenant, 0).first;
+  sum->second += tokens;
+  if (sum->second <= 0) {
+    tokens_by_tenant_.erase(sum);
+  }
+}
+
+double ReservationTable::tokens(const std::string& tenant) const {
+  const auto sum = tokens_by_tenant_.find(tenant);
+  return sum == tokens_by_tenant_.end() ? 0 : sum->second;
+}
+
+double ReservationTable::most_tokens() const {
+  double most = 0;
+  for (const auto& [tenant, tokens] : tokens_by_tenant_) {
+    most = std::max(most, tokens);
+  }
+  return most;
+}
+
+std::optional<TokenReservation> ReservationTable::find_record(const KeyedRecord& record) const {
+  const std::string prefix = key_prefix(route_);
+  return record.key.starts_with(prefix) ? find(record.key.substr(prefix.size())) : std::nullopt;
 }
 
 std::optional<TokenReservation> ReservationTable::find(const std::string& job) const {
@@ -75,10 +105,12 @@
   return found == by_job_.end() ? std::nullopt : std::optional(found->second);
 }
 
-double ReservationTable::tokens_reserved_before(std::int64_t unix_ms) const {
+double ReservationTable::tokens_reserved_before(const std::string& tenant,
+                                                std::int64_t unix_ms) const {
   double tokens = 0;
   for (const auto& [job, reservation] : by_job_) {
-    tokens += reservation.reserved_ms < unix_ms ? reservation.tokens : 0;
+    const bool counts = reservation.tenant == tenant && reservation.reserved_ms < unix_ms;
+    tokens += counts ? reservation.tokens : 0;
   }
   return tokens;
 }
--- a/src/batch/token_quota.cpp
+++ b/src/batch/token_quota.cpp
@@ -27,8 +27,7 @@
       route_name_(std::move(route)),
       jobs_(jobs),
       table_(route_name_),
-      watch_(knobs, log, partition_, seed, *this, WatchMode::kOnDemand),
-      released_(knobs.quota_release_memory) {}
+      watch_(knobs, log, partition_, seed, *this, WatchMode::kOnDemand) {}
 
 TokenQuota::~TokenQuota() {
   life_->alive = false;
@@ -45,16 +44,18 @@
 }
 
 void TokenQuota::on_record(const KeyedRecord& record) {
+  const auto held = table_.find_record(record);
   const double released = table_.take(record);
-  if (released > 0) {
-    released_.add(now_, released);
+  if (held && released > 0) {
+    released_.try_emplace(held->tenant, knobs_.quota_release_memory)
+        .first->second.add(now_, released);
   }
 }
 
 void TokenQuota::on_current() {
   refreshed_ = refresh_asked_;
   next_audit_ = std::min(next_audit_, now_ + audit_interval());
-  renew_allotment();
+  renew_allotments();
   const auto life = life_;
   decide();
   if (life->alive && audit_due_) {
@@ -72,38 +73,50 @@
   return kAllottedShare * route_.limit / static_cast<double>(route_.nodes) >= largest_job_;
 }
 
-double TokenQuota::usable_limit() const {
+double TokenQuota::usable_limit(const std::string& tenant) const {
   if (!wide()) {
     return route_.limit;
   }
   // Allotments were given at most so long ago, and their jobs are accepted or given up by now.
   const Duration oldest =
       knobs_.quota_allotment_time + knobs_.submission_wait + knobs_.clock_error / 2;
-  const double old = table_.tokens_reserved_before(now_ms_ - to_ms(oldest));
+  const double old = table_.tokens_reserved_before(tenant, now_ms_ - to_ms(oldest));
   const double allotted = old >= kAllottedShare * route_.limit ? 0 : kAllottedShare;
   return (1 - allotted) * route_.limit;
 }
 
-void TokenQuota::renew_allotment() {
-  allotment_ = 0;
+void TokenQuota::renew_allotments() {
+  allotted_tokens_.clear();
+  allotments_until_ = {};
   const bool fleet_known = now_ - started_ >= kFleetUnknown;
-  if (!fleet_known || !wide() || table_.tokens() >= kAllottedShare * route_.limit) {
+  if (!fleet_known || !wide()) {
     return;
   }
-  allotment_ = kAllottedShare * route_.limit / static_cast<double>(route_.nodes);
   for (const Pending& pending : allotted_) {
-    allotment_ -= pending.request.tokens;  // Not seen in the topic yet.
+    allotted_tokens_[pending.request.tenant] +=
+        pending.request.tokens;  // Not seen in the topic yet.
   }
-  allotment_until_ = refreshed_ + knobs_.quota_allotment_time;
+  allotments_until_ = refreshed_ + knobs_.quota_allotment_time;
+}
+
+double TokenQuota::allotment(const std::string& tenant) const {
+  if (now_ >= allotments_until_ || !wide() ||
+      table_.tokens(tenant) >= kAllottedShare * route_.limit) {
+    return 0;
+  }
+  const auto taken = allotted_tokens_.find(tenant);
+  return kAllottedShare * route_.limit / static_cast<double>(route_.nodes) -
+         (taken == allotted_tokens_.end() ? 0 : taken->second);
 }
 
 bool TokenQuota::recent(const TokenReservation& reservation) const {
   return now_ms_ - reservation.reserved_ms < to_ms(knobs_.quota_recent);
 }
 
-Duration TokenQuota::time_to_free(double tokens) const {
+Duration TokenQuota::time_to_free(const std::string& tenant, double tokens) const {
   constexpr Duration kUnknownRate = std::chrono::seconds(1);
-  const double rate = released_.per_second(now_);
+  const auto released = released_.find(tenant);
+  const double rate = released == released_.end() ? 0 : released->second.per_second(now_);
   const Duration expected =
       rate <= 0
           ? kUnknownRate
@@ -113,10 +126,9 @@
 
 QuotaStart TokenQuota::reserve(QuotaRequest request, Done done) {
   note_job_size(request.tokens);
-  const bool covered = now_ < allotment_until_ && request.tokens <= allotment_ && wide() &&
-                       !table_.find(request.job);
+  const bool covered = request.tokens <= allotment(request.tenant) && !table_.find(request.job);
   if (covered) {
-    allotment_ -= request.tokens;
+    allotted_tokens_[request.tenant] += request.tokens;
     allotted_.push_back({std::move(request), std::move(done)});
     write_allotted();
     return QuotaStart::kGoAhead;
@@ -135,21 +147,23 @@
   if (deciding_ || waiting_.empty() || now_ < retry_at_) {
     return;
   }
-  const double limit = usable_limit();
-  double tokens = table_.tokens();
+  std::map<std::string, double> taken_tokens;  // By tenant, in this round.
   PendingList known;
   PendingList taken;
   PendingList refused;
   std::vector<Duration> pauses;
   for (Pending& pending : std::exchange(waiting_, {})) {
+    const std::string& tenant = pending.request.tenant;
+    const double limit = usable_limit(tenant);
+    const double tokens = table_.tokens(tenant) + taken_tokens[tenant];
     const auto held = table_.find(pending.request.job);
     if (held && recent(*held)) {
       known.push_back(std::move(pending));
     } else if (held || tokens + pending.request.tokens <= limit) {
-      tokens += held ? 0 : pending.request.tokens;
+      taken_tokens[tenant] += held ? 0 : pending.request.tokens;
       taken.push_back(std::move(pending));
     } else {
-      pauses.push_back(time_to_free(tokens + pending.request.tokens - limit));
+      pauses.push_back(time_to_free(tenant, tokens + pending.request.tokens - limit));
       refused.push_back(std::move(pending));
     }
   }
@@ -169,7 +183,8 @@
   for (const Pending& pending : taken) {
     const auto held = table_.find(pending.request.job);
     const double tokens = held ? held->tokens : pending.request.tokens;
-    records.push_back(reservation_record(route_name_, pending.request.job, {tokens, now_ms_}));
+    records.push_back(reservation_record(route_name_, pending.request.job,
+                                         {tokens, now_ms_, pending.request.tenant}));
   }
   deciding_ = true;
   log_.append_at(
@@ -199,7 +214,8 @@
   std::vector<KeyedRecord> records;
   for (const Pending& pending : allotted_) {
     records.push_back(
-        reservation_record(route_name_, pending.request.job, {pending.request.tokens, now_ms_}));
+        reservation_record(route_name_, pending.request.job,
+                           {pending.request.tokens, now_ms_, pending.request.tenant}));
   }
   writing_ = true;
   const std::size_t count = allotted_.size();
@@ -272,7 +288,7 @@
 }
 
 Duration TokenQuota::audit_interval() const {
-  const bool near = table_.tokens() > knobs_.quota_near * route_.limit;
+  const bool near = table_.most_tokens() > knobs_.quota_near * route_.limit;
   return near ? knobs_.quota_audit_interval_near : knobs_.quota_audit_interval;
 }
 
@@ -307,13 +323,14 @@
   for (const auto& [job, held] : table_.all()) {
     const auto state = jobs_.find(job);
     if (state && state->known && state->waiting_tokens != held.tokens) {
-      records.push_back(
-          reservation_record(route_name_, job, {state->waiting_tokens, held.reserved_ms}));
+      records.push_back(reservation_record(route_name_, job,
+                                           {state->waiting_tokens, held.reserved_ms, held.tenant}));
     }
   }
-  for (const auto& [job, tokens] : jobs_.open_jobs(route_name_)) {
-    if (tokens > 0 && !table_.find(job)) {
-      records.push_back(reservation_record(route_name_, job, {tokens, now_ms_}));
+  for (const OwnedJobs::OpenJob& open : jobs_.open_jobs(route_name_)) {
+    if (open.waiting_tokens > 0 && !table_.find(open.id)) {
+      records.push_back(
+          reservation_record(route_name_, open.id, {open.waiting_tokens, now_ms_, open.tenant}));
     }
   }
   records.resize(std::min(records.size(), kMostCorrections));
--- a/src/core/knob_table.cpp
+++ b/src/core/knob_table.cpp
@@ -40,6 +40,8 @@
       {"overload_objectives", &Knobs::overload_objectives},
       {"own_zone_preference", &Knobs::own_zone_preference},
       {"quota_allotment_time", &Knobs::quota_allotment_time},
+      {"rate_report_delay", &Knobs::rate_report_delay},
+      {"rate_shared", &Knobs::rate_shared},
       {"removal_grace", &Knobs::removal_grace},
       {"second_home_confidence", &Knobs::second_home_confidence},
       {"submission_forward_delay", &Knobs::submission_forward_delay},
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -302,7 +302,8 @@
     return false;
   }
   const net::RequestHead head = context_.protocol.item_request(
-      job->job, item, {choice.replica->record.id, kItemDeadline, kept.produced.last_event});
+      job->job, item,
+      {choice.replica->record.registered_name(), kItemDeadline, kept.produced.last_event});
   const auto run = std::make_shared<ItemRun>(*this, ref, item.id, std::move(info),
                                              std::max(1, route->attempts), entry.due);
   runs_.insert(run);
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -331,9 +331,8 @@
   return entry == nullptr ? State{false, 0} : State{true, entry->waiting_tokens()};
 }
 
-std::vector<std::pair<std::string, double>> BatchService::open_jobs(
-    const std::string& route) const {
-  std::vector<std::pair<std::string, double>> open;
+std::vector<OwnedJobs::OpenJob> BatchService::open_jobs(const std::string& route) const {
+  std::vector<OpenJob> open;
   for (const auto& [partition, owner] : owners_) {
     if (!owner->active()) {
       continue;
@@ -344,7 +343,7 @@
       }
       const RouteConfig* matched = context_.configuration->match(entry.job.host, entry.job.path);
       if (matched != nullptr && matched->name == route) {
-        open.emplace_back(id, entry.waiting_tokens());
+        open.push_back({id, entry.job.tenant, entry.waiting_tokens()});
       }
     }
   }
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -84,7 +84,7 @@
   void on_lost(int partition) override;
 
   std::optional<State> find(const std::string& job) const override;
-  std::vector<std::pair<std::string, double>> open_jobs(const std::string& route) const override;
+  std::vector<OpenJob> open_jobs(const std::string& route) const override;
 
   void end_job(const net::ExchangePtr& exchange, const std::string& job);
   void read(Waiter waiter);
--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -119,12 +119,13 @@
   };
   std::map<std::string, Count> services;
   for (const auto& [id, replica] : context_.replicas.all()) {
-    if (replica.record.draining && !suspended_.contains(id)) {
+    const std::string& name = replica.record.registered_name();
+    if (replica.record.draining && !suspended_.contains(name)) {
       continue;  // Its record was expected to go.
     }
     Count& count = services[replica.record.service];
     ++count.known;
-    count.held += removal_grace_.holds(id) ? 1 : 0;
+    count.held += removal_grace_.holds(name) ? 1 : 0;
   }
   for (const auto& [service, count] : services) {
     if (RemovalGrace::lapsed_together(count.held, count.known)) {
@@ -133,13 +134,14 @@
   }
   std::vector<ReplicaRecord> changed;
   for (const auto& [id, replica] : context_.replicas.all()) {
+    const std::string& name = replica.record.registered_name();
     const bool suspend =
-        removal_grace_.holds(id) && !lapsed_services_.contains(replica.record.service);
+        removal_grace_.holds(name) && !lapsed_services_.contains(replica.record.service);
     if (suspend && !replica.record.draining) {
-      suspended_.insert(id);
+      suspended_.insert(name);
       changed.push_back(replica.record);
       changed.back().draining = true;
-    } else if (!suspend && suspended_.erase(id) > 0) {
+    } else if (!suspend && suspended_.erase(name) > 0) {
       changed.push_back(replica.record);
       changed.back().draining = false;
     }
@@ -178,29 +180,69 @@
   on_change_();
 }
 
-void FleetWatch::take_replica(const std::string& id, const std::string& value) {
-  removal_grace_.present(id);
-  const auto known = replica_values_.find(id);
-  const bool suspended = suspended_.erase(id) > 0;
-  if (known != replica_values_.end() && known->second == value && !suspended) {
+void FleetWatch::take_replica(const std::string& name, const std::string& value) {
+  removal_grace_.present(name);
+  const auto known = records_.find(name);
+  const bool suspended = suspended_.erase(name) > 0;
+  if (known != records_.end() && known->second.value == value && !suspended) {
     return;
   }
   std::string problem;
   const std::optional<ReplicaRecord> record =
-      value_or_problem([&] { return reader_.read_replica(id, value); }, problem);
+      value_or_problem([&] { return reader_.read_replica(name, value); }, problem);
   if (!record) {
-    spdlog::error("fleet: replica cannot be read replica={} why=\"{}\"", id, problem);
+    take_unreadable_record(name, value, problem);
     return;
   }
-  replica_values_[id] = value;
+  if (is_of_earlier_life(*record)) {
+    spdlog::info("fleet: record of an earlier life ignored replica={}", record->id);
+    return;
+  }
+  const TimePoint now = net::steady_now();
+  const std::string before = known == records_.end() ? std::string{} : known->second.replica;
+  if (!before.empty() && before != record->id) {
+    spdlog::info("fleet: replica has started again replica={} before={}", record->id, before);
+    context_.replicas.end_life(before, now);
+  }
+  if (record->started_ms > 0) {
+    newest_start_[name] = record->started_ms;
+  }
+  records_[name] = {value, record->id};
   spdlog::info("fleet: replica {} replica={} service={} address={} slots={}",
-               record->draining ? "drains" : "ready", id, record->service,
+               record->draining ? "drains" : "ready", record->id, record->service,
                record->address.to_string(), record->slots);
-  context_.replicas.upsert(*record, net::steady_now());
+  context_.replicas.upsert(*record, now);
+  update_record_metrics();
+}
+
+bool FleetWatch::is_of_earlier_life(const ReplicaRecord& record) const {
+  const auto newest = newest_start_.find(record.registered_name());
+  return newest != newest_start_.end() && record.started_ms < newest->second;
+}
+
+void FleetWatch::take_unreadable_record(const std::string& name, const std::string& value,
+                                        const std::string& problem) {
+  KnownRecord& known = records_[name];
+  const bool news = known.value.empty() || !known.replica.empty();
+  known.value = value;
+  if (!known.replica.empty()) {
+    context_.replicas.remove(std::exchange(known.replica, {}));
+  }
+  if (news) {  // A writer may go on writing such records many times a second.
+    spdlog::error("fleet: record names no replica record={} bytes={} why=\"{}\"", name,
+                  value.size(), problem);
+  }
+  update_record_metrics();
+}
+
+void FleetWatch::update_record_metrics() {
+  context_.metrics.set_unreadable_records(static_cast<std::size_t>(
+      std::count_if(records_.begin(), records_.end(),
+                    [](const auto& entry) { return entry.second.replica.empty(); })));
 }
 
 void FleetWatch::drop_record(const std::string& id) {
-  if (!replica_values_.contains(id) || removal_grace_.holds(id)) {
+  if (!records_.contains(id) || removal_grace_.holds(id)) {
     return;
   }
   if (removal_grace_.hold(id, now_)) {
@@ -212,15 +254,17 @@
 
 void FleetWatch::remove_replica(const std::string& id) {
   suspended_.erase(id);
-  if (replica_values_.erase(id) > 0) {
-    spdlog::info("fleet: replica gone replica={}", id);
-    context_.replicas.remove(id);
+  const auto known = records_.extract(id);
+  if (!known.empty()) {
+    spdlog::info("fleet: replica gone record={} replica={}", id, known.mapped().replica);
+    context_.replicas.remove(known.mapped().replica);
+    update_record_metrics();
   }
 }
 
 void FleetWatch::retain_replicas(const std::vector<std::string>& ids) {
   std::vector<std::string> gone;
-  for (const auto& [id, value] : replica_values_) {
+  for (const auto& [id, record] : records_) {
     if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
       gone.push_back(id);
     }
@@ -240,9 +284,9 @@
   state.configuration = configuration_value_;
   state.replicas_known = replicas_known_;
   state.replicas_position = replicas_position();
-  for (const auto& [id, value] : replica_values_) {
-    if (!removal_grace_.holds(id)) {
-      state.replicas.push_back({id, value});
+  for (const auto& [name, record] : records_) {
+    if (!removal_grace_.holds(name)) {
+      state.replicas.push_back({name, record.value});
     }
   }
   return state;
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -21,6 +21,10 @@
 /// are taken from a peer only if it has read further; records that the node reads itself count only
 /// from that point on, so that what it knows never goes back. Records that lapsed while the log was
 /// away have time to come back, see removal_grace.hpp.
+///
+/// A record may have been left by another writer. One that cannot be read names no replica: work
+/// stops going there, and the other records hold. A record of an earlier life of a replica, from an
+/// old page or a peer that is behind, changes nothing.
 namespace dockpoint {
 
 /// Where the fleet's records lie in the log.
@@ -79,10 +83,23 @@
   class Follower;
 
   void take_configuration(const std::string& value, const std::string& source);
-  void take_replica(const std::string& id, const std::string& value);
+  /// What the record of a replica stands for now.
+  struct KnownRecord {
+    std::string value;
+    std::string replica;  ///< Its id in the directory; empty: the record names no replica.
+  };
+
+  /// @param name that the replica registers under.
+  void take_replica(const std::string& name, const std::string& value);
+  /// The record cannot be read: it names no replica, whatever stood there before.
+  void take_unreadable_record(const std::string& name, const std::string& value,
+                              const std::string& problem);
+  /// @return whether the record is of a life that is over already.
+  bool is_of_earlier_life(const ReplicaRecord& record) const;
   /// The record of a replica is gone: so is the replica, at once or after its grace time.
   void drop_record(const std::string& id);
   void remove_replica(const std::string& id);
+  void update_record_metrics();
   /// Gives replicas whose removal is held work, or none; see RemovalGrace.
   void review_held();
   void retain_replicas(const std::vector<std::string>& ids);
@@ -95,9 +112,12 @@
   const FleetTopics topics_;
   ConfigurationChanged on_change_;
   std::string configuration_value_;
-  std::map<std::string, std::string> replica_values_;  ///< Those whose removal is held included.
+  std::map<std::string, KnownRecord> records_;  ///< By name; those whose removal is held included.
+  std::map<std::string, std::int64_t>
+      newest_start_;  ///< By name: start of the newest life, as Unix
+                      ///< milliseconds, where replicas tell it.
   RemovalGrace removal_grace_;
-  std::set<std::string> suspended_;        ///< Held, and without new work.
+  std::set<std::string> suspended_;        ///< Names that are held, and without new work.
   std::set<std::string> lapsed_services_;  ///< Whose records lapsed together, while any are held.
   LogOffset peer_position_ = 0;            ///< That replicas taken from a peer stand at.
   bool replicas_known_ = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -57,6 +57,7 @@
       freshness_(knobs.freshness_bound),
       replicas_(knobs),
       selector_(knobs, replicas_, settings_.zone, combine_hash(hash64(settings_.node), run_)),
+      rate_limiter_(knobs, settings_.rate_window, static_cast<std::uint32_t>(run_)),
       context_{loop,          knobs,     parts.traffic, client,
                replicas_,     selector_, metrics_,      std::make_shared<RoutingConfiguration>(),
                settings_.node},
@@ -89,6 +90,7 @@
 }
 
 void Gateway::start() {
+  context_.rate_limiter = &rate_limiter_;
   context_.announce_load = [this] { peers_.announce_load(); };
   context_.peers_reaching_log = [this] { return peers_.control_addresses_reaching_log(); };
   context_.replica_records_age = [this] { return fleet_.replicas_age(net::steady_now()).age; };
@@ -143,6 +145,7 @@
   announce_knowledge();
   peers_.set_pending_items(batch_.pending_items());
   peers_.set_log_reachable(batch_.lease_valid(now));
+  rate_limiter_.tick(now);
   peers_.tick(now);
   note_outliers(now);
   batch_.set_peers_reach_log(peers_.some_peer_reaches_log());
@@ -193,6 +196,7 @@
   const IngressLimits& limits = context_.configuration->limits;
   frontend_.set_limits(
       {limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
+  rate_limiter_.set_limits(context_.configuration->tenants);
   announce_knowledge();
 }
 
@@ -211,20 +215,65 @@
   }
   const net::RequestHead& head = exchange->request();
   const net::Target target = net::Target::parse(head.target);
-  if (const auto call = context_.protocol.read_job_call(head)) {
-    batch_.handle(exchange, *call, false);
+  const Tenant* tenant = nullptr;
+  if (auto call = context_.protocol.read_job_call(head)) {
+    if (admit_caller(exchange, *configuration, true, tenant)) {
+      call->job = tenant_job_id(tenant == nullptr ? std::string{} : tenant->name, call->job);
+      batch_.handle(exchange, *call, false);
+    }
     return;
   }
   const RouteConfig* route = configuration->match(head.headers.get("Host"), target.path);
   if (route == nullptr) {
     refuse_without_route(exchange, target.path);
+  } else if (!admit_caller(exchange, *configuration, route->needs_key, tenant)) {
+    return;
   } else if (route->kind == RouteKind::kBatch) {
     batch_.submit(exchange, *route, std::nullopt);
   } else {
-    online_.handle(exchange, configuration, *route);
+    online_.handle(exchange, configuration, *route, tenant);
   }
 }
 
+bool Gateway::admit_caller(const net::ExchangePtr& exchange,
+                           const RoutingConfiguration& configuration, bool key_needed,
+                           const Tenant*& tenant) {
+  net::RequestHead& head = exchange->request();
+  const ConfigurationConfidence confidence = configuration_confidence(exchange->received());
+  const CallerIdentity caller =
+      identify_caller(configuration.tenants, key_needed, context_.protocol.read_credential(head),
+                      confidence, settings_.revocation);
+  switch (caller.verdict) {
+    case CallerVerdict::kNoTenant:
+    case CallerVerdict::kTenant:
+      tenant = caller.tenant;
+      context_.protocol.name_tenant(head, tenant == nullptr ? std::string{} : tenant->name);
+      return true;
+    case CallerVerdict::kMalformed:
+      metrics_.count_caller_refused("malformed");
+      exchange->respond(400, {}, {});
+      return false;
+    case CallerVerdict::kUnknownKey:
+      metrics_.count_caller_refused("unknown_key");
+      spdlog::info("online: key not known version={} confirmedMsAgo={}", configuration.version,
+                   to_ms(confidence.age));
+      exchange->respond(401, {}, {});
+      return false;
+    case CallerVerdict::kUnsure:
+      metrics_.count_caller_refused("unsure");
+      spdlog::info("online: cannot vouch for the key version={} confirmedMsAgo={}",
+                   configuration.version, to_ms(confidence.age));
+      exchange->respond(503, {{"Retry-After", kUnsureRetryAfter}}, {});
+      return false;
+  }
+  return false;
+}
+
+ConfigurationConfidence Gateway::configuration_confidence(TimePoint now) const {
+  const WatchAge age = fleet_.configuration_age(now);
+  return {age.state == WatchState::kFollowing, age.age};
+}
+
 void Gateway::refuse_without_route(const net::ExchangePtr& exchange, std::string_view path) {
   const WatchAge age = fleet_.configuration_age(exchange->received());
   spdlog::info("online: no route host={} path={} version={} log={} confirmedMsAgo={}",
@@ -291,7 +340,9 @@
     serve_forwarded_job(exchange);
     return;
   }
-  if (const auto call = context_.protocol.read_job_call(exchange->request())) {
+  if (auto call = context_.protocol.read_job_call(exchange->request())) {
+    // The node that passes it on has named the tenant.
+    call->job = tenant_job_id(context_.protocol.named_tenant(exchange->request()), call->job);
     batch_.handle(exchange, *call, true);
     return;
   }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -66,6 +66,13 @@
   void request_slot(const Replica& replica);
   void take_slot_request(const SlotRequest& request);
   void serve_frontend(const net::ExchangePtr& exchange);
+  /// Decides who the caller is. Refuses one that may not go on; for the others the request names
+  /// the tenant from then on in place of the key.
+  /// @param tenant set to the caller's tenant, or null.
+  /// @return whether the caller may go on.
+  bool admit_caller(const net::ExchangePtr& exchange, const RoutingConfiguration& configuration,
+                    bool key_needed, const Tenant*& tenant);
+  ConfigurationConfidence configuration_confidence(TimePoint now) const;
   /// No route of the configuration in force matches the request.
   void refuse_without_route(const net::ExchangePtr& exchange, std::string_view path);
   void serve_readiness(const net::ExchangePtr& exchange);
@@ -92,6 +99,7 @@
   GatewayMetrics metrics_;
   ReplicaDirectory replicas_;
   ReplicaSelector selector_;
+  TenantRateLimiter rate_limiter_;
   GatewayContext context_;
   OnlineProxy online_;
   HedgedLog log_;
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "dockpoint/admission/tenant_rate_limiter.hpp"
 #include "dockpoint/config/routing_configuration.hpp"
 #include "dockpoint/core/knobs.hpp"
 #include "dockpoint/routing/replica_directory.hpp"
@@ -34,6 +35,7 @@
   std::function<void(const Replica&)> request_slot = {};
   /// @return time since the log last confirmed the replicas' records.
   std::function<Duration()> replica_records_age = {};
+  TenantRateLimiter* rate_limiter = nullptr;  ///< Null: no tenant is limited.
 };
 
 /// @return the endpoint of a replica; connections are not shared between its lives.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -12,6 +12,9 @@
   return buckets;
 }
 
+/// Tenants over their limit that get a series of their own.
+constexpr std::size_t kTenantsShown = 32;
+
 prometheus::Gauge& make_gauge(prometheus::Registry& registry, const char* name, const char* help) {
   return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
 }
@@ -31,6 +34,14 @@
                     .Name("dockpoint_gateway_attempts_total")
                     .Help("Attempts at replicas by outcome.")
                     .Register(registry_)),
+      rate_limited_(prometheus::BuildCounter()
+                        .Name("dockpoint_gateway_rate_limited_total")
+                        .Help("Online requests refused for their tenant's rate limit.")
+                        .Register(registry_)),
+      callers_refused_(prometheus::BuildCounter()
+                           .Name("dockpoint_gateway_callers_refused_total")
+                           .Help("Requests refused for their API key, by reason.")
+                           .Register(registry_)),
       items_(prometheus::BuildCounter()
                  .Name("dockpoint_gateway_batch_items_total")
                  .Help("Runs of batch items by outcome.")
@@ -45,6 +56,8 @@
                                     "Time since the log last confirmed the configuration.")),
       replicas_age_(make_gauge(registry_, "dockpoint_gateway_replica_records_age_seconds",
                                "Time since the log last confirmed the replicas' records.")),
+      unreadable_records_(make_gauge(registry_, "dockpoint_gateway_unreadable_replica_records",
+                                     "Records among the replicas' that name no replica.")),
       partitions_owned_(make_gauge(registry_, "dockpoint_gateway_partitions_owned",
                                    "Partitions of batch jobs that this node owns.")),
       log_lines_dropped_(make_gauge(registry_, "dockpoint_gateway_log_lines_dropped",
@@ -63,6 +76,18 @@
   attempts_.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::count_rate_limited(const std::string& tenant) {
+  const bool shown = tenants_shown_.contains(tenant) || tenants_shown_.size() < kTenantsShown;
+  if (shown) {
+    tenants_shown_.insert(tenant);
+  }
+  rate_limited_.Add({{"tenant", shown ? tenant : "other"}}).Increment();
+}
+
+void GatewayMetrics::count_caller_refused(const std::string& verdict) {
+  callers_refused_.Add({{"reason", verdict}}).Increment();
+}
+
 void GatewayMetrics::count_item(const std::string& outcome) {
   items_.Add({{"outcome", outcome}}).Increment();
 }
@@ -80,6 +105,10 @@
   replicas_age_.Set(std::chrono::duration<double>(replicas).count());
 }
 
+void GatewayMetrics::set_unreadable_records(std::size_t count) {
+  unreadable_records_.Set(static_cast<double>(count));
+}
+
 void GatewayMetrics::set_partitions_owned(std::size_t count) {
   partitions_owned_.Set(static_cast<double>(count));
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -6,6 +6,7 @@
 #include <prometheus/registry.h>
 
 #include <memory>
+#include <set>
 #include <string>
 
 #include "dockpoint/core/time.hpp"
@@ -21,11 +22,18 @@
   void count_request(const std::string& kind, const std::string& outcome);
   void observe_first_byte(const std::string& kind, Duration time);
   void count_attempt(const std::string& outcome);
+  /// Counts a request that was refused for its tenant's rate limit. Only the first tenants that are
+  /// met get a series of their own, the others share `other`.
+  void count_rate_limited(const std::string& tenant);
+  /// Counts a refusal of a caller; @param verdict `unknown_key`, `unsure` or `malformed`.
+  void count_caller_refused(const std::string& verdict);
   void count_item(const std::string& outcome);
   void count_log_call(const std::string& call, const std::string& outcome);
   void set_configuration_version(std::uint64_t version);
   /// Time since the log last confirmed the configuration, and the replicas' records.
   void set_fleet_age(Duration configuration, Duration replicas);
+  /// @param count records among the replicas' that name no replica.
+  void set_unreadable_records(std::size_t count);
   void set_partitions_owned(std::size_t count);
   void set_log_lines_dropped(std::uint64_t count);
 
@@ -37,13 +45,17 @@
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Histogram>& first_byte_;
   prometheus::Family<prometheus::Counter>& attempts_;
+  prometheus::Family<prometheus::Counter>& rate_limited_;
+  prometheus::Family<prometheus::Counter>& callers_refused_;
   prometheus::Family<prometheus::Counter>& items_;
   prometheus::Family<prometheus::Counter>& log_calls_;
   prometheus::Gauge& configuration_version_;
   prometheus::Gauge& configuration_age_;
   prometheus::Gauge& replicas_age_;
+  prometheus::Gauge& unreadable_records_;
   prometheus::Gauge& partitions_owned_;
   prometheus::Gauge& log_lines_dropped_;
+  std::set<std::string> tenants_shown_;  ///< With a series of their own.
 };
 
 }  // namespace dockpoint
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -19,6 +19,8 @@
 constexpr double kDefaultGraceSeconds = 10;
 constexpr std::int64_t kDefaultFreshnessMs = 2'000;
 constexpr std::int64_t kLargestFreshnessMs = 600'000;
+constexpr std::int64_t kLargestRevocationMs = 600'000;
+constexpr double kDefaultRateWindowSeconds = 5;
 
 std::string address(ObjectReader& section, const std::string& key, bool required) {
   const std::string text = required ? section.required_text(key) : section.text(key);
@@ -44,6 +46,16 @@
   return std::chrono::milliseconds(std::min(configuration, drain));
 }
 
+void read_tenant_settings(ObjectReader& tenants, GatewaySettings& settings) {
+  settings.revocation.strict = tenants.boolean("strict_revocation", settings.revocation.strict);
+  settings.revocation.bound = std::chrono::milliseconds(tenants.integer(
+      "revocation_ms", {1, kLargestRevocationMs}, to_ms(settings.revocation.bound)));
+  RateWindow& window = settings.rate_window;
+  window.length = seconds(tenants, "rate_window_s", kDefaultRateWindowSeconds);
+  window.overage = tenants.number("rate_overage", 0.0, window.overage);
+  window.slack = tenants.number("rate_slack", 0.0, window.slack);
+}
+
 void read_experiment(ObjectReader& section, Knobs& knobs) {
   for (const std::string& name : section.keys()) {
     const double value = section.number(name, 0.0, 0.0);
@@ -89,6 +101,9 @@
   settings.grace = seconds(times, "grace_s", kDefaultGraceSeconds);
   settings.knobs.freshness_bound = read_freshness_bound(times);
   times.reject_unknown_keys();
+  ObjectReader tenants = root.object("tenants");
+  read_tenant_settings(tenants, settings);
+  tenants.reject_unknown_keys();
   ObjectReader experiment = root.object("experiment");
   read_experiment(experiment, settings.knobs);
   root.reject_unknown_keys();
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -4,6 +4,8 @@
 #include <string>
 #include <vector>
 
+#include "dockpoint/admission/caller_identity.hpp"
+#include "dockpoint/admission/tenant_rate_limiter.hpp"
 #include "dockpoint/core/error.hpp"
 #include "dockpoint/core/knobs.hpp"
 #include "dockpoint/core/time.hpp"
@@ -32,6 +34,9 @@
   Duration address_lifetime{};  ///< Longest time that callers may keep an answer of the resolver.
   Duration grace{};             ///< From the order to stop to the end.
 
+  RevocationPolicy revocation;
+  RateWindow rate_window;  ///< In which the rate limits of tenants hold.
+
   Knobs knobs;  ///< With the changes of an experiment, if the file asks for one.
 };
 
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -147,7 +147,9 @@
 }
 
 void ItemRun::tick(TimePoint now) {
-  if (now - last_progress_ > context_.knobs.item_silence) {
+  if (context_.replicas.life_ended(attempt_.replica())) {
+    interrupted(now, "the replica has started again");
+  } else if (now - last_progress_ > context_.knobs.item_silence) {
     attempt_.signal(ReplicaSignal::kBroken, now);
     interrupted(now, "the replica is silent");
   }
--- a/src/gateway/job_submissions.cpp
+++ b/src/gateway/job_submissions.cpp
@@ -51,13 +51,14 @@
 struct JobSubmissions::Submission {
   net::ExchangePtr exchange;
   std::string job;
+  std::string tenant;
   double tokens = 0;
-  double limit = 0;  ///< Of the route, on tokens that wait; 0: none.
+  double limit = 0;  ///< Of the tenant on the route, on tokens that wait; 0: none.
   TopicPartition partition;
   std::vector<std::vector<KeyedRecord>> appends;  ///< The last one makes the job valid.
   std::size_t next = 0;
   bool may_write = false;  ///< The job may be appended.
-  bool reserved = false;   ///< The limit of its route leaves room for it.
+  bool reserved = false;   ///< The limit leaves room for it.
   bool unknown = false;    ///< An append may have been done without an answer.
   bool calling = false;
   bool over = false;
@@ -97,6 +98,7 @@
   const auto submission = std::make_shared<Submission>();
   submission->exchange = exchange;
   submission->job = job->id;
+  submission->tenant = job->tenant;
   submission->tokens = tokens_of(*job);
   submission->partition = {topics_.jobs, job_partition(job->id, log_.limits().partitions)};
   submission->deadline =
@@ -186,7 +188,7 @@
   submission->limit = route.max_waiting_tokens;
   const QuotaStart start =
       tick_quota(route, submission->exchange->received())
-          .reserve({submission->job, submission->tokens, submission->deadline},
+          .reserve({submission->job, submission->tokens, submission->deadline, submission->tenant},
                    [this, alive = alive_, submission](const QuotaAnswer& answer) {
                      if (*alive && !submission->over) {
                        take_quota_answer(submission, answer);
@@ -275,12 +277,13 @@
   const double limit = submission->limit;
   const bool never_fits = submission->tokens > limit;
   const std::string message =
-      never_fits ? fmt::format(
-                       "the job has {:.0f} tokens, more than the {:.0f} that may wait on "
-                       "its route: divide it",
-                       submission->tokens, limit)
-                 : fmt::format("the route's limit of {:.0f} waiting tokens has no room for {:.0f}",
-                               limit, submission->tokens);
+      never_fits
+          ? fmt::format(
+                "the job has {:.0f} tokens, more than the {:.0f} that may wait on "
+                "its route: divide it",
+                submission->tokens, limit)
+          : fmt::format("the limit of {:.0f} waiting tokens on the route has no room for {:.0f}",
+                        limit, submission->tokens);
   net::Headers headers{{"Content-Type", "application/json"}};
   if (!never_fits) {
     headers.add("Retry-After",
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -31,12 +31,13 @@
 
 OnlineCall::OnlineCall(OnlineProxy& proxy, net::ExchangePtr exchange,
                        std::shared_ptr<const RoutingConfiguration> configuration,
-                       const RouteConfig& route)
+                       const RouteConfig& route, const Tenant* tenant)
     : proxy_(proxy),
       context_(proxy.context_),
       exchange_(std::move(exchange)),
       configuration_(std::move(configuration)),
       route_(route),
+      tenant_(tenant),
       info_(context_.protocol.read_request(exchange_->request())),
       attempt_(context_, TrafficClass::kOnline) {
   const Duration timeout = route_.timeout > Duration{} ? route_.timeout : kDefaultTimeout;
@@ -66,6 +67,9 @@
     refuse("the route names no service");
     return;
   }
+  if (refuse_over_rate_limit(exchange_->received())) {
+    return;
+  }
   service_ = proxy_.rotation_.next(route_);
   send(exchange_->received());
 }
@@ -95,7 +99,8 @@
   const std::string body = exchange_->body();
   net::RequestHead head = context_.protocol.replica_request(
       exchange_->request(), body.size(),
-      {replica.id, std::max(deadline_ - now, Duration(std::chrono::milliseconds(1))), last_event_});
+      {replica.registered_name(), std::max(deadline_ - now, Duration(std::chrono::milliseconds(1))),
+       last_event_});
   sent_at_ = now;
   last_progress_ = now;
   head_seen_ = false;
@@ -304,6 +309,8 @@
   const auto self = shared_from_this();
   if (now >= deadline_) {
     expire(now);
+  } else if (attempt_.under_way() && context_.replicas.life_ended(attempt_.replica())) {
+    move_on("the replica has started again", now);
   } else if (attempt_.under_way()) {
     watch_silence(now);
   }
@@ -323,8 +330,12 @@
     }
     return;
   }
-  spdlog::warn("online: replica is silent id={} replica={} silentMs={}", info_.id,
-               attempt_.replica(), to_ms(silence));
+  move_on("the replica is silent", now);
+}
+
+void OnlineCall::move_on(const char* why, TimePoint now) {
+  spdlog::warn("online: attempt given up id={} replica={} silentMs={} why=\"{}\"", info_.id,
+               attempt_.replica(), to_ms(now - last_progress_), why);
   attempt_.signal(ReplicaSignal::kBroken, now);
   end_attempt();
   after_failure(exchange_->answered() ? AttemptFailure::kInterrupted : AttemptFailure::kMayHaveRun,
@@ -359,6 +370,31 @@
   finish("caller_gone", "the caller closed its connection");
 }
 
+bool OnlineCall::refuse_over_rate_limit(TimePoint now) {
+  if (tenant_ == nullptr || context_.rate_limiter == nullptr) {
+    return false;
+  }
+  const RateVerdict verdict = context_.rate_limiter->admit(*tenant_, now);
+  counted_ = verdict.admitted;
+  if (counted_) {
+    return false;
+  }
+  context_.metrics.count_rate_limited(tenant_->name);
+  if (is_sampled(info_.id)) {
+    spdlog::info(
+        "online: over the rate limit id={} tenant={} version={} perSecond={} burst={} "
+        "tokens={:.1f} "
+        "nodesHeard={}/{} retryAfterMs={}",
+        info_.id, tenant_->name, configuration_->version, tenant_->rate.per_second,
+        tenant_->rate.burst, verdict.tokens, verdict.heard, verdict.known,
+        to_ms(verdict.retry_after));
+  }
+  const double seconds = std::chrono::duration<double>(verdict.retry_after).count();
+  exchange_->respond(429, {{"Retry-After", fmt::format("{:.2f}", seconds)}}, {});
+  finish("over_limit", "the tenant is over its rate limit");
+  return true;
+}
+
 bool OnlineCall::refuse_for_load(const ReplicaChoice& choice, TimePoint now) {
   if (sends_ > 0 || info_.last_event_id) {
     return false;
@@ -400,8 +436,13 @@
     return;
   }
   finished_ = true;
+  const bool not_run = std::string_view(outcome) == "refused";
+  if (counted_ && not_run) {
+    context_.rate_limiter->give_back(*tenant_, net::steady_now());
+  }
   context_.metrics.count_request(kind(), outcome);
-  const bool ordinary = std::string_view(outcome) == "answered" && sends_ == 1 && !late();
+  const std::string_view result = outcome;
+  const bool ordinary = (result == "answered" && sends_ == 1 && !late()) || result == "over_limit";
   if (!ordinary || is_sampled(info_.id)) {
     spdlog::info(
         "online: {} id={} route={} version={} service={} replica={} sends={} mayHaveRun={} "
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -20,7 +20,8 @@
 class OnlineCall : public net::CallObserver, public std::enable_shared_from_this<OnlineCall> {
  public:
   OnlineCall(OnlineProxy& proxy, net::ExchangePtr exchange,
-             std::shared_ptr<const RoutingConfiguration> configuration, const RouteConfig& route);
+             std::shared_ptr<const RoutingConfiguration> configuration, const RouteConfig& route,
+             const Tenant* tenant);
 
   void start();
   void tick(TimePoint now);
@@ -43,6 +44,9 @@
   /// Refuses the request if it has not been sent yet and would be answered late.
   /// @return whether it was refused.
   bool refuse_for_load(const ReplicaChoice& choice, TimePoint now);
+  /// Counts the request against its tenant's rate limit, or refuses it.
+  /// @return whether it was refused.
+  bool refuse_over_rate_limit(TimePoint now);
   void refuse(const char* why);
   /// @param pause after which the caller may come back.
   void refuse(const char* why, Duration pause);
@@ -52,6 +56,8 @@
   void finish(const char* outcome, const char* why);
   void expire(TimePoint now);
   void watch_silence(TimePoint now);
+  /// Ends the attempt, whose replica will not answer it, and goes on as after a broken connection.
+  void move_on(const char* why, TimePoint now);
   /// @return whether the request may go on at another replica while this one is silent.
   bool may_move_on() const;
   /// @return whether the whole answer that came is the replica's word that it failed.
@@ -67,6 +73,8 @@
   net::ExchangePtr exchange_;
   std::shared_ptr<const RoutingConfiguration> configuration_;
   const RouteConfig& route_;
+  const Tenant* tenant_;  ///< Of `configuration_`; null: the request belongs to none.
+  bool counted_ = false;  ///< Against the tenant's rate limit.
   RequestInfo info_;
   std::string service_;
   TimePoint deadline_{};
--- a/src/gateway/online_proxy.cpp
+++ b/src/gateway/online_proxy.cpp
@@ -11,8 +11,9 @@
 
 void OnlineProxy::handle(const net::ExchangePtr& exchange,
                          std::shared_ptr<const RoutingConfiguration> configuration,
-                         const RouteConfig& route) {
-  const auto call = std::make_shared<OnlineCall>(*this, exchange, std::move(configuration), route);
+                         const RouteConfig& route, const Tenant* tenant) {
+  const auto call =
+      std::make_shared<OnlineCall>(*this, exchange, std::move(configuration), route, tenant);
   calls_.insert(call);
   call->start();
 }
--- a/src/gateway/online_proxy.hpp
+++ b/src/gateway/online_proxy.hpp
@@ -20,9 +20,11 @@
   ~OnlineProxy();
 
   /// Takes a request of `route`.
-  /// @param configuration that holds the route.
+  /// @param configuration that holds the route and the tenant.
+  /// @param tenant that the request belongs to; null: none.
   void handle(const net::ExchangePtr& exchange,
-              std::shared_ptr<const RoutingConfiguration> configuration, const RouteConfig& route);
+              std::shared_ptr<const RoutingConfiguration> configuration, const RouteConfig& route,
+              const Tenant* tenant = nullptr);
 
   /// Enforces time limits; call several times a second.
   void tick(TimePoint now);
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -100,9 +100,10 @@
         return said_to_reach_log(*member, now);
       }));
   relay_.set_members(alive.size() <= LoadRelay::kDirectNodes ? alive : members_heard(now));
-  const std::string bytes =
-      encode(LoadDigest{own_key_, fleet_position_.version, fleet_position_.replicas, log_reachable_,
-                        pending_items_, context_.replicas.own_load(now)});
+  const std::string bytes = encode(LoadDigest{
+      own_key_, fleet_position_.version, fleet_position_.replicas, log_reachable_, pending_items_,
+      context_.replicas.own_load(now),
+      context_.rate_limiter == nullptr ? SpendReport{} : context_.rate_limiter->report(now)});
   const std::vector<std::string> recipients = relay_.next_digest_recipients();
   for (const std::string& address : recipients) {
     send_bytes(address, bytes);
@@ -161,6 +162,9 @@
   }
   last_heard_[node] = now;
   reaches_log_[node] = log_reachable;
+  if (context_.rate_limiter != nullptr) {
+    context_.rate_limiter->renew(node, now);
+  }
   context_.replicas.renew_peer(node, now);
 }
 
@@ -306,6 +310,9 @@
   std::erase_if(digests, [&](const LoadDigest& digest) { return digest.node == own_key_; });
   for (const LoadDigest& digest : digests) {
     take_heartbeat(digest.node, digest.log_reachable, now);
+    if (context_.rate_limiter != nullptr) {
+      context_.rate_limiter->take(digest.node, digest.spend, now);
+    }
     const FleetPosition position{digest.configuration_version, digest.fleet_position};
     if (ahead(position)) {
       on_peer_ahead_(position, control_address_of(digest.node));
--- a/src/gateway/traffic_protocol.hpp
+++ b/src/gateway/traffic_protocol.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "dockpoint/admission/caller_identity.hpp"
 #include "dockpoint/batch/job_ledger.hpp"
 #include "dockpoint/config/routing_configuration.hpp"
 #include "dockpoint/core/error.hpp"
@@ -27,7 +28,7 @@
 
 /// What the gateway adds to a request for a replica.
 struct ReplicaSend {
-  std::string replica_id;
+  std::string replica_name;
   Duration time_left{};
   std::optional<std::uint64_t> last_event_id;  ///< The stream goes on behind this event.
 };
@@ -65,6 +66,15 @@
   virtual ~TrafficProtocol() = default;
 
   virtual RequestInfo read_request(const net::RequestHead& head) const = 0;
+  /// @return the API key that the request carries; borrows the head.
+  virtual Credential read_credential(const net::RequestHead& head) const = 0;
+  /// Takes the key, and whatever the caller says of its tenant, out of the head, and names the
+  /// tenant instead. From then on no header that the caller lists as one of its connection is
+  /// dropped.
+  /// @param tenant empty: none is named.
+  virtual void name_tenant(net::RequestHead& head, const std::string& tenant) const = 0;
+  /// @return the tenant that `name_tenant` put into the head; empty if there is none.
+  virtual std::string named_tenant(const net::RequestHead& head) const = 0;
   virtual net::RequestHead replica_request(const net::RequestHead& request, std::size_t body_bytes,
                                            const ReplicaSend& send) const = 0;
   /// @param request_id of the request that the answer is due to.
@@ -73,7 +83,7 @@
 
   /// @return the call, or nothing if the request is none about batch jobs.
   virtual std::optional<JobCall> read_job_call(const net::RequestHead& head) const = 0;
-  /// Reads a submitted job.
+  /// Reads a submitted job, whose tenant was named in the head.
   virtual Result<BatchJob> read_job(const net::RequestHead& head,
                                     const std::string& body) const = 0;
   virtual std::string write_results(const ResultPage& page) const = 0;
--- a/src/routing/load_digest.cpp
+++ b/src/routing/load_digest.cpp
@@ -18,6 +18,7 @@
 
 /// Numbers of each entry in the flat list.
 constexpr std::size_t kEntryNumbers = 5;
+constexpr std::size_t kSpendNumbers = 3;
 
 struct Wire {
   std::uint32_t node = 0;
@@ -26,8 +27,12 @@
   bool log_reachable = false;
   std::uint32_t pending_items = 0;
   std::vector<std::uint32_t> numbers;  ///< Those of each entry, in the order of its fields.
+  std::uint32_t run = 0;
+  std::uint32_t number = 0;
+  std::uint32_t known_nodes = 0;
+  std::vector<std::uint32_t> spends;  ///< Like `numbers`.
   DOCKPOINT_FIELDS(node, configuration_version, fleet_position, log_reachable, pending_items,
-                   numbers)
+                   numbers, run, number, known_nodes, spends)
 };
 
 struct CollectionWire {
@@ -46,12 +51,23 @@
 }
 
 std::string encode(const LoadDigest& digest) {
-  Wire wire{digest.node,          digest.configuration_version, digest.fleet_position,
-            digest.log_reachable, digest.pending_items,         {}};
+  Wire wire{digest.node,
+            digest.configuration_version,
+            digest.fleet_position,
+            digest.log_reachable,
+            digest.pending_items,
+            {},
+            digest.spend.run,
+            digest.spend.number,
+            digest.spend.known_nodes,
+            {}};
   for (const LoadDigestEntry& entry : digest.entries) {
     wire.numbers.insert(wire.numbers.end(), {entry.replica_key, entry.in_flight,
                                              entry.prefill_tokens, entry.batch, entry.failures});
   }
+  for (const TenantSpend& spend : digest.spend.spends) {
+    wire.spends.insert(wire.spends.end(), {spend.tenant, spend.total, spend.recent});
+  }
   return kTag + pack(wire);
 }
 
@@ -64,16 +80,26 @@
     return std::nullopt;
   }
   auto wire = unpack<Wire>(bytes.substr(1));
-  if (!wire || wire->numbers.size() % kEntryNumbers != 0) {
+  if (!wire || wire->numbers.size() % kEntryNumbers != 0 ||
+      wire->spends.size() % kSpendNumbers != 0) {
     return std::nullopt;
   }
-  LoadDigest digest{wire->node,          wire->configuration_version, wire->fleet_position,
-                    wire->log_reachable, wire->pending_items,         {}};
+  LoadDigest digest{wire->node,
+                    wire->configuration_version,
+                    wire->fleet_position,
+                    wire->log_reachable,
+                    wire->pending_items,
+                    {},
+                    {wire->run, wire->number, wire->known_nodes, {}}};
   for (std::size_t index = 0; index < wire->numbers.size(); index += kEntryNumbers) {
     digest.entries.push_back({wire->numbers[index], wire->numbers[index + 1],
                               wire->numbers[index + 2], wire->numbers[index + 3],
                               wire->numbers[index + 4]});
   }
+  for (std::size_t index = 0; index < wire->spends.size(); index += kSpendNumbers) {
+    digest.spend.spends.push_back(
+        {wire->spends[index], wire->spends[index + 1], wire->spends[index + 2]});
+  }
   return digest;
 }
 
--- a/src/routing/replica_directory.cpp
+++ b/src/routing/replica_directory.cpp
@@ -13,12 +13,19 @@
 /// A load that a replica stated counts for this long.
 constexpr Duration kReportFresh = std::chrono::milliseconds(400);
 
+/// Ended lives are remembered until every request that was in flight there has been told.
+constexpr Duration kEndedLifeMemory = std::chrono::seconds(10);
+
 std::uint32_t digest_key(const std::string& id) {
   return static_cast<std::uint32_t>(hash64(id));
 }
 
 }  // namespace
 
+std::string replica_life_id(const std::string& name, std::int64_t started_ms) {
+  return started_ms == 0 ? name : name + "@" + std::to_string(started_ms);
+}
+
 int Replica::load(TimePoint now) const {
   const int counted = online + batch + of_peers;
   if (reported.waiting > 0 && now - reported_at < kReportFresh) {
@@ -52,6 +59,13 @@
   }
 }
 
+void ReplicaDirectory::end_life(const std::string& id, TimePoint now) {
+  remove(id);
+  std::erase_if(ended_lives_,
+                [&](const auto& entry) { return now - entry.second > kEndedLifeMemory; });
+  ended_lives_[id] = now;
+}
+
 void ReplicaDirectory::retain(const std::vector<std::string>& ids) {
   const std::set<std::string> kept(ids.begin(), ids.end());
   std::vector<std::string> gone;
--- /dev/null
+++ b/tests/admission/rate_limit_exploration_test.cpp
@@ -0,0 +1,339 @@
+#include <algorithm>
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "dockpoint/admission/tenant_rate_limiter.hpp"
+#include "support/fleet.hpp"
+
+/// Fleets of nodes with rate limiters in simulated time, replayed from seeds: digests come late,
+/// get lost, and stay away; nodes are killed, start again, stand still and join; arrivals are
+/// spread evenly or come to one node; a tenant sends many times its limit. Two things are measured:
+/// the most requests in any window against what the window allows, and the requests refused that
+/// one central bucket would have admitted.
+///
+/// DOCKPOINT_RATE_SEEDS sets the number of seeds (default 20).
+using namespace dockpoint;
+using dockpoint::test::at;
+
+namespace {
+
+constexpr RateWindow kWindow{std::chrono::seconds(5), 0.1, 20};
+constexpr std::int64_t kStepMs = 10;
+constexpr std::int64_t kDigestMs = 200;
+
+struct World {
+  std::size_t nodes = 60;
+  RateLimit limit{20, 20};
+  double demand = 0.6;      ///< Mean, in parts of the rate.
+  double burst_factor = 1;  ///< From `burst_from` on, for `burst_ms`.
+  std::int64_t burst_from = 12'000;
+  std::int64_t burst_ms = 6'500;
+  bool skewed = false;       ///< One node gets all requests.
+  double loss = 0.02;        ///< Of digests.
+  bool faults = false;       ///< Kills, cuts, pauses and joins at random.
+  bool restart_all = false;  ///< At 14 s, in the middle of the burst.
+  bool shared = true;        ///< See `Knobs::rate_shared`.
+};
+
+struct Outcome {
+  double worst_window = 0;   ///< Requests in the worst window, in parts of what it allows.
+  double refused_below = 0;  ///< Part of what a central bucket admits that was refused.
+};
+
+class Replay {
+ public:
+  Replay(const World& world, std::uint64_t seed) : world_(world), random_(seed) {
+    knobs_.rate_shared = world.shared ? 1 : 0;
+    tenants_ = TenantDirectory::build({tenant()}).value();
+    nodes_.resize(world.nodes);
+    for (std::size_t index = 0; index < nodes_.size(); ++index) {
+      start(index);
+    }
+  }
+
+  Outcome run(std::int64_t milliseconds) {
+    const std::int64_t traffic_from = 6'000;
+    for (now_ = 0; now_ < milliseconds; now_ += kStepMs) {
+      if (world_.restart_all && now_ == 14'000) {
+        for (std::size_t index = 0; index < nodes_.size(); ++index) {
+          stop(index, 1'200 + static_cast<std::int64_t>(random_() % 300));
+        }
+      }
+      if (world_.faults && now_ > traffic_from && random_() % 25 == 0) {
+        break_something();
+      }
+      deliver();
+      for (std::size_t index = 0; index < nodes_.size(); ++index) {
+        step(index);
+      }
+      if (now_ >= traffic_from) {
+        arrive();
+      }
+    }
+    return outcome();
+  }
+
+ private:
+  struct Node {
+    std::unique_ptr<TenantRateLimiter> limiter;  ///< Null while the node is down.
+    std::int64_t up_at = 0;
+    std::int64_t paused_until = 0;
+    std::int64_t next_digest = 0;
+    int group = 0;  ///< Nodes hear those of their group.
+    std::int64_t cut_until = 0;
+  };
+  struct Digest {
+    std::int64_t due = 0;
+    std::size_t from = 0;
+    std::size_t to = 0;
+    std::shared_ptr<const SpendReport> report;
+    bool operator>(const Digest& other) const { return due > other.due; }
+  };
+
+  Tenant tenant() const { return {"clinic", 0, world_.limit, {"key"}}; }
+
+  double uniform() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
+  void start(std::size_t index) {
+    nodes_[index].limiter = std::make_unique<TenantRateLimiter>(knobs_, kWindow, ++runs_);
+    nodes_[index].limiter->set_limits(tenants_);
+    nodes_[index].next_digest = now_ + static_cast<std::int64_t>(random_() % kDigestMs);
+  }
+
+  void stop(std::size_t index, std::int64_t for_ms) {
+    nodes_[index].limiter.reset();
+    nodes_[index].up_at = now_ + for_ms;
+  }
+
+  void break_something() {
+    const std::size_t index = random_() % nodes_.size();
+    switch (random_() % 4) {
+      case 0:
+        stop(index, 500 + static_cast<std::int64_t>(random_() % 3'000));
+        break;
+      case 1:
+        nodes_[index].paused_until = now_ + static_cast<std::int64_t>(random_() % 4'000);
+        break;
+      case 2: {
+        // A sixth of the fleet hears nobody for a while.
+        const std::int64_t until = now_ + 1'000 + static_cast<std::int64_t>(random_() % 5'000);
+        for (std::size_t count = 0; count < nodes_.size() / 6; ++count) {
+          Node& node = nodes_[random_() % nodes_.size()];
+          node.group = ++groups_;
+          node.cut_until = until;
+        }
+        break;
+      }
+      default:
+        nodes_.push_back({});
+        start(nodes_.size() - 1);
+    }
+  }
+
+  void step(std::size_t index) {
+    Node& node = nodes_[index];
+    if (!node.limiter && now_ >= node.up_at) {
+      start(index);
+    }
+    if (node.group != 0 && now_ >= node.cut_until) {
+      node.group = 0;
+    }
+    if (!node.limiter || now_ < node.paused_until) {
+      return;
+    }
+    if (now_ % 50 == 0) {
+      node.limiter->tick(at(now_));
+    }
+    if (now_ < node.next_digest) {
+      return;
+    }
+    node.next_digest = now_ + kDigestMs;
+    const auto report = std::make_shared<const SpendReport>(node.limiter->report(at(now_)));
+    // All receivers behind a relay get it, or none: losses come together.
+    const bool lost = uniform() < world_.loss;
+    for (std::size_t other = 0; other < nodes_.size() && !lost; ++other) {
+      if (other != index && nodes_[other].group == node.group) {
+        const auto delay = 20 + static_cast<std::int64_t>(random_() % 230);
+        digests_.push({now_ + delay, index, other, report});
+      }
+    }
+  }
+
+  void deliver() {
+    while (!digests_.empty() && digests_.top().due <= now_) {
+      const Digest digest = digests_.top();
+      digests_.pop();
+      Node& node = nodes_[digest.to];
+      if (node.limiter && now_ >= node.paused_until && node.group == nodes_[digest.from].group) {
+        node.limiter->take(static_cast<std::uint32_t>(digest.from), *digest.report, at(now_));
+      }
+    }
+  }
+
+  double rate_now() const {
+    const bool burst = now_ >= world_.burst_from && now_ < world_.burst_from + world_.burst_ms;
+    constexpr std::int64_t kPeriodMs = 6'000;
+    constexpr std::int64_t kLowMs = 3'600;
+    const double swing = now_ % kPeriodMs < kLowMs ? 0.391 : 1.91;
+    return world_.limit.per_second * world_.demand * swing * (burst ? world_.burst_factor : 1);
+  }
+
+  void arrive() {
+    const double mean = rate_now() * static_cast<double>(kStepMs) / 1000;
+    const int requests = std::poisson_distribution<int>(mean)(random_);
+    for (int request = 0; request < requests; ++request) {
+      const bool wanted = central_admits();
+      const std::size_t index = world_.skewed ? 0 : random_() % nodes_.size();
+      Node& node = nodes_[index];
+      if (!node.limiter || now_ < node.paused_until) {
+        continue;  // Nobody there: the caller goes elsewhere, later.
+      }
+      const bool admitted = node.limiter->admit(tenant(), at(now_)).admitted;
+      if (admitted) {
+        admitted_.push_back(now_);
+      }
+      wanted_ += wanted ? 1 : 0;
+      refused_ += wanted && !admitted ? 1 : 0;
+    }
+  }
+
+  /// @return whether one bucket for the whole fleet would admit the request.
+  bool central_admits() {
+    const double gained = world_.limit.per_second * static_cast<double>(now_ - central_at_) / 1000;
+    central_ = std::min(world_.limit.burst, central_ + gained);
+    central_at_ = now_;
+    const bool admits = central_ >= 1;
+    central_ -= admits ? 1 : 0;
+    return admits;
+  }
+
+  Outcome outcome() const {
+    const double allowed =
+        (world_.limit.per_second * 5 + world_.limit.burst) * (1 + kWindow.overage) + kWindow.slack;
+    std::size_t worst = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < admitted_.size(); ++last) {
+      while (admitted_[last] - admitted_[first] > 5'000) {
+        ++first;
+      }
+      worst = std::max(worst, last - first + 1);
+    }
+    return {static_cast<double>(worst) / allowed,
+            wanted_ == 0 ? 0 : static_cast<double>(refused_) / wanted_};
+  }
+
+  const World world_;
+  std::mt19937_64 random_;
+  Knobs knobs_;
+  TenantDirectory tenants_;
+  std::vector<Node> nodes_;
+  std::priority_queue<Digest, std::vector<Digest>, std::greater<>> digests_;
+  std::int64_t now_ = 0;
+  std::uint32_t runs_ = 0;
+  int groups_ = 0;
+  std::vector<std::int64_t> admitted_;
+  double central_ = 0;
+  std::int64_t central_at_ = 0;
+  int wanted_ = 0;
+  int refused_ = 0;
+};
+
+std::uint64_t seeds() {
+  constexpr std::uint64_t kDefaultSeeds = 20;
+  const char* text = std::getenv("DOCKPOINT_RATE_SEEDS");
+  return text == nullptr ? kDefaultSeeds : std::strtoull(text, nullptr, 10);
+}
+
+/// Plays a world on all seeds. @return the worst window and the mean part refused.
+Outcome play(const std::function<World(std::mt19937_64&)>& draw, std::uint64_t divisor = 1) {
+  Outcome all;
+  const std::uint64_t count = std::max<std::uint64_t>(1, seeds() / divisor);
+  for (std::uint64_t seed = 1; seed <= count; ++seed) {
+    std::mt19937_64 random(seed);
+    const World world = draw(random);
+    const Outcome one = Replay(world, seed).run(26'000);
+    if (one.worst_window > 1) {
+      BOOST_TEST_MESSAGE("seed " << seed << " nodes " << world.nodes << " rate "
+                                 << world.limit.per_second << " window " << one.worst_window);
+    }
+    all.worst_window = std::max(all.worst_window, one.worst_window);
+    all.refused_below += one.refused_below / static_cast<double>(count);
+  }
+  BOOST_TEST_MESSAGE("worst window " << all.worst_window << ", refused below the limit "
+                                     << all.refused_below);
+  return all;
+}
+
+World drawn(std::mt19937_64& random) {
+  constexpr std::array<std::size_t, 3> kNodes{3, 12, 60};
+  constexpr std::array<double, 4> kRates{2, 10, 60, 200};
+  World world;
+  world.nodes = kNodes[random() % kNodes.size()];
+  const double rate = kRates[random() % kRates.size()];
+  world.limit = {rate, rate};
+  return world;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(rate_limit_exploration)
+
+BOOST_AUTO_TEST_CASE(below_the_limit_hardly_anybody_is_refused) {
+  BOOST_TEST(play(drawn).refused_below < 0.01);
+}
+
+BOOST_AUTO_TEST_CASE(below_the_limit_it_matters_little_if_one_node_gets_all_requests) {
+  const Outcome outcome = play([](std::mt19937_64& random) {
+    World world = drawn(random);
+    world.skewed = true;
+    return world;
+  });
+  BOOST_TEST(outcome.refused_below < 0.03);
+}
+
+BOOST_AUTO_TEST_CASE(a_tenant_that_sends_many_times_its_limit_is_held_to_it) {
+  const Outcome outcome = play([](std::mt19937_64& random) {
+    World world = drawn(random);
+    world.burst_factor = 7.5;
+    return world;
+  });
+  BOOST_TEST(outcome.worst_window <= 1);
+}
+
+BOOST_AUTO_TEST_CASE(the_limit_holds_while_nodes_are_cut_off_killed_paused_and_added) {
+  const Outcome outcome = play([](std::mt19937_64& random) {
+    World world = drawn(random);
+    world.burst_factor = 7.5;
+    world.faults = true;
+    return world;
+  });
+  BOOST_TEST(outcome.worst_window <= 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_restart_of_all_nodes_in_the_middle_grants_no_second_burst) {
+  const Outcome outcome = play([](std::mt19937_64& random) {
+    World world = drawn(random);
+    world.burst_factor = 7.5;
+    world.restart_all = true;
+    return world;
+  });
+  BOOST_TEST(outcome.worst_window <= 1);
+}
+
+// The other way: every node keeps an even part of the limit to itself and hears nobody. It keeps
+// the limit, but callers of a tenant come to a node by chance, in ones and twos.
+BOOST_AUTO_TEST_CASE(even_parts_without_the_others_word_refuse_far_more_below_the_limit) {
+  const auto evenly = [](std::mt19937_64& random) {
+    World world = drawn(random);
+    world.shared = false;
+    return world;
+  };
+  BOOST_TEST(play(evenly).refused_below > 5 * play(drawn).refused_below);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/batch/job_ledger_test.cpp
+++ b/tests/batch/job_ledger_test.cpp
@@ -1,6 +1,7 @@
 #include "dockpoint/batch/job_ledger.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace dockpoint;
 
@@ -119,4 +120,36 @@
   BOOST_TEST(ledger.jobs().empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_job_keeps_its_tenant_through_the_log) {
+  BatchJob submitted = job("j1", 2, 10);
+  submitted.tenant = "clinic";
+  JobLedger ledger;
+  for (const KeyedRecord& record : job_records(submitted, kRecordBytes)) {
+    ledger.take_job_record(record);
+  }
+  BOOST_TEST_REQUIRE(ledger.find("j1") != nullptr);
+  BOOST_TEST(ledger.find("j1")->job.tenant == "clinic");
+}
+
+// The record of a job as versions without tenants wrote it: five fields, the items last.
+BOOST_AUTO_TEST_CASE(a_record_of_a_version_without_tenants_is_read) {
+  const nlohmann::json item = {"i1", "/batch/1", {"Model", "m"}, "body", 12.0};
+  const nlohmann::json wire = {"j1", "a.example", "/batch/", 1'000, {item}};
+  std::string value{'\0', '\0', '\0', '\1'};  // One piece.
+  nlohmann::json::to_msgpack(wire, value);
+  JobLedger ledger;
+  BOOST_TEST(ledger.take_job_record({"jj1/0", value, 0}).value_or("") == "j1");
+  BOOST_TEST_REQUIRE(ledger.find("j1") != nullptr);
+  BOOST_TEST(ledger.find("j1")->job.tenant.empty());
+  BOOST_TEST(ledger.find("j1")->job.items.front().body == "body");
+}
+
+BOOST_AUTO_TEST_CASE(jobs_of_different_tenants_never_share_an_id) {
+  BOOST_TEST(tenant_job_id("clinic", "j1") != tenant_job_id("shop", "j1"));
+  BOOST_TEST(tenant_job_id({}, "j1") == "j1");
+  // An id of the one that looks like the other's is neither.
+  const std::string foreign = tenant_job_id("shop", "j1");
+  BOOST_TEST(tenant_job_id("clinic", foreign) != foreign);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/batch/token_quota_test.cpp
+++ b/tests/batch/token_quota_test.cpp
@@ -43,11 +43,11 @@
     const bool known = found != jobs_.end() && found->second.in_log;
     return State{known, known ? found->second.waiting : 0};
   }
-  std::vector<std::pair<std::string, double>> open_jobs(const std::string&) const override {
-    std::vector<std::pair<std::string, double>> open;
+  std::vector<OpenJob> open_jobs(const std::string&) const override {
+    std::vector<OpenJob> open;
     for (const auto& [id, job] : jobs_) {
       if (owns && job.in_log && job.waiting > 0) {
-        open.emplace_back(id, job.waiting);
+        open.push_back({id, {}, job.waiting});
       }
     }
     return open;
@@ -248,8 +248,8 @@
       quota.tick(at(now), now, route);
     }
   }
-  QuotaStart reserve(const std::string& job, double tokens) {
-    return quota.reserve({job, tokens, at(now) + knobs.submission_wait},
+  QuotaStart reserve(const std::string& job, double tokens, const std::string& tenant = {}) {
+    return quota.reserve({job, tokens, at(now) + knobs.submission_wait, tenant},
                          [this](const QuotaAnswer& answer) { answers.push_back(answer); });
   }
 };
@@ -316,6 +316,35 @@
   BOOST_TEST((answers[1].verdict == QuotaVerdict::kReserved));
 }
 
+BOOST_FIXTURE_TEST_CASE(each_tenant_has_the_limit_for_itself, Fixture) {
+  reserve("a", 60, "clinic");
+  reserve("b", 60, "shop");
+  reserve("c", 60, "clinic");
+  run(100);
+  BOOST_REQUIRE(answers.size() == 3);
+  BOOST_TEST((answers[0].verdict == QuotaVerdict::kOverLimit));
+  BOOST_TEST((answers[1].verdict == QuotaVerdict::kReserved));
+  BOOST_TEST((answers[2].verdict == QuotaVerdict::kReserved));
+  BOOST_TEST(quota.waiting_tokens("clinic") == 60);
+  BOOST_TEST(quota.waiting_tokens("shop") == 60);
+}
+
+BOOST_FIXTURE_TEST_CASE(tenants_add_no_calls_while_nobody_submits, Fixture) {
+  const auto calls_of = [&](std::int64_t milliseconds) {
+    const std::size_t before = log.reads();
+    run(milliseconds);
+    return log.reads() - before;
+  };
+  reserve("a0", 1, "tenant-0");
+  run(1'000);
+  const std::size_t with_one = calls_of(12'000);
+  for (int tenant = 1; tenant < 50; ++tenant) {
+    reserve("a" + std::to_string(tenant), 1, "tenant-" + std::to_string(tenant));
+  }
+  run(1'000);
+  BOOST_TEST(calls_of(12'000) <= with_one + 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_reservation_without_a_job_is_removed, Fixture) {
   owner.owns = true;
   reserve("a", 80);
--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -61,6 +61,8 @@
   metrics.observe_first_byte("idempotent", std::chrono::milliseconds(1));
   metrics.count_attempt("failed");
   metrics.count_item("succeeded");
+  metrics.count_rate_limited("clinic");
+  metrics.count_caller_refused("unknown_key");
   metrics.count_log_call("read", "ok");
   std::set<std::string> served;
   std::istringstream lines(metrics.text());
@@ -74,7 +76,7 @@
   for (const std::string& cell : first_cells(read_page("PLATFORM.md"), "dockpoint_gateway_")) {
     listed.insert(cell.substr(0, cell.find('{')));
   }
-  BOOST_TEST(served.size() == 10U);
+  BOOST_TEST(served.size() == 13U);
   BOOST_TEST((served == listed));
 }
 
--- a/tests/gateway/fleet_watch_test.cpp
+++ b/tests/gateway/fleet_watch_test.cpp
@@ -4,6 +4,7 @@
 
 #include "emulator/memory_log.hpp"
 #include "platform/fleet.hpp"
+#include "platform/replica_records.hpp"
 #include "platform/traffic.hpp"
 #include "support/fleet.hpp"
 
@@ -30,11 +31,14 @@
   FleetWatch watch{context, log, reader, topics, 7, [] {}};
   std::int64_t now = 0;
 
-  void write(const std::string& id, bool present) {
-    const std::string value =
-        present ? R"({"service":"lm","address":"10.0.0.1:80","slots":4,"state":"ready"})" : "";
+  void write_value(const std::string& id, const std::string& value) {
     log.append(topics.replicas, {{id, value, 0}}, std::nullopt, [](const AppendOutcome&) {});
   }
+  void write(const std::string& id, bool present) { write_value(id, present ? record() : ""); }
+  /// @return a replica's record; of the life that began at a time, if one is given.
+  static std::string record(std::optional<std::int64_t> started_ms = std::nullopt) {
+    return test::replica_record("10.0.0.1:80", 4, "ready", started_ms).dump();
+  }
   void run(std::int64_t milliseconds) {
     const std::int64_t end = now + milliseconds;
     for (; now < end; now += 10) {
@@ -116,4 +120,71 @@
   BOOST_TEST(ready() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_that_starts_again_under_its_name_has_nothing_of_its_former_life) {
+  write_value("r1", record(1'000));
+  run(200);
+  BOOST_TEST_REQUIRE(ready() == 1U);
+  const std::string before = directory.ready("lm").front()->record.id;
+  directory.started(before, TrafficClass::kOnline, 500);
+  directory.signal(before, ReplicaSignal::kUnreachable, at(now));
+  write_value("r1", record(2'000));
+  run(500);
+  BOOST_TEST_REQUIRE(ready() == 1U);
+  const Replica& after = *directory.ready("lm").front();
+  BOOST_TEST(after.record.id != before);
+  BOOST_TEST(after.record.registered_name() == "r1");
+  BOOST_TEST(after.online == 0);
+  BOOST_TEST(!after.on_trial());
+  BOOST_TEST(after.key != 0U);
+  BOOST_TEST(directory.life_ended(before));
+  directory.ended(before,
+                  TrafficClass::kOnline);  // What was in flight ends: the new life is not told.
+  BOOST_TEST(directory.ready("lm").front()->online == 0);
+}
+
+BOOST_AUTO_TEST_CASE(load_that_other_nodes_had_at_the_former_life_is_not_added_to_the_new_one) {
+  write_value("r1", record(1'000));
+  run(200);
+  const std::uint32_t key = directory.ready("lm").front()->key;
+  directory.set_peer_loads({LoadDigest{node_key("n2"), 0, 0, false, 0, {{key, 4, 0, 0, 3}}}},
+                           at(now));
+  BOOST_TEST(directory.ready("lm").front()->load(at(now)) == 4);
+  write_value("r1", record(2'000));
+  run(500);
+  BOOST_TEST(directory.ready("lm").front()->load(at(now)) == 0);
+  BOOST_TEST(directory.ready("lm").front()->failures(at(now)) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_record_of_an_earlier_life_changes_nothing) {
+  write_value("r1", record(2'000));
+  run(200);
+  const std::string id = directory.ready("lm").front()->record.id;
+  write_value("r1", record(1'000));
+  run(500);
+  BOOST_TEST_REQUIRE(ready() == 1U);
+  BOOST_TEST(directory.ready("lm").front()->record.id == id);
+}
+
+BOOST_AUTO_TEST_CASE(a_record_of_another_writer_takes_the_replica_out_and_leaves_the_others) {
+  write("r1", true);
+  write("r2", true);
+  run(200);
+  for (const char* foreign : {"\xff\x01", "{}", R"({"service":"lm","state":"warm"})"}) {
+    write_value("r1", foreign);
+    run(500);
+    BOOST_TEST_REQUIRE(ready() == 1U);
+    BOOST_TEST(directory.ready("lm").front()->record.id == "r2");
+  }
+  write_value("r3", "garbage");
+  run(500);
+  BOOST_TEST(ready() == 1U);
+  write("r1", true);
+  run(500);
+  BOOST_TEST(ready() == 2U);
+  write_value("r3", "");
+  write("r2", false);
+  run(500);
+  BOOST_TEST(ready() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/gateway_settings_test.cpp
+++ b/tests/gateway/gateway_settings_test.cpp
@@ -71,4 +71,25 @@
                  .find("experiment.no_knob") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(how_keys_and_rate_limits_are_kept_is_read_and_checked) {
+  std::string text = kWhole;
+  text.insert(text.rfind('}'), R"(,"tenants":{"strict_revocation":true,"revocation_ms":4000,
+    "rate_window_s":2.5,"rate_overage":0.1,"rate_slack":20})");
+  const auto settings = boost::leaf::try_handle_all([&] { return parse_gateway_settings(text); },
+                                                    [] { return GatewaySettings{}; });
+  BOOST_TEST(settings.revocation.strict);
+  BOOST_TEST((settings.revocation.bound == std::chrono::seconds(4)));
+  BOOST_TEST((settings.rate_window.length == std::chrono::milliseconds(2'500)));
+  BOOST_TEST(settings.rate_window.overage == 0.1);
+  BOOST_TEST(settings.rate_window.slack == 20);
+  const auto problem = [](const std::string& member) {
+    return problem_after("\"times\":{", "\"tenants\":{" + member + "},\"times\":{");
+  };
+  BOOST_TEST(problem(R"("strict_revocation":"yes")").find("tenants.strict_revocation") !=
+             std::string::npos);
+  BOOST_TEST(problem(R"("revocation_ms":0)").find("tenants.revocation_ms") != std::string::npos);
+  BOOST_TEST(problem(R"("rate_slack":-1)").find("tenants.rate_slack") != std::string::npos);
+  BOOST_TEST(problem(R"("rate":1)").find("tenants.rate") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/online_proxy_test.cpp
+++ b/tests/platform/online_proxy_test.cpp
@@ -284,4 +284,67 @@
   BOOST_TEST(world.in_flight() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(what_is_in_flight_at_a_replica_that_starts_again_moves_on_at_once) {
+  ProxyWorld world(kFrontPort);
+  world.route().kind = RouteKind::kIdempotent;
+  world.route().attempts = 2;
+  StandInReplica other(world.loop, "r2", kSecondPort,
+                       [](const auto& exchange) { answer(exchange, "whole"); });
+  StandInReplica silent(world.loop, "r1", kFirstPort, [&](const auto&) {
+    world.directory.upsert(other.record("lm"), {});
+    world.directory.end_life("r1", net::steady_now());
+  });
+  world.directory.upsert(silent.record("lm"), {});
+  BOOST_TEST(world.ask().body == "whole");
+  BOOST_TEST(silent.requests() == 1);
+  BOOST_TEST(other.requests() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(what_may_not_be_repeated_fails_at_once_when_its_replica_starts_again) {
+  ProxyWorld world(kFrontPort);
+  world.route().kind = RouteKind::kNonIdempotent;
+  StandInReplica silent(world.loop, "r1", kFirstPort,
+                        [&](const auto&) { world.directory.end_life("r1", net::steady_now()); });
+  world.directory.upsert(silent.record("lm"), {});
+  BOOST_TEST(world.ask().head.status == 502);
+  BOOST_TEST(silent.requests() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_over_its_tenants_rate_is_refused_before_a_replica_is_asked) {
+  ProxyWorld world(kFrontPort);
+  world.route().kind = RouteKind::kIdempotent;
+  StandInReplica replica(world.loop, "r1", kFirstPort,
+                         [](const auto& exchange) { answer(exchange, "whole"); });
+  world.directory.upsert(replica.record("lm"), {});
+  const Tenant tenant{"clinic", 0, {0.5, 1}, {"key"}};
+  TenantRateLimiter limiter(world.knobs(), {}, 1);
+  limiter.set_limits(TenantDirectory::build({tenant}).value());
+  limiter.tick(net::steady_now() - std::chrono::seconds(20));
+  limiter.tick(net::steady_now());
+  world.tenant = &tenant;
+  world.limit_rate(limiter);
+  BOOST_TEST(world.ask().head.status == 200);
+  const auto refused = world.ask();
+  BOOST_TEST(refused.head.status == 429);
+  BOOST_TEST(std::stod(std::string(refused.head.headers.get("Retry-After"))) > 0);
+  BOOST_TEST(replica.requests() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_that_has_not_run_does_not_count_against_the_rate) {
+  ProxyWorld world(kFrontPort);
+  world.route().kind = RouteKind::kNonIdempotent;
+  const Tenant tenant{"clinic", 0, {0.5, 1}, {"key"}};
+  TenantRateLimiter limiter(world.knobs(), {}, 1);
+  limiter.set_limits(TenantDirectory::build({tenant}).value());
+  limiter.tick(net::steady_now() - std::chrono::seconds(20));
+  limiter.tick(net::steady_now());
+  world.tenant = &tenant;
+  world.limit_rate(limiter);
+  BOOST_TEST(world.ask().head.status == 503);  // No replica.
+  StandInReplica replica(world.loop, "r1", kFirstPort,
+                         [](const auto& exchange) { answer(exchange, "whole"); });
+  world.directory.upsert(replica.record("lm"), {});
+  BOOST_TEST(world.ask().head.status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/soak/stand_in_main.cpp
+++ b/tests/platform/soak/stand_in_main.cpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "dockpoint/core/hash.hpp"
+#include "platform/replica_records.hpp"
 #include "platform/stand_in_store.hpp"
 #include "platform/stand_ins.hpp"
 #include "platform/wire_names.hpp"
@@ -150,13 +151,10 @@
 
   /// Writes a replica's record. Nodes are told of the proxy before the replica.
   void publish(int number, const std::string& state) {
-    const nlohmann::json record{
-        {"service", "lm"},
-        {"address", "127.0.0.1:" + std::to_string(first_published_port_ + number)},
-        {"zone", "zone-a"},
-        {"slots", 8},
-        {"state", state},
-        {"sequence", ++sequence_}};
+    constexpr int kSlots = 8;
+    nlohmann::json record = test::replica_record(
+        "127.0.0.1:" + std::to_string(first_published_port_ + number), kSlots, state);
+    record["sequence"] = ++sequence_;
     store_.put(platform::kReplicasTopic, replicas_.at(static_cast<std::size_t>(number))->id(),
                record.dump());
   }
--- a/tests/platform/stand_ins.hpp
+++ b/tests/platform/stand_ins.hpp
@@ -64,7 +64,7 @@
         proxy_(context_, 0),
         port_(port),
         front_(loop, [this](const net::ExchangePtr& exchange) {
-          proxy_.handle(exchange, configuration_, configuration_->routes.front());
+          proxy_.handle(exchange, configuration_, configuration_->routes.front(), tenant);
         }) {
     front_.listen("127.0.0.1:" + std::to_string(port));
   }
@@ -114,6 +114,10 @@
   boost::asio::io_context loop{1};
   net::HttpClient client{loop};
   ReplicaDirectory directory{knobs_};
+  const Tenant* tenant = nullptr;  ///< That all requests belong to.
+
+  /// Enforces the tenant's rate limit from now on.
+  void limit_rate(TenantRateLimiter& limiter) { context_.rate_limiter = &limiter; }
 
  private:
   platform::PlatformTraffic protocol_;
--- a/tests/platform/system_test.cpp
+++ b/tests/platform/system_test.cpp
@@ -7,6 +7,7 @@
 
 #include "gateway/gateway.hpp"
 #include "platform/fleet.hpp"
+#include "platform/replica_records.hpp"
 #include "platform/stand_in_store.hpp"
 #include "platform/stand_ins.hpp"
 #include "platform/store_log.hpp"
@@ -89,9 +90,7 @@
 
   Fixture() {
     store.put(platform::kConfigurationTopic, platform::kConfigurationKey, routes(3));
-    store.put(platform::kReplicasTopic, "r1",
-              R"({"service":"lm","address":"127.0.0.1:28202","zone":"zone-a","slots":4,
-                  "state":"ready","sequence":1})");
+    store.put(platform::kReplicasTopic, "r1", replica_record("127.0.0.1:28202").dump());
     wait_for([&] { return ask(1, 1, "GET", "/").head.status == 200; });
     wait_for([&] { return ask(2, 1, "GET", "/").head.status == 200; });
   }
