--- a/tests/days/play.mjs
+++ b/scripts/play-days.mjs
@@ -1,6 +1,6 @@
-// Plays every day of this folder on a site and prints a table: kind of trouble, rules broken, credit.
+// Plays every day of deploy/days on a site and prints a table: kind of trouble, rules broken, credit.
 //
-// Usage: node tests/days/play.mjs --bench PROGRAM --site SITE.toml [--jobs N] [--only TEXT]
+// Usage: node scripts/play-days.mjs --bench PROGRAM --site SITE.toml [--jobs N] [--only TEXT]
 //        [--why TEXT]
 // Ends with 1 if a rule was broken or a day could not be played. A kind of trouble that the site's
 // contracts do not open is listed as such.
@@ -24,7 +24,7 @@
   process.exit(2);
 }
 
-const folder = path.dirname(new URL(import.meta.url).pathname);
+const folder = path.join(path.dirname(new URL(import.meta.url).pathname), '../deploy/days');
 const days = readdirSync(folder)
   .filter((name) => name.endsWith('.toml') && name.includes(values.only))
   .sort();
