Evacuated zones: nothing new goes to their replicas

Cause: the operator's call was not known at all.

ZoneEvacuations orders changes by their offsets in the operator's topic; the directory gives no work to replicas of an evacuated zone (requests, repeats, resumed streams, items, and the slots that batch reckons with). Nodes tell each other in digests how far they have read that topic: an evacuation has no version, and in a fleet a node waits longer than a lone one and relies on its peers. A state of the build before is read and says nothing of evacuations.

Weighed: a version made of the number of evacuations known (two nodes that know different ones would agree), an own topic (the operator writes where it writes), offsets (chosen).

Tests: order, a page and a peer that are behind, from the start, from a peer, a state of the build before; 120 seeds of the exploration with evacuations that come and go all the time.

--- a/include/dockpoint/membership/catch_up.hpp
+++ b/include/dockpoint/membership/catch_up.hpp
@@ -15,8 +15,8 @@
 /// node asks
 ///
 /// - one that knows a newer version of the configuration, at once;
-/// - one that has read further in the replicas' records, if it does not catch up by itself within a
-///   short time: the log tells all nodes at almost the same time;
+/// - one that has read further in the replicas' or the operator's records, if it does not catch up
+///   by itself within a short time: the log tells all nodes at almost the same time;
 /// - any other one in turn, as long as it does not follow the log: peers may have read it, and a
 ///   node that has just started may find the log away.
 ///
@@ -26,8 +26,14 @@
 
 /// How far a node's knowledge of the fleet reaches.
 struct FleetPosition {
-  std::uint64_t version = 0;   ///< Of the configuration; 0: none.
-  std::uint64_t replicas = 0;  ///< Offset up to which the replicas' records were read.
+  std::uint64_t version = 0;           ///< Of the configuration; 0: none.
+  std::uint64_t replicas = 0;          ///< Offset up to which the replicas' records were read,
+  std::uint64_t operator_records = 0;  ///< and those of the operator.
+
+  /// @return whether less was read than `other` has read.
+  bool behind(const FleetPosition& other) const {
+    return replicas < other.replicas || operator_records < other.operator_records;
+  }
 };
 
 /// See the top of this file. Free of I/O and clocks; not thread-safe.
@@ -58,7 +64,7 @@
   FleetPosition known_;
   FleetPosition furthest_;    ///< That any peer has told.
   std::string ahead_;         ///< The peer that was last heard to be ahead; empty once asked.
-  TimePoint behind_since_{};  ///< Peers have read further in the replicas' records; zero: none.
+  TimePoint behind_since_{};  ///< Peers have read further; zero: none.
   TimePoint next_in_turn_{};
   std::uint64_t turn_;
   std::uint64_t questions_ = 0;
--- a/include/dockpoint/routing/load_digest.hpp
+++ b/include/dockpoint/routing/load_digest.hpp
@@ -32,7 +32,8 @@
   bool log_reachable = false;        ///< The node holds a valid lease in the log.
   std::uint32_t pending_items = 0;   ///< Batch items that it runs or has to run.
   std::vector<LoadDigestEntry> entries;
-  SpendReport spend{};  ///< What it has admitted of tenants with a rate limit.
+  SpendReport spend{};                  ///< What it has admitted of tenants with a rate limit.
+  std::uint64_t operator_position = 0;  ///< Up to which it has read the operator's records.
 };
 
 /// @return the bytes of a digest; they never are those of another message between nodes.
--- a/include/dockpoint/routing/replica_directory.hpp
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -12,6 +12,7 @@
 #include "dockpoint/core/knobs.hpp"
 #include "dockpoint/core/time.hpp"
 #include "dockpoint/routing/load_digest.hpp"
+#include "dockpoint/routing/zone_evacuations.hpp"
 
 /// What one node knows of the replicas: their records, the load on them, and how they answered.
 ///
@@ -145,8 +146,15 @@
   const Replica* find(const std::string& id) const;
   /// @return the replica with a key in digests, or null.
   const Replica* find_key(std::uint32_t replica_key) const;
-  /// @return replicas of the service that take new work: registered and not draining.
+  /// @return whether new work may go to the replica: it does not drain, and its zone is in use.
+  bool takes_work(const Replica& replica) const {
+    return !replica.record.draining && !evacuations_.contains(replica.record.zone);
+  }
+  /// @return replicas of the service that take new work.
   std::vector<const Replica*> ready(const std::string& service) const;
+  /// Zones whose replicas get no new work.
+  const ZoneEvacuations& evacuations() const { return evacuations_; }
+  ZoneEvacuations& evacuations() { return evacuations_; }
   const std::map<std::string, Replica>& all() const { return replicas_; }
   bool ejected(const Replica& replica, TimePoint now) const { return now < replica.ejected_until; }
 
@@ -189,6 +197,7 @@
   std::unordered_map<std::uint32_t, PeerSum> peer_sums_;  ///< By the replica's key.
   std::map<std::string, TimePoint>
       ended_lives_;  ///< Of late, and when they were learnt to be over.
+  ZoneEvacuations evacuations_;
   std::uint64_t revision_ = 1;
 };
 
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -195,7 +195,7 @@
     const auto service = context_.configuration->services.find(replica.record.service);
     const bool engine =
         service != context_.configuration->services.end() && service->second.cache_tokens > 0;
-    if (engine && !replica.record.draining) {
+    if (engine && context_.replicas.takes_work(replica)) {
       load.slots += replica.record.slots;
       load.reserved += reserved_slots(context_.knobs, replica.record.slots);
       load.online += replica.all_online();
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -26,7 +26,10 @@
   LogOffset replicas_position = 0;  ///< Offset up to which the replicas' records were read.
   std::vector<StoredReplica> replicas;
   std::map<int, std::string> owners;  ///< Control addresses of the owners of partitions.
-  DOCKPOINT_FIELDS(version, configuration, replicas_known, replicas_position, replicas, owners)
+  LogOffset operator_position = 0;    ///< Offset up to which the operator's records were read.
+  std::vector<std::string> evacuated_zones;
+  DOCKPOINT_FIELDS(version, configuration, replicas_known, replicas_position, replicas, owners,
+                   operator_position, evacuated_zones)
 };
 
 /// How far a node's knowledge of the fleet reaches.
@@ -34,6 +37,7 @@
   std::uint64_t version = 0;  ///< Of the configuration; 0: none.
   bool replicas_known = false;
   LogOffset replicas_position = 0;
+  LogOffset operator_position = 0;  ///< As in `FleetState`.
 };
 
 /// Path of the question that nodes ask each other.
--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -1,5 +1,6 @@
 #include "gateway/fleet_watch.hpp"
 
+#include <fmt/ranges.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -55,17 +56,10 @@
       topics_(topics),
       on_change_(std::move(on_change)),
       removal_grace_(context.knobs) {
-  const auto take_configuration_record = [this](const KeyedRecord& record) {
-    if (record.key == topics_.configuration_key && !record.value.empty()) {
-      take_configuration(record.value, "log");
-    }
-  };
   configuration_follower_ = std::make_unique<Follower>(
       context_.knobs, log, topics_.configuration, seed,
-      [take_configuration_record](const std::vector<KeyedRecord>& records) {
-        std::for_each(records.begin(), records.end(), take_configuration_record);
-      },
-      take_configuration_record, [](bool) {});
+      [this](const std::vector<KeyedRecord>& records) { take_operator_page(records); },
+      [this](const KeyedRecord& record) { take_operator_record(record); }, [](bool) {});
   replica_follower_ = std::make_unique<Follower>(
       context_.knobs, log, topics_.replicas, seed + 1,
       [this](const std::vector<KeyedRecord>& records) {
@@ -161,6 +155,53 @@
   }
 }
 
+void FleetWatch::take_operator_page(const std::vector<KeyedRecord>& records) {
+  std::set<std::string> zones;
+  for (const KeyedRecord& record : records) {
+    const std::string zone = evacuated_zone(record);
+    if (!zone.empty() && !record.value.empty()) {
+      zones.insert(zone);
+    } else if (record.key == topics_.configuration_key && !record.value.empty()) {
+      take_configuration(record.value, "log");
+    }
+  }
+  const LogOffset position = configuration_follower_->watch().position();
+  note_evacuations(context_.replicas.evacuations().replace(std::move(zones), position), "log");
+}
+
+void FleetWatch::take_operator_record(const KeyedRecord& record) {
+  ZoneEvacuations& evacuations = context_.replicas.evacuations();
+  const std::string zone = evacuated_zone(record);
+  if (!zone.empty()) {
+    note_evacuations(evacuations.change(zone, !record.value.empty(), record.offset), "log");
+  } else if (record.key == topics_.configuration_key && !record.value.empty()) {
+    take_configuration(record.value, "log");
+  }
+  evacuations.advance(record.offset + 1);
+}
+
+std::string FleetWatch::evacuated_zone(const KeyedRecord& record) const {
+  const std::string& prefix = topics_.evacuation_prefix;
+  const bool evacuation = !prefix.empty() && record.key.starts_with(prefix);
+  return evacuation ? record.key.substr(prefix.size()) : std::string{};
+}
+
+void FleetWatch::note_evacuations(bool changed, const std::string& source) {
+  if (changed) {
+    const ZoneEvacuations& evacuations = context_.replicas.evacuations();
+    spdlog::info("fleet: evacuated zones=[{}] position={} source={}",
+                 fmt::join(evacuations.zones(), ","), evacuations.position(), source);
+  }
+}
+
+void FleetWatch::take_evacuations(const FleetState& state, const std::string& peer) {
+  ZoneEvacuations& evacuations = context_.replicas.evacuations();
+  if (state.operator_position > evacuations.position()) {
+    const std::set<std::string> zones(state.evacuated_zones.begin(), state.evacuated_zones.end());
+    note_evacuations(evacuations.replace(zones, state.operator_position), peer);
+  }
+}
+
 void FleetWatch::take_configuration(const std::string& value, const std::string& source) {
   std::string problem;
   std::optional<RoutingConfiguration> read =
@@ -284,6 +325,9 @@
   state.configuration = configuration_value_;
   state.replicas_known = replicas_known_;
   state.replicas_position = replicas_position();
+  const ZoneEvacuations& evacuations = context_.replicas.evacuations();
+  state.operator_position = evacuations.position();
+  state.evacuated_zones = {evacuations.zones().begin(), evacuations.zones().end()};
   for (const auto& [name, record] : records_) {
     if (!removal_grace_.holds(name)) {
       state.replicas.push_back({name, record.value});
@@ -293,13 +337,15 @@
 }
 
 FleetKnowledge FleetWatch::knowledge() const {
-  return {context_.configuration->version, replicas_known_, replicas_position()};
+  return {context_.configuration->version, replicas_known_, replicas_position(),
+          context_.replicas.evacuations().position()};
 }
 
 void FleetWatch::take(const FleetState& state, const std::string& peer) {
   if (state.version > context_.configuration->version) {
     take_configuration(state.configuration, peer);
   }
+  take_evacuations(state, peer);
   const bool newer = state.replicas_position > replicas_position();
   if (!state.replicas_known || (replicas_known_ && !newer)) {
     return;
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -31,6 +31,8 @@
 struct FleetTopics {
   TopicPartition configuration;
   std::string configuration_key;
+  std::string evacuation_prefix;  ///< Of the keys, beside the configuration's, that name an
+                                  ///< evacuated zone; empty: there are none.
   TopicPartition replicas;
 };
 
@@ -82,7 +84,13 @@
  private:
   class Follower;
 
+  void take_operator_page(const std::vector<KeyedRecord>& records);
+  void take_operator_record(const KeyedRecord& record);
   void take_configuration(const std::string& value, const std::string& source);
+  /// @return the zone that a record of the operator evacuates or takes back; empty: none.
+  std::string evacuated_zone(const KeyedRecord& record) const;
+  void note_evacuations(bool changed, const std::string& source);
+  void take_evacuations(const FleetState& state, const std::string& peer);
   /// What the record of a replica stands for now.
   struct KnownRecord {
     std::string value;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -374,12 +374,12 @@
 
 void Gateway::announce_knowledge() {
   const FleetKnowledge known = fleet_.knowledge();
-  peers_.set_fleet_position({known.version, known.replicas_position});
+  peers_.set_fleet_position({known.version, known.replicas_position, known.operator_position});
 }
 
 void Gateway::catch_up(TimePoint now) {
   const FleetKnowledge known = fleet_.knowledge();
-  catch_up_.set_known({known.version, known.replicas_position});
+  catch_up_.set_known({known.version, known.replicas_position, known.operator_position});
   const auto address = catch_up_.next_question(
       now, !fleet_.needs_peer(now), [this](bool own_zone) { return peers_to_ask(own_zone); });
   if (address) {
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -100,7 +100,8 @@
   const std::string bytes = encode(LoadDigest{
       own_key_, fleet_position_.version, fleet_position_.replicas, log_reachable_, pending_items_,
       context_.replicas.own_load(now),
-      context_.rate_limiter == nullptr ? SpendReport{} : context_.rate_limiter->report(now)});
+      context_.rate_limiter == nullptr ? SpendReport{} : context_.rate_limiter->report(now),
+      fleet_position_.operator_records});
   const std::vector<std::string> recipients = relay_.next_digest_recipients();
   for (const std::string& address : recipients) {
     send_bytes(address, bytes);
@@ -297,7 +298,7 @@
   }
   last_heard_[node_key(message->sender.id)] = now;
   membership_.receive(*message, now);
-  const FleetPosition position{message->configuration_revision, 0};
+  const FleetPosition position{message->configuration_revision, 0, 0};
   if (ahead(position)) {
     on_peer_ahead_(position, message->sender.control_address);
   }
@@ -310,7 +311,8 @@
     if (context_.rate_limiter != nullptr) {
       context_.rate_limiter->take(digest.node, digest.spend, now);
     }
-    const FleetPosition position{digest.configuration_version, digest.fleet_position};
+    const FleetPosition position{digest.configuration_version, digest.fleet_position,
+                                 digest.operator_position};
     if (ahead(position)) {
       on_peer_ahead_(position, control_address_of(digest.node));
     }
@@ -338,7 +340,7 @@
 }
 
 bool PeerLink::ahead(const FleetPosition& peer) const {
-  return peer.version > fleet_position_.version || peer.replicas > fleet_position_.replicas;
+  return peer.version > fleet_position_.version || fleet_position_.behind(peer);
 }
 
 }  // namespace dockpoint
--- a/src/membership/catch_up.cpp
+++ b/src/membership/catch_up.cpp
@@ -7,7 +7,7 @@
 
 void CatchUp::set_known(const FleetPosition& known) {
   known_ = known;
-  if (known_.replicas >= furthest_.replicas) {
+  if (!known_.behind(furthest_)) {
     behind_since_ = {};
   }
 }
@@ -15,7 +15,8 @@
 void CatchUp::heard(const FleetPosition& peer, const std::string& address, TimePoint now) {
   furthest_.version = std::max(furthest_.version, peer.version);
   furthest_.replicas = std::max(furthest_.replicas, peer.replicas);
-  const bool further = peer.replicas > known_.replicas;
+  furthest_.operator_records = std::max(furthest_.operator_records, peer.operator_records);
+  const bool further = known_.behind(peer);
   if (further && behind_since_ == TimePoint{}) {
     behind_since_ = now;
   }
--- a/src/routing/replica_directory.cpp
+++ b/src/routing/replica_directory.cpp
@@ -303,7 +303,7 @@
 std::vector<const Replica*> ReplicaDirectory::ready(const std::string& service) const {
   std::vector<const Replica*> result;
   for (const auto& [id, replica] : replicas_) {
-    if (replica.record.service == service && !replica.record.draining) {
+    if (replica.record.service == service && takes_work(replica)) {
       result.push_back(&replica);
     }
   }
--- a/tests/gateway/fleet_state_test.cpp
+++ b/tests/gateway/fleet_state_test.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 FleetState whole_state() {
-  return {7, "routes", true, 40, {{"r1", "a"}, {"r2", "b"}}, {{0, "10.0.0.1:80"}}};
+  return {7, "routes", true, 40, {{"r1", "a"}, {"r2", "b"}}, {{0, "10.0.0.1:80"}}, 9, {"zone-a"}};
 }
 
 }  // namespace
@@ -49,4 +49,22 @@
   BOOST_TEST(state.replicas.size() == 2U);
 }
 
+// Two builds run side by side while the nodes are replaced one after the other.
+BOOST_AUTO_TEST_CASE(a_state_of_the_build_before_is_read_and_says_nothing_of_evacuations) {
+  // [7, "routes", true, 40, [["r1", "a"]], [[0, "10.0.0.1:80"]]] in MessagePack.
+  const std::string recorded =
+      "\x96\x07\xa6routes\xc3\x28\x91\x92\xa2r1\xa1"
+      "a\x91\x92" +
+      std::string(1, '\0') +
+      "\xab"
+      "10.0.0.1:80";
+  const auto state = unpack<FleetState>(recorded);
+  BOOST_TEST_REQUIRE(state.has_value());
+  BOOST_TEST(state->version == 7U);
+  BOOST_TEST(state->replicas.size() == 1U);
+  BOOST_TEST(state->owners.at(0) == "10.0.0.1:80");
+  BOOST_TEST(state->operator_position == 0U);
+  BOOST_TEST(state->evacuated_zones.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/fleet_watch_test.cpp
+++ b/tests/gateway/fleet_watch_test.cpp
@@ -24,6 +24,9 @@
   void write_value(const std::string& id, const std::string& value) {
     log.append(topics.replicas, {{id, value, 0}}, std::nullopt, [](const AppendOutcome&) {});
   }
+  void write_operator(const std::string& key, const std::string& value) {
+    log.append(topics.configuration, {{key, value, 0}}, std::nullopt, [](const AppendOutcome&) {});
+  }
   void write(const std::string& id, bool present) { write_value(id, present ? record() : ""); }
   /// @return a replica's record; of the life that began at a time, if one is given.
   static std::string record(std::optional<std::int64_t> started_ms = std::nullopt) {
@@ -110,6 +113,48 @@
   BOOST_TEST(ready() == 4U);
 }
 
+// Nothing new goes to the replicas of a zone that the operator has evacuated, from the log's word
+// or a peer's, until it is taken back.
+BOOST_AUTO_TEST_CASE(replicas_of_an_evacuated_zone_get_no_work_until_it_is_taken_back) {
+  write("r1", true);
+  run(200);
+  const std::string zone = directory.find("r1")->record.zone;
+  write_operator("evacuate/" + zone, "{}");
+  run(100);
+  BOOST_TEST(ready() == 0U);
+  BOOST_TEST(directory.find("r1") != nullptr);  // What runs there ends.
+  write_operator("evacuate/" + zone, "");
+  run(300);
+  BOOST_TEST(ready() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_evacuation_from_before_the_start_counts) {
+  write("r1", true);
+  write_operator("evacuate/zone-a", "{}");
+  log.forget_history();
+  run(300);
+  BOOST_TEST_REQUIRE(directory.find("r1") != nullptr);
+  BOOST_TEST(ready() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(evacuations_come_from_a_peer_that_has_read_further_and_from_no_other) {
+  write("r1", true);
+  run(200);
+  log.faults.down = true;
+  FleetState state;
+  state.operator_position = 5;
+  state.evacuated_zones = {"zone-a"};
+  watch.take(state, "peer");
+  BOOST_TEST(ready() == 0U);
+  BOOST_TEST(watch.knowledge().operator_position == 5U);
+  watch.take(FleetState{}, "a peer that knows nothing, or an older build");
+  BOOST_TEST(ready() == 0U);
+  state.operator_position = 6;
+  state.evacuated_zones.clear();
+  watch.take(state, "peer");
+  BOOST_TEST(ready() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_replica_that_starts_again_under_its_name_has_nothing_of_its_former_life) {
   write_value("r1", record(1'000));
   run(200);
--- a/tests/gateway/freshness_exploration_test.cpp
+++ b/tests/gateway/freshness_exploration_test.cpp
@@ -45,7 +45,8 @@
 constexpr std::uint64_t kSeedsInCi = 120;
 
 const std::string kConfigurationKey = "config";
-const FleetTopics kTopics{{"configuration", 0}, kConfigurationKey, {"replicas", 0}};
+const std::string kZone = "zone-a";
+const FleetTopics kTopics{{"configuration", 0}, kConfigurationKey, "evacuate/", {"replicas", 0}};
 
 /// Values are a version, and `ready` or `draining`.
 class PlainReader : public FleetReader {
@@ -191,8 +192,9 @@
 /// A fact that the log has confirmed.
 struct Fact {
   std::int64_t confirmed_at = 0;
-  std::uint64_t version = 0;  ///< Of a configuration; 0: a replica drains.
+  std::uint64_t version = 0;  ///< Of a configuration; 0: a replica drains, or
   std::string replica;
+  std::uint64_t evacuation = 0;  ///< the zone was evacuated or taken back, so many times by then.
 };
 
 /// What a run found.
@@ -211,12 +213,13 @@
   std::size_t nodes = 3;
   Knobs knobs;
   bool ask_peers = true;
+  bool evacuations = false;  ///< The operator evacuates a zone and takes it back all the time.
 };
 
 class World {
  public:
   World(const Setup& setup, std::uint64_t seed)
-      : setup_(setup), random_(seed), nodes_(setup.nodes) {
+      : setup_(setup), random_(seed), evacuation_random_(seed + 1), nodes_(setup.nodes) {
     for (std::size_t index = 0; index < nodes_.size(); ++index) {
       restart(index);
     }
@@ -265,6 +268,10 @@
       change_something();
       next_change_ = now_ + 200 + static_cast<std::int64_t>(draw(2'500));
     }
+    if (setup_.evacuations && now_ >= next_evacuation_ && now_ < kDayMs - kLastChangeMs) {
+      evacuate_or_take_back();
+      next_evacuation_ = now_ + 200 + static_cast<std::int64_t>(evacuation_random_() % 4'000);
+    }
     for (std::size_t index = 0; index < nodes_.size(); ++index) {
       step_node(index);
     }
@@ -290,7 +297,7 @@
 
   void send_digest(std::size_t from) {
     const FleetKnowledge known = nodes_[from].life->watch.knowledge();
-    const FleetPosition position{known.version, known.replicas_position};
+    const FleetPosition position{known.version, known.replicas_position, known.operator_position};
     std::size_t reaching = 0;
     for (std::size_t to = 0; to < nodes_.size(); ++to) {
       const bool lost = nodes_[from].peers_cut || nodes_[to].peers_cut || draw(5) == 0;
@@ -308,7 +315,8 @@
   void ask(std::size_t index) {
     Node& node = nodes_[index];
     const FleetKnowledge known = node.life->watch.knowledge();
-    node.life->catch_up.set_known({known.version, known.replicas_position});
+    node.life->catch_up.set_known(
+        {known.version, known.replicas_position, known.operator_position});
     if (!setup_.ask_peers) {
       return;
     }
@@ -430,7 +438,20 @@
   }
 
   /// Changes just after a failure find the nodes at their worst.
-  void change_soon() { next_change_ = now_ + static_cast<std::int64_t>(draw(800)); }
+  void change_soon() {
+    next_change_ = now_ + static_cast<std::int64_t>(draw(800));
+    next_evacuation_ = now_ + static_cast<std::int64_t>(evacuation_random_() % 800);
+  }
+
+  void evacuate_or_take_back() {
+    if (!log_.faults.calm()) {
+      return;
+    }
+    ++evacuation_changes_;
+    put(kTopics.configuration, kTopics.evacuation_prefix + kZone, evacuated() ? "{}" : "");
+    facts_.push_back({now_, 0, {}, evacuation_changes_});
+  }
+  bool evacuated() const { return evacuation_changes_ % 2 == 1; }
 
   void change_something() {
     if (!log_.faults.calm()) {
@@ -489,12 +510,18 @@
         continue;
       }
       ++findings_.too_old;
-      note(index, fact.version > 0 ? "acts on an old configuration"
-                                   : "takes a replica that drains for ready: " + fact.replica);
+      note(index, fact.version > 0      ? "acts on an old configuration"
+                  : fact.evacuation > 0 ? "does not know the change of an evacuation"
+                                        : "takes a replica that drains for ready: " + fact.replica);
     }
   }
 
-  static bool knows(const Node& node, const Fact& fact) {
+  bool knows(const Node& node, const Fact& fact) const {
+    if (fact.evacuation > 0) {
+      // An older change cannot be told from the newest one if there was another since.
+      return fact.evacuation != evacuation_changes_ ||
+             node.life->directory.evacuations().contains(kZone) == evacuated();
+    }
     if (fact.version > 0) {
       return node.life->context.configuration->version >= fact.version;
     }
@@ -561,6 +588,7 @@
 
   const Setup setup_;
   std::mt19937_64 random_;
+  std::mt19937_64 evacuation_random_;  ///< Apart, so that seeds keep their failures.
   MemoryLog log_{LogLimits{1, 4096, 65536, std::chrono::seconds(1)}, 1};
   std::vector<Node> nodes_;
   std::vector<Event> events_;
@@ -569,6 +597,8 @@
   std::int64_t now_ = 0;
   std::int64_t next_failure_ = 4'000;
   std::int64_t next_change_ = 1'000;
+  std::int64_t next_evacuation_ = 2'000;
+  std::uint64_t evacuation_changes_ = 0;
   std::uint64_t version_ = 0;
   int replicas_ = 0;
   int log_failures_ = 0;
@@ -660,6 +690,12 @@
   BOOST_TEST(found.size() > kSeedsInCi / 8);
 }
 
+BOOST_AUTO_TEST_CASE(evacuations_are_known_and_lifted_in_time_too) {
+  Setup setup;
+  setup.evacuations = true;
+  explore(setup, number_from_environment("DOCKPOINT_FRESHNESS_SEEDS", kSeedsInCi), true);
+}
+
 // In a large fleet a node waits longer than a lone one, and relies on what the others tell.
 BOOST_AUTO_TEST_CASE(without_questions_to_peers_it_finds_old_knowledge) {
   Setup setup;
--- a/tests/membership/catch_up_test.cpp
+++ b/tests/membership/catch_up_test.cpp
@@ -45,6 +45,17 @@
   BOOST_TEST(next(400, true).value_or("") == "b");
 }
 
+// An evacuation has no version: the position tells that a node lacks it.
+BOOST_AUTO_TEST_CASE(the_operators_records_that_others_have_are_asked_for_too) {
+  catch_up.set_known({3, 10, 20});
+  catch_up.heard({3, 10, 21}, "b", at(100));
+  BOOST_TEST(!next(300, true).has_value());
+  BOOST_TEST(next(400, true).value_or("") == "b");
+  catch_up.set_known({3, 10, 21});
+  catch_up.heard({3, 10, 21}, "b", at(500));
+  BOOST_TEST(!next(900, true).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_node_that_has_caught_up_does_not_ask) {
   catch_up.set_known({3, 10});
   catch_up.heard({3, 11}, "b", at(100));
