Cold replicas get no more than they carry, over all nodes together

Cause: `coldPerS` and the bound on it were read by nobody, and a replica that turned cold in the middle of its life was not taken for cold.

Two nodes a cold replica, by rendezvous among all members that have not left, each at a quarter of what the bound allows (so that twice as many senders, where views differ, stay within it). A node that expects others and knows none sends nothing to cold replicas.

--- a/include/dockpoint/config/routing_configuration.hpp
+++ b/include/dockpoint/config/routing_configuration.hpp
@@ -58,6 +58,7 @@
   int maximum_connections = 0;     ///< That a replica takes from all callers; 0: unknown.
   int slots = 0;                   ///< Requests that a replica runs at once; 0: unknown.
   std::uint64_t cache_tokens = 0;  ///< Memory of a replica; 0: not a model engine.
+  double cold_per_second = 0;      ///< Requests that a cold replica carries; 0: no limit is stated.
 };
 
 /// What callers may send and how long connections may take.
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -94,8 +94,9 @@
                                       ///< nodes themselves see yet (replica_selector_test.cpp).
   double remote_zone_ms = 3.0;        ///< Cost of a replica in another zone.
   double cold_replica_ms = 50;        ///< Cost of a replica that has just started.
-  double batch_fill = 0.9;            ///< Batch goes to replicas below this share of slots.
-  Duration prefix_lifetime = 45s;     ///< A prompt is expected in a cache for this long.
+  std::size_t cold_senders = 2;    ///< Nodes that use a replica while it is cold: one may be dead.
+  double batch_fill = 0.9;         ///< Batch goes to replicas below this share of slots.
+  Duration prefix_lifetime = 45s;  ///< A prompt is expected in a cache for this long.
   std::size_t prefix_entries = 4096;  ///< Prefixes remembered.
   std::size_t prefix_replicas = 4;    ///< Replicas remembered a prefix.
   double home_confidence = 0.9;       ///< Share of a prefix expected at its home.
--- a/include/dockpoint/routing/replica_selector.hpp
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "dockpoint/routing/cold_replica_limiter.hpp"
 #include "dockpoint/routing/replica_directory.hpp"
 #include "dockpoint/routing/water_filling.hpp"
 
@@ -54,6 +55,9 @@
 
   ReplicaChoice choose(const ReplicaQuery& query, TimePoint now);
 
+  /// Cold replicas get no more than the limiter admits from then on; it must outlive the selector.
+  void limit_cold_replicas(ColdReplicaLimiter& limiter) { cold_limiter_ = &limiter; }
+
   /// Remembers that a replica has read this prompt.
   void note_prompt(const std::string& replica, const std::vector<PromptPart>& prompt,
                    TimePoint now);
@@ -87,6 +91,8 @@
   };
 
   std::vector<const Replica*> candidates(const ReplicaQuery& query, TimePoint now) const;
+  /// @return whether the replica is cold, and one more request is more than it carries.
+  bool over_cold_limit(const Replica& replica, TimePoint now) const;
   std::vector<PrefixStep> steps_of(const std::vector<PromptPart>& prompt) const;
   /// @return keys of the first and second home of the query's shared parts.
   std::pair<std::uint32_t, std::uint32_t> homes(const std::vector<const Replica*>& all,
@@ -116,6 +122,7 @@
   const Knobs& knobs_;
   const ReplicaDirectory& directory_;
   const std::string zone_;
+  ColdReplicaLimiter* cold_limiter_ = nullptr;  ///< Null: there is no limit.
   std::mt19937_64 random_;
   std::list<PrefixEntry> recent_;  ///< Most recently used first.
   std::unordered_map<std::uint64_t, std::list<PrefixEntry>::iterator> by_chain_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -56,6 +56,7 @@
       run_(start_number()),
       freshness_(knobs.freshness_bound),
       replicas_(knobs),
+      cold_limiter_(knobs, settings_.cold_bound, settings_.node),
       selector_(knobs, replicas_, settings_.zone, combine_hash(hash64(settings_.node), run_)),
       rate_limiter_(knobs, settings_.rate_window, static_cast<std::uint32_t>(run_)),
       context_{loop,          knobs,     parts.traffic, client,
@@ -90,9 +91,12 @@
 }
 
 void Gateway::start() {
-  rate_limiter_.expect_others(
+  const bool others_expected =
       std::any_of(settings_.seeds.begin(), settings_.seeds.end(),
-                  [&](const std::string& seed) { return seed != settings_.control_address; }));
+                  [&](const std::string& seed) { return seed != settings_.control_address; });
+  rate_limiter_.expect_others(others_expected);
+  cold_limiter_.expect_others(others_expected);
+  selector_.limit_cold_replicas(cold_limiter_);
   context_.rate_limiter = &rate_limiter_;
   context_.announce_load = [this] { peers_.announce_load(); };
   context_.peers_reaching_log = [this] { return peers_.control_addresses_reaching_log(); };
@@ -150,6 +154,10 @@
   peers_.set_log_reachable(batch_.lease_valid(now));
   rate_limiter_.tick(now);
   peers_.tick(now);
+  if (peers_.members_version() != members_version_) {
+    members_version_ = peers_.members_version();
+    cold_limiter_.set_members(peers_.members_not_left());
+  }
   note_outliers(now);
   batch_.set_peers_reach_log(peers_.some_peer_reaches_log());
   batch_.tick(now);
@@ -200,6 +208,11 @@
   frontend_.set_limits(
       {limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
   rate_limiter_.set_limits(context_.configuration->tenants);
+  std::map<std::string, double> cold_rates;
+  for (const auto& [name, service] : context_.configuration->services) {
+    cold_rates[name] = service.cold_per_second;
+  }
+  cold_limiter_.set_rates(std::move(cold_rates));
   announce_knowledge();
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -98,6 +98,7 @@
   const FreshnessBudget freshness_;
   GatewayMetrics metrics_;
   ReplicaDirectory replicas_;
+  ColdReplicaLimiter cold_limiter_;
   ReplicaSelector selector_;
   TenantRateLimiter rate_limiter_;
   GatewayContext context_;
@@ -114,6 +115,7 @@
   net::HttpServer metrics_server_;
   boost::asio::steady_timer timer_;
   std::vector<std::weak_ptr<net::Exchange>> state_answers_;  ///< Under way.
+  std::uint64_t members_version_ = 0;  ///< That the limiter of cold replicas knows.
   TimePoint stop_requested_at_{};
   TimePoint last_caller_at_{};
   bool stopping_ = false;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -104,6 +104,10 @@
   ObjectReader tenants = root.object("tenants");
   read_tenant_settings(tenants, settings);
   tenants.reject_unknown_keys();
+  ObjectReader cold = root.object("cold_replicas");
+  settings.cold_bound.overage = cold.number("overage", 0.0, settings.cold_bound.overage);
+  settings.cold_bound.slack = cold.number("slack", 0.0, settings.cold_bound.slack);
+  cold.reject_unknown_keys();
   ObjectReader experiment = root.object("experiment");
   read_experiment(experiment, settings.knobs);
   root.reject_unknown_keys();
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -10,6 +10,7 @@
 #include "dockpoint/core/knobs.hpp"
 #include "dockpoint/core/time.hpp"
 #include "dockpoint/log/partitioned_log.hpp"
+#include "dockpoint/routing/cold_replica_limiter.hpp"
 
 namespace dockpoint {
 
@@ -37,6 +38,8 @@
   RevocationPolicy revocation;
   RateWindow rate_window;  ///< In which the rate limits of tenants hold.
 
+  ColdBound cold_bound;  ///< On what replicas get that have just started.
+
   Knobs knobs;  ///< With the changes of an experiment, if the file asks for one.
 };
 
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -203,6 +203,16 @@
   return sure.size() * 2 > all.size() ? sure : all;
 }
 
+std::vector<std::string> PeerLink::members_not_left() const {
+  std::vector<std::string> ids;
+  for (const Member& member : membership_.all()) {
+    if (member.state != MemberState::kLeft) {
+      ids.push_back(member.id);
+    }
+  }
+  return ids;
+}
+
 bool PeerLink::some_peer_reaches_log() const {
   const std::vector<const Member*> alive = membership_.alive();
   return std::any_of(alive.begin(), alive.end(), [&](const Member* member) {
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -61,6 +61,10 @@
 
   /// @return frontend addresses of nodes that callers may use now.
   std::vector<std::string> frontends() const;
+  /// Changes whenever a member comes, goes or changes its state.
+  std::uint64_t members_version() const { return membership_.version(); }
+  /// @return ids of all members that have not left, dead ones and this node included.
+  std::vector<std::string> members_not_left() const;
   /// @return control addresses of the other nodes that are alive.
   std::vector<std::string> control_addresses() const;
   /// @return the same, of this node's zone only.
--- a/src/routing/replica_directory.cpp
+++ b/src/routing/replica_directory.cpp
@@ -39,10 +39,11 @@
   Replica& replica = entry->second;
   if (added) {
     replica.key = digest_key(record.id);
-    replica.cold_until = now + record.cold_remaining;
     replica.own_failures = DecayingCount(knobs_.failure_memory);
   }
   replica.record = record;
+  // It may turn cold again in the middle of its life.
+  replica.cold_until = std::max(replica.cold_until, now + record.cold_remaining);
   ++revision_;
   if (added) {
     by_key_[replica.key] = &replica;
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -57,6 +57,9 @@
     }
   }
   history_of(query.service).sends.add(now);
+  if (cold_limiter_ != nullptr && now < best->replica->cold_until) {
+    cold_limiter_->sent(query.service, best->replica->key, now);
+  }
   return {best->replica, from_milliseconds(best->wait_ms), best->missing_tokens,
           best->expected_load};
 }
@@ -132,8 +135,9 @@
 std::vector<const Replica*> ReplicaSelector::candidates(const ReplicaQuery& query,
                                                         TimePoint now) const {
   std::vector<const Replica*> ready = directory_.ready(query.service);
-  std::erase_if(
-      ready, [&](const Replica* replica) { return query.excluded.contains(replica->record.id); });
+  std::erase_if(ready, [&](const Replica* replica) {
+    return query.excluded.contains(replica->record.id) || over_cold_limit(*replica, now);
+  });
   std::vector<const Replica*> open;
   for (const Replica* replica : ready) {
     const bool trial_taken = replica->on_trial() && replica->online + replica->batch > 0;
@@ -152,6 +156,11 @@
   return open;
 }
 
+bool ReplicaSelector::over_cold_limit(const Replica& replica, TimePoint now) const {
+  return cold_limiter_ != nullptr && now < replica.cold_until &&
+         !cold_limiter_->admits(replica.record.service, replica.key, now);
+}
+
 std::vector<ReplicaSelector::PrefixStep> ReplicaSelector::steps_of(
     const std::vector<PromptPart>& prompt) const {
   std::vector<PrefixStep> steps;
