ReplicaSubset: which replicas a node of a large fleet uses

Weighed: disjoint cells of nodes and replicas (a zone's crash empties some cells; no spares), random subsets a node (even load, but each replica's load would have to be told to all who share it: everybody), slices by hash of a power of two within the zone plus a sixteenth of other zones' as spares (chosen): nodes of a slice are the only ones that need each other's load. Nodes fall into slices by hash too, 25 +- 5 a slice; ranks would be even, but each death would move nodes across all borders.

Nothing uses the class yet.

--- /dev/null
+++ b/include/dockpoint/routing/replica_subset.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "dockpoint/core/codec.hpp"
+
+/// Which replicas a node uses, where there are more than it needs.
+///
+/// Load pattern: thousands of replicas before hundreds of small nodes. If every node may use every
+/// replica, each choice walks all of them, each pair of node and replica is a connection of its
+/// own, what a node learns of a replica comes from a request in hours, and the load on them has to
+/// be told to everybody. So the replicas of a service are divided into slices, by the hash of their
+/// names, and the nodes of a zone into as many, by the hash of theirs (deterministic subsetting). A
+/// node uses the slice of its zone's replicas that has its number, and a few of other zones for
+/// when those are gone. Nodes of one slice share what they learn, see `cell_of` in
+/// membership/load_relay.hpp.
+///
+/// The number of slices is a power of two, so that each slice divides into two whole ones when a
+/// fleet grows, and it changes only when slices have become half as large again as they should or
+/// less than three quarters: nodes that see some replicas come and go keep their slices. A service
+/// with few replicas is not divided: there, knowing all of them balances better than any part.
+namespace dockpoint {
+
+/// Replicas of a service in a zone.
+struct ReplicaCount {
+  std::string service;
+  std::string zone;
+  std::uint64_t replicas = 0;
+  DOCKPOINT_FIELDS(service, zone, replicas)
+};
+
+/// See the top of this file. Free of I/O and clocks; not thread-safe.
+class ReplicaSubset {
+ public:
+  /// A service with fewer replicas is used whole, by every node. Two nodes in three zones before
+  /// 512 replicas of 8 slots still see each other's load in one datagram.
+  static constexpr std::size_t kUndivided = 512;
+  /// Replicas of the own zone that a slice should have: enough that its load is even to a tenth
+  /// where each has some requests, few enough that a choice takes some microseconds.
+  static constexpr std::size_t kSliceReplicas = 128;
+  /// Slices of another zone's replicas are so many times finer: spares, for when the own ones are
+  /// gone, which cost a node few connections.
+  static constexpr std::size_t kSpareDivisor = 16;
+
+  /// @param zone,node of this node.
+  ReplicaSubset(std::string zone, std::string_view node);
+
+  /// A replica was registered, or is gone.
+  void add(const std::string& service, const std::string& zone);
+  void remove(const std::string& service, const std::string& zone);
+
+  /// Takes the word of a node that knows all replicas, in place of what was counted.
+  void assume(const std::vector<ReplicaCount>& counts);
+  /// @return what was counted.
+  std::vector<ReplicaCount> counts() const;
+
+  /// @return whether this node uses the replica.
+  bool contains(const std::string& service, const std::string& zone, std::string_view name) const;
+  /// @return whether another node of the same zone does.
+  bool contains_for(std::uint64_t node_hash, const std::string& service, const std::string& zone,
+                    std::string_view name) const;
+  /// @return slices that the nodes of this zone divide into: those of its most divided service.
+  std::size_t slices() const;
+  /// Changes whenever `contains` may answer otherwise for a replica that was registered before.
+  std::uint64_t revision() const { return revision_; }
+
+  /// @return the slice of a node or a replica.
+  static std::size_t slice_of(std::uint64_t hash, std::size_t slices);
+
+ private:
+  struct Service {
+    std::size_t replicas = 0;
+    bool divided = false;
+    std::map<std::string, std::pair<std::size_t, std::size_t>> zones;  ///< Replicas and slices.
+  };
+
+  void count(const std::string& service, const std::string& zone, int change);
+  void set_count(Service& counted, const std::string& zone, std::size_t replicas);
+  /// @return the number of slices for so many replicas, the present one if it still fits.
+  static std::size_t fitting_slices(std::size_t replicas, std::size_t present);
+
+  const std::string zone_;
+  const std::uint64_t hash_;
+  std::map<std::string, Service> services_;
+  std::uint64_t revision_ = 1;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/routing/replica_subset.cpp
@@ -0,0 +1,124 @@
+#include "dockpoint/routing/replica_subset.hpp"
+
+#include <algorithm>
+
+#include "dockpoint/core/hash.hpp"
+
+namespace dockpoint {
+namespace {
+
+/// A service that is divided stays so down to this share of the limit, in tenths.
+constexpr std::size_t kUndividedAgainTenths = 7;
+
+/// Replicas are hashed apart from nodes: their names may be alike.
+constexpr std::uint64_t kReplicaSeed = 0x5ee7;
+
+}  // namespace
+
+ReplicaSubset::ReplicaSubset(std::string zone, std::string_view node)
+    : zone_(std::move(zone)), hash_(hash64(node)) {}
+
+void ReplicaSubset::add(const std::string& service, const std::string& zone) {
+  count(service, zone, 1);
+}
+
+void ReplicaSubset::remove(const std::string& service, const std::string& zone) {
+  count(service, zone, -1);
+}
+
+void ReplicaSubset::count(const std::string& service, const std::string& zone, int change) {
+  Service& counted = services_[service];
+  const std::size_t before = counted.zones.try_emplace(zone, 0, 1).first->second.first;
+  if (change > 0 || before > 0) {
+    set_count(counted, zone, change > 0 ? before + 1 : before - 1);
+  }
+}
+
+void ReplicaSubset::set_count(Service& counted, const std::string& zone, std::size_t count) {
+  auto& [replicas, slices] = counted.zones.try_emplace(zone, 0, 1).first->second;
+  counted.replicas = counted.replicas - replicas + count;
+  replicas = count;
+  const std::size_t limit = counted.divided ? kUndivided * kUndividedAgainTenths / 10 : kUndivided;
+  const bool divided = counted.replicas > limit;
+  const std::size_t fitting = fitting_slices(replicas, slices);
+  if (divided != counted.divided || (divided && fitting != slices)) {
+    ++revision_;
+  }
+  counted.divided = divided;
+  slices = fitting;
+}
+
+void ReplicaSubset::assume(const std::vector<ReplicaCount>& counts) {
+  std::map<std::string, std::map<std::string, std::size_t>> told;
+  for (const ReplicaCount& count : counts) {
+    told[count.service][count.zone] = static_cast<std::size_t>(count.replicas);
+  }
+  for (auto& [service, counted] : services_) {
+    for (const auto& [zone, known] : counted.zones) {
+      told[service].try_emplace(zone, 0);
+    }
+  }
+  for (const auto& [service, zones] : told) {
+    for (const auto& [zone, replicas] : zones) {
+      set_count(services_[service], zone, replicas);
+    }
+  }
+}
+
+std::vector<ReplicaCount> ReplicaSubset::counts() const {
+  std::vector<ReplicaCount> counts;
+  for (const auto& [service, counted] : services_) {
+    for (const auto& [zone, known] : counted.zones) {
+      counts.push_back({service, zone, known.first});
+    }
+  }
+  return counts;
+}
+
+std::size_t ReplicaSubset::fitting_slices(std::size_t replicas, std::size_t present) {
+  std::size_t slices = present;
+  while (replicas >= slices * kSliceReplicas * 5 / 2) {
+    slices *= 2;
+  }
+  while (slices > 1 && replicas < slices * kSliceReplicas * 3 / 4) {
+    slices /= 2;
+  }
+  return slices;
+}
+
+bool ReplicaSubset::contains(const std::string& service, const std::string& zone,
+                             std::string_view name) const {
+  return contains_for(hash_, service, zone, name);
+}
+
+bool ReplicaSubset::contains_for(std::uint64_t node_hash, const std::string& service,
+                                 const std::string& zone, std::string_view name) const {
+  const auto counted = services_.find(service);
+  if (counted == services_.end() || !counted->second.divided) {
+    return true;
+  }
+  const auto counts = counted->second.zones.find(zone);
+  std::size_t slices = counts == counted->second.zones.end() ? 1 : counts->second.second;
+  if (zone != zone_) {
+    slices *= kSpareDivisor;
+  }
+  return slice_of(hash64(name, kReplicaSeed), slices) == slice_of(node_hash, slices);
+}
+
+std::size_t ReplicaSubset::slices() const {
+  std::size_t most = 1;
+  for (const auto& [service, counted] : services_) {
+    const auto counts = counted.zones.find(zone_);
+    if (counted.divided && counts != counted.zones.end()) {
+      most = std::max(most, counts->second.second);
+    }
+  }
+  return most;
+}
+
+std::size_t ReplicaSubset::slice_of(std::uint64_t hash, std::size_t slices) {
+  constexpr int kBits = 32;
+  return static_cast<std::size_t>(((hash >> kBits) * slices) >> kBits);
+}
+
+}  // namespace dockpoint
