--- a/include/dockpoint/admission/tenant_rate_limiter.hpp
+++ b/include/dockpoint/admission/tenant_rate_limiter.hpp
@@ -98,6 +98,8 @@
   /// Forgets what no longer matters; call it several times a second.
   void tick(TimePoint now);
 
+  /// @return whether any tenant has a limit, so that all nodes need to know what each admits.
+  bool limits_any() const { return !limits_.empty(); }
   /// @return tenants with an account at this node.
   std::size_t accounts() const { return accounts_.size(); }
 
--- a/include/dockpoint/membership/membership.hpp
+++ b/include/dockpoint/membership/membership.hpp
@@ -56,8 +56,9 @@
   /// Tells the others that this node leaves. No message of this node says otherwise afterwards.
   void leave();
 
-  /// @return every member not dead or left, this node included while it has not left.
-  std::vector<const Member*> alive() const;
+  /// @return every member not dead or left, this node included while it has not left. The list
+  /// stands until `version` changes.
+  const std::vector<const Member*>& alive() const;
 
   /// @return the alive members that can reach the log, and so may own partitions.
   std::vector<const Member*> eligible_owners() const;
@@ -72,6 +73,8 @@
   std::optional<TimePoint> alive_since(const std::string& id) const;
 
   const Member& self() const { return self_; }
+  /// @return whether this node has told the others that it leaves.
+  bool has_left() const { return left_; }
 
   /// @return all members in any state, this node included.
   std::vector<Member> all() const;
@@ -146,6 +149,8 @@
   std::uint32_t pending_batch_items_ = 0;
   bool log_reachable_ = true;
   std::uint64_t version_ = 1;
+  mutable std::vector<const Member*> alive_;  ///< As of `alive_version_`: it is asked for many
+  mutable std::uint64_t alive_version_ = 0;   ///< times a second, and seldom changes.
 };
 
 }  // namespace dockpoint
--- a/include/dockpoint/routing/load_digest.hpp
+++ b/include/dockpoint/routing/load_digest.hpp
@@ -34,6 +34,7 @@
   std::vector<LoadDigestEntry> entries;
   SpendReport spend{};                  ///< What it has admitted of tenants with a rate limit.
   std::uint64_t operator_position = 0;  ///< Up to which it has read the operator's records.
+  bool without_load = false;            ///< Its load was told to its cell, and is left out here.
 };
 
 /// @return the bytes of a digest; they never are those of another message between nodes.
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -83,17 +83,21 @@
   }
 }
 
-std::vector<const Member*> Membership::alive() const {
-  std::vector<const Member*> found;
+const std::vector<const Member*>& Membership::alive() const {
+  if (alive_version_ == version_) {
+    return alive_;
+  }
+  alive_version_ = version_;
+  alive_.clear();
   if (!left_) {
-    found.push_back(&self_);
+    alive_.push_back(&self_);
   }
   for (const auto& [id, entry] : members_) {
     if (entry.member.state <= MemberState::kSuspect) {
-      found.push_back(&entry.member);
+      alive_.push_back(&entry.member);
     }
   }
-  return found;
+  return alive_;
 }
 
 const Member* Membership::find(const std::string& id) const {
@@ -340,11 +344,12 @@
     return;
   }
   const bool state_changes = update.state != entry.member.state;
+  const bool capabilities_change = update.capabilities != entry.member.capabilities;
   entry.member = update;
   if (state_changes) {
     entry.state_since = now;
-    ++version_;
   }
+  version_ += state_changes || capabilities_change ? 1 : 0;
   spread(update);
 }
 
--- a/src/routing/load_digest.cpp
+++ b/src/routing/load_digest.cpp
@@ -32,8 +32,9 @@
   std::uint32_t known_nodes = 0;
   std::vector<std::uint32_t> spends;  ///< Like `numbers`.
   std::uint64_t operator_position = 0;
+  bool without_load = false;
   DOCKPOINT_FIELDS(node, configuration_version, fleet_position, log_reachable, pending_items,
-                   numbers, run, number, known_nodes, spends, operator_position)
+                   numbers, run, number, known_nodes, spends, operator_position, without_load)
 };
 
 struct CollectionWire {
@@ -62,7 +63,8 @@
             digest.spend.number,
             digest.spend.known_nodes,
             {},
-            digest.operator_position};
+            digest.operator_position,
+            digest.without_load};
   for (const LoadDigestEntry& entry : digest.entries) {
     wire.numbers.insert(wire.numbers.end(), {entry.replica_key, entry.in_flight,
                                              entry.prefill_tokens, entry.batch, entry.failures});
@@ -93,7 +95,8 @@
                     wire->pending_items,
                     {},
                     {wire->run, wire->number, wire->known_nodes, {}},
-                    wire->operator_position};
+                    wire->operator_position,
+                    wire->without_load};
   for (std::size_t index = 0; index < wire->numbers.size(); index += kEntryNumbers) {
     digest.entries.push_back({wire->numbers[index], wire->numbers[index + 1],
                               wire->numbers[index + 2], wire->numbers[index + 3],
--- a/tests/routing/load_digest_test.cpp
+++ b/tests/routing/load_digest_test.cpp
@@ -7,8 +7,48 @@
 
 using namespace dockpoint;
 
+namespace {
+
+std::string from_hex(std::string_view text) {
+  std::string bytes;
+  for (std::size_t index = 0; index + 1 < text.size(); index += 2) {
+    bytes.push_back(static_cast<char>(std::stoi(std::string(text.substr(index, 2)), nullptr, 16)));
+  }
+  return bytes;
+}
+
+}  // namespace
+
 BOOST_AUTO_TEST_SUITE(load_digest)
 
+// Two builds run side by side while the nodes are replaced one after the other. The bytes are those
+// of version 0.1.0 before evacuations and cells were told.
+BOOST_AUTO_TEST_CASE(a_digest_of_the_build_before_is_read) {
+  const auto digest =
+      decode_load_digest(from_hex("c19ace0001117007cd0159c303950b02cd012c010005090493150601"));
+  BOOST_TEST_REQUIRE(digest.has_value());
+  BOOST_TEST(digest->node == 70'000U);
+  BOOST_TEST(digest->configuration_version == 7U);
+  BOOST_TEST(digest->fleet_position == 345U);
+  BOOST_TEST(digest->pending_items == 3U);
+  BOOST_TEST_REQUIRE(digest->entries.size() == 1U);
+  BOOST_TEST(digest->entries.front().prefill_tokens == 300U);
+  BOOST_TEST(digest->spend.spends.size() == 1U);
+  BOOST_TEST(digest->operator_position == 0U);
+  BOOST_TEST(!digest->without_load);
+}
+
+BOOST_AUTO_TEST_CASE(a_member_of_the_build_before_is_read_and_capable_of_nothing_new) {
+  const auto member = unpack<Member>(from_hex(
+      "98a26e310500ab31302e302e302e313a3730ab31302e302e302e313a3830a67a6f6e652d6105ab31302e"
+      "302e302e313a3930"));
+  BOOST_TEST_REQUIRE(member.has_value());
+  BOOST_TEST(member->id == "n1");
+  BOOST_TEST(member->control_address == "10.0.0.1:90");
+  BOOST_TEST(!member->is_capable_of(Capability::kCells));
+  BOOST_TEST(!member->is_capable_of(Capability::kRecords));
+}
+
 BOOST_AUTO_TEST_CASE(a_digest_travels_whole_and_is_told_from_other_messages) {
   const LoadDigest digest{node_key("n1"), 7,  99,
                           true,           12, {{1, 2, 3, 1, 7}, {4'000'000'000U, 5, 0, 0, 0}}};
