Records of the fleet from other nodes: RecordSources, RecordCache, RecordServer, RelayedLog

Weighed: a tree of bounded fan-out that passes everything on to everybody (3 MB times four children is 3.2 s a level at 30 Mbit/s, four levels), and two readers a zone with distributors that hold everything and give each node its part (chosen: 200 KB a node, two steps). Offsets stay the log's own, so a reader goes on at the log, or elsewhere, when its source is dead, refuses, or is behind; a source that cannot vouch for what it knows refuses at once. An answer carries its age, and whoever follows by it counts that in.

Nothing uses it yet.

--- a/include/dockpoint/log/keyed_watch.hpp
+++ b/include/dockpoint/log/keyed_watch.hpp
@@ -38,6 +38,12 @@
 /// @return the state as logs name it.
 const char* name_of(WatchState state);
 
+/// How old what a node knows from a topic may be, by the log's own word. Peers may have told more.
+struct WatchAge {
+  WatchState state = WatchState::kLoading;
+  Duration age{};  ///< Since the log last confirmed it; since the process's start if it never did.
+};
+
 /// When a watch reads on.
 enum class WatchMode {
   kFollow,    ///< Always, by reads that wait for records.
@@ -67,6 +73,12 @@
   /// has. A read that is under way does not count: it may have begun before.
   void refresh();
 
+  /// Loads the newest records once more, when the call under way has ended: what the log gives has
+  /// become other than before. Nothing happens if the first load has not begun.
+  void reload();
+  /// Changes the bound that waits and time limits are derived from.
+  void set_bound(Duration bound) { budget_ = FreshnessBudget(bound); }
+
   WatchState state(TimePoint now) const;
   /// @return when the log last confirmed that everything up to the end of the partition was told;
   /// the start of time: never.
@@ -81,6 +93,7 @@
     bool calling = false;
     bool loaded = false;
     bool reachable = true;
+    bool reload = false;       ///< Asked for, or under way: what was loaded before still counts.
     bool wanted = false;       ///< A refresh was asked for after the read under way began.
     TimePoint next_call_at{};  ///< After a failure, or after records that may not come alone.
     int failures = 0;
@@ -89,6 +102,7 @@
     TimePoint confirmed_at{};  ///< The end of the partition was reached.
     LogOffset next = 0;
     LogOffset load_end = 0;
+    Duration load_age{};  ///< Of the first page.
     std::string page_key;
     bool first_page = true;
     std::vector<KeyedRecord> pages;
@@ -109,7 +123,7 @@
   std::mt19937_64 random_;
   KeyedWatchObserver& observer_;
   const WatchMode mode_;
-  const FreshnessBudget budget_;
+  FreshnessBudget budget_;
   std::size_t peers_ = 0;
   TimePoint now_{};
   std::shared_ptr<State> state_ = std::make_shared<State>();
--- a/include/dockpoint/log/partitioned_log.hpp
+++ b/include/dockpoint/log/partitioned_log.hpp
@@ -56,7 +56,9 @@
 struct ReadOutcome {
   LogStatus status = LogStatus::kUnknown;
   std::vector<KeyedRecord> records;
-  LogOffset end = 0;  ///< End of the partition when it was read.
+  LogOffset end = 0;   ///< End of the partition when it was read.
+  LogOffset next = 0;  ///< Where to read on if that is not behind the last record; 0: it is.
+  Duration age{};      ///< Of the answer: a node may pass on what it has read before.
 };
 
 /// Time that a read may take.
@@ -70,6 +72,7 @@
   std::vector<KeyedRecord> records;  ///< In order of key.
   bool more = false;                 ///< Ask again from the last key.
   LogOffset end = 0;
+  Duration age{};  ///< As in `ReadOutcome`.
 };
 
 struct TopicPartition {
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -36,12 +36,6 @@
   TopicPartition replicas;
 };
 
-/// How old what a node knows from a topic may be, by the log's own word. Peers may have told more.
-struct WatchAge {
-  WatchState state = WatchState::kLoading;
-  Duration age{};  ///< Since the log last confirmed it; since the process's start if it never did.
-};
-
 /// Reads the values of the fleet's records. Stateless.
 class FleetReader {
  public:
--- /dev/null
+++ b/src/gateway/record_server.cpp
@@ -0,0 +1,108 @@
+#include "gateway/record_server.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "dockpoint/core/hash.hpp"
+#include "net/clock.hpp"
+
+namespace dockpoint {
+
+void RecordServer::keep(const TopicPartition& partition, bool parts) {
+  kept_[partition].parts = parts;
+}
+
+void RecordServer::replace(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
+                           LogOffset end) {
+  const auto kept = kept_.find(partition);
+  if (kept != kept_.end()) {
+    kept->second.records.replace(records, end);
+  }
+}
+
+void RecordServer::add(const TopicPartition& partition, const KeyedRecord& record) {
+  const auto kept = kept_.find(partition);
+  if (kept != kept_.end() && kept->second.records.loaded()) {
+    kept->second.records.add(record);
+  }
+}
+
+void RecordServer::refuse(const net::ExchangePtr& exchange) {
+  exchange->respond(503, {}, {});  // The node that asks goes on to another one, or to the log.
+}
+
+RecordCache::Filter RecordServer::filter_of(const RecordQuestion& question,
+                                            const Kept& kept) const {
+  if (question.whole || !kept.parts) {
+    return {};
+  }
+  return [this, hash = hash64(question.node)](const KeyedRecord& record) {
+    return belongs_(hash, record);
+  };
+}
+
+void RecordServer::respond(const net::ExchangePtr& exchange, const Kept& kept,
+                           const RecordQuestion& question, RecordAnswer answer) {
+  answer.age_ms = static_cast<std::uint64_t>(to_ms(standing_(question.partition).age));
+  if (kept.parts && !question.whole) {
+    answer.counts = counts_();
+  }
+  exchange->respond(200, {{"Content-Type", "application/msgpack"}}, pack(answer));
+}
+
+void RecordServer::serve(const net::ExchangePtr& exchange) {
+  const auto question = read_record_target(exchange->request().target);
+  if (!question) {
+    spdlog::warn("fleet: question for records cannot be read target={}",
+                 exchange->request().target);
+    exchange->respond(400, {}, {});
+    return;
+  }
+  const auto kept = kept_.find(question->partition);
+  if (kept == kept_.end() || !kept->second.records.loaded()) {
+    refuse(exchange);
+    return;
+  }
+  if (!question->follows) {
+    const RecordCache& records = kept->second.records;
+    respond(exchange, kept->second, *question,
+            answer_of(records.newest(question->after_key, filter_of(*question, kept->second))));
+    return;
+  }
+  const Waiting waiting{exchange, *question, exchange->received() + question->wait};
+  if (try_read(waiting, exchange->received())) {
+    return;
+  }
+  if (waiting_.size() >= kMostWaiting) {
+    refuse(exchange);
+    return;
+  }
+  waiting_.push_back(waiting);
+}
+
+bool RecordServer::try_read(const Waiting& waiting, TimePoint now) {
+  const auto kept = kept_.find(waiting.question.partition);
+  const bool vouches = standing_(waiting.question.partition).state == WatchState::kFollowing;
+  if (kept == kept_.end() || !kept->second.records.loaded() || !vouches) {
+    refuse(waiting.exchange);
+    return true;
+  }
+  const RecordCache& records = kept->second.records;
+  const bool news = records.end() > waiting.question.from;
+  if (!news && now < waiting.until) {
+    return false;
+  }
+  const ReadOutcome outcome =
+      records.read(waiting.question.from, filter_of(waiting.question, kept->second));
+  // News of other parts alone are told when the time is up.
+  if (outcome.status == LogStatus::kOk && outcome.records.empty() && now < waiting.until) {
+    return false;
+  }
+  respond(waiting.exchange, kept->second, waiting.question, answer_of(outcome));
+  return true;
+}
+
+void RecordServer::tick(TimePoint now) {
+  waiting_.remove_if([&](const Waiting& waiting) { return try_read(waiting, now); });
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/gateway/relayed_log.cpp
@@ -0,0 +1,244 @@
+#include "gateway/relayed_log.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "dockpoint/core/address.hpp"
+#include "net/clock.hpp"
+
+namespace dockpoint {
+namespace {
+
+/// Behind every key that a replica registers under: a load from here on tells where the partition
+/// ends, and brings nothing.
+constexpr const char* kBehindAllKeys = "~~~~";
+
+constexpr int kOk = 200;
+
+}  // namespace
+
+RelayedLog::RelayedLog(boost::asio::io_context& loop, net::HttpClient& client, PartitionedLog& log,
+                       std::vector<TopicPartition> relayed, const std::string& node,
+                       std::string zone, CountsTold on_counts)
+    : loop_(loop),
+      client_(client),
+      log_(log),
+      relayed_(std::move(relayed)),
+      node_(node),
+      on_counts_(std::move(on_counts)),
+      sources_(node, std::move(zone)) {}
+
+RelayedLog::~RelayedLog() {
+  *alive_ = false;
+}
+
+void RelayedLog::set_members(const std::vector<const Member*>& alive) {
+  sources_.update(alive);
+  members_known_ = alive.size();
+}
+
+void RelayedLog::others_run() {
+  if (others_run_since_ == TimePoint{}) {
+    others_run_since_ = net::steady_now();
+  }
+}
+
+void RelayedLog::set_large(bool large) {
+  if (phase_ == Phase::kDirect && large) {
+    phase_ = Phase::kRelaying;
+    spdlog::info("fleet: records are read from other nodes passesOn={}", passes_on());
+  } else if (phase_ == Phase::kRelaying && !large) {
+    phase_ = Phase::kDirect;
+    spdlog::info("fleet: records are read from the log");
+  }
+}
+
+void RelayedLog::tick(TimePoint now) {
+  const bool told = members_known_ > 1 && others_run_since_ != TimePoint{} &&
+                    now - others_run_since_ >= kMembersTold;
+  if (phase_ == Phase::kHolding && (told || now - started_ >= kStartHold)) {
+    phase_ = Phase::kRelaying;
+    spdlog::info("fleet: records are read from other nodes passesOn={} heldMs={}", passes_on(),
+                 to_ms(now - started_));
+  }
+  if (phase_ != Phase::kDirect && phase_ != Phase::kRelaying) {
+    return;
+  }
+  std::vector<Held> held = std::exchange(held_, {});
+  for (Held& entry : held) {
+    if (now >= entry.at) {
+      entry.call();
+    } else {
+      held_.push_back(std::move(entry));
+    }
+  }
+}
+
+bool RelayedLog::is_relayed(const TopicPartition& partition) const {
+  return std::find(relayed_.begin(), relayed_.end(), partition) != relayed_.end();
+}
+
+void RelayedLog::ask_size() {
+  started_ = net::steady_now();
+  if (!others_expected_) {
+    phase_ = Phase::kDirect;
+    return;
+  }
+  phase_ = Phase::kAsking;
+  log_.newest(relayed_.front(), kBehindAllKeys, [this, alive = alive_](const NewestOutcome& size) {
+    if (!*alive) {
+      return;
+    }
+    // Without the log's word the number of nodes has to do.
+    const bool large = size.status == LogStatus::kOk ? size.end >= kRelayedRecords
+                                                     : members_known_ >= kRelayingMembers;
+    phase_ = large ? Phase::kHolding : Phase::kDirect;
+    tick(net::steady_now());
+  });
+}
+
+void RelayedLog::hold(Duration delay, std::function<void()> call) {
+  held_.push_back({net::steady_now() + delay, std::move(call)});
+}
+
+std::optional<std::string> RelayedLog::source(const TopicPartition& partition) {
+  const bool relayed = phase_ == Phase::kRelaying && is_relayed(partition);
+  return relayed ? sources_.next(net::steady_now()) : std::nullopt;
+}
+
+void RelayedLog::ask_source(const std::string& address, const RecordQuestion& question,
+                            Duration limit,
+                            std::function<void(std::optional<RecordAnswer>, bool refused)> done) {
+  const std::optional<Address> parsed = Address::parse(address);
+  if (!parsed) {
+    spdlog::warn("fleet: address of a source cannot be read address={}", address);
+    sources_.failed(address, net::steady_now());
+    done(std::nullopt, false);
+    return;
+  }
+  const net::RequestHead head{"GET", record_target(question), {{"Host", address}}};
+  net::SimpleCall::start(client_, loop_, {*parsed, "control"}, net::serialize(head), {}, limit,
+                         [this, alive = alive_, address,
+                          done = std::move(done)](const net::SimpleCall::Outcome& outcome) {
+                           if (!*alive) {
+                             return;
+                           }
+                           std::optional<RecordAnswer> answer;
+                           if (!outcome.failure && outcome.head.status == kOk) {
+                             answer = unpack<RecordAnswer>(outcome.body);
+                             if (!answer) {
+                               spdlog::warn(
+                                   "fleet: records of a node cannot be read node={} bytes={}",
+                                   address, outcome.body.size());
+                             }
+                           }
+                           if (answer) {
+                             sources_.succeeded(address);
+                             if (!answer->counts.empty()) {
+                               on_counts_(answer->counts);
+                             }
+                           }
+                           done(std::move(answer), !outcome.failure && outcome.head.status != kOk);
+                         });
+}
+
+void RelayedLog::newest(const TopicPartition& partition, const std::string& after_key,
+                        std::function<void(NewestOutcome)> done) {
+  if (phase_ == Phase::kUnknown) {
+    ask_size();
+  }
+  if (phase_ == Phase::kDirect || !is_relayed(partition)) {
+    log_.newest(partition, after_key, std::move(done));
+    return;
+  }
+  if (phase_ == Phase::kRelaying) {
+    load(partition, after_key, std::move(done));
+    return;
+  }
+  hold({}, [this, partition, after_key, done = std::move(done)] {
+    newest(partition, after_key, done);
+  });
+}
+
+void RelayedLog::load(const TopicPartition& partition, const std::string& after_key,
+                      std::function<void(NewestOutcome)> done) {
+  const std::optional<std::string> address = source(partition);
+  if (!address) {
+    log_.newest(partition, after_key, std::move(done));
+    return;
+  }
+  RecordQuestion question{partition, node_, passes_on()};
+  question.after_key = after_key;
+  ask_source(*address, question, kPageLimit,
+             [this, partition, after_key, address, done = std::move(done)](
+                 const std::optional<RecordAnswer>& answer, bool refused) {
+               const TimePoint now = net::steady_now();
+               if (answer) {
+                 done(newest_outcome_of(*answer));
+                 return;
+               }
+               const auto again = [this, partition, after_key, done] {
+                 load(partition, after_key, done);
+               };
+               if (refused && now - started_ < kLoadPatience) {
+                 hold(kLoadRetry, again);  // It is loading itself.
+                 return;
+               }
+               spdlog::info("fleet: no page of records from node={} refused={}", *address, refused);
+               sources_.failed(*address, now);
+               again();
+             });
+}
+
+void RelayedLog::read(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
+                      std::function<void(ReadOutcome)> done) {
+  const std::optional<std::string> address = source(partition);
+  if (!address) {
+    log_.read(partition, from, times, std::move(done));
+    return;
+  }
+  RecordQuestion question{partition, node_, passes_on(), true, from, times.wait};
+  const Duration half_limit = times.limit / 2;
+  ask_source(*address, question, times.wait + half_limit,
+             [this, partition, from, half_limit, address, done = std::move(done)](
+                 const std::optional<RecordAnswer>& answer, bool refused) {
+               if (answer) {
+                 done(read_outcome_of(*answer));
+                 return;
+               }
+               spdlog::info("fleet: no records from node={} refused={}", *address, refused);
+               sources_.failed(*address, net::steady_now());
+               log_.read(partition, from, {{}, half_limit}, done);
+             });
+}
+
+void RelayedLog::append(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
+                        const std::optional<ProducerPosition>& position,
+                        std::function<void(AppendOutcome)> done) {
+  log_.append(partition, records, position, std::move(done));
+}
+
+void RelayedLog::append_at(const TopicPartition& partition, LogOffset expected_end,
+                           const std::vector<KeyedRecord>& records,
+                           std::function<void(AppendOutcome)> done) {
+  log_.append_at(partition, expected_end, records, std::move(done));
+}
+
+void RelayedLog::join(const std::string& group, const std::string& member,
+                      const std::vector<std::string>& topics, Duration lease,
+                      std::uint64_t generation, std::function<void(JoinOutcome)> done) {
+  log_.join(group, member, topics, lease, generation, std::move(done));
+}
+
+void RelayedLog::leave(const std::string& group, const std::string& member,
+                       std::function<void(LogStatus)> done) {
+  log_.leave(group, member, std::move(done));
+}
+
+void RelayedLog::owners(const std::string& group, std::function<void(OwnersOutcome)> done) {
+  log_.owners(group, std::move(done));
+}
+
+}  // namespace dockpoint
--- a/src/log/keyed_watch.cpp
+++ b/src/log/keyed_watch.cpp
@@ -33,7 +33,7 @@
 }
 
 WatchState KeyedWatch::state(TimePoint now) const {
-  if (!state_->loaded) {
+  if (!state_->loaded && !state_->reload) {
     return WatchState::kLoading;
   }
   if (!state_->reachable) {
@@ -57,10 +57,18 @@
   }
 }
 
+void KeyedWatch::reload() {
+  const bool begun = state_->loaded || !state_->first_page;
+  state_->reload = state_->reload || begun;
+}
+
 void KeyedWatch::proceed() {
   if (mode_ == WatchMode::kOnDemand && !state_->wanted) {
     return;
   }
+  if (state_->reload) {
+    state_->loaded = false;
+  }
   if (state_->loaded) {
     follow();
   } else {
@@ -86,10 +94,20 @@
     fail();
     return;
   }
+  // Another node that passes records on may be behind what was told before, or behind the page
+  // before: its word would take things back.
+  if (outcome.end < (state_->first_page ? state_->next : state_->load_end)) {
+    state_->pages.clear();
+    state_->page_key.clear();
+    state_->first_page = true;
+    fail();
+    return;
+  }
   succeed();
   if (state_->first_page) {
     state_->first_page = false;
     state_->load_end = outcome.end;
+    state_->load_age = outcome.age;
   }
   if (!outcome.records.empty()) {
     state_->page_key = outcome.records.back().key;
@@ -104,6 +122,7 @@
   state_->page_key.clear();
   state_->first_page = true;
   state_->loaded = true;
+  state_->reload = false;
   state_->next = state_->load_end;
   state_->offsets.clear();
   for (const KeyedRecord& record : records) {
@@ -112,7 +131,7 @@
   const auto state = state_;
   observer_.on_snapshot(records);
   if (state->alive) {
-    state->confirmed_at = now_;
+    state->confirmed_at = now_ - state->load_age;
     observer_.on_current();
   }
   if (state->alive && !state->calling) {
@@ -161,6 +180,7 @@
       return;
     }
   }
+  state->next = std::max(state->next, outcome.next);
   if (mode_ == WatchMode::kOnDemand && !outcome.records.empty() && state->next < outcome.end) {
     follow();  // The answer holds a part of what there is.
     return;
@@ -168,7 +188,7 @@
   if (mode_ == WatchMode::kFollow && !outcome.records.empty() && state->next >= outcome.end) {
     state->next_call_at = now_ + knobs_.watch_pause;
   }
-  state->confirmed_at = now_;
+  state->confirmed_at = now_ - outcome.age;
   observer_.on_current();
   if (state->alive && !state->calling && now_ >= state->next_call_at) {
     proceed();
--- /dev/null
+++ b/src/membership/record_sources.cpp
@@ -0,0 +1,88 @@
+#include "dockpoint/membership/record_sources.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "dockpoint/core/hash.hpp"
+
+namespace dockpoint {
+namespace {
+
+/// The order of readers differs from that of relays of load: one node would be both.
+constexpr std::uint64_t kOrderSeed = 0x4ec0;
+
+struct Place {
+  std::uint64_t hash = 0;
+  const Member* member = nullptr;
+  friend bool operator<(const Place& left, const Place& right) { return left.hash < right.hash; }
+};
+
+/// @return how many of a zone's nodes pass records on.
+std::size_t nodes_passing_on(std::size_t nodes) {
+  const bool readers_suffice = nodes <= RecordSources::kReaders * RecordSources::kFanOut;
+  const std::size_t more = readers_suffice ? 0 : nodes / RecordSources::kFanOut + 1;
+  return RecordSources::kReaders + more;
+}
+
+}  // namespace
+
+RecordSources::RecordSources(std::string node, std::string zone)
+    : node_(std::move(node)), zone_(std::move(zone)) {}
+
+void RecordSources::update(const std::vector<const Member*>& alive) {
+  std::vector<Place> order;
+  for (const Member* member : alive) {
+    const bool able = member->is_capable_of(Capability::kRecords);
+    if (able && member->zone == zone_ && !member->control_address.empty()) {
+      order.push_back({hash64(member->id, kOrderSeed), member});
+    }
+  }
+  const std::size_t passing_on = std::min(order.size(), nodes_passing_on(order.size()));
+  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(passing_on),
+                    order.end());
+  order.resize(passing_on);
+  const auto own = std::find_if(order.begin(), order.end(),
+                                [&](const Place& place) { return place.member->id == node_; });
+  passes_on_ = own != order.end();
+  const std::size_t rank = static_cast<std::size_t>(own - order.begin());
+  sources_.clear();
+  if (rank < kReaders) {
+    return;
+  }
+  if (passes_on_) {
+    order.resize(kReaders);
+  } else if (order.size() > kReaders) {
+    order.erase(order.begin(), order.begin() + kReaders);  // They answer those that pass on.
+  }
+  // Each node begins with another one.
+  std::sort(order.begin(), order.end(), [&](const Place& left, const Place& right) {
+    return hash64(node_, left.hash) > hash64(node_, right.hash);
+  });
+  for (const Place& place : order) {
+    sources_.push_back(place.member->control_address);
+  }
+}
+
+std::optional<std::string> RecordSources::next(TimePoint now) {
+  std::erase_if(left_out_, [&](const auto& entry) { return now >= entry.second; });
+  if (failures_ >= kMostTries) {
+    failures_ = 0;
+    return std::nullopt;
+  }
+  const auto source = std::find_if(sources_.begin(), sources_.end(), [&](const auto& address) {
+    return !left_out_.contains(address);
+  });
+  return source == sources_.end() ? std::nullopt : std::optional(*source);
+}
+
+void RecordSources::failed(const std::string& address, TimePoint now) {
+  ++failures_;
+  left_out_[address] = now + kLeftOut;
+}
+
+void RecordSources::succeeded(const std::string& address) {
+  failures_ = 0;
+  left_out_.erase(address);
+}
+
+}  // namespace dockpoint
