--- a/include/dockpoint/membership/cell.hpp
+++ b/include/dockpoint/membership/cell.hpp
@@ -10,7 +10,8 @@
 ///
 /// Where the replicas are divided into slices (routing/replica_subset.hpp), only the nodes of one
 /// zone and slice send to the same ones, and only they need to know each other's load. They tell
-/// each other directly, so that what a node sends and takes a second does not grow with the fleet.
+/// each other through two relays of their own, see load_relay.hpp: 15 datagrams a second and node
+/// in a cell of 25, where telling each other directly takes 120, at any size of the fleet.
 /// All nodes compute cells alike from the members' names. Where one sees more members, or other
 /// slices, than another, a digest goes to a node that has no use for it, or is missed: the load is
 /// known a little worse there, and nothing is wrong.
--- a/include/dockpoint/membership/load_relay.hpp
+++ b/include/dockpoint/membership/load_relay.hpp
@@ -28,7 +28,8 @@
   static constexpr std::size_t kDirectNodes = 20;
 
   /// @param node,zone of this node.
-  LoadRelay(std::string node, std::string zone);
+  /// @param most_direct nodes up to which everybody tells everybody.
+  LoadRelay(std::string node, std::string zone, std::size_t most_direct = kDirectNodes);
 
   /// Takes the nodes that are alive and not silent; this node may be among them.
   void set_members(const std::vector<const Member*>& members);
@@ -57,6 +58,7 @@
 
   const std::string node_;
   const std::string zone_;
+  const std::size_t most_direct_;
   bool direct_ = true;
   std::vector<std::string> all_addresses_;            ///< Without this node.
   std::vector<std::string> zone_addresses_;           ///< Of this node's zone, without this node.
--- a/include/dockpoint/routing/replica_subset.hpp
+++ b/include/dockpoint/routing/replica_subset.hpp
@@ -67,8 +67,12 @@
                     std::string_view name) const;
   /// @return slices that the nodes of this zone divide into: those of its most divided service.
   std::size_t slices() const;
-  /// Changes whenever `contains` may answer otherwise for a replica that was registered before.
+  /// @return replicas of all services.
+  std::size_t replicas() const;
+  /// Changes whenever `contains` may answer otherwise for a replica that was registered before,
   std::uint64_t revision() const { return revision_; }
+  /// and this, whenever the part has taken in replicas that it did not have before.
+  std::uint64_t widened() const { return widened_; }
 
   /// @return the slice of a node or a replica.
   static std::size_t slice_of(std::uint64_t hash, std::size_t slices);
@@ -89,6 +93,7 @@
   const std::uint64_t hash_;
   std::map<std::string, Service> services_;
   std::uint64_t revision_ = 1;
+  std::uint64_t widened_ = 1;
 };
 
 }  // namespace dockpoint
--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -25,6 +25,8 @@
         on_reachable_(std::move(on_reachable)),
         watch_(knobs, log, std::move(partition), seed, *this) {}
 
+  void reload() { watch_.reload(); }
+  void set_bound(Duration bound) { watch_.set_bound(bound); }
   void tick(TimePoint now, std::size_t peers) {
     watch_.set_peers(peers);
     watch_.tick(now);
@@ -55,6 +57,7 @@
       reader_(reader),
       topics_(topics),
       on_change_(std::move(on_change)),
+      subset_(context.zone, context.node),
       removal_grace_(context.knobs) {
   configuration_follower_ = std::make_unique<Follower>(
       context_.knobs, log, topics_.configuration, seed,
@@ -63,7 +66,11 @@
   replica_follower_ = std::make_unique<Follower>(
       context_.knobs, log, topics_.replicas, seed + 1,
       [this](const std::vector<KeyedRecord>& records) {
-        if (replicas_known_ && replica_follower_->watch().position() < peer_position_) {
+        const LogOffset position = replica_follower_->watch().position();
+        if (record_server_ != nullptr) {
+          record_server_->replace(topics_.replicas, records, position);
+        }
+        if (replicas_known_ && position < peer_position_) {
           return;  // A page from before what a peer has told.
         }
         std::vector<std::string> ids;
@@ -75,6 +82,9 @@
         replicas_known_ = true;
       },
       [this](const KeyedRecord& record) {
+        if (record_server_ != nullptr) {
+          record_server_->add(topics_.replicas, record);
+        }
         if (record.offset < peer_position_) {
           return;
         }
@@ -94,11 +104,17 @@
     started_at_ = now;
   }
   now_ = now;
-  configuration_follower_->tick(now, peers);
-  replica_follower_->tick(now, peers);
+  // Whoever reads from others is not told by its peers that it is behind: it waits like a lone
+  // node.
+  const std::size_t telling = relays_ ? 0 : peers;
+  configuration_follower_->tick(now, telling);
+  replica_follower_->tick(now, telling);
   for (const std::string& id : removal_grace_.take_due(now)) {
     remove_replica(id);
   }
+  if (subset_revision_ != subset_.revision()) {
+    review_subset();
+  }
   if (removal_grace_.empty()) {
     lapsed_services_.clear();
   } else {
@@ -156,6 +172,10 @@
 }
 
 void FleetWatch::take_operator_page(const std::vector<KeyedRecord>& records) {
+  if (record_server_ != nullptr) {
+    record_server_->replace(topics_.configuration, records,
+                            configuration_follower_->watch().position());
+  }
   std::set<std::string> zones;
   for (const KeyedRecord& record : records) {
     const std::string zone = evacuated_zone(record);
@@ -170,6 +190,9 @@
 }
 
 void FleetWatch::take_operator_record(const KeyedRecord& record) {
+  if (record_server_ != nullptr) {
+    record_server_->add(topics_.configuration, record);
+  }
   ZoneEvacuations& evacuations = context_.replicas.evacuations();
   const std::string zone = evacuated_zone(record);
   if (!zone.empty()) {
@@ -240,22 +263,138 @@
     return;
   }
   const TimePoint now = net::steady_now();
-  const std::string before = known == records_.end() ? std::string{} : known->second.replica;
+  KnownRecord& kept = records_[name];
+  const std::string before = kept.replica;
+  const bool used_before = !before.empty() && context_.replicas.find(before) != nullptr;
   if (!before.empty() && before != record->id) {
-    spdlog::info("fleet: replica has started again replica={} before={}", record->id, before);
+    if (used_before) {
+      spdlog::info("fleet: replica has started again replica={} before={}", record->id, before);
+    }
     context_.replicas.end_life(before, now);
   }
   if (record->started_ms > 0) {
     newest_start_[name] = record->started_ms;
   }
-  records_[name] = {value, record->id};
-  spdlog::info("fleet: replica {} replica={} service={} address={} slots={}",
-               record->draining ? "drains" : "ready", record->id, record->service,
-               record->address.to_string(), record->slots);
-  context_.replicas.upsert(*record, now);
+  unreadable_ -= known != records_.end() && before.empty() ? 1 : 0;
+  discount_replica(kept);
+  kept = {value, record->id, record->service, record->zone};
+  count_replica(kept);
+  if (subset_.contains(kept.service, kept.zone, name)) {
+    spdlog::info("fleet: replica {} replica={} service={} address={} slots={}",
+                 record->draining ? "drains" : "ready", record->id, record->service,
+                 record->address.to_string(), record->slots);
+    context_.replicas.upsert(*record, now);
+  } else if (used_before) {
+    context_.replicas.remove(record->id);
+  }
   update_record_metrics();
 }
 
+void FleetWatch::count_replica(KnownRecord& known) {
+  if (!counts_told_) {
+    subset_.add(known.service, known.zone);
+    known.counted = true;
+  }
+}
+
+void FleetWatch::discount_replica(KnownRecord& known) {
+  if (std::exchange(known.counted, false)) {
+    subset_.remove(known.service, known.zone);
+  }
+}
+
+void FleetWatch::set_relaying(bool relays, bool whole) {
+  if (relays == relays_ && (whole == whole_ || !relays)) {
+    return;
+  }
+  relays_ = relays;
+  whole_ = whole;
+  const bool passes_on = relays && whole;
+  spdlog::info("fleet: records relayed={} whole={}", relays, whole);
+  if (record_server_ != nullptr && passes_on) {
+    record_server_->keep(topics_.configuration, false);
+    record_server_->keep(topics_.replicas, true);
+  } else if (record_server_ != nullptr) {
+    record_server_->forget(topics_.configuration);
+    record_server_->forget(topics_.replicas);
+  }
+  if (counts_told_ && (whole || !relays)) {
+    counts_told_ = false;
+    subset_.assume({});
+    for (auto& [name, known] : records_) {
+      if (!known.replica.empty()) {
+        count_replica(known);
+      }
+    }
+  }
+  const Duration bound = context_.knobs.freshness_bound;
+  // News take two steps more, each of which may wait for the pause between two reads.
+  const Duration left = relays ? bound * 3 / 4 : bound;
+  configuration_follower_->set_bound(left);
+  replica_follower_->set_bound(left);
+  if (passes_on) {
+    configuration_follower_->reload();
+  }
+  // Whoever read everything so far goes on from there with its part.
+  if (passes_on || !relays) {
+    replica_follower_->reload();
+  }
+}
+
+void FleetWatch::take_counts(const std::vector<ReplicaCount>& counts) {
+  if (!relays_ || whole_) {
+    return;
+  }
+  const bool first = !std::exchange(counts_told_, true);
+  subset_.assume(counts);
+  if (first) {
+    for (auto& [name, known] : records_) {
+      known.counted = false;
+    }
+    subset_widened_ = subset_.widened();  // What is being loaded is this part already.
+  }
+}
+
+bool FleetWatch::belongs_to(std::uint64_t node_hash, const KeyedRecord& record) const {
+  const auto known = records_.find(record.key);
+  if (record.value.empty() || known == records_.end() || known->second.replica.empty()) {
+    return true;
+  }
+  return subset_.contains_for(node_hash, known->second.service, known->second.zone, record.key);
+}
+
+void FleetWatch::review_subset() {
+  subset_revision_ = subset_.revision();
+  const bool widened = std::exchange(subset_widened_, subset_.widened()) != subset_.widened();
+  if (widened && counts_told_) {
+    replica_follower_->reload();  // Records of the new part are not here.
+  }
+  std::size_t added = 0;
+  std::size_t removed = 0;
+  for (const auto& [name, known] : records_) {
+    if (known.replica.empty()) {
+      continue;
+    }
+    const bool used = context_.replicas.find(known.replica) != nullptr;
+    const bool wanted = subset_.contains(known.service, known.zone, name);
+    if (used && !wanted) {
+      context_.replicas.remove(known.replica);
+      ++removed;
+    } else if (wanted && !used) {
+      std::string problem;
+      const auto record =
+          value_or_problem([&] { return reader_.read_replica(name, known.value); }, problem);
+      if (record) {  // It was read before.
+        context_.replicas.upsert(*record, net::steady_now());
+        ++added;
+      }
+    }
+  }
+  spdlog::info(
+      "fleet: part of the replicas in use slices={} records={} used={} added={} removed={}",
+      subset_.slices(), records_.size(), context_.replicas.all().size(), added, removed);
+}
+
 bool FleetWatch::is_of_earlier_life(const ReplicaRecord& record) const {
   const auto newest = newest_start_.find(record.registered_name());
   return newest != newest_start_.end() && record.started_ms < newest->second;
@@ -266,9 +405,8 @@
   KnownRecord& known = records_[name];
   const bool news = known.value.empty() || !known.replica.empty();
   known.value = value;
-  if (!known.replica.empty()) {
-    context_.replicas.remove(std::exchange(known.replica, {}));
-  }
+  forget_replica(known);
+  unreadable_ += news ? 1 : 0;
   if (news) {  // A writer may go on writing such records many times a second.
     spdlog::error("fleet: record names no replica record={} bytes={} why=\"{}\"", name,
                   value.size(), problem);
@@ -276,17 +414,24 @@
   update_record_metrics();
 }
 
+void FleetWatch::forget_replica(KnownRecord& known) {
+  if (!known.replica.empty()) {
+    context_.replicas.remove(std::exchange(known.replica, {}));
+    discount_replica(known);
+  }
+}
+
 void FleetWatch::update_record_metrics() {
-  context_.metrics.set_unreadable_records(static_cast<std::size_t>(
-      std::count_if(records_.begin(), records_.end(),
-                    [](const auto& entry) { return entry.second.replica.empty(); })));
+  context_.metrics.set_unreadable_records(unreadable_);
 }
 
 void FleetWatch::drop_record(const std::string& id) {
-  if (!records_.contains(id) || removal_grace_.holds(id)) {
+  const auto known = records_.find(id);
+  if (known == records_.end() || removal_grace_.holds(id)) {
     return;
   }
-  if (removal_grace_.hold(id, now_)) {
+  const bool used = context_.replicas.find(known->second.replica) != nullptr;
+  if (used && removal_grace_.hold(id, now_)) {
     spdlog::info("fleet: replica lapsed, kept for now replica={}", id);
   } else {
     remove_replica(id);
@@ -295,18 +440,23 @@
 
 void FleetWatch::remove_replica(const std::string& id) {
   suspended_.erase(id);
-  const auto known = records_.extract(id);
-  if (!known.empty()) {
+  auto known = records_.extract(id);
+  if (known.empty()) {
+    return;
+  }
+  if (context_.replicas.find(known.mapped().replica) != nullptr) {
     spdlog::info("fleet: replica gone record={} replica={}", id, known.mapped().replica);
-    context_.replicas.remove(known.mapped().replica);
-    update_record_metrics();
   }
+  unreadable_ -= known.mapped().replica.empty() ? 1 : 0;
+  forget_replica(known.mapped());
+  update_record_metrics();
 }
 
 void FleetWatch::retain_replicas(const std::vector<std::string>& ids) {
+  const std::set<std::string_view> retained(ids.begin(), ids.end());
   std::vector<std::string> gone;
   for (const auto& [id, record] : records_) {
-    if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+    if (!retained.contains(id)) {
       gone.push_back(id);
     }
   }
@@ -323,13 +473,13 @@
   FleetState state;
   state.version = context_.configuration->version;
   state.configuration = configuration_value_;
-  state.replicas_known = replicas_known_;
+  state.replicas_known = replicas_known_ && !(relays_ && !whole_);
   state.replicas_position = replicas_position();
   const ZoneEvacuations& evacuations = context_.replicas.evacuations();
   state.operator_position = evacuations.position();
   state.evacuated_zones = {evacuations.zones().begin(), evacuations.zones().end()};
   for (const auto& [name, record] : records_) {
-    if (!removal_grace_.holds(name)) {
+    if (state.replicas_known && !removal_grace_.holds(name)) {
       state.replicas.push_back({name, record.value});
     }
   }
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -10,8 +10,10 @@
 #include "dockpoint/core/codec.hpp"
 #include "dockpoint/log/keyed_watch.hpp"
 #include "dockpoint/routing/removal_grace.hpp"
+#include "dockpoint/routing/replica_subset.hpp"
 #include "gateway/fleet_state.hpp"
 #include "gateway/gateway_context.hpp"
+#include "gateway/record_server.hpp"
 
 /// What a node knows of the fleet from outside: the operator's routes and the replicas' records.
 ///
@@ -22,6 +24,9 @@
 /// from that point on, so that what it knows never goes back. Records that lapsed while the log was
 /// away have time to come back, see removal_grace.hpp.
 ///
+/// Of a large fleet the node uses a part only, see routing/replica_subset.hpp: the records of the
+/// other replicas are kept as they are, for peers and for when the part changes.
+///
 /// A record may have been left by another writer. One that cannot be read names no replica: work
 /// stops going there, and the other records hold. A record of an earlier life of a replica, from an
 /// old page or a peer that is behind, changes nothing.
@@ -74,6 +79,25 @@
   WatchAge configuration_age(TimePoint now) const;
   WatchAge replicas_age(TimePoint now) const;
   bool has_configuration() const { return context_.configuration->version > 0; }
+  /// @return whether the replicas' records have been read, from wherever.
+  bool replicas_known() const { return replicas_known_; }
+
+  /// Other nodes read from `server` what this one passes on to it; must outlive this.
+  void set_record_server(RecordServer& server) { record_server_ = &server; }
+  /// How records are read from now on, see relayed_log.hpp.
+  /// @param relays whether they come from other nodes, @param whole whether this node gets those of
+  /// all replicas, not its part alone, and passes them on.
+  void set_relaying(bool relays, bool whole);
+  /// A node that knows all replicas has told how many there are.
+  void take_counts(const std::vector<ReplicaCount>& counts);
+  /// @return how many replicas this node knows of, or was told of.
+  std::vector<ReplicaCount> replica_counts() const { return subset_.counts(); }
+  /// @return whether another node of this zone uses the replica of a record. Removals concern all.
+  bool belongs_to(std::uint64_t node_hash, const KeyedRecord& record) const;
+  /// @return replicas that this node knows of, or was told of.
+  std::size_t replicas() const { return subset_.replicas(); }
+  /// @return parts that the zone's nodes divide into.
+  std::size_t slices() const { return subset_.slices(); }
 
  private:
   class Follower;
@@ -88,7 +112,10 @@
   /// What the record of a replica stands for now.
   struct KnownRecord {
     std::string value;
-    std::string replica;  ///< Its id in the directory; empty: the record names no replica.
+    std::string replica;  ///< Its id, in the directory if it is used; empty: the record names none.
+    std::string service;
+    std::string zone;
+    bool counted = false;  ///< In the subset's counts.
   };
 
   /// @param name that the replica registers under.
@@ -96,6 +123,12 @@
   /// The record cannot be read: it names no replica, whatever stood there before.
   void take_unreadable_record(const std::string& name, const std::string& value,
                               const std::string& problem);
+  void count_replica(KnownRecord& known);
+  void discount_replica(KnownRecord& known);
+  /// Takes the record out of the directory and of what is counted; its value stays.
+  void forget_replica(KnownRecord& known);
+  /// Takes replicas into use that belong to this node's part now, and others out of it.
+  void review_subset();
   /// @return whether the record is of a life that is over already.
   bool is_of_earlier_life(const ReplicaRecord& record) const;
   /// The record of a replica is gone: so is the replica, at once or after its grace time.
@@ -116,8 +149,16 @@
   std::string configuration_value_;
   std::map<std::string, KnownRecord> records_;  ///< By name; those whose removal is held included.
   std::map<std::string, std::int64_t>
-      newest_start_;  ///< By name: start of the newest life, as Unix
-                      ///< milliseconds, where replicas tell it.
+      newest_start_;            ///< By name: start of the newest life, as Unix
+                                ///< milliseconds, where replicas tell it.
+  std::size_t unreadable_ = 0;  ///< Of `records_`.
+  ReplicaSubset subset_;
+  RecordServer* record_server_ = nullptr;
+  bool relays_ = false;
+  bool whole_ = true;
+  bool counts_told_ = false;           ///< Replicas are not counted here, but by whoever knows all.
+  std::uint64_t subset_revision_ = 0;  ///< That the directory follows.
+  std::uint64_t subset_widened_ = 0;   ///< That the records follow.
   RemovalGrace removal_grace_;
   std::set<std::string> suspended_;        ///< Names that are held, and without new work.
   std::set<std::string> lapsed_services_;  ///< Whose records lapsed together, while any are held.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <utility>
 
 #include "dockpoint/core/address.hpp"
@@ -59,12 +60,27 @@
       cold_limiter_(knobs, settings_.cold_bound, settings_.node),
       selector_(knobs, replicas_, settings_.zone, combine_hash(hash64(settings_.node), run_)),
       rate_limiter_(knobs, settings_.rate_window, static_cast<std::uint32_t>(run_)),
-      context_{loop,          knobs,     parts.traffic, client,
-               replicas_,     selector_, metrics_,      std::make_shared<RoutingConfiguration>(),
-               settings_.node},
+      context_{
+          loop,           knobs,         parts.traffic, client,
+          replicas_,      selector_,     metrics_,      std::make_shared<RoutingConfiguration>(),
+          settings_.node, settings_.zone},
       online_(context_, hash64(settings_.node)),
       log_(knobs, parts.log),
-      fleet_(context_, log_, parts.fleet_reader, parts.fleet_topics, hash64(settings_.node),
+      relayed_log_(loop, client, log_,
+                   {parts.fleet_topics.replicas, parts.fleet_topics.configuration}, settings_.node,
+                   settings_.zone, knobs.freshness_bound,
+                   [this](const std::vector<ReplicaCount>& counts) { fleet_.take_counts(counts); }),
+      record_server_(
+          [this](const TopicPartition& partition) {
+            const TimePoint now = net::steady_now();
+            return partition == parts_.fleet_topics.replicas ? fleet_.replicas_age(now)
+                                                             : fleet_.configuration_age(now);
+          },
+          [this](std::uint64_t node, const KeyedRecord& record) {
+            return fleet_.belongs_to(node, record);
+          },
+          [this] { return fleet_.replica_counts(); }),
+      fleet_(context_, relayed_log_, parts.fleet_reader, parts.fleet_topics, hash64(settings_.node),
              [this] { apply_configuration(); }),
       catch_up_(freshness_, hash64(settings_.node)),
       peers_(
@@ -73,6 +89,9 @@
           settings_.zone, run_,
           [this](const FleetPosition& position, const std::string& control_address) {
             const TimePoint now = net::steady_now();
+            if (position.version > 0) {
+              relayed_log_.others_run();
+            }
             catch_up_.heard(position, control_address, now);
             catch_up(now);
           },
@@ -96,6 +115,8 @@
                   [&](const std::string& seed) { return seed != settings_.control_address; });
   rate_limiter_.expect_others(others_expected);
   cold_limiter_.expect_others(others_expected);
+  relayed_log_.expect_others(others_expected);
+  fleet_.set_record_server(record_server_);
   selector_.limit_cold_replicas(cold_limiter_);
   context_.rate_limiter = &rate_limiter_;
   context_.announce_load = [this] { peers_.announce_load(); };
@@ -147,17 +168,15 @@
 void Gateway::tick() {
   const TimePoint now = net::steady_now();
   log_.tick(now);
+  follow_fleet_size(now);
   fleet_.tick(now, peers_.peers_reaching_log());
+  record_server_.tick(now);
   metrics_.set_fleet_age(fleet_.configuration_age(now).age, fleet_.replicas_age(now).age);
   announce_knowledge();
   peers_.set_pending_items(batch_.pending_items());
   peers_.set_log_reachable(batch_.lease_valid(now));
   rate_limiter_.tick(now);
   peers_.tick(now);
-  if (peers_.members_version() != members_version_) {
-    members_version_ = peers_.members_version();
-    cold_limiter_.set_members(peers_.members_not_left());
-  }
   note_outliers(now);
   batch_.set_peers_reach_log(peers_.some_peer_reaches_log());
   batch_.tick(now);
@@ -179,6 +198,20 @@
   }
 }
 
+void Gateway::follow_fleet_size(TimePoint now) {
+  if (peers_.members_version() != members_version_) {
+    members_version_ = peers_.members_version();
+    cold_limiter_.set_members(peers_.members_not_left());
+    relayed_log_.set_members(peers_.alive());
+  }
+  if (fleet_.replicas_known()) {
+    relayed_log_.set_replicas(fleet_.replicas());
+  }
+  relayed_log_.tick(now);
+  fleet_.set_relaying(relayed_log_.relays(), relayed_log_.passes_on());
+  peers_.set_slices(fleet_.slices());
+}
+
 void Gateway::request_slot(const Replica& replica) {
   if (batch_.yield_slot(replica.record.id)) {
     return;
@@ -362,7 +395,12 @@
     batch_.handle(exchange, *call, true);
     return;
   }
-  if (net::Target::parse(exchange->request().target).path == kFleetStatePath) {
+  const std::string path = net::Target::parse(exchange->request().target).path;
+  if (path == kRecordsPath) {
+    record_server_.serve(exchange);
+    return;
+  }
+  if (path == kFleetStatePath) {
     std::erase_if(state_answers_, [](const auto& answer) {
       const net::ExchangePtr held = answer.lock();
       return !held || held->pending_output() == 0;
@@ -392,7 +430,9 @@
 
 void Gateway::catch_up(TimePoint now) {
   const FleetKnowledge known = fleet_.knowledge();
-  catch_up_.set_known({known.version, known.replicas_position, known.operator_position});
+  const LogOffset replicas =
+      relayed_log_.direct() ? known.replicas_position : std::numeric_limits<LogOffset>::max();
+  catch_up_.set_known({known.version, replicas, known.operator_position});
   const auto address = catch_up_.next_question(
       now, !fleet_.needs_peer(now), [this](bool own_zone) { return peers_to_ask(own_zone); });
   if (address) {
@@ -417,8 +457,13 @@
     catch_up_.question_ended();
     return;
   }
-  const net::RequestHead head{
-      "GET", fleet_state_target(fleet_.knowledge()), {{"Host", control_address}}};
+  FleetKnowledge known = fleet_.knowledge();
+  if (!relayed_log_.direct()) {
+    // The replicas' records come in parts; all of them would be megabytes.
+    known.replicas_known = true;
+    known.replicas_position = std::numeric_limits<LogOffset>::max();
+  }
+  const net::RequestHead head{"GET", fleet_state_target(known), {{"Host", control_address}}};
   // A kept connection may be silent for good while new ones work.
   net::CallOptions options;
   options.maximum_idle = Duration{};
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -14,6 +14,8 @@
 #include "gateway/gateway_settings.hpp"
 #include "gateway/online_proxy.hpp"
 #include "gateway/peer_link.hpp"
+#include "gateway/record_server.hpp"
+#include "gateway/relayed_log.hpp"
 #include "gateway/resolver_protocol.hpp"
 
 /// One node of dockpoint before a fleet of replicas.
@@ -60,6 +62,8 @@
   void tick();
   void tick_stop(TimePoint now);
   void apply_configuration();
+  /// Takes what is known of the fleet's members and size to the parts that go by it.
+  void follow_fleet_size(TimePoint now);
   /// Finds replicas that fail far more often than others, and logs what has changed.
   void note_outliers(TimePoint now);
   /// An online request was sent to a replica that is full: a batch item there gives its slot up.
@@ -104,6 +108,8 @@
   GatewayContext context_;
   OnlineProxy online_;
   HedgedLog log_;
+  RelayedLog relayed_log_;
+  RecordServer record_server_;
   FleetWatch fleet_;
   CatchUp catch_up_;
   PeerLink peers_;
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -28,6 +28,7 @@
   GatewayMetrics& metrics;
   std::shared_ptr<const RoutingConfiguration> configuration;  ///< Never null.
   std::string node;
+  std::string zone = {};                     ///< Of this node.
   std::function<void()> announce_load = {};  ///< Tells the other nodes of this node's load now.
   /// @return control addresses of other nodes that reach the log.
   std::function<std::vector<std::string>()> peers_reaching_log = {};
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -10,6 +10,13 @@
 namespace dockpoint {
 namespace {
 
+/// A caller is told of the nodes of one cell if there are so many: enough to share its connections
+/// out, and to go on if some of them die at once.
+constexpr std::size_t kFewestAddresses = 8;
+
+/// In a cell of so many nodes everybody tells everybody; beyond, relays take fewer datagrams.
+constexpr std::size_t kMostToldDirectly = 4;
+
 using boost::asio::ip::udp;
 using ErrorCode = boost::system::error_code;
 
@@ -23,6 +30,7 @@
   member.api_address = addresses.frontend;
   member.control_address = addresses.control;
   member.zone = zone;
+  member.capabilities = kAllCapabilities;
   return member;
 }
 
@@ -33,8 +41,11 @@
     : context_(context),
       addresses_(addresses),
       membership_(context.knobs, self_member(context, addresses, zone, run), run, *this),
+      cell_(context.node, zone),
+      cell_relay_(context.node, zone, kMostToldDirectly),
       relay_(context.node, zone),
       zone_(zone),
+      cell_collector_(zone),
       collector_(zone),
       own_key_(node_key(context.node)),
       on_peer_ahead_(std::move(on_peer_ahead)),
@@ -72,12 +83,36 @@
     send_digest(now);
   }
   if (now >= next_collection_) {
-    send_collection(now);
+    send_collections(now);
   }
 }
 
-std::vector<const Member*> PeerLink::members_heard(TimePoint now) const {
-  std::vector<const Member*> members = membership_.alive();
+const std::vector<const Member*>& PeerLink::neighbours() const {
+  return cell_.divided() ? cell_.others() : membership_.alive();
+}
+
+void PeerLink::update_cell() {
+  const std::pair<std::uint64_t, std::size_t> current{membership_.version(), slices_};
+  if (std::exchange(cell_of_, current) != current) {
+    const bool divided = cell_.divided();
+    cell_.update(membership_.alive(), slices_, LoadRelay::kDirectNodes);
+    if (divided != cell_.divided()) {
+      spdlog::info("membership: load is told to {} members={} slices={} cell={}",
+                   cell_.divided() ? "the cell" : "all", membership_.alive().size(), slices_,
+                   cell_.others().size());
+      // Whoever was not heard so far was not expected to be.
+      silence_counts_from_ = last_tick_;
+    }
+  }
+}
+
+bool PeerLink::told_to_all() const {
+  return !cell_.divided() ||
+         (context_.rate_limiter != nullptr && context_.rate_limiter->limits_any());
+}
+
+std::vector<const Member*> PeerLink::members_heard(const std::vector<const Member*>& members,
+                                                   TimePoint now) const {
   const std::size_t alive = members.size();
   std::vector<const Member*> heard;
   std::copy_if(members.begin(), members.end(), std::back_inserter(heard),
@@ -90,38 +125,66 @@
   next_digest_ = now + context_.knobs.replica_digest_interval;
   last_digest_ = now;
   context_.replicas.expire_peer_loads(now);
-  // In a small fleet a silent member is told too: it may hear, though it is not heard.
-  const std::vector<const Member*> alive = membership_.alive();
-  peers_reaching_log_ =
-      static_cast<std::size_t>(std::count_if(alive.begin(), alive.end(), [&](const Member* member) {
-        return said_to_reach_log(*member, now);
-      }));
-  relay_.set_members(alive.size() <= LoadRelay::kDirectNodes ? alive : members_heard(now));
-  const std::string bytes = encode(LoadDigest{
-      own_key_, fleet_position_.version, fleet_position_.replicas, log_reachable_, pending_items_,
+  update_cell();
+  const std::vector<const Member*>& expected = neighbours();
+  peers_reaching_log_ = static_cast<std::size_t>(
+      std::count_if(expected.begin(), expected.end(),
+                    [&](const Member* member) { return said_to_reach_log(*member, now); }));
+  LoadDigest digest{
+      own_key_,
+      fleet_position_.version,
+      fleet_position_.replicas,
+      log_reachable_,
+      pending_items_,
       context_.replicas.own_load(now),
       context_.rate_limiter == nullptr ? SpendReport{} : context_.rate_limiter->report(now),
-      fleet_position_.operator_records});
-  const std::vector<std::string> recipients = relay_.next_digest_recipients();
+      fleet_position_.operator_records};
+  if (cell_.divided()) {
+    std::vector<const Member*> members = members_heard(cell_.others(), now);
+    members.push_back(&membership_.self());
+    cell_relay_.set_members(members);
+    tell(digest, cell_relay_, cell_collector_);
+    digest.without_load = true;
+    digest.entries.clear();
+    digest.pending_items = 0;
+  }
+  if (!told_to_all()) {
+    relay_.set_members({});
+    return;
+  }
+  // In a small fleet a silent member is told too: it may hear, though it is not heard.
+  const std::vector<const Member*>& alive = membership_.alive();
+  relay_.set_members(alive.size() <= LoadRelay::kDirectNodes ? alive : members_heard(alive, now));
+  tell(digest, relay_, collector_);
+}
+
+void PeerLink::tell(const LoadDigest& digest, LoadRelay& relay, DigestCollector& collector) {
+  const std::string bytes = encode(digest);
+  const std::vector<std::string> recipients = relay.next_digest_recipients();
   for (const std::string& address : recipients) {
     send_bytes(address, bytes);
   }
-  if (recipients.empty() && relay_.relays()) {
-    collector_.add(own_key_, log_reachable_, bytes);
+  if (recipients.empty() && relay.relays()) {
+    collector.add(own_key_, log_reachable_, bytes);
   }
 }
 
-void PeerLink::send_collection(TimePoint now) {
+void PeerLink::send_collections(TimePoint now) {
   next_collection_ = now + context_.knobs.replica_digest_interval;
-  if (relay_.direct()) {
+  send_collection(cell_relay_, cell_collector_);
+  send_collection(relay_, collector_);
+}
+
+void PeerLink::send_collection(LoadRelay& relay, DigestCollector& collector) {
+  if (relay.direct()) {
     return;
   }
-  const LoadCollection collection = collector_.next(context_.knobs.relay_datagram_bytes);
+  const LoadCollection collection = collector.next(context_.knobs.relay_datagram_bytes);
   if (collection.empty()) {
     return;
   }
   const std::string bytes = encode(collection);
-  for (const std::string& address : relay_.next_collection_recipients()) {
+  for (const std::string& address : relay.next_collection_recipients()) {
     send_bytes(address, bytes);
   }
 }
@@ -182,6 +245,9 @@
   if (member.id == context_.node) {
     return false;
   }
+  if (!told_to_all() && !cell_.contains(member.id)) {
+    return false;  // The membership protocol alone hears it.
+  }
   const auto heard = last_heard_.find(node_key(member.id));
   const TimePoint since = heard == last_heard_.end()
                               ? silence_counts_from_
@@ -193,7 +259,14 @@
   const TimePoint now = net::steady_now();
   std::vector<std::string> sure;
   std::vector<std::string> all;
-  for (const Member* member : membership_.alive()) {
+  // Of a cell it is known within some digests who is gone, of the others only by the membership
+  // protocol, which takes seconds.
+  const bool cell_suffices = cell_.divided() && cell_.others().size() >= kFewestAddresses;
+  if (cell_suffices && !membership_.has_left()) {
+    all.push_back(addresses_.frontend);
+    sure = all;
+  }
+  for (const Member* member : cell_suffices ? cell_.others() : membership_.alive()) {
     all.push_back(member->api_address);
     if (member->state == MemberState::kAlive && !silent(*member, now)) {
       sure.push_back(member->api_address);
@@ -214,24 +287,26 @@
 }
 
 bool PeerLink::some_peer_reaches_log() const {
-  const std::vector<const Member*> alive = membership_.alive();
-  return std::any_of(alive.begin(), alive.end(), [&](const Member* member) {
+  const std::vector<const Member*>& expected = neighbours();
+  return std::any_of(expected.begin(), expected.end(), [&](const Member* member) {
     const auto told = reaches_log_.find(node_key(member->id));
     return told != reaches_log_.end() && told->second;
   });
 }
 
 std::vector<std::string> PeerLink::control_addresses() const {
-  return control_addresses_of([](const Member&) { return true; });
+  return control_addresses_of(membership_.alive(), [](const Member&) { return true; });
 }
 
 std::vector<std::string> PeerLink::zone_control_addresses() const {
-  return control_addresses_of([&](const Member& member) { return member.zone == zone_; });
+  return control_addresses_of(membership_.alive(),
+                              [&](const Member& member) { return member.zone == zone_; });
 }
 
 std::vector<std::string> PeerLink::control_addresses_reaching_log() const {
   const TimePoint now = net::steady_now();
-  return control_addresses_of([&](const Member& member) { return said_to_reach_log(member, now); });
+  return control_addresses_of(neighbours(),
+                              [&](const Member& member) { return said_to_reach_log(member, now); });
 }
 
 bool PeerLink::said_to_reach_log(const Member& member, TimePoint now) const {
@@ -240,9 +315,10 @@
 }
 
 std::vector<std::string> PeerLink::control_addresses_of(
+    const std::vector<const Member*>& members,
     const std::function<bool(const Member&)>& wanted) const {
   std::vector<std::string> addresses;
-  for (const Member* member : membership_.alive()) {
+  for (const Member* member : members) {
     const bool other = member->id != context_.node && !member->control_address.empty();
     if (other && wanted(*member)) {
       addresses.push_back(member->control_address);
@@ -290,8 +366,11 @@
     if (!digest) {
       return;
     }
-    if (!relay_.direct()) {
-      collector_.add(digest->node, digest->log_reachable, std::string(bytes));
+    const bool for_cell = cell_.divided() && !digest->without_load;
+    LoadRelay& relay = for_cell ? cell_relay_ : relay_;
+    if (!relay.direct()) {
+      DigestCollector& collector = for_cell ? cell_collector_ : collector_;
+      collector.add(digest->node, digest->log_reachable, std::string(bytes));
     }
     take_digests({std::move(*digest)}, now);
     return;
@@ -327,11 +406,12 @@
       on_peer_ahead_(position, control_address_of(digest.node));
     }
   }
+  std::erase_if(digests, [](const LoadDigest& digest) { return digest.without_load; });
   context_.replicas.set_peer_loads(digests, now);
 }
 
 const Member* PeerLink::member_of(std::uint32_t node) const {
-  const std::vector<const Member*> members = membership_.alive();
+  const std::vector<const Member*>& members = neighbours();
   const auto member = std::find_if(members.begin(), members.end(), [&](const Member* candidate) {
     return node_key(candidate->id) == node;
   });
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -7,9 +7,11 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "dockpoint/membership/catch_up.hpp"
+#include "dockpoint/membership/cell.hpp"
 #include "dockpoint/membership/digest_collector.hpp"
 #include "dockpoint/membership/load_relay.hpp"
 #include "dockpoint/membership/membership.hpp"
@@ -29,6 +31,9 @@
 ///
 /// Digests come at a steady pace, so that they are heartbeats too: a node whose digests stay away
 /// is left out of what callers are told, well before the membership protocol calls it dead.
+/// In a fleet that is divided into cells the nodes of a cell tell each other; the rest of the fleet
+/// is known from the membership protocol alone. Only where tenants have rate limits all nodes go on
+/// telling all, through relays, what they have admitted.
 /// Single-threaded; borrows the context.
 class PeerLink : private PeerSender {
  public:
@@ -49,6 +54,8 @@
   /// How far this node's knowledge of the fleet reaches.
   void set_fleet_position(const FleetPosition& position);
   void set_log_reachable(bool reachable) { log_reachable_ = reachable; }
+  /// @param slices that the zone's replicas are divided into.
+  void set_slices(std::size_t slices) { slices_ = slices; }
   /// @param items of batch jobs that this node runs or has to run.
   void set_pending_items(std::size_t items) { pending_items_ = static_cast<std::uint32_t>(items); }
   void tick(TimePoint now);
@@ -63,6 +70,8 @@
   std::vector<std::string> frontends() const;
   /// Changes whenever a member comes, goes or changes its state.
   std::uint64_t members_version() const { return membership_.version(); }
+  /// @return the members that are alive; stands until `members_version` changes.
+  const std::vector<const Member*>& alive() const { return membership_.alive(); }
   /// @return ids of all members that have not left, dead ones and this node included.
   std::vector<std::string> members_not_left() const;
   /// @return control addresses of the other nodes that are alive.
@@ -88,26 +97,40 @@
   void take_heartbeat(std::uint32_t node, bool log_reachable, TimePoint now);
   void take_digests(std::vector<LoadDigest> digests, TimePoint now);
   std::vector<std::string> control_addresses_of(
+      const std::vector<const Member*>& members,
       const std::function<bool(const Member&)>& wanted) const;
   /// @return the member that a node's key stands for, or null.
   const Member* member_of(std::uint32_t node) const;
   /// @return where the node takes calls of other nodes; empty if it is not known.
   std::string control_address_of(std::uint32_t node) const;
+  /// @return nodes whose digests this one expects: those of its cell, or all that are alive.
+  const std::vector<const Member*>& neighbours() const;
+  void update_cell();
+  /// @return whether this node's digests go through relays, or to everybody.
+  bool told_to_all() const;
   void send_digest(TimePoint now);
+  /// Sends a digest to those who are told of it, or collects it if that is this node.
+  void tell(const LoadDigest& digest, LoadRelay& relay, DigestCollector& collector);
   /// As a relay, sends what was collected.
-  void send_collection(TimePoint now);
+  void send_collections(TimePoint now);
+  void send_collection(LoadRelay& relay, DigestCollector& collector);
   /// @param bytes as received, to be passed on.
   void take_collection(std::string_view bytes, TimePoint now);
   /// @return whether the member was heard lately and has last said that it reaches the log.
   bool said_to_reach_log(const Member& member, TimePoint now) const;
-  std::vector<const Member*> members_heard(TimePoint now) const;
+  /// @return those of `members` that were heard lately, or all if most were not.
+  std::vector<const Member*> members_heard(const std::vector<const Member*>& members,
+                                           TimePoint now) const;
 
   GatewayContext& context_;
   const PeerAddresses addresses_;
   Membership membership_;
+  Cell cell_;
+  LoadRelay cell_relay_;
   LoadRelay relay_;
   const std::string zone_;
-  DigestCollector collector_;  ///< Of this node's zone, if it is a relay.
+  DigestCollector cell_collector_;  ///< Of this node's cell, if it is a relay there.
+  DigestCollector collector_;       ///< Of this node's zone, if it is a relay.
   const std::uint32_t own_key_;
   PeerAhead on_peer_ahead_;
   SlotRequested on_slot_requested_;
@@ -123,6 +146,8 @@
   bool log_reachable_ = false;
   std::size_t peers_reaching_log_ = 0;
   std::uint32_t pending_items_ = 0;
+  std::size_t slices_ = 1;
+  std::pair<std::uint64_t, std::size_t> cell_of_{};  ///< Members' version and slices of the cell.
   TimePoint last_tick_{};
   TimePoint silence_counts_from_{};
 };
--- a/src/gateway/relayed_log.cpp
+++ b/src/gateway/relayed_log.cpp
@@ -21,14 +21,14 @@
 
 RelayedLog::RelayedLog(boost::asio::io_context& loop, net::HttpClient& client, PartitionedLog& log,
                        std::vector<TopicPartition> relayed, const std::string& node,
-                       std::string zone, CountsTold on_counts)
+                       std::string zone, Duration bound, CountsTold on_counts)
     : loop_(loop),
       client_(client),
       log_(log),
       relayed_(std::move(relayed)),
       node_(node),
       on_counts_(std::move(on_counts)),
-      sources_(node, std::move(zone)) {}
+      sources_(node, std::move(zone), bound) {}
 
 RelayedLog::~RelayedLog() {
   *alive_ = false;
@@ -45,23 +45,29 @@
   }
 }
 
-void RelayedLog::set_large(bool large) {
-  if (phase_ == Phase::kDirect && large) {
+void RelayedLog::set_replicas(std::size_t replicas) {
+  const std::size_t reads = replicas * members_known_;
+  if (phase_ == Phase::kDirect && reads >= kRelayedReads) {
     phase_ = Phase::kRelaying;
-    spdlog::info("fleet: records are read from other nodes passesOn={}", passes_on());
-  } else if (phase_ == Phase::kRelaying && !large) {
+    relaying_since_ = net::steady_now();
+    sources_.succeeded(relaying_since_);
+    spdlog::info("fleet: records are read from other nodes passesOn={} members={} replicas={}",
+                 passes_on(), members_known_, replicas);
+  } else if (phase_ == Phase::kRelaying && reads < kRelayedReads / 2) {
     phase_ = Phase::kDirect;
-    spdlog::info("fleet: records are read from the log");
+    spdlog::info("fleet: records are read from the log members={} replicas={}", members_known_,
+                 replicas);
   }
 }
 
 void RelayedLog::tick(TimePoint now) {
   const bool told = members_known_ > 1 && others_run_since_ != TimePoint{} &&
                     now - others_run_since_ >= kMembersTold;
-  if (phase_ == Phase::kHolding && (told || now - started_ >= kStartHold)) {
+  if (phase_ == Phase::kHolding && (told || now - relaying_since_ >= kStartHold)) {
     phase_ = Phase::kRelaying;
+    sources_.succeeded(now);
     spdlog::info("fleet: records are read from other nodes passesOn={} heldMs={}", passes_on(),
-                 to_ms(now - started_));
+                 to_ms(now - relaying_since_));
   }
   if (phase_ != Phase::kDirect && phase_ != Phase::kRelaying) {
     return;
@@ -81,7 +87,7 @@
 }
 
 void RelayedLog::ask_size() {
-  started_ = net::steady_now();
+  relaying_since_ = net::steady_now();
   if (!others_expected_) {
     phase_ = Phase::kDirect;
     return;
@@ -103,9 +109,8 @@
   held_.push_back({net::steady_now() + delay, std::move(call)});
 }
 
-std::optional<std::string> RelayedLog::source(const TopicPartition& partition) {
-  const bool relayed = phase_ == Phase::kRelaying && is_relayed(partition);
-  return relayed ? sources_.next(net::steady_now()) : std::nullopt;
+bool RelayedLog::relays_partition(const TopicPartition& partition) const {
+  return phase_ == Phase::kRelaying && is_relayed(partition);
 }
 
 void RelayedLog::ask_source(const std::string& address, const RecordQuestion& question,
@@ -114,7 +119,6 @@
   const std::optional<Address> parsed = Address::parse(address);
   if (!parsed) {
     spdlog::warn("fleet: address of a source cannot be read address={}", address);
-    sources_.failed(address, net::steady_now());
     done(std::nullopt, false);
     return;
   }
@@ -135,7 +139,7 @@
                              }
                            }
                            if (answer) {
-                             sources_.succeeded(address);
+                             sources_.succeeded(net::steady_now());
                              if (!answer->counts.empty()) {
                                on_counts_(answer->counts);
                              }
@@ -164,53 +168,88 @@
 
 void RelayedLog::load(const TopicPartition& partition, const std::string& after_key,
                       std::function<void(NewestOutcome)> done) {
-  const std::optional<std::string> address = source(partition);
-  if (!address) {
+  const TimePoint now = net::steady_now();
+  const std::optional<std::string> address =
+      relays_partition(partition) ? sources_.next(now) : std::nullopt;
+  const bool patient = now - relaying_since_ < kLoadPatience;
+  if (!address && (!patient || sources_.none())) {
     log_.newest(partition, after_key, std::move(done));
     return;
   }
+  const auto again = [this, partition, after_key, done] { load(partition, after_key, done); };
+  if (!address) {
+    hold(kLoadRetry, again);
+    return;
+  }
   RecordQuestion question{partition, node_, passes_on()};
   question.after_key = after_key;
   ask_source(*address, question, kPageLimit,
-             [this, partition, after_key, address, done = std::move(done)](
-                 const std::optional<RecordAnswer>& answer, bool refused) {
-               const TimePoint now = net::steady_now();
+             [this, address, again, done](const std::optional<RecordAnswer>& answer, bool refused) {
                if (answer) {
                  done(newest_outcome_of(*answer));
                  return;
                }
-               const auto again = [this, partition, after_key, done] {
-                 load(partition, after_key, done);
-               };
-               if (refused && now - started_ < kLoadPatience) {
-                 hold(kLoadRetry, again);  // It is loading itself.
-                 return;
-               }
                spdlog::info("fleet: no page of records from node={} refused={}", *address, refused);
-               sources_.failed(*address, now);
-               again();
+               sources_.failed(*address, refused, net::steady_now());
+               hold(kLoadRetry, again);  // It may be loading itself.
              });
 }
 
 void RelayedLog::read(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
                       std::function<void(ReadOutcome)> done) {
-  const std::optional<std::string> address = source(partition);
-  if (!address) {
+  constexpr int kTries = 3;
+  if (relays_partition(partition) && !sources_.none()) {
+    read_from_source(partition, from, times, kTries, std::move(done));
+  } else {
     log_.read(partition, from, times, std::move(done));
+  }
+}
+
+void RelayedLog::read_from_log(const TopicPartition& partition, LogOffset from,
+                               const ReadTimes& times, std::function<void(ReadOutcome)> done) {
+  if (!sources_.may_read_log(net::steady_now())) {
+    ReadOutcome refused;
+    refused.status = LogStatus::kRefused;
+    done(std::move(refused));
+    return;
+  }
+  log_.read(partition, from, times,
+            [this, alive = alive_, done = std::move(done)](ReadOutcome outcome) {
+              const bool answered =
+                  outcome.status == LogStatus::kOk || outcome.status == LogStatus::kForgotten;
+              if (*alive && answered) {
+                sources_.succeeded(net::steady_now());
+              } else if (*alive) {
+                sources_.log_failed(net::steady_now());
+              }
+              done(std::move(outcome));
+            });
+}
+
+void RelayedLog::read_from_source(const TopicPartition& partition, LogOffset from,
+                                  const ReadTimes& times, int tries,
+                                  std::function<void(ReadOutcome)> done) {
+  const std::optional<std::string> address =
+      tries > 0 ? sources_.next(net::steady_now()) : std::nullopt;
+  if (!address) {
+    // Never from within the call.
+    hold({}, [this, partition, from, times, done = std::move(done)] {
+      read_from_log(partition, from, {{}, times.limit}, done);
+    });
     return;
   }
-  RecordQuestion question{partition, node_, passes_on(), true, from, times.wait};
+  const RecordQuestion question{partition, node_, passes_on(), true, from, times.wait, {}};
   const Duration half_limit = times.limit / 2;
   ask_source(*address, question, times.wait + half_limit,
-             [this, partition, from, half_limit, address, done = std::move(done)](
+             [this, partition, from, half_limit, tries, address, done = std::move(done)](
                  const std::optional<RecordAnswer>& answer, bool refused) {
                if (answer) {
                  done(read_outcome_of(*answer));
                  return;
                }
                spdlog::info("fleet: no records from node={} refused={}", *address, refused);
-               sources_.failed(*address, net::steady_now());
-               log_.read(partition, from, {{}, half_limit}, done);
+               sources_.failed(*address, refused, net::steady_now());
+               read_from_source(partition, from, {{}, half_limit}, tries - 1, done);
              });
 }
 
--- a/src/gateway/relayed_log.hpp
+++ b/src/gateway/relayed_log.hpp
@@ -21,14 +21,16 @@
 /// small call. If it has seen few records the fleet is small, and nothing is held. Otherwise the
 /// load waits until the other nodes of the zone are known, or for a short time.
 ///
-/// A read of another node that goes unanswered is followed by one of the log itself within the same
-/// time limit, so that whoever follows by this log may rely on its limits as on the log's own.
-/// Single-threaded; borrows loop, client and log.
+/// A read that finds no source, and may not go to the log yet, is refused, and asked again by
+/// whoever follows. Single-threaded; borrows loop, client and log.
 class RelayedLog : public PartitionedLog {
  public:
   /// A partition with fewer records than this is read from the log by every node: 200 KB at 250
   /// nodes are 50 MB for the whole fleet.
   static constexpr LogOffset kRelayedRecords = 2'000;
+  /// Replicas times nodes from which on records are passed on: 100,000 records are 25 MB, which the
+  /// log hands out in 0.3 s. Below half of it they are no more.
+  static constexpr std::size_t kRelayedReads = 100'000;
   /// So many nodes are taken for a large fleet if the log does not say: in smaller ones any node
   /// that runs has all records, and tells them when it is asked for its state.
   static constexpr std::size_t kRelayingMembers = 128;
@@ -49,15 +51,15 @@
   /// @param node,zone of this node.
   RelayedLog(boost::asio::io_context& loop, net::HttpClient& client, PartitionedLog& log,
              std::vector<TopicPartition> relayed, const std::string& node, std::string zone,
-             CountsTold on_counts);
+             Duration bound, CountsTold on_counts);
   ~RelayedLog() override;
 
   /// @param expected whether there may be other nodes.
   void expect_others(bool expected) { others_expected_ = expected; }
   /// Takes the nodes that are alive, whenever they have changed.
   void set_members(const std::vector<const Member*>& alive);
-  /// The fleet has been seen to be large, or small.
-  void set_large(bool large);
+  /// Takes how many replicas there are: where they and the nodes are many, records are passed on.
+  void set_replicas(std::size_t replicas);
   /// Starts calls that were held; call several times a second.
   void tick(TimePoint now);
 
@@ -104,8 +106,12 @@
   bool is_relayed(const TopicPartition& partition) const;
   void ask_size();
   void hold(Duration delay, std::function<void()> call);
-  /// @return the node to read from, or nothing: the log.
-  std::optional<std::string> source(const TopicPartition& partition);
+  bool relays_partition(const TopicPartition& partition) const;
+  void read_from_log(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
+                     std::function<void(ReadOutcome)> done);
+  /// Reads from a source; from others, without a wait, if that fails.
+  void read_from_source(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
+                        int tries, std::function<void(ReadOutcome)> done);
   void ask_source(const std::string& address, const RecordQuestion& question, Duration limit,
                   std::function<void(std::optional<RecordAnswer>, bool refused)> done);
   void load(const TopicPartition& partition, const std::string& after_key,
@@ -122,7 +128,7 @@
   bool others_expected_ = false;
   std::size_t members_known_ = 0;
   TimePoint others_run_since_{};  ///< Zero: none was heard that did.
-  TimePoint started_{};
+  TimePoint relaying_since_{};    ///< Or since when it may be.
   std::vector<Held> held_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  ///< For calls that outlive it.
 };
--- a/src/membership/record_sources.cpp
+++ b/src/membership/record_sources.cpp
@@ -26,8 +26,11 @@
 
 }  // namespace
 
-RecordSources::RecordSources(std::string node, std::string zone)
-    : node_(std::move(node)), zone_(std::move(zone)) {}
+RecordSources::RecordSources(std::string node, std::string zone, Duration bound)
+    : node_(std::move(node)),
+      zone_(std::move(zone)),
+      patience_(bound / 4 +
+                std::chrono::duration_cast<Duration>(bound / 4 * fraction_of(hash64(node_)))) {}
 
 void RecordSources::update(const std::vector<const Member*>& alive) {
   std::vector<Place> order;
@@ -65,24 +68,29 @@
 
 std::optional<std::string> RecordSources::next(TimePoint now) {
   std::erase_if(left_out_, [&](const auto& entry) { return now >= entry.second; });
-  if (failures_ >= kMostTries) {
-    failures_ = 0;
-    return std::nullopt;
-  }
   const auto source = std::find_if(sources_.begin(), sources_.end(), [&](const auto& address) {
     return !left_out_.contains(address);
   });
   return source == sources_.end() ? std::nullopt : std::optional(*source);
 }
 
-void RecordSources::failed(const std::string& address, TimePoint now) {
-  ++failures_;
-  left_out_[address] = now + kLeftOut;
+bool RecordSources::may_read_log(TimePoint now) const {
+  return sources_.empty() || now - waits_from_ >= patience_ * (1 << log_failures_);
+}
+
+void RecordSources::succeeded(TimePoint now) {
+  waits_from_ = now;
+  log_failures_ = 0;
+}
+
+void RecordSources::log_failed(TimePoint now) {
+  constexpr int kMostDoublings = 4;
+  waits_from_ = now;
+  log_failures_ = std::min(log_failures_ + 1, kMostDoublings);
 }
 
-void RecordSources::succeeded(const std::string& address) {
-  failures_ = 0;
-  left_out_.erase(address);
+void RecordSources::failed(const std::string& address, bool refused, TimePoint now) {
+  left_out_[address] = now + (refused ? kRefusedPause : kLeftOut);
 }
 
 }  // namespace dockpoint
--- a/src/routing/replica_subset.cpp
+++ b/src/routing/replica_subset.cpp
@@ -43,6 +43,8 @@
   const std::size_t fitting = fitting_slices(replicas, slices);
   if (divided != counted.divided || (divided && fitting != slices)) {
     ++revision_;
+    const bool narrower = divided && (!counted.divided || fitting > slices);
+    widened_ += narrower ? 0 : 1;
   }
   counted.divided = divided;
   slices = fitting;
@@ -105,6 +107,14 @@
   return slice_of(hash64(name, kReplicaSeed), slices) == slice_of(node_hash, slices);
 }
 
+std::size_t ReplicaSubset::replicas() const {
+  std::size_t replicas = 0;
+  for (const auto& [service, counted] : services_) {
+    replicas += counted.replicas;
+  }
+  return replicas;
+}
+
 std::size_t ReplicaSubset::slices() const {
   std::size_t most = 1;
   for (const auto& [service, counted] : services_) {
