--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -363,6 +363,18 @@
   return subset_.contains_for(node_hash, known->second.service, known->second.zone, record.key);
 }
 
+bool FleetWatch::use_known_record(const std::string& name, const std::string& value) {
+  std::string problem;
+  const std::optional<ReplicaRecord> record =
+      value_or_problem([&] { return reader_.read_replica(name, value); }, problem);
+  if (!record) {
+    spdlog::error("fleet: record cannot be read any more record={} why=\"{}\"", name, problem);
+    return false;
+  }
+  context_.replicas.upsert(*record, net::steady_now());
+  return true;
+}
+
 void FleetWatch::review_subset() {
   subset_revision_ = subset_.revision();
   const bool widened = std::exchange(subset_widened_, subset_.widened()) != subset_.widened();
@@ -381,13 +393,7 @@
       context_.replicas.remove(known.replica);
       ++removed;
     } else if (wanted && !used) {
-      std::string problem;
-      const auto record =
-          value_or_problem([&] { return reader_.read_replica(name, known.value); }, problem);
-      if (record) {  // It was read before.
-        context_.replicas.upsert(*record, net::steady_now());
-        ++added;
-      }
+      added += use_known_record(name, known.value) ? 1 : 0;
     }
   }
   spdlog::info(
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -127,6 +127,8 @@
   void discount_replica(KnownRecord& known);
   /// Takes the record out of the directory and of what is counted; its value stays.
   void forget_replica(KnownRecord& known);
+  /// Takes a replica into use whose record was read before. @return whether it could be.
+  bool use_known_record(const std::string& name, const std::string& value);
   /// Takes replicas into use that belong to this node's part now, and others out of it.
   void review_subset();
   /// @return whether the record is of a life that is over already.
