A node that is asking how large its fleet is takes all records from peers; members are told only where rates are

While the log was asked at a start the node took its fleet for large, and peers left the replicas out of their answers: a node of a small fleet that starts while the log is silent would have waited 1.5 s longer for them (read in the code, not seen). A list of all members was copied for each change of the membership for a limit that no service states. Relays of a cell are forgotten with it.

--- a/include/dockpoint/routing/cold_replica_limiter.hpp
+++ b/include/dockpoint/routing/cold_replica_limiter.hpp
@@ -43,6 +43,8 @@
 
   /// Requests a second that a cold replica of each service carries; absent or 0: no limit.
   void set_rates(std::map<std::string, double> per_second) { rates_ = std::move(per_second); }
+  /// @return whether any service states a rate; otherwise members need not be told.
+  bool limits_any() const;
   /// Ids of all members that have not left, dead ones and this node included.
   void set_members(std::vector<std::string> members);
   /// @param expected whether the settings name other nodes.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -201,7 +201,9 @@
 void Gateway::follow_fleet_size(TimePoint now) {
   if (peers_.members_version() != members_version_) {
     members_version_ = peers_.members_version();
-    cold_limiter_.set_members(peers_.members_not_left());
+    if (cold_limiter_.limits_any()) {
+      cold_limiter_.set_members(peers_.members_not_left());
+    }
     relayed_log_.set_members(peers_.alive());
   }
   if (fleet_.replicas_known()) {
@@ -246,6 +248,7 @@
     cold_rates[name] = service.cold_per_second;
   }
   cold_limiter_.set_rates(std::move(cold_rates));
+  members_version_ = 0;  // The limiter may not have been told of members so far.
   announce_knowledge();
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -121,7 +121,7 @@
   net::HttpServer metrics_server_;
   boost::asio::steady_timer timer_;
   std::vector<std::weak_ptr<net::Exchange>> state_answers_;  ///< Under way.
-  std::uint64_t members_version_ = 0;  ///< That the limiter of cold replicas knows.
+  std::uint64_t members_version_ = 0;  ///< That the parts that go by members know.
   TimePoint stop_requested_at_{};
   TimePoint last_caller_at_{};
   bool stopping_ = false;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -96,6 +96,9 @@
   if (std::exchange(cell_of_, current) != current) {
     const bool divided = cell_.divided();
     cell_.update(membership_.alive(), slices_, LoadRelay::kDirectNodes);
+    if (!cell_.divided()) {
+      cell_relay_.set_members({});
+    }
     if (divided != cell_.divided()) {
       spdlog::info("membership: load is told to {} members={} slices={} cell={}",
                    cell_.divided() ? "the cell" : "all", membership_.alive().size(), slices_,
--- a/src/gateway/relayed_log.hpp
+++ b/src/gateway/relayed_log.hpp
@@ -65,8 +65,9 @@
 
   /// Another node was heard that runs already: it knows who belongs to the fleet.
   void others_run();
-  /// @return whether everything is known to come from the log.
-  bool direct() const { return phase_ == Phase::kDirect; }
+  /// @return whether this node asks its peers for all records where it is behind: in a large fleet
+  /// that is megabytes, and they come in parts.
+  bool direct() const { return phase_ != Phase::kHolding && phase_ != Phase::kRelaying; }
   /// @return whether records are passed on between nodes.
   bool relays() const { return phase_ == Phase::kRelaying; }
   /// @return whether this node reads all records, and answers others.
--- a/src/routing/cold_replica_limiter.cpp
+++ b/src/routing/cold_replica_limiter.cpp
@@ -25,6 +25,11 @@
   return rate == rates_.end() ? 0 : rate->second;
 }
 
+bool ColdReplicaLimiter::limits_any() const {
+  return std::any_of(rates_.begin(), rates_.end(),
+                     [](const auto& rate) { return rate.second > 0; });
+}
+
 double ColdReplicaLimiter::sender_rate(const std::string& service) const {
   constexpr double kLeastRate = 0.1;  // A request in 10 s where the bound leaves no room at all.
   const auto senders = static_cast<double>(knobs_.cold_senders);
