Whoever is told of a fleet's division takes it as it is

Cause, read in the code: a node that passes records on told its readers the counts, and each divided by them itself. A reader that divides more coarsely than its source uses replicas that the source never tells it about, and would go on sending to them after they drain.

Answers carry slices and division now.

--- a/include/dockpoint/routing/replica_subset.hpp
+++ b/include/dockpoint/routing/replica_subset.hpp
@@ -27,12 +27,17 @@
 /// with few replicas is not divided: there, knowing all of them balances better than any part.
 namespace dockpoint {
 
-/// Replicas of a service in a zone.
+/// Replicas of a service in a zone, and how a node that knows all of them divides them. Whoever is
+/// told takes the division as it is: the same count may be divided in two ways, by whether the
+/// service grew or shrank, and a node that divided more coarsely than its source would keep
+/// replicas of which it is never told that they drain.
 struct ReplicaCount {
   std::string service;
   std::string zone;
   std::uint64_t replicas = 0;
-  DOCKPOINT_FIELDS(service, zone, replicas)
+  std::uint64_t slices = 1;
+  bool divided = false;
+  DOCKPOINT_FIELDS(service, zone, replicas, slices, divided)
 };
 
 /// See the top of this file. Free of I/O and clocks; not thread-safe.
@@ -55,7 +60,7 @@
   void add(const std::string& service, const std::string& zone);
   void remove(const std::string& service, const std::string& zone);
 
-  /// Takes the word of a node that knows all replicas, in place of what was counted.
+  /// Takes the counts and the division of a node that knows all replicas, in place of its own.
   void assume(const std::vector<ReplicaCount>& counts);
   /// @return what was counted.
   std::vector<ReplicaCount> counts() const;
@@ -85,7 +90,9 @@
   };
 
   void count(const std::string& service, const std::string& zone, int change);
-  void set_count(Service& counted, const std::string& zone, std::size_t replicas);
+  /// Sets how a zone's replicas are divided, and notes whether that narrows or widens the part.
+  void divide(Service& counted, const std::string& zone, std::size_t replicas, std::size_t slices,
+              bool divided);
   /// @return the number of slices for so many replicas, the present one if it still fits.
   static std::size_t fitting_slices(std::size_t replicas, std::size_t present);
 
--- a/src/routing/replica_subset.cpp
+++ b/src/routing/replica_subset.cpp
@@ -28,41 +28,42 @@
 
 void ReplicaSubset::count(const std::string& service, const std::string& zone, int change) {
   Service& counted = services_[service];
-  const std::size_t before = counted.zones.try_emplace(zone, 0, 1).first->second.first;
-  if (change > 0 || before > 0) {
-    set_count(counted, zone, change > 0 ? before + 1 : before - 1);
+  const auto [before, slices] = counted.zones.try_emplace(zone, 0, 1).first->second;
+  if (change < 0 && before == 0) {
+    return;
   }
+  const std::size_t replicas = change > 0 ? before + 1 : before - 1;
+  const std::size_t all = counted.replicas - before + replicas;
+  const std::size_t limit = counted.divided ? kUndivided * kUndividedAgainTenths / 10 : kUndivided;
+  divide(counted, zone, replicas, fitting_slices(replicas, slices), all > limit);
 }
 
-void ReplicaSubset::set_count(Service& counted, const std::string& zone, std::size_t count) {
-  auto& [replicas, slices] = counted.zones.try_emplace(zone, 0, 1).first->second;
-  counted.replicas = counted.replicas - replicas + count;
-  replicas = count;
-  const std::size_t limit = counted.divided ? kUndivided * kUndividedAgainTenths / 10 : kUndivided;
-  const bool divided = counted.replicas > limit;
-  const std::size_t fitting = fitting_slices(replicas, slices);
-  if (divided != counted.divided || (divided && fitting != slices)) {
+void ReplicaSubset::divide(Service& counted, const std::string& zone, std::size_t replicas,
+                           std::size_t slices, bool divided) {
+  auto& [replicas_before, slices_before] = counted.zones.try_emplace(zone, 0, 1).first->second;
+  if (divided != counted.divided || (divided && slices != slices_before)) {
     ++revision_;
-    const bool narrower = divided && (!counted.divided || fitting > slices);
+    const bool narrower = divided && (!counted.divided || slices > slices_before);
     widened_ += narrower ? 0 : 1;
   }
+  counted.replicas = counted.replicas - replicas_before + replicas;
   counted.divided = divided;
-  slices = fitting;
+  replicas_before = replicas;
+  slices_before = slices;
 }
 
 void ReplicaSubset::assume(const std::vector<ReplicaCount>& counts) {
-  std::map<std::string, std::map<std::string, std::size_t>> told;
+  std::map<std::pair<std::string, std::string>, const ReplicaCount*> told;
   for (const ReplicaCount& count : counts) {
-    told[count.service][count.zone] = static_cast<std::size_t>(count.replicas);
+    told[{count.service, count.zone}] = &count;
+    divide(services_[count.service], count.zone, static_cast<std::size_t>(count.replicas),
+           std::max<std::size_t>(1, static_cast<std::size_t>(count.slices)), count.divided);
   }
   for (auto& [service, counted] : services_) {
     for (const auto& [zone, known] : counted.zones) {
-      told[service].try_emplace(zone, 0);
-    }
-  }
-  for (const auto& [service, zones] : told) {
-    for (const auto& [zone, replicas] : zones) {
-      set_count(services_[service], zone, replicas);
+      if (!told.contains({service, zone}) && known.first > 0) {
+        divide(counted, zone, 0, 1, counted.divided);
+      }
     }
   }
 }
@@ -71,7 +72,7 @@
   std::vector<ReplicaCount> counts;
   for (const auto& [service, counted] : services_) {
     for (const auto& [zone, known] : counted.zones) {
-      counts.push_back({service, zone, known.first});
+      counts.push_back({service, zone, known.first, known.second, counted.divided});
     }
   }
   return counts;
--- a/tests/gateway/record_relay_test.cpp
+++ b/tests/gateway/record_relay_test.cpp
@@ -100,7 +100,7 @@
                         return record.value.empty() || record.key.ends_with('7');
                       },
                       [] {
-                        return std::vector<ReplicaCount>{{"lm", "zone", kRecords}};
+                        return std::vector<ReplicaCount>{{"lm", "zone", kRecords, 4, true}};
                       }};
   std::unique_ptr<net::HttpServer> control = std::make_unique<net::HttpServer>(
       loop, [this](const auto& exchange) { server.serve(exchange); });
--- a/tests/routing/replica_subset_test.cpp
+++ b/tests/routing/replica_subset_test.cpp
@@ -5,6 +5,8 @@
 #include <map>
 #include <vector>
 
+#include "dockpoint/core/hash.hpp"
+
 using namespace dockpoint;
 
 namespace {
@@ -118,6 +120,35 @@
   }
 }
 
+// A node that divided more coarsely than its source would use replicas whose drains it never hears
+// of.
+BOOST_AUTO_TEST_CASE(whoever_is_told_divides_like_its_source_whether_the_fleet_grew_or_shrank) {
+  const Fleet fleet(6'400);
+  ReplicaSubset source("a", "source");
+  fleet.add_to(source);
+  const std::size_t slices = source.slices();
+  for (std::size_t index = 0; index < 1'200; ++index) {
+    source.remove("lm", fleet.zone_of(index));
+  }
+  BOOST_TEST(source.slices() == slices);  // One that counts 5,200 anew divides into half as many.
+  ReplicaSubset told("a", "node-3");
+  told.assume(source.counts());
+  BOOST_TEST(told.slices() == slices);
+  BOOST_TEST(told.replicas() == source.replicas());
+  const std::uint64_t node = hash64("node-3");
+  for (std::size_t index = 0; index < fleet.names.size(); ++index) {
+    const std::string& zone = fleet.zone_of(index);
+    BOOST_TEST(told.contains("lm", zone, fleet.names[index]) ==
+               source.contains_for(node, "lm", zone, fleet.names[index]));
+  }
+  const std::uint64_t widened = told.widened();
+  ReplicaSubset anew("a", "other source");
+  Fleet(5'200).add_to(anew);
+  BOOST_TEST(anew.slices() < slices);
+  told.assume(anew.counts());
+  BOOST_TEST(told.widened() > widened);
+}
+
 BOOST_AUTO_TEST_CASE(removing_more_than_was_there_changes_nothing) {
   ReplicaSubset subset("a", "node-1");
   subset.remove("lm", "a");
