--- a/include/dockpoint/routing/replica_subset.hpp
+++ b/include/dockpoint/routing/replica_subset.hpp
@@ -18,8 +18,7 @@
 /// be told to everybody. So the replicas of a service are divided into slices, by the hash of their
 /// names, and the nodes of a zone into as many, by the hash of theirs (deterministic subsetting). A
 /// node uses the slice of its zone's replicas that has its number, and a few of other zones for
-/// when those are gone. Nodes of one slice share what they learn, see `cell_of` in
-/// membership/load_relay.hpp.
+/// when those are gone. Nodes of one slice share what they learn, see membership/cell.hpp.
 ///
 /// The number of slices is a power of two, so that each slice divides into two whole ones when a
 /// fleet grows, and it changes only when slices have become half as large again as they should or
