Slots of a node's own: dealt by rendezvous hashing, used before any that others may take

Cause: nodes hear of each other's requests 150 to 500 ms late, a large part of the 0.7 s that a request holds its slot, so that a choice among all replicas hardly beats chance. Change: SlotShares deals the slots of a service to the nodes in units of two; an online request goes to a free slot of its node's own, and is placed on the late view only beyond those.

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -92,6 +92,9 @@
   double arrival_prior_requests = 1;  ///< Own requests that weigh as much as what digests tell of
                                       ///< the fleet's rate. More misses a burst that only the
                                       ///< nodes themselves see yet (replica_selector_test.cpp).
+  std::size_t slot_share_nodes = 21;  ///< Smallest fleet whose nodes have slots of their own. In a
+                                      ///< smaller one everybody tells everybody at once.
+  int slot_share_unit = 2;            ///< Slots of a replica that are dealt together.
   double remote_zone_ms = 3.0;        ///< Cost of a replica in another zone.
   double cold_replica_ms = 50;        ///< Cost of a replica that has just started.
   std::size_t cold_senders = 2;    ///< Nodes that use a replica while it is cold: one may be dead.
--- a/include/dockpoint/routing/load_digest.hpp
+++ b/include/dockpoint/routing/load_digest.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "dockpoint/admission/tenant_rate_limiter.hpp"
+#include "dockpoint/routing/replica_pace.hpp"
 
 namespace dockpoint {
 
@@ -35,6 +36,7 @@
   SpendReport spend{};                  ///< What it has admitted of tenants with a rate limit.
   std::uint64_t operator_position = 0;  ///< Up to which it has read the operator's records.
   bool without_load = false;            ///< Its load was told to its cell, and is left out here.
+  std::vector<PaceEntry> paces{};       ///< Usual paces of replicas that it has learnt lately.
 };
 
 /// @return the bytes of a digest; they never are those of another message between nodes.
--- a/include/dockpoint/routing/replica_selector.hpp
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -10,6 +10,7 @@
 
 #include "dockpoint/routing/cold_replica_limiter.hpp"
 #include "dockpoint/routing/replica_directory.hpp"
+#include "dockpoint/routing/slot_shares.hpp"
 #include "dockpoint/routing/water_filling.hpp"
 
 /// Choice of the replica for one request or batch item.
@@ -58,6 +59,9 @@
   /// Cold replicas get no more than the limiter admits from then on; it must outlive the selector.
   void limit_cold_replicas(ColdReplicaLimiter& limiter) { cold_limiter_ = &limiter; }
 
+  /// Online requests go to slots of this node's own while one is free; must outlive the selector.
+  void use_slot_shares(SlotShares& shares) { shares_ = &shares; }
+
   /// Remembers that a replica has read this prompt.
   void note_prompt(const std::string& replica, const std::vector<PromptPart>& prompt,
                    TimePoint now);
@@ -90,6 +94,16 @@
     DecayingCount sends;    ///< Of this node.
   };
 
+  /// @return the best free slot of this node's own, if there is one and no cached part of the
+  /// prompt weighs more.
+  Candidate own_slot(const ReplicaQuery& query, const std::vector<PrefixStep>& steps,
+                     TimePoint now);
+  /// Counts the choice.
+  ReplicaChoice take(const std::string& service, const Candidate& candidate, TimePoint now);
+  /// @return whether the replica has answered well enough lately.
+  bool trusted(const Replica& replica, TimePoint now) const;
+  /// @return whether a request may go to the replica, whatever its load.
+  bool usable(const Replica& replica, const ReplicaQuery& query, TimePoint now) const;
   std::vector<const Replica*> candidates(const ReplicaQuery& query, TimePoint now) const;
   /// @return whether the replica is cold, and one more request is more than it carries.
   bool over_cold_limit(const Replica& replica, TimePoint now) const;
@@ -123,6 +137,7 @@
   const ReplicaDirectory& directory_;
   const std::string zone_;
   ColdReplicaLimiter* cold_limiter_ = nullptr;  ///< Null: there is no limit.
+  SlotShares* shares_ = nullptr;                ///< Null: no slots are a node's own.
   std::mt19937_64 random_;
   std::list<PrefixEntry> recent_;  ///< Most recently used first.
   std::unordered_map<std::uint64_t, std::list<PrefixEntry>::iterator> by_chain_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -58,6 +58,7 @@
       freshness_(knobs.freshness_bound),
       replicas_(knobs),
       cold_limiter_(knobs, settings_.cold_bound, settings_.node),
+      slot_shares_(knobs, settings_.node),
       selector_(knobs, replicas_, settings_.zone, combine_hash(hash64(settings_.node), run_)),
       rate_limiter_(knobs, settings_.rate_window, static_cast<std::uint32_t>(run_)),
       context_{
@@ -118,6 +119,7 @@
   relayed_log_.expect_others(others_expected);
   fleet_.set_record_server(record_server_);
   selector_.limit_cold_replicas(cold_limiter_);
+  selector_.use_slot_shares(slot_shares_);
   context_.rate_limiter = &rate_limiter_;
   context_.announce_load = [this] { peers_.announce_load(); };
   context_.peers_reaching_log = [this] { return peers_.control_addresses_reaching_log(); };
@@ -206,6 +208,10 @@
     }
     relayed_log_.set_members(peers_.alive());
   }
+  if (now >= next_deal_) {
+    next_deal_ = now + knobs_.replica_digest_interval;
+    slot_shares_.set_holders(peers_.slot_holders(now));
+  }
   if (fleet_.replicas_known()) {
     relayed_log_.set_replicas(fleet_.replicas());
   }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -103,6 +103,7 @@
   GatewayMetrics metrics_;
   ReplicaDirectory replicas_;
   ColdReplicaLimiter cold_limiter_;
+  SlotShares slot_shares_;
   ReplicaSelector selector_;
   TenantRateLimiter rate_limiter_;
   GatewayContext context_;
@@ -122,6 +123,7 @@
   boost::asio::steady_timer timer_;
   std::vector<std::weak_ptr<net::Exchange>> state_answers_;  ///< Under way.
   std::uint64_t members_version_ = 0;  ///< That the parts that go by members know.
+  TimePoint next_deal_{};              ///< When slots are dealt among the nodes heard again.
   TimePoint stop_requested_at_{};
   TimePoint last_caller_at_{};
   bool stopping_ = false;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -279,6 +279,18 @@
   return sure.size() * 2 > all.size() ? sure : all;
 }
 
+std::vector<SlotHolder> PeerLink::slot_holders(TimePoint now) const {
+  std::vector<SlotHolder> holders{{context_.node, zone_}};
+  for (const Member* member : members_heard(neighbours(), now)) {
+    if (member->id != context_.node && member->state == MemberState::kAlive) {
+      holders.push_back({member->id, member->zone});
+    }
+  }
+  std::sort(holders.begin(), holders.end(),
+            [](const SlotHolder& left, const SlotHolder& right) { return left.node < right.node; });
+  return holders;
+}
+
 std::vector<std::string> PeerLink::members_not_left() const {
   std::vector<std::string> ids;
   for (const Member& member : membership_.all()) {
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -16,6 +16,7 @@
 #include "dockpoint/membership/load_relay.hpp"
 #include "dockpoint/membership/membership.hpp"
 #include "dockpoint/routing/slot_request.hpp"
+#include "dockpoint/routing/slot_shares.hpp"
 #include "gateway/gateway_context.hpp"
 
 namespace dockpoint {
@@ -74,6 +75,9 @@
   const std::vector<const Member*>& alive() const { return membership_.alive(); }
   /// @return ids of all members that have not left, dead ones and this node included.
   std::vector<std::string> members_not_left() const;
+  /// @return the nodes that send to the same replicas as this one, itself included: those heard
+  /// lately.
+  std::vector<SlotHolder> slot_holders(TimePoint now) const;
   /// @return control addresses of the other nodes that are alive.
   std::vector<std::string> control_addresses() const;
   /// @return the same, of this node's zone only.
--- a/src/routing/load_digest.cpp
+++ b/src/routing/load_digest.cpp
@@ -19,6 +19,7 @@
 /// Numbers of each entry in the flat list.
 constexpr std::size_t kEntryNumbers = 5;
 constexpr std::size_t kSpendNumbers = 3;
+constexpr std::size_t kPaceNumbers = 2;
 
 struct Wire {
   std::uint32_t node = 0;
@@ -33,8 +34,10 @@
   std::vector<std::uint32_t> spends;  ///< Like `numbers`.
   std::uint64_t operator_position = 0;
   bool without_load = false;
+  std::vector<std::uint32_t> paces;  ///< Like `numbers`.
   DOCKPOINT_FIELDS(node, configuration_version, fleet_position, log_reachable, pending_items,
-                   numbers, run, number, known_nodes, spends, operator_position, without_load)
+                   numbers, run, number, known_nodes, spends, operator_position, without_load,
+                   paces)
 };
 
 struct CollectionWire {
@@ -64,7 +67,8 @@
             digest.spend.known_nodes,
             {},
             digest.operator_position,
-            digest.without_load};
+            digest.without_load,
+            {}};
   for (const LoadDigestEntry& entry : digest.entries) {
     wire.numbers.insert(wire.numbers.end(), {entry.replica_key, entry.in_flight,
                                              entry.prefill_tokens, entry.batch, entry.failures});
@@ -72,6 +76,9 @@
   for (const TenantSpend& spend : digest.spend.spends) {
     wire.spends.insert(wire.spends.end(), {spend.tenant, spend.total, spend.recent});
   }
+  for (const PaceEntry& pace : digest.paces) {
+    wire.paces.insert(wire.paces.end(), {pace.replica_key, pace.hundredths});
+  }
   return kTag + pack(wire);
 }
 
@@ -85,7 +92,7 @@
   }
   auto wire = unpack<Wire>(bytes.substr(1));
   if (!wire || wire->numbers.size() % kEntryNumbers != 0 ||
-      wire->spends.size() % kSpendNumbers != 0) {
+      wire->spends.size() % kSpendNumbers != 0 || wire->paces.size() % kPaceNumbers != 0) {
     return std::nullopt;
   }
   LoadDigest digest{wire->node,
@@ -106,6 +113,9 @@
     digest.spend.spends.push_back(
         {wire->spends[index], wire->spends[index + 1], wire->spends[index + 2]});
   }
+  for (std::size_t index = 0; index < wire->paces.size(); index += kPaceNumbers) {
+    digest.paces.push_back({wire->paces[index], wire->paces[index + 1]});
+  }
   return digest;
 }
 
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -33,6 +33,9 @@
     return {};
   }
   const std::vector<PrefixStep> steps = steps_of(query.prompt);
+  if (const Candidate own = own_slot(query, steps, now); own.replica != nullptr) {
+    return take(query.service, own, now);
+  }
   const auto home_keys = homes(directory_.ready(query.service), steps);
   const double prompt_tokens = steps.empty() ? 0 : steps.back().tokens;
   const WaterFilling filling = spread_unseen(open, query, now);
@@ -56,12 +59,48 @@
       best = &candidate;
     }
   }
-  history_of(query.service).sends.add(now);
-  if (cold_limiter_ != nullptr && now < best->replica->cold_until) {
-    cold_limiter_->sent(query.service, best->replica->key, now);
+  return take(query.service, *best, now);
+}
+
+ReplicaChoice ReplicaSelector::take(const std::string& service, const Candidate& candidate,
+                                    TimePoint now) {
+  history_of(service).sends.add(now);
+  if (cold_limiter_ != nullptr && now < candidate.replica->cold_until) {
+    cold_limiter_->sent(service, candidate.replica->key, now);
+  }
+  return {candidate.replica, from_milliseconds(candidate.wait_ms), candidate.missing_tokens,
+          candidate.expected_load};
+}
+
+ReplicaSelector::Candidate ReplicaSelector::own_slot(const ReplicaQuery& query,
+                                                     const std::vector<PrefixStep>& steps,
+                                                     TimePoint now) {
+  if (shares_ == nullptr || query.traffic != TrafficClass::kOnline) {
+    return {};
+  }
+  const double shared = steps.size() < 2 ? 0 : steps[steps.size() - 2].tokens;
+  if (shared >= knobs_.affinity_tokens) {
+    return {};
+  }
+  const double prompt_tokens = steps.empty() ? 0 : steps.back().tokens;
+  Candidate best;
+  for (const SlotShare& share : shares_->of(query.service, directory_)) {
+    const Replica* replica = directory_.find_key(share.replica_key);
+    if (replica == nullptr || replica->online >= share.slots || !usable(*replica, query, now)) {
+      continue;
+    }
+    Candidate candidate;
+    candidate.replica = replica;
+    candidate.expected_load = replica->load(now);
+    candidate.competing_load = candidate.expected_load - yielding_items(*replica, query.traffic);
+    candidate.missing_tokens = prompt_tokens - cached_tokens(*replica, steps, {0, 0}, now);
+    candidate.wait_ms = wait_ms(*replica, candidate.competing_load, query.service);
+    candidate.cost_ms = cost_ms(candidate, now);
+    if (best.replica == nullptr || candidate.cost_ms < best.cost_ms) {
+      best = candidate;
+    }
   }
-  return {best->replica, from_milliseconds(best->wait_ms), best->missing_tokens,
-          best->expected_load};
+  return best;
 }
 
 double ReplicaSelector::unseen_requests(const std::vector<const Replica*>& open,
@@ -140,8 +179,7 @@
   });
   std::vector<const Replica*> open;
   for (const Replica* replica : ready) {
-    const bool trial_taken = replica->on_trial() && replica->online + replica->batch > 0;
-    if (directory_.ejected(*replica, now) || replica->outlier || trial_taken) {
+    if (!trusted(*replica, now)) {
       continue;
     }
     const double limit = knobs_.batch_fill * std::max(1, replica->record.slots);
@@ -156,6 +194,17 @@
   return open;
 }
 
+bool ReplicaSelector::trusted(const Replica& replica, TimePoint now) const {
+  const bool trial_taken = replica.on_trial() && replica.online + replica.batch > 0;
+  return !directory_.ejected(replica, now) && !replica.outlier && !trial_taken;
+}
+
+bool ReplicaSelector::usable(const Replica& replica, const ReplicaQuery& query,
+                             TimePoint now) const {
+  return directory_.takes_work(replica) && !query.excluded.contains(replica.record.id) &&
+         !over_cold_limit(replica, now) && trusted(replica, now);
+}
+
 bool ReplicaSelector::over_cold_limit(const Replica& replica, TimePoint now) const {
   return cold_limiter_ != nullptr && now < replica.cold_until &&
          !cold_limiter_->admits(replica.record.service, replica.key, now);
--- /dev/null
+++ b/src/routing/slot_shares.cpp
@@ -0,0 +1,105 @@
+#include "dockpoint/routing/slot_shares.hpp"
+
+#include <algorithm>
+#include <optional>
+
+#include "dockpoint/core/hash.hpp"
+
+namespace dockpoint {
+namespace {
+
+/// Slots of one replica that are dealt together.
+struct Unit {
+  std::uint64_t hash = 0;
+  std::size_t replica = 0;  ///< Its place among the replicas dealt.
+  int slots = 0;
+};
+
+std::vector<Unit> units_of(const std::vector<const Replica*>& replicas, int unit_slots) {
+  std::vector<Unit> units;
+  for (std::size_t index = 0; index < replicas.size(); ++index) {
+    const int slots = replicas[index]->record.slots;
+    for (int first = 0; first < slots; first += unit_slots) {
+      const auto number = static_cast<std::uint64_t>(first);
+      units.push_back(
+          {combine_hash(replicas[index]->key, number), index, std::min(unit_slots, slots - first)});
+    }
+  }
+  // Units take their places in the order of their hashes, so that the bound strikes few of them
+  // anew when a replica comes or goes.
+  std::sort(units.begin(), units.end(),
+            [](const Unit& left, const Unit& right) { return left.hash < right.hash; });
+  return units;
+}
+
+}  // namespace
+
+void SlotShares::set_holders(std::vector<SlotHolder> holders) {
+  if (holders == known_) {
+    return;
+  }
+  known_ = std::move(holders);
+  deals_.clear();
+  holders_.clear();
+  zones_.clear();
+  if (known_.size() < knobs_.slot_share_nodes) {
+    return;
+  }
+  for (const SlotHolder& holder : known_) {
+    const auto zone = std::find(zones_.begin(), zones_.end(), holder.zone);
+    const auto place = static_cast<std::size_t>(zone - zones_.begin());
+    if (zone == zones_.end()) {
+      zones_.push_back(holder.zone);
+    }
+    holders_.push_back({hash64(holder.node), place, holder.node == node_});
+  }
+}
+
+const std::vector<SlotShare>& SlotShares::of(const std::string& service,
+                                             const ReplicaDirectory& directory) {
+  Deal& deal_of_service = deals_[service];
+  const std::set<std::string>& evacuated = directory.evacuations().zones();
+  if (deal_of_service.directory_revision != directory.revision() ||
+      deal_of_service.evacuated != evacuated) {
+    deal_of_service = {directory.revision(), evacuated, deal(directory.ready(service))};
+  }
+  return deal_of_service.shares;
+}
+
+std::vector<SlotShare> SlotShares::deal(const std::vector<const Replica*>& replicas) const {
+  const std::vector<Unit> units = units_of(replicas, knobs_.slot_share_unit);
+  if (holders_.empty() || units.size() < holders_.size()) {
+    return {};
+  }
+  const std::size_t bound = (units.size() + holders_.size() - 1) / holders_.size();
+  std::vector<std::size_t> held(holders_.size(), 0);
+  std::vector<int> own(replicas.size(), 0);
+  for (const Unit& unit : units) {
+    const auto zone = std::find(zones_.begin(), zones_.end(), replicas[unit.replica]->record.zone);
+    const auto place = static_cast<std::size_t>(zone - zones_.begin());
+    std::optional<std::size_t> best;
+    std::pair<bool, std::uint64_t> best_score;
+    for (std::size_t index = 0; index < holders_.size(); ++index) {
+      if (held[index] >= bound) {
+        continue;
+      }
+      const std::pair<bool, std::uint64_t> score{holders_[index].zone == place,
+                                                 combine_hash(unit.hash, holders_[index].hash)};
+      if (!best || score > best_score) {
+        best = index;
+        best_score = score;
+      }
+    }
+    ++held[*best];
+    own[unit.replica] += holders_[*best].own ? unit.slots : 0;
+  }
+  std::vector<SlotShare> shares;
+  for (std::size_t index = 0; index < replicas.size(); ++index) {
+    if (own[index] > 0) {
+      shares.push_back({replicas[index]->key, own[index]});
+    }
+  }
+  return shares;
+}
+
+}  // namespace dockpoint
