--- a/include/dockpoint/routing/replica_selector.hpp
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -45,6 +45,7 @@
   Duration expected_wait{};          ///< For a slot; zero if one is expected to be free.
   double missing_tokens = 0;         ///< Prompt tokens expected to be read there.
   double expected_load = 0;          ///< Requests and items expected there, this one left out.
+  bool own_slot = false;             ///< In a slot of this node's own, see slot_shares.hpp.
 };
 
 /// See the top of this file. Not thread-safe; borrows knobs and directory.
@@ -87,6 +88,7 @@
     double missing_tokens = 0;
     double wait_ms = 0;
     double cost_ms = 0;
+    bool own_slot = false;
   };
   /// What is learnt of a service's requests.
   struct ServiceHistory {
--- a/include/dockpoint/routing/slot_shares.hpp
+++ b/include/dockpoint/routing/slot_shares.hpp
@@ -54,6 +54,10 @@
   /// @return this node's own slots at the replicas of a service, as the directory has them; none if
   /// the service has too few slots to give every node a unit.
   const std::vector<SlotShare>& of(const std::string& service, const ReplicaDirectory& directory);
+  /// @return this node's own slots, of the services that were asked for.
+  int own_slots() const;
+  /// @return nodes that share the replicas.
+  std::size_t holders() const { return known_.size(); }
 
  private:
   struct Holder {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -210,7 +210,7 @@
   }
   if (now >= next_deal_) {
     next_deal_ = now + knobs_.replica_digest_interval;
-    slot_shares_.set_holders(peers_.slot_holders(now));
+    deal_slots(now);
   }
   if (fleet_.replicas_known()) {
     relayed_log_.set_replicas(fleet_.replicas());
@@ -220,6 +220,16 @@
   peers_.set_slices(fleet_.slices());
 }
 
+void Gateway::deal_slots(TimePoint now) {
+  const std::size_t holders = slot_shares_.holders();
+  slot_shares_.set_holders(peers_.slot_holders(now));
+  metrics_.set_own_slots(slot_shares_.own_slots());
+  if (slot_shares_.holders() != holders) {
+    spdlog::info("routing: slots are dealt among other nodes nodes={} before={}",
+                 slot_shares_.holders(), holders);
+  }
+}
+
 void Gateway::request_slot(const Replica& replica) {
   if (batch_.yield_slot(replica.record.id)) {
     return;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -34,6 +34,10 @@
                     .Name("dockpoint_gateway_attempts_total")
                     .Help("Attempts at replicas by outcome.")
                     .Register(registry_)),
+      placements_(prometheus::BuildCounter()
+                      .Name("dockpoint_gateway_placements_total")
+                      .Help("Online requests sent to replicas, in slots of this node's own or not.")
+                      .Register(registry_)),
       rate_limited_(prometheus::BuildCounter()
                         .Name("dockpoint_gateway_rate_limited_total")
                         .Help("Online requests refused for their tenant's rate limit.")
@@ -58,6 +62,8 @@
                                "Time since the log last confirmed the replicas' records.")),
       unreadable_records_(make_gauge(registry_, "dockpoint_gateway_unreadable_replica_records",
                                      "Records among the replicas' that name no replica.")),
+      own_slots_(make_gauge(registry_, "dockpoint_gateway_own_slots",
+                            "Slots of replicas that are this node's own.")),
       partitions_owned_(make_gauge(registry_, "dockpoint_gateway_partitions_owned",
                                    "Partitions of batch jobs that this node owns.")),
       log_lines_dropped_(make_gauge(registry_, "dockpoint_gateway_log_lines_dropped",
@@ -76,6 +82,14 @@
   attempts_.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::count_placement(bool own_slot) {
+  placements_.Add({{"slot", own_slot ? "own" : "other"}}).Increment();
+}
+
+void GatewayMetrics::set_own_slots(int slots) {
+  own_slots_.Set(slots);
+}
+
 void GatewayMetrics::count_rate_limited(const std::string& tenant) {
   const bool shown = tenants_shown_.contains(tenant) || tenants_shown_.size() < kTenantsShown;
   if (shown) {
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -22,6 +22,8 @@
   void count_request(const std::string& kind, const std::string& outcome);
   void observe_first_byte(const std::string& kind, Duration time);
   void count_attempt(const std::string& outcome);
+  /// Counts a request that was sent to a replica. @param own_slot in a slot of this node's own.
+  void count_placement(bool own_slot);
   /// Counts a request that was refused for its tenant's rate limit. Only the first tenants that are
   /// met get a series of their own, the others share `other`.
   void count_rate_limited(const std::string& tenant);
@@ -34,6 +36,8 @@
   void set_fleet_age(Duration configuration, Duration replicas);
   /// @param count records among the replicas' that name no replica.
   void set_unreadable_records(std::size_t count);
+  /// @param slots that are this node's own, of all services.
+  void set_own_slots(int slots);
   void set_partitions_owned(std::size_t count);
   void set_log_lines_dropped(std::uint64_t count);
 
@@ -45,6 +49,7 @@
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Histogram>& first_byte_;
   prometheus::Family<prometheus::Counter>& attempts_;
+  prometheus::Family<prometheus::Counter>& placements_;
   prometheus::Family<prometheus::Counter>& rate_limited_;
   prometheus::Family<prometheus::Counter>& callers_refused_;
   prometheus::Family<prometheus::Counter>& items_;
@@ -53,6 +58,7 @@
   prometheus::Gauge& configuration_age_;
   prometheus::Gauge& replicas_age_;
   prometheus::Gauge& unreadable_records_;
+  prometheus::Gauge& own_slots_;
   prometheus::Gauge& partitions_owned_;
   prometheus::Gauge& log_lines_dropped_;
   std::set<std::string> tenants_shown_;  ///< With a series of their own.
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -112,6 +112,7 @@
   ++sends_;
   load_at_choice_ = choice.replica->load(now);
   slots_at_choice_ = replica.slots;
+  context_.metrics.count_placement(choice.own_slot);
   attempt_.start(*choice.replica, net::serialize(head) + body, choice.missing_tokens, *this);
   const bool would_wait =
       choice.expected_load >= context_.knobs.yield_request_load * std::max(1, replica.slots);
@@ -126,9 +127,9 @@
         context_.replica_records_age ? context_.replica_records_age() : Duration{};
     spdlog::info(
         "online: sent id={} route={} version={} replica={} recordsAgeMs={} attempt={} load={}/{} "
-        "waitMs={} missingTokens={} leftMs={}",
+        "ownSlot={} waitMs={} missingTokens={} leftMs={}",
         info_.id, route_.name, configuration_->version, attempt_.replica(), to_ms(records_age),
-        sends_, load_at_choice_, slots_at_choice_, to_ms(choice.expected_wait),
+        sends_, load_at_choice_, slots_at_choice_, choice.own_slot, to_ms(choice.expected_wait),
         static_cast<int>(choice.missing_tokens), to_ms(deadline_ - now));
   }
 }
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -69,7 +69,7 @@
     cold_limiter_->sent(service, candidate.replica->key, now);
   }
   return {candidate.replica, from_milliseconds(candidate.wait_ms), candidate.missing_tokens,
-          candidate.expected_load};
+          candidate.expected_load, candidate.own_slot};
 }
 
 ReplicaSelector::Candidate ReplicaSelector::own_slot(const ReplicaQuery& query,
@@ -96,6 +96,7 @@
     candidate.missing_tokens = prompt_tokens - cached_tokens(*replica, steps, {0, 0}, now);
     candidate.wait_ms = wait_ms(*replica, candidate.competing_load, query.service);
     candidate.cost_ms = cost_ms(candidate, now);
+    candidate.own_slot = true;
     if (best.replica == nullptr || candidate.cost_ms < best.cost_ms) {
       best = candidate;
     }
--- a/src/routing/slot_shares.cpp
+++ b/src/routing/slot_shares.cpp
@@ -66,6 +66,16 @@
   return deal_of_service.shares;
 }
 
+int SlotShares::own_slots() const {
+  int slots = 0;
+  for (const auto& [service, deal_of_service] : deals_) {
+    for (const SlotShare& share : deal_of_service.shares) {
+      slots += share.slots;
+    }
+  }
+  return slots;
+}
+
 std::vector<SlotShare> SlotShares::deal(const std::vector<const Replica*>& replicas) const {
   const std::vector<Unit> units = units_of(replicas, knobs_.slot_share_unit);
   if (holders_.empty() || units.size() < holders_.size()) {
