--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -112,7 +112,8 @@
   ++sends_;
   load_at_choice_ = choice.replica->load(now);
   slots_at_choice_ = replica.slots;
-  context_.metrics.count_placement(choice.own_slot);
+  own_slot_ = choice.own_slot;
+  context_.metrics.count_placement(own_slot_);
   attempt_.start(*choice.replica, net::serialize(head) + body, choice.missing_tokens, *this);
   const bool would_wait =
       choice.expected_load >= context_.knobs.yield_request_load * std::max(1, replica.slots);
@@ -129,7 +130,7 @@
         "online: sent id={} route={} version={} replica={} recordsAgeMs={} attempt={} load={}/{} "
         "ownSlot={} waitMs={} missingTokens={} leftMs={}",
         info_.id, route_.name, configuration_->version, attempt_.replica(), to_ms(records_age),
-        sends_, load_at_choice_, slots_at_choice_, choice.own_slot, to_ms(choice.expected_wait),
+        sends_, load_at_choice_, slots_at_choice_, own_slot_, to_ms(choice.expected_wait),
         static_cast<int>(choice.missing_tokens), to_ms(deadline_ - now));
   }
 }
@@ -445,10 +446,10 @@
   if (!ordinary || is_sampled(info_.id)) {
     spdlog::info(
         "online: {} id={} route={} version={} service={} replica={} sends={} mayHaveRun={} "
-        "load={}/{} firstByteMs={} late={} tookMs={} why=\"{}\"",
+        "load={}/{} ownSlot={} firstByteMs={} late={} tookMs={} why=\"{}\"",
         outcome, info_.id, route_.name, configuration_->version, service_, attempt_.replica(),
-        sends_, history_.runs_possible, load_at_choice_, slots_at_choice_, to_ms(first_byte_after_),
-        late(), to_ms(net::steady_now() - exchange_->received()), why);
+        sends_, history_.runs_possible, load_at_choice_, slots_at_choice_, own_slot_,
+        to_ms(first_byte_after_), late(), to_ms(net::steady_now() - exchange_->received()), why);
   }
   proxy_.calls_.erase(shared_from_this());
 }
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -95,6 +95,7 @@
   int sends_ = 0;
   int load_at_choice_ = 0;       ///< Of the replica chosen last, without this request.
   int slots_at_choice_ = 0;      ///< The same replica's.
+  bool own_slot_ = false;        ///< It was sent to a slot of this node's own.
   Duration first_byte_after_{};  ///< From the arrival; zero as long as there is none.
   bool finished_ = false;
 };
