--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -21,8 +21,12 @@
   int probe_helpers = 3;                 ///< Members asked to probe on our behalf.
   Duration suspicion_time = 3s;          ///< A suspect that does not refute by then is dead.
   Duration sync_interval = 20s;          ///< Full exchange with one random member.
+  Duration first_sync_interval = 400ms;  ///< The same after a node's start, doubled each time.
   Duration dead_retention = 10min;       ///< How long a dead or left member is remembered.
   std::size_t updates_per_message = 24;  ///< Gossip piggybacked on a message.
+  Duration gossip_interval = 200ms;      ///< Between messages that carry nothing but gossip, while
+                                         ///< there is any,
+  std::size_t gossip_targets = 3;        ///< to so many members.
   int update_retransmissions = 3;        ///< Times log2(members) that an update is passed on.
   std::size_t sync_members_per_message = 16;
 
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -282,7 +282,7 @@
 std::vector<SlotHolder> PeerLink::slot_holders(TimePoint now) const {
   std::vector<SlotHolder> holders{{context_.node, zone_}};
   for (const Member* member : members_heard(neighbours(), now)) {
-    if (member->id != context_.node && member->state == MemberState::kAlive) {
+    if (member->id != context_.node) {
       holders.push_back({member->id, member->zone});
     }
   }
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -6,7 +6,11 @@
 namespace dockpoint {
 
 Membership::Membership(const Knobs& knobs, Member self, std::uint64_t seed, PeerSender& sender)
-    : knobs_(knobs), self_(std::move(self)), random_(seed), sender_(sender) {
+    : knobs_(knobs),
+      self_(std::move(self)),
+      random_(seed),
+      sender_(sender),
+      sync_interval_(knobs.first_sync_interval) {
   self_.run = self_.incarnation;
 }
 
@@ -26,8 +30,12 @@
     start_probe(now);
     ping_candidate();
   }
+  if (now >= next_gossip_) {
+    next_gossip_ = now + knobs_.gossip_interval;
+    gossip();
+  }
   if (now >= next_sync_) {
-    next_sync_ = now + knobs_.sync_interval;
+    next_sync_ = now + sync_interval_;
     synchronize();
   }
 }
@@ -258,6 +266,28 @@
   });
 }
 
+void Membership::gossip() {
+  std::vector<const Member*> targets;
+  for (const auto& [id, entry] : members_) {
+    if (entry.member.state == MemberState::kAlive) {
+      targets.push_back(&entry.member);
+    }
+  }
+  if (targets.empty()) {
+    ping_candidate();
+    return;
+  }
+  if (rumors_.empty()) {
+    return;
+  }
+  std::shuffle(targets.begin(), targets.end(), random_);
+  targets.resize(std::min(targets.size(), knobs_.gossip_targets));
+  for (const Member* target : targets) {
+    // Older builds take updates from a message of any type, and do not answer this one.
+    sender_.send(target->peer_address, make_message(PeerMessageType::kSyncResponse));
+  }
+}
+
 void Membership::ping_candidate() {
   std::vector<std::string> unknown;
   for (const std::string& address : candidates_) {
@@ -300,6 +330,7 @@
   if (others.empty()) {
     return;
   }
+  sync_interval_ = std::min(sync_interval_ * 2, knobs_.sync_interval);
   std::uniform_int_distribution<std::size_t> pick(0, others.size() - 1);
   sender_.send(others[pick(random_)]->peer_address, make_message(PeerMessageType::kSyncRequest));
 }
