--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -21,6 +21,7 @@
 run "scenarios, whole and without what they prove" \
   "$folder/dockpoint-sim" pairs tests/scenarios/*.jsonl
 run "exploration of fixed seeds" "$folder/dockpoint-sim" explore --seeds 1-1000
+run "tests of scripts" node --test --test-reporter=spec tests/scripts/
 (cd tests/system && npm ci --no-audit --no-fund --silent) || failures=$((failures + 1))
 run "system tests" env DOCKPOINT_BINARIES="$PWD/$folder" \
   node --test --test-concurrency=1 --test-reporter=spec tests/system/
