--- a/tests/platform/soak/soak.mjs
+++ b/tests/platform/soak/soak.mjs
@@ -5,7 +5,15 @@
 // them, when all has been calm for a while, the configuration changes and a replica drains: within the bound
 // each node serves the new route, and nothing reaches the replica any more. Versions never go back.
 //
-//     node tests/platform/soak/soak.mjs [--seed N] [--seconds N] [--nodes N] [--instance N]
+// Every request comes with the key of a tenant. `hot` sends many times its rate limit, and `steady` a part of
+// its own: no window admits more of `hot` than its limit allows, and in calm times `steady` is not refused.
+// Changes of the configuration change both limits and which of the two is the more urgent.
+//
+//     node tests/platform/soak/soak.mjs [--seed N] [--seconds N] [--nodes N] [--replicas N] [--service-ms N]
+//         [--instance N]
+//
+// In fleets of more than 20 nodes the slots of replicas are dealt among them: `--nodes 24 --replicas 8
+// --service-ms 100`, by hand. Then the nodes' own slots must not add up to more than there are in calm times.
 //
 // Instances 0 to 30 take ports of their own and may run side by side. Prints the seed, every fault, and every broken promise; ends with 1 if there was one. The logs of the
 // nodes stay in the folder that it names. It ends only processes that it has started.
@@ -18,12 +26,15 @@
 
 import { ManagedProcess, eventually, sleep } from '../../system/cluster.mjs';
 import { FaultyProxy, MODES } from './faulty_proxy.mjs';
+import { FaultSpans, LimitHistory, refusalsInCalm, windowsOverLimit } from './tenant_checks.mjs';
 
 const { values: options } = parseArgs({
   options: {
     seed: { type: 'string', default: String(Date.now() % 1e9) },
     seconds: { type: 'string', default: '60' },
     nodes: { type: 'string', default: '4' },
+    replicas: { type: 'string', default: '4' },
+    'service-ms': { type: 'string', default: '0' },
     instance: { type: 'string', default: '0' },
   },
 });
@@ -42,7 +53,8 @@
   frontend: BASE_PORT + 50, readiness: BASE_PORT + 51, resolver: BASE_PORT + 52, control: BASE_PORT + 53,
   datagrams: BASE_PORT + 54, metrics: BASE_PORT + 55,
 };
-const REPLICAS = 4;
+const REPLICAS = Number(options.replicas);
+const SLOTS_OF_REPLICA = 8;
 const PARTITIONS = 4;
 const EVENTS = 8;
 const ITEMS = 5;
@@ -51,6 +63,25 @@
 const BOUND_MS = 2000;
 /** counted for nodes that nothing has happened to for so long. */
 const CALM_MS = 3000;
+/** Over how much time, and how exactly, rate limits are to be kept. */
+const RATE_WINDOW = { windowMs: 5000, overage: 0.1, slack: 20 };
+/**
+ * A tenant below its limit may be refused for so long after a fault: nodes that start take themselves for parts
+ * of a large fleet for 5 s (`kToldNodesTime` of the rate limiter), and then their buckets fill.
+ */
+const LIMIT_SETTLE_MS = 6000;
+/** Tenants go on sending for so long after the last fault. */
+const TENANTS_AFTER_FAULTS_MS = 12000;
+/** Part of the requests of a tenant below its limit that may be refused in calm times, and one more. */
+const REFUSED_BELOW_LIMIT = 0.01;
+/** Requests of the hot tenant a second; its limit is a small part of that. */
+const HOT_PER_SECOND = 120;
+const STEADY_PER_SECOND = 10;
+/** Limits of which one is in force, in requests a second; a burst is what a second gives. */
+const HOT_LIMITS = [10, 20, 30];
+const STEADY_LIMITS = [40, 60];
+/** Requests that nobody waits for have their answers after this time. */
+const ANSWERS_MS = 5000;
 /** Accepted jobs must be done this long after the last fault. */
 const SETTLE_MS = 40000;
 
@@ -65,8 +96,10 @@
   };
 }
 const random = generator(Number(options.seed));
-const pick = (list) => list[Math.floor(random() * list.length)];
-const between = (low, high) => low + random() * (high - low);
+/** Apart from the faults' numbers: how many of these are drawn depends on the machine's pace. */
+const tenantRandom = generator(Number(options.seed) + 1);
+const pick = (list, from = random) => list[Math.floor(from() * list.length)];
+const between = (low, high, from = random) => low + from() * (high - low);
 
 const folder = mkdtempSync(path.join(tmpdir(), 'dockpoint-soak-'));
 const broken = [];
@@ -99,6 +132,14 @@
 }
 const control = (target) => call('127.0.0.1', CONTROL_PORT, 'POST', target);
 
+/** The key of a tenant as the configuration has it. */
+const keyOf = (tenant) => `key-of-${tenant}`;
+/** One request of a tenant to a node. */
+const callNode = (machine, method, target, { tenant = 'plain', headers = {}, ...rest } = {}) =>
+  call(machine.ip, NODE_PORTS.frontend, method, target, { headers: { 'Api-Key': keyOf(tenant), ...headers }, ...rest });
+
+const faultSpans = new FaultSpans();
+
 /** One machine: its settings, and its process, which starts again when it ends. */
 class Machine {
   constructor(number) {
@@ -117,18 +158,25 @@
         call_bytes: 2097152, minimum_lease_ms: 1000,
       },
       times: { address_lifetime_s: 5, grace_s: GRACE_S },
+      tenants: { rate_window_s: RATE_WINDOW.windowMs / 1000, rate_overage: RATE_WINDOW.overage, rate_slack: RATE_WINDOW.slack },
     }));
   }
 
   start() {
     this.process = new ManagedProcess(this.name, 'dockpoint-platform', ['--settings', this.settings], folder);
     const { process: own } = this;
+    faultSpans.begin(Date.now())(Date.now());
     own.exited.then(({ code, signal }) => {
       if (code !== 0 && signal !== 'SIGKILL' && !this.stopped) {
         violate('ENDS', `${this.name} ended by itself, code ${code} signal ${signal}`);
       }
       this.frozen = false;
-      if (!this.stopped) setTimeout(() => this.stopped || this.start(), between(200, 1000));
+      const startedAgain = faultSpans.begin(Date.now());
+      if (this.stopped) return;
+      setTimeout(() => {
+        if (!this.stopped) this.start();
+        startedAgain(Date.now());
+      }, between(200, 1000));
     });
   }
 
@@ -157,6 +205,7 @@
 
 let requestNumber = 0;
 let finished = false;
+let tenantsFinished = false;
 const onceAnswers = new Map();
 
 async function sendRequests() {
@@ -165,7 +214,7 @@
     const id = `${kind}${++requestNumber}`;
     const target = `/${kind}/${requestNumber}`;
     const agent = random() < 0.5 ? keepingAgent : false;
-    call(pick(machines).ip, NODE_PORTS.frontend, 'POST', target, { headers: { 'Attempt-Id': id }, agent }).then((answer) => {
+    callNode(pick(machines), 'POST', target, { headers: { 'Attempt-Id': id }, agent }).then((answer) => {
       if (kind === 'once') onceAnswers.set(id, answer.status);
       if (answer.status === 200) {
         ++counts.served;
@@ -178,13 +227,43 @@
         ++counts.unanswered;
       } else {
         ++counts.failed;
-        if (answer.status === 404 || answer.status === 400) violate('DENIED', `${id} got ${answer.status}`);
+        if ([400, 401, 404].includes(answer.status)) violate('DENIED', `${id} got ${answer.status}`);
       }
+      if (answer.status === 429) violate('LIMIT', `${id} got 429, and its tenant has no limit`);
     });
     await sleep(between(5, 30));
   }
 }
 
+/** What became of the requests of the tenants with limits: {id, sentAt, answeredAt, status}. */
+const tenantRequests = { hot: [], steady: [] };
+
+/** Sends requests of a tenant at an even rate, to any node. */
+async function sendAsTenant(tenant, perSecond) {
+  while (!tenantsFinished) {
+    const id = `${tenant}${++requestNumber}`;
+    const request = { id, sentAt: Date.now() };
+    callNode(pick(machines, tenantRandom), 'POST', `/quick/${id}`, { tenant, headers: { 'Attempt-Id': id }, agent: keepingAgent }).then((answer) => {
+      tenantRequests[tenant].push({ ...request, answeredAt: Date.now(), status: answer.status });
+      if ([400, 401, 404].includes(answer.status)) violate('DENIED', `${id} got ${answer.status}`);
+      if (answer.status === 429 && !(Number(answer.headers['retry-after']) > 0)) {
+        violate('LIMIT', `${id} got 429 without a time to come back`);
+      }
+    });
+    await sleep(between(500, 1500, tenantRandom) / perSecond);
+  }
+}
+
+/** Requests with a key that no tenant has must not be served. */
+async function sendUnknownKeys() {
+  while (!finished) {
+    const id = `unknown${++requestNumber}`;
+    const answer = await callNode(pick(machines, tenantRandom), 'POST', `/quick/${id}`, { tenant: 'nobody', headers: { 'Attempt-Id': id } });
+    if (![0, 401, 503].includes(answer.status)) violate('KEYS', `${id} got ${answer.status} with an unknown key`);
+    await sleep(200);
+  }
+}
+
 /** Accepted jobs: id, and the results that were read, in order. */
 const jobs = new Map();
 
@@ -197,7 +276,7 @@
     }));
     const body = JSON.stringify({ requests });
     for (let attempt = 0; attempt < 6; ++attempt) {
-      const answer = await call(pick(machines).ip, NODE_PORTS.frontend, 'POST', '/batch/x', { headers: { 'Attempt-Id': id }, body });
+      const answer = await callNode(pick(machines), 'POST', '/batch/x', { headers: { 'Attempt-Id': id }, body });
       if (answer.status === 202) {
         jobs.set(id, { requests, results: [], acceptedAt: Date.now() });
         ++counts.jobs;
@@ -216,7 +295,7 @@
 async function readJob(id, machine) {
   const job = jobs.get(id);
   const seen = job.results.length;
-  const answer = await call(machine.ip, NODE_PORTS.frontend, 'GET', `/v1/lots/${id}?sinceRevision=0`);
+  const answer = await callNode(machine, 'GET', `/v1/lots/${id}?sinceRevision=0`);
   if (answer.status === 404 || answer.status === 410) {
     violate('LOST', `job ${id} got ${answer.status} at ${machine.name}`);
   }
@@ -260,18 +339,24 @@
   }
 }
 
-/** Version of the configuration that a node says is in force; 0 without an answer. */
-async function versionAt(machine) {
+/** Value of a metric at a node; 0 without an answer. @param name with its labels */
+async function metricAt(machine, name) {
   const answer = await call(machine.ip, NODE_PORTS.metrics, 'GET', '/metrics', { timeout: 1000 });
-  const line = answer.status === 200 && answer.text.match(/^dockpoint_gateway_configuration_version (\d+)/m);
-  return line ? Number(line[1]) : 0;
+  const line = answer.status === 200 && answer.text.split('\n').find((candidate) => candidate.startsWith(`${name} `));
+  return line ? Number(line.slice(name.length)) : 0;
+}
+
+/** Sum of a metric over all nodes. */
+async function metricOfAll(name) {
+  const values = await Promise.all(machines.map((machine) => metricAt(machine, name)));
+  return values.reduce((sum, value) => sum + value, 0);
 }
 
 async function watchVersions() {
   while (!finished) {
     for (const machine of machines) {
       const life = machine.process;
-      const version = await versionAt(machine);
+      const version = await metricAt(machine, 'dockpoint_gateway_configuration_version');
       if (version > 0 && machine.process === life) {
         if (life.highestVersion > version) {
           violate('CONFIG', `${machine.name} went back from version ${life.highestVersion} to ${version}`);
@@ -284,22 +369,45 @@
 }
 
 let version = 1;
-/** In a calm moment: a route is added, a replica drains; both are known everywhere within the bound. */
+const limits = { hot: new LimitHistory(RATE_WINDOW), steady: new LimitHistory(RATE_WINDOW) };
+
+/** Publishes the next configuration, with other limits and priorities of the tenants. */
+async function publishConfiguration() {
+  version += 1 + Math.floor(tenantRandom() * 3);
+  const chosen = { hot: pick(HOT_LIMITS, tenantRandom), steady: pick(STEADY_LIMITS, tenantRandom) };
+  const urgency = Math.floor(tenantRandom() * 2);
+  const publishedAt = Date.now();
+  await control(`/configuration?version=${version}&hot=${chosen.hot}&steady=${chosen.steady}&hot_priority=${urgency}`);
+  const inForceAt = Date.now() + BOUND_MS;
+  for (const [tenant, rate] of Object.entries(chosen)) {
+    limits[tenant].change({ perSecond: rate, burst: rate }, publishedAt, inForceAt);
+  }
+}
+
+/** In calm times nodes agree on whose the slots are. */
+async function checkOwnSlots() {
+  const own = await metricOfAll('dockpoint_gateway_own_slots');
+  const slots = REPLICAS * SLOTS_OF_REPLICA;
+  counts.ownSlots = own;
+  if (own > slots) violate('SLOTS', `the nodes count ${own} slots as their own, of ${slots}`);
+}
+
+/** In a calm moment: a route is added, limits change, a replica drains; known everywhere within the bound. */
 async function changeSomething() {
   await sleep(CALM_MS);
   const lives = machines.map((machine) => machine.process);
   const replica = Math.floor(random() * REPLICAS);
-  version += 1 + Math.floor(random() * 3);
-  await control(`/configuration?version=${version}`);
+  await publishConfiguration();
   await control(`/replica?number=${replica}&state=draining`);
   await sleep(BOUND_MS);
   const before = JSON.parse((await control('/arrivals')).text)[replica];
   for (const [index, machine] of machines.entries()) {
-    const { status } = await call(machine.ip, NODE_PORTS.frontend, 'GET', `/added-${version}/x`, { headers: { 'Attempt-Id': `added${++requestNumber}` } });
+    const { status } = await callNode(machine, 'GET', `/added-${version}/x`, { headers: { 'Attempt-Id': `added${++requestNumber}` } });
     if (status === 404 && machine.process === lives[index]) {
       violate('CONFIG', `${machine.name} does not serve the route of version ${version}`);
     }
   }
+  await checkOwnSlots();
   await sleep(500);
   const after = JSON.parse((await control('/arrivals')).text)[replica];
   if (after > before) violate('DRAIN', `${after - before} requests reached replica-${replica} after the bound`);
@@ -329,6 +437,13 @@
   ['partitions dealt anew', async () => control('/rebalance')],
 ];
 
+/** Makes a fault, and notes when it was under way. */
+async function makeFault(make) {
+  const over = faultSpans.begin(Date.now());
+  await make();
+  over(Date.now());
+}
+
 /** Faults that begin shortly after each other, whatever the former ones still do. */
 async function makeSeries() {
   const length = 3 + Math.floor(random() * 4);
@@ -337,7 +452,7 @@
     const [name, make] = pick(faults);
     say(`fault in a series: ${name}`);
     ++counts.faults;
-    running.push(make());
+    running.push(makeFault(make));
     await sleep(between(50, 600));
   }
   await Promise.all(running);
@@ -358,11 +473,33 @@
     const chosen = Array.from({ length: together }, () => pick(faults));
     say(`fault: ${chosen.map(([name]) => name).join(' and ')}`);
     counts.faults += together;
-    await Promise.all(chosen.map(([, make]) => make()));
+    await Promise.all(chosen.map(([, make]) => makeFault(make)));
     await sleep(between(300, 2500));
   }
 }
 
+function checkTenants(record) {
+  for (const [tenant, history] of Object.entries(limits)) {
+    const [worst] = windowsOverLimit(tenantRequests[tenant], history).sort((one, other) => other.admitted - one.admitted);
+    if (worst) {
+      violate('LIMIT', `${tenant}: ${worst.admitted} requests in the window from ${((worst.start - started) / 1000).toFixed(2)} s, allowed ${worst.allowed}`);
+    }
+    for (const { id } of tenantRequests[tenant]) {
+      if (record.runs[id] && record.tenants[id] !== tenant) violate('MIXED', `${id} ran as ${record.tenants[id]}'s`);
+    }
+  }
+  const { asked, refused } = refusalsInCalm(tenantRequests.steady, faultSpans, LIMIT_SETTLE_MS);
+  if (refused > asked * REFUSED_BELOW_LIMIT + 1) {
+    violate('LIMIT', `steady: ${refused} of ${asked} requests refused in calm times, and it is below its limit`);
+  }
+  if (record.keys_seen > 0) violate('KEYS', `${record.keys_seen} requests reached replicas with their caller's key`);
+  counts.steadyInCalm = { asked, refused };
+  for (const [tenant, requests] of Object.entries(tenantRequests)) {
+    counts[tenant] = { sent: requests.length, served: requests.filter(({ status }) => status === 200).length,
+      overLimit: requests.filter(({ status }) => status === 429).length };
+  }
+}
+
 async function checkAtEnd() {
   const until = Date.now() + SETTLE_MS;
   const unfinished = () => [...jobs].filter(([, job]) => job.results.length < ITEMS);
@@ -374,7 +511,9 @@
   for (const id of jobs.keys()) {
     for (const machine of machines) await readJob(id, machine);
   }
-  const runs = JSON.parse((await control('/runs')).text);
+  const record = JSON.parse((await control('/runs')).text);
+  const { runs } = record;
+  checkTenants(record);
   for (const [id, status] of onceAnswers) {
     const ran = runs[id] ?? 0;
     if (ran > 1) violate('TWICE', `${id} ran ${ran} times`);
@@ -388,17 +527,27 @@
   await eventually('the platform', async () => (await control('/runs')).status === 200);
   const links = [...replicaLinks, ...machines.map((machine) => machine.storeLink)];
   await Promise.all(links.map((link) => link.ready));
+  await control(`/service-time?ms=${options['service-ms']}`);
+  await publishConfiguration();
   machines.forEach((machine) => machine.start());
   for (const machine of machines) {
     await eventually(machine.name, async () => (await call(machine.ip, NODE_PORTS.readiness, 'GET', '/')).status === 200);
   }
-  const work = [sendRequests(), submitJobs(), readJobs(), watchVersions()];
+  const work = [sendRequests(), submitJobs(), readJobs(), watchVersions(), sendUnknownKeys()];
+  const tenants = [sendAsTenant('hot', HOT_PER_SECOND), sendAsTenant('steady', STEADY_PER_SECOND)];
   await makeFaults();
   await control('/faults');
   say('faults are over');
   finished = true;
   await Promise.all(work);
-  await sleep(5000);
+  await sleep(TENANTS_AFTER_FAULTS_MS);
+  tenantsFinished = true;
+  await Promise.all(tenants);
+  await sleep(ANSWERS_MS);
+  counts.placements = {
+    own: await metricOfAll('dockpoint_gateway_placements_total{slot="own"}'),
+    other: await metricOfAll('dockpoint_gateway_placements_total{slot="other"}'),
+  };
   await checkAtEnd();
 } finally {
   for (const machine of machines) {
--- a/tests/platform/soak/stand_in_main.cpp
+++ b/tests/platform/soak/stand_in_main.cpp
@@ -6,10 +6,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <memory>
 #include <random>
+#include <utility>
 #include <vector>
 
 #include "dockpoint/core/hash.hpp"
@@ -30,7 +32,30 @@
 /// One short request in so many is run, and its connection ends without an answer.
 constexpr std::uint64_t kCutEvery = 25;
 
-/// A configuration in two parts; the version stands before the first, further routes between them.
+/// Limits of the tenants, in requests a second, as the soak asks for them; 0: none.
+struct TenantLimits {
+  double hot = 20;
+  double steady = 40;
+  /// Of the hot tenant; the steady one has the other of 0 and 1.
+  int hot_priority = 1;
+};
+
+/// @return the entry of a tenant whose burst is what its rate gives in a second.
+std::string tenant(const std::string& name, int priority, double rate) {
+  return R"({"name":")" + name + R"(","priority":)" + std::to_string(priority) +
+         R"(,"apiKeys":["key-of-)" + name + R"("],"ratePerS":)" + std::to_string(rate) +
+         R"(,"burst":)" + std::to_string(rate) + "}";
+}
+
+/// @return the member of the configuration that lists the tenants; `plain` has no limit.
+std::string tenants(const TenantLimits& limits) {
+  return R"(,"tenants":[{"name":"plain","priority":0,"apiKeys":["key-of-plain"]},)" +
+         tenant("hot", limits.hot_priority, limits.hot) + "," +
+         tenant("steady", 1 - limits.hot_priority, limits.steady) + "]";
+}
+
+/// A configuration in two parts; version and tenants stand before the first, further routes between
+/// them.
 const char* const kRoutesStart = R"(,"routeList":[
  {"name":"quick","host":"soak.example","pathPrefix":"/quick/","type":"idempotent","timeoutMs":3000,
   "targetMs":300,"priority":0,"service":"lm","attempts":3},
@@ -45,22 +70,30 @@
   "headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
 /// @return a configuration with a route `/added-VERSION/`.
-std::string configuration(int version) {
+std::string configuration(int version, const TenantLimits& limits) {
   const std::string name = "added-" + std::to_string(version);
-  return "{\"version\":" + std::to_string(version) + kRoutesStart + R"(,{"name":")" + name +
-         R"(","host":"soak.example","pathPrefix":"/)" + name +
+  return "{\"version\":" + std::to_string(version) + tenants(limits) + kRoutesStart +
+         R"(,{"name":")" + name + R"(","host":"soak.example","pathPrefix":"/)" + name +
          R"(/","type":"idempotent","timeoutMs":3000,"targetMs":300,"priority":0,"service":"lm",)" +
          R"("attempts":3})" + kRoutesEnd;
 }
 
-/// One replica: answers short requests at once and streams the events of batch items.
+/// What all replicas have run, by the id that a request came with.
+struct RunRecord {
+  std::map<std::string, int> runs;
+  std::map<std::string, std::string> tenants;  ///< As the replica was told.
+  int keys_seen = 0;                           ///< Requests that still had their caller's key.
+};
+
+/// One replica: answers short requests after `service_time` and streams the events of batch items.
 class SoakReplica {
  public:
-  SoakReplica(boost::asio::io_context& loop, int number, std::uint16_t port,
-              std::map<std::string, int>& runs)
+  SoakReplica(boost::asio::io_context& loop, int number, std::uint16_t port, RunRecord& record,
+              const Duration& service_time)
       : id_("replica-" + std::to_string(number)),
         loop_(loop),
-        runs_(runs),
+        record_(record),
+        service_time_(service_time),
         replica_(loop, id_, port, [this](const net::ExchangePtr& exchange) { serve(exchange); }) {}
 
   const std::string& id() const { return id_; }
@@ -77,13 +110,15 @@
       exchange->respond(421, headers, {});
       return;
     }
-    ++runs_[std::string(request.headers.get("Attempt-Id"))];
+    note_run(request);
     if (!request.target.starts_with("/batch/")) {
       if (random_() % kCutEvery == 0) {
         exchange->abort();
         return;
       }
-      exchange->respond(200, genuine_headers(exchange), "done " + request.target);
+      after(service_time_, [exchange] {
+        exchange->respond(200, genuine_headers(exchange), "done " + exchange->request().target);
+      });
       return;
     }
     if (request.target.starts_with("/batch/never")) {
@@ -95,6 +130,29 @@
     send_event(exchange, last.empty() ? 1 : std::atoi(last.c_str()) + 1);
   }
 
+  void note_run(const net::RequestHead& request) {
+    const std::string id(request.headers.get("Attempt-Id"));
+    ++record_.runs[id];
+    record_.tenants[id] = request.headers.get("Tenant");
+    if (!request.headers.get("Api-Key").empty()) {
+      ++record_.keys_seen;
+    }
+  }
+
+  /// Calls `action` after a time, or at once if there is none.
+  void after(Duration time, std::function<void()> action) {
+    if (time == Duration{}) {
+      action();
+      return;
+    }
+    const auto timer = std::make_shared<boost::asio::steady_timer>(loop_, time);
+    timer->async_wait([action = std::move(action), timer](const boost::system::error_code& error) {
+      if (!error) {
+        action();
+      }
+    });
+  }
+
   void send_event(const net::ExchangePtr& exchange, int number) {
     if (number > kEvents) {
       exchange->end();
@@ -102,18 +160,14 @@
     }
     exchange->write("id: " + std::to_string(number) + "\ndata: " + exchange->request().target +
                     " " + std::to_string(number) + "\n\n");
-    const auto timer = std::make_shared<boost::asio::steady_timer>(loop_, kEventInterval);
-    timer->async_wait([this, exchange, number, timer](const boost::system::error_code& error) {
-      if (!error) {
-        send_event(exchange, number + 1);
-      }
-    });
+    after(kEventInterval, [this, exchange, number] { send_event(exchange, number + 1); });
   }
 
   const std::string id_;
   std::mt19937_64 random_{hash64(id_)};
   boost::asio::io_context& loop_;
-  std::map<std::string, int>& runs_;
+  RunRecord& record_;
+  const Duration& service_time_;
   int arrivals_ = 0;
   StandInReplica replica_;
 };
@@ -128,10 +182,11 @@
         first_published_port_(first_published_port),
         control_(loop, [this](const net::ExchangePtr& exchange) { serve_control(exchange); }),
         timer_(loop) {
-    store_.put(platform::kConfigurationTopic, platform::kConfigurationKey, configuration(1));
+    store_.put(platform::kConfigurationTopic, platform::kConfigurationKey, configuration(1, {}));
     for (int number = 0; number < replicas; ++number) {
       const auto port = static_cast<std::uint16_t>(first_replica_port + number);
-      replicas_.push_back(std::make_unique<SoakReplica>(loop, number, port, runs_));
+      replicas_.push_back(
+          std::make_unique<SoakReplica>(loop, number, port, record_, service_time_));
       publish(number, "ready");
     }
     control_.listen("127.0.0.1:" + std::to_string(control_port));
@@ -167,6 +222,10 @@
     return counts;
   }
 
+  nlohmann::json runs() const {
+    return {{"runs", record_.runs}, {"tenants", record_.tenants}, {"keys_seen", record_.keys_seen}};
+  }
+
   void serve_control(const net::ExchangePtr& exchange) {
     const net::Target target = net::Target::parse(exchange->request().target);
     const auto number = [&](const char* name) {
@@ -184,11 +243,15 @@
       store_.log.rebalance();
     } else if (target.path == "/configuration") {
       store_.put(platform::kConfigurationTopic, platform::kConfigurationKey,
-                 configuration(static_cast<int>(number("version"))));
+                 configuration(
+                     static_cast<int>(number("version")),
+                     {number("hot"), number("steady"), static_cast<int>(number("hot_priority"))}));
+    } else if (target.path == "/service-time") {
+      service_time_ = std::chrono::milliseconds(static_cast<int>(number("ms")));
     } else if (target.path == "/replica") {
       publish(static_cast<int>(number("number")), target.parameter("state").value_or("ready"));
     }
-    const nlohmann::json answer = target.path == "/arrivals" ? arrivals() : nlohmann::json(runs_);
+    const nlohmann::json answer = target.path == "/arrivals" ? arrivals() : runs();
     exchange->respond(200, {{"Content-Type", "application/json"}}, answer.dump());
   }
 
@@ -197,7 +260,8 @@
   int sequence_ = 0;
   net::HttpServer control_;
   boost::asio::steady_timer timer_;
-  std::map<std::string, int> runs_;  ///< By the id that the request came with.
+  Duration service_time_{};  ///< Of short requests at every replica.
+  RunRecord record_;
   std::vector<std::unique_ptr<SoakReplica>> replicas_;
 };
 
