--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -12,6 +12,13 @@
   return buckets;
 }
 
+/// Upper bounds of the errors of expected waits, in seconds.
+const prometheus::Histogram::BucketBoundaries& wait_error_buckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets{-0.4, -0.2, -0.1, -0.05, 0,
+                                                               0.05, 0.1,  0.2,  0.4,   0.8};
+  return buckets;
+}
+
 /// Tenants over their limit that get a series of their own.
 constexpr std::size_t kTenantsShown = 32;
 
@@ -30,6 +37,10 @@
                       .Name("dockpoint_gateway_first_byte_seconds")
                       .Help("Time from a request's arrival to the first byte of its answer.")
                       .Register(registry_)),
+      wait_error_(prometheus::BuildHistogram()
+                      .Name("dockpoint_gateway_wait_error_seconds")
+                      .Help("Time from sending to the first byte, less the wait expected there.")
+                      .Register(registry_)),
       attempts_(prometheus::BuildCounter()
                     .Name("dockpoint_gateway_attempts_total")
                     .Help("Attempts at replicas by outcome.")
@@ -78,6 +89,11 @@
       .Observe(std::chrono::duration<double>(time).count());
 }
 
+void GatewayMetrics::observe_wait(const std::string& kind, const WaitError& wait) {
+  wait_error_.Add({{"kind", kind}, {"expected_ms", wait.expected_class}}, wait_error_buckets())
+      .Observe(std::chrono::duration<double>(wait.error).count());
+}
+
 void GatewayMetrics::count_attempt(const std::string& outcome) {
   attempts_.Add({{"outcome", outcome}}).Increment();
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "dockpoint/core/time.hpp"
+#include "gateway/wait_calibration.hpp"
 
 namespace dockpoint {
 
@@ -21,6 +22,8 @@
   /// @param outcome `answered`, `refused`, `failed`, `timed_out`, `broken_off` or `caller_gone`.
   void count_request(const std::string& kind, const std::string& outcome);
   void observe_first_byte(const std::string& kind, Duration time);
+  /// Compares an expected wait with what followed, at the first byte of an online request's answer.
+  void observe_wait(const std::string& kind, const WaitError& wait);
   void count_attempt(const std::string& outcome);
   /// Counts a request that was sent to a replica. @param own_slot in a slot of this node's own.
   void count_placement(bool own_slot);
@@ -48,6 +51,7 @@
   prometheus::Registry registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Histogram>& first_byte_;
+  prometheus::Family<prometheus::Histogram>& wait_error_;
   prometheus::Family<prometheus::Counter>& attempts_;
   prometheus::Family<prometheus::Counter>& placements_;
   prometheus::Family<prometheus::Counter>& rate_limited_;
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -113,6 +113,7 @@
   load_at_choice_ = choice.replica->load(now);
   slots_at_choice_ = replica.slots;
   own_slot_ = choice.own_slot;
+  expected_wait_ = choice.expected_wait;
   context_.metrics.count_placement(own_slot_);
   attempt_.start(*choice.replica, net::serialize(head) + body, choice.missing_tokens, *this);
   const bool would_wait =
@@ -455,8 +456,10 @@
 }
 
 void OnlineCall::note_first_byte() {
-  first_byte_after_ = net::steady_now() - exchange_->received();
+  const TimePoint now = net::steady_now();
+  first_byte_after_ = now - exchange_->received();
   context_.metrics.observe_first_byte(kind(), first_byte_after_);
+  context_.metrics.observe_wait(kind(), wait_error(expected_wait_, now - sent_at_));
 }
 
 const char* OnlineCall::kind() const {
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -96,6 +96,7 @@
   int load_at_choice_ = 0;       ///< Of the replica chosen last, without this request.
   int slots_at_choice_ = 0;      ///< The same replica's.
   bool own_slot_ = false;        ///< It was sent to a slot of this node's own.
+  Duration expected_wait_{};     ///< For a slot at the replica chosen last.
   Duration first_byte_after_{};  ///< From the arrival; zero as long as there is none.
   bool finished_ = false;
 };
