--- a/src/gateway/wait_calibration.cpp
+++ b/src/gateway/wait_calibration.cpp
@@ -1,6 +1,5 @@
 #include "gateway/wait_calibration.hpp"
 
-#include <algorithm>
 #include <array>
 
 namespace dockpoint {
@@ -12,10 +11,12 @@
     std::chrono::milliseconds(200), std::chrono::milliseconds(400)};
 
 std::string class_of(Duration expected) {
-  const auto* const bound =
-      std::ranges::lower_bound(kClassBounds, expected, std::ranges::less_equal(),
-                               [](auto limit) { return Duration(limit); });
-  return bound == kClassBounds.end() ? "more" : std::to_string(bound->count());
+  for (const std::chrono::milliseconds bound : kClassBounds) {
+    if (expected <= bound) {
+      return std::to_string(bound.count());
+    }
+  }
+  return "more";
 }
 
 }  // namespace
