--- a/scripts/account.mjs
+++ b/scripts/account.mjs
@@ -66,8 +66,8 @@
     const rest = groups.length > shown.length ? `, the ${shown.length} of ${groups.length} with the most losses` : '';
     console.log(compareTable(`Requests by ${name}${rest}`, [shown], LOG_COUNTS));
   }
-  console.log(compareTable('Time to the first byte minus expected wait, in ms, by expected wait', [compareWaits(log)],
-    { count: 'requests', p10: 'p10', median: 'median', p90: 'p90' }));
+  console.log(compareTable('Time to the first byte minus expected wait, in ms, by service and expected wait', [compareWaits(log)],
+    { count: 'requests', p10: 'p10', median: 'median', p90: 'p90', firstByte: 'first byte, median' }));
 }
 
 try {
--- a/scripts/account/wait_table.mjs
+++ b/scripts/account/wait_table.mjs
@@ -16,31 +16,44 @@
   return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))];
 }
 
+const CLASSES = [...BOUNDS_MS.map(className), className(Infinity)];
+
+/** @return {service, expected, firstByte} of a request that was answered, in milliseconds; or null if a line is missing. */
+function compareRequest(end, expectedWaits) {
+  const expected = expectedWaits.get(end.fields.id);
+  const firstByte = Number(end.fields.firstByteMs);
+  if (!Number.isFinite(expected) || !Number.isFinite(firstByte)) return null;
+  return { service: end.fields.service, expected, firstByte };
+}
+
+function summarize(name, requests) {
+  const errors = requests.map(({ expected, firstByte }) => firstByte - expected).sort((one, other) => one - other);
+  const firstBytes = requests.map(({ firstByte }) => firstByte).sort((one, other) => one - other);
+  return {
+    name, count: requests.length, p10: quantile(errors, 0.1), median: quantile(errors, 0.5), p90: quantile(errors, 0.9),
+    firstByte: quantile(firstBytes, 0.5),
+  };
+}
+
 /**
  * Takes requests that were sent once, so that the first byte belongs to the wait that was expected, and only
  * ids whose first attempt is always logged: late answers are logged more often than others.
  *
  * @param log from readNodeLog
- * @return rows {name, count, p10, median, p90}: time to the first byte minus expected wait in milliseconds, by class
- *   of the expected wait. The row of no wait shows what a free replica takes by itself.
+ * @return rows {name, count, p10, median, p90, firstByte}: time to the first byte minus expected wait in
+ *   milliseconds, and the median time to the first byte, by service and class of the expected wait. The row of no
+ *   wait shows what a free replica takes by itself.
  */
 export function compareWaits(log) {
   const sampled = sampledIds(log);
-  const expected = new Map(log.sends.map((send) => [send.fields.id, Number(send.fields.waitMs)]));
-  const errors = new Map();
-  for (const { event, fields } of log.ends) {
-    if (event !== 'answered' || fields.sends !== '1' || !sampled.has(fields.id)) continue;
-    const wait = expected.get(fields.id);
-    const firstByte = Number(fields.firstByteMs);
-    if (!Number.isFinite(wait) || !Number.isFinite(firstByte)) continue;
-    const name = className(wait);
-    if (!errors.has(name)) errors.set(name, []);
-    errors.get(name).push(firstByte - wait);
-  }
-  const names = [...BOUNDS_MS.map(className), className(Infinity)];
-  return names.filter((name) => errors.has(name)).map((name) => {
-    const sorted = errors.get(name).sort((one, other) => one - other);
-    const [p10, median, p90] = [0.1, 0.5, 0.9].map((share) => quantile(sorted, share));
-    return { name, count: sorted.length, p10, median, p90 };
-  });
+  const expectedWaits = new Map(log.sends.map((send) => [send.fields.id, Number(send.fields.waitMs)]));
+  const requests = log.ends
+    .filter(({ event, fields }) => event === 'answered' && fields.sends === '1' && sampled.has(fields.id))
+    .map((end) => compareRequest(end, expectedWaits))
+    .filter((request) => request !== null);
+  const services = [...new Set(requests.map(({ service }) => service))].sort();
+  return services.flatMap((service) => CLASSES.flatMap((name) => {
+    const members = requests.filter((request) => request.service === service && className(request.expected) === name);
+    return members.length > 0 ? [summarize(`${service}, ${name}`, members)] : [];
+  }));
 }
--- a/tests/scripts/account.test.mjs
+++ b/tests/scripts/account.test.mjs
@@ -86,8 +86,8 @@
 
 test('waits are compared for requests that are logged whatever became of them', () => {
   assert.deepEqual(compareWaits(log()), [
-    { name: '0 ms', count: 1, p10: 40, median: 40, p90: 40 },
-    { name: 'up to 200 ms', count: 1, p10: 380, median: 380, p90: 380 },
+    { name: 'lm, 0 ms', count: 1, p10: 40, median: 40, p90: 40, firstByte: 40 },
+    { name: 'lm, up to 200 ms', count: 1, p10: 380, median: 380, p90: 380, firstByte: 500 },
   ]);
 });
 
