Every node gets as many units of slots as there are for everybody before one gets more

Cause: with an upper bound alone some nodes were left with few units; read in the code, and asserted now: 8 to 10 slots each of 712 among 73 nodes.

--- a/src/routing/slot_shares.cpp
+++ b/src/routing/slot_shares.cpp
@@ -81,7 +81,9 @@
   if (holders_.empty() || units.size() < holders_.size()) {
     return {};
   }
-  const std::size_t bound = (units.size() + holders_.size() - 1) / holders_.size();
+  // Nobody gets one more than the others before all have as many as there are for everybody.
+  const std::size_t for_all = units.size() / holders_.size();
+  std::size_t dealt = 0;
   std::vector<std::size_t> held(holders_.size(), 0);
   std::vector<int> own(replicas.size(), 0);
   for (const Unit& unit : units) {
@@ -89,6 +91,8 @@
     const auto place = static_cast<std::size_t>(zone - zones_.begin());
     std::optional<std::size_t> best;
     std::pair<bool, std::uint64_t> best_score;
+    const std::size_t bound = dealt < for_all * holders_.size() ? for_all : for_all + 1;
+    ++dealt;
     for (std::size_t index = 0; index < holders_.size(); ++index) {
       if (held[index] >= bound) {
         continue;
--- a/tests/routing/slot_shares_test.cpp
+++ b/tests/routing/slot_shares_test.cpp
@@ -101,7 +101,9 @@
     }
   }
   BOOST_TEST(dealt == 89 * 8);
+  BOOST_TEST(by_node.size() == 73U);
   for (const auto& [node, slots] : by_node) {
+    BOOST_TEST(slots >= 8, "node " << node << " has " << slots);
     BOOST_TEST(slots <= 10, "node " << node << " has " << slots);
   }
 }
