--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -110,6 +110,20 @@
   Duration retry_after_minimum = 300ms;      ///< Told to callers that are refused,
   Duration retry_after_spread = 700ms;  ///< spread by request so that they do not return at once.
 
+  // Paces of replicas.
+  int pace_memory_runs = 20;           ///< Runs over which the usual pace of a replica is learnt.
+  int pace_least_runs = 6;             ///< Fewer say nothing.
+  double pace_clear_factor = 1.2;      ///< A pace nearer to the middle is taken for the middle's.
+  double pace_limit = 4;               ///< No replica is taken to be slower or faster than this.
+  Duration pace_stated_fresh = 300ms;  ///< What a replica states of the moment holds this long,
+  Duration pace_stated_fade = 600ms;   ///< and then gives way to the usual pace over this time.
+  Duration pace_report_interval = 1s;  ///< Between a node's words on what it has learnt.
+  std::size_t pace_entries = 8;        ///< Replicas told of at a time.
+  Duration pace_word_lifetime = 15s;   ///< Another node's word counts this long,
+  std::size_t pace_words = 5;          ///< and those of so many nodes are kept for a replica.
+  Duration replica_full_time = 100ms;  ///< A replica that turned a request away without telling
+                                       ///< its load is taken to be full for this long.
+
   // Overload of the replicas.
   double overload_objectives = 2;     ///< Refuse if the expected wait is so many objectives,
   double overload_whole_time = 0.97;  ///< and the caller has so much of its time left, as a share;
--- a/include/dockpoint/routing/replica_directory.hpp
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -12,6 +12,7 @@
 #include "dockpoint/core/knobs.hpp"
 #include "dockpoint/core/time.hpp"
 #include "dockpoint/routing/load_digest.hpp"
+#include "dockpoint/routing/replica_pace.hpp"
 #include "dockpoint/routing/zone_evacuations.hpp"
 
 /// What one node knows of the replicas: their records, the load on them, and how they answered.
@@ -54,6 +55,10 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  /// How long work takes at this moment, against what is usual there; 2: twice as long. Nothing if
+  /// the replica does not say.
+  std::optional<double> pace{};
+  bool pace_unreadable = false;  ///< It says something that cannot be.
 };
 
 /// What the end of a request says about a replica.
@@ -78,12 +83,14 @@
   TimePoint peer_prefill_at{};     ///< When the last of them said so.
   ReportedLoad reported;
   TimePoint reported_at{};
+  TimePoint full_until{};  ///< It has turned a request away and is taken to be full until then.
   TimePoint cold_until{};
   int failures_in_row = 0;
   int ejections = 0;  ///< Since the last answer; above 0 the replica is on trial.
   TimePoint ejected_until{};
   DecayingCount own_failures{Duration{1}};  ///< That this node saw.
   double failures_of_peers = 0;             ///< That other nodes saw, by their digests.
+  bool pace_unreadable = false;             ///< It has stated a pace that cannot be.
   bool outlier = false;                     ///< It fails far more often than the others.
 
   /// @return failures lately, of all nodes.
@@ -94,13 +101,15 @@
   int all_batch() const { return batch + batch_of_peers; }
   /// @return requests estimated to run or wait there.
   int load(TimePoint now) const;
+  /// @return whether it lately turned a request away for want of a slot.
+  bool full(TimePoint now) const { return now < full_until; }
   bool on_trial() const { return ejections > 0; }
 };
 
 /// The replicas of all services. Not thread-safe.
 class ReplicaDirectory {
  public:
-  explicit ReplicaDirectory(const Knobs& knobs) : knobs_(knobs) {}
+  explicit ReplicaDirectory(const Knobs& knobs) : knobs_(knobs), paces_(knobs) {}
 
   /// Takes a record; what is known of a replica that stays is kept.
   void upsert(const ReplicaRecord& record, TimePoint now);
@@ -119,6 +128,16 @@
   void ended(const std::string& id, TrafficClass traffic);
   void signal(const std::string& id, ReplicaSignal signal, TimePoint now);
   void report(const std::string& id, const ReportedLoad& load, TimePoint now);
+  /// The replica did not take a request; it is full, unless it has just reported a free slot.
+  /// @return whether it counts as full.
+  bool turned_away(const std::string& id, TimePoint now);
+
+  /// Notes that a replica has stated a pace that cannot be. @return whether it is the first time.
+  bool first_unreadable_pace(const std::string& id);
+
+  /// How fast the replicas work.
+  const ReplicaPaces& paces() const { return paces_; }
+  ReplicaPaces& paces() { return paces_; }
 
   /// Takes digests of other nodes in place of their last ones.
   void set_peer_loads(const std::vector<LoadDigest>& digests, TimePoint now);
@@ -189,6 +208,7 @@
   double prefill_left(double tokens, TimePoint since, TimePoint now) const;
 
   const Knobs& knobs_;
+  ReplicaPaces paces_;
   std::map<std::string, Replica> replicas_;
   std::unordered_map<std::uint32_t, Replica*>
       by_key_;                                         ///< Of `replicas_`, whose places are stable.
--- a/include/dockpoint/routing/replica_selector.hpp
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -19,7 +19,8 @@
 /// tells why the least loaded is not simply taken), and those that are expected to hold a long part
 /// of the prompt. Each gets a cost: the time until the request would start there. It is made of the
 /// wait for a free slot, the reading of prompts that stand before it, and the reading of its own
-/// prompt as far as the replica's prefix cache is not expected to hold it. A prefix is expected
+/// prompt as far as the replica's prefix cache is not expected to hold it, each as long as the
+/// replica's pace makes it (replica_pace.hpp). A prefix is expected
 /// where this node sent it lately, and at its home: the replica with the highest rendezvous score
 /// for it, which all nodes compute alike without talking. A home that is busy costs more than
 /// reading the prefix again elsewhere, so that load stays bounded.
@@ -96,8 +97,8 @@
     DecayingCount sends;    ///< Of this node.
   };
 
-  /// @return the best free slot of this node's own, if there is one and no cached part of the
-  /// prompt weighs more.
+  /// @return the free slot of this node's own where the request ends soonest, if there is one and
+  /// no cached part of the prompt weighs more.
   Candidate own_slot(const ReplicaQuery& query, const std::vector<PrefixStep>& steps,
                      TimePoint now);
   /// Counts the choice.
@@ -130,7 +131,8 @@
   /// @return indices of the candidates to compare, those drawn by load first.
   std::vector<std::size_t> shortlist(const std::vector<Candidate>& all, double prompt_tokens,
                                      const WaterFilling& filling);
-  double wait_ms(const Replica& replica, double expected_load, const std::string& service) const;
+  double wait_ms(const Replica& replica, double expected_load, const std::string& service,
+                 TimePoint now) const;
   double cost_ms(const Candidate& candidate, TimePoint now) const;
   ServiceHistory& history_of(const std::string& service);
   PrefixEntry& touch(std::uint64_t chain);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -211,6 +211,7 @@
   if (now >= next_deal_) {
     next_deal_ = now + knobs_.replica_digest_interval;
     deal_slots(now);
+    note_paces(now);
   }
   if (fleet_.replicas_known()) {
     relayed_log_.set_replicas(fleet_.replicas());
@@ -230,6 +231,19 @@
   }
 }
 
+void Gateway::note_paces(TimePoint now) {
+  for (const PaceChange& change : replicas_.paces().update(now)) {
+    const Replica* replica = replicas_.find_key(change.replica_key);
+    if (replica != nullptr) {
+      spdlog::info(
+          "fleet: usual pace of a replica is {} replica={} service={} factor={:.2f} before={}",
+          to_string(change.now), replica->record.id, replica->record.service, change.factor,
+          to_string(change.before));
+    }
+  }
+  metrics_.set_pace_classes(replicas_.paces().classes());
+}
+
 void Gateway::request_slot(const Replica& replica) {
   if (batch_.yield_slot(replica.record.id)) {
     return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -68,6 +68,7 @@
   void note_outliers(TimePoint now);
   /// Takes the nodes that are heard now to the deal of slots.
   void deal_slots(TimePoint now);
+  void note_paces(TimePoint now);
   /// An online request was sent to a replica that is full: a batch item there gives its slot up.
   void request_slot(const Replica& replica);
   void take_slot_request(const SlotRequest& request);
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -38,6 +38,10 @@
                       .Name("dockpoint_gateway_placements_total")
                       .Help("Online requests sent to replicas, in slots of this node's own or not.")
                       .Register(registry_)),
+      full_replicas_(prometheus::BuildCounter()
+                         .Name("dockpoint_gateway_replica_full_total")
+                         .Help("Attempts that a replica turned away for want of a slot.")
+                         .Register(registry_)),
       rate_limited_(prometheus::BuildCounter()
                         .Name("dockpoint_gateway_rate_limited_total")
                         .Help("Online requests refused for their tenant's rate limit.")
@@ -64,6 +68,10 @@
                                      "Records among the replicas' that name no replica.")),
       own_slots_(make_gauge(registry_, "dockpoint_gateway_own_slots",
                             "Slots of replicas that are this node's own.")),
+      replicas_by_pace_(prometheus::BuildGauge()
+                            .Name("dockpoint_gateway_replicas_by_pace")
+                            .Help("Replicas by their usual pace, against their service's middle.")
+                            .Register(registry_)),
       partitions_owned_(make_gauge(registry_, "dockpoint_gateway_partitions_owned",
                                    "Partitions of batch jobs that this node owns.")),
       log_lines_dropped_(make_gauge(registry_, "dockpoint_gateway_log_lines_dropped",
@@ -86,6 +94,16 @@
   placements_.Add({{"slot", own_slot ? "own" : "other"}}).Increment();
 }
 
+void GatewayMetrics::count_full_replica() {
+  full_replicas_.Add({}).Increment();
+}
+
+void GatewayMetrics::set_pace_classes(const std::map<PaceClass, int>& classes) {
+  for (const auto& [pace, replicas] : classes) {
+    replicas_by_pace_.Add({{"pace", to_string(pace)}}).Set(replicas);
+  }
+}
+
 void GatewayMetrics::set_own_slots(int slots) {
   own_slots_.Set(slots);
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -5,11 +5,13 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
 
 #include "dockpoint/core/time.hpp"
+#include "dockpoint/routing/replica_pace.hpp"
 
 namespace dockpoint {
 
@@ -38,6 +40,8 @@
   void set_unreadable_records(std::size_t count);
   /// @param slots that are this node's own, of all services.
   void set_own_slots(int slots);
+  void count_full_replica();
+  void set_pace_classes(const std::map<PaceClass, int>& classes);
   void set_partitions_owned(std::size_t count);
   void set_log_lines_dropped(std::uint64_t count);
 
@@ -50,6 +54,7 @@
   prometheus::Family<prometheus::Histogram>& first_byte_;
   prometheus::Family<prometheus::Counter>& attempts_;
   prometheus::Family<prometheus::Counter>& placements_;
+  prometheus::Family<prometheus::Counter>& full_replicas_;
   prometheus::Family<prometheus::Counter>& rate_limited_;
   prometheus::Family<prometheus::Counter>& callers_refused_;
   prometheus::Family<prometheus::Counter>& items_;
@@ -59,6 +64,7 @@
   prometheus::Gauge& replicas_age_;
   prometheus::Gauge& unreadable_records_;
   prometheus::Gauge& own_slots_;
+  prometheus::Family<prometheus::Gauge>& replicas_by_pace_;
   prometheus::Gauge& partitions_owned_;
   prometheus::Gauge& log_lines_dropped_;
   std::set<std::string> tenants_shown_;  ///< With a series of their own.
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -60,6 +60,7 @@
 void ItemRun::on_body(std::string_view bytes) {
   last_progress_ = net::steady_now();
   if (status_ / 100 == 2 && !turned_away_) {
+    attempt_.take_stream(bytes, last_progress_);
     framer_.feed(bytes, [this](const StreamEvent& event) { take_event(event); });
   }
 }
@@ -88,6 +89,9 @@
   const TimePoint now = net::steady_now();
   const bool failed = !turned_away_ && status_ == kItemFailed;
   attempt_.signal(failed ? ReplicaSignal::kFailed : ReplicaSignal::kAnswered, now);
+  if (status_ / 100 == 2 && !turned_away_) {
+    attempt_.note_pace(now);
+  }
   attempt_.end();
   ItemProgress& kept = progress();
   if (turned_away_) {
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -173,6 +173,7 @@
     body_.append(bytes);
     return;
   }
+  attempt_.take_stream(bytes, last_progress_);
   const auto self = shared_from_this();
   if (history_.resumable) {
     framer_.feed(bytes, [this](const StreamEvent& event) { pass_event(event); });
@@ -210,6 +211,9 @@
     return;
   }
   context_.selector.note_service_time(service_, now - sent_at_);
+  if (head_.status / 100 == 2) {
+    attempt_.note_pace(now);
+  }
   if (!streaming_) {
     complete_whole();
     return;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -141,7 +141,9 @@
       pending_items_,
       context_.replicas.own_load(now),
       context_.rate_limiter == nullptr ? SpendReport{} : context_.rate_limiter->report(now),
-      fleet_position_.operator_records};
+      fleet_position_.operator_records,
+      false,
+      context_.replicas.paces().report(now)};
   if (cell_.divided()) {
     std::vector<const Member*> members = members_heard(cell_.others(), now);
     members.push_back(&membership_.self());
@@ -149,6 +151,7 @@
     tell(digest, cell_relay_, cell_collector_);
     digest.without_load = true;
     digest.entries.clear();
+    digest.paces.clear();
     digest.pending_items = 0;
   }
   if (!told_to_all()) {
--- a/src/gateway/replica_attempt.cpp
+++ b/src/gateway/replica_attempt.cpp
@@ -1,7 +1,11 @@
 #include "gateway/replica_attempt.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <utility>
 
+#include "net/clock.hpp"
+
 namespace dockpoint {
 
 void ReplicaAttempt::start(const Replica& replica, std::string bytes, double missing_tokens,
@@ -9,6 +13,8 @@
   replica_ = replica.record.id;
   last_replica_ = replica_;
   prefill_tokens_ = missing_tokens;
+  started_at_ = net::steady_now();
+  stream_ = {};
   context_.replicas.started(replica_, traffic_, prefill_tokens_);
   net::CallOptions options;
   options.connect_timeout = context_.knobs.replica_connect_timeout;
@@ -23,15 +29,41 @@
     return std::nullopt;
   }
   note_prefilled();
-  if (answer.load) {
-    context_.replicas.report(replica_, *answer.load, now);
-  }
+  note_load(answer, now);
   if (answer.wrong_replica) {
     context_.replicas.remove(replica_);
   }
   return answer;
 }
 
+void ReplicaAttempt::note_load(const ReplicaAnswer& answer, TimePoint now) {
+  if (answer.load) {
+    context_.replicas.report(replica_, *answer.load, now);
+    if (answer.load->pace_unreadable && context_.replicas.first_unreadable_pace(replica_)) {
+      spdlog::warn("fleet: the pace that a replica states is ignored replica={}", replica_);
+    }
+  }
+  if (answer.not_run && !answer.wrong_replica && context_.replicas.turned_away(replica_, now)) {
+    context_.metrics.count_full_replica();
+  }
+}
+
+void ReplicaAttempt::take_stream(std::string_view bytes, TimePoint now) {
+  stream_.take(bytes, now);
+}
+
+void ReplicaAttempt::note_pace(TimePoint now) {
+  const Replica* replica = context_.replicas.find(replica_);
+  if (replica == nullptr || now < replica->cold_until) {
+    return;  // A cold replica tells nothing of how it works later.
+  }
+  if (const auto step = stream_.step()) {
+    context_.replicas.paces().observed(replica->key, PaceSample::kEvent, *step, now);
+  } else if (!stream_.begun()) {
+    context_.replicas.paces().observed(replica->key, PaceSample::kRun, now - started_at_, now);
+  }
+}
+
 void ReplicaAttempt::signal(ReplicaSignal signal, TimePoint now) {
   context_.replicas.signal(replica_, signal, now);
 }
--- a/src/gateway/replica_attempt.hpp
+++ b/src/gateway/replica_attempt.hpp
@@ -2,7 +2,9 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
+#include "dockpoint/streaming/stream_pace.hpp"
 #include "gateway/gateway_context.hpp"
 
 namespace dockpoint {
@@ -28,6 +30,11 @@
   /// @param id of the request. @return nothing if the answer belongs to another request.
   std::optional<ReplicaAnswer> take_head(const net::ResponseHead& head, const std::string& id,
                                          TimePoint now);
+  /// Takes bytes of a stream that is under way: the time between its events tells the replica's
+  /// pace.
+  void take_stream(std::string_view bytes, TimePoint now);
+  /// The run has ended well: tells the directory how fast the replica works.
+  void note_pace(TimePoint now);
   /// Tells the directory how it went.
   void signal(ReplicaSignal signal, TimePoint now);
   /// Ends it; the connection of a call that is not complete is closed. May be called at any time.
@@ -42,12 +49,15 @@
  private:
   /// The prompt counts as read.
   void note_prefilled();
+  void note_load(const ReplicaAnswer& answer, TimePoint now);
 
   GatewayContext& context_;
   const TrafficClass traffic_;
   std::string replica_;       ///< Empty between attempts.
   std::string last_replica_;  ///< The same, kept.
   net::CallPtr call_;
+  TimePoint started_at_{};
+  StreamPace stream_;
   double prefill_tokens_ = 0;  ///< Counted at the replica until the first byte.
 };
 
--- a/src/routing/load_digest.cpp
+++ b/src/routing/load_digest.cpp
@@ -77,7 +77,7 @@
     wire.spends.insert(wire.spends.end(), {spend.tenant, spend.total, spend.recent});
   }
   for (const PaceEntry& pace : digest.paces) {
-    wire.paces.insert(wire.paces.end(), {pace.replica_key, pace.hundredths});
+    wire.paces.insert(wire.paces.end(), {pace.replica_key, pace.step_us});
   }
   return kTag + pack(wire);
 }
--- a/src/routing/replica_directory.cpp
+++ b/src/routing/replica_directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <utility>
 
 #include "dockpoint/core/hash.hpp"
 #include "dockpoint/routing/outlier_detection.hpp"
@@ -27,7 +28,8 @@
 }
 
 int Replica::load(TimePoint now) const {
-  const int counted = online + batch + of_peers;
+  const int seen = online + batch + of_peers;
+  const int counted = full(now) ? std::max(seen, record.slots) : seen;
   if (reported.waiting > 0 && now - reported_at < kReportFresh) {
     return std::max(counted, reported.running + reported.waiting);
   }
@@ -47,6 +49,7 @@
   ++revision_;
   if (added) {
     by_key_[replica.key] = &replica;
+    paces_.add(replica.key, record.service);
     show_peer_sum(replica.key);
   }
 }
@@ -84,6 +87,7 @@
   const auto found = by_key_.find(replica.key);
   if (found != by_key_.end() && found->second == &replica) {
     by_key_.erase(found);
+    paces_.forget(replica.key);
   }
 }
 
@@ -143,7 +147,29 @@
   if (Replica* replica = mutable_find(id)) {
     replica->reported = load;
     replica->reported_at = now;
+    if (load.pace) {
+      paces_.stated(replica->key, *load.pace, now);
+    }
+  }
+}
+
+bool ReplicaDirectory::first_unreadable_pace(const std::string& id) {
+  Replica* replica = mutable_find(id);
+  return replica != nullptr && !std::exchange(replica->pace_unreadable, true);
+}
+
+bool ReplicaDirectory::turned_away(const std::string& id, TimePoint now) {
+  Replica* replica = mutable_find(id);
+  if (replica == nullptr) {
+    return false;
+  }
+  const ReportedLoad& reported = replica->reported;
+  const bool reported_now = replica->reported_at == now && reported.slots > 0;
+  if (reported_now && reported.running < reported.slots) {
+    return false;  // It had another reason.
   }
+  replica->full_until = now + (reported_now ? kReportFresh : knobs_.replica_full_time);
+  return true;
 }
 
 void ReplicaDirectory::set_peer_loads(const std::vector<LoadDigest>& digests, TimePoint now) {
@@ -152,6 +178,7 @@
     count_peer_load(peer, -1, now);
     peer = {digest.entries, digest.pending_items, now, now};
     count_peer_load(peer, 1, now);
+    paces_.told(digest.node, digest.paces, now);
   }
 }
 
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -53,7 +53,7 @@
   Candidate* best = nullptr;
   for (const std::size_t index : shortlist(all, prompt_tokens, filling)) {
     Candidate& candidate = all[index];
-    candidate.wait_ms = wait_ms(*candidate.replica, candidate.competing_load, query.service);
+    candidate.wait_ms = wait_ms(*candidate.replica, candidate.competing_load, query.service, now);
     candidate.cost_ms = cost_ms(candidate, now);
     if (best == nullptr || candidate.cost_ms < best->cost_ms - knobs_.selection_margin_ms) {
       best = &candidate;
@@ -84,9 +84,11 @@
   }
   const double prompt_tokens = steps.empty() ? 0 : steps.back().tokens;
   Candidate best;
+  double best_end_ms = 0;
   for (const SlotShare& share : shares_->of(query.service, directory_)) {
     const Replica* replica = directory_.find_key(share.replica_key);
-    if (replica == nullptr || replica->online >= share.slots || !usable(*replica, query, now)) {
+    if (replica == nullptr || replica->online >= share.slots || replica->full(now) ||
+        !usable(*replica, query, now)) {
       continue;
     }
     Candidate candidate;
@@ -94,11 +96,15 @@
     candidate.expected_load = replica->load(now);
     candidate.competing_load = candidate.expected_load - yielding_items(*replica, query.traffic);
     candidate.missing_tokens = prompt_tokens - cached_tokens(*replica, steps, {0, 0}, now);
-    candidate.wait_ms = wait_ms(*replica, candidate.competing_load, query.service);
+    candidate.wait_ms = wait_ms(*replica, candidate.competing_load, query.service, now);
     candidate.cost_ms = cost_ms(candidate, now);
     candidate.own_slot = true;
-    if (best.replica == nullptr || candidate.cost_ms < best.cost_ms) {
+    // A slot that is free again sooner is there for the next request.
+    const double slower = directory_.paces().expected(replica->key, now) - 1;
+    const double end_ms = candidate.cost_ms + slower * service_ms(query.service);
+    if (best.replica == nullptr || end_ms < best_end_ms) {
       best = candidate;
+      best_end_ms = end_ms;
     }
   }
   return best;
@@ -165,7 +171,8 @@
   const double reading =
       replica.prefill_tokens + peer_prefill(replica, now) + candidate.missing_tokens;
   const double fill = candidate.competing_load / std::max(1, replica.record.slots);
-  double cost = candidate.wait_ms + reading / knobs_.prefill_tokens_per_ms;
+  const double pace = directory_.paces().expected(replica.key, now);
+  double cost = candidate.wait_ms + pace * reading / knobs_.prefill_tokens_per_ms;
   cost += std::min(1.0, fill) * knobs_.slot_pressure_ms;
   cost += replica.record.zone == zone_ ? 0 : knobs_.remote_zone_ms;
   cost += now < replica.cold_until ? knobs_.cold_replica_ms : 0;
@@ -279,13 +286,14 @@
 }
 
 double ReplicaSelector::wait_ms(const Replica& replica, double expected_load,
-                                const std::string& service) const {
+                                const std::string& service, TimePoint now) const {
   const int slots = std::max(1, replica.record.slots);
   // The load is an expectation: near the limit the request waits with some probability.
   const double beyond = expected_load + 1 - slots;
   const double spread = knobs_.load_uncertainty;
   const double waiting = spread * std::log1p(std::exp(std::min(beyond / spread, kLargeExponent)));
-  return std::max(waiting, beyond) * service_ms(service) / slots;
+  const double hold_ms = service_ms(service) * directory_.paces().expected(replica.key, now);
+  return std::max(waiting, beyond) * hold_ms / slots;
 }
 
 void ReplicaSelector::note_prompt(const std::string& replica, const std::vector<PromptPart>& prompt,
--- a/tests/platform/traffic_test.cpp
+++ b/tests/platform/traffic_test.cpp
@@ -70,4 +70,45 @@
   BOOST_TEST(job->id == tenant_job_id("clinic", "job-1"));
 }
 
+namespace {
+
+std::optional<ReportedLoad> load_in(const char* header) {
+  const net::ResponseHead head{503, "Busy", {{"Instance-Load", header}, {"Not-Executed", "1"}}};
+  return kTraffic.read_answer(head, "a").load;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(the_load_of_a_replica_is_read_with_its_pace_or_without) {
+  const auto three = load_in("3,1,8");
+  BOOST_TEST_REQUIRE(three.has_value());
+  BOOST_TEST(three->running == 3);
+  BOOST_TEST(three->waiting == 1);
+  BOOST_TEST(three->slots == 8);
+  BOOST_TEST(!three->pace.has_value());
+  BOOST_TEST(!three->pace_unreadable);
+  const auto four = load_in("3,1,8,250");
+  BOOST_TEST_REQUIRE(four.has_value());
+  BOOST_TEST(four->running == 3);
+  BOOST_TEST(four->slots == 8);
+  BOOST_TEST(four->pace.value_or(0) == 2.5);
+  BOOST_TEST(!load_in("").has_value());
+  BOOST_TEST(!load_in("3,1").has_value());
+  BOOST_TEST(!load_in("3,1,8,100,7").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_pace_that_cannot_be_is_left_out_and_the_other_figures_count) {
+  for (const char* header :
+       {"6,2,6,0", "6,2,6,-100", "6,2,6,99999999", "6,2,6,99999999999999999999", "6,2,6,fast",
+        "6,2,6,1e2", "6,2,6, 100"}) {
+    const auto load = load_in(header);
+    BOOST_TEST_REQUIRE(load.has_value(), header);
+    BOOST_TEST(load->running == 6, header);
+    BOOST_TEST(load->waiting == 2, header);
+    BOOST_TEST(load->slots == 6, header);
+    BOOST_TEST(!load->pace.has_value(), header);
+    BOOST_TEST(load->pace_unreadable, header);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/routing/replica_directory_test.cpp
+++ b/tests/routing/replica_directory_test.cpp
@@ -130,6 +130,33 @@
   BOOST_TEST(!directory.find("r1")->on_trial());
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_that_turned_a_request_away_is_full_for_a_moment) {
+  BOOST_TEST(directory.turned_away("r1", at(1'000)));
+  BOOST_TEST(directory.find("r1")->load(at(1'000)) == 4);
+  BOOST_TEST(directory.find("r2")->load(at(1'000)) == 0);
+  const TimePoint later = at(1'000) + knobs.replica_full_time;
+  BOOST_TEST(directory.find("r1")->load(later) == 0);
+  BOOST_TEST(!directory.find("r1")->full(later));
+  BOOST_TEST(!directory.turned_away("gone", at(1'000)));
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_that_reports_a_free_slot_does_not_mean_that_the_replica_is_full) {
+  directory.report("r1", {3, 0, 4}, at(1'000));
+  BOOST_TEST(!directory.turned_away("r1", at(1'000)));
+  BOOST_TEST(directory.find("r1")->load(at(1'000)) == 0);
+  directory.report("r1", {4, 0, 4}, at(1'000));
+  BOOST_TEST(directory.turned_away("r1", at(1'000)));
+  BOOST_TEST(directory.find("r1")->load(at(1'000)) == 4);
+  directory.report("r2", {3, 0, 4}, at(400));  // What it reported before says nothing now.
+  BOOST_TEST(directory.turned_away("r2", at(1'000)));
+}
+
+BOOST_AUTO_TEST_CASE(a_pace_that_cannot_be_is_noted_once_a_replica) {
+  BOOST_TEST(directory.first_unreadable_pace("r1"));
+  BOOST_TEST(!directory.first_unreadable_pace("r1"));
+  BOOST_TEST(directory.first_unreadable_pace("r2"));
+}
+
 BOOST_AUTO_TEST_CASE(single_broken_answers_do_not_eject) {
   for (int failure = 1; failure < knobs.replica_ejection_failures; ++failure) {
     directory.signal("r1", ReplicaSignal::kBroken, at(failure));
--- /dev/null
+++ b/tests/routing/replica_pace_test.cpp
@@ -0,0 +1,285 @@
+#include "dockpoint/routing/replica_pace.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <random>
+#include <vector>
+
+#include "dockpoint/routing/load_digest.hpp"
+#include "support/fleet.hpp"
+#include "support/fleet_replay.hpp"
+
+using namespace dockpoint;
+using dockpoint::test::at;
+using dockpoint::test::FleetOutcome;
+using dockpoint::test::FleetPattern;
+using dockpoint::test::FleetReplay;
+
+namespace {
+
+constexpr const char* kService = "lm";
+constexpr Duration kStep = std::chrono::milliseconds(30);
+
+/// What one node knows of nine replicas, 1 to 9.
+struct View {
+  Knobs knobs;
+  ReplicaPaces paces{knobs};
+
+  View() {
+    for (std::uint32_t replica = 1; replica <= 9; ++replica) {
+      paces.add(replica, kService);
+    }
+  }
+  void run(std::uint32_t replica, double factor, int runs = 30) {
+    for (int number = 0; number < runs; ++number) {
+      paces.observed(replica, PaceSample::kEvent,
+                     std::chrono::duration_cast<Duration>(kStep * factor), at(0));
+    }
+  }
+  /// Replicas 1 to 3 are fast, 4 to 6 as usual, 7 to 9 slow.
+  void run_all() {
+    for (std::uint32_t replica = 1; replica <= 9; ++replica) {
+      run(replica, replica <= 3 ? 0.6 : replica <= 6 ? 1.0 : 1.6);
+    }
+    paces.update(at(0));
+  }
+};
+
+PaceEntry word(std::uint32_t replica, double factor) {
+  return {replica, static_cast<std::uint32_t>(
+                       std::chrono::duration<double, std::micro>(kStep).count() * factor)};
+}
+
+/// Replicas of three speeds, each slowed further for a part of the time.
+FleetPattern unlike_replicas() {
+  FleetPattern pattern;
+  pattern.nodes = 75;
+  pattern.replicas = 60;
+  pattern.zones = 4;
+  pattern.service_ms = 700;
+  pattern.paces = {0.6, 1.0, 1.6};
+  pattern.slowed_share = 0.15;
+  pattern.mean_per_second = 215;
+  return pattern;
+}
+
+FleetOutcome play(const FleetPattern& pattern, std::uint64_t seeds) {
+  FleetOutcome all;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    FleetReplay replay(pattern, seed);
+    const FleetOutcome one = replay.run(17'400, 5'800);
+    all.requests += one.requests;
+    all.late += one.late;
+    all.turned_away += one.turned_away;
+    all.refused += one.refused;
+    all.refused_beside_room += one.refused_beside_room;
+  }
+  return all;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(replica_pace)
+
+BOOST_FIXTURE_TEST_CASE(replicas_that_differ_are_told_apart, View) {
+  run_all();
+  BOOST_TEST(paces.usual(1) == 0.6, boost::test_tools::tolerance(0.02));
+  BOOST_TEST(paces.usual(5) == 1.0);
+  BOOST_TEST(paces.usual(9) == 1.6, boost::test_tools::tolerance(0.02));
+  BOOST_TEST(paces.classes().at(PaceClass::kSlow) == 3);
+}
+
+BOOST_FIXTURE_TEST_CASE(replicas_that_work_alike_are_all_usual_and_nothing_is_told, View) {
+  std::mt19937_64 random(1);
+  std::normal_distribution<double> length(1, 0.15);
+  for (int round = 0; round < 200; ++round) {
+    for (std::uint32_t replica = 1; replica <= 9; ++replica) {
+      run(replica, std::max(0.3, length(random)), 1);
+    }
+    BOOST_TEST(paces.update(at(round)).empty());
+    BOOST_TEST(paces.report(at(2'000 * round)).empty());
+  }
+  for (std::uint32_t replica = 1; replica <= 9; ++replica) {
+    BOOST_TEST(paces.usual(replica) == 1.0);
+    BOOST_TEST(paces.expected(replica, at(0)) == 1.0);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_digest_without_paces_is_as_long_as_before, View) {
+  run(1, 1.0);
+  run(2, 1.0);
+  paces.update(at(0));
+  LoadDigest digest{node_key("n1"), 7, 99, true, 12, {{1, 2, 3, 1, 7}}};
+  const std::size_t bytes = encode(digest).size();
+  digest.paces = paces.report(at(0));
+  BOOST_TEST(encode(digest).size() == bytes);
+}
+
+BOOST_FIXTURE_TEST_CASE(runs_that_are_slowed_for_moments_do_not_change_the_usual_pace, View) {
+  std::mt19937_64 random(2);
+  std::bernoulli_distribution slowed(0.15);
+  for (int round = 0; round < 200; ++round) {
+    for (std::uint32_t replica = 1; replica <= 9; ++replica) {
+      run(replica, slowed(random) ? 2.5 : 1.0, 1);
+    }
+  }
+  paces.update(at(0));
+  for (std::uint32_t replica = 1; replica <= 9; ++replica) {
+    BOOST_TEST(paces.usual(replica) == 1.0, boost::test_tools::tolerance(0.25));
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_few_runs_say_nothing, View) {
+  run_all();
+  paces.forget(9);
+  paces.add(9, kService);
+  run(9, 1.6, knobs.pace_least_runs - 1);
+  paces.update(at(0));
+  BOOST_TEST(paces.usual(9) == 1.0);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_replica_that_was_reborn_begins_at_the_middle, View) {
+  run_all();
+  paces.stated(9, 2.5, at(0));
+  paces.forget(9);
+  paces.add(9, kService);
+  paces.update(at(0));
+  BOOST_TEST(paces.expected(9, at(0)) == 1.0);
+}
+
+BOOST_FIXTURE_TEST_CASE(what_is_stated_holds_for_a_moment_and_fades, View) {
+  run_all();
+  paces.stated(9, 2.5, at(1'000));
+  const double fresh = paces.expected(9, at(1'000) + knobs.pace_stated_fresh);
+  const double later =
+      paces.expected(9, at(1'000) + knobs.pace_stated_fresh + knobs.pace_stated_fade / 2);
+  BOOST_TEST(fresh > 3.5);
+  BOOST_TEST(later < fresh);
+  BOOST_TEST(later > paces.usual(9));
+  BOOST_TEST(paces.expected(9, at(1'000) + knobs.pace_stated_fresh + knobs.pace_stated_fade) ==
+             paces.usual(9));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_figure_that_is_stuck_is_believed_no_longer, View) {
+  for (int answer = 0; answer < 40; ++answer) {
+    paces.stated(4, 2.5, at(answer * 100));
+  }
+  BOOST_TEST(paces.expected(4, at(3'900)) == 1.0, boost::test_tools::tolerance(0.05));
+}
+
+BOOST_FIXTURE_TEST_CASE(no_statement_makes_a_replica_faster_or_slower_than_the_limit, View) {
+  run_all();
+  paces.stated(1, 0.01, at(0));
+  paces.stated(9, 100, at(0));
+  BOOST_TEST(paces.expected(1, at(0)) >= 1 / knobs.pace_limit);
+  BOOST_TEST(paces.expected(9, at(0)) <= knobs.pace_limit);
+  paces.stated(2, 0, at(0));
+  BOOST_TEST(paces.expected(2, at(0)) == paces.usual(2));
+}
+
+BOOST_FIXTURE_TEST_CASE(one_nodes_word_about_a_replica_that_is_not_known_here_counts_for_nothing,
+                        View) {
+  run(1, 1.0);
+  run(2, 1.0);
+  run(3, 1.0);
+  paces.told(77, {word(9, 4.0)}, at(0));
+  paces.update(at(0));
+  BOOST_TEST(paces.usual(9) == 1.0);
+  paces.told(78, {word(9, 1.6)}, at(0));
+  paces.update(at(0));
+  BOOST_TEST(paces.usual(9) == 1.6, boost::test_tools::tolerance(0.02));
+}
+
+BOOST_FIXTURE_TEST_CASE(own_runs_go_before_the_word_of_others, View) {
+  run_all();
+  paces.told(77, {word(5, 4.0)}, at(0));
+  paces.told(78, {word(5, 4.0)}, at(0));
+  paces.update(at(0));
+  BOOST_TEST(paces.usual(5) == 1.0);
+}
+
+// A node of a large fleet sends nearly all its requests to a few replicas.
+BOOST_FIXTURE_TEST_CASE(a_node_that_sees_slow_replicas_only_learns_so_from_the_others, View) {
+  run(7, 1.6);
+  run(8, 1.6);
+  run(9, 1.6);
+  paces.update(at(0));
+  BOOST_TEST(paces.usual(9) == 1.0);
+  for (const std::uint32_t node : {77U, 78U}) {
+    paces.told(node, {word(1, 0.6), word(2, 0.6), word(3, 1.0), word(4, 1.0), word(5, 1.0)}, at(0));
+  }
+  paces.update(at(0));
+  BOOST_TEST(paces.usual(9) == 1.6, boost::test_tools::tolerance(0.02));
+  BOOST_TEST(paces.usual(5) == 1.0);
+  BOOST_TEST(!paces.report(at(0)).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(words_are_forgotten_and_few_are_told_and_kept, View) {
+  run_all();
+  BOOST_TEST(paces.report(at(0)).size() == knobs.pace_entries);
+  BOOST_TEST(paces.report(at(0) + knobs.pace_report_interval / 2).empty());
+  View other;
+  other.paces.told(77, {word(9, 1.6), word(12, 1.6), word(8, 0), word(5, 1), word(4, 1)}, at(0));
+  other.paces.told(78, {word(9, 1.6), word(5, 1), word(4, 1)}, at(0));
+  other.paces.update(at(0));
+  BOOST_TEST(other.paces.usual(9) > 1.5);
+  other.paces.update(at(0) + other.knobs.pace_word_lifetime * 2);
+  BOOST_TEST(other.paces.usual(9) == 1.0);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_pace_near_the_bound_does_not_go_to_and_fro, View) {
+  for (std::uint32_t replica = 1; replica <= 9; ++replica) {
+    run(replica, 1.0);
+  }
+  int changes = 0;
+  for (int round = 0; round < 100; ++round) {
+    run(9, round % 2 == 0 ? 1.16 : 1.24, 3);
+    changes += static_cast<int>(paces.update(at(round)).size());
+  }
+  BOOST_TEST(changes <= 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(whole_runs_count_only_where_there_are_no_streams, View) {
+  for (std::uint32_t replica = 1; replica <= 9; ++replica) {
+    for (int number = 0; number < 30; ++number) {
+      paces.observed(replica, PaceSample::kRun, kStep * (replica == 9 ? 2 : 1), at(0));
+    }
+  }
+  paces.update(at(0));
+  BOOST_TEST(paces.usual(9) == 2.0, boost::test_tools::tolerance(0.02));
+  run_all();
+  paces.observed(9, PaceSample::kRun, kStep * 100, at(0));
+  paces.update(at(0));
+  BOOST_TEST(paces.usual(9) == 1.6, boost::test_tools::tolerance(0.02));
+}
+
+BOOST_AUTO_TEST_CASE(requests_wait_less_where_paces_are_known) {
+  FleetPattern pattern = unlike_replicas();
+  pattern.learn_paces = false;
+  const FleetOutcome without = play(pattern, 3);
+  pattern.learn_paces = true;
+  pattern.state_paces = true;
+  const FleetOutcome with = play(pattern, 3);
+  BOOST_TEST(2 * with.late < without.late, with.late << " late, without " << without.late);
+}
+
+BOOST_AUTO_TEST_CASE(full_replicas_refuse_no_request_while_another_has_a_free_slot) {
+  FleetPattern pattern;
+  pattern.replicas = 4;
+  pattern.slots = 6;
+  pattern.zones = 4;
+  pattern.service_ms = 60;
+  pattern.service_spread = 0.5;
+  pattern.mean_per_second = 73;
+  pattern.slowed_share = 0.15;
+  pattern.turn_away = true;
+  for (const bool stated : {false, true}) {
+    pattern.state_paces = stated;
+    const FleetOutcome outcome = play(pattern, 5);
+    BOOST_TEST_MESSAGE("turned away " << outcome.turned_away << ", refused " << outcome.refused
+                                      << " of " << outcome.requests);
+    BOOST_TEST(outcome.refused_beside_room == 0);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/fleet_replay.cpp
+++ b/tests/support/fleet_replay.cpp
@@ -47,6 +47,8 @@
     replicas_.push_back({"r" + std::to_string(number),
                          pattern.paces[static_cast<std::size_t>(number % paces)],
                          0,
+                         false,
+                         0,
                          {}});
   }
   std::vector<int> all;
@@ -88,6 +90,7 @@
       events_.erase(events_.begin());
     }
     end_requests(now);
+    change_paces(now);
     tell_loads(now);
     deliver(now);
     const bool low = now % (pattern_.low_ms + pattern_.high_ms) < pattern_.low_ms;
@@ -121,15 +124,38 @@
   nodes_[static_cast<std::size_t>(node)]->digests_lost = lost;
 }
 
+void FleetReplay::change_paces(std::int64_t now) {
+  if (pattern_.slowed_share <= 0) {
+    return;
+  }
+  const double slowed = static_cast<double>(pattern_.slowed_ms);
+  const double between = slowed * (1 - pattern_.slowed_share) / pattern_.slowed_share;
+  for (Replica& replica : replicas_) {
+    if (now < replica.changes_at) {
+      continue;
+    }
+    replica.slowed = now > 0 && !replica.slowed;
+    std::exponential_distribution<double> length(1 / (replica.slowed ? slowed : between));
+    replica.changes_at = now + 1 + std::llround(length(random_));
+  }
+}
+
+ReportedLoad FleetReplay::load_of(const Replica& replica) const {
+  const double pace = replica.slowed ? pattern_.slowed_factor : 1;
+  return {replica.running, static_cast<int>(replica.waiting.size()), pattern_.slots, pace, false};
+}
+
 void FleetReplay::tell_loads(std::int64_t now) {
   std::uniform_int_distribution<std::int64_t> delay(pattern_.digest_delay_ms / 2,
                                                     pattern_.digest_delay_ms);
   for (int number = 0; number < nodes(); ++number) {
-    const Node& node = *nodes_[static_cast<std::size_t>(number)];
+    Node& node = *nodes_[static_cast<std::size_t>(number)];
     // Nodes do not tell in step.
     if (node.alive && !node.digests_lost &&
         (now + number * pattern_.digest_ms / nodes()) % pattern_.digest_ms == 0) {
-      digests_.push_back({now + delay(random_), number, node.directory.own_load(at(now))});
+      node.directory.paces().update(at(now));
+      digests_.push_back({now + delay(random_), number, node.directory.own_load(at(now)),
+                          node.directory.paces().report(at(now))});
     }
   }
 }
@@ -140,7 +166,8 @@
       ++digest;
       continue;
     }
-    const LoadDigest told{node_key(node_name(digest->from)), 0, 0, true, 0, digest->entries};
+    LoadDigest told{node_key(node_name(digest->from)), 0, 0, true, 0, digest->entries};
+    told.paces = digest->paces;
     for (int number = 0; number < nodes(); ++number) {
       if (number != digest->from) {
         nodes_[static_cast<std::size_t>(number)]->directory.set_peer_loads({told}, at(now));
@@ -156,24 +183,50 @@
   while (!nodes_[static_cast<std::size_t>(number)]->alive) {
     number = any_node(random_);
   }
+  send_until_taken(number, now, counted);
+}
+
+void FleetReplay::send_until_taken(int number, std::int64_t now, bool counted) {
   Node& node = *nodes_[static_cast<std::size_t>(number)];
-  const ReplicaQuery query{kService, TrafficClass::kOnline, {{7, 100}, {8, 250}}, {}};
-  const ReplicaChoice choice = node.selector.choose(query, at(now));
-  const std::string& id = choice.replica->record.id;
-  node.directory.started(id, TrafficClass::kOnline, 0);
-  const int place = std::stoi(id.substr(1));
-  requests_.push_back({number, place, now, counted, false});
-  Replica& replica = replicas_[static_cast<std::size_t>(place)];
-  if (replica.running < pattern_.slots) {
-    ++replica.running;
-    serve(requests_.size() - 1, now);
-  } else {
-    replica.waiting.push_back(requests_.size() - 1);
+  ReplicaQuery query{kService, TrafficClass::kOnline, {{7, 100}, {8, 250}}, {}};
+  for (int sends = 0; sends < knobs_.maximum_sends_not_run; ++sends) {
+    const ReplicaChoice choice = node.selector.choose(query, at(now));
+    if (choice.replica == nullptr) {
+      break;
+    }
+    const std::string id = choice.replica->record.id;
+    const int place = std::stoi(id.substr(1));
+    Replica& replica = replicas_[static_cast<std::size_t>(place)];
+    if (pattern_.turn_away && replica.running >= pattern_.slots) {
+      if (pattern_.state_paces) {
+        node.directory.report(id, load_of(replica), at(now));
+      }
+      node.directory.turned_away(id, at(now));
+      query.excluded.insert(id);
+      outcome_.turned_away += counted ? 1 : 0;
+      continue;
+    }
+    node.directory.started(id, TrafficClass::kOnline, 0);
+    requests_.push_back({number, place, now, now, counted, false});
+    if (replica.running < pattern_.slots) {
+      ++replica.running;
+      serve(requests_.size() - 1, now);
+    } else {
+      replica.waiting.push_back(requests_.size() - 1);
+    }
+    return;
   }
+  const bool room = std::any_of(replicas_.begin(), replicas_.end(), [&](const Replica& replica) {
+    return replica.running < pattern_.slots;
+  });
+  outcome_.requests += counted ? 1 : 0;
+  outcome_.refused += counted ? 1 : 0;
+  outcome_.refused_beside_room += counted && room ? 1 : 0;
 }
 
 void FleetReplay::serve(std::size_t number, std::int64_t now) {
-  const Request& request = requests_[number];
+  Request& request = requests_[number];
+  request.began = now;
   const double wait = static_cast<double>(now - request.arrived);
   if (request.counted) {
     ++outcome_.requests;
@@ -183,8 +236,13 @@
   }
   constexpr double kShortest = 0.3;
   std::normal_distribution<double> length(1, pattern_.service_spread);
-  const double pace = replicas_[static_cast<std::size_t>(request.replica)].pace;
+  const Replica& replica = replicas_[static_cast<std::size_t>(request.replica)];
+  const double pace = replica.pace * (replica.slowed ? pattern_.slowed_factor : 1);
   const double time = pattern_.service_ms * std::max(kShortest, length(random_)) * pace;
+  if (pattern_.state_paces) {
+    nodes_[static_cast<std::size_t>(request.node)]->directory.report(replica.id, load_of(replica),
+                                                                     at(now));
+  }
   ends_.push({now + std::llround(time), number});
 }
 
@@ -193,8 +251,14 @@
     const Request& request = requests_[ends_.top().request];
     ends_.pop();
     Node& node = *nodes_[static_cast<std::size_t>(request.node)];
-    node.directory.ended(replicas_[static_cast<std::size_t>(request.replica)].id,
-                         TrafficClass::kOnline);
+    const std::string& id = replicas_[static_cast<std::size_t>(request.replica)].id;
+    node.directory.ended(id, TrafficClass::kOnline);
+    if (pattern_.learn_paces) {
+      // Lengths stay in: the events of a stream tell the pace better than this.
+      const auto step = std::chrono::microseconds((now - request.began) * 50);
+      node.directory.paces().observed(node.directory.find(id)->key, PaceSample::kEvent, step,
+                                      at(now));
+    }
     leave_slot(request.replica, now);
   }
 }
--- a/tests/support/fleet_replay.hpp
+++ b/tests/support/fleet_replay.hpp
@@ -25,9 +25,16 @@
   double high = 1.87;  ///< for `high_ms`; and so on.
   std::int64_t low_ms = 3'400;
   std::int64_t high_ms = 2'400;
-  double service_ms = 730;             ///< That a request holds a slot, in the mean.
-  double service_spread = 0.25;        ///< Standard deviation, of the mean.
-  std::vector<double> paces{1};        ///< Of the replicas, in turn: 2 takes twice as long.
+  double service_ms = 730;       ///< That a request holds a slot, in the mean.
+  double service_spread = 0.25;  ///< Standard deviation, of the mean.
+  std::vector<double> paces{1};  ///< Of the replicas, in turn: 2 takes twice as long.
+  double slowed_share = 0;       ///< Of the time a replica is slowed
+  double slowed_factor = 2.5;    ///< so many times,
+  std::int64_t slowed_ms = 600;  ///< for so long in the mean.
+  bool learn_paces = true;
+  bool state_paces = false;            ///< Replicas state their load in answers, and how much they
+                                       ///< are slowed.
+  bool turn_away = false;              ///< Full replicas turn requests away: there is no queue.
   std::int64_t digest_ms = 200;        ///< Between the digests of a node.
   std::int64_t digest_delay_ms = 200;  ///< Until the others have it, at most; half of it at least.
   std::int64_t late_ms = 250;          ///< A request that waits longer for its slot is late.
@@ -38,8 +45,11 @@
 struct FleetOutcome {
   int requests = 0;
   int late = 0;
-  int waited = 0;             ///< For a slot, however short.
-  std::vector<double> waits;  ///< In ms.
+  int waited = 0;               ///< For a slot, however short.
+  std::vector<double> waits;    ///< In ms.
+  int turned_away = 0;          ///< Attempts, by a replica that was full.
+  int refused = 0;              ///< Requests, by all replicas that were tried,
+  int refused_beside_room = 0;  ///< and that while a replica had a free slot.
 
   double late_share() const { return requests == 0 ? 0 : static_cast<double>(late) / requests; }
   /// @return the wait that so large a share of the requests stays below.
@@ -76,12 +86,15 @@
     std::string id;
     double pace = 1;
     int running = 0;
+    bool slowed = false;
+    std::int64_t changes_at = 0;      ///< When it is slowed, or no longer.
     std::deque<std::size_t> waiting;  ///< Requests.
   };
   struct Request {
     int node = 0;
     int replica = 0;
     std::int64_t arrived = 0;
+    std::int64_t began = 0;
     bool counted = false;
     bool cancelled = false;
   };
@@ -89,6 +102,7 @@
     std::int64_t arrives = 0;
     int from = 0;
     std::vector<LoadDigestEntry> entries;
+    std::vector<PaceEntry> paces;
   };
   struct End {
     std::int64_t at = 0;
@@ -96,9 +110,14 @@
     friend bool operator>(const End& left, const End& right) { return left.at > right.at; }
   };
 
+  void change_paces(std::int64_t now);
   void tell_loads(std::int64_t now);
   void deliver(std::int64_t now);
   void arrive(std::int64_t now, bool counted);
+  /// Sends a request to another replica until one takes it.
+  void send_until_taken(int node, std::int64_t now, bool counted);
+  /// @return the load header of an answer.
+  ReportedLoad load_of(const Replica& replica) const;
   void serve(std::size_t request, std::int64_t now);
   void end_requests(std::int64_t now);
   void leave_slot(int replica, std::int64_t now);
