--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -60,6 +60,9 @@
   metrics.count_request("idempotent", "answered");
   metrics.observe_first_byte("idempotent", std::chrono::milliseconds(1));
   metrics.count_attempt("failed");
+  metrics.count_placement(true);
+  metrics.count_full_replica();
+  metrics.set_pace_classes({{PaceClass::kSlow, 1}});
   metrics.count_item("succeeded");
   metrics.count_rate_limited("clinic");
   metrics.count_caller_refused("unknown_key");
@@ -76,7 +79,7 @@
   for (const std::string& cell : first_cells(read_page("PLATFORM.md"), "dockpoint_gateway_")) {
     listed.insert(cell.substr(0, cell.find('{')));
   }
-  BOOST_TEST(served.size() == 13U);
+  BOOST_TEST(served.size() == 17U);
   BOOST_TEST((served == listed));
 }
 
