--- a/include/dockpoint/admission/tenant_rate_limiter.hpp
+++ b/include/dockpoint/admission/tenant_rate_limiter.hpp
@@ -23,16 +23,18 @@
 /// admitted. So the buckets agree but for what was admitted since the last digests. That much a
 /// node can overspend; two bounds keep it small:
 ///
-/// - Between digests a node admits no more than 1.5 times its part of the tokens there, by its
-///   share of the tenant's requests lately, an even one at least. A burst that all nodes see at
-///   once then takes at most 1.5 times what is left, and the debt is paid before the next request.
+/// - Until the others know, a node admits no more than its share of the tokens and of a part of the
+///   window's tolerance, and a request or two beyond it. Its share is that of the tenant's requests
+///   that the others know of; the shares of all nodes make one, also while a burst begins. What is
+///   overspent is paid: while the debt is small the nodes admit a little less than the rate.
 /// - A node that does not hear others has only its part of the limit: nodes that hear each other
 ///   share `heard / known` of it. Parts of a fleet that is cut apart add up to the limit, whatever
 ///   they admit. The number of known nodes only shrinks while most of them are heard.
 ///
-/// A node that starts knows nothing of what was spent: its buckets begin empty, and until it knows
-/// how many others there are it reckons with a large fleet. A restart of all nodes therefore grants
-/// no second burst. A node that stood still begins with empty buckets too.
+/// A node that starts knows nothing of what was spent: its buckets begin with a part of the
+/// tolerance in place of the burst, shared with the nodes that it hears, and until it knows how
+/// many others there are it reckons with a large fleet. A restart of all nodes therefore grants no
+/// second burst. A node that stood still begins with empty buckets.
 namespace dockpoint {
 
 /// How exactly the limits are to be kept.
@@ -62,6 +64,18 @@
   std::vector<TenantSpend> spends;
 };
 
+/// Why a request is refused.
+enum class RateRefusal : std::uint8_t {
+  kNone,
+  kOverLimit,  ///< The bucket that all nodes share is empty.
+  kNodeShare,  ///< This node has used its share of the tokens, and the others do not know yet.
+  kCutOff,     ///< Too few nodes are heard, so that the node has only a part of the limit.
+  kStarting,   ///< The node's buckets were empty or nearly so a moment ago, by its start.
+};
+
+/// @return the name of a reason in logs and metrics.
+const char* to_string(RateRefusal refusal);
+
 /// The decision on one request.
 struct RateVerdict {
   bool admitted = true;
@@ -69,6 +83,8 @@
   double tokens = 0;       ///< In the bucket, before the request; below 0 if nodes overspent.
   std::size_t heard = 1;   ///< Nodes that share the bucket,
   std::size_t known = 1;   ///< of so many.
+  RateRefusal refusal = RateRefusal::kNone;
+  double share = 0;  ///< Requests that the node may admit before the others know of them.
 };
 
 /// See the top of this file. Free of I/O and clocks; not thread-safe.
@@ -108,12 +124,16 @@
   struct Account {
     double tokens = 0;
     TimePoint filled_at{};
-    DecayingCount unreported;  ///< Admitted here, and not known to the others yet.
-    DecayingCount own;         ///< Admitted here lately.
-    DecayingCount of_peers;    ///< Admitted by the others lately.
+    DecayingCount own;  ///< Admitted here lately, as far as the others know: a sudden rise must not
+                        ///< make each node take its own part for the largest.
+    DecayingCount of_peers;  ///< Admitted by the others lately.
     std::uint32_t total = 0;
     std::deque<TimePoint> recent;  ///< When requests were admitted here.
+    std::size_t unreported = 0;    ///< Of these, the newest, which the others do not know of yet.
     TimePoint changed_at{};        ///< Last change of `total`.
+    double paced = 0;              ///< Requests that it may admit while the bucket is in debt.
+    double first_paced = 0;        ///< Spreads the first of these over the nodes.
+    double part_granted = 0;       ///< Of the tokens that all nodes together begin with.
   };
   /// What another node has told of a tenant before.
   struct ToldSpend {
@@ -129,12 +149,24 @@
 
   Account& account_of(std::uint32_t tenant, const RateLimit& limit, TimePoint now);
   void fill(Account& account, const RateLimit& limit, TimePoint now) const;
+  /// Lets the node admit a little less than its share of the rate while the bucket is in debt.
+  void pace_debt(Account& account, const RateLimit& limit, double time, TimePoint now) const;
   /// Takes requests that another node has admitted out of a bucket; negative if it gave some back.
   void charge(Account& account, const RateLimit& limit, double requests, TimePoint now) const;
   /// @return most tokens in the bucket that this node shares with those it hears.
   double capacity(const RateLimit& limit) const;
   /// @return requests that this node may admit before the others know of them.
   double allowance(const Account& account, const RateLimit& limit, TimePoint now) const;
+  /// @return this node's share of the tenant's requests lately; those of all nodes make one.
+  double share_of(const Account& account, TimePoint now) const;
+  /// Counts requests among `Account::own` that the others know of by now.
+  void count_reported(Account& account, TimePoint now) const;
+  /// @return whether the node has used its share.
+  /// @param allowed as of `allowance`.
+  bool share_used(const Account& account, const RateLimit& limit, double allowed) const;
+  /// @return requests in a window by which the limit may be exceeded.
+  double tolerance(const RateLimit& limit) const;
+  RateRefusal reason(const Account& account, TimePoint now) const;
   /// @return part of the limit that the nodes which hear each other share.
   double part() const;
   void count_nodes(TimePoint now);
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -141,8 +141,8 @@
   int submission_forwards = 2;  ///< Nodes that a job is passed on to, one after the other.
 
   // The rate limits of tenants.
-  Duration rate_report_delay = 400ms;  ///< Until the other nodes know what one has admitted: two
-                                       ///< digests, and one relay.
+  Duration rate_report_delay = 600ms;  ///< Until the other nodes know what one has admitted: two
+                                       ///< digests, and a relay that has no room in every round.
   Duration rate_report_time = 800ms;   ///< A request is told in each digest for this long, so that
                                        ///< three lost datagrams in a row lose nothing.
   Duration rate_silence = 500ms;    ///< A node without a sign of life for so long shares no bucket:
--- a/src/admission/tenant_rate_limiter.cpp
+++ b/src/admission/tenant_rate_limiter.cpp
@@ -1,7 +1,9 @@
 #include "dockpoint/admission/tenant_rate_limiter.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
+#include <utility>
 
 #include "dockpoint/core/hash.hpp"
 
@@ -18,15 +20,36 @@
 /// between the nodes' buckets refuse nobody below the limit. The rest is left for overspending.
 constexpr double kTolerancePart = 0.2;
 
-/// A node admits so many times its share of the tokens before the others know.
-constexpr double kShareFactor = 1.5;
+/// Part of the tolerance that all nodes together may spend beyond the tokens before they know of
+/// each other. Without it tokens are left standing while requests are refused.
+constexpr double kOverspendPart = 0.4;
+
+/// Part of the tolerance that widens the bucket of a node that is cut off.
+constexpr double kCutOffPart = 0.3;
+
+/// Part of the tolerance that all nodes together begin with after a restart of all: bounded by the
+/// window, whatever was spent before it.
+constexpr double kStartPart = 0.3;
+
+/// Part of the tolerance that a debt is forgiven in one length of the window: what was overspent
+/// within the tolerance need not be refused afterwards.
+constexpr double kForgivenPart = 0.3;
+
+/// While a debt is within this part of the tolerance, the nodes together admit `kDebtPace` of the
+/// limit's rate; the rest pays the debt. Without it all refuse everything for as long as the debt
+/// lasts, and then all admit at once.
+constexpr double kDebtPart = 0.5;
+constexpr double kDebtPace = 0.9;
+
+/// Most requests that a node saves up at that pace.
+constexpr double kMostPaced = 1.5;
 
 /// Requests that a node may admit in any case before the others know: from a bucket that is more
 /// than half full, and from any other.
 constexpr double kLeastFromFull = 3;
 constexpr double kLeast = 1;
 
-/// Unreported requests decay by and by: half of one counts as none.
+/// Requests are whole, and shares are not: half of one more is admitted.
 constexpr double kRounding = 0.5;
 
 /// What other nodes told of a tenant is forgotten after this time; a new report says by itself what
@@ -41,6 +64,12 @@
 /// has heard them itself.
 constexpr Duration kToldNodesTime = std::chrono::seconds(5);
 
+/// A node that hears a smaller part of the others counts as cut off where a refusal is explained.
+constexpr double kMostHeard = 0.9;
+
+/// Refusals are put down to the node's start for so long after it.
+constexpr Duration kStartExplains = std::chrono::seconds(3);
+
 constexpr Duration kShortestRetry = std::chrono::milliseconds(50);
 constexpr Duration kLongestRetry = std::chrono::seconds(10);
 
@@ -54,6 +83,22 @@
   return static_cast<std::uint32_t>(hash64(name));
 }
 
+const char* to_string(RateRefusal refusal) {
+  switch (refusal) {
+    case RateRefusal::kNone:
+      return "none";
+    case RateRefusal::kOverLimit:
+      return "over_limit";
+    case RateRefusal::kNodeShare:
+      return "node_share";
+    case RateRefusal::kCutOff:
+      return "cut_off";
+    case RateRefusal::kStarting:
+      return "starting";
+  }
+  return "unknown";
+}
+
 TenantRateLimiter::TenantRateLimiter(const Knobs& knobs, const RateWindow& window,
                                      std::uint32_t run)
     : knobs_(knobs), window_(window), run_(run) {}
@@ -73,41 +118,99 @@
 }
 
 double TenantRateLimiter::capacity(const RateLimit& limit) const {
+  // A node that is cut off shares with nobody, and so cannot overspend: that part of the tolerance
+  // widens its bucket.
+  const bool cut_off = heard_ == 1 && known_ > 1;
+  const double part_of_tolerance = kTolerancePart + (cut_off ? kCutOffPart : 0);
+  const double widened = part_of_tolerance * tolerance(limit);
+  return std::max(1.0, (limit.burst + widened) * part());
+}
+
+double TenantRateLimiter::tolerance(const RateLimit& limit) const {
   const double in_window = limit.per_second * seconds_of(window_.length) + limit.burst;
-  const double tolerance = window_.overage * in_window + window_.slack;
-  return std::max(1.0, (limit.burst + kTolerancePart * tolerance) * part());
+  return window_.overage * in_window + window_.slack;
 }
 
 TenantRateLimiter::Account& TenantRateLimiter::account_of(std::uint32_t tenant,
                                                           const RateLimit& limit, TimePoint now) {
-  const auto [entry, added] =
-      accounts_.try_emplace(tenant, Account{0,
-                                            empties_from_,
-                                            DecayingCount(knobs_.rate_report_delay),
-                                            DecayingCount(kShareMemory),
-                                            DecayingCount(kShareMemory),
-                                            0,
-                                            {},
-                                            now});
+  auto entry = accounts_.find(tenant);
+  if (entry == accounts_.end()) {
+    Account account{.filled_at = empties_from_,
+                    .own = DecayingCount(kShareMemory),
+                    .of_peers = DecayingCount(kShareMemory),
+                    .recent = {},
+                    .changed_at = now,
+                    .first_paced = fraction_of(combine_hash(run_, tenant))};
+    entry = accounts_.emplace(tenant, std::move(account)).first;
+  }
   fill(entry->second, limit, now);
   return entry->second;
 }
 
 void TenantRateLimiter::fill(Account& account, const RateLimit& limit, TimePoint now) const {
-  const double gained = limit.per_second * part() * seconds_of(now - account.filled_at);
-  account.tokens = std::min(account.tokens + gained, capacity(limit));
+  count_reported(account, now);
+  const double time = seconds_of(now - account.filled_at);
+  const double gained = limit.per_second * part() * time;
+  if (account.tokens < 0) {
+    const double forgiven_per_second =
+        kForgivenPart * tolerance(limit) * part() / seconds_of(window_.length);
+    account.tokens = std::min(0.0, account.tokens + forgiven_per_second * time);
+  }
+  // As more nodes are heard after a start or a cut, more of what all may begin with is shared;
+  // once in a window at most.
+  if (account.part_granted > part()) {
+    account.part_granted =
+        std::max(part(), account.part_granted - time / seconds_of(window_.length));
+  }
+  const double granted = std::max(0.0, part() - account.part_granted);
+  account.part_granted += granted;
+  account.tokens =
+      std::min(account.tokens + gained + granted * kStartPart * tolerance(limit), capacity(limit));
   account.filled_at = now;
+  pace_debt(account, limit, time, now);
 }
 
-double TenantRateLimiter::allowance(const Account& account, const RateLimit& limit,
-                                    TimePoint now) const {
-  const double available = account.tokens + account.unreported.value(now);
+void TenantRateLimiter::pace_debt(Account& account, const RateLimit& limit, double time,
+                                  TimePoint now) const {
+  const double largest = kDebtPart * tolerance(limit) * part();
+  const bool in_debt = account.tokens < 0 && account.tokens > -largest;
+  const double pace = kDebtPace * limit.per_second * part() * share_of(account, now);
+  account.paced = in_debt ? std::min(kMostPaced, account.paced + pace * time) : account.first_paced;
+}
+
+double TenantRateLimiter::share_of(const Account& account, TimePoint now) const {
   const double own = account.own.value(now);
   const double all = own + account.of_peers.value(now);
   const double even = 1.0 / static_cast<double>(heard_);
-  const double share = (own + kEvenShareWeight * even) / (all + kEvenShareWeight);
-  const double least = available > capacity(limit) / 2 ? kLeastFromFull : kLeast;
-  return std::max(least, std::min(1.0, kShareFactor * std::max(share, even)) * available);
+  return (own + kEvenShareWeight * even) / (all + kEvenShareWeight);
+}
+
+void TenantRateLimiter::count_reported(Account& account, TimePoint now) const {
+  while (account.unreported > 0 &&
+         now - account.recent[account.recent.size() - account.unreported] >
+             knobs_.rate_report_delay) {
+    account.own.add(now);
+    --account.unreported;
+  }
+}
+
+double TenantRateLimiter::allowance(const Account& account, const RateLimit& limit,
+                                    TimePoint now) const {
+  const double available = account.tokens + static_cast<double>(account.unreported);
+  const double even = 1.0 / static_cast<double>(heard_);
+  const double share = share_of(account, now);
+  // The shares of all nodes add up to one, and so do their parts of the overspend.
+  const double overspend = kOverspendPart * tolerance(limit) * part();
+  return std::max(share, even) * available + share * overspend;
+}
+
+bool TenantRateLimiter::share_used(const Account& account, const RateLimit& limit,
+                                   double allowed) const {
+  // Requests come by chance: as many more as their number varies by.
+  const double share = std::max(0.0, allowed);
+  const double most = share + std::max(kLeast, std::sqrt(share));
+  const double least = account.tokens > capacity(limit) / 2 ? kLeastFromFull : kLeast;
+  return static_cast<double>(account.unreported) + kRounding > std::max(least, most);
 }
 
 RateVerdict TenantRateLimiter::admit(const Tenant& tenant, TimePoint now) {
@@ -119,26 +222,38 @@
   }
   Account& account = account_of(tenant_key(tenant.name), tenant.rate, now);
   RateVerdict verdict{true, {}, account.tokens, heard_, known_};
-  const bool share_used =
-      account.unreported.value(now) + kRounding > allowance(account, tenant.rate, now);
-  if (account.tokens < 1 || share_used) {
+  verdict.share = allowance(account, tenant.rate, now);
+  const bool used = share_used(account, tenant.rate, verdict.share);
+  const bool paced = account.paced >= 1;
+  if ((account.tokens < 1 || used) && !paced) {
     const double missing = std::max(0.0, 1 - account.tokens);
     const Duration refill = std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(missing / (tenant.rate.per_second * part())));
     verdict.admitted = false;
-    const Duration news = share_used ? knobs_.rate_report_delay : Duration{};
+    verdict.refusal = reason(account, now);
+    const Duration news = used ? knobs_.rate_report_delay : Duration{};
     verdict.retry_after = std::clamp(std::max(refill, news), kShortestRetry, kLongestRetry);
     return verdict;
   }
   account.tokens -= 1;
-  account.unreported.add(now);
-  account.own.add(now);
+  account.paced = std::max(0.0, account.paced - 1);
   ++account.total;
+  ++account.unreported;
   account.recent.push_back(now);
   account.changed_at = now;
   return verdict;
 }
 
+RateRefusal TenantRateLimiter::reason(const Account& account, TimePoint now) const {
+  if (now - empties_from_ < kStartExplains) {
+    return RateRefusal::kStarting;
+  }
+  if (part() < kMostHeard) {
+    return RateRefusal::kCutOff;
+  }
+  return account.tokens < 1 ? RateRefusal::kOverLimit : RateRefusal::kNodeShare;
+}
+
 void TenantRateLimiter::give_back(const Tenant& tenant, TimePoint now) {
   const auto found = accounts_.find(tenant_key(tenant.name));
   if (found == accounts_.end() || found->second.total == 0) {
@@ -149,6 +264,7 @@
   --account.total;
   if (!account.recent.empty()) {
     account.recent.pop_back();
+    account.unreported = std::min(account.unreported, account.recent.size());
   }
   account.changed_at = now;
 }
@@ -156,6 +272,7 @@
 SpendReport TenantRateLimiter::report(TimePoint now) {
   SpendReport report{run_, ++reports_, static_cast<std::uint32_t>(known_), {}};
   for (auto& [tenant, account] : accounts_) {
+    count_reported(account, now);
     forget_recent(account, now);
     if (now - account.changed_at <= knobs_.rate_report_time) {
       report.spends.push_back(
@@ -169,6 +286,7 @@
   while (!account.recent.empty() && now - account.recent.front() > knobs_.rate_report_time) {
     account.recent.pop_front();
   }
+  account.unreported = std::min(account.unreported, account.recent.size());
 }
 
 void TenantRateLimiter::take(std::uint32_t node, const SpendReport& report, TimePoint now) {
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -90,12 +90,12 @@
   own_slots_.Set(slots);
 }
 
-void GatewayMetrics::count_rate_limited(const std::string& tenant) {
+void GatewayMetrics::count_rate_limited(const std::string& tenant, const std::string& reason) {
   const bool shown = tenants_shown_.contains(tenant) || tenants_shown_.size() < kTenantsShown;
   if (shown) {
     tenants_shown_.insert(tenant);
   }
-  rate_limited_.Add({{"tenant", shown ? tenant : "other"}}).Increment();
+  rate_limited_.Add({{"tenant", shown ? tenant : "other"}, {"reason", reason}}).Increment();
 }
 
 void GatewayMetrics::count_caller_refused(const std::string& verdict) {
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -26,7 +26,8 @@
   void count_placement(bool own_slot);
   /// Counts a request that was refused for its tenant's rate limit. Only the first tenants that are
   /// met get a series of their own, the others share `other`.
-  void count_rate_limited(const std::string& tenant);
+  /// @param reason as of `RateRefusal`.
+  void count_rate_limited(const std::string& tenant, const std::string& reason);
   /// Counts a refusal of a caller; @param verdict `unknown_key`, `unsure` or `malformed`.
   void count_caller_refused(const std::string& verdict);
   void count_item(const std::string& outcome);
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -381,14 +381,14 @@
   if (counted_) {
     return false;
   }
-  context_.metrics.count_rate_limited(tenant_->name);
+  const char* refusal = to_string(verdict.refusal);
+  context_.metrics.count_rate_limited(tenant_->name, refusal);
   if (is_sampled(info_.id)) {
     spdlog::info(
         "online: over the rate limit id={} tenant={} version={} perSecond={} burst={} "
-        "tokens={:.1f} "
-        "nodesHeard={}/{} retryAfterMs={}",
+        "tokens={:.1f} nodeShare={:.1f} nodesHeard={}/{} reason={} retryAfterMs={}",
         info_.id, tenant_->name, configuration_->version, tenant_->rate.per_second,
-        tenant_->rate.burst, verdict.tokens, verdict.heard, verdict.known,
+        tenant_->rate.burst, verdict.tokens, verdict.share, verdict.heard, verdict.known, refusal,
         to_ms(verdict.retry_after));
   }
   exchange_->respond(429, {{"Retry-After", retry_after_value(verdict.retry_after)}}, {});
--- a/tests/admission/tenant_rate_limiter_test.cpp
+++ b/tests/admission/tenant_rate_limiter_test.cpp
@@ -166,6 +166,50 @@
   BOOST_TEST(admitted_of(100) <= 1 + 6);
 }
 
+BOOST_AUTO_TEST_CASE(a_refusal_says_why) {
+  const auto reason = [&] { return limiter.admit(tenant, at(now)).refusal; };
+  BOOST_TEST((reason() == RateRefusal::kStarting));
+  run(10'000);
+  admitted_of(5);
+  hear(7, 1, 30, 30);
+  BOOST_TEST((reason() == RateRefusal::kOverLimit));
+  run(4'000);  // Node 7 is silent.
+  admitted_of(200);
+  BOOST_TEST((reason() == RateRefusal::kCutOff));
+}
+
+// A burst that all nodes see at once: each takes itself for one among all until the others' news
+// comes, however many requests it has seen itself.
+BOOST_AUTO_TEST_CASE(a_sudden_burst_does_not_raise_the_share_of_the_node) {
+  for (int round = 0; round < 100; ++round) {
+    for (std::uint32_t node = 1; node < 10; ++node) {
+      hear(node, 1, 0, 0);
+    }
+    run(100);
+  }
+  const double before = limiter.admit(tenant, at(now)).share;
+  admitted_of(100);
+  BOOST_TEST(limiter.admit(tenant, at(now)).share <= before);
+}
+
+// Others have overspent: while the debt is small, requests are admitted at a lower pace than the
+// limit's rate, and not refused until all of it is paid.
+BOOST_AUTO_TEST_CASE(a_small_debt_is_paid_while_requests_are_admitted) {
+  run(10'000);
+  admitted_of(15);
+  run(1'000);
+  hear(7, 1, 20, 20);
+  int admitted_in_debt = 0;
+  for (int round = 0; round < 8; ++round) {
+    run(100);
+    hear(7, 1, 20, 20);
+    const RateVerdict verdict = limiter.admit(tenant, at(now));
+    admitted_in_debt += verdict.admitted && verdict.tokens < 0 ? 1 : 0;
+  }
+  BOOST_TEST(admitted_in_debt >= 1);
+  BOOST_TEST(admitted_in_debt <= 8);
+}
+
 BOOST_AUTO_TEST_CASE(an_account_that_nobody_uses_is_dropped) {
   run(10'000);
   admitted_of(1);
