--- a/tests/admission/tenant_rate_limiter_test.cpp
+++ b/tests/admission/tenant_rate_limiter_test.cpp
@@ -168,6 +168,7 @@
 
 BOOST_AUTO_TEST_CASE(a_refusal_says_why) {
   const auto reason = [&] { return limiter.admit(tenant, at(now)).refusal; };
+  run(50);
   BOOST_TEST((reason() == RateRefusal::kStarting));
   run(10'000);
   admitted_of(5);
