--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -65,7 +65,7 @@
   metrics.count_full_replica();
   metrics.set_pace_classes({{PaceClass::kSlow, 1}});
   metrics.count_item("succeeded");
-  metrics.count_rate_limited("clinic");
+  metrics.count_rate_limited("clinic", "node_share");
   metrics.count_caller_refused("unknown_key");
   metrics.count_log_call("read", "ok");
   std::set<std::string> served;
