--- a/tests/admission/rate_limit_fleet_replay_test.cpp
+++ b/tests/admission/rate_limit_fleet_replay_test.cpp
@@ -377,7 +377,7 @@
 
 BOOST_AUTO_TEST_CASE(a_hot_tenant_gets_what_its_limit_allows) {
   const Outcome outcome = play("hot tenants", {.hot = true});
-  BOOST_TEST(outcome.refused_part() < 0.02);
+  BOOST_TEST(outcome.refused_part() < 0.005);
   BOOST_TEST(outcome.worst_window <= 1);
 }
 
