--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -21,8 +21,12 @@
   int probe_helpers = 3;                 ///< Members asked to probe on our behalf.
   Duration suspicion_time = 3s;          ///< A suspect that does not refute by then is dead.
   Duration sync_interval = 20s;          ///< Full exchange with one random member.
+  Duration first_sync_interval = 400ms;  ///< The same after a node's start, doubled each time.
   Duration dead_retention = 10min;       ///< How long a dead or left member is remembered.
   std::size_t updates_per_message = 24;  ///< Gossip piggybacked on a message.
+  Duration gossip_interval = 200ms;      ///< Between messages that carry nothing but gossip, while
+                                         ///< there is any,
+  std::size_t gossip_targets = 3;        ///< to so many members.
   int update_retransmissions = 3;        ///< Times log2(members) that an update is passed on.
   std::size_t sync_members_per_message = 16;
 
@@ -92,6 +96,9 @@
   double arrival_prior_requests = 1;  ///< Own requests that weigh as much as what digests tell of
                                       ///< the fleet's rate. More misses a burst that only the
                                       ///< nodes themselves see yet (replica_selector_test.cpp).
+  std::size_t slot_share_nodes = 21;  ///< Smallest fleet whose nodes have slots of their own. In a
+                                      ///< smaller one everybody tells everybody at once.
+  int slot_share_unit = 2;            ///< Slots of a replica that are dealt together.
   double remote_zone_ms = 3.0;        ///< Cost of a replica in another zone.
   double cold_replica_ms = 50;        ///< Cost of a replica that has just started.
   std::size_t cold_senders = 2;    ///< Nodes that use a replica while it is cold: one may be dead.
@@ -107,6 +114,20 @@
   Duration retry_after_minimum = 300ms;      ///< Told to callers that are refused,
   Duration retry_after_spread = 700ms;  ///< spread by request so that they do not return at once.
 
+  // Paces of replicas.
+  int pace_memory_runs = 20;           ///< Runs over which the usual pace of a replica is learnt.
+  int pace_least_runs = 6;             ///< Fewer say nothing.
+  double pace_clear_factor = 1.2;      ///< A pace nearer to the middle is taken for the middle's.
+  double pace_limit = 4;               ///< No replica is taken to be slower or faster than this.
+  Duration pace_stated_fresh = 300ms;  ///< What a replica states of the moment holds this long,
+  Duration pace_stated_fade = 600ms;   ///< and then gives way to the usual pace over this time.
+  Duration pace_report_interval = 1s;  ///< Between a node's words on what it has learnt.
+  std::size_t pace_entries = 8;        ///< Replicas told of at a time.
+  Duration pace_word_lifetime = 15s;   ///< Another node's word counts this long,
+  std::size_t pace_words = 5;          ///< and those of so many nodes are kept for a replica.
+  Duration replica_full_time = 100ms;  ///< A replica that turned a request away without telling
+                                       ///< its load is taken to be full for this long.
+
   // Overload of the replicas.
   double overload_objectives = 2;     ///< Refuse if the expected wait is so many objectives,
   double overload_whole_time = 0.97;  ///< and the caller has so much of its time left, as a share;
@@ -138,8 +159,8 @@
   int submission_forwards = 2;  ///< Nodes that a job is passed on to, one after the other.
 
   // The rate limits of tenants.
-  Duration rate_report_delay = 400ms;  ///< Until the other nodes know what one has admitted: two
-                                       ///< digests, and one relay.
+  Duration rate_report_delay = 600ms;  ///< Until the other nodes know what one has admitted: two
+                                       ///< digests, and a relay that has no room in every round.
   Duration rate_report_time = 800ms;   ///< A request is told in each digest for this long, so that
                                        ///< three lost datagrams in a row lose nothing.
   Duration rate_silence = 500ms;    ///< A node without a sign of life for so long shares no bucket:
--- a/include/dockpoint/routing/replica_selector.hpp
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -10,6 +10,7 @@
 
 #include "dockpoint/routing/cold_replica_limiter.hpp"
 #include "dockpoint/routing/replica_directory.hpp"
+#include "dockpoint/routing/slot_shares.hpp"
 #include "dockpoint/routing/water_filling.hpp"
 
 /// Choice of the replica for one request or batch item.
@@ -18,7 +19,8 @@
 /// tells why the least loaded is not simply taken), and those that are expected to hold a long part
 /// of the prompt. Each gets a cost: the time until the request would start there. It is made of the
 /// wait for a free slot, the reading of prompts that stand before it, and the reading of its own
-/// prompt as far as the replica's prefix cache is not expected to hold it. A prefix is expected
+/// prompt as far as the replica's prefix cache is not expected to hold it, each as long as the
+/// replica's pace makes it (replica_pace.hpp). A prefix is expected
 /// where this node sent it lately, and at its home: the replica with the highest rendezvous score
 /// for it, which all nodes compute alike without talking. A home that is busy costs more than
 /// reading the prefix again elsewhere, so that load stays bounded.
@@ -44,6 +46,7 @@
   Duration expected_wait{};          ///< For a slot; zero if one is expected to be free.
   double missing_tokens = 0;         ///< Prompt tokens expected to be read there.
   double expected_load = 0;          ///< Requests and items expected there, this one left out.
+  bool own_slot = false;             ///< In a slot of this node's own, see slot_shares.hpp.
 };
 
 /// See the top of this file. Not thread-safe; borrows knobs and directory.
@@ -58,6 +61,9 @@
   /// Cold replicas get no more than the limiter admits from then on; it must outlive the selector.
   void limit_cold_replicas(ColdReplicaLimiter& limiter) { cold_limiter_ = &limiter; }
 
+  /// Online requests go to slots of this node's own while one is free; must outlive the selector.
+  void use_slot_shares(SlotShares& shares) { shares_ = &shares; }
+
   /// Remembers that a replica has read this prompt.
   void note_prompt(const std::string& replica, const std::vector<PromptPart>& prompt,
                    TimePoint now);
@@ -83,6 +89,7 @@
     double missing_tokens = 0;
     double wait_ms = 0;
     double cost_ms = 0;
+    bool own_slot = false;
   };
   /// What is learnt of a service's requests.
   struct ServiceHistory {
@@ -90,6 +97,16 @@
     DecayingCount sends;    ///< Of this node.
   };
 
+  /// @return the free slot of this node's own where the request ends soonest, if there is one and
+  /// no cached part of the prompt weighs more.
+  Candidate own_slot(const ReplicaQuery& query, const std::vector<PrefixStep>& steps,
+                     TimePoint now);
+  /// Counts the choice.
+  ReplicaChoice take(const std::string& service, const Candidate& candidate, TimePoint now);
+  /// @return whether the replica has answered well enough lately.
+  bool trusted(const Replica& replica, TimePoint now) const;
+  /// @return whether a request may go to the replica, whatever its load.
+  bool usable(const Replica& replica, const ReplicaQuery& query, TimePoint now) const;
   std::vector<const Replica*> candidates(const ReplicaQuery& query, TimePoint now) const;
   /// @return whether the replica is cold, and one more request is more than it carries.
   bool over_cold_limit(const Replica& replica, TimePoint now) const;
@@ -114,7 +131,8 @@
   /// @return indices of the candidates to compare, those drawn by load first.
   std::vector<std::size_t> shortlist(const std::vector<Candidate>& all, double prompt_tokens,
                                      const WaterFilling& filling);
-  double wait_ms(const Replica& replica, double expected_load, const std::string& service) const;
+  double wait_ms(const Replica& replica, double expected_load, const std::string& service,
+                 TimePoint now) const;
   double cost_ms(const Candidate& candidate, TimePoint now) const;
   ServiceHistory& history_of(const std::string& service);
   PrefixEntry& touch(std::uint64_t chain);
@@ -123,6 +141,7 @@
   const ReplicaDirectory& directory_;
   const std::string zone_;
   ColdReplicaLimiter* cold_limiter_ = nullptr;  ///< Null: there is no limit.
+  SlotShares* shares_ = nullptr;                ///< Null: no slots are a node's own.
   std::mt19937_64 random_;
   std::list<PrefixEntry> recent_;  ///< Most recently used first.
   std::unordered_map<std::uint64_t, std::list<PrefixEntry>::iterator> by_chain_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -58,6 +58,7 @@
       freshness_(knobs.freshness_bound),
       replicas_(knobs),
       cold_limiter_(knobs, settings_.cold_bound, settings_.node),
+      slot_shares_(knobs, settings_.node),
       selector_(knobs, replicas_, settings_.zone, combine_hash(hash64(settings_.node), run_)),
       rate_limiter_(knobs, settings_.rate_window, static_cast<std::uint32_t>(run_)),
       context_{
@@ -118,6 +119,7 @@
   relayed_log_.expect_others(others_expected);
   fleet_.set_record_server(record_server_);
   selector_.limit_cold_replicas(cold_limiter_);
+  selector_.use_slot_shares(slot_shares_);
   context_.rate_limiter = &rate_limiter_;
   context_.announce_load = [this] { peers_.announce_load(); };
   context_.peers_reaching_log = [this] { return peers_.control_addresses_reaching_log(); };
@@ -206,6 +208,11 @@
     }
     relayed_log_.set_members(peers_.alive());
   }
+  if (now >= next_deal_) {
+    next_deal_ = now + knobs_.replica_digest_interval;
+    deal_slots(now);
+    note_paces(now);
+  }
   if (fleet_.replicas_known()) {
     relayed_log_.set_replicas(fleet_.replicas());
   }
@@ -214,6 +221,29 @@
   peers_.set_slices(fleet_.slices());
 }
 
+void Gateway::deal_slots(TimePoint now) {
+  const std::size_t holders = slot_shares_.holders();
+  slot_shares_.set_holders(peers_.slot_holders(now));
+  metrics_.set_own_slots(slot_shares_.own_slots());
+  if (slot_shares_.holders() != holders) {
+    spdlog::info("routing: slots are dealt among other nodes nodes={} before={}",
+                 slot_shares_.holders(), holders);
+  }
+}
+
+void Gateway::note_paces(TimePoint now) {
+  for (const PaceChange& change : replicas_.paces().update(now)) {
+    const Replica* replica = replicas_.find_key(change.replica_key);
+    if (replica != nullptr) {
+      spdlog::info(
+          "fleet: usual pace of a replica is {} replica={} service={} factor={:.2f} before={}",
+          to_string(change.now), replica->record.id, replica->record.service, change.factor,
+          to_string(change.before));
+    }
+  }
+  metrics_.set_pace_classes(replicas_.paces().classes());
+}
+
 void Gateway::request_slot(const Replica& replica) {
   if (batch_.yield_slot(replica.record.id)) {
     return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -66,6 +66,9 @@
   void follow_fleet_size(TimePoint now);
   /// Finds replicas that fail far more often than others, and logs what has changed.
   void note_outliers(TimePoint now);
+  /// Takes the nodes that are heard now to the deal of slots.
+  void deal_slots(TimePoint now);
+  void note_paces(TimePoint now);
   /// An online request was sent to a replica that is full: a batch item there gives its slot up.
   void request_slot(const Replica& replica);
   void take_slot_request(const SlotRequest& request);
@@ -103,6 +106,7 @@
   GatewayMetrics metrics_;
   ReplicaDirectory replicas_;
   ColdReplicaLimiter cold_limiter_;
+  SlotShares slot_shares_;
   ReplicaSelector selector_;
   TenantRateLimiter rate_limiter_;
   GatewayContext context_;
@@ -122,6 +126,7 @@
   boost::asio::steady_timer timer_;
   std::vector<std::weak_ptr<net::Exchange>> state_answers_;  ///< Under way.
   std::uint64_t members_version_ = 0;  ///< That the parts that go by members know.
+  TimePoint next_deal_{};              ///< When slots are dealt among the nodes heard again.
   TimePoint stop_requested_at_{};
   TimePoint last_caller_at_{};
   bool stopping_ = false;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -12,6 +12,13 @@
   return buckets;
 }
 
+/// Upper bounds of the errors of expected waits, in seconds.
+const prometheus::Histogram::BucketBoundaries& wait_error_buckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets{-0.4, -0.2, -0.1, -0.05, 0,
+                                                               0.05, 0.1,  0.2,  0.4,   0.8};
+  return buckets;
+}
+
 /// Tenants over their limit that get a series of their own.
 constexpr std::size_t kTenantsShown = 32;
 
@@ -30,10 +37,22 @@
                       .Name("dockpoint_gateway_first_byte_seconds")
                       .Help("Time from a request's arrival to the first byte of its answer.")
                       .Register(registry_)),
+      wait_error_(prometheus::BuildHistogram()
+                      .Name("dockpoint_gateway_wait_error_seconds")
+                      .Help("Time from sending to the first byte, less the wait expected there.")
+                      .Register(registry_)),
       attempts_(prometheus::BuildCounter()
                     .Name("dockpoint_gateway_attempts_total")
                     .Help("Attempts at replicas by outcome.")
                     .Register(registry_)),
+      placements_(prometheus::BuildCounter()
+                      .Name("dockpoint_gateway_placements_total")
+                      .Help("Online requests sent to replicas, in slots of this node's own or not.")
+                      .Register(registry_)),
+      full_replicas_(prometheus::BuildCounter()
+                         .Name("dockpoint_gateway_replica_full_total")
+                         .Help("Attempts that a replica turned away for want of a slot.")
+                         .Register(registry_)),
       rate_limited_(prometheus::BuildCounter()
                         .Name("dockpoint_gateway_rate_limited_total")
                         .Help("Online requests refused for their tenant's rate limit.")
@@ -58,6 +77,12 @@
                                "Time since the log last confirmed the replicas' records.")),
       unreadable_records_(make_gauge(registry_, "dockpoint_gateway_unreadable_replica_records",
                                      "Records among the replicas' that name no replica.")),
+      own_slots_(make_gauge(registry_, "dockpoint_gateway_own_slots",
+                            "Slots of replicas that are this node's own.")),
+      replicas_by_pace_(prometheus::BuildGauge()
+                            .Name("dockpoint_gateway_replicas_by_pace")
+                            .Help("Replicas by their usual pace, against their service's middle.")
+                            .Register(registry_)),
       partitions_owned_(make_gauge(registry_, "dockpoint_gateway_partitions_owned",
                                    "Partitions of batch jobs that this node owns.")),
       log_lines_dropped_(make_gauge(registry_, "dockpoint_gateway_log_lines_dropped",
@@ -72,16 +97,39 @@
       .Observe(std::chrono::duration<double>(time).count());
 }
 
+void GatewayMetrics::observe_wait(const std::string& kind, const WaitError& wait) {
+  wait_error_.Add({{"kind", kind}, {"expected_ms", wait.expected_class}}, wait_error_buckets())
+      .Observe(std::chrono::duration<double>(wait.error).count());
+}
+
 void GatewayMetrics::count_attempt(const std::string& outcome) {
   attempts_.Add({{"outcome", outcome}}).Increment();
 }
 
-void GatewayMetrics::count_rate_limited(const std::string& tenant) {
+void GatewayMetrics::count_placement(bool own_slot) {
+  placements_.Add({{"slot", own_slot ? "own" : "other"}}).Increment();
+}
+
+void GatewayMetrics::count_full_replica() {
+  full_replicas_.Add({}).Increment();
+}
+
+void GatewayMetrics::set_pace_classes(const std::map<PaceClass, int>& classes) {
+  for (const auto& [pace, replicas] : classes) {
+    replicas_by_pace_.Add({{"pace", to_string(pace)}}).Set(replicas);
+  }
+}
+
+void GatewayMetrics::set_own_slots(int slots) {
+  own_slots_.Set(slots);
+}
+
+void GatewayMetrics::count_rate_limited(const std::string& tenant, const std::string& reason) {
   const bool shown = tenants_shown_.contains(tenant) || tenants_shown_.size() < kTenantsShown;
   if (shown) {
     tenants_shown_.insert(tenant);
   }
-  rate_limited_.Add({{"tenant", shown ? tenant : "other"}}).Increment();
+  rate_limited_.Add({{"tenant", shown ? tenant : "other"}, {"reason", reason}}).Increment();
 }
 
 void GatewayMetrics::count_caller_refused(const std::string& verdict) {
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -5,11 +5,14 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
 
 #include "dockpoint/core/time.hpp"
+#include "dockpoint/routing/replica_pace.hpp"
+#include "gateway/wait_calibration.hpp"
 
 namespace dockpoint {
 
@@ -21,10 +24,15 @@
   /// @param outcome `answered`, `refused`, `failed`, `timed_out`, `broken_off` or `caller_gone`.
   void count_request(const std::string& kind, const std::string& outcome);
   void observe_first_byte(const std::string& kind, Duration time);
+  /// Compares an expected wait with what followed, at the first byte of an online request's answer.
+  void observe_wait(const std::string& kind, const WaitError& wait);
   void count_attempt(const std::string& outcome);
+  /// Counts a request that was sent to a replica. @param own_slot in a slot of this node's own.
+  void count_placement(bool own_slot);
   /// Counts a request that was refused for its tenant's rate limit. Only the first tenants that are
   /// met get a series of their own, the others share `other`.
-  void count_rate_limited(const std::string& tenant);
+  /// @param reason as of `RateRefusal`.
+  void count_rate_limited(const std::string& tenant, const std::string& reason);
   /// Counts a refusal of a caller; @param verdict `unknown_key`, `unsure` or `malformed`.
   void count_caller_refused(const std::string& verdict);
   void count_item(const std::string& outcome);
@@ -34,6 +42,10 @@
   void set_fleet_age(Duration configuration, Duration replicas);
   /// @param count records among the replicas' that name no replica.
   void set_unreadable_records(std::size_t count);
+  /// @param slots that are this node's own, of all services.
+  void set_own_slots(int slots);
+  void count_full_replica();
+  void set_pace_classes(const std::map<PaceClass, int>& classes);
   void set_partitions_owned(std::size_t count);
   void set_log_lines_dropped(std::uint64_t count);
 
@@ -44,7 +56,10 @@
   prometheus::Registry registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Histogram>& first_byte_;
+  prometheus::Family<prometheus::Histogram>& wait_error_;
   prometheus::Family<prometheus::Counter>& attempts_;
+  prometheus::Family<prometheus::Counter>& placements_;
+  prometheus::Family<prometheus::Counter>& full_replicas_;
   prometheus::Family<prometheus::Counter>& rate_limited_;
   prometheus::Family<prometheus::Counter>& callers_refused_;
   prometheus::Family<prometheus::Counter>& items_;
@@ -53,6 +68,8 @@
   prometheus::Gauge& configuration_age_;
   prometheus::Gauge& replicas_age_;
   prometheus::Gauge& unreadable_records_;
+  prometheus::Gauge& own_slots_;
+  prometheus::Family<prometheus::Gauge>& replicas_by_pace_;
   prometheus::Gauge& partitions_owned_;
   prometheus::Gauge& log_lines_dropped_;
   std::set<std::string> tenants_shown_;  ///< With a series of their own.
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -112,6 +112,9 @@
   ++sends_;
   load_at_choice_ = choice.replica->load(now);
   slots_at_choice_ = replica.slots;
+  own_slot_ = choice.own_slot;
+  expected_wait_ = choice.expected_wait;
+  context_.metrics.count_placement(own_slot_);
   attempt_.start(*choice.replica, net::serialize(head) + body, choice.missing_tokens, *this);
   const bool would_wait =
       choice.expected_load >= context_.knobs.yield_request_load * std::max(1, replica.slots);
@@ -126,9 +129,9 @@
         context_.replica_records_age ? context_.replica_records_age() : Duration{};
     spdlog::info(
         "online: sent id={} route={} version={} replica={} recordsAgeMs={} attempt={} load={}/{} "
-        "waitMs={} missingTokens={} leftMs={}",
+        "ownSlot={} waitMs={} missingTokens={} leftMs={}",
         info_.id, route_.name, configuration_->version, attempt_.replica(), to_ms(records_age),
-        sends_, load_at_choice_, slots_at_choice_, to_ms(choice.expected_wait),
+        sends_, load_at_choice_, slots_at_choice_, own_slot_, to_ms(choice.expected_wait),
         static_cast<int>(choice.missing_tokens), to_ms(deadline_ - now));
   }
 }
@@ -171,6 +174,7 @@
     body_.append(bytes);
     return;
   }
+  attempt_.take_stream(bytes, last_progress_);
   const auto self = shared_from_this();
   if (history_.resumable) {
     framer_.feed(bytes, [this](const StreamEvent& event) { pass_event(event); });
@@ -208,6 +212,9 @@
     return;
   }
   context_.selector.note_service_time(service_, now - sent_at_);
+  if (head_.status / 100 == 2) {
+    attempt_.note_pace(now);
+  }
   if (!streaming_) {
     complete_whole();
     return;
@@ -379,14 +386,14 @@
   if (counted_) {
     return false;
   }
-  context_.metrics.count_rate_limited(tenant_->name);
+  const char* refusal = to_string(verdict.refusal);
+  context_.metrics.count_rate_limited(tenant_->name, refusal);
   if (is_sampled(info_.id)) {
     spdlog::info(
         "online: over the rate limit id={} tenant={} version={} perSecond={} burst={} "
-        "tokens={:.1f} "
-        "nodesHeard={}/{} retryAfterMs={}",
+        "tokens={:.1f} nodeShare={:.1f} nodesHeard={}/{} reason={} retryAfterMs={}",
         info_.id, tenant_->name, configuration_->version, tenant_->rate.per_second,
-        tenant_->rate.burst, verdict.tokens, verdict.heard, verdict.known,
+        tenant_->rate.burst, verdict.tokens, verdict.share, verdict.heard, verdict.known, refusal,
         to_ms(verdict.retry_after));
   }
   exchange_->respond(429, {{"Retry-After", retry_after_value(verdict.retry_after)}}, {});
@@ -444,17 +451,19 @@
   if (!ordinary || is_sampled(info_.id)) {
     spdlog::info(
         "online: {} id={} route={} version={} service={} replica={} sends={} mayHaveRun={} "
-        "load={}/{} firstByteMs={} late={} tookMs={} why=\"{}\"",
+        "load={}/{} ownSlot={} firstByteMs={} late={} tookMs={} why=\"{}\"",
         outcome, info_.id, route_.name, configuration_->version, service_, attempt_.replica(),
-        sends_, history_.runs_possible, load_at_choice_, slots_at_choice_, to_ms(first_byte_after_),
-        late(), to_ms(net::steady_now() - exchange_->received()), why);
+        sends_, history_.runs_possible, load_at_choice_, slots_at_choice_, own_slot_,
+        to_ms(first_byte_after_), late(), to_ms(net::steady_now() - exchange_->received()), why);
   }
   proxy_.calls_.erase(shared_from_this());
 }
 
 void OnlineCall::note_first_byte() {
-  first_byte_after_ = net::steady_now() - exchange_->received();
+  const TimePoint now = net::steady_now();
+  first_byte_after_ = now - exchange_->received();
   context_.metrics.observe_first_byte(kind(), first_byte_after_);
+  context_.metrics.observe_wait(kind(), wait_error(expected_wait_, now - sent_at_));
 }
 
 const char* OnlineCall::kind() const {
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -141,7 +141,9 @@
       pending_items_,
       context_.replicas.own_load(now),
       context_.rate_limiter == nullptr ? SpendReport{} : context_.rate_limiter->report(now),
-      fleet_position_.operator_records};
+      fleet_position_.operator_records,
+      false,
+      context_.replicas.paces().report(now)};
   if (cell_.divided()) {
     std::vector<const Member*> members = members_heard(cell_.others(), now);
     members.push_back(&membership_.self());
@@ -149,6 +151,7 @@
     tell(digest, cell_relay_, cell_collector_);
     digest.without_load = true;
     digest.entries.clear();
+    digest.paces.clear();
     digest.pending_items = 0;
   }
   if (!told_to_all()) {
@@ -279,6 +282,18 @@
   return sure.size() * 2 > all.size() ? sure : all;
 }
 
+std::vector<SlotHolder> PeerLink::slot_holders(TimePoint now) const {
+  std::vector<SlotHolder> holders{{context_.node, zone_}};
+  for (const Member* member : members_heard(neighbours(), now)) {
+    if (member->id != context_.node) {
+      holders.push_back({member->id, member->zone});
+    }
+  }
+  std::sort(holders.begin(), holders.end(),
+            [](const SlotHolder& left, const SlotHolder& right) { return left.node < right.node; });
+  return holders;
+}
+
 std::vector<std::string> PeerLink::members_not_left() const {
   std::vector<std::string> ids;
   for (const Member& member : membership_.all()) {
