--- a/include/dockpoint/admission/tenant_rate_limiter.hpp
+++ b/include/dockpoint/admission/tenant_rate_limiter.hpp
@@ -24,9 +24,10 @@
 /// node can overspend; two bounds keep it small:
 ///
 /// - Until the others know, a node admits no more than its share of the tokens and of a part of the
-///   window's tolerance, and a request or two beyond it. Its share is that of the tenant's requests
-///   that the others know of; the shares of all nodes make one, also while a burst begins. What is
-///   overspent is paid: while the debt is small the nodes admit a little less than the rate.
+///   window's tolerance, and about the square root of that beyond it. Its share is computed from
+///   requests that the others know of, so that the shares of all nodes add up to one even while a
+///   burst begins. Overspending becomes a debt; while it is small, the nodes together admit a
+///   little less than the rate.
 /// - A node that does not hear others has only its part of the limit: nodes that hear each other
 ///   share `heard / known` of it. Parts of a fleet that is cut apart add up to the limit, whatever
 ///   they admit. The number of known nodes only shrinks while most of them are heard.
@@ -131,9 +132,10 @@
     std::deque<TimePoint> recent;  ///< When requests were admitted here.
     std::size_t unreported = 0;    ///< Of these, the newest, which the others do not know of yet.
     TimePoint changed_at{};        ///< Last change of `total`.
-    double paced = 0;              ///< Requests that it may admit while the bucket is in debt.
-    double first_paced = 0;        ///< Spreads the first of these over the nodes.
-    double part_granted = 0;       ///< Of the tokens that all nodes together begin with.
+    double debt_credit = 0;        ///< Requests that it may admit while the bucket is in debt.
+    double first_debt_credit = 0;  ///< Where `debt_credit` begins, below 1: differs by node, so
+                                   ///< that they do not admit at once.
+    double start_part_granted = 0;  ///< Of the tokens that all nodes together begin with.
   };
   /// What another node has told of a tenant before.
   struct ToldSpend {
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -21,7 +21,7 @@
   int probe_helpers = 3;                 ///< Members asked to probe on our behalf.
   Duration suspicion_time = 3s;          ///< A suspect that does not refute by then is dead.
   Duration sync_interval = 20s;          ///< Full exchange with one random member.
-  Duration first_sync_interval = 400ms;  ///< The same after a node's start, doubled each time.
+  Duration first_sync_interval = 400ms;  ///< The first one after a start; doubles up to that.
   Duration dead_retention = 10min;       ///< How long a dead or left member is remembered.
   std::size_t updates_per_message = 24;  ///< Gossip piggybacked on a message.
   Duration gossip_interval = 200ms;      ///< Between messages that carry nothing but gossip, while
@@ -96,8 +96,8 @@
   double arrival_prior_requests = 1;  ///< Own requests that weigh as much as what digests tell of
                                       ///< the fleet's rate. More misses a burst that only the
                                       ///< nodes themselves see yet (replica_selector_test.cpp).
-  std::size_t slot_share_nodes = 21;  ///< Smallest fleet whose nodes have slots of their own. In a
-                                      ///< smaller one everybody tells everybody at once.
+  std::size_t slot_share_nodes = 21;  ///< Smallest fleet whose nodes have slots of their own: in
+                                      ///< one of `LoadRelay::kDirectNodes` digests are fresh.
   int slot_share_unit = 2;            ///< Slots of a replica that are dealt together.
   double remote_zone_ms = 3.0;        ///< Cost of a replica in another zone.
   double cold_replica_ms = 50;        ///< Cost of a replica that has just started.
@@ -160,7 +160,7 @@
 
   // The rate limits of tenants.
   Duration rate_report_delay = 600ms;  ///< Until the other nodes know what one has admitted: two
-                                       ///< digests, and a relay that has no room in every round.
+                                       ///< digest intervals, and one more where a relay was full.
   Duration rate_report_time = 800ms;   ///< A request is told in each digest for this long, so that
                                        ///< three lost datagrams in a row lose nothing.
   Duration rate_silence = 500ms;    ///< A node without a sign of life for so long shares no bucket:
--- a/include/dockpoint/routing/replica_selector.hpp
+++ b/include/dockpoint/routing/replica_selector.hpp
@@ -110,6 +110,9 @@
   std::vector<const Replica*> candidates(const ReplicaQuery& query, TimePoint now) const;
   /// @return whether the replica is cold, and one more request is more than it carries.
   bool over_cold_limit(const Replica& replica, TimePoint now) const;
+  /// @return the step before the last one, up to which other requests may share the prompt; null if
+  /// the prompt has no such part.
+  static const PrefixStep* shared_step(const std::vector<PrefixStep>& steps);
   std::vector<PrefixStep> steps_of(const std::vector<PromptPart>& prompt) const;
   /// @return keys of the first and second home of the query's shared parts.
   std::pair<std::uint32_t, std::uint32_t> homes(const std::vector<const Replica*>& all,
--- a/include/dockpoint/routing/slot_shares.hpp
+++ b/include/dockpoint/routing/slot_shares.hpp
@@ -47,8 +47,8 @@
   /// @param node of which the shares are.
   SlotShares(const Knobs& knobs, std::string node) : knobs_(knobs), node_(std::move(node)) {}
 
-  /// Takes the nodes that share the replicas, this one included. Too few or too many of them, and
-  /// nothing is dealt: see `Knobs::slot_share_nodes`.
+  /// Takes the nodes that share the replicas, this one included. With fewer than
+  /// `Knobs::slot_share_nodes` nothing is dealt.
   void set_holders(std::vector<SlotHolder> holders);
 
   /// @return this node's own slots at the replicas of a service, as the directory has them; none if
--- a/src/admission/tenant_rate_limiter.cpp
+++ b/src/admission/tenant_rate_limiter.cpp
@@ -42,14 +42,14 @@
 constexpr double kDebtPace = 0.9;
 
 /// Most requests that a node saves up at that pace.
-constexpr double kMostPaced = 1.5;
+constexpr double kMostDebtCredit = 1.5;
 
 /// Requests that a node may admit in any case before the others know: from a bucket that is more
 /// than half full, and from any other.
 constexpr double kLeastFromFull = 3;
 constexpr double kLeast = 1;
 
-/// Requests are whole, and shares are not: half of one more is admitted.
+/// Requests are whole and shares are not: a request is admitted if half of it is within the share.
 constexpr double kRounding = 0.5;
 
 /// What other nodes told of a tenant is forgotten after this time; a new report says by itself what
@@ -64,8 +64,8 @@
 /// has heard them itself.
 constexpr Duration kToldNodesTime = std::chrono::seconds(5);
 
-/// A node that hears a smaller part of the others counts as cut off where a refusal is explained.
-constexpr double kMostHeard = 0.9;
+/// A node that hears a smaller part of the nodes is reported as cut off.
+constexpr double kCutOffBelow = 0.9;
 
 /// Refusals are put down to the node's start for so long after it.
 constexpr Duration kStartExplains = std::chrono::seconds(3);
@@ -111,6 +111,10 @@
     }
   }
   std::erase_if(accounts_, [&](const auto& entry) { return !limits_.contains(entry.first); });
+  // A limit that comes back counts from zero at all nodes.
+  for (auto& [node, peer] : peers_) {
+    std::erase_if(peer.told, [&](const auto& entry) { return !limits_.contains(entry.first); });
+  }
 }
 
 double TenantRateLimiter::part() const {
@@ -140,7 +144,7 @@
                     .of_peers = DecayingCount(kShareMemory),
                     .recent = {},
                     .changed_at = now,
-                    .first_paced = fraction_of(combine_hash(run_, tenant))};
+                    .first_debt_credit = fraction_of(combine_hash(run_, tenant))};
     entry = accounts_.emplace(tenant, std::move(account)).first;
   }
   fill(entry->second, limit, now);
@@ -156,14 +160,14 @@
         kForgivenPart * tolerance(limit) * part() / seconds_of(window_.length);
     account.tokens = std::min(0.0, account.tokens + forgiven_per_second * time);
   }
-  // As more nodes are heard after a start or a cut, more of what all may begin with is shared;
-  // once in a window at most.
-  if (account.part_granted > part()) {
-    account.part_granted =
-        std::max(part(), account.part_granted - time / seconds_of(window_.length));
+  // As more nodes are heard after a start or a cut, more of what all may begin with is shared. What
+  // was granted may be granted again only as the window passes.
+  if (account.start_part_granted > part()) {
+    account.start_part_granted =
+        std::max(part(), account.start_part_granted - time / seconds_of(window_.length));
   }
-  const double granted = std::max(0.0, part() - account.part_granted);
-  account.part_granted += granted;
+  const double granted = std::max(0.0, part() - account.start_part_granted);
+  account.start_part_granted += granted;
   account.tokens =
       std::min(account.tokens + gained + granted * kStartPart * tolerance(limit), capacity(limit));
   account.filled_at = now;
@@ -175,7 +179,8 @@
   const double largest = kDebtPart * tolerance(limit) * part();
   const bool in_debt = account.tokens < 0 && account.tokens > -largest;
   const double pace = kDebtPace * limit.per_second * part() * share_of(account, now);
-  account.paced = in_debt ? std::min(kMostPaced, account.paced + pace * time) : account.first_paced;
+  account.debt_credit = in_debt ? std::min(kMostDebtCredit, account.debt_credit + pace * time)
+                                : account.first_debt_credit;
 }
 
 double TenantRateLimiter::share_of(const Account& account, TimePoint now) const {
@@ -206,7 +211,7 @@
 
 bool TenantRateLimiter::share_used(const Account& account, const RateLimit& limit,
                                    double allowed) const {
-  // Requests come by chance: as many more as their number varies by.
+  // Arrivals are random: one standard deviation above the share, the square root, is allowed.
   const double share = std::max(0.0, allowed);
   const double most = share + std::max(kLeast, std::sqrt(share));
   const double least = account.tokens > capacity(limit) / 2 ? kLeastFromFull : kLeast;
@@ -224,7 +229,7 @@
   RateVerdict verdict{true, {}, account.tokens, heard_, known_};
   verdict.share = allowance(account, tenant.rate, now);
   const bool used = share_used(account, tenant.rate, verdict.share);
-  const bool paced = account.paced >= 1;
+  const bool paced = account.debt_credit >= 1;
   if ((account.tokens < 1 || used) && !paced) {
     const double missing = std::max(0.0, 1 - account.tokens);
     const Duration refill = std::chrono::duration_cast<Duration>(
@@ -236,7 +241,7 @@
     return verdict;
   }
   account.tokens -= 1;
-  account.paced = std::max(0.0, account.paced - 1);
+  account.debt_credit = std::max(0.0, account.debt_credit - 1);
   ++account.total;
   ++account.unreported;
   account.recent.push_back(now);
@@ -248,7 +253,7 @@
   if (now - empties_from_ < kStartExplains) {
     return RateRefusal::kStarting;
   }
-  if (part() < kMostHeard) {
+  if (part() < kCutOffBelow) {
     return RateRefusal::kCutOff;
   }
   return account.tokens < 1 ? RateRefusal::kOverLimit : RateRefusal::kNodeShare;
@@ -264,7 +269,7 @@
   --account.total;
   if (!account.recent.empty()) {
     account.recent.pop_back();
-    account.unreported = std::min(account.unreported, account.recent.size());
+    account.unreported -= std::min<std::size_t>(account.unreported, 1);
   }
   account.changed_at = now;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -223,9 +223,11 @@
 
 void Gateway::deal_slots(TimePoint now) {
   const std::size_t holders = slot_shares_.holders();
-  slot_shares_.set_holders(peers_.slot_holders(now));
+  // A change of holders clears what was dealt until a request asks for it again.
   metrics_.set_own_slots(slot_shares_.own_slots());
-  if (slot_shares_.holders() != holders) {
+  slot_shares_.set_holders(peers_.slot_holders(now));
+  const bool dealt = std::max(holders, slot_shares_.holders()) >= knobs_.slot_share_nodes;
+  if (dealt && slot_shares_.holders() != holders) {
     spdlog::info("routing: slots are dealt among other nodes nodes={} before={}",
                  slot_shares_.holders(), holders);
   }
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -106,6 +106,7 @@
   head_seen_ = false;
   turned_away_ = false;
   streaming_ = false;
+  held_up_ = false;
   silence_told_ = false;
   body_.clear();
   framer_.discard_partial();
@@ -182,6 +183,7 @@
     exchange_->write(bytes);
   }
   if (!finished_ && attempt_.call() && exchange_->pending_output() > kOutputLimit) {
+    held_up_ = true;
     attempt_.call()->pause_reading();
   }
 }
@@ -212,7 +214,7 @@
     return;
   }
   context_.selector.note_service_time(service_, now - sent_at_);
-  if (head_.status / 100 == 2) {
+  if (head_.status / 100 == 2 && !held_up_) {
     attempt_.note_pace(now);
   }
   if (!streaming_) {
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -85,6 +85,7 @@
   TimePoint sent_at_{};
   bool head_seen_ = false;
   bool turned_away_ = false;   ///< The replica said that it did not run the request.
+  bool held_up_ = false;       ///< By its caller: the run tells nothing of the replica's pace.
   bool streaming_ = false;     ///< The answer under way is a stream that is passed on.
   bool silence_told_ = false;  ///< The directory knows that this attempt is silent.
   net::ResponseHead head_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -283,7 +283,7 @@
   std::shuffle(targets.begin(), targets.end(), random_);
   targets.resize(std::min(targets.size(), knobs_.gossip_targets));
   for (const Member* target : targets) {
-    // Older builds take updates from a message of any type, and do not answer this one.
+    // A sync response is not answered, and its updates are taken whoever asked for them.
     sender_.send(target->peer_address, make_message(PeerMessageType::kSyncResponse));
   }
 }
@@ -336,6 +336,8 @@
 }
 
 void Membership::answer_sync(const std::string& address) {
+  // The answers carry members in place of news, which does not count as sent by them.
+  const auto news = rumors_;
   std::vector<Member> part;
   const auto flush = [&] {
     PeerMessage response = make_message(PeerMessageType::kSyncResponse);
@@ -350,6 +352,7 @@
     }
   }
   flush();
+  rumors_ = news;
 }
 
 void Membership::apply(const Member& update, TimePoint now) {
--- a/src/routing/replica_pace.cpp
+++ b/src/routing/replica_pace.cpp
@@ -169,7 +169,7 @@
   for (const Known* known : replicas) {
     if (learnt(*known)) {
       levels.push_back(known->step.value);
-    } else if (!known->words.empty()) {
+    } else if (known->words.size() > 1) {  // One node's word counts for nothing.
       std::vector<double> words;
       for (const auto& [node, word] : known->words) {
         words.push_back(word.value);
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -78,8 +78,8 @@
   if (shares_ == nullptr || query.traffic != TrafficClass::kOnline) {
     return {};
   }
-  const double shared = steps.size() < 2 ? 0 : steps[steps.size() - 2].tokens;
-  if (shared >= knobs_.affinity_tokens) {
+  const PrefixStep* shared = shared_step(steps);
+  if (shared != nullptr && shared->tokens >= knobs_.affinity_tokens) {
     return {};
   }
   const double prompt_tokens = steps.empty() ? 0 : steps.back().tokens;
@@ -87,7 +87,9 @@
   double best_end_ms = 0;
   for (const SlotShare& share : shares_->of(query.service, directory_)) {
     const Replica* replica = directory_.find_key(share.replica_key);
-    if (replica == nullptr || replica->online >= share.slots || replica->full(now) ||
+    // Two replicas, of different services even, may share a key.
+    const bool of_service = replica != nullptr && replica->record.service == query.service;
+    if (!of_service || replica->online >= share.slots || replica->full(now) ||
         !usable(*replica, query, now)) {
       continue;
     }
@@ -232,12 +234,18 @@
   return steps;
 }
 
+const ReplicaSelector::PrefixStep* ReplicaSelector::shared_step(
+    const std::vector<PrefixStep>& steps) {
+  return steps.size() < 2 ? nullptr : &steps[steps.size() - 2];
+}
+
 std::pair<std::uint32_t, std::uint32_t> ReplicaSelector::homes(
     const std::vector<const Replica*>& all, const std::vector<PrefixStep>& steps) const {
-  if (steps.size() < 2) {
+  const PrefixStep* shared = shared_step(steps);
+  if (shared == nullptr) {
     return {0, 0};
   }
-  const std::uint64_t chain = steps[steps.size() - 2].chain;
+  const std::uint64_t chain = shared->chain;
   std::pair<std::uint64_t, std::uint32_t> first{0, 0};
   std::pair<std::uint64_t, std::uint32_t> second{0, 0};
   for (const Replica* replica : all) {
@@ -270,12 +278,11 @@
     }
     cached = step.tokens;
   }
-  if (steps.size() >= 2) {
-    const double shared = steps[steps.size() - 2].tokens;
+  if (const PrefixStep* shared = shared_step(steps)) {
     const double confidence = replica.key == homes.first    ? knobs_.home_confidence
                               : replica.key == homes.second ? knobs_.second_home_confidence
                                                             : 0;
-    cached = std::max(cached, shared * confidence);
+    cached = std::max(cached, shared->tokens * confidence);
   }
   return cached;
 }
--- a/src/routing/slot_shares.cpp
+++ b/src/routing/slot_shares.cpp
@@ -8,6 +8,9 @@
 namespace dockpoint {
 namespace {
 
+/// Of a replica; more, from a record that is wrong, would hold the event loop up.
+constexpr int kMostSlotsDealt = 256;
+
 /// Slots of one replica that are dealt together.
 struct Unit {
   std::uint64_t hash = 0;
@@ -18,7 +21,7 @@
 std::vector<Unit> units_of(const std::vector<const Replica*>& replicas, int unit_slots) {
   std::vector<Unit> units;
   for (std::size_t index = 0; index < replicas.size(); ++index) {
-    const int slots = replicas[index]->record.slots;
+    const int slots = std::min(replicas[index]->record.slots, kMostSlotsDealt);
     for (int first = 0; first < slots; first += unit_slots) {
       const auto number = static_cast<std::uint64_t>(first);
       units.push_back(
--- a/tests/admission/tenant_rate_limiter_test.cpp
+++ b/tests/admission/tenant_rate_limiter_test.cpp
@@ -219,4 +219,16 @@
   BOOST_TEST(limiter.accounts() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_limit_that_is_removed_and_comes_back_refunds_nothing) {
+  hear(7, 1, 100, 0);
+  run(10'000);
+  limiter.set_limits(TenantDirectory{});
+  run(1'000);
+  limiter.set_limits(tenants);
+  run(100);
+  const double before = limiter.admit(tenant, at(now)).tokens;
+  hear(7, 1, 1, 1);  // The other node counts from zero, too.
+  BOOST_TEST(limiter.admit(tenant, at(now)).tokens < before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/routing/replica_pace_test.cpp
+++ b/tests/routing/replica_pace_test.cpp
@@ -253,6 +253,19 @@
   BOOST_TEST(paces.usual(9) == 1.6, boost::test_tools::tolerance(0.02));
 }
 
+BOOST_FIXTURE_TEST_CASE(the_word_of_one_node_does_not_move_the_middle_of_the_service, View) {
+  run(1, 1.0);
+  run(2, 1.0);
+  std::vector<PaceEntry> wrong;
+  for (std::uint32_t replica = 3; replica <= 9; ++replica) {
+    wrong.push_back(word(replica, 4));
+  }
+  paces.told(1, wrong, at(0));
+  paces.update(at(0));
+  BOOST_TEST(paces.usual(1) == 1);
+  BOOST_TEST(paces.usual(2) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(requests_wait_less_where_paces_are_known) {
   FleetPattern pattern = unlike_replicas();
   pattern.learn_paces = false;
--- a/tests/routing/slot_shares_test.cpp
+++ b/tests/routing/slot_shares_test.cpp
@@ -159,6 +159,16 @@
   BOOST_TEST(total(Fleet(3, 6).shares_of(0, holders(73))) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(a_record_with_an_absurd_number_of_slots_is_dealt_in_part) {
+  Fleet fleet(89, 8);
+  fleet.add("absurd", "zone-0", 1'000'000);
+  int slots = 0;
+  for (int node = 0; node < 73; ++node) {
+    slots += total(fleet.shares_of(node, holders(73)));
+  }
+  BOOST_TEST(slots < 2 * 89 * 8);
+}
+
 BOOST_AUTO_TEST_CASE(requests_at_a_peak_find_slots_where_a_late_view_misses_them) {
   FleetPattern pattern;
   pattern.slot_shares = false;
--- a/tests/support/fleet_replay.hpp
+++ b/tests/support/fleet_replay.hpp
@@ -72,7 +72,7 @@
   FleetOutcome run(std::int64_t length_ms, std::int64_t from_ms = 0);
 
   /// The node gets no more requests and tells nothing; its requests end at once. Others do not know
-  /// until `forget_node`.
+  /// until `set_known`.
   void kill_node(int node);
   /// The other nodes learn that a node is gone, or is there again.
   void set_known(const std::vector<int>& nodes);
