--- a/src/routing/replica_pace.cpp
+++ b/src/routing/replica_pace.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace dockpoint {
@@ -165,11 +166,18 @@
 }
 
 void ReplicaPaces::update_service(const std::vector<Known*>& replicas, Service& service) {
+  std::set<std::uint32_t> tellers;
+  for (const Known* known : replicas) {
+    for (const auto& [node, word] : known->words) {
+      tellers.insert(node);
+    }
+  }
+  // One node alone does not say where the middle is.
   std::vector<double> levels;
   for (const Known* known : replicas) {
     if (learnt(*known)) {
       levels.push_back(known->step.value);
-    } else if (known->words.size() > 1) {  // One node's word counts for nothing.
+    } else if (tellers.size() > 1 && !known->words.empty()) {
       std::vector<double> words;
       for (const auto& [node, word] : known->words) {
         words.push_back(word.value);
