--- a/include/dockpoint/admission/tenant_rate_limiter.hpp
+++ b/include/dockpoint/admission/tenant_rate_limiter.hpp
@@ -129,12 +129,12 @@
                         ///< make each node take its own part for the largest.
     DecayingCount of_peers;  ///< Admitted by the others lately.
     std::uint32_t total = 0;
-    std::deque<TimePoint> recent;  ///< When requests were admitted here.
-    std::size_t unreported = 0;    ///< Of these, the newest, which the others do not know of yet.
-    TimePoint changed_at{};        ///< Last change of `total`.
-    double debt_credit = 0;        ///< Requests that it may admit while the bucket is in debt.
-    double first_debt_credit = 0;  ///< Where `debt_credit` begins, below 1: differs by node, so
-                                   ///< that they do not admit at once.
+    std::deque<TimePoint> recent;   ///< When requests were admitted here.
+    std::size_t unreported = 0;     ///< Of these, the newest, which the others do not know of yet.
+    TimePoint changed_at{};         ///< Last change of `total`.
+    double debt_credit = 0;         ///< Requests that it may admit while the bucket is in debt.
+    double first_debt_credit = 0;   ///< Where `debt_credit` begins, below 1: differs by node, so
+                                    ///< that they do not admit at once.
     double start_part_granted = 0;  ///< Of the tokens that all nodes together begin with.
   };
   /// What another node has told of a tenant before.
