News of members goes on probes again, and a deal of slots is bounded

Change: gossip apart from probes and the repeated exchange after a start are reverted; nothing is dealt beyond 400,000 units times nodes.

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -21,12 +21,8 @@
   int probe_helpers = 3;                 ///< Members asked to probe on our behalf.
   Duration suspicion_time = 3s;          ///< A suspect that does not refute by then is dead.
   Duration sync_interval = 20s;          ///< Full exchange with one random member.
-  Duration first_sync_interval = 400ms;  ///< The first one after a start; doubles up to that.
   Duration dead_retention = 10min;       ///< How long a dead or left member is remembered.
   std::size_t updates_per_message = 24;  ///< Gossip piggybacked on a message.
-  Duration gossip_interval = 200ms;      ///< Between messages that carry nothing but gossip, while
-                                         ///< there is any,
-  std::size_t gossip_targets = 3;        ///< to so many members.
   int update_retransmissions = 3;        ///< Times log2(members) that an update is passed on.
   std::size_t sync_members_per_message = 16;
 
@@ -98,9 +94,11 @@
                                       ///< nodes themselves see yet (replica_selector_test.cpp).
   std::size_t slot_share_nodes = 21;  ///< Smallest fleet whose nodes have slots of their own: in
                                       ///< one of `LoadRelay::kDirectNodes` digests are fresh.
-  int slot_share_unit = 2;            ///< Slots of a replica that are dealt together.
-  double remote_zone_ms = 3.0;        ///< Cost of a replica in another zone.
-  double cold_replica_ms = 50;        ///< Cost of a replica that has just started.
+  std::size_t slot_share_work = 400'000;  ///< Units times nodes beyond which nothing is dealt: a
+                                          ///< deal would hold the event loop up.
+  int slot_share_unit = 2;                ///< Slots of a replica that are dealt together.
+  double remote_zone_ms = 3.0;            ///< Cost of a replica in another zone.
+  double cold_replica_ms = 50;            ///< Cost of a replica that has just started.
   std::size_t cold_senders = 2;    ///< Nodes that use a replica while it is cold: one may be dead.
   double batch_fill = 0.9;         ///< Batch goes to replicas below this share of slots.
   Duration prefix_lifetime = 45s;  ///< A prompt is expected in a cache for this long.
--- a/include/dockpoint/membership/membership.hpp
+++ b/include/dockpoint/membership/membership.hpp
@@ -17,9 +17,7 @@
 /// Every interval a node pings one member. Without an ack in time it asks a few helpers to ping
 /// on its behalf, which tells a lost link from a lost member. Without any ack the member becomes
 /// suspect, and dead if it does not refute the suspicion, by raising its incarnation, in time.
-/// Changes ride on probes and acks, and go out several times a second by themselves while they are
-/// news: a fleet that restarts as a whole knows itself within about a second, where probes alone,
-/// one a second and node, take several. A leave is final within its incarnation.
+/// Changes ride on probes and acks. A leave is final within its incarnation.
 ///
 /// Recovery: a node that was cut off is dead to the others. Its address stays a candidate (from
 /// the platform's machine list and the seeds), one candidate is pinged an interval, and the node
@@ -117,8 +115,6 @@
   void check_probe(TimePoint now);
   void ask_helpers(const Member& target);
   void expire_states(TimePoint now);
-  /// Sends what is news to some members; asks for members as long as none is known.
-  void gossip();
   void ping_candidate();
   void synchronize();
   /// Adds what is held against `id`, so that it can refute it.
@@ -149,8 +145,6 @@
   std::uint64_t probe_sequence_ = 0;
   TimePoint next_probe_{};
   TimePoint next_sync_{};
-  Duration sync_interval_;
-  TimePoint next_gossip_{};
   std::uint64_t configuration_revision_ = 0;
   std::uint32_t pending_batch_items_ = 0;
   bool log_reachable_ = true;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -6,11 +6,7 @@
 namespace dockpoint {
 
 Membership::Membership(const Knobs& knobs, Member self, std::uint64_t seed, PeerSender& sender)
-    : knobs_(knobs),
-      self_(std::move(self)),
-      random_(seed),
-      sender_(sender),
-      sync_interval_(knobs.first_sync_interval) {
+    : knobs_(knobs), self_(std::move(self)), random_(seed), sender_(sender) {
   self_.run = self_.incarnation;
 }
 
@@ -30,12 +26,8 @@
     start_probe(now);
     ping_candidate();
   }
-  if (now >= next_gossip_) {
-    next_gossip_ = now + knobs_.gossip_interval;
-    gossip();
-  }
   if (now >= next_sync_) {
-    next_sync_ = now + sync_interval_;
+    next_sync_ = now + knobs_.sync_interval;
     synchronize();
   }
 }
@@ -266,28 +258,6 @@
   });
 }
 
-void Membership::gossip() {
-  std::vector<const Member*> targets;
-  for (const auto& [id, entry] : members_) {
-    if (entry.member.state == MemberState::kAlive) {
-      targets.push_back(&entry.member);
-    }
-  }
-  if (targets.empty()) {
-    ping_candidate();
-    return;
-  }
-  if (rumors_.empty()) {
-    return;
-  }
-  std::shuffle(targets.begin(), targets.end(), random_);
-  targets.resize(std::min(targets.size(), knobs_.gossip_targets));
-  for (const Member* target : targets) {
-    // A sync response is not answered, and its updates are taken whoever asked for them.
-    sender_.send(target->peer_address, make_message(PeerMessageType::kSyncResponse));
-  }
-}
-
 void Membership::ping_candidate() {
   std::vector<std::string> unknown;
   for (const std::string& address : candidates_) {
@@ -330,14 +300,11 @@
   if (others.empty()) {
     return;
   }
-  sync_interval_ = std::min(sync_interval_ * 2, knobs_.sync_interval);
   std::uniform_int_distribution<std::size_t> pick(0, others.size() - 1);
   sender_.send(others[pick(random_)]->peer_address, make_message(PeerMessageType::kSyncRequest));
 }
 
 void Membership::answer_sync(const std::string& address) {
-  // The answers carry members in place of news, which does not count as sent by them.
-  const auto news = rumors_;
   std::vector<Member> part;
   const auto flush = [&] {
     PeerMessage response = make_message(PeerMessageType::kSyncResponse);
@@ -352,7 +319,6 @@
     }
   }
   flush();
-  rumors_ = news;
 }
 
 void Membership::apply(const Member& update, TimePoint now) {
--- a/src/routing/slot_shares.cpp
+++ b/src/routing/slot_shares.cpp
@@ -81,7 +81,8 @@
 
 std::vector<SlotShare> SlotShares::deal(const std::vector<const Replica*>& replicas) const {
   const std::vector<Unit> units = units_of(replicas, knobs_.slot_share_unit);
-  if (holders_.empty() || units.size() < holders_.size()) {
+  const bool too_much = units.size() * holders_.size() > knobs_.slot_share_work;
+  if (holders_.empty() || units.size() < holders_.size() || too_much) {
     return {};
   }
   // Nobody gets one more than the others before all have as many as there are for everybody.
