--- a/include/dockpoint/routing/slot_shares.hpp
+++ b/include/dockpoint/routing/slot_shares.hpp
@@ -52,7 +52,8 @@
   void set_holders(std::vector<SlotHolder> holders);
 
   /// @return this node's own slots at the replicas of a service, as the directory has them; none if
-  /// the service has too few slots to give every node a unit.
+  /// the service has too few slots to give every node a unit, or so many that a deal would hold the
+  /// event loop up, see `Knobs::slot_share_work`.
   const std::vector<SlotShare>& of(const std::string& service, const ReplicaDirectory& directory);
   /// @return this node's own slots, of the services that were asked for.
   int own_slots() const;
