--- a/tests/routing/slot_shares_test.cpp
+++ b/tests/routing/slot_shares_test.cpp
@@ -169,6 +169,10 @@
   BOOST_TEST(slots < 2 * 89 * 8);
 }
 
+BOOST_AUTO_TEST_CASE(a_deal_that_would_hold_the_event_loop_up_is_not_made) {
+  BOOST_TEST(total(Fleet(3'000, 8).shares_of(0, holders(300))) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(requests_at_a_peak_find_slots_where_a_late_view_misses_them) {
   FleetPattern pattern;
   pattern.slot_shares = false;
