--- a/include/dockpoint/core/hash.hpp
+++ b/include/dockpoint/core/hash.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -11,7 +12,20 @@
 /// @return a 64-bit hash of `bytes`.
 std::uint64_t hash64(std::string_view bytes, std::uint64_t seed = 0);
 
-/// @return 32 lower-case hexadecimal digits of a 128-bit hash of `bytes`.
+/// A 128-bit hash.
+struct Hash128 {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+
+  auto operator<=>(const Hash128&) const = default;
+  /// @return 32 lower-case hexadecimal digits.
+  std::string hex() const;
+};
+
+/// @return a 128-bit hash of `bytes`.
+Hash128 hash128(std::string_view bytes);
+
+/// @return the same as 32 lower-case hexadecimal digits.
 std::string hash128_hex(std::string_view bytes);
 
 /// Score of `candidate` for `key` in rendezvous hashing; the highest score wins.
--- /dev/null
+++ b/src/admission/request_fingerprint.cpp
@@ -0,0 +1,18 @@
+#include "dockpoint/admission/request_fingerprint.hpp"
+
+#include <initializer_list>
+#include <string>
+
+namespace dockpoint {
+
+RequestFingerprint fingerprint_of(const RequestContent& content) {
+  // A digest of each part: no part can be mistaken for the end of the one before it.
+  std::string digests;
+  for (const std::string_view part :
+       {content.method, content.host, content.target, content.tenant, content.body}) {
+    digests += hash128(part).hex();
+  }
+  return hash128(digests);
+}
+
+}  // namespace dockpoint
--- a/src/core/hash.cpp
+++ b/src/core/hash.cpp
@@ -11,15 +11,22 @@
   return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
-std::string hash128_hex(std::string_view bytes) {
+Hash128 hash128(std::string_view bytes) {
   const XXH128_hash_t hash = XXH3_128bits(bytes.data(), bytes.size());
+  return {hash.high64, hash.low64};
+}
+
+std::string Hash128::hex() const {
   std::array<char, 33> text{};
-  std::snprintf(text.data(), text.size(), "%016llx%016llx",
-                static_cast<unsigned long long>(hash.high64),
-                static_cast<unsigned long long>(hash.low64));
+  std::snprintf(text.data(), text.size(), "%016llx%016llx", static_cast<unsigned long long>(high),
+                static_cast<unsigned long long>(low));
   return std::string(text.data(), 32);
 }
 
+std::string hash128_hex(std::string_view bytes) {
+  return hash128(bytes).hex();
+}
+
 std::uint64_t rendezvous_score(std::string_view key, std::string_view candidate) {
   return hash64(candidate, hash64(key));
 }
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -266,8 +266,9 @@
   const bool not_sent = failure == net::CallFailure::kNotSent;
   attempt_.signal(not_sent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken, now);
   spdlog::warn(
-      "online: attempt failed id={} replica={} failure={} headSeen={} reused={} afterMs={}",
-      info_.id, attempt_.replica(), static_cast<int>(failure), head_seen_,
+      "online: attempt failed id={} content={} replica={} failure={} headSeen={} reused={} "
+      "afterMs={}",
+      info_.id, fingerprint().hex(), attempt_.replica(), static_cast<int>(failure), head_seen_,
       attempt_.call() && attempt_.call()->reused(), to_ms(now - sent_at_));
   const bool not_run = not_sent || (turned_away_ && head_seen_);
   end_attempt();
@@ -468,6 +469,16 @@
   context_.metrics.observe_wait(kind(), wait_error(expected_wait_, now - sent_at_));
 }
 
+const RequestFingerprint& OnlineCall::fingerprint() {
+  if (!fingerprint_) {
+    const net::RequestHead& head = exchange_->request();
+    const std::string_view tenant = tenant_ == nullptr ? std::string_view{} : tenant_->name;
+    fingerprint_ = fingerprint_of(
+        {head.method, head.headers.get("Host"), head.target, tenant, exchange_->body()});
+  }
+  return *fingerprint_;
+}
+
 const char* OnlineCall::kind() const {
   switch (route_.kind) {
     case RouteKind::kIdempotent:
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 
+#include "dockpoint/admission/request_fingerprint.hpp"
 #include "dockpoint/routing/attempt_policy.hpp"
 #include "dockpoint/streaming/event_framer.hpp"
 #include "gateway/online_proxy.hpp"
@@ -63,6 +64,8 @@
   /// @return whether the whole answer that came is the replica's word that it failed.
   bool tells_failure() const;
   const char* kind() const;
+  /// @return what tells that this request is the same as one before, at any node.
+  const RequestFingerprint& fingerprint();
   /// Notes that the caller gets the first byte of its answer now.
   void note_first_byte();
   /// @return whether the first byte came later than the route's objective.
@@ -76,6 +79,7 @@
   const Tenant* tenant_;  ///< Of `configuration_`; null: the request belongs to none.
   bool counted_ = false;  ///< Against the tenant's rate limit.
   RequestInfo info_;
+  std::optional<RequestFingerprint> fingerprint_;  ///< Once it was needed.
   std::string service_;
   TimePoint deadline_{};
   AttemptHistory history_;
--- /dev/null
+++ b/tests/admission/request_fingerprint_test.cpp
@@ -0,0 +1,37 @@
+#include "dockpoint/admission/request_fingerprint.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace dockpoint;
+
+namespace {
+
+const RequestContent kRequest{"POST", "a.example", "/notes/7?lang=el", "clinic", "a body"};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(request_fingerprint)
+
+BOOST_AUTO_TEST_CASE(the_same_content_has_the_same_fingerprint_in_all_versions) {
+  BOOST_TEST(fingerprint_of(kRequest).hex() == "89b27ef76a8d50060bb74cdf82e962ce");
+}
+
+BOOST_AUTO_TEST_CASE(any_part_that_differs_makes_another_fingerprint) {
+  std::set<RequestFingerprint> seen{fingerprint_of(kRequest)};
+  for (std::string_view RequestContent::*part :
+       {&RequestContent::method, &RequestContent::host, &RequestContent::target,
+        &RequestContent::tenant, &RequestContent::body}) {
+    RequestContent other = kRequest;
+    other.*part = "other";
+    BOOST_TEST(seen.insert(fingerprint_of(other)).second);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(parts_do_not_run_into_each_other) {
+  const RequestContent left{"POST", "h", "/a", "b", "c"};
+  const RequestContent right{"POST", "h", "/ab", "", "c"};
+  BOOST_TEST((fingerprint_of(left) != fingerprint_of(right)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
