--- a/tests/platform/stand_ins.hpp
+++ b/tests/platform/stand_ins.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <functional>
 #include <optional>
 #include <string>
@@ -24,14 +25,21 @@
       : id_(std::move(id)),
         port_(port),
         handler_(std::move(handler)),
-        server_(loop, [this](const net::ExchangePtr& exchange) {
+        loop_(loop),
+        server_(std::in_place, loop, [this](const net::ExchangePtr& exchange) {
           ++requests_;
           last_ = exchange->request();
           handler_(exchange);
         }) {
-    server_.listen("127.0.0.1:" + std::to_string(port_));
+    server_->listen("127.0.0.1:" + std::to_string(port_));
   }
 
+  /// Ends the process that the replica stands for, in the next turn of the loop.
+  void crash() {
+    boost::asio::post(loop_, [this] { server_.reset(); });
+  }
+  bool running() const { return server_.has_value(); }
+
   ReplicaRecord record(const std::string& service) const {
     return {id_, service, {"127.0.0.1", port_}, "zone-a", 4, false, {}};
   }
@@ -44,7 +52,8 @@
   Handler handler_;
   int requests_ = 0;
   net::RequestHead last_;
-  net::HttpServer server_;
+  boost::asio::io_context& loop_;
+  std::optional<net::HttpServer> server_;
 };
 
 /// @return the headers of a genuine answer to `exchange`.
--- a/tests/platform/system_test.cpp
+++ b/tests/platform/system_test.cpp
@@ -5,13 +5,10 @@
 #include <memory>
 #include <optional>
 
-#include "gateway/gateway.hpp"
-#include "platform/fleet.hpp"
+#include "platform/gateway_node.hpp"
 #include "platform/replica_records.hpp"
 #include "platform/stand_in_store.hpp"
 #include "platform/stand_ins.hpp"
-#include "platform/store_log.hpp"
-#include "platform/traffic.hpp"
 #include "platform/wire_names.hpp"
 
 using namespace dockpoint;
@@ -19,68 +16,14 @@
 
 namespace {
 
-constexpr std::uint16_t kStorePort = 28'201;
+using Node = GatewayNode;
+
 constexpr std::uint16_t kReplicaPort = 28'202;
 constexpr std::uint16_t kRefusingStorePort = 28'203;
-constexpr int kPartitions = 3;
-
-const char* const kRoutes = R"({"version":%V,"routeList":[
- {"name":"quick","host":"a.example","pathPrefix":"/quick/","type":"idempotent","timeoutMs":3000,
-  "targetMs":300,"priority":0,"service":"lm","attempts":2},
- {"name":"batch","host":"a.example","pathPrefix":"/batch/","type":"batch","timeoutMs":3000,
-  "targetMs":400,"completionTargetMs":20000,"retentionS":60,"priority":2,"service":"lm","attempts":3}],
- "services":[{"name":"lm","healthPath":"/healthz","maxConns":50,"engine":{"slots":4,
-  "kvCacheTokens":1000}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,
-  "headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
-
-std::string routes(int version) {
-  std::string text = kRoutes;
-  return text.replace(text.find("%V"), 2, std::to_string(version));
-}
-
-/// One gateway with everything that it borrows.
-struct Node {
-  Node(boost::asio::io_context& loop, int number, std::uint16_t store_port = kStorePort)
-      : client(loop),
-        store(loop, client, {"127.0.0.1", store_port}, {kPartitions, 262'144, 2'097'152}),
-        gateway(loop, client, knobs, settings(number),
-                {store, traffic, traffic, fleet, platform::PlatformFleet::fleet_topics(),
-                 platform::PlatformFleet::batch_topics(), &log}) {
-    gateway.start();
-  }
-
-  static std::string address(int number, int port) {
-    // All nodes use the same ports, as machines do.
-    return "127.0.0." + std::to_string(number) + ":" + std::to_string(28'300 + port);
-  }
-  static GatewaySettings settings(int number) {
-    GatewaySettings settings;
-    settings.node = "node-" + std::to_string(number);
-    settings.seeds = {address(1, 3), address(2, 3)};
-    settings.zone = "zone-a";
-    settings.frontend_address = address(number, 0);
-    settings.readiness_address = address(number, 1);
-    settings.resolver_address = address(number, 2);
-    settings.control_address = address(number, 3);
-    settings.datagram_address = address(number, 4);
-    settings.metrics_address = address(number, 5);
-    settings.address_lifetime = std::chrono::seconds(1);
-    settings.grace = std::chrono::seconds(4);
-    return settings;
-  }
-
-  Knobs knobs;
-  net::HttpClient client;
-  platform::PlatformTraffic traffic;
-  platform::PlatformFleet fleet;
-  platform::StoreLog store;
-  BoundedLog log{-1};
-  Gateway gateway;
-};
 
 struct Fixture {
   boost::asio::io_context loop{1};
-  StandInStore store{loop, kStorePort, kPartitions};
+  StandInStore store{loop, GatewayNode::kStorePort, GatewayNode::kPartitions};
   net::HttpClient caller{loop};
   int failure_status = 0;   ///< That the replica answers with,
   int failures_left = 100;  ///< so many times.
@@ -89,7 +32,7 @@
   std::unique_ptr<Node> second = std::make_unique<Node>(loop, 2);
 
   Fixture() {
-    store.put(platform::kConfigurationTopic, platform::kConfigurationKey, routes(3));
+    store.put(platform::kConfigurationTopic, platform::kConfigurationKey, route_configuration(3));
     store.put(platform::kReplicasTopic, "r1", replica_record("127.0.0.1:28202").dump());
     wait_for([&] { return ask(1, 1, "GET", "/").head.status == 200; });
     wait_for([&] { return ask(2, 1, "GET", "/").head.status == 200; });
@@ -169,11 +112,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_new_configuration_is_in_force_and_an_older_one_is_not) {
-  std::string other = routes(5);
+  std::string other = route_configuration(5);
   other.replace(other.find("/quick/"), 7, "/other/");
   store.put(platform::kConfigurationTopic, platform::kConfigurationKey, other);
   wait_for([&] { return ask(1, 0, "POST", "/other/1", {{"Attempt-Id", "q"}}).head.status == 200; });
-  store.put(platform::kConfigurationTopic, platform::kConfigurationKey, routes(4));
+  store.put(platform::kConfigurationTopic, platform::kConfigurationKey, route_configuration(4));
   for (int round = 0; round < 30; ++round) {
     BOOST_TEST(ask(1, 0, "POST", "/other/1", {{"Attempt-Id", "q"}}).head.status == 200);
   }
@@ -262,7 +205,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_job_over_its_routes_limit_is_refused_and_takes_no_effect) {
-  std::string limited = routes(4);
+  std::string limited = route_configuration(4);
   limited.insert(limited.find("\"retentionS\""), "\"maxQueuedTokens\":100,");
   store.put(platform::kConfigurationTopic, platform::kConfigurationKey, limited);
   const auto send = [&](const std::string& id, int tokens) {
