--- a/include/dockpoint/core/hash.hpp
+++ b/include/dockpoint/core/hash.hpp
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,8 @@
   auto operator<=>(const Hash128&) const = default;
   /// @return 32 lower-case hexadecimal digits.
   std::string hex() const;
+  /// @return the hash of 32 hexadecimal digits, or nothing if the text is none.
+  static std::optional<Hash128> parse(std::string_view text);
 };
 
 /// @return a 128-bit hash of `bytes`.
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -151,6 +151,7 @@
   Duration checkpoint_interval = 1s;   ///< Between writes of what unfinished items produced.
   Duration item_silence = 3s;          ///< A run without a byte for this long goes on elsewhere.
   Duration item_route_wait = 1s;       ///< Pause of an item whose route is not known.
+  Duration item_quarantine_wait = 1s;  ///< Between checks of an item that crashes replicas.
   Duration submission_wait = 2500ms;   ///< A job is offered to the log for this long.
   Duration submission_forward_delay = 200ms;  ///< Without the log's word a job is passed on then;
                                               ///< objectives for accepting are 400 ms and more.
@@ -183,6 +184,25 @@
   Duration quota_retry_earliest = 500ms;  ///< Least and most time that a caller is told to wait
   Duration quota_retry_latest = 10s;      ///< for room under the limit.
 
+  // Requests that crash replicas.
+  std::size_t crash_limit = 3;    ///< Replicas that ended under a request, and it is quarantined.
+  bool crash_attribution = true;  ///< An end is held against one quarantined request alone.
+  Duration crash_memory = 10min;  ///< An end counts for this long.
+  std::size_t crash_requests = 4096;       ///< Requests remembered,
+  std::size_t crash_ends = 8;              ///< and ends of replicas a request.
+  Duration crash_probe_timeout = 300ms;    ///< For connecting to a replica that may have ended,
+  Duration crash_probe_interval = 300ms;   ///< between attempts,
+  int crash_probe_attempts = 5;            ///< and how often that is tried without a clear result.
+  std::size_t crash_witnesses = 8;         ///< Nodes that are told of each end, the same ones by
+                                           ///< everybody: they add up what the others saw.
+  int crash_report_rounds = 3;             ///< Times that a report is sent: datagrams get lost.
+  Duration crash_report_interval = 300ms;  ///< Between these.
+  Duration crash_gossip_interval = 1s;   ///< Between messages to members drawn at random, for nodes
+                                         ///< that missed the reports,
+  std::size_t crash_gossip_members = 2;  ///< so many each time,
+  std::size_t crash_gossip_requests = 7;  ///< of so many requests.
+  Duration crash_catch_up_time = 5s;  ///< After a start or a pause a node asks others for so long.
+
   // The platform's log.
   Duration freshness_bound = 2s;     ///< From a record's confirmation until all nodes act on it, as
                                      ///< the settings ask; see FreshnessBudget.
--- a/include/dockpoint/membership/member.hpp
+++ b/include/dockpoint/membership/member.hpp
@@ -13,13 +13,16 @@
 /// all members state that they know it: while builds are replaced, old and new ones run side by
 /// side.
 enum class Capability : std::uint32_t {
-  kCells = 1,    ///< Load is told within cells, see membership/cell.hpp.
-  kRecords = 2,  ///< Answers reads of the fleet's records, see membership/record_sources.hpp.
+  kCells = 1,         ///< Load is told within cells, see membership/cell.hpp.
+  kRecords = 2,       ///< Answers reads of the fleet's records, see membership/record_sources.hpp.
+  kCrashReports = 4,  ///< Takes word of requests that crash replicas, see crash_report_spread.hpp.
 };
 
 /// Those of this build.
-inline constexpr std::uint32_t kAllCapabilities = static_cast<std::uint32_t>(Capability::kCells) |
-                                                  static_cast<std::uint32_t>(Capability::kRecords);
+inline constexpr std::uint32_t kAllCapabilities =
+    static_cast<std::uint32_t>(Capability::kCells) |
+    static_cast<std::uint32_t>(Capability::kRecords) |
+    static_cast<std::uint32_t>(Capability::kCrashReports);
 
 /// What is known of one node.
 struct Member {
--- /dev/null
+++ b/src/admission/crash_evidence.cpp
@@ -0,0 +1,83 @@
+#include "dockpoint/admission/crash_evidence.hpp"
+
+#include <algorithm>
+
+#include "dockpoint/core/codec.hpp"
+
+namespace dockpoint {
+namespace {
+
+/// First byte of a report; in MessagePack a message between nodes never begins with it.
+constexpr char kCrashReportTag = '\xc4';
+
+struct EvidenceWire {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+  std::uint64_t replica = 0;
+  std::int64_t age_ms = 0;
+  bool batch = false;
+  DOCKPOINT_FIELDS(high, low, replica, age_ms, batch)
+};
+
+struct ClearanceWire {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+  std::int64_t age_ms = 0;
+  DOCKPOINT_FIELDS(high, low, age_ms)
+};
+
+struct CrashReportWire {
+  std::vector<EvidenceWire> evidence;
+  std::vector<ClearanceWire> clearances;
+  bool answer_wanted = false;
+  DOCKPOINT_FIELDS(evidence, clearances, answer_wanted)
+};
+
+/// @return when something happened that is so old; an age below zero cannot be meant.
+TimePoint time_of(std::int64_t age_ms, TimePoint now) {
+  return now - std::chrono::milliseconds(std::max<std::int64_t>(age_ms, 0));
+}
+
+}  // namespace
+
+std::string encode(const CrashReport& report, TimePoint now) {
+  CrashReportWire wire;
+  for (const CrashEvidence& evidence : report.evidence) {
+    wire.evidence.push_back({evidence.request.high, evidence.request.low, evidence.replica,
+                             to_ms(now - evidence.ended_at), evidence.batch});
+  }
+  for (const RequestClearance& clearance : report.clearances) {
+    wire.clearances.push_back(
+        {clearance.request.high, clearance.request.low, to_ms(now - clearance.cleared_at)});
+  }
+  wire.answer_wanted = report.answer_wanted;
+  return kCrashReportTag + pack(wire);
+}
+
+bool is_crash_report(std::string_view bytes) {
+  return !bytes.empty() && bytes.front() == kCrashReportTag;
+}
+
+std::optional<CrashReport> decode_crash_report(std::string_view bytes, TimePoint now) {
+  if (!is_crash_report(bytes)) {
+    return std::nullopt;
+  }
+  const auto wire = unpack<CrashReportWire>(bytes.substr(1));
+  if (!wire || wire->evidence.size() > kEvidencePerReport) {
+    return std::nullopt;
+  }
+  CrashReport report;
+  for (const EvidenceWire& evidence : wire->evidence) {
+    report.evidence.push_back({{evidence.high, evidence.low},
+                               evidence.replica,
+                               time_of(evidence.age_ms, now),
+                               evidence.batch});
+  }
+  for (const ClearanceWire& clearance : wire->clearances) {
+    report.clearances.push_back({{clearance.high, clearance.low}, time_of(clearance.age_ms, now)});
+  }
+  report.answer_wanted = wire->answer_wanted;
+  return report;
+}
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/admission/request_quarantine.cpp
@@ -0,0 +1,188 @@
+#include "dockpoint/admission/request_quarantine.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+#include <utility>
+
+namespace dockpoint {
+namespace {
+
+/// Ages in reports do not count the time on the way: what happened looks later by so much at most.
+constexpr Duration kReportDelay = std::chrono::seconds(2);
+
+}  // namespace
+
+EvidenceEffect RequestQuarantine::take(const CrashEvidence& evidence, TimePoint now) {
+  if (too_old(evidence.ended_at, now)) {
+    return EvidenceEffect::kKnown;
+  }
+  if (!entries_.contains(evidence.request) && entries_.size() >= knobs_.crash_requests) {
+    make_room();
+  }
+  Entry& entry = entries_[evidence.request];
+  const bool cleared = entry.cleared_at && evidence.ended_at <= *entry.cleared_at;
+  const auto known = entry.ends.find(evidence.replica);
+  if (known != entry.ends.end()) {
+    known->second = std::min(known->second, evidence.ended_at);
+  }
+  if (cleared || known != entry.ends.end()) {
+    return EvidenceEffect::kKnown;
+  }
+  const bool before = quarantines(entry, now);
+  entry.batch = evidence.batch;
+  entry.ends[evidence.replica] = evidence.ended_at;
+  if (entry.ends.size() > knobs_.crash_ends) {
+    const auto oldest = std::min_element(
+        entry.ends.begin(), entry.ends.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; });
+    entry.ends.erase(oldest);
+  }
+  attribute_ends();
+  return !before && quarantines(entry, now) ? EvidenceEffect::kQuarantined
+                                            : EvidenceEffect::kCounted;
+}
+
+bool RequestQuarantine::take(const RequestClearance& clearance, TimePoint now) {
+  const auto found = entries_.find(clearance.request);
+  const bool known = found != entries_.end() && found->second.cleared_at &&
+                     *found->second.cleared_at + kReportDelay >= clearance.cleared_at;
+  if (known || too_old(clearance.cleared_at, now)) {
+    return false;
+  }
+  if (found == entries_.end() && entries_.size() >= knobs_.crash_requests) {
+    make_room();
+  }
+  Entry& entry = entries_[clearance.request];
+  entry.cleared_at = clearance.cleared_at;
+  std::erase_if(entry.ends, [&](const auto& end) { return end.second <= clearance.cleared_at; });
+  attribute_ends();
+  return true;
+}
+
+std::optional<QuarantineVerdict> RequestQuarantine::check(const RequestFingerprint& request,
+                                                          TimePoint now) const {
+  const auto found = entries_.find(request);
+  if (found == entries_.end()) {
+    return std::nullopt;
+  }
+  const std::vector<TimePoint> times = ends_against(found->second, now);
+  if (times.size() < knobs_.crash_limit) {
+    return std::nullopt;
+  }
+  const Duration age = now - times[knobs_.crash_limit - 1];
+  return QuarantineVerdict{static_cast<int>(times.size()), now - times.front(),
+                           knobs_.crash_memory - age};
+}
+
+CrashReport RequestQuarantine::report(const RequestFingerprint& request) const {
+  CrashReport report;
+  const auto found = entries_.find(request);
+  if (found == entries_.end()) {
+    return report;
+  }
+  for (const auto& [replica, ended_at] : found->second.ends) {
+    report.evidence.push_back({request, replica, ended_at, found->second.batch});
+  }
+  if (found->second.cleared_at) {
+    report.clearances.push_back({request, *found->second.cleared_at});
+  }
+  return report;
+}
+
+std::vector<RequestFingerprint> RequestQuarantine::decided(TimePoint now) const {
+  std::vector<RequestFingerprint> requests;
+  for (const auto& [request, entry] : entries_) {
+    if (entry.cleared_at || quarantines(entry, now)) {
+      requests.push_back(request);
+    }
+  }
+  return requests;
+}
+
+std::size_t RequestQuarantine::quarantined(TimePoint now) const {
+  return static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(),
+                    [&](const auto& entry) { return quarantines(entry.second, now); }));
+}
+
+void RequestQuarantine::forget_old(TimePoint now) {
+  for (auto& [request, entry] : entries_) {
+    std::erase_if(entry.ends, [&](const auto& end) { return too_old(end.second, now); });
+    if (entry.cleared_at && too_old(*entry.cleared_at, now)) {
+      entry.cleared_at.reset();
+    }
+  }
+  std::erase_if(entries_, [](const auto& request_entry) {
+    const Entry& entry = request_entry.second;
+    return entry.ends.empty() && !entry.cleared_at;
+  });
+  attribute_ends();
+}
+
+void RequestQuarantine::attribute_ends() {
+  std::vector<std::pair<RequestFingerprint, Entry*>> suspects;
+  for (auto& [request, entry] : entries_) {
+    entry.attributed_elsewhere.clear();
+    if (entry.ends.size() >= knobs_.crash_limit) {
+      suspects.emplace_back(request, &entry);
+    }
+  }
+  if (!knobs_.crash_attribution) {
+    return;
+  }
+  const auto rank = [](const auto& suspect) {
+    const Entry& entry = *suspect.second;
+    return std::tuple(entry.batch, -static_cast<std::ptrdiff_t>(entry.ends.size()), suspect.first);
+  };
+  std::sort(suspects.begin(), suspects.end(),
+            [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
+  std::set<std::uint64_t> attributed;
+  for (const auto& [request, entry] : suspects) {
+    for (const auto& [replica, ended_at] : entry->ends) {
+      if (entry->batch && attributed.contains(replica)) {
+        entry->attributed_elsewhere.insert(replica);
+      }
+    }
+    if (entry->ends.size() - entry->attributed_elsewhere.size() >= knobs_.crash_limit) {
+      for (const auto& [replica, ended_at] : entry->ends) {
+        attributed.insert(replica);
+      }
+    }
+  }
+}
+
+std::vector<TimePoint> RequestQuarantine::ends_against(const Entry& entry, TimePoint now) const {
+  std::vector<TimePoint> times;
+  for (const auto& [replica, ended_at] : entry.ends) {
+    if (!too_old(ended_at, now) && !entry.attributed_elsewhere.contains(replica)) {
+      times.push_back(ended_at);
+    }
+  }
+  std::sort(times.begin(), times.end(), std::greater<>());
+  return times;
+}
+
+bool RequestQuarantine::quarantines(const Entry& entry, TimePoint now) const {
+  return ends_against(entry, now).size() >= knobs_.crash_limit;
+}
+
+void RequestQuarantine::make_room() {
+  const auto newest_end = [](const Entry& entry) {
+    TimePoint newest = entry.cleared_at.value_or(TimePoint{});
+    for (const auto& [replica, ended_at] : entry.ends) {
+      newest = std::max(newest, ended_at);
+    }
+    return newest;
+  };
+  const auto least =
+      std::min_element(entries_.begin(), entries_.end(), [&](const auto& left, const auto& right) {
+        const auto rank = [&](const Entry& entry) {
+          return std::pair(std::min(entry.ends.size(), knobs_.crash_limit), newest_end(entry));
+        };
+        return rank(left.second) < rank(right.second);
+      });
+  entries_.erase(least);
+}
+
+}  // namespace dockpoint
--- a/src/core/hash.cpp
+++ b/src/core/hash.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <array>
+#include <charconv>
 #include <cstdio>
 
 namespace dockpoint {
@@ -23,6 +24,24 @@
   return std::string(text.data(), 32);
 }
 
+std::optional<Hash128> Hash128::parse(std::string_view text) {
+  constexpr std::size_t kDigits = 16;
+  constexpr int kHexadecimal = 16;
+  Hash128 hash;
+  if (text.size() != 2 * kDigits) {
+    return std::nullopt;
+  }
+  for (std::uint64_t* half : {&hash.high, &hash.low}) {
+    const char* end = text.data() + kDigits;
+    const auto result = std::from_chars(text.data(), end, *half, kHexadecimal);
+    if (result.ec != std::errc{} || result.ptr != end) {
+      return std::nullopt;
+    }
+    text.remove_prefix(kDigits);
+  }
+  return hash;
+}
+
 std::string hash128_hex(std::string_view bytes) {
   return hash128(bytes).hex();
 }
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "dockpoint/core/hash.hpp"
+#include "gateway/crash_watch.hpp"
 #include "gateway/item_run.hpp"
 #include "net/clock.hpp"
 
@@ -22,6 +23,10 @@
   return left_late != right_late ? left_late : left.due().at_ms > right.due().at_ms;
 }
 
+RequestFingerprint fingerprint_of_item(const LedgerJob& job, const BatchItem& item) {
+  return fingerprint_of({"POST", job.job.host, item.path, job.job.tenant, item.body});
+}
+
 }  // namespace
 
 void ItemProgress::restart() {
@@ -282,6 +287,10 @@
     return true;
   }
   const BatchItem& item = job->job.items[ref.item];
+  if (quarantined(*job, item, ref, now)) {
+    retry(ref, context_.knobs.item_quarantine_wait, now);
+    return true;
+  }
   const RouteConfig* route = route_of(*job, item);
   if (route == nullptr || route->services.empty()) {
     retry(ref, context_.knobs.item_route_wait, now);
@@ -311,6 +320,32 @@
   return true;
 }
 
+bool BatchExecutor::quarantined(const LedgerJob& job, const BatchItem& item, const ItemRef& ref,
+                                TimePoint now) {
+  if (context_.crash_watch == nullptr || !context_.crash_watch->may_hold()) {
+    return false;
+  }
+  const RequestFingerprint content = fingerprint_of_item(job, item);
+  const std::optional<QuarantineVerdict> verdict = context_.crash_watch->check(content, now);
+  ItemProgress& kept = progress_[ref];
+  if (verdict && !kept.quarantined) {
+    context_.metrics.count_quarantined("batch");
+    spdlog::info("batch: item quarantined job={} item={} content={} ends={} lastEndMs={} forMs={}",
+                 ref.job, item.id, content.hex(), verdict->crashes,
+                 to_ms(verdict->since_last_crash), to_ms(verdict->retry_after));
+  }
+  kept.quarantined = verdict.has_value();
+  return kept.quarantined;
+}
+
+std::optional<RequestFingerprint> BatchExecutor::fingerprint(const ItemRef& ref) const {
+  const LedgerJob* job = job_of(ref);
+  if (job == nullptr) {
+    return std::nullopt;
+  }
+  return fingerprint_of_item(*job, job->job.items[ref.item]);
+}
+
 void BatchExecutor::give_up_expired() {
   const std::int64_t now_ms = net::unix_now_ms();
   std::vector<ItemRef> expired;
--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <tuple>
 
+#include "dockpoint/admission/request_fingerprint.hpp"
 #include "dockpoint/batch/batch_share.hpp"
 #include "dockpoint/batch/due_time.hpp"
 #include "dockpoint/batch/partition_owner.hpp"
@@ -35,6 +36,7 @@
   bool restarted = false;    ///< What the log has of it is void.
   int interruptions = 0;     ///< In a row; spaces out further runs.
   std::string last_replica;  ///< That interrupted it.
+  bool quarantined = false;  ///< It crashes replicas, and waits for a further trial.
 
   /// Forgets what was produced: the item runs from its start.
   void restart();
@@ -98,6 +100,10 @@
   /// Breaks runs off that have time to spare if online requests need their slots.
   void make_room(const BatchShare& share);
   /// @return whether the item was dealt with; otherwise no replica has room.
+  /// @return whether the item is kept from the replicas since it crashes them.
+  bool quarantined(const LedgerJob& job, const BatchItem& item, const ItemRef& ref, TimePoint now);
+  /// @return what tells that an item is the same as one before, or nothing if it is not known.
+  std::optional<RequestFingerprint> fingerprint(const ItemRef& ref) const;
   bool start(const Waiting& entry, TimePoint now);
   const RouteConfig* route_of(const LedgerJob& job, const BatchItem& item) const;
   void give_up_expired();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 
 #include "dockpoint/core/address.hpp"
 #include "dockpoint/core/hash.hpp"
+#include "gateway/quarantine_endpoint.hpp"
 #include "net/clock.hpp"
 
 namespace dockpoint {
@@ -96,7 +97,16 @@
             catch_up_.heard(position, control_address, now);
             catch_up(now);
           },
-          [this](const SlotRequest& request) { take_slot_request(request); }),
+          [this](const SlotRequest& request) { take_slot_request(request); },
+          [this](const CrashReport& report, const std::string& address) {
+            crash_watch_.take(report, address, net::steady_now());
+          },
+          [this](const std::string& address) { crash_watch_.tell_what_is_decided(address); }),
+      crash_watch_(context_, log_, parts.quarantine_topic,
+                   combine_hash(hash64(settings_.node), run_),
+                   [this](const std::string& address, const std::string& bytes) {
+                     peers_.send_bytes(address, bytes);
+                   }),
       batch_(context_, log_, parts.batch_topics, {settings_.control_address, run_},
              combine_hash(hash64(settings_.node), run_)),
       frontend_(loop, [this](const auto& exchange) { serve_frontend(exchange); }),
@@ -121,6 +131,7 @@
   selector_.limit_cold_replicas(cold_limiter_);
   selector_.use_slot_shares(slot_shares_);
   context_.rate_limiter = &rate_limiter_;
+  context_.crash_watch = &crash_watch_;
   context_.announce_load = [this] { peers_.announce_load(); };
   context_.peers_reaching_log = [this] { return peers_.control_addresses_reaching_log(); };
   context_.replica_records_age = [this] { return fleet_.replicas_age(net::steady_now()).age; };
@@ -136,6 +147,7 @@
   }
   spdlog::info("gateway: started node={} zone={} run={} seeds={}", settings_.node, settings_.zone,
                run_, settings_.seeds.size());
+  crash_watch_.catch_up(net::steady_now());
   tick();
 }
 
@@ -167,8 +179,21 @@
   });
 }
 
+void Gateway::note_suspension(TimePoint now) {
+  const std::optional<Duration> suspended = suspension_.check(now, net::running_now());
+  if (suspended) {
+    spdlog::warn("gateway: the machine was suspended forMs={} version={} online={} leaseValid={}",
+                 to_ms(*suspended), context_.configuration->version, online_.in_flight(),
+                 batch_.lease_valid(now));
+    metrics_.count_suspension();
+    fleet_.doubt();
+    crash_watch_.catch_up(now);
+  }
+}
+
 void Gateway::tick() {
   const TimePoint now = net::steady_now();
+  note_suspension(now);
   log_.tick(now);
   follow_fleet_size(now);
   fleet_.tick(now, peers_.peers_reaching_log());
@@ -179,6 +204,7 @@
   peers_.set_log_reachable(batch_.lease_valid(now));
   rate_limiter_.tick(now);
   peers_.tick(now);
+  crash_watch_.tick(peers_.alive(), now);
   note_outliers(now);
   batch_.set_peers_reach_log(peers_.some_peer_reaches_log());
   batch_.tick(now);
@@ -431,6 +457,9 @@
     return;
   }
   const std::string path = net::Target::parse(exchange->request().target).path;
+  if (serve_quarantine(crash_watch_, exchange, path)) {
+    return;
+  }
   if (path == kRecordsPath) {
     record_server_.serve(exchange);
     return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -7,9 +7,11 @@
 #include <memory>
 #include <string>
 
+#include "dockpoint/core/suspension_detector.hpp"
 #include "dockpoint/log/hedged_log.hpp"
 #include "gateway/batch_service.hpp"
 #include "gateway/bounded_log.hpp"
+#include "gateway/crash_watch.hpp"
 #include "gateway/fleet_watch.hpp"
 #include "gateway/gateway_settings.hpp"
 #include "gateway/online_proxy.hpp"
@@ -37,7 +39,8 @@
   const FleetReader& fleet_reader;
   FleetTopics fleet_topics;
   BatchTopics batch_topics;
-  BoundedLog* process_log;  ///< Written to its descriptor several times a second; may be null.
+  std::string quarantine_topic;  ///< Of requests that crash replicas.
+  BoundedLog* process_log;       ///< Written to its descriptor several times a second; may be null.
 };
 
 /// See the top of this file.
@@ -61,6 +64,8 @@
   void schedule_tick();
   void tick();
   void tick_stop(TimePoint now);
+  /// Notices that the machine was suspended: what this node knows may be old.
+  void note_suspension(TimePoint now);
   void apply_configuration();
   /// Takes what is known of the fleet's members and size to the parts that go by it.
   void follow_fleet_size(TimePoint now);
@@ -117,6 +122,7 @@
   FleetWatch fleet_;
   CatchUp catch_up_;
   PeerLink peers_;
+  CrashWatch crash_watch_;
   BatchService batch_;
   net::HttpServer frontend_;
   net::HttpServer readiness_;
@@ -124,6 +130,7 @@
   net::HttpServer control_;
   net::HttpServer metrics_server_;
   boost::asio::steady_timer timer_;
+  SuspensionDetector suspension_;
   std::vector<std::weak_ptr<net::Exchange>> state_answers_;  ///< Under way.
   std::uint64_t members_version_ = 0;  ///< That the parts that go by members know.
   TimePoint next_deal_{};              ///< When slots are dealt among the nodes heard again.
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -17,6 +17,8 @@
 
 namespace dockpoint {
 
+class CrashWatch;
+
 /// What the parts of a gateway share. All of it lives on the event loop's thread.
 struct GatewayContext {
   boost::asio::io_context& loop;
@@ -37,6 +39,7 @@
   /// @return time since the log last confirmed the replicas' records.
   std::function<Duration()> replica_records_age = {};
   TenantRateLimiter* rate_limiter = nullptr;  ///< Null: no tenant is limited.
+  CrashWatch* crash_watch = nullptr;          ///< Null: no request is quarantined.
 };
 
 /// @return the endpoint of a replica; connections are not shared between its lives.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -61,6 +61,19 @@
                            .Name("dockpoint_gateway_callers_refused_total")
                            .Help("Requests refused for their API key, by reason.")
                            .Register(registry_)),
+      broken_runs_(prometheus::BuildCounter()
+                       .Name("dockpoint_gateway_broken_runs_total")
+                       .Help("Runs whose connection ended, by what became of the replica.")
+                       .Register(registry_)),
+      quarantined_(prometheus::BuildCounter()
+                       .Name("dockpoint_gateway_quarantined_total")
+                       .Help("Requests and items not sent since they crash replicas.")
+                       .Register(registry_)),
+      suspensions_(prometheus::BuildCounter()
+                       .Name("dockpoint_gateway_suspensions_total")
+                       .Help("Times that the machine was suspended.")
+                       .Register(registry_)
+                       .Add({})),
       items_(prometheus::BuildCounter()
                  .Name("dockpoint_gateway_batch_items_total")
                  .Help("Runs of batch items by outcome.")
@@ -86,7 +99,9 @@
       partitions_owned_(make_gauge(registry_, "dockpoint_gateway_partitions_owned",
                                    "Partitions of batch jobs that this node owns.")),
       log_lines_dropped_(make_gauge(registry_, "dockpoint_gateway_log_lines_dropped",
-                                    "Log lines dropped since the start.")) {}
+                                    "Log lines dropped since the start.")),
+      quarantined_requests_(make_gauge(registry_, "dockpoint_gateway_quarantined_requests",
+                                       "Requests that are kept from the replicas.")) {}
 
 void GatewayMetrics::count_request(const std::string& kind, const std::string& outcome) {
   requests_.Add({{"kind", kind}, {"outcome", outcome}}).Increment();
@@ -136,6 +151,22 @@
   callers_refused_.Add({{"reason", verdict}}).Increment();
 }
 
+void GatewayMetrics::count_broken_runs(const std::string& verdict, std::size_t runs) {
+  broken_runs_.Add({{"verdict", verdict}}).Increment(static_cast<double>(runs));
+}
+
+void GatewayMetrics::set_quarantined_requests(std::size_t count) {
+  quarantined_requests_.Set(static_cast<double>(count));
+}
+
+void GatewayMetrics::count_suspension() {
+  suspensions_.Increment();
+}
+
+void GatewayMetrics::count_quarantined(const std::string& kind) {
+  quarantined_.Add({{"kind", kind}}).Increment();
+}
+
 void GatewayMetrics::count_item(const std::string& outcome) {
   items_.Add({{"outcome", outcome}}).Increment();
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -35,6 +35,14 @@
   void count_rate_limited(const std::string& tenant, const std::string& reason);
   /// Counts a refusal of a caller; @param verdict `unknown_key`, `unsure` or `malformed`.
   void count_caller_refused(const std::string& verdict);
+  /// Counts runs whose connections to a replica ended.
+  /// @param verdict on the replica: `replica_ended`, `replica_runs` or `unknown`.
+  void count_broken_runs(const std::string& verdict, std::size_t runs);
+  void set_quarantined_requests(std::size_t count);
+  /// The machine was suspended.
+  void count_suspension();
+  /// Counts a request that was kept from the replicas since it crashes them.
+  void count_quarantined(const std::string& kind);
   void count_item(const std::string& outcome);
   void count_log_call(const std::string& call, const std::string& outcome);
   void set_configuration_version(std::uint64_t version);
@@ -62,6 +70,9 @@
   prometheus::Family<prometheus::Counter>& full_replicas_;
   prometheus::Family<prometheus::Counter>& rate_limited_;
   prometheus::Family<prometheus::Counter>& callers_refused_;
+  prometheus::Family<prometheus::Counter>& broken_runs_;
+  prometheus::Family<prometheus::Counter>& quarantined_;
+  prometheus::Counter& suspensions_;
   prometheus::Family<prometheus::Counter>& items_;
   prometheus::Family<prometheus::Counter>& log_calls_;
   prometheus::Gauge& configuration_version_;
@@ -72,6 +83,7 @@
   prometheus::Family<prometheus::Gauge>& replicas_by_pace_;
   prometheus::Gauge& partitions_owned_;
   prometheus::Gauge& log_lines_dropped_;
+  prometheus::Gauge& quarantined_requests_;
   std::set<std::string> tenants_shown_;  ///< With a series of their own.
 };
 
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/crash_watch.hpp"
 #include "gateway/sampling.hpp"
 #include "net/clock.hpp"
 
@@ -132,6 +133,9 @@
   const TimePoint now = net::steady_now();
   const bool not_sent = failure == net::CallFailure::kNotSent;
   attempt_.signal(not_sent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken, now);
+  if (!not_sent && failure != net::CallFailure::kMalformed) {
+    tell_crash_watch(false);
+  }
   interrupted(now, "the connection ended");
 }
 
@@ -150,8 +154,21 @@
   executor_.retry(ref_, kNoRoomPause * std::min(kept.interruptions, 8), now);
 }
 
+void ItemRun::tell_crash_watch(bool replica_ended) {
+  const auto content = executor_.fingerprint(ref_);
+  if (!content || context_.crash_watch == nullptr) {
+    return;
+  }
+  if (replica_ended) {
+    context_.crash_watch->replica_ended(*content, TrafficClass::kBatch, attempt_.replica());
+  } else {
+    context_.crash_watch->run_broken(*content, TrafficClass::kBatch, attempt_.replica());
+  }
+}
+
 void ItemRun::tick(TimePoint now) {
   if (context_.replicas.life_ended(attempt_.replica())) {
+    tell_crash_watch(true);
     interrupted(now, "the replica has started again");
   } else if (now - last_progress_ > context_.knobs.item_silence) {
     attempt_.signal(ReplicaSignal::kBroken, now);
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -32,6 +32,8 @@
  private:
   void take_event(const StreamEvent& event);
   void interrupted(TimePoint now, const char* why);
+  /// The run broke. @param replica_ended whether it is known that its replica has ended.
+  void tell_crash_watch(bool replica_ended);
   ItemProgress& progress();
 
   BatchExecutor& executor_;
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "dockpoint/core/hash.hpp"
+#include "gateway/crash_watch.hpp"
 #include "gateway/retry_after.hpp"
 #include "gateway/sampling.hpp"
 #include "net/clock.hpp"
@@ -67,7 +68,7 @@
     refuse("the route names no service");
     return;
   }
-  if (refuse_over_rate_limit(exchange_->received())) {
+  if (refuse_quarantined(exchange_->received()) || refuse_over_rate_limit(exchange_->received())) {
     return;
   }
   service_ = proxy_.rotation_.next(route_);
@@ -271,6 +272,9 @@
       info_.id, fingerprint().hex(), attempt_.replica(), static_cast<int>(failure), head_seen_,
       attempt_.call() && attempt_.call()->reused(), to_ms(now - sent_at_));
   const bool not_run = not_sent || (turned_away_ && head_seen_);
+  if (!not_run && failure != net::CallFailure::kMalformed && context_.crash_watch != nullptr) {
+    context_.crash_watch->run_broken(fingerprint(), TrafficClass::kOnline, attempt_.replica());
+  }
   end_attempt();
   if (not_run) {
     after_failure(AttemptFailure::kNotRun, now);
@@ -298,7 +302,11 @@
   switch (step) {
     case NextStep::kSendAgain:
     case NextStep::kResume:
-      send(now);
+      if (quarantined(now)) {
+        give_up_quarantined(now);
+      } else {
+        send(now);
+      }
       return;
     case NextStep::kRefuse:
       refuse("no replica took it");
@@ -320,6 +328,9 @@
   if (now >= deadline_) {
     expire(now);
   } else if (attempt_.under_way() && context_.replicas.life_ended(attempt_.replica())) {
+    if (context_.crash_watch != nullptr) {
+      context_.crash_watch->replica_ended(fingerprint(), TrafficClass::kOnline, attempt_.replica());
+    }
     move_on("the replica has started again", now);
   } else if (attempt_.under_way()) {
     watch_silence(now);
@@ -380,6 +391,36 @@
   finish("caller_gone", "the caller closed its connection");
 }
 
+std::optional<QuarantineVerdict> OnlineCall::quarantined(TimePoint now) {
+  if (context_.crash_watch == nullptr || !context_.crash_watch->may_hold()) {
+    return std::nullopt;
+  }
+  return context_.crash_watch->check(fingerprint(), now);
+}
+
+bool OnlineCall::refuse_quarantined(TimePoint now) {
+  const std::optional<QuarantineVerdict> verdict = quarantined(now);
+  if (!verdict) {
+    return false;
+  }
+  context_.metrics.count_quarantined(kind());
+  spdlog::info("online: quarantined id={} content={} route={} ends={} lastEndMs={} retryAfterMs={}",
+               info_.id, fingerprint().hex(), route_.name, verdict->crashes,
+               to_ms(verdict->since_last_crash), to_ms(verdict->retry_after));
+  refuse("replicas ended while they ran it", verdict->retry_after);
+  return true;
+}
+
+void OnlineCall::give_up_quarantined(TimePoint now) {
+  if (exchange_->answered()) {
+    break_off("replicas ended while they ran it");
+  } else if (history_.runs_possible > 0) {
+    fail(502, "replicas ended while they ran it");
+  } else {
+    refuse_quarantined(now);
+  }
+}
+
 bool OnlineCall::refuse_over_rate_limit(TimePoint now) {
   if (tenant_ == nullptr || context_.rate_limiter == nullptr) {
     return false;
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "dockpoint/admission/request_fingerprint.hpp"
+#include "dockpoint/admission/request_quarantine.hpp"
 #include "dockpoint/routing/attempt_policy.hpp"
 #include "dockpoint/streaming/event_framer.hpp"
 #include "gateway/online_proxy.hpp"
@@ -45,6 +46,12 @@
   /// Refuses the request if it has not been sent yet and would be answered late.
   /// @return whether it was refused.
   bool refuse_for_load(const ReplicaChoice& choice, TimePoint now);
+  /// @return why the request is kept from the replicas, or nothing.
+  std::optional<QuarantineVerdict> quarantined(TimePoint now);
+  /// Refuses the request if it crashes replicas. @return whether it was refused.
+  bool refuse_quarantined(TimePoint now);
+  /// Ends the request, which was quarantined while it was under way.
+  void give_up_quarantined(TimePoint now);
   /// Counts the request against its tenant's rate limit, or refuses it.
   /// @return whether it was refused.
   bool refuse_over_rate_limit(TimePoint now);
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -37,7 +37,8 @@
 }  // namespace
 
 PeerLink::PeerLink(GatewayContext& context, const PeerAddresses& addresses, std::string zone,
-                   std::uint64_t run, PeerAhead on_peer_ahead, SlotRequested on_slot_requested)
+                   std::uint64_t run, PeerAhead on_peer_ahead, SlotRequested on_slot_requested,
+                   CrashReported on_crash_reported, PeerHeard on_peer_heard)
     : context_(context),
       addresses_(addresses),
       membership_(context.knobs, self_member(context, addresses, zone, run), run, *this),
@@ -50,6 +51,8 @@
       own_key_(node_key(context.node)),
       on_peer_ahead_(std::move(on_peer_ahead)),
       on_slot_requested_(std::move(on_slot_requested)),
+      on_crash_reported_(std::move(on_crash_reported)),
+      on_peer_heard_(std::move(on_peer_heard)),
       socket_(context.loop) {}
 
 void PeerLink::open() {
@@ -227,7 +230,7 @@
   if (node == own_key_) {
     return;
   }
-  last_heard_[node] = now;
+  note_heard(node, now);
   reaches_log_[node] = log_reachable;
   if (context_.rate_limiter != nullptr) {
     context_.rate_limiter->renew(node, now);
@@ -235,6 +238,16 @@
   context_.replicas.renew_peer(node, now);
 }
 
+void PeerLink::note_heard(std::uint32_t node, TimePoint now) {
+  const auto [heard, first] = last_heard_.try_emplace(node, now);
+  const Duration limit = context_.knobs.replica_digest_interval * context_.knobs.missed_digests;
+  const bool returned = first || now - std::exchange(heard->second, now) > limit;
+  const Member* member = returned ? member_of(node) : nullptr;
+  if (member != nullptr) {
+    on_peer_heard_(member->peer_address);
+  }
+}
+
 void PeerLink::announce_load() {
   constexpr Duration kShortestInterval = std::chrono::milliseconds(20);
   const TimePoint now = net::steady_now();
@@ -399,12 +412,19 @@
     }
     return;
   }
+  if (is_crash_report(bytes)) {
+    if (const auto report = decode_crash_report(bytes, now)) {
+      on_crash_reported_(*report,
+                         Address{sender_.address().to_string(), sender_.port()}.to_string());
+    }
+    return;
+  }
   const auto message = decode_peer_message(bytes);
   if (!message) {
     return;
   }
-  last_heard_[node_key(message->sender.id)] = now;
   membership_.receive(*message, now);
+  note_heard(node_key(message->sender.id), now);
   const FleetPosition position{message->configuration_revision, 0, 0};
   if (ahead(position)) {
     on_peer_ahead_(position, message->sender.control_address);
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "dockpoint/admission/crash_evidence.hpp"
 #include "dockpoint/membership/catch_up.hpp"
 #include "dockpoint/membership/cell.hpp"
 #include "dockpoint/membership/digest_collector.hpp"
@@ -46,8 +47,16 @@
   /// Called when a peer asks for the slot of a batch item.
   using SlotRequested = std::function<void(const SlotRequest&)>;
 
+  /// Called when a peer tells of requests that crash replicas. @param address of it, for datagrams.
+  using CrashReported = std::function<void(const CrashReport& report, const std::string& address)>;
+
+  /// Called when a peer is heard for the first time, or again after a silence. @param address of
+  /// it, for datagrams.
+  using PeerHeard = std::function<void(const std::string& address)>;
+
   PeerLink(GatewayContext& context, const PeerAddresses& addresses, std::string zone,
-           std::uint64_t run, PeerAhead on_peer_ahead, SlotRequested on_slot_requested);
+           std::uint64_t run, PeerAhead on_peer_ahead, SlotRequested on_slot_requested,
+           CrashReported on_crash_reported, PeerHeard on_peer_heard);
 
   /// @throws boost::system::system_error if the address cannot be bound.
   void open();
@@ -64,6 +73,8 @@
   void announce_load();
   /// Sends a request to a node, see `node_key`.
   void send_slot_request(std::uint32_t node, const SlotRequest& request);
+  /// Sends a datagram to another node.
+  void send_bytes(const std::string& address, const std::string& bytes);
   /// Tells the others that this node takes no new callers.
   void leave();
 
@@ -91,13 +102,14 @@
 
  private:
   void send(const std::string& address, const PeerMessage& message) override;
-  void send_bytes(const std::string& address, const std::string& bytes);
   void receive();
   void on_datagram(std::string_view bytes);
   /// @return whether digests of the member have stayed away for too long.
   bool silent(const Member& member, TimePoint now) const;
   /// @return whether a peer that knows so much is ahead of this node.
   bool ahead(const FleetPosition& peer) const;
+  /// A peer gave a sign of life.
+  void note_heard(std::uint32_t node, TimePoint now);
   void take_heartbeat(std::uint32_t node, bool log_reachable, TimePoint now);
   void take_digests(std::vector<LoadDigest> digests, TimePoint now);
   std::vector<std::string> control_addresses_of(
@@ -138,6 +150,8 @@
   const std::uint32_t own_key_;
   PeerAhead on_peer_ahead_;
   SlotRequested on_slot_requested_;
+  CrashReported on_crash_reported_;
+  PeerHeard on_peer_heard_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
   std::array<char, kMaximumDatagramBytes + 1> buffer_{};
--- /dev/null
+++ b/src/gateway/replica_probe.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+#include "dockpoint/core/address.hpp"
+#include "dockpoint/core/time.hpp"
+
+namespace dockpoint {
+
+/// What an attempt to connect says about the process behind an address.
+enum class ProbeResult {
+  kListens,  ///< It takes connections.
+  kEnded,    ///< Its machine answers, and nobody listens there.
+  kUnknown,  ///< No answer: the machine is down, or the way there is cut.
+};
+
+/// Tries once to connect to an address. Nothing is sent. Single-threaded.
+class ReplicaProbe : public std::enable_shared_from_this<ReplicaProbe> {
+ public:
+  using Done = std::function<void(ProbeResult)>;
+
+  /// @param done called once, from the event loop.
+  static void start(boost::asio::io_context& loop, const Address& address, Duration timeout,
+                    Done done);
+
+ private:
+  ReplicaProbe(boost::asio::io_context& loop, Done done);
+  void finish(ProbeResult result);
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  Done done_;
+};
+
+}  // namespace dockpoint
--- /dev/null
+++ b/src/membership/crash_report_spread.cpp
@@ -0,0 +1,123 @@
+#include "dockpoint/membership/crash_report_spread.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dockpoint {
+namespace {
+
+void append(CrashReport& report, const CrashReport& added) {
+  report.evidence.insert(report.evidence.end(), added.evidence.begin(), added.evidence.end());
+  report.clearances.insert(report.clearances.end(), added.clearances.begin(),
+                           added.clearances.end());
+}
+
+}  // namespace
+
+CrashReportSpread::CrashReportSpread(const Knobs& knobs, const RequestQuarantine& quarantine,
+                                     std::string node, std::uint64_t seed)
+    : knobs_(knobs), quarantine_(quarantine), node_(std::move(node)), random_(seed) {}
+
+void CrashReportSpread::tell_witnesses(const RequestFingerprint& request, TimePoint now) {
+  tellings_.push_back({request, false, knobs_.crash_report_rounds, now});
+}
+
+void CrashReportSpread::tell_all(const RequestFingerprint& request, TimePoint now) {
+  std::erase_if(tellings_, [&](const Telling& telling) { return telling.request == request; });
+  tellings_.push_back({request, true, knobs_.crash_report_rounds, now});
+}
+
+std::vector<CrashReportSend> CrashReportSpread::next(const std::vector<const Member*>& members,
+                                                     TimePoint now) {
+  std::vector<CrashReportSend> sends;
+  add_due(members, now, sends);
+  add_answers(now, sends);
+  add_gossip(members, now, sends);
+  return sends;
+}
+
+std::vector<std::string> CrashReportSpread::others(
+    const std::vector<const Member*>& members) const {
+  std::vector<std::string> addresses;
+  for (const Member* member : members) {
+    if (member->id != node_ && member->is_capable_of(Capability::kCrashReports)) {
+      addresses.push_back(member->peer_address);
+    }
+  }
+  return addresses;
+}
+
+std::vector<std::string> CrashReportSpread::witnesses(
+    const RequestFingerprint& request, const std::vector<const Member*>& members) const {
+  std::vector<std::pair<std::uint64_t, const Member*>> scores;
+  for (const Member* member : members) {
+    if (member->is_capable_of(Capability::kCrashReports)) {
+      scores.emplace_back(hash64(member->id, request.low), member);
+    }
+  }
+  const std::size_t count = std::min(knobs_.crash_witnesses, scores.size());
+  std::partial_sort(scores.begin(), scores.begin() + static_cast<std::ptrdiff_t>(count),
+                    scores.end(), std::greater<>());
+  std::vector<const Member*> chosen;
+  for (std::size_t index = 0; index < count; ++index) {
+    chosen.push_back(scores[index].second);
+  }
+  return others(chosen);
+}
+
+void CrashReportSpread::add_due(const std::vector<const Member*>& members, TimePoint now,
+                                std::vector<CrashReportSend>& sends) {
+  for (Telling& telling : tellings_) {
+    if (now < telling.next_at) {
+      continue;
+    }
+    --telling.rounds_left;
+    telling.next_at = now + knobs_.crash_report_interval;
+    sends.push_back({telling.to_all ? others(members) : witnesses(telling.request, members),
+                     quarantine_.report(telling.request)});
+  }
+  std::erase_if(tellings_, [](const Telling& telling) { return telling.rounds_left <= 0; });
+}
+
+void CrashReportSpread::add_answers(TimePoint now, std::vector<CrashReportSend>& sends) {
+  if (asked_by_.empty()) {
+    return;
+  }
+  CrashReport report = next_page(now);
+  if (!report.empty()) {
+    sends.push_back({asked_by_, std::move(report)});
+  }
+  asked_by_.clear();
+}
+
+void CrashReportSpread::add_gossip(const std::vector<const Member*>& members, TimePoint now,
+                                   std::vector<CrashReportSend>& sends) {
+  if (now < next_gossip_) {
+    return;
+  }
+  next_gossip_ = now + knobs_.crash_gossip_interval;
+  CrashReport report = next_page(now);
+  report.answer_wanted = now < ask_until_;
+  if (report.empty()) {
+    return;
+  }
+  std::vector<std::string> addresses = others(members);
+  std::shuffle(addresses.begin(), addresses.end(), random_);
+  addresses.resize(std::min(addresses.size(), knobs_.crash_gossip_members));
+  sends.push_back({std::move(addresses), std::move(report)});
+}
+
+CrashReport CrashReportSpread::next_page(TimePoint now) {
+  std::vector<RequestFingerprint> requests = quarantine_.decided(now);
+  const auto start = std::upper_bound(requests.begin(), requests.end(), last_told_);
+  std::rotate(requests.begin(), start, requests.end());
+  requests.resize(std::min(requests.size(), knobs_.crash_gossip_requests));
+  CrashReport page;
+  for (const RequestFingerprint& request : requests) {
+    append(page, quarantine_.report(request));
+    last_told_ = request;
+  }
+  return page;
+}
+
+}  // namespace dockpoint
--- a/tests/admission/request_fingerprint_test.cpp
+++ b/tests/admission/request_fingerprint_test.cpp
@@ -28,6 +28,16 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_fingerprint_is_read_from_its_digits_and_from_nothing_else) {
+  const RequestFingerprint request = fingerprint_of(kRequest);
+  BOOST_TEST((Hash128::parse(request.hex()) == request));
+  for (const char* text :
+       {"", "12", "g0000000000000000000000000000000", "0000000000000000000000000000000 ",
+        "00000000000000000000000000000000000"}) {
+    BOOST_TEST(!Hash128::parse(text), text);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(parts_do_not_run_into_each_other) {
   const RequestContent left{"POST", "h", "/a", "b", "c"};
   const RequestContent right{"POST", "h", "/ab", "", "c"};
--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -65,6 +65,8 @@
   metrics.count_full_replica();
   metrics.set_pace_classes({{PaceClass::kSlow, 1}});
   metrics.count_item("succeeded");
+  metrics.count_broken_runs("unknown", 1);
+  metrics.count_quarantined("streaming");
   metrics.count_rate_limited("clinic", "node_share");
   metrics.count_caller_refused("unknown_key");
   metrics.count_log_call("read", "ok");
@@ -80,7 +82,7 @@
   for (const std::string& cell : first_cells(read_page("PLATFORM.md"), "dockpoint_gateway_")) {
     listed.insert(cell.substr(0, cell.find('{')));
   }
-  BOOST_TEST(served.size() == 18U);
+  BOOST_TEST(served.size() == 22U);
   BOOST_TEST((served == listed));
 }
 
--- /dev/null
+++ b/tests/membership/crash_report_spread_test.cpp
@@ -0,0 +1,263 @@
+#include "dockpoint/membership/crash_report_spread.hpp"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+using namespace dockpoint;
+
+namespace {
+
+constexpr RequestFingerprint kRequest{11, 12};
+constexpr Duration kRound = std::chrono::milliseconds(50);
+
+/// A node in touch with the others knows what is quarantined so long after the last end.
+constexpr Duration kSpreadLimit = std::chrono::seconds(3);
+
+/// Share of messages that are lost, and longest time that one takes.
+constexpr double kLoss = 0.3;
+constexpr Duration kLongestDelay = std::chrono::milliseconds(300);
+
+/// Nodes that tell each other, with messages lost, late and doubled.
+class Fleet {
+ public:
+  Fleet(std::size_t size, std::uint64_t seed) : random_(seed) {
+    for (std::size_t index = 0; index < size; ++index) {
+      Member member;
+      member.id = "n" + std::to_string(index);
+      member.peer_address = std::to_string(index);
+      member.capabilities = kAllCapabilities;
+      members_.push_back(member);
+    }
+    for (std::size_t index = 0; index < size; ++index) {
+      alive_.push_back(&members_[index]);
+      nodes_.push_back(std::make_unique<Node>(knobs_, members_[index].id, random_()));
+    }
+  }
+
+  std::size_t size() const { return nodes_.size(); }
+  TimePoint now() const { return now_; }
+  std::uint64_t bytes() const { return bytes_; }
+
+  /// A replica ends under the request; the node sees it.
+  void end_at(std::size_t node, std::uint64_t replica) {
+    apply(node, {{{kRequest, replica, now_}}, {}, false}, false);
+  }
+  /// The node starts anew and knows nothing.
+  void restart(std::size_t node) {
+    nodes_[node] = std::make_unique<Node>(knobs_, members_[node].id, random_());
+    nodes_[node]->spread.catch_up(now_);
+  }
+  void cut(std::size_t node) { cut_.insert(node); }
+  /// The way is free again; those on both its sides notice that they hear each other.
+  void heal(std::size_t node) {
+    cut_.erase(node);
+    for (std::size_t other = 0; other < nodes_.size(); ++other) {
+      if (other != node && !cut_.contains(other)) {
+        nodes_[other]->spread.answer(members_[node].peer_address);
+        nodes_[node]->spread.answer(members_[other].peer_address);
+      }
+    }
+  }
+
+  void run_for(Duration time) {
+    for (const TimePoint end = now_ + time; now_ < end; now_ += kRound) {
+      deliver();
+      for (std::size_t node = 0; node < nodes_.size(); ++node) {
+        for (const CrashReportSend& send : nodes_[node]->spread.next(alive_, now_)) {
+          transmit(node, send);
+        }
+      }
+    }
+  }
+
+  bool knows(std::size_t node) const {
+    return nodes_[node]->quarantine.check(kRequest, now_).has_value();
+  }
+  std::size_t knowing() const {
+    std::size_t count = 0;
+    for (std::size_t node = 0; node < nodes_.size(); ++node) {
+      count += knows(node) ? 1 : 0;
+    }
+    return count;
+  }
+
+ private:
+  struct Node {
+    Node(const Knobs& knobs, const std::string& id, std::uint64_t seed)
+        : quarantine(knobs), spread(knobs, quarantine, id, seed) {}
+    RequestQuarantine quarantine;
+    CrashReportSpread spread;
+  };
+  struct Message {
+    std::size_t from = 0;
+    std::size_t to = 0;
+    CrashReport report;
+  };
+
+  void transmit(std::size_t from, const CrashReportSend& send) {
+    const std::size_t size = encode(send.report, now_).size();
+    for (const std::string& address : send.addresses) {
+      const auto to = static_cast<std::size_t>(std::stoul(address));
+      bytes_ += size;
+      const bool lost = std::uniform_real_distribution<>(0, 1)(random_) < kLoss;
+      if (!lost && !cut_.contains(from) && !cut_.contains(to)) {
+        const auto delay = Duration(random_() % static_cast<std::uint64_t>(kLongestDelay.count()));
+        messages_.emplace(now_ + delay, Message{from, to, send.report});
+      }
+    }
+  }
+
+  void deliver() {
+    while (!messages_.empty() && messages_.begin()->first <= now_) {
+      const Message message = messages_.begin()->second;
+      messages_.erase(messages_.begin());
+      apply(message.to, message.report, true);
+      if (message.report.answer_wanted) {
+        nodes_[message.to]->spread.answer(std::to_string(message.from));
+      }
+    }
+  }
+
+  /// What the gateway does with evidence of its own and of others.
+  void apply(std::size_t index, const CrashReport& report, bool told) {
+    Node& node = *nodes_[index];
+    for (const CrashEvidence& evidence : report.evidence) {
+      const EvidenceEffect effect = node.quarantine.take(evidence, now_);
+      const bool whole = told && report.evidence.size() >= knobs_.crash_limit;
+      if (effect == EvidenceEffect::kQuarantined && !whole) {
+        node.spread.tell_all(evidence.request, now_);
+      } else if (effect == EvidenceEffect::kCounted && !told) {
+        node.spread.tell_witnesses(evidence.request, now_);
+      }
+    }
+  }
+
+  Knobs knobs_;
+  std::mt19937_64 random_;
+  std::vector<Member> members_;
+  std::vector<const Member*> alive_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::multimap<TimePoint, Message> messages_;
+  std::set<std::size_t> cut_;
+  TimePoint now_ = TimePoint(std::chrono::hours(1));
+  std::uint64_t bytes_ = 0;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(crash_report_spread)
+
+BOOST_AUTO_TEST_CASE(three_ends_seen_by_three_nodes_are_known_everywhere_in_time) {
+  for (const std::size_t size : {3, 10, 40, 295}) {
+    for (std::uint64_t seed = 1; seed <= (size > 100 ? 5U : 100U); ++seed) {
+      Fleet fleet(size, seed);
+      for (std::uint64_t replica = 0; replica < 3; ++replica) {
+        fleet.end_at(replica % size, replica);
+        fleet.run_for(200ms);
+      }
+      fleet.run_for(kSpreadLimit - 200ms);
+      BOOST_TEST(fleet.knowing() == size, "size " << size << " seed " << seed);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(two_ends_quarantine_nothing_anywhere) {
+  Fleet fleet(10, 1);
+  fleet.end_at(0, 1);
+  fleet.end_at(1, 2);
+  fleet.end_at(2, 2);
+  fleet.run_for(10s);
+  BOOST_TEST(fleet.knowing() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_was_cut_off_or_started_knows_in_time) {
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    Fleet fleet(10, seed);
+    for (std::size_t node = 5; node < 10; ++node) {
+      fleet.cut(node);
+    }
+    for (std::uint64_t replica = 0; replica < 3; ++replica) {
+      fleet.end_at(replica, replica);
+    }
+    fleet.run_for(20s);
+    BOOST_TEST(!fleet.knows(7));
+    for (std::size_t node = 5; node < 10; ++node) {
+      fleet.heal(node);
+    }
+    fleet.restart(0);
+    fleet.run_for(kSpreadLimit);
+    BOOST_TEST(fleet.knowing() == 10U, "seed " << seed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ends_seen_on_both_sides_of_a_cut_are_added_up_after_it) {
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    Fleet fleet(10, seed);
+    fleet.cut(9);
+    fleet.end_at(0, 1);
+    fleet.end_at(1, 2);
+    fleet.end_at(9, 3);
+    fleet.run_for(20s);
+    BOOST_TEST(fleet.knowing() == 0U);
+    fleet.heal(9);
+    // The request comes once more, and is known from then on.
+    fleet.end_at(9, 4);
+    fleet.run_for(kSpreadLimit);
+    BOOST_TEST(fleet.knowing() == 10U, "seed " << seed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_end_costs_the_same_in_fleets_of_any_size) {
+  const auto bytes_of = [](std::size_t size) {
+    Fleet fleet(size, 1);
+    fleet.end_at(0, 1);
+    fleet.run_for(5s);
+    return fleet.bytes();
+  };
+  BOOST_TEST(bytes_of(986) <= bytes_of(40) * 11 / 10);
+}
+
+BOOST_AUTO_TEST_CASE(a_verdict_costs_each_node_alike_in_fleets_of_any_size) {
+  const auto bytes_of_node = [](std::size_t size) {
+    Fleet fleet(size, 1);
+    for (std::uint64_t replica = 0; replica < 3; ++replica) {
+      fleet.end_at(0, replica);
+    }
+    fleet.run_for(2s);
+    return fleet.bytes() / size;
+  };
+  BOOST_TEST(bytes_of_node(986) <= bytes_of_node(100) * 12 / 10);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_sent_while_nothing_is_known) {
+  Fleet fleet(10, 1);
+  fleet.run_for(60s);
+  BOOST_TEST(fleet.bytes() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(members_of_an_older_build_are_told_nothing) {
+  const Knobs knobs;
+  RequestQuarantine quarantine(knobs);
+  CrashReportSpread spread(knobs, quarantine, "new", 1);
+  Member newer;
+  newer.id = "newer";
+  newer.peer_address = "a";
+  newer.capabilities = kAllCapabilities;
+  Member older = newer;
+  older.id = "older";
+  older.peer_address = "b";
+  older.capabilities = static_cast<std::uint32_t>(Capability::kCells);
+  const TimePoint now{1h};
+  quarantine.take(CrashEvidence{kRequest, 1, now}, now);
+  spread.tell_witnesses(kRequest, now);
+  spread.tell_all({1, 1}, now);
+  for (const CrashReportSend& send : spread.next({&newer, &older}, now)) {
+    BOOST_TEST((send.addresses == std::vector<std::string>{"a"}));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/crashing_requests_test.cpp
+++ b/tests/platform/crashing_requests_test.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint16_t kFirstReplicaPort = 28'210;
 constexpr int kReplicas = 12;
 constexpr const char* kCrashingBody = "crash";
+constexpr const char* kResettingBody = "reset";  ///< Breaks the connection; the replica lives on.
 
 /// Crashes after which a request has to be known, and further ones that may be under way meanwhile.
 constexpr int kCrashesNeeded = 3;
@@ -59,6 +60,8 @@
     exchange->write("id: 1\ndata: a\n\n");
     if (exchange->body() == kCrashingBody) {
       replica.crash();
+    } else if (exchange->body() == kResettingBody) {
+      exchange->abort();
     } else {
       exchange->end();
     }
@@ -69,6 +72,17 @@
                                           [](const auto& replica) { return !replica.running(); }));
   }
 
+  /// The records of replicas that have crashed lapse.
+  void drop_records_of_crashed() {
+    int index = 0;
+    for (const StandInReplica& replica : replicas) {
+      if (!replica.running()) {
+        store.put(platform::kReplicasTopic, "r" + std::to_string(index), {});
+      }
+      ++index;
+    }
+  }
+
   void turn() {
     loop.run_one_for(std::chrono::milliseconds(5));
     store.tick();
@@ -93,12 +107,17 @@
 
   /// Sends a stream's request with an id of its own, and waits for its end.
   net::SimpleCall::Outcome ask(int node, const std::string& body) {
+    return call(node, 0, "POST", "/chat/1", body);
+  }
+  net::SimpleCall::Outcome call(int node, int port, const std::string& method,
+                                const std::string& target, const std::string& body) {
     const net::Headers headers{{"Host", "a.example"},
                                {"Attempt-Id", "request-" + std::to_string(++requests)},
                                {"Content-Length", std::to_string(body.size())}};
     std::optional<net::SimpleCall::Outcome> result;
-    net::SimpleCall::start(caller, loop, {*Address::parse(GatewayNode::address(node, 0)), "caller"},
-                           net::serialize(net::RequestHead{"POST", "/chat/1", headers}) + body, {},
+    net::SimpleCall::start(caller, loop,
+                           {*Address::parse(GatewayNode::address(node, port)), "caller"},
+                           net::serialize(net::RequestHead{method, target, headers}) + body, {},
                            std::chrono::seconds(5),
                            [&](net::SimpleCall::Outcome outcome) { result = std::move(outcome); });
     wait_for([&] { return result.has_value(); });
@@ -125,4 +144,86 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_quarantined_request_is_refused_at_once_with_a_time_to_come_back) {
+  ask_crashing(kReplicas - 1);
+  const int before = crashed();
+  for (const int node : {1, 2}) {
+    const auto refusal = ask(node, kCrashingBody);
+    BOOST_TEST(refusal.head.status == 503);
+    BOOST_TEST(!refusal.head.headers.has("Response-Signature"));
+    BOOST_TEST(std::stod(std::string(refusal.head.headers.get("Retry-After"))) > 60);
+  }
+  BOOST_TEST(crashed() == before);
+}
+
+BOOST_AUTO_TEST_CASE(connections_that_break_before_a_living_replica_quarantine_nothing) {
+  for (int round = 0; round < 2 * kReplicas; ++round) {
+    ask(1 + round % 2, kResettingBody);
+  }
+  run_for(std::chrono::milliseconds(300));
+  const auto outcome = ask(1, kResettingBody);
+  BOOST_TEST(outcome.head.status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_fleet_whose_nodes_all_restart_still_knows_what_crashes_replicas) {
+  ask_crashing(kReplicas - 1);
+  const int before = crashed();
+  run_for(std::chrono::milliseconds(500));
+  first.reset();
+  second.reset();
+  loop.restart();
+  first = std::make_unique<GatewayNode>(loop, 1);
+  second = std::make_unique<GatewayNode>(loop, 2);
+  wait_until_ready();
+  run_for(std::chrono::milliseconds(500));
+  BOOST_TEST(ask(1, kCrashingBody).head.status == 503);
+  BOOST_TEST(ask(2, kCrashingBody).head.status == 503);
+  BOOST_TEST(crashed() == before);
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_restarts_while_the_log_is_away_learns_it_from_the_others) {
+  ask_crashing(kReplicas - 1);
+  const int before = crashed();
+  store.log.faults.down = true;
+  first.reset();
+  first = std::make_unique<GatewayNode>(loop, 1);
+  wait_for([&] { return ask(1, "hello").head.status == 200; });
+  run_for(std::chrono::seconds(3));
+  BOOST_TEST(ask(1, kCrashingBody).head.status == 503);
+  BOOST_TEST(crashed() == before);
+}
+
+BOOST_AUTO_TEST_CASE(an_operator_sees_a_quarantined_request_and_clears_it_at_all_nodes) {
+  ask_crashing(kCrashesNeeded + kCrashesMeanwhile);
+  run_for(std::chrono::milliseconds(300));
+  const int before = crashed();
+  const auto page = nlohmann::json::parse(call(2, 3, "GET", "/quarantine", {}).body);
+  BOOST_REQUIRE(page.size() == 1U);
+  BOOST_TEST(page[0]["ends"].size() >= 3U);
+  BOOST_TEST(page[0]["quarantinedForMs"].get<int>() > 0);
+  const std::string content = page[0]["content"];
+  BOOST_TEST(call(2, 3, "DELETE", "/quarantine/none", {}).head.status == 400);
+  BOOST_TEST(call(2, 3, "DELETE", "/quarantine/" + content, {}).head.status == 200);
+  drop_records_of_crashed();
+  run_for(std::chrono::seconds(1));
+  ask(1, kCrashingBody);
+  BOOST_TEST(crashed() == before + 1);
+}
+
+BOOST_AUTO_TEST_CASE(an_item_that_crashes_replicas_waits_and_the_others_of_its_job_are_done) {
+  const std::string job =
+      R"({"requests":[{"id":"i1","path":"/batch/1","headers":{},"body":"Y3Jhc2g="},)"
+      R"({"id":"i2","path":"/batch/2","headers":{},"body":"aGk="}]})";
+  BOOST_TEST(call(1, 0, "POST", "/batch/x", job).head.status == 202);
+  const std::string id = "request-" + std::to_string(requests);
+  const auto listed = [&] {
+    const auto outcome = call(1, 0, "GET", "/v1/lots/" + id + "?sinceRevision=0", {});
+    return outcome.head.status == 200 ? nlohmann::json::parse(outcome.body)["results"].size() : 0U;
+  };
+  wait_for([&] { return listed() == 1 && crashed() >= kCrashesNeeded; });
+  run_for(std::chrono::seconds(5));
+  BOOST_TEST(crashed() <= kCrashesNeeded + kCrashesMeanwhile);
+  BOOST_TEST(listed() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/gateway_node.hpp
+++ b/tests/platform/gateway_node.hpp
@@ -6,6 +6,7 @@
 #include "platform/fleet.hpp"
 #include "platform/store_log.hpp"
 #include "platform/traffic.hpp"
+#include "platform/wire_names.hpp"
 
 /// Whole gateways in a test's process, on loopback and one event loop.
 namespace dockpoint::test {
@@ -37,7 +38,7 @@
         store(loop, client, {"127.0.0.1", store_port}, {kPartitions, 262'144, 2'097'152}),
         gateway(loop, client, knobs, settings(number),
                 {store, traffic, traffic, fleet, platform::PlatformFleet::fleet_topics(),
-                 platform::PlatformFleet::batch_topics(), &log}) {
+                 platform::PlatformFleet::batch_topics(), platform::kQuarantineTopic, &log}) {
     gateway.start();
   }
 
