--- a/apps/dockpoint_emulator_main.cpp
+++ b/apps/dockpoint_emulator_main.cpp
@@ -61,6 +61,8 @@
       {"report-lag-ms", "N", "engine: age of reported load (200).",
        integer("report-lag-ms", 0, 600'000,
                [&](int value) { engine.report_lag = std::chrono::milliseconds(value); })},
+      {"crash-on", "TEXT", "engine: a prompt that holds this text ends the process (none).",
+       [&](const std::string& text) { engine.crash_on = text; }},
       {"list-lag-ms", "N", "machines: age of the list shown (1000).",
        integer("list-lag-ms", 0, 600'000,
                [&](int value) { list_lag = std::chrono::milliseconds(value); })},
--- a/src/emulator/engine_server.cpp
+++ b/src/emulator/engine_server.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 
 #include <charconv>
+#include <cstdlib>
 #include <ostream>
 
 #include "dockpoint/core/hash.hpp"
@@ -19,6 +20,9 @@
 constexpr std::chrono::milliseconds kLoadInterval{50};
 constexpr std::chrono::milliseconds kIdleWait{20};
 
+/// Of a process that a request has ended.
+constexpr int kCrashExitCode = 70;
+
 std::uint64_t unix_microseconds() {
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
                                         std::chrono::system_clock::now().time_since_epoch())
@@ -142,6 +146,7 @@
                         RunState::kNotRun,
                         std::chrono::seconds(1)});
     }
+    crash_if_asked(completion.prompt);
     const bool crossed = faults_.value("cross_answers") != 0;
     response.set("x-request-id", crossed ? id + "-of-another" : id);
     const EngineLoad load = lagging_load();
@@ -161,6 +166,12 @@
   }
 }
 
+void EngineServer::crash_if_asked(const std::string& prompt) const {
+  if (!options_.crash_on.empty() && prompt.find(options_.crash_on) != std::string::npos) {
+    std::_Exit(kCrashExitCode);
+  }
+}
+
 EngineServer::StreamPtr EngineServer::open_stream(const CompletionRequest& completion,
                                                   const std::string& id,
                                                   Poco::Net::HTTPServerRequest& request) {
--- a/src/emulator/engine_server.hpp
+++ b/src/emulator/engine_server.hpp
@@ -21,6 +21,7 @@
   EngineParameters parameters;
   std::chrono::milliseconds report_lag{200};        ///< Age of the load that `/load` reports.
   std::chrono::milliseconds resume_window{10'000};  ///< An unread stream is kept for so long.
+  std::string crash_on;  ///< A prompt that holds this text ends the process; empty: none does.
 };
 
 /// Stand-in for a model engine: the OpenAI-compatible completion paths, `/load`, `/cache-events`,
@@ -65,6 +66,8 @@
                     Poco::Net::HTTPServerResponse& response);
   void write_whole(Stream& stream, const CompletionRequest& completion,
                    Poco::Net::HTTPServerResponse& response);
+  /// Ends the process, as a crash does, if the prompt asks for it.
+  void crash_if_asked(const std::string& prompt) const;
   /// Waits for token `index`. @return false if the stream was cancelled.
   bool wait_for_token(Stream& stream, int index);
   void leave_stream(Stream& stream);
--- a/tests/platform/soak/faulty_proxy.mjs
+++ b/tests/platform/soak/faulty_proxy.mjs
@@ -29,6 +29,7 @@
    * @param random () => number from 0 to 1
    */
   constructor(listen, target, random) {
+    this.listen = listen;
     this.target = target;
     this.random = random;
     this.server = net.createServer((caller) => this.#accept(caller));
@@ -47,6 +48,17 @@
     }
   }
 
+  /** The target's process ends: open connections are reset, new ones are refused. */
+  stop() {
+    for (const pair of [...this.#pairs]) this.#reset(pair);
+    this.server.close();
+  }
+
+  /** The target's process has started again. */
+  start() {
+    this.server.listen(this.listen.port, this.listen.host);
+  }
+
   close() {
     for (const pair of [...this.#pairs]) this.#reset(pair);
     this.server.close();
--- a/tests/platform/soak/soak.mjs
+++ b/tests/platform/soak/soak.mjs
@@ -12,6 +12,9 @@
 //     node tests/platform/soak/soak.mjs [--seed N] [--seconds N] [--nodes N] [--replicas N] [--service-ms N]
 //         [--instance N]
 //
+// Some requests crash the replica that runs them and come again, under other ids, at any node; replicas crash
+// for other reasons too. Once a request has crashed three replicas, few further attempts of it reach one.
+//
 // In fleets of more than 20 nodes the slots of replicas are dealt among them: `--nodes 24 --replicas 8
 // --service-ms 100`, by hand. Then the nodes' own slots must not add up to more than there are in calm times.
 //
@@ -80,6 +83,15 @@
 /** Limits of which one is in force, in requests a second; a burst is what a second gives. */
 const HOT_LIMITS = [10, 20, 30];
 const STEADY_LIMITS = [40, 60];
+/** Requests that crash replicas: different ones, each sent again after so long. */
+const CRASHING_REQUESTS = 2;
+const CRASHING_PAUSE_MS = 400;
+/** A replica that crashed starts again after this time. */
+const CRASH_DOWN_MS = 1500;
+/** After so many crashes a request has to be known, */
+const CRASHES_NEEDED = 3;
+/** and no more attempts of it than this reach replicas, once nodes in touch have had time to hear of it. */
+const ATTEMPTS_AFTER_CRASHES = 3;
 /** Requests that nobody waits for have their answers after this time. */
 const ANSWERS_MS = 5000;
 /** Accepted jobs must be done this long after the last fault. */
@@ -264,6 +276,56 @@
   }
 }
 
+/** Times at which replicas crashed under a request that crashes them, by its target. */
+const crashes = new Map();
+const crashedReplicas = new Set();
+
+/** Ends a replica, whose next life begins a while later. */
+async function crashReplica(number) {
+  if (crashedReplicas.has(number)) return;
+  crashedReplicas.add(number);
+  replicaLinks[number].stop();
+  await sleep(CRASH_DOWN_MS);
+  await control(`/life?number=${number}`);
+  replicaLinks[number].start();
+  crashedReplicas.delete(number);
+}
+
+/** Crashes replicas that run a request which crashes them. */
+async function crashReplicas() {
+  while (!finished) {
+    const answer = await control('/crashing');
+    for (const { number, target } of answer.status === 200 ? JSON.parse(answer.text) : []) {
+      if (crashedReplicas.has(number)) continue;
+      crashes.set(target, [...(crashes.get(target) ?? []), Date.now()]);
+      crashReplica(number);
+    }
+    await sleep(10);
+  }
+}
+
+async function sendCrashing(number) {
+  while (!finished) {
+    callNode(pick(machines, tenantRandom), 'POST', `/quick/crash/${number}`, { headers: { 'Attempt-Id': `crash${++requestNumber}` }, body: 'crash' });
+    await sleep(between(0.5, 1.5, tenantRandom) * CRASHING_PAUSE_MS);
+  }
+}
+
+/** Bounds what reached replicas of requests that had crashed some, in times without faults. */
+function checkCrashing(reached) {
+  counts.crashing = {};
+  for (const [target, times] of Object.entries(reached)) {
+    const ends = crashes.get(target) ?? [];
+    counts.crashing[target] = { reached: times.length, ends: ends.length };
+    if (ends.length < CRASHES_NEEDED) continue;
+    const knownAt = ends[CRASHES_NEEDED - 1] + CALM_MS;
+    const late = times.filter((time) => time > knownAt && faultSpans.calm(time - CALM_MS, time, 0));
+    if (late.length > ATTEMPTS_AFTER_CRASHES) {
+      violate('BUDGET', `${target} reached replicas ${late.length} times after it had crashed ${CRASHES_NEEDED}`);
+    }
+  }
+}
+
 /** Accepted jobs: id, and the results that were read, in order. */
 const jobs = new Map();
 
@@ -431,6 +493,7 @@
   ['store silent', async () => { await control('/faults?silent=1'); await sleep(between(500, 4000)); await control('/faults'); }],
   ['answers lost', async () => { await control('/faults?lose=0.3&delay=0.3'); await sleep(between(1000, 4000)); await control('/faults'); }],
   ['link to the store', async () => disturb(pick(machines).storeLink, 5000)],
+  ['replica crashes', async () => crashReplica(Math.floor(random() * REPLICAS))],
   ['link to a replica', async () => disturb(pick(replicaLinks), 4000)],
   ['links to all replicas', async () => Promise.all(replicaLinks.map((link) => disturb(link, 2000)))],
   ['history forgotten', async () => control('/forget')],
@@ -514,6 +577,7 @@
   const record = JSON.parse((await control('/runs')).text);
   const { runs } = record;
   checkTenants(record);
+  checkCrashing(record.crashing);
   for (const [id, status] of onceAnswers) {
     const ran = runs[id] ?? 0;
     if (ran > 1) violate('TWICE', `${id} ran ${ran} times`);
@@ -533,7 +597,8 @@
   for (const machine of machines) {
     await eventually(machine.name, async () => (await call(machine.ip, NODE_PORTS.readiness, 'GET', '/')).status === 200);
   }
-  const work = [sendRequests(), submitJobs(), readJobs(), watchVersions(), sendUnknownKeys()];
+  const work = [sendRequests(), submitJobs(), readJobs(), watchVersions(), sendUnknownKeys(), crashReplicas(),
+    ...Array.from({ length: CRASHING_REQUESTS }, (_, index) => sendCrashing(index))];
   const tenants = [sendAsTenant('hot', HOT_PER_SECOND), sendAsTenant('steady', STEADY_PER_SECOND)];
   await makeFaults();
   await control('/faults');
--- a/tests/platform/soak/stand_in_main.cpp
+++ b/tests/platform/soak/stand_in_main.cpp
@@ -29,6 +29,10 @@
 constexpr Duration kTick = std::chrono::milliseconds(5);
 constexpr int kUnprocessable = 422;
 
+/// A request below this path crashes the replica that runs it. The soak makes the crash: it asks
+/// who runs one, and ends the replica's connections and address.
+constexpr const char* kCrashingPath = "/quick/crash/";
+
 /// One short request in so many is run, and its connection ends without an answer.
 constexpr std::uint64_t kCutEvery = 25;
 
@@ -83,22 +87,34 @@
   std::map<std::string, int> runs;
   std::map<std::string, std::string> tenants;  ///< As the replica was told.
   int keys_seen = 0;                           ///< Requests that still had their caller's key.
+  /// Unix milliseconds at which a request that crashes replicas reached one, by its target.
+  std::map<std::string, std::vector<std::int64_t>> crashing;
 };
 
 /// One replica: answers short requests after `service_time` and streams the events of batch items.
+/// A crash ends one life of it; the next one has another id.
 class SoakReplica {
  public:
   SoakReplica(boost::asio::io_context& loop, int number, std::uint16_t port, RunRecord& record,
               const Duration& service_time)
-      : id_("replica-" + std::to_string(number)),
+      : name_("replica-" + std::to_string(number)),
+        id_(name_),
         loop_(loop),
         record_(record),
         service_time_(service_time),
-        replica_(loop, id_, port, [this](const net::ExchangePtr& exchange) { serve(exchange); }) {}
+        replica_(loop, name_, port, [this](const net::ExchangePtr& exchange) { serve(exchange); }) {
+  }
 
   const std::string& id() const { return id_; }
   /// @return requests that have reached it.
   int arrivals() const { return arrivals_; }
+  /// @return target of the request that crashes it; empty if it runs none.
+  const std::string& crashing_target() const { return crashing_target_; }
+  /// It starts again after a crash.
+  void begin_life() {
+    id_ = name_ + "-" + std::to_string(++lives_);
+    crashing_target_.clear();
+  }
 
  private:
   void serve(const net::ExchangePtr& exchange) {
@@ -111,6 +127,11 @@
       return;
     }
     note_run(request);
+    if (request.target.starts_with(kCrashingPath)) {
+      crashing_target_ = request.target;
+      record_.crashing[request.target].push_back(net::unix_now_ms());
+      return;
+    }
     if (!request.target.starts_with("/batch/")) {
       if (random_() % kCutEvery == 0) {
         exchange->abort();
@@ -163,8 +184,11 @@
     after(kEventInterval, [this, exchange, number] { send_event(exchange, number + 1); });
   }
 
-  const std::string id_;
-  std::mt19937_64 random_{hash64(id_)};
+  const std::string name_;
+  std::string id_;
+  int lives_ = 0;
+  std::string crashing_target_;
+  std::mt19937_64 random_{hash64(name_)};
   boost::asio::io_context& loop_;
   RunRecord& record_;
   const Duration& service_time_;
@@ -204,8 +228,28 @@
     });
   }
 
+  /// A replica that crashed starts again, and its former record goes.
+  void begin_life(int number) {
+    SoakReplica& replica = *replicas_.at(static_cast<std::size_t>(number));
+    store_.put(platform::kReplicasTopic, replica.id(), {});
+    replica.begin_life();
+    publish(number, states_[number]);
+  }
+
+  nlohmann::json crashing() const {
+    nlohmann::json list = nlohmann::json::array();
+    for (std::size_t number = 0; number < replicas_.size(); ++number) {
+      const std::string& target = replicas_[number]->crashing_target();
+      if (!target.empty()) {
+        list.push_back({{"number", number}, {"target", target}});
+      }
+    }
+    return list;
+  }
+
   /// Writes a replica's record. Nodes are told of the proxy before the replica.
   void publish(int number, const std::string& state) {
+    states_[number] = state;
     constexpr int kSlots = 8;
     nlohmann::json record = test::replica_record(
         "127.0.0.1:" + std::to_string(first_published_port_ + number), kSlots, state);
@@ -223,7 +267,10 @@
   }
 
   nlohmann::json runs() const {
-    return {{"runs", record_.runs}, {"tenants", record_.tenants}, {"keys_seen", record_.keys_seen}};
+    return {{"runs", record_.runs},
+            {"tenants", record_.tenants},
+            {"keys_seen", record_.keys_seen},
+            {"crashing", record_.crashing}};
   }
 
   void serve_control(const net::ExchangePtr& exchange) {
@@ -251,13 +298,19 @@
     } else if (target.path == "/replica") {
       publish(static_cast<int>(number("number")), target.parameter("state").value_or("ready"));
     }
-    const nlohmann::json answer = target.path == "/arrivals" ? arrivals() : runs();
+    if (target.path == "/life") {
+      begin_life(static_cast<int>(number("number")));
+    }
+    const nlohmann::json answer = target.path == "/arrivals"   ? arrivals()
+                                  : target.path == "/crashing" ? crashing()
+                                                               : runs();
     exchange->respond(200, {{"Content-Type", "application/json"}}, answer.dump());
   }
 
   StandInStore store_;
   const std::uint16_t first_published_port_;
   int sequence_ = 0;
+  std::map<int, std::string> states_;  ///< As the replicas' records say.
   net::HttpServer control_;
   boost::asio::steady_timer timer_;
   Duration service_time_{};  ///< Of short requests at every replica.
