--- a/include/dockpoint/membership/crash_report_spread.hpp
+++ b/include/dockpoint/membership/crash_report_spread.hpp
@@ -45,7 +45,8 @@
   std::vector<CrashReportSend> next(const std::vector<const Member*>& members, TimePoint now);
 
  private:
-  struct Telling {
+  /// A report of one request that is sent a few times.
+  struct PendingReport {
     RequestFingerprint request;
     bool to_all = false;
     int rounds_left = 0;
@@ -68,7 +69,7 @@
   const RequestQuarantine& quarantine_;
   const std::string node_;
   std::mt19937_64 random_;
-  std::deque<Telling> tellings_;
+  std::deque<PendingReport> pending_;
   std::vector<std::string> asked_by_;
   TimePoint ask_until_{};
   TimePoint next_gossip_{};
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -16,6 +16,19 @@
 /// Between two searches for what may be forgotten.
 constexpr Duration kCleaningInterval = std::chrono::seconds(1);
 
+/// @return what a probe says of the replica, as metrics name it.
+const char* verdict_name(ProbeResult result) {
+  switch (result) {
+    case ProbeResult::kListens:
+      return "replica_runs";
+    case ProbeResult::kEnded:
+      return "replica_ended";
+    case ProbeResult::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 CrashWatch::CrashWatch(GatewayContext& context, PartitionedLog& log, const std::string& topic,
@@ -73,10 +86,7 @@
   suspicions_.erase(found);
   const TimePoint now = net::steady_now();
   const bool ended = result == ProbeResult::kEnded;
-  context_.metrics.count_broken_runs(ended                             ? "replica_ended"
-                                     : result == ProbeResult::kListens ? "replica_runs"
-                                                                       : "unknown",
-                                     suspicion.runs.size());
+  context_.metrics.count_broken_runs(verdict_name(result), suspicion.runs.size());
   spdlog::info("quarantine: runs broke replica={} ended={} runs={} attempts={} afterMs={}", replica,
                ended, suspicion.runs.size(), suspicion.attempts, to_ms(now - suspicion.broken_at));
   if (ended) {
--- a/src/membership/crash_report_spread.cpp
+++ b/src/membership/crash_report_spread.cpp
@@ -19,12 +19,12 @@
     : knobs_(knobs), quarantine_(quarantine), node_(std::move(node)), random_(seed) {}
 
 void CrashReportSpread::tell_witnesses(const RequestFingerprint& request, TimePoint now) {
-  tellings_.push_back({request, false, knobs_.crash_report_rounds, now});
+  pending_.push_back({request, false, knobs_.crash_report_rounds, now});
 }
 
 void CrashReportSpread::tell_all(const RequestFingerprint& request, TimePoint now) {
-  std::erase_if(tellings_, [&](const Telling& telling) { return telling.request == request; });
-  tellings_.push_back({request, true, knobs_.crash_report_rounds, now});
+  std::erase_if(pending_, [&](const PendingReport& pending) { return pending.request == request; });
+  pending_.push_back({request, true, knobs_.crash_report_rounds, now});
 }
 
 std::vector<CrashReportSend> CrashReportSpread::next(const std::vector<const Member*>& members,
@@ -67,16 +67,16 @@
 
 void CrashReportSpread::add_due(const std::vector<const Member*>& members, TimePoint now,
                                 std::vector<CrashReportSend>& sends) {
-  for (Telling& telling : tellings_) {
-    if (now < telling.next_at) {
+  for (PendingReport& pending : pending_) {
+    if (now < pending.next_at) {
       continue;
     }
-    --telling.rounds_left;
-    telling.next_at = now + knobs_.crash_report_interval;
-    sends.push_back({telling.to_all ? others(members) : witnesses(telling.request, members),
-                     quarantine_.report(telling.request)});
+    --pending.rounds_left;
+    pending.next_at = now + knobs_.crash_report_interval;
+    sends.push_back({pending.to_all ? others(members) : witnesses(pending.request, members),
+                     quarantine_.report(pending.request)});
   }
-  std::erase_if(tellings_, [](const Telling& telling) { return telling.rounds_left <= 0; });
+  std::erase_if(pending_, [](const PendingReport& pending) { return pending.rounds_left <= 0; });
 }
 
 void CrashReportSpread::add_answers(TimePoint now, std::vector<CrashReportSend>& sends) {
