A node that wakes vouches for nothing before its first round

Requests that waited at its sockets are the first that a woken node takes, before its timers run: until then a watch that last ran more than own_pause ago counts as overdue, so that an unknown route or key gets 503 and not 404 or 401. Tests: watch (60 phases) and lease with a clock that jumps.

--- a/src/log/keyed_watch.cpp
+++ b/src/log/keyed_watch.cpp
@@ -39,7 +39,9 @@
   if (!state_->reachable) {
     return WatchState::kLost;
   }
-  const bool overdue = state_->doubted || (state_->calling && now >= state_->overdue_at);
+  // Before its first round after a pause the node does not know yet that it stood still.
+  const bool paused = now - now_ > knobs_.own_pause;
+  const bool overdue = paused || state_->doubted || (state_->calling && now >= state_->overdue_at);
   return overdue ? WatchState::kOverdue : WatchState::kFollowing;
 }
 
--- a/tests/batch/group_member_test.cpp
+++ b/tests/batch/group_member_test.cpp
@@ -51,4 +51,11 @@
   BOOST_TEST(acquired == 2);
 }
 
+BOOST_AUTO_TEST_CASE(the_lease_of_a_node_that_wakes_has_run_out_before_its_first_round) {
+  run(1'000);
+  BOOST_TEST(member.lease_valid(at(now)));
+  now += 10'000;
+  BOOST_TEST(!member.lease_valid(at(now)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/log/keyed_watch_test.cpp
+++ b/tests/log/keyed_watch_test.cpp
@@ -100,6 +100,16 @@
   BOOST_TEST(losses == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_node_that_wakes_vouches_for_nothing_before_its_first_round) {
+  for (std::int64_t phase = 0; phase < 3'000; phase += 50) {
+    run(200 + phase);
+    BOOST_TEST((watch.state(at(now)) == WatchState::kFollowing));
+    now += 10'000;
+    BOOST_TEST((watch.state(at(now)) == WatchState::kOverdue));
+    run(5'000);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(after_a_suspension_nothing_is_vouched_for_until_the_log_confirms_it) {
   for (std::int64_t phase = 0; phase < 3'000; phase += 100) {
     run(200 + phase);
