A replica that takes a probe's connection and drops it is not taken to run

Cause, from the nodes' lines (runs broke replica=replica-0 ended=false afterMs=0): the probe came within half a millisecond of the broken run, and the listener outlived the replica's connections by a moment, so that the probe's connection was taken and the end was not counted. The probe now holds its connection for 200 ms; one that is dropped meanwhile proves nothing, and it tries again.

--- a/src/gateway/replica_probe.cpp
+++ b/src/gateway/replica_probe.cpp
@@ -1,5 +1,6 @@
 #include "gateway/replica_probe.hpp"
 
+#include <boost/asio/buffer.hpp>
 #include <utility>
 
 namespace dockpoint {
@@ -8,10 +9,10 @@
 using boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
+/// A process that ends may still take a connection, and drops it with the others.
+constexpr Duration kHoldTime = std::chrono::milliseconds(200);
+
 ProbeResult result_of(const ErrorCode& error) {
-  if (!error) {
-    return ProbeResult::kListens;
-  }
   const bool refused = error == boost::asio::error::connection_refused ||
                        error == boost::asio::error::connection_reset;
   return refused ? ProbeResult::kEnded : ProbeResult::kUnknown;
@@ -27,15 +28,32 @@
   const std::shared_ptr<ReplicaProbe> probe(new ReplicaProbe(loop, std::move(done)));
   ErrorCode error;
   const auto host = boost::asio::ip::make_address(address.host, error);
-  probe->timer_.expires_after(timeout);
-  probe->timer_.async_wait([probe](const ErrorCode& cancelled) {
+  probe->finish_after(timeout, ProbeResult::kUnknown);
+  probe->socket_.async_connect(tcp::endpoint(host, address.port),
+                               [probe](const ErrorCode& failure) {
+                                 if (failure) {
+                                   probe->finish(result_of(failure));
+                                 } else {
+                                   probe->hold();
+                                 }
+                               });
+}
+
+void ReplicaProbe::hold() {
+  finish_after(kHoldTime, ProbeResult::kListens);
+  socket_.async_read_some(boost::asio::buffer(buffer_),
+                          [probe = shared_from_this()](const ErrorCode& closed, std::size_t) {
+                            probe->finish(closed ? ProbeResult::kUnknown : ProbeResult::kListens);
+                          });
+}
+
+void ReplicaProbe::finish_after(Duration time, ProbeResult result) {
+  timer_.expires_after(time);
+  timer_.async_wait([probe = shared_from_this(), result](const ErrorCode& cancelled) {
     if (!cancelled) {
-      probe->finish(ProbeResult::kUnknown);
+      probe->finish(result);
     }
   });
-  probe->socket_.async_connect(
-      tcp::endpoint(host, address.port),
-      [probe](const ErrorCode& connected) { probe->finish(result_of(connected)); });
 }
 
 void ReplicaProbe::finish(ProbeResult result) {
--- a/tests/platform/soak/stand_in_main.cpp
+++ b/tests/platform/soak/stand_in_main.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdlib>
+#include <deque>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -220,6 +221,11 @@
  private:
   void tick() {
     store_.tick();
+    // Replicas go on registering until the store has taken it.
+    while (!unpublished_.empty() && store_.log.faults.calm()) {
+      store_.put(platform::kReplicasTopic, unpublished_.front().first, unpublished_.front().second);
+      unpublished_.pop_front();
+    }
     timer_.expires_after(kTick);
     timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
@@ -231,7 +237,7 @@
   /// A replica that crashed starts again, and its former record goes.
   void begin_life(int number) {
     SoakReplica& replica = *replicas_.at(static_cast<std::size_t>(number));
-    store_.put(platform::kReplicasTopic, replica.id(), {});
+    unpublished_.emplace_back(replica.id(), std::string{});
     replica.begin_life();
     publish(number, states_[number]);
   }
@@ -254,8 +260,7 @@
     nlohmann::json record = test::replica_record(
         "127.0.0.1:" + std::to_string(first_published_port_ + number), kSlots, state);
     record["sequence"] = ++sequence_;
-    store_.put(platform::kReplicasTopic, replicas_.at(static_cast<std::size_t>(number))->id(),
-               record.dump());
+    unpublished_.emplace_back(replicas_.at(static_cast<std::size_t>(number))->id(), record.dump());
   }
 
   nlohmann::json arrivals() const {
@@ -310,7 +315,8 @@
   StandInStore store_;
   const std::uint16_t first_published_port_;
   int sequence_ = 0;
-  std::map<int, std::string> states_;  ///< As the replicas' records say.
+  std::map<int, std::string> states_;                            ///< As the replicas' records say.
+  std::deque<std::pair<std::string, std::string>> unpublished_;  ///< Ids and records of replicas.
   net::HttpServer control_;
   boost::asio::steady_timer timer_;
   Duration service_time_{};  ///< Of short requests at every replica.
