--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -186,7 +186,7 @@
 
   // Requests that crash replicas.
   std::size_t crash_limit = 3;    ///< Replicas that ended under a request, and it is quarantined.
-  bool crash_attribution = true;  ///< An end is held against one quarantined request alone.
+  bool crash_attribution = true;  ///< Ends of quarantined online requests spare items.
   Duration crash_memory = 10min;  ///< An end counts for this long.
   std::size_t crash_requests = 4096;       ///< Requests remembered,
   std::size_t crash_ends = 8;              ///< and ends of replicas a request.
--- a/include/dockpoint/membership/crash_report_spread.hpp
+++ b/include/dockpoint/membership/crash_report_spread.hpp
@@ -33,7 +33,7 @@
 
   /// This node saw a replica end under a request.
   void tell_witnesses(const RequestFingerprint& request, TimePoint now);
-  /// A request was quarantined or cleared here, by what no single message said.
+  /// A request was quarantined here, by evidence that came in several messages, or cleared.
   void tell_all(const RequestFingerprint& request, TimePoint now);
   /// This node may have missed what the others know.
   void catch_up(TimePoint now) { ask_until_ = now + knobs_.crash_catch_up_time; }
