Handlers that borrow their owner are skipped once it is destroyed

What callers saw: nothing in production, where a node is destroyed after its event loop has stopped. A test that restarts nodes ended once with a heap-use-after-free (entry of KNOWN-RED.txt).

Cause: closing a socket or destroying a timer cancels operations that wait. One that is already complete has its handler queued with success, and the loop runs it after its owner is gone. For a receive that takes two datagrams between two turns of the loop: the first handler starts the next receive, which completes at once. Hence it showed only beside load.

Change: HandlerGuard, a member of the owner, wraps its handlers. The query for a peer's state uses it in place of its own flag. All handlers under src/gateway, src/net and platform that capture `this` were read; the others hold themselves alive or check a flag.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -117,9 +117,7 @@
       metrics_server_(loop, [this](const auto& exchange) { serve_metrics(exchange); }),
       timer_(loop) {}
 
-Gateway::~Gateway() {
-  *alive_ = false;
-}
+Gateway::~Gateway() = default;
 
 void Gateway::start() {
   const bool has_other_seeds =
@@ -173,11 +171,11 @@
 
 void Gateway::schedule_tick() {
   timer_.expires_after(kTickInterval);
-  timer_.async_wait([this](const boost::system::error_code& error) {
+  timer_.async_wait(handlers_.wrap([this](const boost::system::error_code& error) {
     if (!error) {
       tick();
     }
-  });
+  }));
 }
 
 void Gateway::detect_suspension(TimePoint now) {
@@ -539,10 +537,7 @@
   net::SimpleCall::start(
       context_.client, loop_, {*address, "control"}, net::serialize(head), options,
       freshness_.question_limit(),
-      [this, alive = alive_, control_address](const net::SimpleCall::Outcome& outcome) {
-        if (!*alive) {
-          return;
-        }
+      handlers_.wrap([this, control_address](const net::SimpleCall::Outcome& outcome) {
         catch_up_.query_finished();
         if (outcome.failure || outcome.head.status != 200) {
           spdlog::info("fleet: query for a peer's state failed peer={} status={} failure={}",
@@ -563,7 +558,7 @@
           fleet_.take(*state, control_address);
           batch_.suggest_owners(state->owners);
         }
-      });
+      }));
 }
 
 void Gateway::stop() {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "dockpoint/core/life.hpp"
 #include "dockpoint/core/suspension_detector.hpp"
 #include "dockpoint/log/hedged_log.hpp"
 #include "gateway/batch_service.hpp"
@@ -148,8 +149,7 @@
   TimePoint last_caller_at_{};
   bool stopping_ = false;
   bool left_group_ = false;
-  std::shared_ptr<bool> alive_ =
-      std::make_shared<bool>(true);  ///< False after destruction; checked by late callbacks.
+  HandlerGuard handlers_;
 };
 
 }  // namespace dockpoint
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -377,16 +377,16 @@
 }
 
 void PeerLink::receive() {
-  socket_.async_receive_from(boost::asio::buffer(buffer_), sender_,
-                             [this](const ErrorCode& error, std::size_t bytes) {
-                               if (error == boost::asio::error::operation_aborted) {
-                                 return;
-                               }
-                               if (!error) {
-                                 on_datagram({buffer_.data(), bytes});
-                               }
-                               receive();
-                             });
+  const auto handle = [this](const ErrorCode& error, std::size_t bytes) {
+    if (error == boost::asio::error::operation_aborted) {
+      return;
+    }
+    if (!error) {
+      on_datagram({buffer_.data(), bytes});
+    }
+    receive();
+  };
+  socket_.async_receive_from(boost::asio::buffer(buffer_), sender_, handlers_.wrap(handle));
 }
 
 void PeerLink::on_datagram(std::string_view bytes) {
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "dockpoint/admission/crash_evidence.hpp"
+#include "dockpoint/core/life.hpp"
 #include "dockpoint/membership/catch_up.hpp"
 #include "dockpoint/membership/cell.hpp"
 #include "dockpoint/membership/digest_collector.hpp"
@@ -173,6 +174,7 @@
       cell_of_{};  ///< Membership version and slices that the cell was computed from.
   TimePoint last_tick_{};
   TimePoint silence_counts_from_{};
+  HandlerGuard handlers_;
 };
 
 }  // namespace dockpoint
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -136,7 +136,7 @@
 }
 
 void HttpServer::accept() {
-  acceptor_.async_accept([this](const ErrorCode& error, tcp::socket socket) {
+  acceptor_.async_accept(handlers_.wrap([this](const ErrorCode& error, tcp::socket socket) {
     if (error == boost::asio::error::operation_aborted || !acceptor_.is_open()) {
       return;
     }
@@ -148,7 +148,7 @@
       connection->start();
     }
     accept();
-  });
+  }));
 }
 
 void HttpServer::remove(const std::shared_ptr<ServerConnection>& connection) {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_set>
 
+#include "dockpoint/core/life.hpp"
 #include "dockpoint/core/time.hpp"
 #include "net/http_message.hpp"
 #include "net/http_parser.hpp"
@@ -110,6 +111,7 @@
   ServerLimits limits_;
   bool closing_ = false;
   std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
+  HandlerGuard handlers_;
 };
 
 /// A client connection. Requests are handled sequentially; pipelined input is buffered up to a
--- /dev/null
+++ b/tests/net/http_server_test.cpp
@@ -0,0 +1,49 @@
+#include "net/http_server.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+
+using namespace dockpoint;
+
+namespace {
+
+constexpr std::uint16_t kPort = 28'239;
+
+struct Fixture {
+  boost::asio::io_context loop{1};
+  std::unique_ptr<net::HttpServer> server =
+      std::make_unique<net::HttpServer>(loop, [](const net::ExchangePtr&) {});
+
+  Fixture() { server->listen("127.0.0.1:" + std::to_string(kPort)); }
+
+  net::tcp::socket connect() {
+    net::tcp::socket socket(loop);
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), kPort});
+    return socket;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(http_server, Fixture)
+
+BOOST_AUTO_TEST_CASE(an_accepted_connection_is_kept) {
+  const net::tcp::socket client = connect();
+  loop.run_one();
+  BOOST_TEST(server->connections() == 1U);
+}
+
+// Regression: the handler of a connection that was already accepted used the destroyed server.
+BOOST_AUTO_TEST_CASE(a_connection_accepted_before_the_server_is_destroyed_is_closed) {
+  const net::tcp::socket first = connect();
+  net::tcp::socket second = connect();
+  loop.run_one();  // Accepts both; the handler of the second is now queued.
+  server.reset();
+  loop.poll();
+  char byte = 0;
+  boost::system::error_code error;
+  second.read_some(boost::asio::buffer(&byte, 1), error);
+  BOOST_TEST(bool(error));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/system_test.cpp
+++ b/tests/platform/system_test.cpp
@@ -1,9 +1,11 @@
 /// End-to-end tests of the platform protocol in one process: two gateways, a stand-in for the store
 /// and a stand-in for a replica.
 
+#include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <optional>
+#include <thread>
 
 #include "platform/gateway_node.hpp"
 #include "platform/replica_records.hpp"
@@ -187,6 +189,15 @@
   BOOST_TEST(read_whole(1, "0d")["results"].size() == 2U);
 }
 
+// Regression: a node's timer that had expired already used the destroyed node.
+BOOST_AUTO_TEST_CASE(a_tick_due_before_the_node_is_destroyed_does_nothing) {
+  constexpr std::chrono::milliseconds kLongerThanATick(200);
+  std::this_thread::sleep_for(kLongerThanATick);
+  boost::asio::post(loop, [&] { first.reset(); });
+  loop.poll();
+  BOOST_TEST(send_request(2, 0, "POST", "/quick/1", {{"Attempt-Id", "q"}}).head.status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(without_the_log_jobs_are_refused_and_online_requests_are_served) {
   store.log.faults.down = true;
   const int refused = submit(1, "0e");
