Quarantine: items whose guilt is doubtful are tried again

What callers saw: replicas crashed several times within a quarter of a minute for reasons of their own; an item that ran on three of them was held for ten minutes while replicas were idle, and its job did not end.

Causes: presence at three crashes was taken for proof, also where many replicas crashed at one moment; a quarantined item was never run again; and items excused each other, so that with several suspects one that really crashes replicas was excused again and again.

Change: a crash is inconclusive if other replicas crashed at the same moment or other suspected items ran there. With fewer than two conclusive crashes an item is run again by its owner, 2, 8 and 32 s after its last crash; if the replica survives it is cleared at all nodes. The number of trials follows from the number of crashes, so it holds across nodes. An item is excused by online requests up to five crashes, by other items never.

The existing checks of the quarantine stand as written.

--- a/include/dockpoint/admission/request_quarantine.hpp
+++ b/include/dockpoint/admission/request_quarantine.hpp
@@ -19,8 +19,14 @@
 /// Attribution: dockpoint itself retries a batch item until it completes, so an innocent item may
 /// be rescheduled after each crash onto the next replica that a crashing request hits, and be
 /// present every time. A crash therefore counts against an item only if no quarantined online
-/// request was running there too. Among items, the one with the most crashes is attributed first.
-/// An online request is retried a few times at most, so all of its crashes count against it.
+/// request was running there too, up to a number of crashes. An online request is retried a few
+/// times at most, so all of its crashes count against it.
+///
+/// Trials: a crash says little about an item if other replicas crashed at the same moment, or if
+/// other suspected items ran there. An item with too few other crashes is quarantined, but soon run
+/// again by the node that owns it. If the replica survives, the item is cleared at all nodes; if it
+/// crashes, the item waits longer for its next trial. The number of trials is bounded; it follows
+/// from the number of crashes, so all nodes agree on it.
 ///
 /// Evidence expires, so that a request is tried again once the replicas may have been fixed; until
 /// the rest of its evidence has expired, one more crash quarantines it again. The evidence of all
@@ -40,6 +46,7 @@
   int crashes = 0;
   Duration since_last_crash{};
   Duration retry_after{};  ///< Until the quarantine ends without new evidence.
+  bool trial_due = false;  ///< A batch item that may be run now, to see if its replica survives.
 };
 
 /// See the file comment. Not thread-safe.
@@ -73,6 +80,7 @@
     std::map<std::uint64_t, TimePoint> crashes;  ///< End times by replica incarnation.
     bool batch = false;
     std::set<std::uint64_t> attributed_elsewhere;  ///< Subset of `crashes`.
+    std::set<std::uint64_t> shared;  ///< Subset of `crashes` at which other suspected items ran.
     std::optional<TimePoint> cleared_at;
   };
 
@@ -80,6 +88,13 @@
   /// @return times of the crashes that count against the request, newest first.
   std::vector<TimePoint> attributed_crash_times(const Entry& entry, TimePoint now) const;
   bool is_quarantined(const Entry& entry, TimePoint now) const;
+  /// @return whether no other replica crashed at about the same time.
+  bool is_isolated(std::uint64_t replica, TimePoint ended_at) const;
+  /// @return whether a quarantined item may be innocent.
+  bool is_doubtful(const Entry& entry) const;
+  /// @return whether a trial of a quarantined item is due.
+  /// @param crashes the result of `attributed_crash_times`.
+  bool trial_due(const Entry& entry, const std::vector<TimePoint>& crashes, TimePoint now) const;
   /// Recomputes which crashes count against which request.
   void attribute_crashes();
   /// Evicts the request with the fewest crashes (counted up to the quarantine limit); among equals
@@ -88,6 +103,7 @@
 
   const Knobs& knobs_;
   std::map<RequestFingerprint, Entry> entries_;
+  std::map<std::uint64_t, TimePoint> replica_crashes_;  ///< Crash times by replica incarnation.
 };
 
 }  // namespace dockpoint
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -315,6 +315,12 @@
   bool crash_attribution = true;
   /// How long a crash counts.
   Duration crash_memory = 10min;
+  /// Crashes of different replicas within this time are taken for one event with a common cause.
+  Duration crash_coincidence = 250ms;
+  /// Trials of a quarantined batch item whose guilt is doubtful.
+  std::size_t crash_trials = 3;
+  /// Time from the last crash of such an item to its first trial; four times as long for the next.
+  Duration crash_trial_wait = 2s;
   /// Maximum requests remembered.
   std::size_t crash_requests = 4096;
   /// Maximum crashes remembered per request.
--- a/src/admission/request_quarantine.cpp
+++ b/src/admission/request_quarantine.cpp
@@ -12,6 +12,9 @@
 /// much.
 constexpr Duration kMaxReportDelay = std::chrono::seconds(2);
 
+/// An item with this many times the crashes of the limit is not excused by other requests' crashes.
+constexpr std::size_t kMaxExcusedFactor = 2;
+
 }  // namespace
 
 EvidenceEffect RequestQuarantine::take(const CrashEvidence& evidence, TimePoint now) {
@@ -31,6 +34,7 @@
     return EvidenceEffect::kKnown;
   }
   const bool before = is_quarantined(entry, now);
+  replica_crashes_.try_emplace(evidence.replica, evidence.ended_at);
   entry.batch = evidence.batch;
   entry.crashes[evidence.replica] = evidence.ended_at;
   if (entry.crashes.size() > knobs_.crashes_per_request) {
@@ -73,7 +77,36 @@
   }
   const Duration age = now - times[knobs_.crash_limit - 1];
   return QuarantineVerdict{static_cast<int>(times.size()), now - times.front(),
-                           knobs_.crash_memory - age};
+                           knobs_.crash_memory - age, trial_due(found->second, times, now)};
+}
+
+bool RequestQuarantine::is_isolated(std::uint64_t replica, TimePoint ended_at) const {
+  return std::none_of(replica_crashes_.begin(), replica_crashes_.end(), [&](const auto& other) {
+    const Duration apart = other.second - ended_at;
+    return other.first != replica && std::chrono::abs(apart) <= knobs_.crash_coincidence;
+  });
+}
+
+bool RequestQuarantine::is_doubtful(const Entry& entry) const {
+  const auto conclusive = static_cast<std::size_t>(
+      std::count_if(entry.crashes.begin(), entry.crashes.end(), [&](const auto& crash) {
+        return !entry.shared.contains(crash.first) && is_isolated(crash.first, crash.second);
+      }));
+  return conclusive + 1 < knobs_.crash_limit;
+}
+
+bool RequestQuarantine::trial_due(const Entry& entry, const std::vector<TimePoint>& crashes,
+                                  TimePoint now) const {
+  constexpr int kWaitFactor = 4;
+  const std::size_t trials = entry.crashes.size() - knobs_.crash_limit;
+  if (!entry.batch || trials >= knobs_.crash_trials || !is_doubtful(entry)) {
+    return false;
+  }
+  Duration wait = knobs_.crash_trial_wait;
+  for (std::size_t trial = 0; trial < trials; ++trial) {
+    wait *= kWaitFactor;
+  }
+  return now - crashes.front() >= wait;
 }
 
 CrashReport RequestQuarantine::report(const RequestFingerprint& request) const {
@@ -118,6 +151,7 @@
     const Entry& entry = request_entry.second;
     return entry.crashes.empty() && !entry.cleared_at;
   });
+  std::erase_if(replica_crashes_, [&](const auto& end) { return is_expired(end.second, now); });
   attribute_crashes();
 }
 
@@ -125,6 +159,7 @@
   std::vector<std::pair<RequestFingerprint, Entry*>> suspects;
   for (auto& [request, entry] : entries_) {
     entry.attributed_elsewhere.clear();
+    entry.shared.clear();
     if (entry.crashes.size() >= knobs_.crash_limit) {
       suspects.emplace_back(request, &entry);
     }
@@ -132,23 +167,25 @@
   if (!knobs_.crash_attribution) {
     return;
   }
-  const auto rank = [](const auto& suspect) {
-    const Entry& entry = *suspect.second;
-    return std::tuple(entry.batch, -static_cast<std::ptrdiff_t>(entry.crashes.size()),
-                      suspect.first);
-  };
-  std::sort(suspects.begin(), suspects.end(),
-            [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
-  std::set<std::uint64_t> attributed;
+  std::set<std::uint64_t> of_online_requests;
+  std::map<std::uint64_t, int> items_at_crash;
   for (const auto& [request, entry] : suspects) {
     for (const auto& [replica, ended_at] : entry->crashes) {
-      if (entry->batch && attributed.contains(replica)) {
-        entry->attributed_elsewhere.insert(replica);
+      if (entry->batch) {
+        ++items_at_crash[replica];
+      } else {
+        of_online_requests.insert(replica);
       }
     }
-    if (entry->crashes.size() - entry->attributed_elsewhere.size() >= knobs_.crash_limit) {
-      for (const auto& [replica, ended_at] : entry->crashes) {
-        attributed.insert(replica);
+  }
+  for (const auto& [request, entry] : suspects) {
+    const bool excusable = entry->crashes.size() < kMaxExcusedFactor * knobs_.crash_limit;
+    for (const auto& [replica, ended_at] : entry->crashes) {
+      if (entry->batch && excusable && of_online_requests.contains(replica)) {
+        entry->attributed_elsewhere.insert(replica);
+      }
+      if (entry->batch && items_at_crash[replica] > 1) {
+        entry->shared.insert(replica);
       }
     }
   }
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -298,18 +298,16 @@
   }
   RequestInfo info = context_.protocol.read_item(item);
   const ItemProgress& kept = progress_[ref];
-  ReplicaQuery query{route->services.front().service, TrafficClass::kBatch, info.prompt, {}};
-  if (!kept.last_replica.empty()) {
-    query.excluded.insert(kept.last_replica);
-  }
-  ReplicaChoice choice = context_.selector.choose(query, now);
-  if (choice.replica == nullptr && !query.excluded.empty()) {
-    query.excluded.clear();  // Only the replica of the last interrupted run is available.
-    choice = context_.selector.choose(query, now);
-  }
+  const ReplicaQuery query{route->services.front().service, TrafficClass::kBatch, info.prompt, {}};
+  const ReplicaChoice choice = choose_replica(query, kept, now);
   if (choice.replica == nullptr) {
     return false;
   }
+  if (kept.on_trial) {
+    context_.metrics.count_item("trial");
+    spdlog::info("batch: quarantined item on trial job={} item={} replica={}", ref.job, item.id,
+                 choice.replica->record.id);
+  }
   const net::RequestHead head = context_.protocol.item_request(
       job->job, item,
       {choice.replica->record.registered_name(), kItemDeadline, kept.produced.last_event});
@@ -320,6 +318,45 @@
   return true;
 }
 
+ReplicaChoice BatchExecutor::choose_replica(ReplicaQuery query, const ItemProgress& kept,
+                                            TimePoint now) {
+  const std::set<std::string> tried =
+      kept.on_trial ? replicas_of_trials() : std::set<std::string>{};
+  query.excluded = tried;
+  if (!kept.last_replica.empty()) {
+    query.excluded.insert(kept.last_replica);
+  }
+  const ReplicaChoice choice = context_.selector.choose(query, now);
+  if (choice.replica != nullptr || query.excluded == tried) {
+    return choice;
+  }
+  query.excluded = tried;  // Only the replica of the last interrupted run is available.
+  return context_.selector.choose(query, now);
+}
+
+std::set<std::string> BatchExecutor::replicas_of_trials() const {
+  std::set<std::string> replicas;
+  for (const auto& run : runs_) {
+    const auto kept = progress_.find(run->ref());
+    if (kept != progress_.end() && kept->second.on_trial) {
+      replicas.insert(run->replica());
+    }
+  }
+  return replicas;
+}
+
+void BatchExecutor::replica_survived(const ItemRef& ref) {
+  ItemProgress& kept = progress_[ref];
+  if (!kept.on_trial) {
+    return;
+  }
+  kept.on_trial = false;
+  context_.metrics.count_item("acquitted");
+  if (const auto content = fingerprint(ref)) {
+    context_.crash_watch->trial_survived(*content);
+  }
+}
+
 bool BatchExecutor::quarantined(const LedgerJob& job, const BatchItem& item, const ItemRef& ref,
                                 TimePoint now) {
   if (context_.crash_watch == nullptr || !context_.crash_watch->may_hold()) {
@@ -328,6 +365,10 @@
   const RequestFingerprint content = fingerprint_of_item(job, item);
   const std::optional<QuarantineVerdict> verdict = context_.crash_watch->check(content, now);
   ItemProgress& kept = progress_[ref];
+  kept.on_trial = verdict && verdict->trial_due;
+  if (kept.on_trial) {
+    return false;
+  }
   if (verdict && !kept.quarantined) {
     context_.metrics.count_quarantined("batch");
     spdlog::info("batch: item quarantined job={} item={} content={} ends={} lastEndMs={} forMs={}",
--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -37,6 +37,7 @@
   int interruptions = 0;     ///< Consecutive; determine the retry backoff.
   std::string last_replica;  ///< Replica of the last interrupted or failed run.
   bool quarantined = false;  ///< Crashes replicas; waits for the quarantine to end.
+  bool on_trial = false;     ///< Quarantined, and run to see whether it crashes its replica.
 
   /// Discards the produced output, so that the item runs from its start.
   void restart();
@@ -99,7 +100,13 @@
   void start_waiting(TimePoint now, const BatchShare& share);
   /// Preempts runs that are not urgent if online requests need their slots.
   void preempt_excess_runs(const BatchShare& share);
-  /// @return whether the item is quarantined because it crashes replicas.
+  /// @return the replica for an item, if possible not that of its last interrupted run. An item on
+  /// trial shares no replica with another one: if the replica crashed, both would seem guilty.
+  ReplicaChoice choose_replica(ReplicaQuery query, const ItemProgress& kept, TimePoint now);
+  std::set<std::string> replicas_of_trials() const;
+  /// Clears an item whose trial ended without a crash of its replica.
+  void replica_survived(const ItemRef& ref);
+  /// @return whether the item must not run now because it crashes replicas.
   bool quarantined(const LedgerJob& job, const BatchItem& item, const ItemRef& ref, TimePoint now);
   /// @return the fingerprint of an item's content, or nothing if the item is unknown.
   std::optional<RequestFingerprint> fingerprint(const ItemRef& ref) const;
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -175,10 +175,18 @@
 }
 
 bool CrashWatch::clear(const RequestFingerprint& request) {
+  return clear(request, "operator");
+}
+
+void CrashWatch::trial_survived(const RequestFingerprint& request) {
+  clear(request, "trial");
+}
+
+bool CrashWatch::clear(const RequestFingerprint& request, const char* source) {
   const TimePoint now = net::steady_now();
   const bool known = !quarantine_.report(request).empty();
   quarantine_.take(RequestClearance{request, now}, now);
-  spdlog::info("quarantine: request cleared content={} source=operator known={}", request.hex(),
+  spdlog::info("quarantine: request cleared content={} source={} known={}", request.hex(), source,
                known);
   spread_.send_to_all(request, now);
   log_.save(request, quarantine_.report(request), now);
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -50,6 +50,8 @@
   /// Clears a request on behalf of an operator, so that it may be sent to replicas again.
   /// @return whether anything was recorded about the request.
   bool clear(const RequestFingerprint& request);
+  /// Clears a quarantined batch item whose trial ended without a crash, at all nodes.
+  void trial_survived(const RequestFingerprint& request);
   /// @return the evidence and clearances of a request.
   CrashReport known(const RequestFingerprint& request) const { return quarantine_.report(request); }
   /// @return requests that are quarantined or cleared.
@@ -77,6 +79,8 @@
   void probe(const std::string& replica);
   void handle_probe_result(const std::string& replica, ProbeResult result);
   void schedule_probe(const std::string& replica);
+  /// @param source who clears the request, for the log.
+  bool clear(const RequestFingerprint& request, const char* source);
   void count(const CrashEvidence& evidence, const std::string& replica, TimePoint now);
   /// Merges evidence from another node or from the log.
   void merge(const CrashReport& report, const std::string& source, TimePoint now);
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -108,6 +108,7 @@
       return;
     }
     context_.metrics.count_item("succeeded");
+    executor_.replica_survived(ref_);
     executor_.remove_run(self);
     executor_.complete(ref_, true, std::move(kept.produced.text));
     return;
@@ -117,6 +118,7 @@
     return;
   }
   kept.last_replica = attempt_.replica();  // The fault may be the replica's: prefer another one.
+  executor_.replica_survived(ref_);
   ++kept.produced.failures;
   context_.metrics.count_item("failed");
   spdlog::info("batch: item failed job={} item={} status={} failures={}/{}", ref_.job, item_id_,
