Logs: software versions of replicas, and where a stream is resumed

The incident's logs could not tell a stream that went on within an answer from one that a caller resumed, nor name the software versions on either side: the version of a replica's record was checked and dropped, the attempt that a caller resumes was not read. Now the records keep it, 'online: stream resumed' names both, the position and the records' age, and a gauge counts replicas by version. No change of logic.

--- a/include/dockpoint/routing/replica_directory.hpp
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -42,6 +42,7 @@
   Duration cold_remaining{};    ///< Time until it is warm, as of when the record was written.
   std::string name{};           ///< Registered name; empty: the same as `id`.
   std::int64_t started_ms = 0;  ///< Unix time at which this incarnation started; 0: not stated.
+  std::string software_version{};  ///< Opaque; versions have no order.
 
   /// @return the name that the replica registered under.
   const std::string& registered_name() const { return name.empty() ? id : name; }
--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -281,9 +281,9 @@
   kept = {value, record->id, record->service, record->zone};
   count_replica(kept);
   if (subset_.contains(kept.service, kept.zone, name)) {
-    spdlog::info("fleet: replica {} replica={} service={} address={} slots={}",
+    spdlog::info("fleet: replica {} replica={} service={} software={} address={} slots={}",
                  record->draining ? "drains" : "ready", record->id, record->service,
-                 record->address.to_string(), record->slots);
+                 record->software_version, record->address.to_string(), record->slots);
     context_.replicas.upsert(*record, now);
   } else if (used_before) {
     context_.replicas.remove(record->id);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -237,6 +237,7 @@
     next_slot_assignment_ = now + knobs_.replica_digest_interval;
     assign_slots(now);
     refresh_pace_classes(now);
+    refresh_software_versions();
   }
   if (fleet_.replicas_known()) {
     relayed_log_.set_replicas(fleet_.replicas());
@@ -272,6 +273,14 @@
   metrics_.set_pace_classes(replicas_.paces().classes());
 }
 
+void Gateway::refresh_software_versions() {
+  std::map<std::pair<std::string, std::string>, int> counts;
+  for (const auto& [id, replica] : replicas_.all()) {
+    ++counts[{replica.record.service, replica.record.software_version}];
+  }
+  metrics_.set_software_versions(counts);
+}
+
 void Gateway::request_slot(const Replica& replica) {
   if (batch_.yield_slot(replica.record.id)) {
     return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -78,6 +78,8 @@
   void assign_slots(TimePoint now);
   /// Updates the pace classes of the replicas and logs the changes.
   void refresh_pace_classes(TimePoint now);
+  /// Updates the metric of the software versions of the replicas.
+  void refresh_software_versions();
   /// Makes a batch item on a full replica yield its slot to an online request that was sent there.
   /// The item is run by this node or by a peer, which is then sent the request.
   void request_slot(const Replica& replica);
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -96,6 +96,10 @@
                             .Name("dockpoint_gateway_replicas_by_pace")
                             .Help("Replicas by their usual pace, against their service's middle.")
                             .Register(registry_)),
+      replicas_by_software_(prometheus::BuildGauge()
+                                .Name("dockpoint_gateway_replicas_by_software")
+                                .Help("Replicas by service and software version.")
+                                .Register(registry_)),
       partitions_owned_(make_gauge(registry_, "dockpoint_gateway_partitions_owned",
                                    "Partitions of batch jobs that this node owns.")),
       log_lines_dropped_(make_gauge(registry_, "dockpoint_gateway_log_lines_dropped",
@@ -135,6 +139,28 @@
   }
 }
 
+void GatewayMetrics::set_software_versions(
+    const std::map<std::pair<std::string, std::string>, int>& counts) {
+  for (auto& [version, count] : software_versions_) {
+    count = 0;
+  }
+  for (const auto& [version, count] : counts) {
+    software_versions_[version] = count;
+  }
+  for (auto entry = software_versions_.begin(); entry != software_versions_.end();) {
+    const auto& [service, version] = entry->first;
+    prometheus::Gauge& gauge =
+        replicas_by_software_.Add({{"service", service}, {"software", version}});
+    gauge.Set(entry->second);
+    if (entry->second > 0) {
+      ++entry;
+      continue;
+    }
+    replicas_by_software_.Remove(&gauge);
+    entry = software_versions_.erase(entry);
+  }
+}
+
 void GatewayMetrics::set_own_slots(int slots) {
   own_slots_.Set(slots);
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -57,6 +57,8 @@
   void set_own_slots(int slots);
   void count_full_replica();
   void set_pace_classes(const std::map<PaceClass, int>& classes);
+  /// @param counts replicas by service and software version.
+  void set_software_versions(const std::map<std::pair<std::string, std::string>, int>& counts);
   void set_partitions_owned(std::size_t count);
   void set_log_lines_dropped(std::uint64_t count);
 
@@ -84,9 +86,11 @@
   prometheus::Gauge& unreadable_records_;
   prometheus::Gauge& own_slots_;
   prometheus::Family<prometheus::Gauge>& replicas_by_pace_;
+  prometheus::Family<prometheus::Gauge>& replicas_by_software_;
   prometheus::Gauge& partitions_owned_;
   prometheus::Gauge& log_lines_dropped_;
   prometheus::Gauge& quarantined_requests_;
+  std::map<std::pair<std::string, std::string>, int> software_versions_;  ///< As last set.
   std::set<std::string> tenants_with_series_;  ///< Tenants with their own rate limit series.
 };
 
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -114,6 +114,7 @@
   ++sends_;
   load_at_choice_ = choice.replica->load(now);
   slots_at_choice_ = replica.slots;
+  attempt_software_ = replica.software_version;
   own_slot_ = choice.own_slot;
   expected_wait_ = choice.expected_wait;
   context_.metrics.count_placement(own_slot_);
@@ -126,6 +127,9 @@
   if (choice.missing_tokens >= context_.knobs.announced_prefill_tokens && context_.announce_load) {
     context_.announce_load();
   }
+  if (last_event_) {
+    log_resumption(replica);
+  }
   if (is_sampled(info_.id) || sends_ > 1) {
     const Duration records_age =
         context_.replica_records_age ? context_.replica_records_age() : Duration{};
@@ -138,6 +142,16 @@
   }
 }
 
+void OnlineCall::log_resumption(const ReplicaRecord& replica) const {
+  const Duration records_age =
+      context_.replica_records_age ? context_.replica_records_age() : Duration{};
+  spdlog::info(
+      "online: stream resumed id={} resumes={} lastEvent={} sends={} replica={} software={} "
+      "before={} recordsAgeMs={}",
+      info_.id, info_.resumed_attempt, *last_event_, sends_, replica.id, replica.software_version,
+      stream_software_.empty() ? "unknown" : stream_software_, to_ms(records_age));
+}
+
 bool OnlineCall::on_head(const net::ResponseHead& head) {
   const TimePoint now = net::steady_now();
   const std::optional<ReplicaAnswer> answer = attempt_.handle_head(head, info_.id, now);
@@ -195,6 +209,7 @@
   }
   if (event.id) {
     last_event_ = event.id;
+    stream_software_ = attempt_software_;
   }
   exchange_->write(event.bytes);
 }
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -35,6 +35,8 @@
 
  private:
   void send(TimePoint now);
+  /// Logs that output begun by another run goes on at `replica`.
+  void log_resumption(const ReplicaRecord& replica) const;
   void on_caller_gone();
   void on_caller_drained();
   bool begin_stream(const net::ResponseHead& head);
@@ -105,6 +107,8 @@
   std::string body_;
   EventFramer framer_;
   std::optional<std::uint64_t> last_event_;  ///< Id of the last event that the caller has.
+  std::string attempt_software_;             ///< Software version of the last chosen replica.
+  std::string stream_software_;              ///< Software version that produced `last_event_`.
   TimePoint last_progress_{};
   int sends_ = 0;
   int load_at_choice_ = 0;       ///< Of the last chosen replica, without this request.
--- a/src/gateway/traffic_protocol.hpp
+++ b/src/gateway/traffic_protocol.hpp
@@ -24,6 +24,9 @@
   double prompt_tokens = 0;
   double output_tokens = 0;  ///< Upper limit.
   std::optional<std::uint64_t> last_event_id;
+  /// Id of the caller's attempt that brought the first event of the stream that this request
+  /// resumes; empty if the caller names none.
+  std::string resumed_attempt{};
 };
 
 /// Values that the gateway adds to a request for a replica.
