--- /dev/null
+++ b/tests/platform/resumed_streams_test.cpp
@@ -0,0 +1,240 @@
+/// Tests that a resumed stream holds the output of one software version, while replicas of two
+/// versions serve side by side. Replicas do not check what they resume, so their output names its
+/// version.
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "platform/gateway_node.hpp"
+#include "platform/replica_records.hpp"
+#include "platform/stand_in_store.hpp"
+#include "platform/stand_ins.hpp"
+#include "platform/wire_names.hpp"
+
+using namespace dockpoint;
+using namespace dockpoint::test;
+
+namespace {
+
+constexpr std::uint16_t kFirstReplicaPort = 28'230;
+constexpr int kReplicasPerVersion = 3;
+constexpr int kNodes = 3;
+constexpr int kEvents = 6;
+/// Event after which the first run of a stream breaks.
+constexpr int kBreakAfter = 3;
+constexpr int kStreams = 24;
+
+/// Behavior of a replica that runs a stream from its beginning, named by the request's body.
+constexpr const char* kBreaks = "break";  ///< Resets the connection after `kBreakAfter` events.
+constexpr const char* kStalls = "stall";  ///< Sends nothing more after `kBreakAfter` events.
+
+constexpr const char* kConfiguration = R"({"version":3,"routeList":[
+ {"name":"here","host":"a.example","pathPrefix":"/here/","type":"streaming","timeoutMs":5000,
+  "targetMs":1000,"gapTargetMs":1000,"priority":0,"service":"lm","attempts":2,"resumable":true},
+ {"name":"caller","host":"a.example","pathPrefix":"/caller/","type":"streaming","timeoutMs":5000,
+  "targetMs":1000,"gapTargetMs":1000,"priority":0,"service":"lm","attempts":1,"resumable":true}],
+ "services":[{"name":"lm","healthPath":"/healthz","maxConns":50,"engine":{"slots":8,
+  "kvCacheTokens":1000}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,
+  "headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+/// What a caller has of a stream.
+struct ReceivedStream {
+  std::string first_attempt;
+  int status = 0;  ///< Of the last attempt.
+  int last_event = 0;
+  std::set<std::string> versions;
+  bool complete = false;
+
+  /// Adds the events of an answer.
+  void take(const std::string& body) {
+    std::size_t at = 0;
+    while ((at = body.find("id: ", at)) != std::string::npos) {
+      const std::size_t data = body.find("data: ", at);
+      last_event = std::stoi(body.substr(at + 4));
+      versions.insert(body.substr(data + 6, body.find('\n', data) - data - 6));
+      at = data;
+    }
+    complete = last_event == kEvents;
+  }
+};
+
+/// Three nodes and replicas of two software versions.
+struct Fixture {
+  boost::asio::io_context loop{1};
+  StandInStore store{loop, GatewayNode::kStorePort, GatewayNode::kPartitions};
+  net::HttpClient caller{loop};
+  std::list<StandInReplica> replicas;
+  std::map<std::string, std::string> version_of;  ///< By replica id.
+  std::map<int, std::unique_ptr<GatewayNode>> nodes;
+  std::vector<net::ExchangePtr> stalled;
+  int requests = 0;
+
+  Fixture() {
+    store.put(platform::kConfigurationTopic, platform::kConfigurationKey, kConfiguration);
+    add_replicas("v1", kReplicasPerVersion);
+    add_replicas("v2", kReplicasPerVersion);
+    for (int node = 1; node <= kNodes; ++node) {
+      nodes[node] = std::make_unique<GatewayNode>(loop, node);
+    }
+    wait_until_ready();
+  }
+
+  void add_replicas(const std::string& version, int count) {
+    for (int index = 0; index < count; ++index) {
+      add_replica(version);
+    }
+  }
+
+  void add_replica(const std::string& version) {
+    const std::string id = "r" + std::to_string(replicas.size());
+    const auto port = static_cast<std::uint16_t>(kFirstReplicaPort + replicas.size());
+    version_of[id] = version;
+    replicas.emplace_back(loop, id, port, [this, version](const net::ExchangePtr& exchange) {
+      run(version, exchange);
+    });
+    put_record(id, port, "ready");
+  }
+
+  void put_record(const std::string& id, std::uint16_t port, const std::string& state) {
+    nlohmann::json record = replica_record("127.0.0.1:" + std::to_string(port), 8, state);
+    record["version"] = version_of[id];
+    store.put(platform::kReplicasTopic, id, record.dump());
+  }
+
+  /// Runs a stream: resumes it after `Last-Event-Id` if the request names one.
+  void run(const std::string& version, const net::ExchangePtr& exchange) {
+    const std::string_view resumed = exchange->request().headers.get("Last-Event-Id");
+    const int first = resumed.empty() ? 1 : std::stoi(std::string(resumed)) + 1;
+    const bool interrupted = resumed.empty() && exchange->body() != "whole";
+    net::Headers headers = genuine_headers(exchange);
+    headers.add("Content-Type", "text/event-stream");
+    exchange->begin({200, {}, headers});
+    for (int event = first; event <= (interrupted ? kBreakAfter : kEvents); ++event) {
+      exchange->write("id: " + std::to_string(event) + "\ndata: " + version + "\n\n");
+    }
+    if (!interrupted) {
+      exchange->end();
+    } else if (exchange->body() == kBreaks) {
+      exchange->abort();
+    } else {
+      stalled.push_back(exchange);
+    }
+  }
+
+  void poll_once() {
+    loop.run_one_for(std::chrono::milliseconds(5));
+    store.tick();
+  }
+  void wait_for(const std::function<bool()>& done) {
+    while (!done()) {
+      poll_once();
+    }
+  }
+  void run_for(Duration time) {
+    const TimePoint end = net::steady_now() + time;
+    wait_for([&] { return net::steady_now() >= end; });
+  }
+  /// Waits until all nodes know all replicas and each other.
+  void wait_until_ready() {
+    for (const auto& [number, node] : nodes) {
+      wait_for([&, number = number] {
+        ReceivedStream stream;
+        attempt(stream, number, "/here/1", "whole");
+        return stream.status == 200;
+      });
+    }
+    run_for(std::chrono::seconds(1));
+  }
+
+  /// Starts an attempt of a caller: its first one, or one that resumes the stream.
+  std::shared_ptr<std::optional<net::SimpleCall::Outcome>> start_attempt(ReceivedStream& stream,
+                                                                         int node,
+                                                                         const std::string& path,
+                                                                         const std::string& body) {
+    const std::string id = "request-" + std::to_string(++requests);
+    net::Headers headers{{"Host", "a.example"},
+                         {"Attempt-Id", id},
+                         {"Deadline-Ms", "5000"},
+                         {"Content-Length", std::to_string(body.size())}};
+    if (stream.last_event > 0) {
+      headers.add("Last-Event-Id", std::to_string(stream.last_event));
+      headers.add("Resumes", stream.first_attempt);
+    } else {
+      stream.first_attempt = id;
+    }
+    const auto result = std::make_shared<std::optional<net::SimpleCall::Outcome>>();
+    net::SimpleCall::start(caller, loop, {*Address::parse(GatewayNode::address(node, 0)), "caller"},
+                           net::serialize(net::RequestHead{"POST", path, headers}) + body, {},
+                           std::chrono::seconds(5),
+                           [result](net::SimpleCall::Outcome outcome) { *result = outcome; });
+    return result;
+  }
+
+  void attempt(ReceivedStream& stream, int node, const std::string& path, const std::string& body) {
+    const auto result = start_attempt(stream, node, path, body);
+    wait_for([&] { return result->has_value(); });
+    stream.status = (*result)->head.status;
+    stream.take((*result)->body);
+  }
+
+  static std::ptrdiff_t mixed(const std::vector<ReceivedStream>& streams) {
+    return std::count_if(streams.begin(), streams.end(),
+                         [](const ReceivedStream& stream) { return stream.versions.size() > 1; });
+  }
+  static std::ptrdiff_t complete(const std::vector<ReceivedStream>& streams) {
+    return std::count_if(streams.begin(), streams.end(),
+                         [](const ReceivedStream& stream) { return stream.complete; });
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(resumed_streams, Fixture)
+
+BOOST_AUTO_TEST_CASE(a_stream_resumed_within_an_answer_keeps_its_software_version) {
+  std::vector<ReceivedStream> streams(kStreams);
+  for (ReceivedStream& stream : streams) {
+    attempt(stream, 1, "/here/1", kBreaks);
+  }
+  BOOST_TEST(mixed(streams) == 0);
+  BOOST_TEST(complete(streams) == kStreams);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_a_caller_resumes_at_another_node_keeps_its_software_version) {
+  std::vector<ReceivedStream> streams(kStreams);
+  for (ReceivedStream& stream : streams) {
+    attempt(stream, 1, "/caller/1", kBreaks);
+    BOOST_REQUIRE(stream.last_event == kBreakAfter);
+    attempt(stream, 2, "/caller/1", kBreaks);
+  }
+  BOOST_TEST(mixed(streams) == 0);
+  BOOST_TEST(complete(streams) == kStreams);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_resumed_after_its_node_was_killed_keeps_its_software_version) {
+  std::vector<ReceivedStream> streams(kStreams);
+  std::vector<std::shared_ptr<std::optional<net::SimpleCall::Outcome>>> results;
+  for (ReceivedStream& stream : streams) {
+    results.push_back(start_attempt(stream, 3, "/caller/1", kStalls));
+  }
+  wait_for([&] { return stalled.size() == kStreams; });
+  run_for(std::chrono::milliseconds(100));
+  nodes.erase(3);
+  for (int index = 0; index < kStreams; ++index) {
+    ReceivedStream& stream = streams[static_cast<std::size_t>(index)];
+    const auto& result = results[static_cast<std::size_t>(index)];
+    wait_for([&] { return result->has_value(); });
+    stream.take((*result)->body);
+    BOOST_REQUIRE(stream.last_event == kBreakAfter);
+    attempt(stream, 1 + index % 2, "/caller/1", kStalls);
+  }
+  BOOST_TEST(mixed(streams) == 0);
+  BOOST_TEST(complete(streams) == kStreams);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
