Kept output of batch items goes on only at the software version that produced it

What callers saw: results of items whose run was interrupted held text of two software versions.

Cause: the same as of resumed streams: output kept between runs, handed to another owner or read from the log did not say where it was produced.

Change: a checkpoint and each of its steps in the log name service and version. A step without them, written by an older build, or steps that differ, have an unknown origin and the item starts again. If the version serves no more, it starts again at once. Items behind it are not held up.

--- a/include/dockpoint/batch/job_ledger.hpp
+++ b/include/dockpoint/batch/job_ledger.hpp
@@ -12,6 +12,7 @@
 #include "dockpoint/core/codec.hpp"
 #include "dockpoint/core/time.hpp"
 #include "dockpoint/log/partitioned_log.hpp"
+#include "dockpoint/streaming/stream_origin.hpp"
 
 /// In-memory index of the batch jobs of one partition, kept by its owner.
 ///
@@ -57,6 +58,8 @@
   std::string text;                         ///< Concatenated data of the stream events so far.
   std::optional<std::uint64_t> last_event;  ///< Id of the last event in `text`.
   int failures = 0;  ///< Number of runs for which a replica returned a failure.
+  /// Where `text` was produced. Unknown if an older build wrote it, or builds that disagree.
+  StreamOrigin origin{};
 };
 
 /// One incremental step of an item's checkpoint, stored as a record. Steps are concatenated, so
@@ -67,6 +70,7 @@
   std::string text;          ///< Appended to the text of the earlier steps.
   std::optional<std::uint64_t> last_event;
   int failures = 0;
+  StreamOrigin origin{};  ///< Where the text was produced.
 };
 
 /// @return the record that stores a checkpoint step.
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -366,6 +366,8 @@
   Duration stream_origin_question_limit = 250ms;
   /// Estimated time in which a replica produces one event of a batch item.
   Duration item_event_time = 15ms;
+  /// Pause of an item that waits for a replica that can resume its output.
+  Duration item_origin_pause = 100ms;
 
   // The platform's log.
   /// Maximum time from a record's confirmation until all nodes act on it, as the settings require;
--- a/src/batch/job_ledger.cpp
+++ b/src/batch/job_ledger.cpp
@@ -50,7 +50,9 @@
   bool has_event = false;
   std::uint64_t last_event = 0;
   int failures = 0;
-  DOCKPOINT_FIELDS(restart, text, has_event, last_event, failures)
+  std::string service;           ///< Missing in records of builds that did not track the origin.
+  std::string software_version;  ///< Missing in the same records.
+  DOCKPOINT_FIELDS(restart, text, has_event, last_event, failures, service, software_version)
 };
 
 std::string checkpoint_key(const std::string& job, std::uint32_t item, std::uint32_t number) {
@@ -147,8 +149,9 @@
 
 KeyedRecord checkpoint_record(const std::string& job, std::uint32_t item,
                               const CheckpointStep& step) {
-  const StepWire wire{step.restart, step.text, step.last_event.has_value(),
-                      step.last_event.value_or(0), step.failures};
+  const StepWire wire{
+      step.restart,  step.text,           step.last_event.has_value(), step.last_event.value_or(0),
+      step.failures, step.origin.service, step.origin.software_version};
   return {checkpoint_key(job, item, step.number), pack(wire), 0};
 }
 
@@ -290,6 +293,11 @@
     if (step.wire.restart) {
       loaded.checkpoint = {};
     }
+    StreamOrigin origin{std::move(step.wire.service), std::move(step.wire.software_version)};
+    const bool first = loaded.checkpoint.text.empty();
+    // A build that does not track origins may have continued the text anywhere.
+    loaded.checkpoint.origin =
+        first || loaded.checkpoint.origin == origin ? std::move(origin) : StreamOrigin{};
     loaded.checkpoint.text += step.wire.text;
     loaded.checkpoint.failures = step.wire.failures;
     if (step.wire.has_event) {
--- a/src/batch/partition_owner.cpp
+++ b/src/batch/partition_owner.cpp
@@ -169,8 +169,8 @@
   if (added.text.size() > log_.limits().record_bytes / 2) {
     return;  // Too large for one step; after a failover the item resumes from its previous step.
   }
-  const CheckpointStep step{next_step(job, item)++, restart, added.text, added.last_event,
-                            added.failures};
+  const CheckpointStep step{next_step(job, item)++, restart,        added.text,
+                            added.last_event,       added.failures, added.origin};
   queue_.push_back({job, {checkpoint_record(job, item, step)}, std::nullopt});
 }
 
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "dockpoint/batch/partial_output.hpp"
 #include "dockpoint/core/hash.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/item_run.hpp"
@@ -34,6 +35,8 @@
   saved_bytes = 0;
   produced.text.clear();
   produced.last_event.reset();
+  produced.origin = {};
+  waiting_for_origin_since.reset();
 }
 
 BatchExecutor::BatchExecutor(GatewayContext& context)
@@ -131,7 +134,8 @@
     return;
   }
   const ItemCheckpoint added{progress.produced.text.substr(progress.saved_bytes),
-                             progress.produced.last_event, progress.produced.failures};
+                             progress.produced.last_event, progress.produced.failures,
+                             progress.produced.origin};
   owner->write_checkpoint(ref.job, ref.item, added, progress.restarted);
   progress.restarted = false;
   progress.saved_bytes = progress.produced.text.size();
@@ -297,8 +301,12 @@
     return true;
   }
   RequestInfo info = context_.protocol.read_item(item);
-  const ItemProgress& kept = progress_[ref];
-  const ReplicaQuery query{route->services.front().service, TrafficClass::kBatch, info.prompt, {}};
+  ItemProgress& kept = progress_[ref];
+  ReplicaQuery query{route->services.front().service, TrafficClass::kBatch, info.prompt, {}, {}};
+  if (kept.produced.last_event && !resume_or_restart(ref, kept, query, now)) {
+    retry(ref, context_.knobs.item_origin_pause, now);
+    return true;
+  }
   const ReplicaChoice choice = choose_replica(query, kept, now);
   if (choice.replica == nullptr) {
     return false;
@@ -318,6 +326,39 @@
   return true;
 }
 
+bool BatchExecutor::resume_or_restart(const ItemRef& ref, ItemProgress& kept, ReplicaQuery& query,
+                                      TimePoint now) {
+  const StreamOrigin& origin = kept.produced.origin;
+  PartialOutput output;
+  output.events = *kept.produced.last_event;
+  output.origin_known = !origin.unknown() && origin.service == query.service;
+  output.origin_serves = context_.replicas.serves(origin.service, origin.software_version);
+  output.other_has_room = context_.selector.has_candidate(query, now);
+  query.software_version = origin.software_version;
+  output.origin_has_room = context_.selector.has_candidate(query, now);
+  output.waited = now - kept.waiting_for_origin_since.value_or(now);
+  switch (decide_partial_output(output, context_.knobs)) {
+    case PartialOutputStep::kResume:
+      kept.waiting_for_origin_since.reset();
+      return true;
+    case PartialOutputStep::kWait:
+      kept.waiting_for_origin_since = kept.waiting_for_origin_since.value_or(now);
+      return false;
+    case PartialOutputStep::kRestart:
+      context_.metrics.count_item("restarted");
+      spdlog::info(
+          "batch: item starts again job={} item={} events={} service={} software={} serves={} "
+          "waitedMs={}",
+          ref.job, ref.item, output.events, origin.service,
+          origin.unknown() ? "unknown" : origin.software_version, output.origin_serves,
+          to_ms(output.waited));
+      kept.restart();
+      query.software_version.clear();
+      return true;
+  }
+  return true;
+}
+
 ReplicaChoice BatchExecutor::choose_replica(ReplicaQuery query, const ItemProgress& kept,
                                             TimePoint now) {
   const std::set<std::string> tried =
--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -38,6 +38,8 @@
   std::string last_replica;  ///< Replica of the last interrupted or failed run.
   bool quarantined = false;  ///< Crashes replicas; waits for the quarantine to end.
   bool on_trial = false;     ///< Quarantined, and run to see whether it crashes its replica.
+  /// Since when only replicas that cannot resume the output could run the item.
+  std::optional<TimePoint> waiting_for_origin_since;
 
   /// Discards the produced output, so that the item runs from its start.
   void restart();
@@ -49,7 +51,8 @@
 /// only to a replica with fewer occupied slots than the batch limit, and BatchShare limits the
 /// number of concurrent items of this node. A node that has just started waits until it can know
 /// the load of the other nodes. A run that is interrupted, or preempted by online requests, resumes
-/// after its last event at any replica with a free slot.
+/// after its last event at any replica of the same software version with a free slot; see
+/// partial_output.hpp for when it starts again instead.
 ///
 /// Single-threaded; borrows the context. Partition owners are registered while they are active.
 class BatchExecutor {
@@ -110,6 +113,11 @@
   bool quarantined(const LedgerJob& job, const BatchItem& item, const ItemRef& ref, TimePoint now);
   /// @return the fingerprint of an item's content, or nothing if the item is unknown.
   std::optional<RequestFingerprint> fingerprint(const ItemRef& ref) const;
+  /// Sets the software version that the item's kept output requires, or discards the output if it
+  /// cannot or should not be resumed.
+  /// @return whether the item may be sent now.
+  bool resume_or_restart(const ItemRef& ref, ItemProgress& kept, ReplicaQuery& query,
+                         TimePoint now);
   /// Starts or reschedules an item.
   /// @return whether the item needs no further attempt now; false if no replica has a free slot.
   bool start(const Waiting& entry, TimePoint now);
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -40,6 +40,7 @@
 void ItemRun::start(const Replica& replica, std::string bytes, double missing_tokens,
                     TimePoint now) {
   last_progress_ = now;
+  origin_ = {replica.record.service, replica.record.software_version};
   attempt_.start(replica, std::move(bytes), missing_tokens, *this);
 }
 
@@ -80,6 +81,8 @@
   }
   if (kept.last_event) {
     kept.text += '\n';
+  } else {
+    kept.origin = origin_;
   }
   kept.text += event.data;
   kept.last_event = event.id;
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -45,6 +45,7 @@
   const int attempts_;
   const DueTime due_;
   ReplicaAttempt attempt_;
+  StreamOrigin origin_;  ///< Of the replica that runs it.
   TimePoint last_progress_{};
   int status_ = 0;
   bool rejected_ = false;
--- a/tests/batch/job_ledger_test.cpp
+++ b/tests/batch/job_ledger_test.cpp
@@ -93,6 +93,38 @@
   BOOST_TEST(after.find("j1") == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(a_checkpoint_keeps_the_origin_of_its_text) {
+  const StreamOrigin first{"lm", "v1"};
+  const StreamOrigin second{"lm", "v2"};
+  JobLedger ledger;
+  ledger.load_results({checkpoint_record("j1", 0, {0, false, "", std::nullopt, 1, {}}),
+                       checkpoint_record("j1", 0, {1, false, "a", 1, 1, first}),
+                       checkpoint_record("j1", 0, {2, false, "\nb", 2, 1, first}),
+                       checkpoint_record("j1", 1, {0, false, "a", 1, 0, first}),
+                       checkpoint_record("j1", 1, {1, true, "x", 1, 0, second})});
+  BOOST_TEST((ledger.checkpoint("j1", 0)->checkpoint.origin == first));
+  BOOST_TEST((ledger.checkpoint("j1", 1)->checkpoint.origin == second));
+}
+
+BOOST_AUTO_TEST_CASE(a_checkpoint_that_an_older_build_wrote_or_continued_has_no_known_origin) {
+  // A step as builds before the origin wrote it: restart, text, has_event, last_event, failures.
+  const auto step_without_origin = [](std::uint32_t item, std::uint32_t number) {
+    KeyedRecord record = checkpoint_record("j1", item, {number, false, {}, std::nullopt, 0, {}});
+    const auto bytes = nlohmann::json::to_msgpack(nlohmann::json{false, "\nb", true, 2, 0});
+    record.value.assign(bytes.begin(), bytes.end());
+    return record;
+  };
+  JobLedger ledger;
+  ledger.load_results({step_without_origin(0, 0),
+                       checkpoint_record("j1", 1, {0, false, "a", 1, 0, {"lm", "v1"}}),
+                       step_without_origin(1, 1)});
+  for (const std::uint32_t item : {0U, 1U}) {
+    BOOST_REQUIRE(ledger.checkpoint("j1", item) != nullptr);
+    BOOST_TEST((ledger.checkpoint("j1", item)->checkpoint.last_event == 2U));
+    BOOST_TEST(ledger.checkpoint("j1", item)->checkpoint.origin.unknown());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(checkpoint_steps_are_concatenated_and_a_restart_discards_earlier_ones) {
   JobLedger ledger;
   ledger.load_results({checkpoint_record("j1", 4, {1, false, "\nb", 2, 0}),
--- a/tests/platform/resumed_streams_test.cpp
+++ b/tests/platform/resumed_streams_test.cpp
@@ -36,12 +36,18 @@
 constexpr const char* kConfiguration = R"({"version":3,"routeList":[
  {"name":"here","host":"a.example","pathPrefix":"/here/","type":"streaming","timeoutMs":5000,
   "targetMs":1000,"gapTargetMs":1000,"priority":0,"service":"lm","attempts":2,"resumable":true},
+ {"name":"batch","host":"a.example","pathPrefix":"/batch/","type":"batch","timeoutMs":5000,
+  "targetMs":1000,"completionTargetMs":20000,"retentionS":60,"priority":2,"service":"lm",
+  "attempts":3},
  {"name":"caller","host":"a.example","pathPrefix":"/caller/","type":"streaming","timeoutMs":5000,
   "targetMs":1000,"gapTargetMs":1000,"priority":0,"service":"lm","attempts":1,"resumable":true}],
  "services":[{"name":"lm","healthPath":"/healthz","maxConns":50,"engine":{"slots":8,
   "kvCacheTokens":1000}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,
   "headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
+constexpr const char* kBreaksInBase64 = "YnJlYWs=";
+constexpr const char* kStallsInBase64 = "c3RhbGw=";
+
 /// What a caller has of a stream.
 struct ReceivedStream {
   std::string first_attempt;
@@ -182,6 +188,70 @@
     stream.take((*result)->body);
   }
 
+  /// @param encoded_body body of all items, in base64. @return ids of the jobs.
+  std::vector<std::string> submit_jobs(int jobs, int items, const std::string& encoded_body) {
+    std::vector<std::string> ids;
+    for (int job = 0; job < jobs; ++job) {
+      nlohmann::json document;
+      for (int item = 0; item < items; ++item) {
+        nlohmann::json entry;
+        entry["id"] = std::to_string(job) + "-" + std::to_string(item);
+        entry["path"] = "/batch/1";
+        entry["headers"] = nlohmann::json::object();
+        entry["body"] = encoded_body;
+        entry["tokenCount"] = 10;
+        document["requests"].push_back(entry);
+      }
+      ReceivedStream submission;
+      attempt(submission, 1, "/batch/x", document.dump());
+      BOOST_REQUIRE(submission.status == 202);
+      ids.push_back(submission.first_attempt);
+    }
+    return ids;
+  }
+
+  /// @return the texts of the items that have succeeded.
+  std::vector<std::string> texts_of(const std::string& job) {
+    std::optional<net::SimpleCall::Outcome> result;
+    const net::RequestHead head{
+        "GET", "/v1/lots/" + job + "?sinceRevision=0", {{"Host", "a.example"}}};
+    net::SimpleCall::start(caller, loop, {*Address::parse(GatewayNode::address(1, 0)), "caller"},
+                           net::serialize(head), {}, std::chrono::seconds(5),
+                           [&](net::SimpleCall::Outcome outcome) { result = std::move(outcome); });
+    wait_for([&] { return result.has_value(); });
+    std::vector<std::string> texts;
+    if (result->failure || result->head.status != 200) {
+      return texts;
+    }
+    const nlohmann::json page = nlohmann::json::parse(result->body);
+    for (const nlohmann::json& entry : page["results"]) {
+      BOOST_TEST(entry["state"] == "succeeded");
+      texts.push_back(entry["text"]);
+    }
+    return texts;
+  }
+
+  /// Waits until all items of the jobs have succeeded.
+  std::vector<std::string> wait_for_texts(const std::vector<std::string>& jobs, int items) {
+    std::vector<std::string> texts;
+    for (const std::string& job : jobs) {
+      std::vector<std::string> of_job;
+      while (of_job.size() < static_cast<std::size_t>(items)) {
+        run_for(std::chrono::milliseconds(50));
+        of_job = texts_of(job);
+      }
+      texts.insert(texts.end(), of_job.begin(), of_job.end());
+    }
+    return texts;
+  }
+
+  /// @return how many texts are not the whole output of one software version.
+  static std::ptrdiff_t spoiled(const std::vector<std::string>& texts) {
+    return std::count_if(texts.begin(), texts.end(), [](const std::string& text) {
+      return text != "v1\nv1\nv1\nv1\nv1\nv1" && text != "v2\nv2\nv2\nv2\nv2\nv2";
+    });
+  }
+
   static std::ptrdiff_t mixed(const std::vector<ReceivedStream>& streams) {
     return std::count_if(streams.begin(), streams.end(),
                          [](const ReceivedStream& stream) { return stream.versions.size() > 1; });
@@ -237,4 +307,17 @@
   BOOST_TEST(complete(streams) == kStreams);
 }
 
+BOOST_AUTO_TEST_CASE(an_interrupted_item_keeps_its_software_version) {
+  const std::vector<std::string> jobs = submit_jobs(4, 6, kBreaksInBase64);
+  BOOST_TEST(spoiled(wait_for_texts(jobs, 6)) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(an_item_that_another_node_takes_over_keeps_its_software_version) {
+  const std::vector<std::string> jobs = submit_jobs(6, 4, kStallsInBase64);
+  wait_for([&] { return stalled.size() == 24U; });
+  run_for(nodes[1]->knobs.checkpoint_interval + std::chrono::milliseconds(500));
+  nodes.erase(3);
+  BOOST_TEST(spoiled(wait_for_texts(jobs, 4)) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
