--- a/tests/support/fleet_replay.cpp
+++ b/tests/support/fleet_replay.cpp
@@ -58,14 +58,15 @@
                                             seed * 1'000 + static_cast<std::uint64_t>(number)));
     Node& node = *nodes_.back();
     for (int replica = 0; replica < pattern.replicas; ++replica) {
-      node.directory.upsert({replicas_[static_cast<std::size_t>(replica)].id,
-                             kService,
-                             {"10.0.0.1", 80},
-                             zone_name(replica % pattern.zones),
-                             pattern.slots,
-                             false,
-                             {}},
-                            at(0));
+      ReplicaRecord record{replicas_[static_cast<std::size_t>(replica)].id,
+                           kService,
+                           {"10.0.0.1", 80},
+                           zone_name(replica % pattern.zones),
+                           pattern.slots,
+                           false,
+                           {}};
+      record.software_version = version_of(replica);
+      node.directory.upsert(record, at(0));
     }
     node.selector.note_service_time(
         kService, std::chrono::milliseconds(static_cast<std::int64_t>(pattern.service_ms)));
@@ -178,6 +179,10 @@
   }
 }
 
+std::string FleetReplay::version_of(int replica) const {
+  return replica >= pattern_.replicas - pattern_.second_version ? "v2" : "v1";
+}
+
 void FleetReplay::arrive(std::int64_t now, bool counted) {
   std::uniform_int_distribution<int> any_node(0, nodes() - 1);
   int number = any_node(random_);
@@ -190,6 +195,11 @@
 void FleetReplay::send_with_retries(int number, std::int64_t now, bool counted) {
   Node& node = *nodes_[static_cast<std::size_t>(number)];
   ReplicaQuery query{kService, TrafficClass::kOnline, {{7, 100}, {8, 250}}, {}};
+  // Drawn only where it matters, so that other replays keep their draws.
+  const bool resumed =
+      pattern_.resumed_share > 0 && std::bernoulli_distribution(pattern_.resumed_share)(random_);
+  query.software_version = resumed ? "v2" : "";
+  outcome_.resumed += counted && resumed ? 1 : 0;
   for (int sends = 0; sends < knobs_.maximum_sends_not_run; ++sends) {
     const ReplicaChoice choice = node.selector.choose(query, at(now));
     if (choice.replica == nullptr) {
@@ -222,6 +232,7 @@
   });
   outcome_.requests += counted ? 1 : 0;
   outcome_.refused += counted ? 1 : 0;
+  outcome_.resumed_refused += counted && resumed ? 1 : 0;
   outcome_.refused_with_free_slots += counted && room ? 1 : 0;
 }
 
--- a/tests/support/fleet_replay.hpp
+++ b/tests/support/fleet_replay.hpp
@@ -40,6 +40,8 @@
   std::int64_t digest_delay_ms = 200;  ///< Maximum delay of a digest; the minimum is half of it.
   std::int64_t late_ms = 250;          ///< A request that waits longer for its slot counts as late.
   bool slot_shares = true;
+  int second_version = 0;    ///< Replicas of a second software version, the last ones.
+  double resumed_share = 0;  ///< Share of the requests that only the second version can serve.
 };
 
 /// Counters of a replay.
@@ -51,6 +53,8 @@
   int turned_away = 0;              ///< Attempts that a full replica rejected.
   int refused = 0;                  ///< Requests that no attempted replica accepted.
   int refused_with_free_slots = 0;  ///< Refused requests while a replica had a free slot.
+  int resumed = 0;                  ///< Requests that only the second version can serve.
+  int resumed_refused = 0;          ///< Those among `refused`.
 
   double late_share() const { return requests == 0 ? 0 : static_cast<double>(late) / requests; }
   /// @return the quantile of the waits at `share`, in ms.
@@ -119,6 +123,8 @@
   void arrive(std::int64_t now, bool counted);
   /// Sends a request to one replica after another until one accepts it.
   void send_with_retries(int node, std::int64_t now, bool counted);
+  /// @return the software version of a replica.
+  std::string version_of(int replica) const;
   /// @return the load that a replica reports in its answers.
   ReportedLoad load_of(const Replica& replica) const;
   void serve(std::size_t request, std::int64_t now);
