Answers whose end does not prove that they are whole are logged and counted

The HTTP client tells its observer what marked the end of a response: framing, or a connection that was closed in good order. Online requests and items log it with the bytes of a partial event, and count it in dockpoint_gateway_doubtful_ends_total. Nothing is decided differently.

--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -65,6 +65,11 @@
                        .Name("dockpoint_gateway_broken_runs_total")
                        .Help("Runs whose connection ended, by what became of the replica.")
                        .Register(registry_)),
+      doubtful_ends_(
+          prometheus::BuildCounter()
+              .Name("dockpoint_gateway_doubtful_ends_total")
+              .Help("Answers whose end does not prove that they are whole, by conclusion.")
+              .Register(registry_)),
       quarantined_(prometheus::BuildCounter()
                        .Name("dockpoint_gateway_quarantined_total")
                        .Help("Requests and items not sent since they crash replicas.")
@@ -190,6 +195,10 @@
   broken_runs_.Add({{"verdict", verdict}}).Increment(static_cast<double>(runs));
 }
 
+void GatewayMetrics::count_doubtful_end(const std::string& conclusion) {
+  doubtful_ends_.Add({{"conclusion", conclusion}}).Increment();
+}
+
 void GatewayMetrics::set_quarantined_requests(std::size_t count) {
   quarantined_requests_.Set(static_cast<double>(count));
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -40,6 +40,9 @@
   /// Counts runs whose connection to a replica was lost.
   /// @param verdict state of the replica: `replica_ended`, `replica_runs` or `unknown`.
   void count_broken_runs(const std::string& verdict, std::size_t runs);
+  /// Counts an answer whose end does not prove that it is whole.
+  /// @param conclusion what was made of it: `closed` or `inside_event`.
+  void count_doubtful_end(const std::string& conclusion);
   void set_quarantined_requests(std::size_t count);
   /// Counts a suspension of the machine.
   void count_suspension();
@@ -79,6 +82,7 @@
   prometheus::Family<prometheus::Counter>& rate_limited_;
   prometheus::Family<prometheus::Counter>& callers_refused_;
   prometheus::Family<prometheus::Counter>& broken_runs_;
+  prometheus::Family<prometheus::Counter>& doubtful_ends_;
   prometheus::Family<prometheus::Counter>& quarantined_;
   prometheus::Counter& suspensions_;
   prometheus::Family<prometheus::Counter>& items_;
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -88,9 +88,17 @@
   kept.last_event = event.id;
 }
 
-void ItemRun::on_complete() {
+void ItemRun::on_complete(net::ResponseEnd end) {
   const auto self = shared_from_this();
   const TimePoint now = net::steady_now();
+  if (end == net::ResponseEnd::kConnectionClosed || !framer_.at_boundary()) {
+    context_.metrics.count_doubtful_end(framer_.at_boundary() ? "closed" : "inside_event");
+    spdlog::info(
+        "batch: end of answer in doubt job={} item={} replica={} status={} framed={} "
+        "partialEventBytes={}",
+        ref_.job, item_id_, attempt_.replica(), status_, end == net::ResponseEnd::kFramed,
+        framer_.partial_bytes());
+  }
   const bool failed = !rejected_ && status_ == kItemFailed;
   attempt_.signal(failed ? ReplicaSignal::kFailed : ReplicaSignal::kAnswered, now);
   if (status_ / 100 == 2 && !rejected_) {
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -26,7 +26,7 @@
 
   bool on_head(const net::ResponseHead& head) override;
   void on_body(std::string_view bytes) override;
-  void on_complete() override;
+  void on_complete(net::ResponseEnd end) override;
   void on_failure(net::CallFailure failure) override;
 
  private:
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -176,6 +176,7 @@
   backpressured_ = false;
   silence_reported_ = false;
   body_.clear();
+  answer_bytes_ = 0;
   framer_.discard_partial();
   ++sends_;
   load_at_choice_ = choice.replica->load(now);
@@ -253,6 +254,7 @@
 
 void OnlineCall::on_body(std::string_view bytes) {
   last_progress_ = net::steady_now();
+  answer_bytes_ += bytes.size();
   if (!streaming_) {
     body_.append(bytes);
     return;
@@ -262,6 +264,7 @@
   if (history_.resumable) {
     framer_.feed(bytes, [this](const StreamEvent& event) { forward_event(event); });
   } else {
+    framer_.feed(bytes, [](const StreamEvent&) {});
     exchange_->write(bytes);
   }
   if (!finished_ && attempt_.call() && exchange_->pending_output() > kMaxPendingOutput) {
@@ -290,9 +293,13 @@
   }
 }
 
-void OnlineCall::on_complete() {
+void OnlineCall::on_complete(net::ResponseEnd end) {
   const auto self = shared_from_this();
   const TimePoint now = net::steady_now();
+  const bool inside_event = streaming_ && !framer_.at_boundary();
+  if (end == net::ResponseEnd::kConnectionClosed || inside_event) {
+    log_doubtful_end(end);
+  }
   attempt_.signal(replica_reported_failure() ? ReplicaSignal::kFailed : ReplicaSignal::kAnswered,
                   now);
   if (rejected_) {
@@ -318,6 +325,16 @@
   finish("answered", "stream complete");
 }
 
+void OnlineCall::log_doubtful_end(net::ResponseEnd end) const {
+  const bool inside_event = streaming_ && !framer_.at_boundary();
+  context_.metrics.count_doubtful_end(inside_event ? "inside_event" : "closed");
+  spdlog::info(
+      "online: end of answer in doubt id={} replica={} status={} framed={} stream={} bytes={} "
+      "partialEventBytes={} afterMs={}",
+      info_.id, attempt_.replica(), head_.status, end == net::ResponseEnd::kFramed, streaming_,
+      answer_bytes_, framer_.partial_bytes(), to_ms(net::steady_now() - sent_at_));
+}
+
 void OnlineCall::complete_buffered() {
   const TimePoint now = net::steady_now();
   const bool success = head_.status / 100 == 2;
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -32,7 +32,7 @@
 
   bool on_head(const net::ResponseHead& head) override;
   void on_body(std::string_view bytes) override;
-  void on_complete() override;
+  void on_complete(net::ResponseEnd end) override;
   void on_failure(net::CallFailure failure) override;
 
  private:
@@ -46,6 +46,8 @@
   /// not name that attempt.
   StreamKey resumed_key();
   std::string_view tenant_name() const;
+  /// Logs and counts an answer whose end does not prove that it is whole.
+  void log_doubtful_end(net::ResponseEnd end) const;
   /// Logs that output begun by another run goes on at `replica`.
   void log_resumption(const ReplicaRecord& replica) const;
   void on_caller_gone();
@@ -116,6 +118,7 @@
   bool silence_reported_ = false;  ///< The silence of this attempt was reported to the directory.
   net::ResponseHead head_;
   std::string body_;
+  std::size_t answer_bytes_ = 0;  ///< Of the current answer's body.
   EventFramer framer_;
   std::optional<std::uint64_t> last_event_;  ///< Id of the last event that the caller has.
   std::string attempt_software_;             ///< Software version of the last chosen replica.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -319,7 +319,7 @@
       return;
     }
     if (!skipping_response_ && parser_->head().status / 100 != 1) {
-      complete();
+      complete(ResponseEnd::kFramed);
       return;
     }
     if (!keep_alive_) {
@@ -330,7 +330,7 @@
   }
 }
 
-void ClientConnection::complete() {
+void ClientConnection::complete(ResponseEnd end) {
   const auto self = shared_from_this();
   const CallPtr call = std::exchange(call_, nullptr);
   call->connection_.reset();
@@ -340,7 +340,7 @@
     abandon();
   }
   if (call->observer_ != nullptr) {
-    std::exchange(call->observer_, nullptr)->on_complete();
+    std::exchange(call->observer_, nullptr)->on_complete(end);
   }
 }
 
@@ -352,7 +352,7 @@
   }
   if (clean && parser_ && parser_->feed_end() && !skipping_response_) {
     keep_alive_ = false;
-    complete();
+    complete(ResponseEnd::kConnectionClosed);
     return;
   }
   fail(head_received_ ? CallFailure::kInterrupted : CallFailure::kNoAnswer);
@@ -441,7 +441,7 @@
   outcome_.body.append(bytes);
 }
 
-void SimpleCall::on_complete() {
+void SimpleCall::on_complete(ResponseEnd /*end*/) {
   finish(std::nullopt);
 }
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -28,6 +28,13 @@
   kMalformed,    ///< The received bytes are not a valid HTTP response.
 };
 
+/// What marked the end of a response.
+enum class ResponseEnd {
+  kFramed,            ///< Its length, its last chunk, or a status without a body: it is whole.
+  kConnectionClosed,  ///< The server closed the connection in good order. A server that fails does
+                      ///< so too, hence this does not prove that the response is whole.
+};
+
 /// Receives the response to a call. Callbacks run on the event loop, never from within `start`.
 class CallObserver {
  public:
@@ -36,8 +43,8 @@
   /// @return whether the response belongs to this call; if not, the whole response is skipped.
   virtual bool on_head(const ResponseHead& head) = 0;
   virtual void on_body(std::string_view bytes) = 0;
-  /// Called when the response is complete. The call has ended.
-  virtual void on_complete() = 0;
+  /// Called when the response has ended. The call has ended.
+  virtual void on_complete(ResponseEnd end) = 0;
   /// Called when the call has ended without a complete response.
   virtual void on_failure(CallFailure failure) = 0;
 };
@@ -169,7 +176,7 @@
   void fail_connect();
   void begin_response();
   void parse();
-  void complete();
+  void complete(ResponseEnd end);
   void fail(CallFailure failure);
   void update_keep_alive(const ResponseHead& head);
 
@@ -208,7 +215,7 @@
 
   bool on_head(const ResponseHead& head) override;
   void on_body(std::string_view bytes) override;
-  void on_complete() override;
+  void on_complete(ResponseEnd end) override;
   void on_failure(CallFailure failure) override;
 
  private:
--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -68,6 +68,7 @@
   metrics.count_resumption("own_record");
   metrics.count_item("succeeded");
   metrics.count_broken_runs("unknown", 1);
+  metrics.count_doubtful_end("closed");
   metrics.count_quarantined("streaming");
   metrics.count_rate_limited("clinic", "node_share");
   metrics.count_caller_refused("unknown_key");
@@ -84,7 +85,7 @@
   for (const std::string& cell : first_cells(read_page("PLATFORM.md"), "dockpoint_gateway_")) {
     listed.insert(cell.substr(0, cell.find('{')));
   }
-  BOOST_TEST(served.size() == 24U);
+  BOOST_TEST(served.size() == 25U);
   BOOST_TEST((served == listed));
 }
 
