The end of a connection is no longer taken for the end of an answer

Callers saw half an answer framed as complete. Cause: an answer with neither length nor chunks ended with its connection, which a replica that breaks off or crashes closes in the same good order as one that has finished; the node then vouched for it with a last chunk or a length of its own. Streams were checked for a partial event only where their route may be resumed, and nobody was told that the run broke.

Change: one judgement for online requests and items (streaming/answer_end). A stream that ends inside an event, in any framing, or without length and before its first event, is broken off. Any other answer without length is passed on after a connection to the replica was accepted and stayed open for 20 ms; if not, the run counts as broken: retried, resumed or broken off as after a reset, and reported to outlier detection and the quarantine. Items keep their whole events.

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -327,6 +327,11 @@
   std::size_t crashes_per_request = 8;
   /// Connect timeout of a probe to a replica that may have crashed.
   Duration crash_probe_timeout = 300ms;
+  /// Time for which a connection to a replica that may have crashed must stay open.
+  Duration crash_probe_observation = 200ms;
+  /// The same before an answer is passed on whose end only a closed connection marked; its caller
+  /// waits meanwhile.
+  Duration answer_end_observation = 20ms;
   /// Interval between crash probes.
   Duration crash_probe_interval = 300ms;
   /// Maximum crash probes without a clear result.
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -64,7 +64,9 @@
 void CrashWatch::probe(const std::string& replica) {
   Suspicion& suspicion = suspicions_[replica];
   ++suspicion.attempts;
-  ReplicaProbe::start(context_.loop, suspicion.address, context_.knobs.crash_probe_timeout,
+  const ProbeTimes times{context_.knobs.crash_probe_timeout,
+                         context_.knobs.crash_probe_observation};
+  ReplicaProbe::start(context_.loop, suspicion.address, times,
                       [this, life = life_, replica](ProbeResult result) {
                         if (life->alive) {
                           handle_probe_result(replica, result);
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -41,7 +41,7 @@
   /// @param verdict state of the replica: `replica_ended`, `replica_runs` or `unknown`.
   void count_broken_runs(const std::string& verdict, std::size_t runs);
   /// Counts an answer whose end does not prove that it is whole.
-  /// @param conclusion what was made of it: `closed` or `inside_event`.
+  /// @param conclusion name of an `AnswerEnd`.
   void count_doubtful_end(const std::string& conclusion);
   void set_quarantined_requests(std::size_t count);
   /// Counts a suspension of the machine.
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "dockpoint/streaming/answer_end.hpp"
 #include "gateway/crash_watch.hpp"
+#include "gateway/replica_probe.hpp"
 #include "gateway/sampling.hpp"
 #include "net/clock.hpp"
 
@@ -61,6 +63,7 @@
 
 void ItemRun::on_body(std::string_view bytes) {
   last_progress_ = net::steady_now();
+  answer_bytes_ += bytes.size();
   if (status_ / 100 == 2 && !rejected_) {
     attempt_.observe_stream(bytes, last_progress_);
     framer_.feed(bytes, [this](const StreamEvent& event) { handle_event(event); });
@@ -91,14 +94,53 @@
 void ItemRun::on_complete(net::ResponseEnd end) {
   const auto self = shared_from_this();
   const TimePoint now = net::steady_now();
-  if (end == net::ResponseEnd::kConnectionClosed || !framer_.at_boundary()) {
-    context_.metrics.count_doubtful_end(framer_.at_boundary() ? "closed" : "inside_event");
-    spdlog::info(
-        "batch: end of answer in doubt job={} item={} replica={} status={} framed={} "
-        "partialEventBytes={}",
-        ref_.job, item_id_, attempt_.replica(), status_, end == net::ResponseEnd::kFramed,
-        framer_.partial_bytes());
+  const bool stream = status_ / 100 == 2;
+  const EndedAnswer answer{end == net::ResponseEnd::kFramed, stream,
+                           stream && !framer_.at_boundary(), answer_bytes_};
+  // The status alone says what became of an item that failed.
+  const AnswerEnd verdict = stream && !rejected_ ? judge_answer_end(answer) : AnswerEnd::kWhole;
+  if (verdict == AnswerEnd::kWhole) {
+    accept_answer(now);
+    return;
+  }
+  context_.metrics.count_doubtful_end(to_string(verdict));
+  spdlog::info(
+      "batch: end of answer in doubt job={} item={} replica={} status={} framed={} "
+      "partialEventBytes={} verdict={}",
+      ref_.job, item_id_, attempt_.replica(), status_, answer.framed, framer_.partial_bytes(),
+      to_string(verdict));
+  if (verdict == AnswerEnd::kDoubtful) {
+    verify_end();
+  } else {
+    handle_broken_run(now, "the answer was broken off");
   }
+}
+
+void ItemRun::verify_end() {
+  const ProbeTimes times{context_.knobs.crash_probe_timeout, context_.knobs.answer_end_observation};
+  ReplicaProbe::start(context_.loop, attempt_.address(), times,
+                      [weak = weak_from_this()](ProbeResult result) {
+                        const auto self = weak.lock();
+                        if (!self || !self->attempt_.under_way()) {
+                          return;
+                        }
+                        const TimePoint now = net::steady_now();
+                        if (result == ProbeResult::kListens) {
+                          self->accept_answer(now);
+                        } else {
+                          self->handle_broken_run(now, "the replica ended with its answer");
+                        }
+                      });
+}
+
+void ItemRun::handle_broken_run(TimePoint now, const char* why) {
+  attempt_.signal(ReplicaSignal::kBroken, now);
+  report_to_crash_watch(false);
+  interrupted(now, why);
+}
+
+void ItemRun::accept_answer(TimePoint now) {
+  const auto self = shared_from_this();
   const bool failed = !rejected_ && status_ == kItemFailed;
   attempt_.signal(failed ? ReplicaSignal::kFailed : ReplicaSignal::kAnswered, now);
   if (status_ / 100 == 2 && !rejected_) {
@@ -113,7 +155,7 @@
     return;
   }
   if (status_ / 100 == 2) {
-    if (!framer_.at_boundary() || broken_sequence_ || !kept.produced.last_event) {
+    if (broken_sequence_ || !kept.produced.last_event) {
       kept.restart();
       interrupted(now, "the stream lacks an event");
       return;
@@ -145,10 +187,11 @@
 void ItemRun::on_failure(net::CallFailure failure) {
   const TimePoint now = net::steady_now();
   const bool not_sent = failure == net::CallFailure::kNotSent;
-  attempt_.signal(not_sent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken, now);
   if (!not_sent && failure != net::CallFailure::kMalformed) {
-    report_to_crash_watch(false);
+    handle_broken_run(now, "the connection ended");
+    return;
   }
+  attempt_.signal(not_sent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken, now);
   interrupted(now, "the connection ended");
 }
 
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -32,6 +32,11 @@
  private:
   void handle_event(const StreamEvent& event);
   void interrupted(TimePoint now, const char* why);
+  /// Takes the answer as whole once its replica has proved to run still.
+  void verify_end();
+  void accept_answer(TimePoint now);
+  /// Proceeds after a run that was sent and whose answer is not whole.
+  void handle_broken_run(TimePoint now, const char* why);
   /// Reports an interrupted run to the crash watch.
   /// @param replica_ended whether the replica process is known to have ended.
   void report_to_crash_watch(bool replica_ended);
@@ -48,6 +53,7 @@
   StreamOrigin origin_;  ///< Of the replica that runs it.
   TimePoint last_progress_{};
   int status_ = 0;
+  std::size_t answer_bytes_ = 0;  ///< Of the answer's body.
   bool rejected_ = false;
   bool broken_sequence_ = false;  ///< The stream skipped an event id after the checkpoint.
   EventFramer framer_;
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -7,6 +7,7 @@
 
 #include "dockpoint/core/hash.hpp"
 #include "gateway/crash_watch.hpp"
+#include "gateway/replica_probe.hpp"
 #include "gateway/retry_after.hpp"
 #include "gateway/sampling.hpp"
 #include "net/clock.hpp"
@@ -296,10 +297,47 @@
 void OnlineCall::on_complete(net::ResponseEnd end) {
   const auto self = shared_from_this();
   const TimePoint now = net::steady_now();
-  const bool inside_event = streaming_ && !framer_.at_boundary();
-  if (end == net::ResponseEnd::kConnectionClosed || inside_event) {
-    log_doubtful_end(end);
+  const EndedAnswer answer{end == net::ResponseEnd::kFramed, streaming_,
+                           streaming_ && !framer_.at_boundary(), answer_bytes_};
+  const AnswerEnd verdict = rejected_ ? AnswerEnd::kWhole : judge_answer_end(answer);
+  if (verdict == AnswerEnd::kWhole) {
+    accept_answer(now);
+    return;
   }
+  log_answer_end(answer, verdict);
+  if (verdict == AnswerEnd::kDoubtful) {
+    verify_end();
+  } else {
+    attempt_.signal(ReplicaSignal::kBroken, now);
+    handle_broken_attempt(now);
+  }
+}
+
+void OnlineCall::verify_end() {
+  const ProbeTimes times{context_.knobs.crash_probe_timeout, context_.knobs.answer_end_observation};
+  const TimePoint ended_at = net::steady_now();
+  ReplicaProbe::start(
+      context_.loop, attempt_.address(), times,
+      [weak = weak_from_this(), send = sends_, ended_at](ProbeResult result) {
+        const auto self = weak.lock();
+        if (!self || self->finished_ || self->sends_ != send || !self->attempt_.under_way()) {
+          return;
+        }
+        if (result == ProbeResult::kListens) {
+          self->accept_answer(ended_at);
+          return;
+        }
+        spdlog::warn("online: answer not passed on id={} replica={} why=\"the replica {}\"",
+                     self->info_.id, self->attempt_.replica(),
+                     result == ProbeResult::kEnded ? "has ended" : "does not respond");
+        const TimePoint now = net::steady_now();
+        self->attempt_.signal(ReplicaSignal::kBroken, now);
+        self->handle_broken_attempt(now);
+      });
+}
+
+void OnlineCall::accept_answer(TimePoint ended_at) {
+  const TimePoint now = net::steady_now();
   attempt_.signal(replica_reported_failure() ? ReplicaSignal::kFailed : ReplicaSignal::kAnswered,
                   now);
   if (rejected_) {
@@ -307,32 +345,26 @@
     after_failure(AttemptFailure::kNotRun, now);
     return;
   }
-  context_.selector.note_service_time(service_, now - sent_at_);
+  context_.selector.note_service_time(service_, ended_at - sent_at_);
   if (head_.status / 100 == 2 && !backpressured_) {
-    attempt_.note_pace(now);
+    attempt_.note_pace(ended_at);
   }
   if (!streaming_) {
     complete_buffered();
     return;
   }
-  if (history_.resumable && !framer_.at_boundary()) {
-    end_attempt();
-    after_failure(AttemptFailure::kInterrupted, now);
-    return;
-  }
   end_attempt();
   exchange_->end();
   finish("answered", "stream complete");
 }
 
-void OnlineCall::log_doubtful_end(net::ResponseEnd end) const {
-  const bool inside_event = streaming_ && !framer_.at_boundary();
-  context_.metrics.count_doubtful_end(inside_event ? "inside_event" : "closed");
+void OnlineCall::log_answer_end(const EndedAnswer& answer, AnswerEnd verdict) const {
+  context_.metrics.count_doubtful_end(to_string(verdict));
   spdlog::info(
       "online: end of answer in doubt id={} replica={} status={} framed={} stream={} bytes={} "
-      "partialEventBytes={} afterMs={}",
-      info_.id, attempt_.replica(), head_.status, end == net::ResponseEnd::kFramed, streaming_,
-      answer_bytes_, framer_.partial_bytes(), to_ms(net::steady_now() - sent_at_));
+      "partialEventBytes={} afterMs={} verdict={}",
+      info_.id, attempt_.replica(), head_.status, answer.framed, answer.stream, answer.bytes,
+      framer_.partial_bytes(), to_ms(net::steady_now() - sent_at_), to_string(verdict));
 }
 
 void OnlineCall::complete_buffered() {
@@ -375,18 +407,30 @@
       info_.id, fingerprint().hex(), attempt_.replica(), static_cast<int>(failure), head_seen_,
       attempt_.call() && attempt_.call()->reused(), to_ms(now - sent_at_));
   const bool not_run = not_sent || (rejected_ && head_seen_);
-  if (!not_run && failure != net::CallFailure::kMalformed && context_.crash_watch != nullptr) {
-    context_.crash_watch->run_broken(fingerprint(), TrafficClass::kOnline, attempt_.replica());
-  }
-  end_attempt();
   if (not_run) {
+    end_attempt();
     after_failure(AttemptFailure::kNotRun, now);
+  } else if (failure == net::CallFailure::kMalformed) {
+    end_attempt();
+    retry_or_resume(now);
   } else {
-    after_failure(
-        exchange_->answered() ? AttemptFailure::kInterrupted : AttemptFailure::kMayHaveRun, now);
+    handle_broken_attempt(now);
   }
 }
 
+void OnlineCall::handle_broken_attempt(TimePoint now) {
+  if (context_.crash_watch != nullptr) {
+    context_.crash_watch->run_broken(fingerprint(), TrafficClass::kOnline, attempt_.replica());
+  }
+  end_attempt();
+  retry_or_resume(now);
+}
+
+void OnlineCall::retry_or_resume(TimePoint now) {
+  after_failure(exchange_->answered() ? AttemptFailure::kInterrupted : AttemptFailure::kMayHaveRun,
+                now);
+}
+
 void OnlineCall::end_attempt() {
   if (attempt_.under_way()) {
     excluded_.insert(attempt_.replica());
@@ -462,8 +506,7 @@
                attempt_.replica(), to_ms(now - last_progress_), why);
   attempt_.signal(ReplicaSignal::kBroken, now);
   end_attempt();
-  after_failure(exchange_->answered() ? AttemptFailure::kInterrupted : AttemptFailure::kMayHaveRun,
-                now);
+  retry_or_resume(now);
 }
 
 bool OnlineCall::may_fail_over() const {
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -8,6 +8,7 @@
 #include "dockpoint/admission/request_quarantine.hpp"
 #include "dockpoint/membership/stream_origins.hpp"
 #include "dockpoint/routing/attempt_policy.hpp"
+#include "dockpoint/streaming/answer_end.hpp"
 #include "dockpoint/streaming/event_framer.hpp"
 #include "gateway/online_proxy.hpp"
 #include "gateway/replica_attempt.hpp"
@@ -47,7 +48,13 @@
   StreamKey resumed_key();
   std::string_view tenant_name() const;
   /// Logs and counts an answer whose end does not prove that it is whole.
-  void log_doubtful_end(net::ResponseEnd end) const;
+  void log_answer_end(const EndedAnswer& answer, AnswerEnd verdict) const;
+  /// Passes the answer on once its replica has proved to run still.
+  void verify_end();
+  /// Passes the answer on, or the rest of it. @param ended_at when it ended.
+  void accept_answer(TimePoint ended_at);
+  /// Proceeds after an attempt that was sent and whose answer is not whole.
+  void handle_broken_attempt(TimePoint now);
   /// Logs that output begun by another run goes on at `replica`.
   void log_resumption(const ReplicaRecord& replica) const;
   void on_caller_gone();
@@ -56,6 +63,8 @@
   void forward_event(const StreamEvent& event);
   void complete_buffered();
   void after_failure(AttemptFailure failure, TimePoint now);
+  /// Proceeds after an attempt that may have run, at another replica if the route allows it.
+  void retry_or_resume(TimePoint now);
   /// Ends the attempt under way, if any, and excludes its replica from the next choice.
   void end_attempt();
   /// Refuses the request if it has not been sent yet and would miss its latency objective.
--- a/src/gateway/replica_attempt.cpp
+++ b/src/gateway/replica_attempt.cpp
@@ -12,6 +12,7 @@
                            net::CallObserver& observer) {
   replica_ = replica.record.id;
   last_replica_ = replica_;
+  address_ = replica.record.address;
   prefill_tokens_ = missing_tokens;
   started_at_ = net::steady_now();
   stream_ = {};
--- a/src/gateway/replica_attempt.hpp
+++ b/src/gateway/replica_attempt.hpp
@@ -43,6 +43,8 @@
   bool under_way() const { return !replica_.empty(); }
   /// @return the replica of the attempt under way or, after it, of the last one.
   const std::string& replica() const { return last_replica_; }
+  /// @return its address.
+  const Address& address() const { return address_; }
   /// @return the call, or null.
   net::Call* call() const { return call_.get(); }
 
@@ -55,6 +57,7 @@
   const TrafficClass traffic_;
   std::string replica_;       ///< Empty between attempts.
   std::string last_replica_;  ///< Kept after the attempt ends.
+  Address address_;           ///< Of `last_replica_`.
   net::CallPtr call_;
   TimePoint started_at_{};
   StreamPace stream_;
--- a/src/gateway/replica_probe.cpp
+++ b/src/gateway/replica_probe.cpp
@@ -9,10 +9,6 @@
 using boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-/// Time for which an accepted connection must stay open: a process that is ending may still accept
-/// a connection and then close it with the others.
-constexpr Duration kObservationTime = std::chrono::milliseconds(200);
-
 ProbeResult result_of(const ErrorCode& error) {
   const bool refused = error == boost::asio::error::connection_refused ||
                        error == boost::asio::error::connection_reset;
@@ -21,15 +17,15 @@
 
 }  // namespace
 
-ReplicaProbe::ReplicaProbe(boost::asio::io_context& loop, Done done)
-    : socket_(loop), timer_(loop), done_(std::move(done)) {}
+ReplicaProbe::ReplicaProbe(boost::asio::io_context& loop, const ProbeTimes& times, Done done)
+    : socket_(loop), timer_(loop), times_(times), done_(std::move(done)) {}
 
-void ReplicaProbe::start(boost::asio::io_context& loop, const Address& address, Duration timeout,
-                         Done done) {
-  const std::shared_ptr<ReplicaProbe> probe(new ReplicaProbe(loop, std::move(done)));
+void ReplicaProbe::start(boost::asio::io_context& loop, const Address& address,
+                         const ProbeTimes& times, Done done) {
+  const std::shared_ptr<ReplicaProbe> probe(new ReplicaProbe(loop, times, std::move(done)));
   ErrorCode error;
   const auto host = boost::asio::ip::make_address(address.host, error);
-  probe->finish_after(timeout, ProbeResult::kUnknown);
+  probe->finish_after(times.connect, ProbeResult::kUnknown);
   probe->socket_.async_connect(tcp::endpoint(host, address.port),
                                [probe](const ErrorCode& failure) {
                                  if (failure) {
@@ -41,7 +37,7 @@
 }
 
 void ReplicaProbe::observe_connection() {
-  finish_after(kObservationTime, ProbeResult::kListens);
+  finish_after(times_.observation, ProbeResult::kListens);
   socket_.async_read_some(boost::asio::buffer(buffer_),
                           [probe = shared_from_this()](const ErrorCode& closed, std::size_t) {
                             probe->finish(closed ? ProbeResult::kUnknown : ProbeResult::kListens);
--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -68,7 +68,7 @@
   metrics.count_resumption("own_record");
   metrics.count_item("succeeded");
   metrics.count_broken_runs("unknown", 1);
-  metrics.count_doubtful_end("closed");
+  metrics.count_doubtful_end("doubtful");
   metrics.count_quarantined("streaming");
   metrics.count_rate_limited("clinic", "node_share");
   metrics.count_caller_refused("unknown_key");
--- a/tests/gateway/replica_probe_test.cpp
+++ b/tests/gateway/replica_probe_test.cpp
@@ -12,6 +12,9 @@
 constexpr std::uint16_t kPort = 28'230;
 constexpr Duration kTimeout = std::chrono::milliseconds(300);
 
+/// Longer than an ending process keeps its connections.
+constexpr Duration kObservation = std::chrono::milliseconds(200);
+
 struct Fixture {
   boost::asio::io_context loop{1};
   std::optional<tcp::acceptor> acceptor;
@@ -21,7 +24,7 @@
   }
   ProbeResult probe() {
     std::optional<ProbeResult> result;
-    ReplicaProbe::start(loop, {"127.0.0.1", kPort}, kTimeout,
+    ReplicaProbe::start(loop, {"127.0.0.1", kPort}, {kTimeout, kObservation},
                         [&](ProbeResult reported) { result = reported; });
     while (!result) {
       loop.run_one();
