Answers of other nodes without length or chunks are failures; test of items

SimpleCall took a closed connection for the end of an answer too. Nodes always frame theirs, so such an answer was cut. The test of items cuts their answers inside and between events, and lets the replica crash.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -400,13 +400,14 @@
   boost::asio::steady_timer timer;
 };
 
-SimpleCall::SimpleCall(boost::asio::io_context& loop) : timer_(std::make_shared<Timer>(loop)) {}
+SimpleCall::SimpleCall(boost::asio::io_context& loop, bool accepts_unframed)
+    : timer_(std::make_shared<Timer>(loop)), accepts_unframed_(accepts_unframed) {}
 
 std::shared_ptr<SimpleCall> SimpleCall::start(HttpClient& client, boost::asio::io_context& loop,
                                               const Endpoint& endpoint, std::string bytes,
                                               const CallOptions& options, Duration timeout,
                                               Done done) {
-  std::shared_ptr<SimpleCall> simple(new SimpleCall(loop));
+  std::shared_ptr<SimpleCall> simple(new SimpleCall(loop, options.accepts_unframed));
   simple->self_ = simple;
   simple->done_ = std::move(done);
   simple->timer_->timer.expires_after(timeout);
@@ -441,8 +442,9 @@
   outcome_.body.append(bytes);
 }
 
-void SimpleCall::on_complete(ResponseEnd /*end*/) {
-  finish(std::nullopt);
+void SimpleCall::on_complete(ResponseEnd end) {
+  const bool whole = end == ResponseEnd::kFramed || accepts_unframed_;
+  finish(whole ? std::nullopt : std::optional(CallFailure::kInterrupted));
 }
 
 void SimpleCall::on_failure(CallFailure failure) {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -64,6 +64,9 @@
   Duration connect_timeout = std::chrono::milliseconds(400);
   Duration maximum_idle = std::chrono::seconds(3);  ///< Connections idle for longer are not reused.
   int user_timeout_ms = 1'000;                      ///< TCP_USER_TIMEOUT for unacknowledged data.
+  /// `SimpleCall` only: a response without length or chunks is not a failure. For servers whose
+  /// bodies show by themselves whether they are whole.
+  bool accepts_unframed = false;
 };
 
 class HttpClient;
@@ -219,12 +222,13 @@
   void on_failure(CallFailure failure) override;
 
  private:
-  explicit SimpleCall(boost::asio::io_context& loop);
+  SimpleCall(boost::asio::io_context& loop, bool accepts_unframed);
   void finish(std::optional<CallFailure> failure);
 
   struct Timer;
   std::shared_ptr<Timer> timer_;
   std::shared_ptr<SimpleCall> self_;  ///< Keeps this object alive until the call ends.
+  const bool accepts_unframed_;
   CallPtr call_;
   Outcome outcome_;
   Done done_;
--- a/tests/platform/unframed_answers_test.cpp
+++ b/tests/platform/unframed_answers_test.cpp
@@ -4,10 +4,17 @@
 
 #include <boost/test/unit_test.hpp>
 #include <list>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
+#include "platform/gateway_node.hpp"
 #include "platform/raw_replica.hpp"
+#include "platform/replica_records.hpp"
+#include "platform/stand_in_store.hpp"
 #include "platform/stand_ins.hpp"
+#include "platform/wire_names.hpp"
 
 using namespace dockpoint;
 using namespace dockpoint::test;
@@ -82,6 +89,66 @@
   int runs_ = 0;
 };
 
+/// A node with a job of one item, and two replicas. The first run of the item is answered as given.
+struct BatchFixture {
+  boost::asio::io_context loop{1};
+  StandInStore store{loop, GatewayNode::kStorePort, GatewayNode::kPartitions};
+  net::HttpClient caller{loop};
+  std::list<RawReplica> replicas;
+  std::unique_ptr<GatewayNode> node;
+  int runs = 0;
+
+  explicit BatchFixture(const RawReplica::Answer& first_answer) {
+    store.put(platform::kConfigurationTopic, platform::kConfigurationKey, route_configuration(3));
+    for (const std::uint16_t port : {kFirstPort, kSecondPort}) {
+      const std::string id = "r" + std::to_string(port);
+      replicas.emplace_back(loop, id, port, [this, first_answer](const std::string& request) {
+        if (runs++ == 0) {
+          return first_answer;
+        }
+        const std::string body = remaining_events(request);
+        return RawReplica::Answer{answer_bytes(Framing::kNone, body, body.size()),
+                                  AnswerEnding::kCloses};
+      });
+      store.put(platform::kReplicasTopic, id,
+                replica_record("127.0.0.1:" + std::to_string(port)).dump());
+    }
+    node = std::make_unique<GatewayNode>(loop, 1);
+  }
+
+  net::SimpleCall::Outcome call(const std::string& method, const std::string& target,
+                                const std::string& body) {
+    const net::Headers headers{{"Host", "a.example"},
+                               {"Attempt-Id", "job"},
+                               {"Content-Length", std::to_string(body.size())}};
+    std::optional<net::SimpleCall::Outcome> result;
+    net::SimpleCall::start(caller, loop, {*Address::parse(GatewayNode::address(1, 0)), "caller"},
+                           net::serialize(net::RequestHead{method, target, headers}) + body, {},
+                           std::chrono::seconds(5),
+                           [&](net::SimpleCall::Outcome outcome) { result = std::move(outcome); });
+    while (!result) {
+      loop.run_one_for(std::chrono::milliseconds(5));
+      store.tick();
+    }
+    return std::move(*result);
+  }
+
+  /// Submits the job and waits for the result of its item.
+  std::string text_of_item() {
+    const std::string job =
+        R"({"requests":[{"id":"request-1","path":"/batch/1","headers":{},"body":"aGk="}]})";
+    while (call("POST", "/batch/x", job).head.status != 202) {
+    }
+    while (true) {
+      const auto outcome = call("GET", "/v1/lots/job?sinceRevision=0", {});
+      const auto page = nlohmann::json::parse(outcome.body, nullptr, false);
+      if (outcome.head.status == 200 && !page["results"].empty()) {
+        return page["results"][0]["text"];
+      }
+    }
+  }
+};
+
 /// @return what the caller gets from one replica.
 net::SimpleCall::Outcome answer_of(RouteKind kind, const RawReplica::Answer& answer) {
   ProxyFixture fixture(kFrontendPort);
@@ -200,4 +267,38 @@
   BOOST_TEST(outcome.body == kBody);
 }
 
+BOOST_AUTO_TEST_CASE(an_unframed_answer_of_another_node_is_a_failure) {
+  boost::asio::io_context loop(1);
+  net::HttpClient client(loop);
+  RawReplica peer(loop, "peer", kFirstPort, [](const std::string&) {
+    return RawReplica::Answer{answer_bytes(Framing::kNone, kBody, 3), AnswerEnding::kCloses};
+  });
+  for (const bool accepts_unframed : {false, true}) {
+    net::CallOptions options;
+    options.accepts_unframed = accepts_unframed;
+    const net::RequestHead head{"GET", "/", {{"Host", "peer"}}};
+    std::optional<net::SimpleCall::Outcome> result;
+    net::SimpleCall::start(client, loop, {{"127.0.0.1", kFirstPort}, "peer"}, net::serialize(head),
+                           options, std::chrono::seconds(1),
+                           [&](net::SimpleCall::Outcome outcome) { result = std::move(outcome); });
+    while (!result) {
+      loop.run_one_for(std::chrono::milliseconds(10));
+    }
+    BOOST_TEST(result->failure.has_value() == !accepts_unframed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_item_whose_unframed_answer_was_cut_has_each_event_once) {
+  for (const AnswerEnding ending : {AnswerEnding::kCloses, AnswerEnding::kCrashes}) {
+    for (const std::size_t sent : {std::size_t{0}, kEventBytes - 1, kEventBytes, kEventBytes + 4}) {
+      if (ending == AnswerEnding::kCloses && sent == kEventBytes) {
+        continue;
+      }
+      BatchFixture fixture({answer_bytes(Framing::kNone, kEvents, sent), ending});
+      BOOST_TEST(fixture.text_of_item() == "a\nb\nc", "cut after " << sent);
+      BOOST_TEST(fixture.runs == 2);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
