HTTP/1.0 callers get no chunks; soak replicas answer without framing

A caller of HTTP/1.0 got chunks, which it reads as part of the body. Such answers now end with the connection, and are reset when they break off. The soak's replicas use the same: one answer in three has neither length nor chunks, and streams and items of these break off inside an event with their connection closed in good order.

--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -49,6 +49,7 @@
   std::string target;
   Headers headers;
   bool keep_alive = true;
+  bool http_1_0 = false;  ///< The client knows no chunks.
 };
 
 /// Status line and headers of a response.
--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -69,7 +69,9 @@
 }
 
 void RequestParser::on_request_impl(http::verb /*method*/, String method_text, String target,
-                                    int /*version*/, ErrorCode& /*error*/) {
+                                    int version, ErrorCode& /*error*/) {
+  constexpr int kHttp10 = 10;
+  head_.http_1_0 = version == kHttp10;
   head_.method.assign(method_text.data(), method_text.size());
   head_.target.assign(target.data(), target.size());
 }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -63,24 +63,27 @@
   connection->finish(keep);
 }
 
-void Exchange::begin(ResponseHead head) {
+void Exchange::begin(ResponseHead head, BodyFraming framing) {
   const auto connection = connection_.lock();
   if (answered_ || !connection) {
     return;
   }
   answered_ = true;
-  if (!connection->keeps_alive()) {
+  framing_ = head_.http_1_0 ? BodyFraming::kUntilClose : framing;
+  if (!connection->keeps_alive() || framing_ == BodyFraming::kUntilClose) {
     head.headers.set("Connection", "close");
     connection->keep_alive_ = false;
   }
-  head.headers.set("Transfer-Encoding", "chunked");
+  if (framing_ == BodyFraming::kChunks) {
+    head.headers.set("Transfer-Encoding", "chunked");
+  }
   connection->send(serialize(head));
 }
 
 void Exchange::write(std::string_view bytes) {
   const auto connection = connection_.lock();
   if (!ended_ && connection && !bytes.empty()) {
-    connection->send(as_chunk(bytes));
+    connection->send(framing_ == BodyFraming::kChunks ? as_chunk(bytes) : std::string(bytes));
   }
 }
 
@@ -90,7 +93,9 @@
     return;
   }
   ended_ = true;
-  connection->send(as_chunk({}));
+  if (framing_ == BodyFraming::kChunks) {
+    connection->send(as_chunk({}));
+  }
   connection->finish(connection->keep_alive_);
 }
 
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -27,6 +27,12 @@
 
 class ServerConnection;
 
+/// How the end of a response's body is marked.
+enum class BodyFraming {
+  kChunks,      ///< By a last chunk. HTTP/1.0 has no chunks: such clients get `kUntilClose`.
+  kUntilClose,  ///< By the end of the connection.
+};
+
 /// A request and its response. Only one response can be sent; later calls, and calls after the
 /// client has disconnected, have no effect.
 class Exchange {
@@ -40,8 +46,8 @@
 
   /// Sends a complete response.
   void respond(int status, Headers headers, std::string_view body);
-  /// Starts a chunked response.
-  void begin(ResponseHead head);
+  /// Starts a response whose length is not known yet.
+  void begin(ResponseHead head, BodyFraming framing = BodyFraming::kChunks);
   /// Appends to the response started by `begin`.
   void write(std::string_view bytes);
   /// Ends the response started by `begin`.
@@ -68,6 +74,7 @@
   TimePoint received_;
   bool answered_ = false;
   bool ended_ = false;
+  BodyFraming framing_ = BodyFraming::kChunks;
   std::function<void()> client_gone_;
   std::function<void()> drained_;
 };
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -1,5 +1,7 @@
 #include "net/http_server.hpp"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 
@@ -46,4 +48,25 @@
   BOOST_TEST(bool(error));
 }
 
+// HTTP/1.0 clients read chunk sizes as a part of the body.
+BOOST_AUTO_TEST_CASE(an_http_1_0_client_gets_no_chunks) {
+  server.reset();
+  server = std::make_unique<net::HttpServer>(loop, [](const net::ExchangePtr& exchange) {
+    exchange->begin({200, {}, {}});
+    exchange->write("first ");
+    exchange->write("second");
+    exchange->end();
+  });
+  server->listen("127.0.0.1:" + std::to_string(kPort));
+  net::tcp::socket client = connect();
+  boost::asio::write(client, boost::asio::buffer(std::string("GET / HTTP/1.0\r\n\r\n")));
+  loop.run_for(std::chrono::milliseconds(50));
+  std::string response;
+  boost::system::error_code end;
+  boost::asio::read(client, boost::asio::dynamic_buffer(response), end);
+  BOOST_TEST((end == boost::asio::error::eof));
+  BOOST_TEST(response.ends_with("\r\n\r\nfirst second"));
+  BOOST_TEST(response.find("Transfer-Encoding") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/soak/stand_in_main.cpp
+++ b/tests/platform/soak/stand_in_main.cpp
@@ -36,6 +36,10 @@
 
 /// One stream in so many breaks after a few of its events.
 constexpr std::uint64_t kBreakStreamEvery = 6;
+/// One in this many runs of an item breaks midway.
+constexpr std::uint64_t kBreakItemEvery = 12;
+/// One in this many answers has neither a length nor chunks.
+constexpr std::uint64_t kUnframedEvery = 3;
 constexpr int kBreakStreamAfter = 3;
 
 /// One short request in so many is run, and its connection ends without an answer.
@@ -152,8 +156,15 @@
         exchange->abort();
         return;
       }
-      after(service_time_, [exchange] {
-        exchange->respond(200, genuine_headers(exchange), "done " + exchange->request().target);
+      after(service_time_, [exchange, framing = next_framing()] {
+        const std::string body = "done " + exchange->request().target;
+        if (framing == net::BodyFraming::kChunks) {
+          exchange->respond(200, genuine_headers(exchange), body);
+          return;
+        }
+        exchange->begin({200, {}, genuine_headers(exchange)}, framing);
+        exchange->write(body);
+        exchange->end();
       });
       return;
     }
@@ -161,15 +172,23 @@
       exchange->respond(kUnprocessable, genuine_headers(exchange), {});
       return;
     }
-    stream(exchange, false);
+    stream(exchange, framing_random_() % kBreakItemEvery == 0);
   }
 
   /// Streams the events that the request lacks. @param breaks whether the stream breaks midway.
   void stream(const net::ExchangePtr& exchange, bool breaks) {
     const std::string last(exchange->request().headers.get("Last-Event-Id"));
     const int first = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
-    exchange->begin({200, {}, genuine_headers(exchange)});
-    send_event(exchange, first, breaks ? first + kBreakStreamAfter : kEvents + 1, version_);
+    const net::BodyFraming framing = next_framing();
+    exchange->begin({200, {}, genuine_headers(exchange)}, framing);
+    const RunOfStream run{breaks ? first + kBreakStreamAfter : kEvents + 1, version_, framing};
+    send_event(exchange, first, run);
+  }
+
+  /// @return whether the next answer states its length, by its own random numbers.
+  net::BodyFraming next_framing() {
+    return framing_random_() % kUnframedEvery == 0 ? net::BodyFraming::kUntilClose
+                                                   : net::BodyFraming::kChunks;
   }
 
   void note_run(const net::RequestHead& request) {
@@ -195,23 +214,38 @@
     });
   }
 
-  /// @param breaks_at event in place of which the stream breaks.
-  /// @param version of the software that the run began with.
-  void send_event(const net::ExchangePtr& exchange, int number, int breaks_at,
-                  const std::string& version) {
+  /// A run of a stream, to its end or to where it breaks.
+  struct RunOfStream {
+    int breaks_at = 0;    ///< Event in which the stream breaks.
+    std::string version;  ///< Of the software that the run began with.
+    net::BodyFraming framing = net::BodyFraming::kChunks;
+  };
+
+  void send_event(const net::ExchangePtr& exchange, int number, const RunOfStream& run) {
     if (number > kEvents) {
       exchange->end();
       return;
     }
-    if (number >= breaks_at) {
+    const std::string event = "id: " + std::to_string(number) +
+                              "\ndata: " + exchange->request().target + " " +
+                              std::to_string(number) + " " + run.version + "\n\n";
+    if (number >= run.breaks_at) {
+      break_off(exchange, event, run.framing);
+      return;
+    }
+    exchange->write(event);
+    after(kEventInterval, [this, exchange, number, run] { send_event(exchange, number + 1, run); });
+  }
+
+  /// Breaks a stream off within an event. Without chunks the connection is closed in good order.
+  static void break_off(const net::ExchangePtr& exchange, const std::string& event,
+                        net::BodyFraming framing) {
+    if (framing == net::BodyFraming::kChunks) {
       exchange->abort();
       return;
     }
-    exchange->write("id: " + std::to_string(number) + "\ndata: " + exchange->request().target +
-                    " " + std::to_string(number) + " " + version + "\n\n");
-    after(kEventInterval, [this, exchange, number, breaks_at, version] {
-      send_event(exchange, number + 1, breaks_at, version);
-    });
+    exchange->write(event.substr(0, event.size() / 2));
+    exchange->end();
   }
 
   const std::string name_;
@@ -220,6 +254,7 @@
   std::string version_ = "v1";
   std::string crashing_target_;
   std::mt19937_64 random_{hash64(name_)};
+  std::mt19937_64 framing_random_{hash64(name_ + "/framing")};
   boost::asio::io_context& loop_;
   RunRecord& record_;
   const Duration& service_time_;
