--- a/tests/net/http_parser_test.cpp
+++ b/tests/net/http_parser_test.cpp
@@ -113,6 +113,50 @@
   }
 }
 
+// Fuzzes answers in random chunks or with a length: cut anywhere, or followed by another one.
+BOOST_AUTO_TEST_CASE(a_framed_answer_ends_only_with_its_last_byte) {
+  constexpr int kRounds = 20'000;
+  const std::string next_answer = "HTTP/1.1 503 \r\n\r\n";
+  std::mt19937_64 random(20261204);
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string body(random() % 40, 'b');
+    std::string bytes = "HTTP/1.1 200 OK\r\n";
+    if (random() % 2 == 0) {
+      bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    } else {
+      bytes += "Transfer-Encoding: chunked\r\n\r\n";
+      for (std::size_t sent = 0; sent < body.size();) {
+        const std::size_t size = std::min<std::size_t>(1 + random() % 9, body.size() - sent);
+        bytes += as_chunk(body.substr(sent, size));
+        sent += size;
+      }
+      bytes += as_chunk({});
+    }
+    const bool cut = random() % 2 == 0;
+    std::string input = cut ? bytes.substr(0, random() % bytes.size()) : bytes + next_answer;
+    std::string received;
+    ResponseParser parser([](const ResponseHead&) {},
+                          [&](std::string_view piece) { received += piece; });
+    ParseStatus status = ParseStatus::kNeedMore;
+    std::string buffer;
+    while (!input.empty() && status == ParseStatus::kNeedMore) {
+      const std::size_t size = 1 + random() % 12;
+      buffer += input.substr(0, size);
+      input.erase(0, size);
+      status = parser.feed(buffer);
+    }
+    BOOST_REQUIRE(body.starts_with(received));
+    if (cut) {
+      BOOST_REQUIRE((status == ParseStatus::kNeedMore));
+      BOOST_REQUIRE(!parser.feed_end());
+    } else {
+      BOOST_REQUIRE((status == ParseStatus::kDone));
+      BOOST_REQUIRE(received == body);
+      BOOST_REQUIRE(buffer + input == next_answer);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(mutated_requests_neither_crash_nor_exceed_the_body_limit) {
   constexpr int kRounds = 30'000;
   const std::string seed =
