--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -24,6 +24,15 @@
 constexpr int kInternalError = 500;
 constexpr int kBadGateway = 502;
 
+/// @return the ids of prompt parts in hexadecimal, for logs.
+std::string part_ids(const std::vector<PromptPart>& parts) {
+  std::string ids;
+  for (const PromptPart& part : parts) {
+    ids += fmt::format("{}{:x}", ids.empty() ? "" : ",", part.id);
+  }
+  return ids;
+}
+
 /// @return whether a status promises the caller that the request did not run.
 bool promises_not_run(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -402,10 +411,12 @@
   const bool not_sent = failure == net::CallFailure::kNotSent;
   attempt_.signal(not_sent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken, now);
   spdlog::warn(
-      "online: attempt failed id={} content={} replica={} failure={} headSeen={} reused={} "
+      "online: attempt failed id={} content={} parts={} replica={} failure={} headSeen={} "
+      "reused={} "
       "afterMs={}",
-      info_.id, fingerprint().hex(), attempt_.replica(), static_cast<int>(failure), head_seen_,
-      attempt_.call() && attempt_.call()->reused(), to_ms(now - sent_at_));
+      info_.id, fingerprint().hex(), part_ids(info_.prompt), attempt_.replica(),
+      static_cast<int>(failure), head_seen_, attempt_.call() && attempt_.call()->reused(),
+      to_ms(now - sent_at_));
   const bool not_run = not_sent || (rejected_ && head_seen_);
   if (not_run) {
     end_attempt();
