--- a/include/dockpoint/admission/crash_evidence.hpp
+++ b/include/dockpoint/admission/crash_evidence.hpp
@@ -14,16 +14,19 @@
 
 /// A replica that ended while it ran a request.
 struct CrashEvidence {
-  RequestFingerprint request;
-  std::uint64_t replica = 0;  ///< Hash of the id of the replica incarnation that ended.
-  TimePoint ended_at{};       ///< On the local clock of the node that stores it.
-  bool batch = false;         ///< The request is an item of a batch job.
+  RequestFingerprint request;    ///< The suspect: a whole request, or a part of its prompt.
+  std::uint64_t replica = 0;     ///< Hash of the id of the replica incarnation that ended.
+  TimePoint ended_at{};          ///< On the local clock of the node that stores it.
+  bool batch = false;            ///< The request is an item of a batch job.
+  bool prompt_part = false;      ///< The suspect is a part of a prompt.
+  bool ran_well_before = false;  ///< The node that saw the crash knew of a good run of the suspect.
 };
 
-/// An operator has cleared a request: earlier evidence against it no longer counts.
+/// An operator or a good run has cleared a suspect: earlier evidence against it no longer counts.
 struct RequestClearance {
   RequestFingerprint request;
   TimePoint cleared_at{};
+  bool by_run = false;  ///< By a run that ended well at that time.
 };
 
 /// One message. Messages may be lost, duplicated or delayed; receivers merge them idempotently.
--- a/include/dockpoint/admission/request_quarantine.hpp
+++ b/include/dockpoint/admission/request_quarantine.hpp
@@ -3,24 +3,28 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
+#include "dockpoint/admission/crash_attribution.hpp"
 #include "dockpoint/admission/crash_evidence.hpp"
 #include "dockpoint/core/knobs.hpp"
 
-/// Quarantines requests that crash replicas (queries of death).
+/// Quarantines what crashes replicas: requests (queries of death), and parts of prompts that other
+/// requests share. Both are suspects in one table.
 ///
-/// A request is quarantined once enough replicas, anywhere in the fleet, have ended while running
-/// it. A single end proves little, since every other request that ran there is equally suspect; a
-/// request present at several ends is unlikely to be there by chance. Ends are counted per replica
+/// A suspect is quarantined once enough replicas, anywhere in the fleet, have ended while running
+/// it. A single end proves little, since everything else that ran there is equally suspect; a
+/// suspect present at several ends is unlikely to be there by chance. Ends are counted per replica
 /// incarnation, because several nodes may observe the same one.
 ///
-/// Attribution: dockpoint itself retries a batch item until it completes, so an innocent item may
-/// be rescheduled after each crash onto the next replica that a crashing request hits, and be
-/// present every time. A crash therefore counts against an item only if no quarantined online
-/// request was running there too, up to a number of crashes. An online request is retried a few
-/// times at most, so all of its crashes count against it.
+/// Good runs: a guilty suspect lets no run end well, so a run that ends well clears everything in
+/// it of all earlier crashes. That separates a prompt part from those that share its requests.
+///
+/// Parts that ran well before are in many prompts: when many replicas crash at one moment for
+/// another reason, most of them ran such a part. Their crashes at one moment count once, and other
+/// nodes have a moment to clear them.
+///
+/// Attribution: see crash_attribution.hpp.
 ///
 /// Trials: a crash says little about an item if other replicas crashed at the same moment, or if
 /// other suspected items ran there. An item with too few other crashes is quarantined, but soon run
@@ -46,7 +50,7 @@
   int crashes = 0;
   Duration since_last_crash{};
   Duration retry_after{};  ///< Until the quarantine ends without new evidence.
-  bool trial_due = false;  ///< A batch item that may be run now, to see if its replica survives.
+  bool trial_due = false;  ///< May be run now, to see if its replica survives.
 };
 
 /// See the file comment. Not thread-safe.
@@ -56,12 +60,16 @@
 
   /// Merges a crash reported by this or another node.
   EvidenceEffect take(const CrashEvidence& evidence, TimePoint now);
-  /// Merges an operator's clearance of a request.
-  /// @return whether the clearance was new.
+  /// Merges a clearance of a suspect.
+  /// @return whether the clearance was new; for one by a good run, whether it voided evidence.
   bool take(const RequestClearance& clearance, TimePoint now);
 
   /// @return details of the quarantine, or nothing if the request is not quarantined.
   std::optional<QuarantineVerdict> check(const RequestFingerprint& request, TimePoint now) const;
+  /// @return whether there are crashes that count against a suspect.
+  bool accused(const RequestFingerprint& suspect) const;
+  /// @return whether a suspect is quarantined, or about to be.
+  bool reached_limit(const RequestFingerprint& suspect, TimePoint now) const;
   /// @return whether there is no evidence at all, so that no request needs a fingerprint.
   bool empty() const { return entries_.empty(); }
   /// @return the evidence and clearance of a request, to send to other nodes.
@@ -76,16 +84,11 @@
   void forget_old(TimePoint now);
 
  private:
-  struct Entry {
-    std::map<std::uint64_t, TimePoint> crashes;  ///< End times by replica incarnation.
-    bool batch = false;
-    std::set<std::uint64_t> attributed_elsewhere;  ///< Subset of `crashes`.
-    std::set<std::uint64_t> shared;  ///< Subset of `crashes` at which other suspected items ran.
-    std::optional<TimePoint> cleared_at;
-  };
+  using Entry = Suspect;
 
   bool is_expired(TimePoint time, TimePoint now) const { return now - time > knobs_.crash_memory; }
-  /// @return times of the crashes that count against the request, newest first.
+  /// @return times of the crashes that count against the suspect, newest first; of a part that ran
+  /// well before, one for each moment with crashes.
   std::vector<TimePoint> attributed_crash_times(const Entry& entry, TimePoint now) const;
   bool is_quarantined(const Entry& entry, TimePoint now) const;
   /// @return whether no other replica crashed at about the same time.
@@ -95,8 +98,6 @@
   /// @return whether a trial of a quarantined item is due.
   /// @param crashes the result of `attributed_crash_times`.
   bool trial_due(const Entry& entry, const std::vector<TimePoint>& crashes, TimePoint now) const;
-  /// Recomputes which crashes count against which request.
-  void attribute_crashes();
   /// Evicts the request with the fewest crashes (counted up to the quarantine limit); among equals
   /// the one whose most recent event is oldest.
   void evict_one();
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -321,7 +321,14 @@
   std::size_t crash_trials = 3;
   /// Time from the last crash of such an item to its first trial; four times as long for the next.
   Duration crash_trial_wait = 2s;
-  /// Maximum requests remembered.
+  /// Time for which a prompt part that ran well before, and then was present at as many crashes as
+  /// the limit, may be cleared by other nodes before it is quarantined.
+  Duration crash_part_grace = 300ms;
+  /// Prompt parts and requests whose last good run is remembered.
+  std::size_t crash_good_runs = 4096;
+  /// A trial of a prompt part is taken for lost after this time.
+  Duration crash_trial_limit = 10s;
+  /// Maximum requests and prompt parts remembered.
   std::size_t crash_requests = 4096;
   /// Maximum crashes remembered per request.
   std::size_t crashes_per_request = 8;
--- a/include/dockpoint/membership/crash_report_spread.hpp
+++ b/include/dockpoint/membership/crash_report_spread.hpp
@@ -17,6 +17,10 @@
 /// costs one message per node. Reports are repeated because datagrams get lost. In addition, each
 /// node gossips decided requests to random members, for nodes that were cut off or not running, and
 /// a node that has just started or was suspended requests them.
+///
+/// Good runs: a node on which a run ended well with a suspect tells the witnesses, which have the
+/// evidence; if the suspect had reached the limit, they tell all members. So a common prompt part
+/// that many nodes clear at once costs a message for each of them, and not the square.
 namespace dockpoint {
 
 /// A crash report and its recipients.
@@ -36,6 +40,12 @@
   /// Schedules reports to all members, after a request was quarantined here by evidence from
   /// several messages, or cleared.
   void send_to_all(const RequestFingerprint& request, TimePoint now);
+  /// Schedules the clearance of a suspect by a good run: to all members if this node is a witness
+  /// of a suspect that had reached the limit, otherwise to the witnesses.
+  void send_clearance(const RequestFingerprint& suspect, bool had_reached_limit, TimePoint now);
+  /// @return whether this node is the one that may try a quarantined suspect: its first witness.
+  bool runs_trials(const RequestFingerprint& suspect,
+                   const std::vector<const Member*>& members) const;
   /// Requests the decisions of other nodes for a while, since this node may have missed some.
   void catch_up(TimePoint now) { request_until_ = now + knobs_.crash_catch_up_time; }
   /// Queues an answer to a node that requests decisions, or that is reachable again and may have
@@ -48,18 +58,24 @@
   std::vector<CrashReportSend> next(const std::vector<const Member*>& members, TimePoint now);
 
  private:
+  enum class Audience { kWitnesses, kAll, kAllIfWitness };
+
   /// A report on one request that is sent for several rounds.
   struct PendingReport {
     RequestFingerprint request;
-    bool to_all = false;
+    Audience audience = Audience::kWitnesses;
     int rounds_left = 0;
     TimePoint next_at{};
   };
 
-  /// @return addresses of the other members that support crash reports.
-  std::vector<std::string> others(const std::vector<const Member*>& members) const;
-  std::vector<std::string> witnesses(const RequestFingerprint& request,
-                                     const std::vector<const Member*>& members) const;
+  /// @return addresses of the other members with a capability.
+  std::vector<std::string> others(const std::vector<const Member*>& members,
+                                  Capability capability) const;
+  std::vector<const Member*> witnesses(const RequestFingerprint& request,
+                                       const std::vector<const Member*>& members,
+                                       Capability capability) const;
+  std::vector<std::string> recipients(const PendingReport& pending, const CrashReport& report,
+                                      const std::vector<const Member*>& members) const;
   void add_pending_reports(const std::vector<const Member*>& members, TimePoint now,
                            std::vector<CrashReportSend>& sends);
   void add_gossip(const std::vector<const Member*>& members, TimePoint now,
--- a/include/dockpoint/membership/member.hpp
+++ b/include/dockpoint/membership/member.hpp
@@ -17,6 +17,7 @@
   kRecords = 2,        ///< Answers reads of the fleet's records, see membership/record_sources.hpp.
   kCrashReports = 4,   ///< Accepts crash reports of requests, see crash_report_spread.hpp.
   kStreamOrigins = 8,  ///< Keeps origins of streams for others, see stream_origins.hpp.
+  kPromptParts = 16,   ///< Accepts crash reports of prompt parts, see crash_report_spread.hpp.
 };
 
 /// Capabilities of this build.
@@ -24,7 +25,8 @@
     static_cast<std::uint32_t>(Capability::kCells) |
     static_cast<std::uint32_t>(Capability::kRecords) |
     static_cast<std::uint32_t>(Capability::kCrashReports) |
-    static_cast<std::uint32_t>(Capability::kStreamOrigins);
+    static_cast<std::uint32_t>(Capability::kStreamOrigins) |
+    static_cast<std::uint32_t>(Capability::kPromptParts);
 
 /// State and addresses of one node, as gossiped.
 struct Member {
--- /dev/null
+++ b/src/admission/crash_attribution.cpp
@@ -0,0 +1,85 @@
+#include "dockpoint/admission/crash_attribution.hpp"
+
+#include <algorithm>
+
+namespace dockpoint {
+namespace {
+
+/// An item with this many times the crashes of the limit is not excused by other suspects' crashes.
+constexpr std::size_t kMaxExcusedFactor = 2;
+
+using Crashes = std::set<std::uint64_t>;
+
+void add_crashes(const Suspect& suspect, Crashes& crashes) {
+  for (const auto& [replica, ended_at] : suspect.crashes) {
+    crashes.insert(replica);
+  }
+}
+
+/// Marks the crashes of a suspect that are among `causes`.
+void excuse(Suspect& suspect, const Crashes& causes) {
+  for (const auto& [replica, ended_at] : suspect.crashes) {
+    if (causes.contains(replica)) {
+      suspect.explained.insert(replica);
+    }
+  }
+}
+
+std::size_t unexplained(const Suspect& suspect) {
+  return suspect.crashes.size() - suspect.explained.size();
+}
+
+}  // namespace
+
+void attribute_crashes(std::map<RequestFingerprint, Suspect>& suspects, const Knobs& knobs) {
+  std::vector<Suspect*> candidates;
+  for (auto& [fingerprint, suspect] : suspects) {
+    suspect.explained.clear();
+    suspect.shared.clear();
+    if (suspect.crashes.size() >= knobs.crash_limit) {
+      candidates.push_back(&suspect);
+    }
+  }
+  if (!knobs.crash_attribution) {
+    return;
+  }
+  Crashes of_requests;
+  std::map<std::uint64_t, int> items_at_crash;
+  for (const Suspect* suspect : candidates) {
+    if (suspect->batch) {
+      for (const auto& [replica, ended_at] : suspect->crashes) {
+        ++items_at_crash[replica];
+      }
+    } else if (!suspect->prompt_part) {
+      add_crashes(*suspect, of_requests);
+    }
+  }
+  Crashes of_parts;
+  for (Suspect* suspect : candidates) {
+    if (suspect->prompt_part) {
+      excuse(*suspect, of_requests);
+      if (!suspect->ran_well_before && unexplained(*suspect) >= knobs.crash_limit) {
+        add_crashes(*suspect, of_parts);
+      }
+    }
+  }
+  for (Suspect* suspect : candidates) {
+    if (suspect->prompt_part && suspect->ran_well_before) {
+      excuse(*suspect, of_parts);
+    }
+    const bool excusable = suspect->crashes.size() < kMaxExcusedFactor * knobs.crash_limit;
+    if (suspect->batch && excusable) {
+      excuse(*suspect, of_requests);
+      excuse(*suspect, of_parts);
+    }
+    if (suspect->batch) {
+      for (const auto& [replica, ended_at] : suspect->crashes) {
+        if (items_at_crash[replica] > 1) {
+          suspect->shared.insert(replica);
+        }
+      }
+    }
+  }
+}
+
+}  // namespace dockpoint
--- a/src/admission/crash_evidence.cpp
+++ b/src/admission/crash_evidence.cpp
@@ -17,14 +17,17 @@
   std::uint64_t replica = 0;
   std::int64_t age_ms = 0;
   bool batch = false;
-  DOCKPOINT_FIELDS(high, low, replica, age_ms, batch)
+  bool prompt_part = false;
+  bool ran_well_before = false;
+  DOCKPOINT_FIELDS(high, low, replica, age_ms, batch, prompt_part, ran_well_before)
 };
 
 struct ClearanceWire {
   std::uint64_t high = 0;
   std::uint64_t low = 0;
   std::int64_t age_ms = 0;
-  DOCKPOINT_FIELDS(high, low, age_ms)
+  bool by_run = false;
+  DOCKPOINT_FIELDS(high, low, age_ms, by_run)
 };
 
 struct CrashReportWire {
@@ -45,11 +48,12 @@
   CrashReportWire wire;
   for (const CrashEvidence& evidence : report.evidence) {
     wire.evidence.push_back({evidence.request.high, evidence.request.low, evidence.replica,
-                             to_ms(now - evidence.ended_at), evidence.batch});
+                             to_ms(now - evidence.ended_at), evidence.batch, evidence.prompt_part,
+                             evidence.ran_well_before});
   }
   for (const RequestClearance& clearance : report.clearances) {
-    wire.clearances.push_back(
-        {clearance.request.high, clearance.request.low, to_ms(now - clearance.cleared_at)});
+    wire.clearances.push_back({clearance.request.high, clearance.request.low,
+                               to_ms(now - clearance.cleared_at), clearance.by_run});
   }
   wire.reply_requested = report.reply_requested;
   return kCrashReportTag + pack(wire);
@@ -72,11 +76,13 @@
     report.evidence.push_back({{evidence.high, evidence.low},
                                evidence.replica,
                                time_from_age(evidence.age_ms, now),
-                               evidence.batch});
+                               evidence.batch,
+                               evidence.prompt_part,
+                               evidence.ran_well_before});
   }
   for (const ClearanceWire& clearance : wire->clearances) {
     report.clearances.push_back(
-        {{clearance.high, clearance.low}, time_from_age(clearance.age_ms, now)});
+        {{clearance.high, clearance.low}, time_from_age(clearance.age_ms, now), clearance.by_run});
   }
   report.reply_requested = wire->reply_requested;
   return report;
--- a/src/admission/request_quarantine.cpp
+++ b/src/admission/request_quarantine.cpp
@@ -1,7 +1,6 @@
 #include "dockpoint/admission/request_quarantine.hpp"
 
 #include <algorithm>
-#include <functional>
 #include <tuple>
 #include <utility>
 
@@ -12,8 +11,19 @@
 /// much.
 constexpr Duration kMaxReportDelay = std::chrono::seconds(2);
 
-/// An item with this many times the crashes of the limit is not excused by other requests' crashes.
-constexpr std::size_t kMaxExcusedFactor = 2;
+/// A prompt part with this many crashes beyond the limit is not tried again.
+constexpr std::size_t kConclusiveExtraCrashes = 2;
+
+/// @param times in ascending order. @return the first crash of each moment.
+std::vector<TimePoint> moments_of(const std::vector<TimePoint>& times, Duration moment) {
+  std::vector<TimePoint> moments;
+  for (const TimePoint time : times) {
+    if (moments.empty() || time - moments.back() > moment) {
+      moments.push_back(time);
+    }
+  }
+  return moments;
+}
 
 }  // namespace
 
@@ -36,6 +46,8 @@
   const bool before = is_quarantined(entry, now);
   replica_crashes_.try_emplace(evidence.replica, evidence.ended_at);
   entry.batch = evidence.batch;
+  entry.prompt_part = entry.prompt_part || evidence.prompt_part;
+  entry.ran_well_before = entry.ran_well_before || evidence.ran_well_before;
   entry.crashes[evidence.replica] = evidence.ended_at;
   if (entry.crashes.size() > knobs_.crashes_per_request) {
     const auto oldest = std::min_element(
@@ -43,15 +55,18 @@
         [](const auto& left, const auto& right) { return left.second < right.second; });
     entry.crashes.erase(oldest);
   }
-  attribute_crashes();
+  attribute_crashes(entries_, knobs_);
   return !before && is_quarantined(entry, now) ? EvidenceEffect::kQuarantined
                                                : EvidenceEffect::kCounted;
 }
 
 bool RequestQuarantine::take(const RequestClearance& clearance, TimePoint now) {
   const auto found = entries_.find(clearance.request);
+  // Clearances by runs follow each other closely, and each one counts to the moment.
+  const bool exact = clearance.by_run || (found != entries_.end() && found->second.cleared_by_run);
+  const Duration tolerance = exact ? Duration{} : kMaxReportDelay;
   const bool known = found != entries_.end() && found->second.cleared_at &&
-                     *found->second.cleared_at + kMaxReportDelay >= clearance.cleared_at;
+                     *found->second.cleared_at + tolerance >= clearance.cleared_at;
   if (known || is_expired(clearance.cleared_at, now)) {
     return false;
   }
@@ -60,9 +75,12 @@
   }
   Entry& entry = entries_[clearance.request];
   entry.cleared_at = clearance.cleared_at;
-  std::erase_if(entry.crashes, [&](const auto& end) { return end.second <= clearance.cleared_at; });
-  attribute_crashes();
-  return true;
+  entry.cleared_by_run = clearance.by_run;
+  entry.ran_well_before = entry.ran_well_before || clearance.by_run;
+  const std::size_t voided = std::erase_if(
+      entry.crashes, [&](const auto& end) { return end.second <= clearance.cleared_at; });
+  attribute_crashes(entries_, knobs_);
+  return !clearance.by_run || voided > 0;
 }
 
 std::optional<QuarantineVerdict> RequestQuarantine::check(const RequestFingerprint& request,
@@ -71,10 +89,15 @@
   if (found == entries_.end()) {
     return std::nullopt;
   }
-  const std::vector<TimePoint> times = attributed_crash_times(found->second, now);
+  const Entry& entry = found->second;
+  const std::vector<TimePoint> times = attributed_crash_times(entry, now);
   if (times.size() < knobs_.crash_limit) {
     return std::nullopt;
   }
+  const TimePoint limit_reached = times[times.size() - knobs_.crash_limit];
+  if (entry.prompt_part && entry.ran_well_before && now - limit_reached < knobs_.crash_part_grace) {
+    return std::nullopt;
+  }
   const Duration age = now - times[knobs_.crash_limit - 1];
   return QuarantineVerdict{static_cast<int>(times.size()), now - times.front(),
                            knobs_.crash_memory - age, trial_due(found->second, times, now)};
@@ -99,7 +122,9 @@
                                   TimePoint now) const {
   constexpr int kWaitFactor = 4;
   const std::size_t trials = entry.crashes.size() - knobs_.crash_limit;
-  if (!entry.batch || trials >= knobs_.crash_trials || !is_doubtful(entry)) {
+  const bool doubtful =
+      entry.prompt_part ? trials < kConclusiveExtraCrashes : entry.batch && is_doubtful(entry);
+  if (!doubtful || trials >= knobs_.crash_trials) {
     return false;
   }
   Duration wait = knobs_.crash_trial_wait;
@@ -109,6 +134,16 @@
   return now - crashes.front() >= wait;
 }
 
+bool RequestQuarantine::accused(const RequestFingerprint& suspect) const {
+  const auto found = entries_.find(suspect);
+  return found != entries_.end() && !found->second.crashes.empty();
+}
+
+bool RequestQuarantine::reached_limit(const RequestFingerprint& suspect, TimePoint now) const {
+  const auto found = entries_.find(suspect);
+  return found != entries_.end() && is_quarantined(found->second, now);
+}
+
 CrashReport RequestQuarantine::report(const RequestFingerprint& request) const {
   CrashReport report;
   const auto found = entries_.find(request);
@@ -116,10 +151,11 @@
     return report;
   }
   for (const auto& [replica, ended_at] : found->second.crashes) {
-    report.evidence.push_back({request, replica, ended_at, found->second.batch});
+    report.evidence.push_back({request, replica, ended_at, found->second.batch,
+                               found->second.prompt_part, found->second.ran_well_before});
   }
   if (found->second.cleared_at) {
-    report.clearances.push_back({request, *found->second.cleared_at});
+    report.clearances.push_back({request, *found->second.cleared_at, found->second.cleared_by_run});
   }
   return report;
 }
@@ -127,7 +163,8 @@
 std::vector<RequestFingerprint> RequestQuarantine::decided(TimePoint now) const {
   std::vector<RequestFingerprint> requests;
   for (const auto& [request, entry] : entries_) {
-    if (entry.cleared_at || is_quarantined(entry, now)) {
+    // A clearance by a run would seem newer at each node that relays it: only its origin sends it.
+    if ((entry.cleared_at && !entry.cleared_by_run) || is_quarantined(entry, now)) {
       requests.push_back(request);
     }
   }
@@ -152,54 +189,22 @@
     return entry.crashes.empty() && !entry.cleared_at;
   });
   std::erase_if(replica_crashes_, [&](const auto& end) { return is_expired(end.second, now); });
-  attribute_crashes();
-}
-
-void RequestQuarantine::attribute_crashes() {
-  std::vector<std::pair<RequestFingerprint, Entry*>> suspects;
-  for (auto& [request, entry] : entries_) {
-    entry.attributed_elsewhere.clear();
-    entry.shared.clear();
-    if (entry.crashes.size() >= knobs_.crash_limit) {
-      suspects.emplace_back(request, &entry);
-    }
-  }
-  if (!knobs_.crash_attribution) {
-    return;
-  }
-  std::set<std::uint64_t> of_online_requests;
-  std::map<std::uint64_t, int> items_at_crash;
-  for (const auto& [request, entry] : suspects) {
-    for (const auto& [replica, ended_at] : entry->crashes) {
-      if (entry->batch) {
-        ++items_at_crash[replica];
-      } else {
-        of_online_requests.insert(replica);
-      }
-    }
-  }
-  for (const auto& [request, entry] : suspects) {
-    const bool excusable = entry->crashes.size() < kMaxExcusedFactor * knobs_.crash_limit;
-    for (const auto& [replica, ended_at] : entry->crashes) {
-      if (entry->batch && excusable && of_online_requests.contains(replica)) {
-        entry->attributed_elsewhere.insert(replica);
-      }
-      if (entry->batch && items_at_crash[replica] > 1) {
-        entry->shared.insert(replica);
-      }
-    }
-  }
+  attribute_crashes(entries_, knobs_);
 }
 
 std::vector<TimePoint> RequestQuarantine::attributed_crash_times(const Entry& entry,
                                                                  TimePoint now) const {
   std::vector<TimePoint> times;
   for (const auto& [replica, ended_at] : entry.crashes) {
-    if (!is_expired(ended_at, now) && !entry.attributed_elsewhere.contains(replica)) {
+    if (!is_expired(ended_at, now) && !entry.explained.contains(replica)) {
       times.push_back(ended_at);
     }
   }
-  std::sort(times.begin(), times.end(), std::greater<>());
+  std::sort(times.begin(), times.end());
+  if (entry.prompt_part && entry.ran_well_before) {
+    times = moments_of(times, knobs_.crash_coincidence);
+  }
+  std::reverse(times.begin(), times.end());
   return times;
 }
 
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "dockpoint/batch/partial_output.hpp"
 #include "dockpoint/core/hash.hpp"
@@ -24,10 +25,6 @@
   return left_late != right_late ? left_late : left.due().at_ms > right.due().at_ms;
 }
 
-RequestFingerprint fingerprint_of_item(const LedgerJob& job, const BatchItem& item) {
-  return fingerprint_of({"POST", job.job.host, item.path, job.job.tenant, item.body});
-}
-
 }  // namespace
 
 void ItemProgress::restart() {
@@ -387,14 +384,14 @@
 }
 
 void BatchExecutor::replica_survived(const ItemRef& ref) {
-  ItemProgress& kept = progress_[ref];
-  if (!kept.on_trial) {
+  const std::optional<RunSuspects> run = suspects(ref);
+  if (context_.crash_watch == nullptr || !run) {
     return;
   }
-  kept.on_trial = false;
-  context_.metrics.count_item("acquitted");
-  if (const auto content = fingerprint(ref)) {
-    context_.crash_watch->trial_survived(*content);
+  context_.crash_watch->parts_ran_well(run->parts);
+  if (std::exchange(progress_[ref].on_trial, false)) {
+    context_.metrics.count_item("acquitted");
+    context_.crash_watch->trial_survived(run->content);
   }
 }
 
@@ -403,29 +400,47 @@
   if (context_.crash_watch == nullptr || !context_.crash_watch->may_hold()) {
     return false;
   }
-  const RequestFingerprint content = fingerprint_of_item(job, item);
-  const std::optional<QuarantineVerdict> verdict = context_.crash_watch->check(content, now);
+  const RunSuspects run = suspects_of_item(job, item);
+  std::optional<QuarantineVerdict> verdict = context_.crash_watch->check(run.content, now);
   ItemProgress& kept = progress_[ref];
   kept.on_trial = verdict && verdict->trial_due;
+  if (!verdict || kept.on_trial) {
+    verdict = context_.crash_watch->check_parts(run.parts, now);
+    kept.on_trial = kept.on_trial && !verdict;
+  }
   if (kept.on_trial) {
     return false;
   }
   if (verdict && !kept.quarantined) {
     context_.metrics.count_quarantined("batch");
     spdlog::info("batch: item quarantined job={} item={} content={} ends={} lastEndMs={} forMs={}",
-                 ref.job, item.id, content.hex(), verdict->crashes,
+                 ref.job, item.id, run.content.hex(), verdict->crashes,
                  to_ms(verdict->since_last_crash), to_ms(verdict->retry_after));
   }
   kept.quarantined = verdict.has_value();
   return kept.quarantined;
 }
 
-std::optional<RequestFingerprint> BatchExecutor::fingerprint(const ItemRef& ref) const {
+std::optional<RunSuspects> BatchExecutor::suspects(const ItemRef& ref) const {
   const LedgerJob* job = job_of(ref);
   if (job == nullptr) {
     return std::nullopt;
   }
-  return fingerprint_of_item(*job, job->job.items[ref.item]);
+  return suspects_of_item(*job, job->job.items[ref.item]);
+}
+
+RunSuspects BatchExecutor::suspects_of_item(const LedgerJob& job, const BatchItem& item) const {
+  const RequestFingerprint content =
+      fingerprint_of({"POST", job.job.host, item.path, job.job.tenant, item.body});
+  const RouteConfig* route = route_of(job, item);
+  if (route == nullptr || route->services.empty()) {
+    return {content, {}, true};
+  }
+  std::vector<std::uint64_t> ids;
+  for (const PromptPart& part : context_.protocol.read_item(item).prompt) {
+    ids.push_back(part.id);
+  }
+  return {content, shared_parts(route->services.front().service, ids), true};
 }
 
 void BatchExecutor::give_up_expired() {
--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <tuple>
 
-#include "dockpoint/admission/request_fingerprint.hpp"
+#include "dockpoint/admission/run_suspects.hpp"
 #include "dockpoint/batch/batch_share.hpp"
 #include "dockpoint/batch/due_time.hpp"
 #include "dockpoint/batch/partition_owner.hpp"
@@ -107,12 +107,13 @@
   /// trial shares no replica with another one: if the replica crashed, both would seem guilty.
   ReplicaChoice choose_replica(ReplicaQuery query, const ItemProgress& kept, TimePoint now);
   std::set<std::string> replicas_of_trials() const;
-  /// Clears an item whose trial ended without a crash of its replica.
+  /// Clears an item whose run ended without a crash of its replica, and the parts of its prompt.
   void replica_survived(const ItemRef& ref);
   /// @return whether the item must not run now because it crashes replicas.
   bool quarantined(const LedgerJob& job, const BatchItem& item, const ItemRef& ref, TimePoint now);
-  /// @return the fingerprint of an item's content, or nothing if the item is unknown.
-  std::optional<RequestFingerprint> fingerprint(const ItemRef& ref) const;
+  /// @return what may be to blame if an item's replica crashes, or nothing if the item is unknown.
+  std::optional<RunSuspects> suspects(const ItemRef& ref) const;
+  RunSuspects suspects_of_item(const LedgerJob& job, const BatchItem& item) const;
   /// Sets the software version that the item's kept output requires, or discards the output if it
   /// cannot or should not be resumed.
   /// @return whether the item may be sent now.
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -32,28 +32,30 @@
 }  // namespace
 
 CrashWatch::CrashWatch(GatewayContext& context, PartitionedLog& log, const std::string& topic,
-                       std::uint64_t seed, Send send)
+                       std::uint64_t seed, Members members, Send send)
     : context_(context),
       quarantine_(context.knobs),
+      good_runs_(context.knobs.crash_good_runs),
       spread_(context.knobs, quarantine_, context.node, seed),
       log_(context.knobs, log, topic, seed,
            [this](const CrashReport& report) { merge(report, "log", net::steady_now()); }),
+      members_(std::move(members)),
       send_(std::move(send)) {}
 
 CrashWatch::~CrashWatch() {
   life_->alive = false;
 }
 
-void CrashWatch::run_broken(const RequestFingerprint& request, TrafficClass traffic,
-                            const std::string& replica) {
+void CrashWatch::run_broken(const RunSuspects& run, const std::string& replica) {
   const Replica* known = context_.replicas.find(replica);
   if (known == nullptr || known->record.draining) {
-    spdlog::info("quarantine: crash not counted content={} replica={} why=\"{}\"", request.hex(),
-                 replica, known == nullptr ? "the replica has left" : "the replica drains");
+    spdlog::info("quarantine: crash not counted content={} replica={} why=\"{}\"",
+                 run.content.hex(), replica,
+                 known == nullptr ? "the replica has left" : "the replica drains");
     return;
   }
   const auto [suspicion, first] = suspicions_.try_emplace(replica);
-  suspicion->second.runs.emplace_back(request, traffic);
+  suspicion->second.runs.push_back(run);
   if (first) {
     suspicion->second.address = known->record.address;
     suspicion->second.broken_at = net::steady_now();
@@ -93,9 +95,8 @@
                replica, ended, suspicion.runs.size(), suspicion.attempts,
                to_ms(now - suspicion.broken_at));
   if (ended) {
-    for (const auto& [request, traffic] : suspicion.runs) {
-      const bool batch = traffic == TrafficClass::kBatch;
-      count({request, hash64(replica), suspicion.broken_at, batch}, replica, now);
+    for (const RunSuspects& run : suspicion.runs) {
+      count_run(run, replica, suspicion.broken_at, now);
     }
   }
 }
@@ -110,10 +111,89 @@
   });
 }
 
-void CrashWatch::replica_ended(const RequestFingerprint& request, TrafficClass traffic,
-                               const std::string& replica) {
+void CrashWatch::replica_ended(const RunSuspects& run, const std::string& replica) {
   const TimePoint now = net::steady_now();
-  count({request, hash64(replica), now, traffic == TrafficClass::kBatch}, replica, now);
+  count_run(run, replica, now, now);
+}
+
+void CrashWatch::count_run(const RunSuspects& run, const std::string& replica, TimePoint ended_at,
+                           TimePoint now) {
+  CrashEvidence evidence{run.content, hash64(replica), ended_at, run.batch};
+  count(evidence, replica, now);
+  evidence.batch = false;
+  evidence.prompt_part = true;
+  for (const RequestFingerprint& part : run.parts) {
+    const std::optional<TimePoint> ran_well = good_runs_.last(part);
+    if (ran_well && *ran_well > ended_at) {
+      continue;
+    }
+    evidence.request = part;
+    evidence.ran_well_before = ran_well.has_value();
+    count(evidence, replica, now);
+  }
+}
+
+void CrashWatch::parts_ran_well(const std::vector<RequestFingerprint>& parts) {
+  const TimePoint now = net::steady_now();
+  for (const RequestFingerprint& part : parts) {
+    good_runs_.record(part, now);
+    trials_.erase(part);
+    clear_by_run(part, now, now);
+  }
+}
+
+void CrashWatch::content_ran_well(const RequestFingerprint& content) {
+  const TimePoint now = net::steady_now();
+  clear_by_run(content, now, now);
+}
+
+void CrashWatch::clear_by_run(const RequestFingerprint& suspect, TimePoint ran_well_at,
+                              TimePoint now) {
+  if (quarantine_.accused(suspect)) {
+    take_clearance({suspect, ran_well_at, true}, "run", now);
+  }
+}
+
+void CrashWatch::take_clearance(const RequestClearance& clearance, const std::string& source,
+                                TimePoint now) {
+  const bool had_reached_limit = quarantine_.reached_limit(clearance.request, now);
+  if (!quarantine_.take(clearance, now)) {
+    return;
+  }
+  spdlog::info("quarantine: request cleared content={} source={} byRun={} ageMs={}",
+               clearance.request.hex(), source, clearance.by_run,
+               to_ms(now - clearance.cleared_at));
+  if (!clearance.by_run) {
+    return;  // Its origin tells all nodes.
+  }
+  context_.metrics.count_suspect_cleared();
+  const bool own = source == "run";
+  if (own || had_reached_limit) {
+    spread_.send_clearance(clearance.request, had_reached_limit, now);
+  }
+  if (had_reached_limit) {
+    log_.save(clearance.request, quarantine_.report(clearance.request), now);
+  }
+}
+
+std::optional<QuarantineVerdict> CrashWatch::check_parts(
+    const std::vector<RequestFingerprint>& parts, TimePoint now) {
+  for (const RequestFingerprint& part : parts) {
+    const std::optional<QuarantineVerdict> verdict = quarantine_.check(part, now);
+    if (!verdict) {
+      continue;
+    }
+    const auto trial = trials_.find(part);
+    const bool on_trial =
+        trial != trials_.end() && now - trial->second < context_.knobs.crash_trial_limit;
+    if (!verdict->trial_due || on_trial || !spread_.runs_trials(part, members_())) {
+      return verdict;
+    }
+    trials_[part] = now;
+    spdlog::info("quarantine: prompt part on trial content={} ends={}", part.hex(),
+                 verdict->crashes);
+  }
+  return std::nullopt;
 }
 
 void CrashWatch::count(const CrashEvidence& evidence, const std::string& replica, TimePoint now) {
@@ -140,13 +220,16 @@
 
 void CrashWatch::merge(const CrashReport& report, const std::string& source, TimePoint now) {
   for (const RequestClearance& clearance : report.clearances) {
-    if (quarantine_.take(clearance, now)) {
-      spdlog::info("quarantine: request cleared content={} source={} ageMs={}",
-                   clearance.request.hex(), source, to_ms(now - clearance.cleared_at));
-    }
+    take_clearance(clearance, source, now);
   }
   for (const CrashEvidence& evidence : report.evidence) {
-    if (quarantine_.take(evidence, now) != EvidenceEffect::kQuarantined) {
+    const EvidenceEffect effect = quarantine_.take(evidence, now);
+    const std::optional<TimePoint> ran_well = good_runs_.last(evidence.request);
+    if (effect != EvidenceEffect::kKnown && ran_well && *ran_well > evidence.ended_at) {
+      clear_by_run(evidence.request, *ran_well, now);
+      continue;
+    }
+    if (effect != EvidenceEffect::kQuarantined) {
       continue;
     }
     log_quarantine(evidence.request, source, now);
@@ -172,8 +255,10 @@
     ends += fmt::format("{}{:016x}:{}", ends.empty() ? "" : ",", evidence.replica,
                         to_ms(now - evidence.ended_at));
   }
-  spdlog::warn("quarantine: request quarantined content={} source={} ends={} forMs={}",
-               request.hex(), source, ends, verdict ? to_ms(verdict->retry_after) : 0);
+  const bool part = !report.evidence.empty() && report.evidence.front().prompt_part;
+  spdlog::warn("quarantine: {} quarantined content={} source={} ends={} forMs={}",
+               part ? "prompt part" : "request", request.hex(), source, ends,
+               verdict ? to_ms(verdict->retry_after) : 0);
 }
 
 bool CrashWatch::clear(const RequestFingerprint& request) {
@@ -207,14 +292,17 @@
   log_.refresh();
 }
 
-void CrashWatch::tick(const std::vector<const Member*>& members, TimePoint now) {
+void CrashWatch::tick(TimePoint now) {
   log_.tick(now);
   if (now >= next_cleaning_) {
     next_cleaning_ = now + kCleaningInterval;
     quarantine_.forget_old(now);
+    std::erase_if(trials_, [&](const auto& trial) {
+      return now - trial.second >= context_.knobs.crash_trial_limit;
+    });
     context_.metrics.set_quarantined_requests(quarantine_.quarantined(now));
   }
-  for (const CrashReportSend& send : spread_.next(members, now)) {
+  for (const CrashReportSend& send : spread_.next(members_(), now)) {
     const std::string bytes = encode(send.report, now);
     for (const std::string& address : send.addresses) {
       send_(address, bytes);
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -7,7 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "dockpoint/admission/good_run_memory.hpp"
 #include "dockpoint/admission/request_quarantine.hpp"
+#include "dockpoint/admission/run_suspects.hpp"
 #include "dockpoint/core/life.hpp"
 #include "dockpoint/membership/crash_report_spread.hpp"
 #include "dockpoint/routing/replica_directory.hpp"
@@ -18,7 +20,7 @@
 
 struct GatewayContext;
 
-/// Detects requests that crash replicas and quarantines them.
+/// Detects requests and prompt parts that crash replicas, and quarantines them.
 ///
 /// A broken connection does not prove a crash: the link may have been reset, or this node may have
 /// been paused. The replica is therefore probed, and a crash is counted against the requests that
@@ -31,22 +33,31 @@
   /// Sends an encoded report to another node's datagram address.
   using Send = std::function<void(const std::string& address, const std::string& bytes)>;
 
+  /// @return the live members.
+  using Members = std::function<const std::vector<const Member*>&()>;
+
   CrashWatch(GatewayContext& context, PartitionedLog& log, const std::string& topic,
-             std::uint64_t seed, Send send);
+             std::uint64_t seed, Members members, Send send);
   ~CrashWatch();
 
   /// Records that the connection to a replica broke while it ran a request.
-  void run_broken(const RequestFingerprint& request, TrafficClass traffic,
-                  const std::string& replica);
+  void run_broken(const RunSuspects& run, const std::string& replica);
   /// Records that a replica process is known to have ended while it ran a request.
-  void replica_ended(const RequestFingerprint& request, TrafficClass traffic,
-                     const std::string& replica);
+  void replica_ended(const RunSuspects& run, const std::string& replica);
+  /// Records that a run with these prompt parts ended well, which clears them.
+  void parts_ran_well(const std::vector<RequestFingerprint>& parts);
+  /// Records that a run of a request ended well, which clears its content.
+  void content_ran_well(const RequestFingerprint& content);
   /// @return whether any request may be quarantined; if not, callers can skip the fingerprint.
   bool may_hold() const { return !quarantine_.empty(); }
   /// @return the verdict if the request is quarantined and must not be sent, or nothing.
   std::optional<QuarantineVerdict> check(const RequestFingerprint& request, TimePoint now) const {
     return quarantine_.check(request, now);
   }
+  /// @return the verdict if one of the prompt parts is quarantined, or nothing. Where a trial of
+  /// the part is due and this node's to run, the request is the trial: nothing is returned.
+  std::optional<QuarantineVerdict> check_parts(const std::vector<RequestFingerprint>& parts,
+                                               TimePoint now);
   /// Clears a request on behalf of an operator, so that it may be sent to replicas again.
   /// @return whether anything was recorded about the request.
   bool clear(const RequestFingerprint& request);
@@ -65,14 +76,14 @@
   /// Fetches reports that this node may have missed because it just started or was paused.
   void catch_up(TimePoint now);
   /// Sends due reports and writes due records; call several times a second.
-  void tick(const std::vector<const Member*>& members, TimePoint now);
+  void tick(TimePoint now);
 
  private:
   /// Broken runs at one replica, kept until a probe shows whether its process has ended.
   struct Suspicion {
     Address address;
     TimePoint broken_at{};
-    std::vector<std::pair<RequestFingerprint, TrafficClass>> runs;
+    std::vector<RunSuspects> runs;
     int attempts = 0;
   };
 
@@ -81,7 +92,13 @@
   void schedule_probe(const std::string& replica);
   /// @param source who clears the request, for the log.
   bool clear(const RequestFingerprint& request, const char* source);
+  /// Counts a crash against a request and the parts of its prompt.
+  void count_run(const RunSuspects& run, const std::string& replica, TimePoint ended_at,
+                 TimePoint now);
   void count(const CrashEvidence& evidence, const std::string& replica, TimePoint now);
+  /// Clears a suspect that ran well at a time, and tells the nodes that have evidence against it.
+  void clear_by_run(const RequestFingerprint& suspect, TimePoint ran_well_at, TimePoint now);
+  void take_clearance(const RequestClearance& clearance, const std::string& source, TimePoint now);
   /// Merges evidence from another node or from the log.
   void merge(const CrashReport& report, const std::string& source, TimePoint now);
   void log_quarantine(const RequestFingerprint& request, const std::string& source,
@@ -89,10 +106,13 @@
 
   GatewayContext& context_;
   RequestQuarantine quarantine_;
+  GoodRunMemory good_runs_;
   CrashReportSpread spread_;
   QuarantineLog log_;
+  const Members members_;
   const Send send_;
-  std::map<std::string, Suspicion> suspicions_;  ///< By replica.
+  std::map<std::string, Suspicion> suspicions_;     ///< By replica.
+  std::map<RequestFingerprint, TimePoint> trials_;  ///< Start of the trial under way, by part.
   TimePoint next_cleaning_{};
   const std::shared_ptr<Life> life_ = std::make_shared<Life>();
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -113,11 +113,12 @@
           [this](const std::string& address, const std::string& bytes) {
             peers_.send_bytes(address, bytes);
           }),
-      crash_watch_(context_, log_, parts.quarantine_topic,
-                   combine_hash(hash64(settings_.node), run_id_),
-                   [this](const std::string& address, const std::string& bytes) {
-                     peers_.send_bytes(address, bytes);
-                   }),
+      crash_watch_(
+          context_, log_, parts.quarantine_topic, combine_hash(hash64(settings_.node), run_id_),
+          [this]() -> const std::vector<const Member*>& { return peers_.alive(); },
+          [this](const std::string& address, const std::string& bytes) {
+            peers_.send_bytes(address, bytes);
+          }),
       batch_(context_, log_, parts.batch_topics, {settings_.control_address, run_id_},
              combine_hash(hash64(settings_.node), run_id_)),
       frontend_(loop, [this](const auto& exchange) { serve_frontend(exchange); }),
@@ -214,7 +215,7 @@
   peers_.set_log_reachable(batch_.lease_valid(now));
   rate_limiter_.tick(now);
   peers_.tick(now);
-  crash_watch_.tick(peers_.alive(), now);
+  crash_watch_.tick(now);
   software_versions_.observe(replicas_, now);
   stream_origins_.set_view_partial(fleet_.slices() > 1);
   stream_origins_.tick(now);
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -74,6 +74,12 @@
                        .Name("dockpoint_gateway_quarantined_total")
                        .Help("Requests and items not sent since they crash replicas.")
                        .Register(registry_)),
+      suspects_cleared_(
+          prometheus::BuildCounter()
+              .Name("dockpoint_gateway_suspects_cleared_total")
+              .Help("Prompt parts and requests that good runs cleared of crashes of replicas.")
+              .Register(registry_)
+              .Add({})),
       suspensions_(prometheus::BuildCounter()
                        .Name("dockpoint_gateway_suspensions_total")
                        .Help("Times that the machine was suspended.")
@@ -211,6 +217,10 @@
   quarantined_.Add({{"kind", kind}}).Increment();
 }
 
+void GatewayMetrics::count_suspect_cleared() {
+  suspects_cleared_.Increment();
+}
+
 void GatewayMetrics::count_item(const std::string& outcome) {
   items_.Add({{"outcome", outcome}}).Increment();
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -49,6 +49,8 @@
   /// Counts a request that was not sent to a replica because it is quarantined for crashing
   /// replicas.
   void count_quarantined(const std::string& kind);
+  /// Counts a suspect that a good run cleared of crashes.
+  void count_suspect_cleared();
   void count_item(const std::string& outcome);
   void count_log_call(const std::string& call, const std::string& outcome);
   void set_configuration_version(std::uint64_t version);
@@ -84,6 +86,7 @@
   prometheus::Family<prometheus::Counter>& broken_runs_;
   prometheus::Family<prometheus::Counter>& doubtful_ends_;
   prometheus::Family<prometheus::Counter>& quarantined_;
+  prometheus::Counter& suspects_cleared_;
   prometheus::Counter& suspensions_;
   prometheus::Family<prometheus::Counter>& items_;
   prometheus::Family<prometheus::Counter>& log_calls_;
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -211,14 +211,14 @@
 }
 
 void ItemRun::report_to_crash_watch(bool replica_ended) {
-  const auto content = executor_.fingerprint(ref_);
-  if (!content || context_.crash_watch == nullptr) {
+  const std::optional<RunSuspects> run = executor_.suspects(ref_);
+  if (!run || context_.crash_watch == nullptr) {
     return;
   }
   if (replica_ended) {
-    context_.crash_watch->replica_ended(*content, TrafficClass::kBatch, attempt_.replica());
+    context_.crash_watch->replica_ended(*run, attempt_.replica());
   } else {
-    context_.crash_watch->run_broken(*content, TrafficClass::kBatch, attempt_.replica());
+    context_.crash_watch->run_broken(*run, attempt_.replica());
   }
 }
 
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -78,15 +78,18 @@
     refuse("the route names no service");
     return;
   }
+  const bool resumes = last_event_ && history_.resumable && context_.stream_origins != nullptr;
+  if (!resumes) {
+    service_ = proxy_.rotation_.next(route_);
+  }
   if (refuse_quarantined(exchange_->received()) || refuse_over_rate_limit(exchange_->received())) {
     return;
   }
-  if (last_event_ && history_.resumable && context_.stream_origins != nullptr) {
+  if (resumes) {
     find_origin(exchange_->received());
-    return;
+  } else {
+    send(exchange_->received());
   }
-  service_ = proxy_.rotation_.next(route_);
-  send(exchange_->received());
 }
 
 void OnlineCall::find_origin(TimePoint now) {
@@ -114,7 +117,9 @@
   const bool known = !origin_.unknown();
   context_.metrics.count_resumption(known && !serves ? "no_replica" : to_string(origin_source_));
   if (known && serves) {
-    send(net::steady_now());
+    if (!refuse_quarantined(net::steady_now())) {
+      send(net::steady_now());
+    }
     return;
   }
   spdlog::info(
@@ -355,6 +360,9 @@
     return;
   }
   context_.selector.note_service_time(service_, ended_at - sent_at_);
+  if (head_.status / 100 == 2) {
+    note_good_run();
+  }
   if (head_.status / 100 == 2 && !backpressured_) {
     attempt_.note_pace(ended_at);
   }
@@ -431,7 +439,7 @@
 
 void OnlineCall::handle_broken_attempt(TimePoint now) {
   if (context_.crash_watch != nullptr) {
-    context_.crash_watch->run_broken(fingerprint(), TrafficClass::kOnline, attempt_.replica());
+    context_.crash_watch->run_broken(suspects(), attempt_.replica());
   }
   end_attempt();
   retry_or_resume(now);
@@ -487,7 +495,7 @@
     expire(now);
   } else if (attempt_.under_way() && context_.replicas.incarnation_ended(attempt_.replica())) {
     if (context_.crash_watch != nullptr) {
-      context_.crash_watch->replica_ended(fingerprint(), TrafficClass::kOnline, attempt_.replica());
+      context_.crash_watch->replica_ended(suspects(), attempt_.replica());
     }
     fail_over("the replica has started again", now);
   } else if (attempt_.under_way()) {
@@ -552,7 +560,8 @@
   if (context_.crash_watch == nullptr || !context_.crash_watch->may_hold()) {
     return std::nullopt;
   }
-  return context_.crash_watch->check(fingerprint(), now);
+  const auto verdict = context_.crash_watch->check(fingerprint(), now);
+  return verdict ? verdict : context_.crash_watch->check_parts(shared_prompt_parts(), now);
 }
 
 bool OnlineCall::refuse_quarantined(TimePoint now) {
@@ -676,6 +685,28 @@
   return *fingerprint_;
 }
 
+std::vector<RequestFingerprint> OnlineCall::shared_prompt_parts() const {
+  std::vector<std::uint64_t> ids;
+  for (const PromptPart& part : info_.prompt) {
+    ids.push_back(part.id);
+  }
+  return shared_parts(service_, ids);
+}
+
+RunSuspects OnlineCall::suspects() {
+  return {fingerprint(), shared_prompt_parts(), false};
+}
+
+void OnlineCall::note_good_run() {
+  if (context_.crash_watch == nullptr) {
+    return;
+  }
+  context_.crash_watch->parts_ran_well(shared_prompt_parts());
+  if (context_.crash_watch->may_hold()) {
+    context_.crash_watch->content_ran_well(fingerprint());
+  }
+}
+
 const char* OnlineCall::kind() const {
   switch (route_.kind) {
     case RouteKind::kIdempotent:
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -6,6 +6,7 @@
 
 #include "dockpoint/admission/request_fingerprint.hpp"
 #include "dockpoint/admission/request_quarantine.hpp"
+#include "dockpoint/admission/run_suspects.hpp"
 #include "dockpoint/membership/stream_origins.hpp"
 #include "dockpoint/routing/attempt_policy.hpp"
 #include "dockpoint/streaming/answer_end.hpp"
@@ -99,6 +100,11 @@
   const char* kind() const;
   /// @return the fingerprint of the request's content, equal at all nodes.
   const RequestFingerprint& fingerprint();
+  /// @return what may be to blame if the request's replica crashes.
+  RunSuspects suspects();
+  std::vector<RequestFingerprint> shared_prompt_parts() const;
+  /// Clears the request and the parts of its prompt of earlier crashes.
+  void note_good_run();
   /// Records the time to first byte and the error of the expected wait.
   void note_first_byte();
   /// @return whether the time to first byte exceeded the route's objective.
--- a/src/gateway/quarantine_log.cpp
+++ b/src/gateway/quarantine_log.cpp
@@ -24,7 +24,11 @@
   std::vector<EndRecord> ends;
   std::int64_t cleared_unix_ms = 0;  ///< 0: never.
   bool batch = false;                ///< Whether the request is a batch item.
-  DOCKPOINT_FIELDS(high, low, ends, cleared_unix_ms, batch)
+  bool prompt_part = false;
+  bool ran_well_before = false;
+  bool cleared_by_run = false;
+  DOCKPOINT_FIELDS(high, low, ends, cleared_unix_ms, batch, prompt_part, ran_well_before,
+                   cleared_by_run)
 };
 
 std::int64_t unix_ms_of(TimePoint time, TimePoint now) {
@@ -52,13 +56,18 @@
 
 void QuarantineLog::save(const RequestFingerprint& request, const CrashReport& report,
                          TimePoint now) {
-  QuarantineRecord record{request.high, request.low, {}, 0, false};
+  QuarantineRecord record;
+  record.high = request.high;
+  record.low = request.low;
   for (const CrashEvidence& evidence : report.evidence) {
     record.ends.push_back({evidence.replica, unix_ms_of(evidence.ended_at, now)});
     record.batch = evidence.batch;
+    record.prompt_part = evidence.prompt_part;
+    record.ran_well_before = evidence.ran_well_before;
   }
   for (const RequestClearance& clearance : report.clearances) {
     record.cleared_unix_ms = unix_ms_of(clearance.cleared_at, now);
+    record.cleared_by_run = clearance.by_run;
   }
   unwritten_[request] = pack(record);
 }
@@ -111,11 +120,16 @@
   const TimePoint now = net::steady_now();
   CrashReport report;
   for (const EndRecord& end : read->ends) {
-    report.evidence.push_back(
-        {{read->high, read->low}, end.replica, time_of(end.ended_unix_ms, now), read->batch});
+    report.evidence.push_back({{read->high, read->low},
+                               end.replica,
+                               time_of(end.ended_unix_ms, now),
+                               read->batch,
+                               read->prompt_part,
+                               read->ran_well_before});
   }
   if (read->cleared_unix_ms != 0) {
-    report.clearances.push_back({{read->high, read->low}, time_of(read->cleared_unix_ms, now)});
+    report.clearances.push_back(
+        {{read->high, read->low}, time_of(read->cleared_unix_ms, now), read->cleared_by_run});
   }
   loaded_(report);
 }
--- a/src/membership/crash_report_spread.cpp
+++ b/src/membership/crash_report_spread.cpp
@@ -14,6 +14,16 @@
                            added.clearances.end());
 }
 
+/// @return the capability that a member needs to understand a report.
+Capability required_capability(const CrashReport& report) {
+  const bool parts =
+      std::any_of(report.evidence.begin(), report.evidence.end(),
+                  [](const CrashEvidence& evidence) { return evidence.prompt_part; }) ||
+      std::any_of(report.clearances.begin(), report.clearances.end(),
+                  [](const RequestClearance& clearance) { return clearance.by_run; });
+  return parts ? Capability::kPromptParts : Capability::kCrashReports;
+}
+
 }  // namespace
 
 CrashReportSpread::CrashReportSpread(const Knobs& knobs, const RequestQuarantine& quarantine,
@@ -21,12 +31,25 @@
     : knobs_(knobs), quarantine_(quarantine), node_(std::move(node)), random_(seed) {}
 
 void CrashReportSpread::send_to_witnesses(const RequestFingerprint& request, TimePoint now) {
-  pending_.push_back({request, false, knobs_.crash_report_rounds, now});
+  pending_.push_back({request, Audience::kWitnesses, knobs_.crash_report_rounds, now});
 }
 
 void CrashReportSpread::send_to_all(const RequestFingerprint& request, TimePoint now) {
   std::erase_if(pending_, [&](const PendingReport& pending) { return pending.request == request; });
-  pending_.push_back({request, true, knobs_.crash_report_rounds, now});
+  pending_.push_back({request, Audience::kAll, knobs_.crash_report_rounds, now});
+}
+
+void CrashReportSpread::send_clearance(const RequestFingerprint& suspect, bool had_reached_limit,
+                                       TimePoint now) {
+  std::erase_if(pending_, [&](const PendingReport& pending) { return pending.request == suspect; });
+  const Audience audience = had_reached_limit ? Audience::kAllIfWitness : Audience::kWitnesses;
+  pending_.push_back({suspect, audience, knobs_.crash_report_rounds, now});
+}
+
+bool CrashReportSpread::runs_trials(const RequestFingerprint& suspect,
+                                    const std::vector<const Member*>& members) const {
+  const auto selected = select_witnesses(suspect.low, members, Capability::kPromptParts, 1);
+  return selected.empty() || selected.front()->id == node_;
 }
 
 std::vector<CrashReportSend> CrashReportSpread::next(const std::vector<const Member*>& members,
@@ -38,21 +61,35 @@
   return sends;
 }
 
-std::vector<std::string> CrashReportSpread::others(
-    const std::vector<const Member*>& members) const {
+std::vector<std::string> CrashReportSpread::others(const std::vector<const Member*>& members,
+                                                   Capability capability) const {
   std::vector<std::string> addresses;
   for (const Member* member : members) {
-    if (member->id != node_ && member->is_capable_of(Capability::kCrashReports)) {
+    if (member->id != node_ && member->is_capable_of(capability)) {
       addresses.push_back(member->peer_address);
     }
   }
   return addresses;
 }
 
-std::vector<std::string> CrashReportSpread::witnesses(
-    const RequestFingerprint& request, const std::vector<const Member*>& members) const {
-  return others(
-      select_witnesses(request.low, members, Capability::kCrashReports, knobs_.crash_witnesses));
+std::vector<const Member*> CrashReportSpread::witnesses(const RequestFingerprint& request,
+                                                        const std::vector<const Member*>& members,
+                                                        Capability capability) const {
+  return select_witnesses(request.low, members, capability, knobs_.crash_witnesses);
+}
+
+std::vector<std::string> CrashReportSpread::recipients(
+    const PendingReport& pending, const CrashReport& report,
+    const std::vector<const Member*>& members) const {
+  const Capability capability = required_capability(report);
+  if (pending.audience == Audience::kAll) {
+    return others(members, capability);
+  }
+  const std::vector<const Member*> selected = witnesses(pending.request, members, capability);
+  const bool is_witness = std::any_of(selected.begin(), selected.end(),
+                                      [&](const Member* witness) { return witness->id == node_; });
+  const bool all = pending.audience == Audience::kAllIfWitness && is_witness;
+  return others(all ? members : selected, capability);
 }
 
 void CrashReportSpread::add_pending_reports(const std::vector<const Member*>& members,
@@ -63,8 +100,9 @@
     }
     --pending.rounds_left;
     pending.next_at = now + knobs_.crash_report_interval;
-    sends.push_back({pending.to_all ? others(members) : witnesses(pending.request, members),
-                     quarantine_.report(pending.request)});
+    CrashReport report = quarantine_.report(pending.request);
+    std::vector<std::string> addresses = recipients(pending, report, members);
+    sends.push_back({std::move(addresses), std::move(report)});
   }
   std::erase_if(pending_, [](const PendingReport& pending) { return pending.rounds_left <= 0; });
 }
@@ -91,7 +129,7 @@
   if (report.empty()) {
     return;
   }
-  std::vector<std::string> addresses = others(members);
+  std::vector<std::string> addresses = others(members, required_capability(report));
   std::shuffle(addresses.begin(), addresses.end(), random_);
   addresses.resize(std::min(addresses.size(), knobs_.crash_gossip_members));
   sends.push_back({std::move(addresses), std::move(report)});
--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -85,7 +85,7 @@
   for (const std::string& cell : first_cells(read_page("PLATFORM.md"), "dockpoint_gateway_")) {
     listed.insert(cell.substr(0, cell.find('{')));
   }
-  BOOST_TEST(served.size() == 25U);
+  BOOST_TEST(served.size() == 26U);
   BOOST_TEST((served == listed));
 }
 
