--- a/include/dockpoint/admission/crash_attribution.hpp
+++ b/include/dockpoint/admission/crash_attribution.hpp
@@ -29,9 +29,10 @@
   std::map<std::uint64_t, TimePoint> crashes;  ///< End times by replica incarnation.
   bool batch = false;                          ///< An item of a batch job.
   bool prompt_part = false;
-  bool ran_well_before = false;           ///< A run of it had ended well before a crash.
-  std::set<std::uint64_t> explained;      ///< Subset of `crashes`: others are to blame.
-  std::set<std::uint64_t> shared;         ///< Subset of `crashes` at which other items ran.
+  bool ran_well_before = false;       ///< A run of it had ended well before a crash.
+  std::set<std::uint64_t> explained;  ///< Subset of `crashes`: others are to blame.
+  /// Subset of `crashes` at which other suspected items ran; of a part, other quarantined parts.
+  std::set<std::uint64_t> shared;
   std::optional<TimePoint> cleared_at{};  ///< Earlier crashes count for nothing.
   bool cleared_by_run = false;            ///< A good run cleared it last, not an operator.
 };
--- /dev/null
+++ b/include/dockpoint/admission/part_trials.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <map>
+
+#include "dockpoint/admission/request_fingerprint.hpp"
+#include "dockpoint/core/knobs.hpp"
+
+namespace dockpoint {
+
+/// Decides when a quarantined prompt part may be tried again at the node that runs its trials. A
+/// few trials, each after a longer pause, since a guilty part ends one more replica each time.
+///
+/// Not thread-safe; borrows the knobs.
+class PartTrials {
+ public:
+  explicit PartTrials(const Knobs& knobs) : knobs_(knobs) {}
+
+  /// Begins a trial if one may begin now. @return whether it has begun.
+  bool begin(const RequestFingerprint& part, TimePoint now);
+  /// Forgets the trials of a part with which a run ended well.
+  void clear(const RequestFingerprint& part) { trials_.erase(part); }
+  /// Forgets trials as old as crashes that no longer count; to be called periodically.
+  void forget_old(TimePoint now);
+
+ private:
+  struct Trials {
+    std::size_t count = 0;
+    TimePoint last_begun{};
+  };
+
+  /// @return the pause after a trial.
+  Duration pause_after(const Trials& trials) const;
+
+  const Knobs& knobs_;
+  std::map<RequestFingerprint, Trials> trials_;
+};
+
+}  // namespace dockpoint
--- a/include/dockpoint/admission/request_quarantine.hpp
+++ b/include/dockpoint/admission/request_quarantine.hpp
@@ -45,8 +45,9 @@
   kQuarantined,  ///< Recorded; the request is now quarantined.
 };
 
-/// Details of a quarantined request.
+/// Details of a quarantined request or prompt part.
 struct QuarantineVerdict {
+  RequestFingerprint suspect;
   int crashes = 0;
   Duration since_last_crash{};
   Duration retry_after{};  ///< Until the quarantine ends without new evidence.
@@ -66,6 +67,10 @@
 
   /// @return details of the quarantine, or nothing if the request is not quarantined.
   std::optional<QuarantineVerdict> check(const RequestFingerprint& request, TimePoint now) const;
+  /// @return details of the quarantine of one of the parts, or nothing if none is quarantined. A
+  /// trial is due only where a single part is: if its replica crashed, both would seem guilty.
+  std::optional<QuarantineVerdict> check_parts(const std::vector<RequestFingerprint>& parts,
+                                               TimePoint now) const;
   /// @return whether there are crashes that count against a suspect.
   bool accused(const RequestFingerprint& suspect) const;
   /// @return whether a suspect is quarantined, or about to be.
@@ -93,7 +98,7 @@
   bool is_quarantined(const Entry& entry, TimePoint now) const;
   /// @return whether no other replica crashed at about the same time.
   bool is_isolated(std::uint64_t replica, TimePoint ended_at) const;
-  /// @return whether a quarantined item may be innocent.
+  /// @return whether a quarantined item or prompt part may be innocent.
   bool is_doubtful(const Entry& entry) const;
   /// @return whether a trial of a quarantined item is due.
   /// @param crashes the result of `attributed_crash_times`.
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -317,17 +317,16 @@
   Duration crash_memory = 10min;
   /// Crashes of different replicas within this time are taken for one event with a common cause.
   Duration crash_coincidence = 250ms;
-  /// Trials of a quarantined batch item whose guilt is doubtful.
+  /// Trials of a quarantined batch item or prompt part whose guilt is doubtful.
   std::size_t crash_trials = 3;
-  /// Time from the last crash of such an item to its first trial; four times as long for the next.
+  /// Time from the last crash of such a suspect to its first trial; four times as long for the
+  /// next.
   Duration crash_trial_wait = 2s;
   /// Time for which a prompt part that ran well before, and then was present at as many crashes as
   /// the limit, may be cleared by other nodes before it is quarantined.
   Duration crash_part_grace = 300ms;
   /// Prompt parts and requests whose last good run is remembered.
   std::size_t crash_good_runs = 4096;
-  /// A trial of a prompt part is taken for lost after this time.
-  Duration crash_trial_limit = 10s;
   /// Maximum requests and prompt parts remembered.
   std::size_t crash_requests = 4096;
   /// Maximum crashes remembered per request.
--- a/src/admission/crash_attribution.cpp
+++ b/src/admission/crash_attribution.cpp
@@ -25,6 +25,22 @@
   }
 }
 
+void count_crashes(const Suspect& suspect, std::map<std::uint64_t, int>& suspects_at_crash) {
+  for (const auto& [replica, ended_at] : suspect.crashes) {
+    ++suspects_at_crash[replica];
+  }
+}
+
+/// Marks the crashes of a suspect at which another one was present.
+void mark_shared(Suspect& suspect, const std::map<std::uint64_t, int>& suspects_at_crash) {
+  for (const auto& [replica, ended_at] : suspect.crashes) {
+    const auto count = suspects_at_crash.find(replica);
+    if (count != suspects_at_crash.end() && count->second > 1) {
+      suspect.shared.insert(replica);
+    }
+  }
+}
+
 std::size_t unexplained(const Suspect& suspect) {
   return suspect.crashes.size() - suspect.explained.size();
 }
@@ -47,19 +63,19 @@
   std::map<std::uint64_t, int> items_at_crash;
   for (const Suspect* suspect : candidates) {
     if (suspect->batch) {
-      for (const auto& [replica, ended_at] : suspect->crashes) {
-        ++items_at_crash[replica];
-      }
+      count_crashes(*suspect, items_at_crash);
     } else if (!suspect->prompt_part) {
       add_crashes(*suspect, of_requests);
     }
   }
+  std::map<std::uint64_t, int> parts_at_crash;
   Crashes of_parts;
   for (Suspect* suspect : candidates) {
     if (suspect->prompt_part) {
       excuse(*suspect, of_requests);
       if (!suspect->ran_well_before && unexplained(*suspect) >= knobs.crash_limit) {
         add_crashes(*suspect, of_parts);
+        count_crashes(*suspect, parts_at_crash);
       }
     }
   }
@@ -73,11 +89,9 @@
       excuse(*suspect, of_parts);
     }
     if (suspect->batch) {
-      for (const auto& [replica, ended_at] : suspect->crashes) {
-        if (items_at_crash[replica] > 1) {
-          suspect->shared.insert(replica);
-        }
-      }
+      mark_shared(*suspect, items_at_crash);
+    } else if (suspect->prompt_part) {
+      mark_shared(*suspect, parts_at_crash);
     }
   }
 }
--- a/src/admission/request_quarantine.cpp
+++ b/src/admission/request_quarantine.cpp
@@ -11,7 +11,8 @@
 /// much.
 constexpr Duration kMaxReportDelay = std::chrono::seconds(2);
 
-/// A prompt part with this many crashes beyond the limit is not tried again.
+/// A prompt part with this many crashes beyond the limit is guilty, unless another quarantined part
+/// was present at all of them.
 constexpr std::size_t kConclusiveExtraCrashes = 2;
 
 /// @param times in ascending order. @return the first crash of each moment.
@@ -99,10 +100,24 @@
     return std::nullopt;
   }
   const Duration age = now - times[knobs_.crash_limit - 1];
-  return QuarantineVerdict{static_cast<int>(times.size()), now - times.front(),
+  return QuarantineVerdict{request, static_cast<int>(times.size()), now - times.front(),
                            knobs_.crash_memory - age, trial_due(found->second, times, now)};
 }
 
+std::optional<QuarantineVerdict> RequestQuarantine::check_parts(
+    const std::vector<RequestFingerprint>& parts, TimePoint now) const {
+  std::optional<QuarantineVerdict> found;
+  for (const RequestFingerprint& part : parts) {
+    const std::optional<QuarantineVerdict> verdict = check(part, now);
+    if (verdict && found) {
+      found->trial_due = false;
+    } else if (verdict) {
+      found = verdict;
+    }
+  }
+  return found;
+}
+
 bool RequestQuarantine::is_isolated(std::uint64_t replica, TimePoint ended_at) const {
   return std::none_of(replica_crashes_.begin(), replica_crashes_.end(), [&](const auto& other) {
     const Duration apart = other.second - ended_at;
@@ -111,6 +126,10 @@
 }
 
 bool RequestQuarantine::is_doubtful(const Entry& entry) const {
+  if (entry.prompt_part) {
+    return entry.crashes.size() < knobs_.crash_limit + kConclusiveExtraCrashes ||
+           entry.shared.size() == entry.crashes.size();
+  }
   const auto conclusive = static_cast<std::size_t>(
       std::count_if(entry.crashes.begin(), entry.crashes.end(), [&](const auto& crash) {
         return !entry.shared.contains(crash.first) && is_isolated(crash.first, crash.second);
@@ -121,10 +140,11 @@
 bool RequestQuarantine::trial_due(const Entry& entry, const std::vector<TimePoint>& crashes,
                                   TimePoint now) const {
   constexpr int kWaitFactor = 4;
+  if (entry.prompt_part) {
+    return is_doubtful(entry) && now - crashes.front() >= knobs_.crash_trial_wait;
+  }
   const std::size_t trials = entry.crashes.size() - knobs_.crash_limit;
-  const bool doubtful =
-      entry.prompt_part ? trials < kConclusiveExtraCrashes : entry.batch && is_doubtful(entry);
-  if (!doubtful || trials >= knobs_.crash_trials) {
+  if (!entry.batch || trials >= knobs_.crash_trials || !is_doubtful(entry)) {
     return false;
   }
   Duration wait = knobs_.crash_trial_wait;
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -36,6 +36,7 @@
     : context_(context),
       quarantine_(context.knobs),
       good_runs_(context.knobs.crash_good_runs),
+      trials_(context.knobs),
       spread_(context.knobs, quarantine_, context.node, seed),
       log_(context.knobs, log, topic, seed,
            [this](const CrashReport& report) { merge(report, "log", net::steady_now()); }),
@@ -137,7 +138,7 @@
   const TimePoint now = net::steady_now();
   for (const RequestFingerprint& part : parts) {
     good_runs_.record(part, now);
-    trials_.erase(part);
+    trials_.clear(part);
     clear_by_run(part, now, now);
   }
 }
@@ -178,21 +179,17 @@
 
 std::optional<QuarantineVerdict> CrashWatch::check_parts(
     const std::vector<RequestFingerprint>& parts, TimePoint now) {
-  for (const RequestFingerprint& part : parts) {
-    const std::optional<QuarantineVerdict> verdict = quarantine_.check(part, now);
-    if (!verdict) {
-      continue;
-    }
-    const auto trial = trials_.find(part);
-    const bool on_trial =
-        trial != trials_.end() && now - trial->second < context_.knobs.crash_trial_limit;
-    if (!verdict->trial_due || on_trial || !spread_.runs_trials(part, members_())) {
-      return verdict;
-    }
-    trials_[part] = now;
-    spdlog::info("quarantine: prompt part on trial content={} ends={}", part.hex(),
-                 verdict->crashes);
+  const std::optional<QuarantineVerdict> verdict = quarantine_.check_parts(parts, now);
+  if (!verdict) {
+    return std::nullopt;
+  }
+  const bool on_trial = verdict->trial_due && spread_.runs_trials(verdict->suspect, members_()) &&
+                        trials_.begin(verdict->suspect, now);
+  if (!on_trial) {
+    return verdict;
   }
+  spdlog::info("quarantine: prompt part on trial content={} ends={}", verdict->suspect.hex(),
+               verdict->crashes);
   return std::nullopt;
 }
 
@@ -297,9 +294,7 @@
   if (now >= next_cleaning_) {
     next_cleaning_ = now + kCleaningInterval;
     quarantine_.forget_old(now);
-    std::erase_if(trials_, [&](const auto& trial) {
-      return now - trial.second >= context_.knobs.crash_trial_limit;
-    });
+    trials_.forget_old(now);
     context_.metrics.set_quarantined_requests(quarantine_.quarantined(now));
   }
   for (const CrashReportSend& send : spread_.next(members_(), now)) {
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "dockpoint/admission/good_run_memory.hpp"
+#include "dockpoint/admission/part_trials.hpp"
 #include "dockpoint/admission/request_quarantine.hpp"
 #include "dockpoint/admission/run_suspects.hpp"
 #include "dockpoint/core/life.hpp"
@@ -107,12 +108,12 @@
   GatewayContext& context_;
   RequestQuarantine quarantine_;
   GoodRunMemory good_runs_;
+  PartTrials trials_;
   CrashReportSpread spread_;
   QuarantineLog log_;
   const Members members_;
   const Send send_;
-  std::map<std::string, Suspicion> suspicions_;     ///< By replica.
-  std::map<RequestFingerprint, TimePoint> trials_;  ///< Start of the trial under way, by part.
+  std::map<std::string, Suspicion> suspicions_;  ///< By replica.
   TimePoint next_cleaning_{};
   const std::shared_ptr<Life> life_ = std::make_shared<Life>();
 };
