--- a/include/dockpoint/admission/crash_attribution.hpp
+++ b/include/dockpoint/admission/crash_attribution.hpp
@@ -17,8 +17,8 @@
 /// - An item is retried until it completes and follows a crashing request from replica to replica.
 ///   Crashes at which a quarantined online request or prompt part was present do not count against
 ///   it, up to a number of crashes.
-/// - A prompt part of a crashing request is in all of its crashes. Those at which a quarantined
-///   online request was present do not count against the part.
+/// - A prompt part of a crashing request is in all of its crashes. Those of one quarantined online
+///   request do not count against the part; those of further ones do.
 /// - A common part is in the prompts of most requests that a rare part crashes. Of two parts, the
 /// one
 ///   that no run has ended well with explains the crashes of the one that ran well before.
--- a/src/admission/crash_attribution.cpp
+++ b/src/admission/crash_attribution.cpp
@@ -1,6 +1,7 @@
 #include "dockpoint/admission/crash_attribution.hpp"
 
-#include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace dockpoint {
 namespace {
@@ -41,6 +42,24 @@
   }
 }
 
+/// Marks the crashes of a part that a single request explains, the one that explains most. Several
+/// requests with crashes have the part in common, so it is the simpler explanation of theirs.
+void excuse_by_one_request(Suspect& part, const std::vector<Crashes>& requests) {
+  Crashes most;
+  for (const Crashes& request : requests) {
+    Crashes explained;
+    for (const auto& [replica, ended_at] : part.crashes) {
+      if (request.contains(replica)) {
+        explained.insert(replica);
+      }
+    }
+    if (explained.size() > most.size()) {
+      most = std::move(explained);
+    }
+  }
+  excuse(part, most);
+}
+
 std::size_t unexplained(const Suspect& suspect) {
   return suspect.crashes.size() - suspect.explained.size();
 }
@@ -60,19 +79,22 @@
     return;
   }
   Crashes of_requests;
+  std::vector<Crashes> of_each_request;
   std::map<std::uint64_t, int> items_at_crash;
   for (const Suspect* suspect : candidates) {
     if (suspect->batch) {
       count_crashes(*suspect, items_at_crash);
     } else if (!suspect->prompt_part) {
       add_crashes(*suspect, of_requests);
+      of_each_request.emplace_back();
+      add_crashes(*suspect, of_each_request.back());
     }
   }
   std::map<std::uint64_t, int> parts_at_crash;
   Crashes of_parts;
   for (Suspect* suspect : candidates) {
     if (suspect->prompt_part) {
-      excuse(*suspect, of_requests);
+      excuse_by_one_request(*suspect, of_each_request);
       if (!suspect->ran_well_before && unexplained(*suspect) >= knobs.crash_limit) {
         add_crashes(*suspect, of_parts);
         count_crashes(*suspect, parts_at_crash);
