Soak's proxy: the end of a connection does not overtake lost bytes

Trace: the proxy lost the last bytes of an unframed answer in the mode one_way, and passed on the close behind them, which no TCP connection does; the replica ran on. The end is now held back like the bytes, and the connection is reset when the mode ends. Test: fails on the proxy as it was (the caller sees the end).

--- a/tests/platform/soak/faulty_proxy.mjs
+++ b/tests/platform/soak/faulty_proxy.mjs
@@ -83,20 +83,31 @@
       order = order.then(() => new Promise((resolve) => setTimeout(resolve, wait))).then(action);
     };
     from.on('data', (bytes) => {
-      const lost = this.#mode === 'silent' || (this.#mode === 'one_way' && !towardsTarget);
-      if (lost) {
+      if (this.#loses(towardsTarget)) {
         pair.touched = true;
       } else {
         later(() => to.writable && to.write(bytes));
       }
     });
-    from.on('end', () => later(() => to.end()));
+    from.on('end', () => {
+      // An end cannot overtake lost bytes.
+      if (this.#loses(towardsTarget) || pair.touched) {
+        pair.touched = true;
+      } else {
+        later(() => to.end());
+      }
+    });
     from.on('error', () => this.#reset(pair));
     from.on('close', () => {
       if (from.destroyed && to.destroyed) this.#pairs.delete(pair);
     });
   }
 
+  /** @return whether bytes of a direction get lost now */
+  #loses(towardsTarget) {
+    return this.#mode === 'silent' || (this.#mode === 'one_way' && !towardsTarget);
+  }
+
   #reset(pair) {
     this.#pairs.delete(pair);
     pair.caller.resetAndDestroy();
--- a/tests/scripts/faulty_proxy.test.mjs
+++ b/tests/scripts/faulty_proxy.test.mjs
@@ -3,10 +3,13 @@
 import assert from 'node:assert/strict';
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
+import net from 'node:net';
 import path from 'node:path';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
 
+import { FaultyProxy } from '../platform/soak/faulty_proxy.mjs';
+
 const PROXY = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../platform/soak/faulty_proxy.mjs');
 
 /** Listens with room for one connection that it has not accepted, and prints its port. */
@@ -53,3 +56,24 @@
     target.kill('SIGKILL');
   }
 });
+
+// Otherwise an answer that ends with its connection seems whole though its last bytes were lost.
+test('an end behind lost bytes does not arrive, and the connection is reset when the mode ends', async () => {
+  const target = net.createServer((socket) => socket.end('answer'));
+  target.listen(0, '127.0.0.1');
+  await once(target, 'listening');
+  const proxy = new FaultyProxy({ host: '127.0.0.1', port: 0 }, { host: '127.0.0.1', port: target.address().port }, Math.random);
+  await proxy.ready;
+  proxy.set('one_way');
+  const caller = net.connect(proxy.server.address().port, '127.0.0.1');
+  let ended = false;
+  caller.on('data', () => {});
+  caller.on('end', () => { ended = true; });
+  await new Promise((resolve) => { setTimeout(resolve, 300); });
+  proxy.set('pass');
+  const [error] = await once(caller, 'error');
+  assert.equal(error.code, 'ECONNRESET');
+  assert.equal(ended, false);
+  proxy.close();
+  target.close();
+});
