Soak: a part of prompts crashes replicas, sound requests share the first part

Checks both rules from what replicas and callers see: after the fifth crash and the time to hear of it at most three such requests reach replicas, and sound ones are served.

--- a/tests/platform/soak/soak.mjs
+++ b/tests/platform/soak/soak.mjs
@@ -15,6 +15,9 @@
 // Some requests crash the replica that runs them and come again, under other ids, at any node; replicas crash
 // for other reasons too. Once a request has crashed three replicas, few further attempts of it reach one.
 //
+// A part of prompts crashes replicas too, in requests of which no two are alike; sound requests share the first
+// part with them, and are served.
+//
 // Replicas are replaced by others of another software version, in whose output the version stands. Callers whose
 // stream breaks resume it at any node: the text that they have in the end is of one version and lacks no event.
 //
@@ -93,6 +96,11 @@
 const CRASH_DOWN_MS = 1500;
 /** After so many crashes a request has to be known, */
 const CRASHES_NEEDED = 3;
+/** a part of prompts after so many, */
+const PART_CRASHES_NEEDED = 5;
+/** The first part of the prompts of crashing and sound requests, and the part that crashes replicas. */
+const FIRST_PART = 'f1';
+const CRASHING_PART = 'dead0';
 /** and no more attempts of it than this reach replicas, once nodes in touch have had time to hear of it. */
 const ATTEMPTS_AFTER_CRASHES = 3;
 /** Software versions of replicas. */
@@ -117,6 +125,7 @@
 const random = generator(Number(options.seed));
 /** Apart from the faults' numbers, so that their sequence stays that of the seed. */
 const versionRandom = generator(Number(options.seed) + 2);
+const partRandom = generator(Number(options.seed) + 3);
 /** Apart from the faults' numbers: how many of these are drawn depends on the machine's pace. */
 const tenantRandom = generator(Number(options.seed) + 1);
 const pick = (list, from = random) => list[Math.floor(from() * list.length)];
@@ -397,17 +406,54 @@
   }
 }
 
+/** Requests of which no two are alike, and whose prompts share a part that crashes replicas. */
+async function sendCrashingParts() {
+  while (!finished) {
+    const own = ++requestNumber;
+    callNode(pick(machines, partRandom), 'POST', `/quick/part/${own}`, {
+      headers: { 'Attempt-Id': `part${own}`, 'Prompt-Prefix': `${FIRST_PART}:10,${CRASHING_PART}:10,${own}:5` }, body: `part ${own}`,
+    });
+    await sleep(between(0.5, 1.5, partRandom) * CRASHING_PAUSE_MS);
+  }
+}
+
+/** What became of sound requests with the same first part: {sentAt, answeredAt, status}. */
+const soundRequests = [];
+
+async function sendSoundParts() {
+  while (!finished) {
+    const own = ++requestNumber;
+    const sentAt = Date.now();
+    callNode(pick(machines, partRandom), 'POST', `/quick/sound/${own}`, {
+      headers: { 'Attempt-Id': `sound${own}`, 'Prompt-Prefix': `${FIRST_PART}:10,${1000 + (own % 300)}:10,${own}:5` }, body: `sound ${own}`,
+    }).then(({ status }) => soundRequests.push({ sentAt, answeredAt: Date.now(), status }));
+    await sleep(between(20, 60, partRandom));
+  }
+}
+
+/** Once a crashing part has to be known, sound requests with the same first part are served in calm times. */
+function checkSound() {
+  const knownAt = (crashes.get(CRASHING_PART) ?? [])[PART_CRASHES_NEEDED - 1] + 2 * CALM_MS;
+  const late = soundRequests.filter(({ sentAt, answeredAt }) => sentAt > knownAt && faultSpans.calm(sentAt - CALM_MS, answeredAt, 0));
+  const served = late.filter(({ status }) => status === 200).length;
+  counts.sound = { sent: soundRequests.length, served: soundRequests.filter(({ status }) => status === 200).length, late: late.length, lateServed: served };
+  if (late.length >= 20 && served < late.length / 2) {
+    violate('LOST', `${served} of ${late.length} sound requests served that share a part with crashing ones`);
+  }
+}
+
 /** Bounds what reached replicas of requests that had crashed some, in times without faults. */
 function checkCrashing(reached) {
   counts.crashing = {};
   for (const [target, times] of Object.entries(reached)) {
     const ends = crashes.get(target) ?? [];
     counts.crashing[target] = { reached: times.length, ends: ends.length };
-    if (ends.length < CRASHES_NEEDED) continue;
-    const knownAt = ends[CRASHES_NEEDED - 1] + CALM_MS;
+    const needed = target === CRASHING_PART ? PART_CRASHES_NEEDED : CRASHES_NEEDED;
+    if (ends.length < needed) continue;
+    const knownAt = ends[needed - 1] + CALM_MS;
     const late = times.filter((time) => time > knownAt && faultSpans.calm(time - CALM_MS, time, 0));
     if (late.length > ATTEMPTS_AFTER_CRASHES) {
-      violate('BUDGET', `${target} reached replicas ${late.length} times after it had crashed ${CRASHES_NEEDED}`);
+      violate('BUDGET', `${target} reached replicas ${late.length} times after it had crashed ${needed}`);
     }
   }
 }
@@ -665,6 +711,7 @@
   const { runs } = record;
   checkTenants(record);
   checkCrashing(record.crashing);
+  checkSound();
   for (const [id, status] of onceAnswers) {
     const ran = runs[id] ?? 0;
     if (ran > 1) violate('TWICE', `${id} ran ${ran} times`);
@@ -685,7 +732,7 @@
     await eventually(machine.name, async () => (await call(machine.ip, NODE_PORTS.readiness, 'GET', '/')).status === 200);
   }
   const work = [sendRequests(), submitJobs(), readJobs(), watchVersions(), sendUnknownKeys(), crashReplicas(),
-    replaceReplicas(), followStreams(),
+    replaceReplicas(), followStreams(), sendCrashingParts(), sendSoundParts(),
     ...Array.from({ length: CRASHING_REQUESTS }, (_, index) => sendCrashing(index))];
   const tenants = [sendAsTenant('hot', HOT_PER_SECOND), sendAsTenant('steady', STEADY_PER_SECOND)];
   await makeFaults();
--- a/tests/platform/soak/stand_in_main.cpp
+++ b/tests/platform/soak/stand_in_main.cpp
@@ -32,6 +32,8 @@
 
 /// A request below this path crashes the replica that runs it. The soak makes the crash: it asks
 /// who runs one, and ends the replica's connections and address.
+/// Part of a prompt that crashes the replica that runs a request with it.
+constexpr const char* kCrashingPart = "dead0";
 constexpr const char* kCrashingPath = "/quick/crash/";
 
 /// One stream in so many breaks after a few of its events.
@@ -142,9 +144,11 @@
       return;
     }
     note_run(request);
-    if (request.target.starts_with(kCrashingPath)) {
-      crashing_target_ = request.target;
-      record_.crashing[request.target].push_back(net::unix_now_ms());
+    const bool crashing_part =
+        request.headers.get("Prompt-Prefix").find(kCrashingPart) != std::string_view::npos;
+    if (crashing_part || request.target.starts_with(kCrashingPath)) {
+      crashing_target_ = crashing_part ? kCrashingPart : request.target;
+      record_.crashing[crashing_target_].push_back(net::unix_now_ms());
       return;
     }
     if (request.target.starts_with("/stream/")) {
