An owner whose partition was revoked answers no more reads

Seen: the log dealt partitions anew at once; the next owner was active 63 ms after the former one had heard of it, and the former one was fenced 1.1 s later. Suspected: in between it answered reads from its own state, without results of its unconfirmed append that the next owner already listed. Now reads end when the revocation is heard; callers get 503, or the next owner where another node forwards. Writes go on as before until the next owner fences.

Test: a_revoked_owner_serves_no_reads_and_its_results_reach_the_next_owner; there was no way to end reads before.

--- a/include/dockpoint/batch/partition_owner.hpp
+++ b/include/dockpoint/batch/partition_owner.hpp
@@ -59,6 +59,10 @@
   /// confirmed an append under its epoch.
   void verify();
 
+  /// Ends reads for good: the partition is assigned to another node, which may already have written
+  /// results that this one does not have. Writes go on until the next owner fences this one.
+  void end_reads() { reads_ended_ = true; }
+
   /// Writes a result. It appears in the ledger once the log has confirmed it.
   void write_result(const std::string& job, ItemResult result);
   /// Writes the output of an unfinished item since its last checkpoint.
@@ -67,7 +71,7 @@
                         bool restart);
 
   /// @return whether jobs and results are loaded and the epoch is verified, so reads can be served.
-  bool active() const { return step_ == Step::kActive && !unverified_; }
+  bool active() const { return step_ == Step::kActive && !unverified_ && !reads_ended_; }
   bool fenced() const { return step_ == Step::kFenced; }
   const JobLedger& ledger() const { return ledger_; }
   int partition() const { return partition_; }
@@ -121,6 +125,7 @@
   std::vector<KeyedRecord> loaded_results_;
   std::uint64_t sequence_ = 0;
   bool unverified_ = false;
+  bool reads_ended_ = false;
   bool append_unconfirmed_ = false;  ///< An append with `sequence_` was sent and is unconfirmed.
   std::deque<PendingWrite> queue_;
   std::map<std::pair<std::string, std::uint32_t>, std::uint32_t>
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -267,6 +267,9 @@
 
 void BatchService::on_revoked(int partition) {
   spdlog::info("batch: partition revoked partition={}", partition);
+  if (PartitionOwner* owner = owner_of(partition)) {
+    owner->end_reads();
+  }
   executor_.hand_over(partition);
 }
 
--- a/tests/batch/partition_owner_test.cpp
+++ b/tests/batch/partition_owner_test.cpp
@@ -75,4 +75,23 @@
   BOOST_TEST(results("a") == 1U);
 }
 
+// Guards against stale reads: the next owner lists a result whose append the former owner takes for
+// unconfirmed, and a caller that has read it there must not miss it at the former owner.
+BOOST_AUTO_TEST_CASE(a_revoked_owner_serves_no_reads_and_its_results_reach_the_next_owner) {
+  submit("a", 2);
+  run(500);
+  log.faults.lose_answers = 1;
+  owner->write_result("a", {1, true, "text"});
+  run(50);
+  const std::unique_ptr<PartitionOwner> former = std::move(owner);
+  former->end_reads();
+  BOOST_TEST(!former->active());
+  log.faults.lose_answers = 0;
+  owner = make_owner(2);
+  run(500);
+  BOOST_TEST(owner->active());
+  BOOST_TEST(results("a") == 1U);
+  BOOST_TEST(!former->active());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
