A node that lost its lease before an outage of the log serves no reads during it

Evidence from its logs: node-3 owned the partition (epoch 10) and was cut off from the log; node-4 took over (epoch 14) and listed results; then the log was down for everybody. While no peer reaches the log, an owner without a valid lease answers reads, since nobody can have taken over. That held only for owners whose lease was valid when the outage began. Now the lease must not have run out while any other node still reached the log.

Test: a_member_cut_off_before_an_outage_serves_no_reads_during_it (the former condition, valid lease or no peer at the log, is true there); reads in an outage that began for all at once are served as before.

--- a/include/dockpoint/batch/group_member.hpp
+++ b/include/dockpoint/batch/group_member.hpp
@@ -56,6 +56,12 @@
   /// time it was sent, which precedes its arrival. The validity is shorter than the lease because
   /// the log may rebalance partitions without waiting for leases to expire.
   bool lease_valid(TimePoint now) const;
+  /// Records whether any other member reaches the log; call regularly.
+  void set_others_reach_log(bool reach, TimePoint now);
+  /// @return whether reads may be served: the lease is valid, or nobody reaches the log, and this
+  /// member's lease had not expired while others still did. Otherwise they may have taken over its
+  /// partitions and listed more results.
+  bool may_serve_reads(TimePoint now) const;
   std::uint64_t generation() const { return generation_; }
 
  private:
@@ -82,6 +88,8 @@
 
   TimePoint now_{};
   TimePoint next_join_{};
+  bool others_reach_log_ = false;
+  TimePoint others_reached_log_at_{};  ///< Last time that any other member did.
   TimePoint renewed_at_{};
   bool calling_ = false;
   bool left_ = false;
--- a/src/batch/group_member.cpp
+++ b/src/batch/group_member.cpp
@@ -33,6 +33,19 @@
   return joined() && now - renewed_at_ < std::min(lease(), knobs_.read_validity);
 }
 
+void GroupMember::set_others_reach_log(bool reach, TimePoint now) {
+  others_reach_log_ = reach;
+  if (reach) {
+    others_reached_log_at_ = now;
+  }
+}
+
+bool GroupMember::may_serve_reads(TimePoint now) const {
+  const bool held_when_others_lost_the_log =
+      joined() && renewed_at_ + lease() > others_reached_log_at_;
+  return lease_valid(now) || (!others_reach_log_ && held_when_others_lost_the_log);
+}
+
 void GroupMember::tick(TimePoint now) {
   now_ = now;
   if (left_) {
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -53,9 +53,8 @@
 
   /// @return whether this node's lease on its partitions is valid.
   bool lease_valid(TimePoint now) const { return group_.lease_valid(now); }
-  /// Sets whether any other node reaches the log. Without a valid lease this node answers reads
-  /// only if none does; otherwise another node may own its partitions and have listed more results.
-  void set_peers_reach_log(bool reach) { peers_reach_log_ = reach; }
+  /// See GroupMember::set_others_reach_log().
+  void set_peers_reach_log(bool reach, TimePoint now) { group_.set_others_reach_log(reach, now); }
 
   /// See BatchExecutor::yield_slot().
   bool yield_slot(const std::string& replica) { return executor_.yield_slot(replica); }
@@ -90,7 +89,7 @@
   void end_job(const net::ExchangePtr& exchange, const std::string& job);
   void read(Waiter waiter);
   /// @return whether reads may be answered from this node's partitions.
-  bool may_serve_reads(TimePoint now) const { return lease_valid(now) || !peers_reach_log_; }
+  bool may_serve_reads(TimePoint now) const { return group_.may_serve_reads(now); }
   /// @param deadline_reached whether the read must be answered now, with an empty page or a refusal
   /// if need be. @return whether the read was answered.
   bool try_answer(const Waiter& waiter, bool deadline_reached);
@@ -116,7 +115,6 @@
   TimePoint owners_refreshed_{};
   bool refreshing_owners_ = false;
   bool draining_ = false;
-  bool peers_reach_log_ = false;
   TimePoint now_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   GroupMember group_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -220,7 +220,7 @@
   stream_origins_.set_view_partial(fleet_.slices() > 1);
   stream_origins_.tick(now);
   refresh_outliers(now);
-  batch_.set_peers_reach_log(peers_.some_peer_reaches_log());
+  batch_.set_peers_reach_log(peers_.some_peer_reaches_log(), now);
   batch_.tick(now);
   online_.tick(now);
   context_.client.tick(now);
--- a/tests/batch/group_member_test.cpp
+++ b/tests/batch/group_member_test.cpp
@@ -51,6 +51,31 @@
   BOOST_TEST(acquired == 2);
 }
 
+// Regression test: a node that had been cut off from the log, and whose partition another node had
+// taken over, answered reads from its old state once the log was away for everybody.
+BOOST_AUTO_TEST_CASE(a_member_cut_off_before_an_outage_serves_no_reads_during_it) {
+  run(1'000);
+  log.faults.down = true;
+  for (int round = 0; round < 40; ++round) {
+    member.set_others_reach_log(true, at(now));
+    run(100);
+  }
+  BOOST_TEST(!member.may_serve_reads(at(now)));
+  member.set_others_reach_log(false, at(now));
+  BOOST_TEST(!member.may_serve_reads(at(now)));
+}
+
+BOOST_AUTO_TEST_CASE(a_member_serves_reads_during_an_outage_that_began_for_all_at_once) {
+  run(1'000);
+  member.set_others_reach_log(true, at(now));
+  log.faults.down = true;
+  run(1'500);
+  member.set_others_reach_log(false, at(now));
+  run(10'000);
+  BOOST_TEST(!member.lease_valid(at(now)));
+  BOOST_TEST(member.may_serve_reads(at(now)));
+}
+
 BOOST_AUTO_TEST_CASE(the_lease_is_expired_when_a_paused_node_resumes) {
   run(1'000);
   BOOST_TEST(member.lease_valid(at(now)));
