Crashes at one moment that do not point to a prompt part count once

A quarter of the replicas crashed at second 6, when no item had ended yet; the first parts of the items' prompts had never run well, counted each crash of the moment, and were quarantined (ends=4); 55 items were held. Now crashes of a part at one moment count once if replicas crashed at that moment which did not run it.

Tests: a_part_on_some_of_the_replicas_that_crash_at_one_moment_is_not_quarantined, and the same on all replicas, which is.

--- a/include/dockpoint/admission/request_quarantine.hpp
+++ b/include/dockpoint/admission/request_quarantine.hpp
@@ -20,9 +20,10 @@
 /// Good runs: a guilty suspect lets no run end well, so a run that ends well clears everything in
 /// it of all earlier crashes. That separates a prompt part from those that share its requests.
 ///
-/// Parts that ran well before are in many prompts: when many replicas crash at one moment for
-/// another reason, most of them ran such a part. Their crashes at one moment count once, and other
-/// nodes have a moment to clear them.
+/// Moments: when many replicas crash at one moment for another reason, a part of many prompts ran
+/// on several of them. Crashes of a part at one moment count once if it ran well before, or if
+/// replicas crashed then that did not run it. Other nodes have a moment to clear a part that ran
+/// well before.
 ///
 /// Attribution: see crash_attribution.hpp.
 ///
@@ -92,10 +93,16 @@
   using Entry = Suspect;
 
   bool is_expired(TimePoint time, TimePoint now) const { return now - time > knobs_.crash_memory; }
-  /// @return times of the crashes that count against the suspect, newest first; of a part that ran
-  /// well before, one for each moment with crashes.
+  /// @return times of the crashes that count against the suspect, newest first; of a part, one for
+  /// each moment whose crashes do not point to it.
   std::vector<TimePoint> attributed_crash_times(const Entry& entry, TimePoint now) const;
   bool is_quarantined(const Entry& entry, TimePoint now) const;
+  /// @param times of crashes of a part, in ascending order. @return the same, with only the first
+  /// time of each moment whose crashes do not point to the part.
+  std::vector<TimePoint> merge_unspecific_moments(const Entry& part,
+                                                  const std::vector<TimePoint>& times) const;
+  /// @return whether replicas that did not run the part crashed from shortly before `from` to `to`.
+  bool crashes_without(const Entry& part, TimePoint from, TimePoint to) const;
   /// @return whether no other replica crashed at about the same time.
   bool is_isolated(std::uint64_t replica, TimePoint ended_at) const;
   /// @return whether a quarantined item or prompt part may be innocent.
--- a/src/admission/request_quarantine.cpp
+++ b/src/admission/request_quarantine.cpp
@@ -15,17 +15,6 @@
 /// was present at all of them.
 constexpr std::size_t kConclusiveExtraCrashes = 2;
 
-/// @param times in ascending order. @return the first crash of each moment.
-std::vector<TimePoint> moments_of(const std::vector<TimePoint>& times, Duration moment) {
-  std::vector<TimePoint> moments;
-  for (const TimePoint time : times) {
-    if (moments.empty() || time - moments.back() > moment) {
-      moments.push_back(time);
-    }
-  }
-  return moments;
-}
-
 }  // namespace
 
 EvidenceEffect RequestQuarantine::take(const CrashEvidence& evidence, TimePoint now) {
@@ -221,13 +210,33 @@
     }
   }
   std::sort(times.begin(), times.end());
-  if (entry.prompt_part && entry.ran_well_before) {
-    times = moments_of(times, knobs_.crash_coincidence);
+  if (entry.prompt_part) {
+    times = merge_unspecific_moments(entry, times);
   }
   std::reverse(times.begin(), times.end());
   return times;
 }
 
+std::vector<TimePoint> RequestQuarantine::merge_unspecific_moments(
+    const Entry& part, const std::vector<TimePoint>& times) const {
+  std::vector<TimePoint> merged;
+  for (auto first = times.begin(); first != times.end();) {
+    const TimePoint end = *first + knobs_.crash_coincidence;
+    const auto next = std::upper_bound(first, times.end(), end);
+    const bool specific = !part.ran_well_before && !crashes_without(part, *first, end);
+    merged.insert(merged.end(), first, specific ? next : std::next(first));
+    first = next;
+  }
+  return merged;
+}
+
+bool RequestQuarantine::crashes_without(const Entry& part, TimePoint from, TimePoint to) const {
+  return std::any_of(replica_crashes_.begin(), replica_crashes_.end(), [&](const auto& crash) {
+    return crash.second >= from - knobs_.crash_coincidence && crash.second <= to &&
+           !part.crashes.contains(crash.first);
+  });
+}
+
 bool RequestQuarantine::is_quarantined(const Entry& entry, TimePoint now) const {
   return attributed_crash_times(entry, now).size() >= knobs_.crash_limit;
 }
--- a/tests/admission/request_quarantine_test.cpp
+++ b/tests/admission/request_quarantine_test.cpp
@@ -41,6 +41,24 @@
   BOOST_TEST((record_crash(4, 3s) == EvidenceEffect::kCounted));
 }
 
+// Regression: no item had ended yet when a quarter of the replicas crashed at one moment; the parts
+// of their prompts were quarantined, and their jobs did not end.
+BOOST_AUTO_TEST_CASE(a_part_on_some_of_the_replicas_that_crash_at_one_moment_is_not_quarantined) {
+  for (std::uint64_t replica = 1; replica <= 8; ++replica) {
+    const RequestFingerprint& part = replica % 2 == 0 ? kRequest : kOther;
+    quarantine.take(CrashEvidence{part, replica, at(0s), false, true}, at(0s));
+  }
+  BOOST_TEST(!is_quarantined(1s));
+  BOOST_TEST(!quarantine.check(kOther, at(1s)));
+}
+
+BOOST_AUTO_TEST_CASE(a_part_on_all_replicas_that_crash_at_one_moment_is_quarantined) {
+  for (std::uint64_t replica = 1; replica <= 3; ++replica) {
+    quarantine.take(CrashEvidence{kRequest, replica, at(0s), false, true}, at(0s));
+  }
+  BOOST_TEST(is_quarantined(1s));
+}
+
 BOOST_AUTO_TEST_CASE(a_crash_observed_by_several_nodes_counts_once) {
   record_crash(1, 0s);
   BOOST_TEST((record_crash(1, 100ms) == EvidenceEffect::kKnown));
