HTTP parsers wait for the whole last chunk of an empty body

Cause: Beast's parser reads the size line of a last chunk again when more bytes arrive, and asserts then that at least five bytes are there. That holds only behind another chunk, whose CRLF it counts: an empty chunked body whose last chunk comes in pieces ("0\r\n", then "\r") has four. A build with assertions aborts; one without (the deploy file's) reads on correctly.

Change: both parsers hold back fewer than five bytes that begin with 0 while no chunk has begun.

Test: an_empty_chunked_body_ends_for_every_fragmentation (requests and answers, every size of pieces).

--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -25,15 +25,31 @@
   return ParseStatus::kMalformed;
 }
 
+/// Size of a last chunk without extensions and trailers, "0\r\n\r\n", in bytes.
+constexpr std::size_t kShortestLastChunk = 5;
+
+/// Whether `bytes` may be a part of the last chunk of an empty body. Beast reads the size line of a
+/// last chunk again when more bytes arrive, and then asserts that no fewer than five are there.
+template <class Parser>
+bool awaits_empty_body_end(const Parser& parser, bool chunk_seen, std::string_view bytes) {
+  return parser.is_header_done() && parser.chunked() && !chunk_seen && bytes.starts_with('0') &&
+         bytes.size() < kShortestLastChunk;
+}
+
 /// Feeds `parser` until it is done or cannot consume the remaining bytes.
+/// @param chunk_seen whether a chunk of the body has begun; the parser's callbacks set it.
 template <class Parser>
-ParseStatus feed_parser(Parser& parser, std::string& buffer) {
+ParseStatus feed_parser(Parser& parser, const bool& chunk_seen, std::string& buffer) {
   std::size_t consumed = 0;
   ParseStatus status = ParseStatus::kNeedMore;
   while (consumed < buffer.size() && !parser.is_done()) {
+    const std::string_view remaining = std::string_view(buffer).substr(consumed);
+    if (awaits_empty_body_end(parser, chunk_seen, remaining)) {
+      break;
+    }
     boost::beast::error_code error;
-    const std::size_t taken = parser.put(
-        boost::asio::const_buffer(buffer.data() + consumed, buffer.size() - consumed), error);
+    const std::size_t taken =
+        parser.put(boost::asio::const_buffer(remaining.data(), remaining.size()), error);
     consumed += taken;
     if (error == http::error::need_more) {
       break;
@@ -63,7 +79,8 @@
 
 ParseStatus RequestParser::feed(std::string& buffer) {
   started_ = started_ || !buffer.empty();
-  const ParseStatus status = feed_parser(static_cast<basic_parser<true>&>(*this), buffer);
+  const ParseStatus status =
+      feed_parser(static_cast<basic_parser<true>&>(*this), chunk_seen_, buffer);
   head_.keep_alive = is_header_done() && keep_alive();
   return status;
 }
@@ -99,7 +116,9 @@
 }
 
 void RequestParser::on_chunk_header_impl(std::uint64_t /*size*/, String /*extensions*/,
-                                         ErrorCode& /*error*/) {}
+                                         ErrorCode& /*error*/) {
+  chunk_seen_ = true;
+}
 
 std::size_t RequestParser::on_chunk_body_impl(std::uint64_t /*remaining*/, String bytes,
                                               ErrorCode& /*error*/) {
@@ -117,7 +136,7 @@
 }
 
 ParseStatus ResponseParser::feed(std::string& buffer) {
-  return feed_parser(static_cast<basic_parser<false>&>(*this), buffer);
+  return feed_parser(static_cast<basic_parser<false>&>(*this), chunk_seen_, buffer);
 }
 
 bool ResponseParser::feed_end() {
@@ -158,7 +177,9 @@
 }
 
 void ResponseParser::on_chunk_header_impl(std::uint64_t /*size*/, String /*extensions*/,
-                                          ErrorCode& /*error*/) {}
+                                          ErrorCode& /*error*/) {
+  chunk_seen_ = true;
+}
 
 std::size_t ResponseParser::on_chunk_body_impl(std::uint64_t /*remaining*/, String bytes,
                                                ErrorCode& /*error*/) {
--- a/src/net/http_parser.hpp
+++ b/src/net/http_parser.hpp
@@ -55,6 +55,7 @@
   RequestHead head_;
   std::string body_;
   bool started_ = false;
+  bool chunk_seen_ = false;
 };
 
 /// Parses one response and forwards its body as it arrives. Not thread-safe.
@@ -95,6 +96,7 @@
   ResponseHead head_;
   HeadSink on_head_;
   BodySink on_body_;
+  bool chunk_seen_ = false;
 };
 
 }  // namespace dockpoint::net
--- a/tests/net/http_parser_test.cpp
+++ b/tests/net/http_parser_test.cpp
@@ -102,6 +102,28 @@
   BOOST_TEST(body == "abc");
 }
 
+// The last chunk of an empty body follows no other chunk, and may come in any pieces.
+BOOST_AUTO_TEST_CASE(an_empty_chunked_body_ends_for_every_fragmentation) {
+  for (const std::string last_chunk : {"0\r\n\r\n", "000;x=y\r\n\r\n", "0\r\nT: v\r\n\r\n"}) {
+    const std::string framing = "Transfer-Encoding: chunked\r\n\r\n" + last_chunk;
+    const std::string answer = "HTTP/1.1 200 OK\r\n" + framing;
+    for (std::size_t size = 1; size <= answer.size(); ++size) {
+      const Parsed request = parse_in_pieces("POST / HTTP/1.1\r\n" + framing + "GET /", size);
+      BOOST_TEST((request.status == ParseStatus::kDone));
+      BOOST_TEST(request.rest == "GET /");
+      ResponseParser parser([](const ResponseHead&) {}, [](std::string_view) {});
+      ParseStatus status = ParseStatus::kNeedMore;
+      std::string buffer;
+      for (std::size_t sent = 0; sent < answer.size(); sent += size) {
+        buffer += answer.substr(sent, size);
+        status = parser.feed(buffer);
+      }
+      BOOST_TEST((status == ParseStatus::kDone));
+      BOOST_TEST(buffer.empty());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_truncated_response_is_incomplete) {
   for (const char* bytes :
        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
