dockpointd and the command line tell a whole answer from one that was broken off

Change: http/answer_body judges ends in one place. A length must be reached; chunks are whole if the connection, which was to be kept, is still open; an unframed body must be a JSON document. A relayed body that is not whole closes the caller's connection. raw_replica.hpp moves to tests/support, unchanged.

Left: chunks of an engine that announces a close, cut between two chunks, where the part received is a JSON document by itself.

--- a/src/cli/api_client.cpp
+++ b/src/cli/api_client.cpp
@@ -4,11 +4,11 @@
 #include <Poco/Net/HTMLForm.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
 
 #include <thread>
 
 #include "dockpoint/core/json_reader.hpp"
+#include "http/answer_body.hpp"
 #include "http/online_handler.hpp"
 
 namespace dockpoint {
@@ -16,6 +16,7 @@
 
 constexpr std::chrono::milliseconds kTimeout{30'000};
 constexpr int kMaximumAttempts = 10;
+constexpr std::size_t kMaximumAnswerBytes = 1024 * 1024;
 constexpr int kUnavailableStatus = 503;
 
 ApiClient::Answer parse_answer(int status, std::string body) {
@@ -97,9 +98,12 @@
     form.prepareSubmit(request);
     form.write(session->sendRequest(request));
     Poco::Net::HTTPResponse response;
-    std::string body;
-    Poco::StreamCopier::copyToString(session->receiveResponse(response), body);
-    return parse_answer(response.getStatus(), std::move(body));
+    std::istream& in = session->receiveResponse(response);
+    std::optional<std::string> body = read_whole_body(*session, response, in, kMaximumAnswerBytes);
+    if (!body) {
+      return fail(ResultCode::kPeerUnreachable, "the answer of " + address_ + " broke off");
+    }
+    return parse_answer(response.getStatus(), *std::move(body));
   } catch (const Poco::Exception& exception) {
     return fail(ResultCode::kPeerUnreachable,
                 "cannot upload " + path + " to " + address_ + ": " + exception.displayText());
@@ -120,9 +124,14 @@
     session->sendRequest(request) << body << std::flush;
     Poco::Net::HTTPResponse response;
     std::istream& in = session->receiveResponse(response);
+    std::uint64_t received_bytes = 0;
     for (std::string line; std::getline(in, line);) {
+      received_bytes += line.size() + (in.eof() ? 0 : 1);
       consume(line);
     }
+    if (in.bad() || judge_body_end(*session, response, received_bytes) != BodyEnd::kComplete) {
+      return fail(ResultCode::kPeerUnreachable, "the answer of " + address_ + " broke off");
+    }
     return response.getStatus();
   } catch (const Poco::Exception& exception) {
     return fail(ResultCode::kPeerUnreachable,
--- a/src/http/engine_stream.cpp
+++ b/src/http/engine_stream.cpp
@@ -2,8 +2,8 @@
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
 
+#include "http/answer_body.hpp"
 #include "http/engine_protocol.hpp"
 
 namespace dockpoint {
@@ -45,7 +45,12 @@
     if (response.getContentType() == "text/event-stream") {
       return Status::kOk;
     }
-    Poco::StreamCopier::copyToString(*in_, answer_.body);
+    std::optional<std::string> body =
+        read_whole_body(*session_, response, *in_, request.maximum_answer_bytes);
+    if (!body) {
+      return Status::kBroken;
+    }
+    answer_.body = *std::move(body);
     return Status::kAnswered;
   } catch (const Poco::Exception&) {
     return sent ? Status::kBroken : Status::kNotSent;
@@ -55,6 +60,9 @@
 EngineStream::Status EngineStream::next(std::string& data) {
   try {
     for (std::string line; std::getline(*in_, line);) {
+      if (in_->eof()) {
+        break;  // The last line has no end.
+      }
       if (!line.starts_with(kDataPrefix)) {
         continue;
       }
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -4,10 +4,10 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 
-#include <array>
 #include <istream>
 
 #include "dockpoint/core/address.hpp"
+#include "http/answer_body.hpp"
 
 namespace dockpoint {
 namespace {
@@ -18,19 +18,6 @@
   return Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
 }
 
-/// @return false if the body is longer than `limit`.
-bool read_body(std::istream& in, std::size_t limit, std::string& body) {
-  std::array<char, 16 * 1024> buffer{};
-  while (in) {
-    in.read(buffer.data(), buffer.size());
-    body.append(buffer.data(), static_cast<std::size_t>(in.gcount()));
-    if (body.size() > limit) {
-      return false;
-    }
-  }
-  return !in.bad();
-}
-
 }  // namespace
 
 HttpSessionPool::Session HttpSessionPool::acquire(const std::string& address) {
@@ -85,18 +72,14 @@
     out.flush();
     Poco::Net::HTTPResponse response;
     std::istream& in = session->receiveResponse(response);
-    HttpAnswer answer{response.getStatus(), {}, response.get("x-request-id", "")};
-    if (!read_body(in, request.maximum_answer_bytes, answer.body)) {
+    std::optional<std::string> body =
+        read_whole_body(*session, response, in, request.maximum_answer_bytes);
+    if (!body) {
       outcome.failure.reason = "the answer is too long or broken off";
       return outcome;
     }
-    const std::streamsize expected_length = response.getContentLength();
-    if (expected_length != Poco::Net::HTTPMessage::UNKNOWN_CONTENT_LENGTH &&
-        static_cast<std::size_t>(expected_length) != answer.body.size()) {
-      outcome.failure.reason = "the answer broke off";
-      return outcome;
-    }
-    outcome.answer = std::move(answer);
+    outcome.answer =
+        HttpAnswer{response.getStatus(), *std::move(body), response.get("x-request-id", "")};
     if (response.getKeepAlive()) {
       pool.release(request.address, std::move(session));
     }
--- a/src/http/peer_requests.cpp
+++ b/src/http/peer_requests.cpp
@@ -1,11 +1,12 @@
 #include "http/peer_requests.hpp"
 
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/StreamCopier.h>
+#include <spdlog/spdlog.h>
 
 #include <future>
 
 #include "dockpoint/core/address.hpp"
+#include "http/answer_body.hpp"
 #include "http/http_server.hpp"
 
 namespace dockpoint {
@@ -73,14 +74,15 @@
     if (answer.has("Retry-After")) {
       response.set("Retry-After", answer.get("Retry-After"));
     }
-    response.setChunkedTransferEncoding(true);
-    std::ostream& caller = response.send();
-    Poco::StreamCopier::copyStream(in, caller);
-    caller.flush();
-    sessions_.release(owner.api_address, std::move(session));
+    if (relay_body(*session, answer, in, request, response)) {
+      sessions_.release(owner.api_address, std::move(session));
+    } else {
+      spdlog::warn("http: The answer of another node broke off; node={} path={}", owner.api_address,
+                   request.getURI());
+    }
   } catch (const Poco::Exception& exception) {
     if (response.sent()) {
-      throw;  // The connection is closed, so the caller sees that the response is incomplete.
+      throw;  // `relay_body` has closed the caller's connection.
     }
     send_error(response, Error{ResultCode::kPeerUnreachable,
                                "the node that owns this object did not answer",
--- a/tests/platform/unframed_answers_test.cpp
+++ b/tests/platform/unframed_answers_test.cpp
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "platform/gateway_node.hpp"
-#include "platform/raw_replica.hpp"
+#include "support/raw_replica.hpp"
 #include "platform/replica_records.hpp"
 #include "platform/stand_in_store.hpp"
 #include "platform/stand_ins.hpp"
