Excused items keep their trials; crashes beside requests do not prove an item guilty

An item was excused, and ran freely, up to its fifth crash; the sixth quarantined it, and trials are counted by crashes beyond the third. The others had two crashes beside a crashing online request, which counted as conclusive.

Change: an excuse holds for as many crashes as the limit, then the item is quarantined and its trials decide; crashes beside a quarantined request or part are inconclusive. One constant less.

--- a/src/admission/crash_attribution.cpp
+++ b/src/admission/crash_attribution.cpp
@@ -6,9 +6,6 @@
 namespace dockpoint {
 namespace {
 
-/// An item with this many times the crashes of the limit is not excused by other suspects' crashes.
-constexpr std::size_t kMaxExcusedFactor = 2;
-
 using Crashes = std::set<std::uint64_t>;
 
 void add_crashes(const Suspect& suspect, Crashes& crashes) {
@@ -17,15 +14,19 @@
   }
 }
 
-/// Marks the crashes of a suspect that are among `causes`.
-void excuse(Suspect& suspect, const Crashes& causes) {
+/// Adds the crashes of a suspect that are among `causes` to `marked`.
+void mark_common(const Suspect& suspect, const Crashes& causes, Crashes& marked) {
   for (const auto& [replica, ended_at] : suspect.crashes) {
     if (causes.contains(replica)) {
-      suspect.explained.insert(replica);
+      marked.insert(replica);
     }
   }
 }
 
+void excuse(Suspect& suspect, const Crashes& causes) {
+  mark_common(suspect, causes, suspect.explained);
+}
+
 void count_crashes(const Suspect& suspect, std::map<std::uint64_t, int>& suspects_at_crash) {
   for (const auto& [replica, ended_at] : suspect.crashes) {
     ++suspects_at_crash[replica];
@@ -105,13 +106,15 @@
     if (suspect->prompt_part && suspect->ran_well_before) {
       excuse(*suspect, of_parts);
     }
-    const bool excusable = suspect->crashes.size() < kMaxExcusedFactor * knobs.crash_limit;
-    if (suspect->batch && excusable) {
+    // With more crashes, an item is quarantined, and its trials decide.
+    if (suspect->batch && suspect->crashes.size() <= knobs.crash_limit) {
       excuse(*suspect, of_requests);
       excuse(*suspect, of_parts);
     }
     if (suspect->batch) {
       mark_shared(*suspect, items_at_crash);
+      mark_common(*suspect, of_requests, suspect->shared);
+      mark_common(*suspect, of_parts, suspect->shared);
     } else if (suspect->prompt_part) {
       mark_shared(*suspect, parts_at_crash);
     }
