Unit tests that open no sockets run side by side

Change: run-unit-tests.sh runs the suites of folders that open no sockets as many at once as there are cores, then all others in one process, as before, since they use fixed ports. What no list names runs in that process, so no test can be left out. The same tests, seeds and checks.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -14,7 +14,7 @@
   echo "== known to fail, not counted: $test"
   "$folder/dockpoint-tests" --run_test="$test" --report_level=short && echo "== passes now: take it off KNOWN-RED.txt"
 done
-run "unit tests" "$folder/dockpoint-tests" "${without_known_red[@]}" --log_level=test_suite --report_level=short
+run "unit tests" scripts/run-unit-tests.sh "$folder" --log_level=test_suite --report_level=short
 run "scenarios, whole and without what they prove" \
   "$folder/dockpoint-sim" pairs tests/scenarios/*.jsonl
 run "exploration of fixed seeds" "$folder/dockpoint-sim" explore --seeds 1-1000
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -14,7 +14,6 @@
 export TSAN_OPTIONS="halt_on_error=1:suppressions=$PWD/scripts/tsan-suppressions.txt"
 export ASAN_OPTIONS="detect_leaks=0"
 export UBSAN_OPTIONS="halt_on_error=1:print_stacktrace=1"
-. scripts/known-red.sh
-"$folder/dockpoint-tests" "${without_known_red[@]}"
+scripts/run-unit-tests.sh "$folder" --report_level=short
 (cd tests/system && npm ci --no-audit --no-fund --silent)
 DOCKPOINT_BINARIES="$PWD/$folder" node --test --test-reporter=spec tests/system/openai_client.test.mjs
