--- a/tests/platform/soak/soak.mjs
+++ b/tests/platform/soak/soak.mjs
@@ -472,7 +472,7 @@
     for (let attempt = 0; attempt < 6; ++attempt) {
       const answer = await callNode(pick(machines), 'POST', '/batch/x', { headers: { 'Attempt-Id': id }, body });
       if (answer.status === 202) {
-        jobs.set(id, { requests, results: [], acceptedAt: Date.now() });
+        jobs.set(id, { requests, results: [], firstReadAt: [], acceptedAt: Date.now() });
         ++counts.jobs;
         break;
       }
@@ -502,10 +502,12 @@
   for (let index = 0; index < Math.max(seen, results.length); ++index) {
     const [before, now] = [job.results[index], results[index]];
     if (index < seen && JSON.stringify(before) !== JSON.stringify(now)) {
-      violate('LOST', `job ${id} position ${index} at ${machine.name}: ${JSON.stringify(before)} became ${JSON.stringify(now)}`);
+      const readBefore = `first read ${Date.now() - job.firstReadAt[index]} ms before`;
+      violate('LOST', `job ${id} position ${index} at ${machine.name}, ${readBefore}: ${JSON.stringify(before)} became ${JSON.stringify(now)}`);
     } else if (now && !before) {
       checkResult(job, now);
       job.results[index] = now;
+      job.firstReadAt[index] = Date.now();
     }
   }
   return true;
