--- a/tests/platform/unframed_answers_test.cpp
+++ b/tests/platform/unframed_answers_test.cpp
@@ -10,11 +10,11 @@
 #include <string>
 
 #include "platform/gateway_node.hpp"
-#include "support/raw_replica.hpp"
 #include "platform/replica_records.hpp"
 #include "platform/stand_in_store.hpp"
 #include "platform/stand_ins.hpp"
 #include "platform/wire_names.hpp"
+#include "support/raw_replica.hpp"
 
 using namespace dockpoint;
 using namespace dockpoint::test;
