Nodes that missed the clearance of a prompt part are corrected by those where it runs well

Cause: at 6.5 s a part reached the limit at one node, which told all. 0.7 s later it ran well there, but by then its crashes counted as two moments, so the clearance went to the witnesses only; two nodes are none. They kept five crashes, quarantined the part at the next one, and gossiped their evidence each second to nodes that had cleared it and said nothing. The node that runs trials had cleared it too. The same would happen to any node that is cut off while a part is cleared.

Change: a node that is sent as much evidence as the limit against a suspect, of which a crash is older than its own last good run, answers the sender with that clearance. Only own runs: times shift when relayed.

Test: crash_report_spread, 30% of messages lost, 3 to 295 nodes; one node with outdated evidence is corrected within 3 s.

--- a/include/dockpoint/admission/good_run_memory.hpp
+++ b/include/dockpoint/admission/good_run_memory.hpp
@@ -3,7 +3,9 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <vector>
 
+#include "dockpoint/admission/crash_evidence.hpp"
 #include "dockpoint/admission/request_fingerprint.hpp"
 #include "dockpoint/core/time.hpp"
 
@@ -19,6 +21,10 @@
   void record(const RequestFingerprint& suspect, TimePoint now);
   /// @return the time of the last good run, or nothing if none is remembered.
   std::optional<TimePoint> last(const RequestFingerprint& suspect) const;
+  /// @return clearances of the suspects against which a report has as much evidence as `limit`, and
+  /// that ran well here after some of those crashes.
+  std::vector<RequestClearance> clearances_against(const CrashReport& report,
+                                                   std::size_t limit) const;
   std::size_t size() const { return last_.size(); }
 
  private:
--- a/include/dockpoint/membership/crash_report_spread.hpp
+++ b/include/dockpoint/membership/crash_report_spread.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -20,7 +21,9 @@
 ///
 /// Good runs: a node on which a run ended well with a suspect tells the witnesses, which have the
 /// evidence; if the suspect had reached the limit, they tell all members. So a common prompt part
-/// that many nodes clear at once costs a message for each of them, and not the square.
+/// that many nodes clear at once costs a message for each of them, and not the square. A node that
+/// missed a clearance would keep its evidence until it expires: a node that is sent outdated
+/// evidence answers with the clearance, if the good run was its own.
 namespace dockpoint {
 
 /// A crash report and its recipients.
@@ -53,6 +56,10 @@
   /// @param address its address for datagrams.
   void answer(const std::string& address) { requesters_.push_back(address); }
 
+  /// Queues clearances for a node that sent evidence from before the suspects ran well here.
+  /// @param address its address for datagrams.
+  void correct(const std::string& address, std::vector<RequestClearance> clearances);
+
   /// @param members the live members.
   /// @return the messages that are due.
   std::vector<CrashReportSend> next(const std::vector<const Member*>& members, TimePoint now);
@@ -81,6 +88,7 @@
   void add_gossip(const std::vector<const Member*>& members, TimePoint now,
                   std::vector<CrashReportSend>& sends);
   void add_answers(TimePoint now, std::vector<CrashReportSend>& sends);
+  void add_corrections(std::vector<CrashReportSend>& sends);
   /// @return a report with the next decided requests, in rotation.
   CrashReport next_page(TimePoint now);
 
@@ -90,6 +98,7 @@
   std::mt19937_64 random_;
   std::deque<PendingReport> pending_;
   std::vector<std::string> requesters_;
+  std::map<std::string, CrashReport> corrections_;  ///< By address.
   TimePoint request_until_{};
   TimePoint next_gossip_{};
   RequestFingerprint last_gossiped_;  ///< Position of the rotation, in the order of `decided`.
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -279,6 +279,7 @@
 
 void CrashWatch::take(const CrashReport& report, const std::string& address, TimePoint now) {
   merge(report, address, now);
+  spread_.correct(address, good_runs_.clearances_against(report, context_.knobs.crash_limit));
   if (report.reply_requested) {
     spread_.answer(address);
   }
--- a/src/membership/crash_report_spread.cpp
+++ b/src/membership/crash_report_spread.cpp
@@ -46,6 +46,13 @@
   pending_.push_back({suspect, audience, knobs_.crash_report_rounds, now});
 }
 
+void CrashReportSpread::correct(const std::string& address,
+                                std::vector<RequestClearance> clearances) {
+  if (!clearances.empty()) {
+    corrections_[address].clearances = std::move(clearances);
+  }
+}
+
 bool CrashReportSpread::runs_trials(const RequestFingerprint& suspect,
                                     const std::vector<const Member*>& members) const {
   const auto selected = select_witnesses(suspect.low, members, Capability::kPromptParts, 1);
@@ -57,6 +64,7 @@
   std::vector<CrashReportSend> sends;
   add_pending_reports(members, now, sends);
   add_answers(now, sends);
+  add_corrections(sends);
   add_gossip(members, now, sends);
   return sends;
 }
@@ -118,6 +126,12 @@
   requesters_.clear();
 }
 
+void CrashReportSpread::add_corrections(std::vector<CrashReportSend>& sends) {
+  for (auto& [address, report] : std::exchange(corrections_, {})) {
+    sends.push_back({{address}, report});
+  }
+}
+
 void CrashReportSpread::add_gossip(const std::vector<const Member*>& members, TimePoint now,
                                    std::vector<CrashReportSend>& sends) {
   if (now < next_gossip_) {
--- a/tests/membership/crash_report_spread_test.cpp
+++ b/tests/membership/crash_report_spread_test.cpp
@@ -7,6 +7,8 @@
 #include <random>
 #include <set>
 
+#include "dockpoint/admission/good_run_memory.hpp"
+
 using namespace dockpoint;
 
 namespace {
@@ -49,6 +51,16 @@
   void report_crash(std::size_t node, std::uint64_t replica) {
     apply(node, {{{kRequest, combine_hash(1, replica), now_}}, {}, false}, false);
   }
+  /// The node sees a replica crash under a prompt part.
+  void report_part_crash(std::size_t node, std::uint64_t replica) {
+    const CrashEvidence crash{kRequest, combine_hash(1, replica), now_, false, true};
+    apply(node, {{crash}, {}, false}, false);
+  }
+  /// A run with the part ends well at the node.
+  void run_well(std::size_t node) {
+    nodes_[node]->good_runs.record(kRequest, now_);
+    nodes_[node]->quarantine.take(RequestClearance{kRequest, now_, true}, now_);
+  }
   /// The node restarts without any state.
   void restart(std::size_t node) {
     nodes_[node] = std::make_unique<Node>(knobs_, members_[node].id, random_());
@@ -94,6 +106,7 @@
         : quarantine(knobs), spread(knobs, quarantine, id, seed) {}
     RequestQuarantine quarantine;
     CrashReportSpread spread;
+    GoodRunMemory good_runs{100};
   };
   struct Message {
     std::size_t from = 0;
@@ -119,6 +132,10 @@
       const Message message = messages_.begin()->second;
       messages_.erase(messages_.begin());
       apply(message.to, message.report, true);
+      Node& receiver = *nodes_[message.to];
+      receiver.spread.correct(
+          std::to_string(message.from),
+          receiver.good_runs.clearances_against(message.report, knobs_.crash_limit));
       if (message.report.reply_requested) {
         nodes_[message.to]->spread.answer(std::to_string(message.from));
       }
@@ -128,6 +145,9 @@
   /// Mirrors the gateway: applies evidence of its own (`received` is false) or from other nodes.
   void apply(std::size_t index, const CrashReport& report, bool received) {
     Node& node = *nodes_[index];
+    for (const RequestClearance& clearance : report.clearances) {
+      node.quarantine.take(clearance, now_);
+    }
     for (const CrashEvidence& evidence : report.evidence) {
       const EvidenceEffect effect = node.quarantine.take(evidence, now_);
       const bool whole = received && report.evidence.size() >= knobs_.crash_limit;
@@ -222,6 +242,60 @@
   }
 }
 
+// Regression: nodes that had missed the clearance of a prompt part kept its earlier crashes, and
+// quarantined it for minutes at the next one, while it ran well at all others.
+BOOST_AUTO_TEST_CASE(
+    a_node_that_missed_a_clearance_is_corrected_by_those_where_the_part_runs_well) {
+  constexpr Duration kRunInterval = std::chrono::milliseconds(500);
+  for (const std::size_t size : {3, 10, 40, 295}) {
+    for (std::uint64_t seed = 1; seed <= (size > 100 ? 5U : 50U); ++seed) {
+      Fleet fleet(size, seed);
+      for (std::uint64_t replica = 0; replica < 3; ++replica) {
+        fleet.report_part_crash(0, replica);
+        fleet.run_for(200ms);
+      }
+      BOOST_TEST(fleet.is_quarantined(0));
+      for (int run = 0; run < 6; ++run) {
+        for (std::size_t node = 1; node < size; ++node) {
+          fleet.run_well(node);
+        }
+        fleet.run_for(kRunInterval);
+      }
+      BOOST_TEST(fleet.informed_nodes() == 0U, "size " << size << " seed " << seed);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_correction_goes_once_to_the_node_whose_evidence_is_outdated) {
+  const Knobs knobs;
+  const TimePoint now{1h};
+  GoodRunMemory good_runs(10);
+  CrashReport report;
+  for (std::uint64_t replica = 0; replica < 3; ++replica) {
+    report.evidence.push_back({kRequest, replica, now + std::chrono::seconds(replica)});
+  }
+  BOOST_TEST(good_runs.clearances_against(report, 3).empty());
+  good_runs.record(kRequest, now);
+  BOOST_TEST(good_runs.clearances_against(report, 3).empty());
+  good_runs.record(kRequest, now + 1ms);
+  BOOST_TEST(good_runs.clearances_against(report, 4).empty());
+  const std::vector<RequestClearance> clearances = good_runs.clearances_against(report, 3);
+  BOOST_REQUIRE(clearances.size() == 1U);
+  BOOST_TEST((clearances.front().cleared_at == now + 1ms));
+  BOOST_TEST(clearances.front().by_run);
+
+  RequestQuarantine quarantine(knobs);
+  CrashReportSpread spread(knobs, quarantine, "n0", 1);
+  spread.correct("a", clearances);
+  spread.correct("a", clearances);
+  spread.correct("b", {});
+  const std::vector<CrashReportSend> sends = spread.next({}, now);
+  BOOST_REQUIRE(sends.size() == 1U);
+  BOOST_TEST((sends.front().addresses == std::vector<std::string>{"a"}));
+  BOOST_TEST(sends.front().report.clearances.size() == 1U);
+  BOOST_TEST(spread.next({}, now).empty());
+}
+
 BOOST_AUTO_TEST_CASE(crashes_seen_on_both_sides_of_a_partition_add_up_after_it) {
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
     Fleet fleet(10, seed);
