Quarantined parts that only come together, or only in items, are tried

Two parts of their prompts were quarantined at all nodes after crashes of many replicas.

Cause: a trial was due only for prompts with a single quarantined part; these two only come together. And only the first witness of a part runs trials, while an item is run by the owner of its partition alone.

Change: a prompt is tried if a trial is due for each of its quarantined parts; for several four times as late, so that a part is tried alone where it can be. The owner of an item may run its trial, and counts it only when the item is sent.

Test: crashing_prompt_parts/items_with_innocent_parts_that_only_come_together_are_tried_and_complete.

--- a/include/dockpoint/admission/part_trials.hpp
+++ b/include/dockpoint/admission/part_trials.hpp
@@ -7,16 +7,18 @@
 
 namespace dockpoint {
 
-/// Decides when a quarantined prompt part may be tried again at the node that runs its trials. A
-/// few trials, each after a longer pause, since a guilty part ends one more replica each time.
+/// Decides when a quarantined prompt part may be tried again at a node that runs its trials. A few
+/// trials, each after a longer pause, since a guilty part ends one more replica each time.
 ///
 /// Not thread-safe; borrows the knobs.
 class PartTrials {
  public:
   explicit PartTrials(const Knobs& knobs) : knobs_(knobs) {}
 
-  /// Begins a trial if one may begin now. @return whether it has begun.
-  bool begin(const RequestFingerprint& part, TimePoint now);
+  /// @return whether a trial may begin now.
+  bool may_begin(const RequestFingerprint& part, TimePoint now) const;
+  /// Records that a trial begins.
+  void begin(const RequestFingerprint& part, TimePoint now);
   /// Forgets the trials of a part with which a run ended well.
   void clear(const RequestFingerprint& part) { trials_.erase(part); }
   /// Forgets trials as old as crashes that no longer count; to be called periodically.
--- a/include/dockpoint/admission/request_quarantine.hpp
+++ b/include/dockpoint/admission/request_quarantine.hpp
@@ -68,8 +68,9 @@
 
   /// @return details of the quarantine, or nothing if the request is not quarantined.
   std::optional<QuarantineVerdict> check(const RequestFingerprint& request, TimePoint now) const;
-  /// @return details of the quarantine of one of the parts, or nothing if none is quarantined. A
-  /// trial is due only where a single part is: if its replica crashed, both would seem guilty.
+  /// @return details of the quarantine of the first quarantined part, or nothing if none is. A
+  /// trial is due if it is for each of them, and later where they are several: a part is tried
+  /// alone if it can be, since of several a crash says less.
   std::optional<QuarantineVerdict> check_parts(const std::vector<RequestFingerprint>& parts,
                                                TimePoint now) const;
   /// @return whether there are crashes that count against a suspect.
--- a/src/admission/request_quarantine.cpp
+++ b/src/admission/request_quarantine.cpp
@@ -15,6 +15,9 @@
 /// was present at all of them.
 constexpr std::size_t kConclusiveExtraCrashes = 2;
 
+/// The wait for a trial, relative to that for the trial before.
+constexpr int kWaitFactor = 4;
+
 }  // namespace
 
 EvidenceEffect RequestQuarantine::take(const CrashEvidence& evidence, TimePoint now) {
@@ -95,16 +98,21 @@
 
 std::optional<QuarantineVerdict> RequestQuarantine::check_parts(
     const std::vector<RequestFingerprint>& parts, TimePoint now) const {
-  std::optional<QuarantineVerdict> found;
+  std::vector<QuarantineVerdict> verdicts;
   for (const RequestFingerprint& part : parts) {
-    const std::optional<QuarantineVerdict> verdict = check(part, now);
-    if (verdict && found) {
-      found->trial_due = false;
-    } else if (verdict) {
-      found = verdict;
+    if (const std::optional<QuarantineVerdict> verdict = check(part, now)) {
+      verdicts.push_back(*verdict);
     }
   }
-  return found;
+  if (verdicts.empty()) {
+    return std::nullopt;
+  }
+  const Duration wait = knobs_.crash_trial_wait * (verdicts.size() > 1 ? kWaitFactor : 1);
+  verdicts.front().trial_due =
+      std::all_of(verdicts.begin(), verdicts.end(), [&](const QuarantineVerdict& verdict) {
+        return verdict.trial_due && verdict.since_last_crash >= wait;
+      });
+  return verdicts.front();
 }
 
 bool RequestQuarantine::is_isolated(std::uint64_t replica, TimePoint ended_at) const {
@@ -128,7 +136,6 @@
 
 bool RequestQuarantine::trial_due(const Entry& entry, const std::vector<TimePoint>& crashes,
                                   TimePoint now) const {
-  constexpr int kWaitFactor = 4;
   if (entry.prompt_part) {
     return is_doubtful(entry) && now - crashes.front() >= knobs_.crash_trial_wait;
   }
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -308,7 +308,10 @@
   if (choice.replica == nullptr) {
     return false;
   }
-  if (kept.on_trial) {
+  if (kept.part_on_trial) {
+    context_.crash_watch->begin_trial(*kept.part_on_trial, now);
+  }
+  if (kept.on_trial || kept.part_on_trial) {
     context_.metrics.count_item("trial");
     spdlog::info("batch: quarantined item on trial job={} item={} replica={}", ref.job, item.id,
                  choice.replica->record.id);
@@ -359,7 +362,7 @@
 ReplicaChoice BatchExecutor::choose_replica(ReplicaQuery query, const ItemProgress& kept,
                                             TimePoint now) {
   const std::set<std::string> tried =
-      kept.on_trial ? replicas_of_trials() : std::set<std::string>{};
+      kept.on_trial || kept.part_on_trial ? replicas_of_trials() : std::set<std::string>{};
   query.excluded = tried;
   if (!kept.last_replica.empty()) {
     query.excluded.insert(kept.last_replica);
@@ -376,7 +379,9 @@
   std::set<std::string> replicas;
   for (const auto& run : runs_) {
     const auto kept = progress_.find(run->ref());
-    if (kept != progress_.end() && kept->second.on_trial) {
+    const bool on_trial =
+        kept != progress_.end() && (kept->second.on_trial || kept->second.part_on_trial);
+    if (on_trial) {
       replicas.insert(run->replica());
     }
   }
@@ -397,28 +402,30 @@
 
 bool BatchExecutor::quarantined(const LedgerJob& job, const BatchItem& item, const ItemRef& ref,
                                 TimePoint now) {
+  ItemProgress& kept = progress_[ref];
+  kept.on_trial = false;
+  kept.part_on_trial.reset();
   if (context_.crash_watch == nullptr || !context_.crash_watch->may_hold()) {
     return false;
   }
   const RunSuspects run = suspects_of_item(job, item);
-  std::optional<QuarantineVerdict> verdict = context_.crash_watch->check(run.content, now);
-  ItemProgress& kept = progress_[ref];
-  kept.on_trial = verdict && verdict->trial_due;
-  if (!verdict || kept.on_trial) {
-    verdict = context_.crash_watch->check_parts(run.parts, now);
-    kept.on_trial = kept.on_trial && !verdict;
-  }
-  if (kept.on_trial) {
-    return false;
-  }
-  if (verdict && !kept.quarantined) {
+  const auto request = context_.crash_watch->check(run.content, now);
+  const auto part = context_.crash_watch->check_parts_of_item(run.parts, now);
+  const bool request_held = request && !request->trial_due;
+  const bool held = request_held || (part && !part->trial_due);
+  if (!held) {
+    kept.on_trial = request.has_value();
+    kept.part_on_trial = part;
+  }
+  if (held && !kept.quarantined) {
+    const QuarantineVerdict& verdict = request_held ? *request : *part;
     context_.metrics.count_quarantined("batch");
     spdlog::info("batch: item quarantined job={} item={} content={} ends={} lastEndMs={} forMs={}",
-                 ref.job, item.id, run.content.hex(), verdict->crashes,
-                 to_ms(verdict->since_last_crash), to_ms(verdict->retry_after));
+                 ref.job, item.id, verdict.suspect.hex(), verdict.crashes,
+                 to_ms(verdict.since_last_crash), to_ms(verdict.retry_after));
   }
-  kept.quarantined = verdict.has_value();
-  return kept.quarantined;
+  kept.quarantined = held;
+  return held;
 }
 
 std::optional<RunSuspects> BatchExecutor::suspects(const ItemRef& ref) const {
--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <tuple>
 
+#include "dockpoint/admission/request_quarantine.hpp"
 #include "dockpoint/admission/run_suspects.hpp"
 #include "dockpoint/batch/batch_share.hpp"
 #include "dockpoint/batch/due_time.hpp"
@@ -38,6 +39,8 @@
   std::string last_replica;  ///< Replica of the last interrupted or failed run.
   bool quarantined = false;  ///< Crashes replicas; waits for the quarantine to end.
   bool on_trial = false;     ///< Quarantined, and run to see whether it crashes its replica.
+  /// A quarantined part of its prompt, which it is run to try.
+  std::optional<QuarantineVerdict> part_on_trial;
   /// Since when only replicas that cannot resume the output could run the item.
   std::optional<TimePoint> waiting_for_origin_since;
 
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -179,20 +179,32 @@
 
 std::optional<QuarantineVerdict> CrashWatch::check_parts(
     const std::vector<RequestFingerprint>& parts, TimePoint now) {
-  const std::optional<QuarantineVerdict> verdict = quarantine_.check_parts(parts, now);
+  const std::optional<QuarantineVerdict> verdict = check_parts_of_item(parts, now);
   if (!verdict) {
     return std::nullopt;
   }
-  const bool on_trial = verdict->trial_due && spread_.runs_trials(verdict->suspect, members_()) &&
-                        trials_.begin(verdict->suspect, now);
-  if (!on_trial) {
+  if (!verdict->trial_due || !spread_.runs_trials(verdict->suspect, members_())) {
     return verdict;
   }
-  spdlog::info("quarantine: prompt part on trial content={} ends={}", verdict->suspect.hex(),
-               verdict->crashes);
+  begin_trial(*verdict, now);
   return std::nullopt;
 }
 
+std::optional<QuarantineVerdict> CrashWatch::check_parts_of_item(
+    const std::vector<RequestFingerprint>& parts, TimePoint now) const {
+  std::optional<QuarantineVerdict> verdict = quarantine_.check_parts(parts, now);
+  if (verdict) {
+    verdict->trial_due = verdict->trial_due && trials_.may_begin(verdict->suspect, now);
+  }
+  return verdict;
+}
+
+void CrashWatch::begin_trial(const QuarantineVerdict& verdict, TimePoint now) {
+  trials_.begin(verdict.suspect, now);
+  spdlog::info("quarantine: prompt part on trial content={} ends={}", verdict.suspect.hex(),
+               verdict.crashes);
+}
+
 void CrashWatch::count(const CrashEvidence& evidence, const std::string& replica, TimePoint now) {
   switch (quarantine_.take(evidence, now)) {
     case EvidenceEffect::kKnown:
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -59,6 +59,12 @@
   /// the part is due and this node's to run, the request is the trial: nothing is returned.
   std::optional<QuarantineVerdict> check_parts(const std::vector<RequestFingerprint>& parts,
                                                TimePoint now);
+  /// @return the verdict if one of the prompt parts of a batch item is quarantined, or nothing.
+  /// Only the node that owns the item can run it, so it may run a trial that is due.
+  std::optional<QuarantineVerdict> check_parts_of_item(const std::vector<RequestFingerprint>& parts,
+                                                       TimePoint now) const;
+  /// Records that a request with a quarantined prompt part is sent as a trial.
+  void begin_trial(const QuarantineVerdict& verdict, TimePoint now);
   /// Clears a request on behalf of an operator, so that it may be sent to replicas again.
   /// @return whether anything was recorded about the request.
   bool clear(const RequestFingerprint& request);
