--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -177,7 +177,7 @@
   }
 }
 
-std::optional<QuarantineVerdict> CrashWatch::check_parts(
+std::optional<QuarantineVerdict> CrashWatch::check_parts_or_begin_trial(
     const std::vector<RequestFingerprint>& parts, TimePoint now) {
   const std::optional<QuarantineVerdict> verdict = check_parts_of_item(parts, now);
   if (!verdict) {
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -57,8 +57,8 @@
   }
   /// @return the verdict if one of the prompt parts is quarantined, or nothing. Where a trial of
   /// the part is due and this node's to run, the request is the trial: nothing is returned.
-  std::optional<QuarantineVerdict> check_parts(const std::vector<RequestFingerprint>& parts,
-                                               TimePoint now);
+  std::optional<QuarantineVerdict> check_parts_or_begin_trial(
+      const std::vector<RequestFingerprint>& parts, TimePoint now);
   /// @return the verdict if one of the prompt parts of a batch item is quarantined, or nothing.
   /// Only the node that owns the item can run it, so it may run a trial that is due.
   std::optional<QuarantineVerdict> check_parts_of_item(const std::vector<RequestFingerprint>& parts,
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -561,7 +561,8 @@
     return std::nullopt;
   }
   const auto verdict = context_.crash_watch->check(fingerprint(), now);
-  return verdict ? verdict : context_.crash_watch->check_parts(shared_prompt_parts(), now);
+  return verdict ? verdict
+                 : context_.crash_watch->check_parts_or_begin_trial(shared_prompt_parts(), now);
 }
 
 bool OnlineCall::refuse_quarantined(TimePoint now) {
