--- a/src/emulator/memory_log.cpp
+++ b/src/emulator/memory_log.cpp
@@ -60,6 +60,28 @@
   }
 }
 
+std::optional<AppendOutcome> MemoryLog::check_producer(Partition& partition,
+                                                       const ProducerPosition& position,
+                                                       bool has_records) {
+  Producer& producer = partition.producers[position.producer];
+  if (producer.seen && position.epoch < producer.epoch) {
+    return AppendOutcome{LogStatus::kFenced, 0, 0, 0};
+  }
+  if (!producer.seen || position.epoch > producer.epoch) {
+    producer = {position.epoch, true, false, 0, {}};
+  }
+  for (const auto& [sequence, outcome] : producer.recent) {
+    if (sequence == position.sequence) {
+      return outcome;
+    }
+  }
+  // An append without records takes no number, so none is expected of it.
+  if (has_records && producer.begun && position.sequence != producer.next_sequence) {
+    return AppendOutcome{LogStatus::kOutOfSequence, 0, 0, producer.next_sequence};
+  }
+  return std::nullopt;
+}
+
 AppendOutcome MemoryLog::apply(const TopicPartition& id, const std::vector<KeyedRecord>& records,
                                const AppendCondition& condition) {
   Partition& partition = partitions_[id];
@@ -68,20 +90,8 @@
     return {LogStatus::kEndMoved, 0, partition.records.size(), 0};
   }
   if (position) {
-    Producer& producer = partition.producers[position->producer];
-    if (producer.seen && position->epoch < producer.epoch) {
-      return {LogStatus::kFenced, 0, 0, 0};
-    }
-    if (!producer.seen || position->epoch > producer.epoch) {
-      producer = {position->epoch, true, position->sequence, {}};
-    }
-    for (const auto& [sequence, outcome] : producer.recent) {
-      if (sequence == position->sequence) {
-        return outcome;
-      }
-    }
-    if (position->sequence != producer.next_sequence) {
-      return {LogStatus::kOutOfSequence, 0, 0, producer.next_sequence};
+    if (const auto answered = check_producer(partition, *position, !records.empty())) {
+      return *answered;
     }
   }
   AppendOutcome outcome{LogStatus::kOk, partition.records.size(), 0, 0};
@@ -95,9 +105,10 @@
     }
   }
   outcome.end = partition.records.size();
-  if (position) {
+  if (position && !records.empty()) {
     Producer& producer = partition.producers[position->producer];
-    ++producer.next_sequence;
+    producer.begun = true;
+    producer.next_sequence = position->sequence + 1;
     producer.recent.emplace_back(position->sequence, outcome);
     if (producer.recent.size() > kRecentAnswers) {
       producer.recent.pop_front();
@@ -130,7 +141,8 @@
   const bool delayed = share(random_) < faults.delay_appends;
   const bool lost = delayed || faults.silent || share(random_) < faults.lose_answers;
   if (delayed) {
-    std::uniform_int_distribution<std::int64_t> delay(0, faults.longest_delay.count());
+    std::uniform_int_distribution<std::int64_t> delay(faults.shortest_delay.count(),
+                                                      faults.longest_delay.count());
     events_.push_back({now_ + Duration(delay(random_)), [this, partition, records, condition] {
                          apply(partition, records, condition);
                        }});
--- a/src/emulator/memory_log.hpp
+++ b/src/emulator/memory_log.hpp
@@ -23,7 +23,8 @@
                              ///< unanswered afterwards too: their connection is dead.
   double lose_answers = 0;   ///< Share of appends that are applied but not answered.
   double delay_appends = 0;  ///< Share of unanswered appends that are applied later.
-  Duration longest_delay = std::chrono::seconds(4);
+  Duration shortest_delay = std::chrono::seconds(1);
+  Duration longest_delay = std::chrono::seconds(6);
 
   /// @return whether no fault is active.
   bool calm() const { return !down && !silent && lose_answers == 0 && delay_appends == 0; }
@@ -70,6 +71,7 @@
   struct Producer {
     std::uint64_t epoch = 0;
     bool seen = false;
+    bool begun = false;  ///< Appended records in its epoch; its first append may have any number.
     std::uint64_t next_sequence = 0;
     std::deque<std::pair<std::uint64_t, AppendOutcome>> recent;  ///< Outcomes of the last appends.
   };
@@ -110,6 +112,12 @@
 
   AppendOutcome apply(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
                       const AppendCondition& condition);
+  /// Registers the epoch of a producer and checks its sequence number.
+  /// @return the answer if the append must not be applied: it is fenced, repeated or out of
+  /// sequence.
+  static std::optional<AppendOutcome> check_producer(Partition& partition,
+                                                     const ProducerPosition& position,
+                                                     bool has_records);
   /// Appends immediately, late or not at all, according to `faults`.
   void append_with_faults(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
                           const AppendCondition& condition,
--- a/tests/batch/partition_owner_test.cpp
+++ b/tests/batch/partition_owner_test.cpp
@@ -42,6 +42,15 @@
     return job == nullptr ? 0 : job->results.size();
   }
 
+  std::vector<std::uint32_t> listed_items(const std::string& id) const {
+    std::vector<std::uint32_t> items;
+    const LedgerJob* job = owner->ledger().find(id);
+    for (std::size_t index = 0; job != nullptr && index < job->results.size(); ++index) {
+      items.push_back(job->results[index].item);
+    }
+    return items;
+  }
+
   void on_partition_active(int /*partition*/) override {}
   void on_job(int /*partition*/, const std::string& /*job*/) override {}
   void on_job_ended(int /*partition*/, const std::string& /*job*/) override {}
@@ -75,6 +84,31 @@
   BOOST_TEST(results("a") == 1U);
 }
 
+// Guards against results that are listed but in no log: an append in doubt was sent again under
+// another sequence number, its late call took the next number, and the results appended under that
+// number were confirmed with its answer.
+BOOST_AUTO_TEST_CASE(results_stay_in_place_when_an_append_is_applied_late_after_a_verification) {
+  submit("a", 3);
+  run(500);
+  owner->write_result("a", {2, true, "text"});
+  run(500);
+  owner->verify();
+  run(500);
+  log.faults.delay_appends = 1;
+  log.faults.shortest_delay = log.faults.longest_delay = std::chrono::milliseconds(3'000);
+  owner->write_result("a", {1, true, "text"});
+  run(50);
+  log.faults = {};
+  run(5'000);
+  owner->write_result("a", {0, true, "text"});
+  run(500);
+  const std::vector<std::uint32_t> listed = listed_items("a");
+  BOOST_TEST(listed == (std::vector<std::uint32_t>{2, 1, 0}), boost::test_tools::per_element());
+  owner = make_owner(2);
+  run(500);
+  BOOST_TEST(listed_items("a") == listed, boost::test_tools::per_element());
+}
+
 // Guards against stale reads: the next owner lists a result whose append the former owner takes for
 // unconfirmed, and a caller that has read it there must not miss it at the former owner.
 BOOST_AUTO_TEST_CASE(a_revoked_owner_serves_no_reads_and_its_results_reach_the_next_owner) {
