Results stay where callers read them: every append has a record, and a number keeps its records

The owner gave an append without records a sequence number, the log does not. The next append was out of sequence, and its records were sent again under the number that was due while the first call was still under way. Done late, it took the number of later records, which were confirmed with its answer and are in no log.

Now every append has a record, a marker if there is nothing else to write, so each takes a number under either way of counting. Within an epoch a number keeps its records. An owner whose number is not the expected one ends; the next one in the same epoch takes the expected number with a marker and loads the results. Settled doubts are logged and counted, out-of-sequence answers name partition and number.

--- a/include/dockpoint/batch/partition_owner.hpp
+++ b/include/dockpoint/batch/partition_owner.hpp
@@ -16,11 +16,17 @@
 ///
 /// Recovery: the new owner first raises the epoch of the topic of results. This fences the previous
 /// owner, which can no longer append results. The new owner then loads jobs and results and follows
-/// the topic of jobs. From then on it is the only writer of results. Each append carries epoch and
-/// sequence number, so it can be retried safely if its answer was lost. A retry must send exactly
-/// the same records: the log may already have performed the append, and would confirm different
-/// records without writing them. An owner that was paused and replaced learns of it from its next
-/// append or from its group.
+/// the topic of jobs. From then on it is the only writer of results. An owner that was paused and
+/// replaced learns of it from its next append or from its group.
+///
+/// Sequence numbers: within an epoch, a number that was sent with some records is never sent with
+/// others, and records are never sent under a second number. Any call without an answer may still
+/// be applied, and the log answers a repeated number without writing. Both hold because every
+/// append has a record, a marker if there is nothing else to write: the log gives a number to such
+/// appends only. If the log expects another number all the same, the owner gives up. Whether its
+/// last records were written is then found out as after any hand-over: the next owner, which may be
+/// on the same node and in the same epoch, takes the expected number with a marker, so that no
+/// earlier call can take it, and loads the results.
 namespace dockpoint {
 
 /// Names of the topics and of the group that assigns their partitions.
@@ -31,6 +37,21 @@
   std::string group;
 };
 
+/// Why an owner has ended.
+enum class OwnershipEnd {
+  kFenced,         ///< A newer owner has raised the epoch.
+  kOutOfSequence,  ///< The log expects another sequence number, so records may not be written.
+};
+
+/// An append that was sent several times because answers were missing, and how it was settled.
+struct SettledAppend {
+  std::uint64_t sequence = 0;
+  std::size_t records = 0;
+  int calls = 0;
+  Duration in_doubt{};                     ///< From the first call to the answer that counted.
+  LogStatus status = LogStatus::kUnknown;  ///< `kOk`, `kFenced` or `kOutOfSequence`.
+};
+
 /// Receives the events of a partition.
 class PartitionOwnerObserver {
  public:
@@ -40,8 +61,10 @@
   virtual void on_job_ended(int partition, const std::string& job) = 0;
   /// The log confirmed results of the job; they can be read.
   virtual void on_results(int partition, const std::string& job) = 0;
-  /// Another owner has taken over. This owner makes no further calls to the log.
-  virtual void on_partition_fenced(int partition) = 0;
+  /// An append of results that was in doubt got a conclusive answer.
+  virtual void on_append_settled(int /*partition*/, const SettledAppend& /*append*/) {}
+  /// The owner has ended and makes no further calls to the log.
+  virtual void on_partition_fenced(int partition, OwnershipEnd reason) = 0;
 };
 
 /// See the top of this file. Not thread-safe; borrows all references.
@@ -95,15 +118,20 @@
   void on_reachable(bool reachable, Duration silence) override;
 
   void raise_epoch();
+  void handle_raise(const AppendOutcome& outcome);
   void load_results();
   void write_queue();
   void fill_append();
+  /// Appends `records` with the current sequence number.
+  void append(const std::vector<KeyedRecord>& records,
+              void (PartitionOwner::*handle)(const AppendOutcome&));
+  /// Reports an append that was in doubt; call with each conclusive answer.
+  void report_settled(std::size_t records, LogStatus status);
   std::uint32_t& next_step(const std::string& job, std::uint32_t item);
   void handle_append(const AppendOutcome& outcome);
   void retry_later();
-  void become_fenced();
+  void end(OwnershipEnd reason);
   void apply_job_record(const KeyedRecord& record);
-  ProducerPosition position() const;
 
   const Knobs& knobs_;
   PartitionedLog& log_;
@@ -123,15 +151,16 @@
   int failures_ = 0;
   std::string last_page_key_;
   std::vector<KeyedRecord> loaded_results_;
-  std::uint64_t sequence_ = 0;
+  std::uint64_t sequence_ = 0;  ///< Of the next append, or of the one that is unconfirmed.
+  int calls_ = 0;               ///< Calls so far with `sequence_`.
+  TimePoint first_call_{};      ///< With `sequence_`.
   bool unverified_ = false;
   bool reads_ended_ = false;
-  bool append_unconfirmed_ = false;  ///< An append with `sequence_` was sent and is unconfirmed.
   std::deque<PendingWrite> queue_;
   std::map<std::pair<std::string, std::uint32_t>, std::uint32_t>
-      checkpoint_steps_;               ///< Next step number, by job and item.
-  std::vector<PendingWrite> writing_;  ///< Writes in the current append, which may be a retry.
-  std::vector<KeyedRecord> write_records_;
+      checkpoint_steps_;                    ///< Next step number, by job and item.
+  std::vector<PendingWrite> writing_;       ///< Writes in the current append, which may be a retry.
+  std::vector<KeyedRecord> write_records_;  ///< Records of the current append.
 };
 
 }  // namespace dockpoint
--- a/include/dockpoint/log/partitioned_log.hpp
+++ b/include/dockpoint/log/partitioned_log.hpp
@@ -118,7 +118,8 @@
 
   virtual const LogLimits& limits() const = 0;
 
-  /// Appends all records or none. Without records, it only raises the epoch of `position`.
+  /// Appends all records or none. Without records, it only raises the epoch of `position` and takes
+  /// no sequence number.
   virtual void append(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
                       const std::optional<ProducerPosition>& position,
                       std::function<void(AppendOutcome)> done) = 0;
--- a/src/batch/partition_owner.cpp
+++ b/src/batch/partition_owner.cpp
@@ -9,6 +9,18 @@
 /// All owners share one producer name, so that a higher epoch fences the owners before it.
 constexpr const char* kProducer = "owner";
 
+/// @return a record that changes nothing, for an append that has nothing else to write.
+KeyedRecord marker_record() {
+  return {"marker", {}, 0};
+}
+
+/// @return a sequence number above all that this process has used in the epoch so far, in case it
+/// owned the partition in this epoch before: one for each microsecond.
+std::uint64_t first_sequence(TimePoint now) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count());
+}
+
 }  // namespace
 
 PartitionOwner::PartitionOwner(const Knobs& knobs, PartitionedLog& log, const BatchTopics& topics,
@@ -47,34 +59,60 @@
   }
 }
 
-ProducerPosition PartitionOwner::position() const {
-  return {kProducer, epoch_, sequence_};
-}
-
-void PartitionOwner::raise_epoch() {
+void PartitionOwner::append(const std::vector<KeyedRecord>& records,
+                            void (PartitionOwner::*handle)(const AppendOutcome&)) {
+  if (calls_++ == 0) {
+    first_call_ = now_;
+  }
   calling_ = true;
-  log_.append({topics_.results, partition_}, {}, position(),
-              [this, life = life_](const AppendOutcome& outcome) {
-                if (!life->alive) {
-                  return;
-                }
-                calling_ = false;
-                if (outcome.status == LogStatus::kFenced) {
-                  become_fenced();
-                } else if (outcome.status == LogStatus::kOk) {
-                  failures_ = 0;
-                  ++sequence_;
-                  step_ = Step::kLoadingResults;
-                  load_results();
-                } else if (outcome.status == LogStatus::kOutOfSequence) {
-                  sequence_ = outcome.due_sequence;
-                  retry_later();
-                } else {
-                  retry_later();
+  log_.append({topics_.results, partition_}, records,
+              ProducerPosition{kProducer, epoch_, sequence_},
+              [this, life = life_, handle](const AppendOutcome& outcome) {
+                if (life->alive) {
+                  calling_ = false;
+                  (this->*handle)(outcome);
                 }
               });
 }
 
+void PartitionOwner::report_settled(std::size_t records, LogStatus status) {
+  if (calls_ > 1) {
+    observer_.on_append_settled(partition_,
+                                {sequence_, records, calls_, now_ - first_call_, status});
+  }
+}
+
+void PartitionOwner::raise_epoch() {
+  if (sequence_ == 0) {
+    sequence_ = first_sequence(now_);
+  }
+  append({marker_record()}, &PartitionOwner::handle_raise);
+}
+
+void PartitionOwner::handle_raise(const AppendOutcome& outcome) {
+  switch (outcome.status) {
+    case LogStatus::kFenced:
+      end(OwnershipEnd::kFenced);
+      return;
+    case LogStatus::kOk:
+      report_settled(1, outcome.status);
+      failures_ = 0;
+      calls_ = 0;
+      ++sequence_;
+      step_ = Step::kLoadingResults;
+      load_results();
+      return;
+    case LogStatus::kOutOfSequence:
+      // This node owned the partition in this epoch before. Its calls with the expected number can
+      // no longer be applied once the marker has taken it.
+      sequence_ = outcome.due_sequence;
+      retry_later();
+      return;
+    default:
+      retry_later();
+  }
+}
+
 void PartitionOwner::load_results() {
   calling_ = true;
   log_.newest({topics_.results, partition_}, last_page_key_,
@@ -202,41 +240,37 @@
 }
 
 void PartitionOwner::write_queue() {
-  // The log performs only the first append that it receives with a sequence number, and returns the
-  // same answer to all later ones. A retry must therefore carry the same records: results added to
-  // the retry of an empty append would be confirmed but never written.
-  if (!append_unconfirmed_) {
+  if (calls_ == 0) {
     fill_append();
+    if (write_records_.empty() && unverified_) {
+      write_records_.push_back(marker_record());
+    }
   }
-  if (writing_.empty() && !unverified_) {
-    return;
+  if (!write_records_.empty()) {
+    append(write_records_, &PartitionOwner::handle_append);
   }
-  append_unconfirmed_ = true;
-  calling_ = true;
-  log_.append({topics_.results, partition_}, write_records_, position(),
-              [this, life = life_](const AppendOutcome& outcome) {
-                if (life->alive) {
-                  calling_ = false;
-                  handle_append(outcome);
-                }
-              });
 }
 
 void PartitionOwner::handle_append(const AppendOutcome& outcome) {
-  if (outcome.status == LogStatus::kFenced) {
-    become_fenced();
-    return;
-  }
-  if (outcome.status != LogStatus::kOk) {
-    if (outcome.status == LogStatus::kOutOfSequence) {
-      sequence_ = outcome.due_sequence;
-    }
-    retry_later();
-    return;
+  switch (outcome.status) {
+    case LogStatus::kFenced:
+      report_settled(write_records_.size(), outcome.status);
+      end(OwnershipEnd::kFenced);
+      return;
+    case LogStatus::kOutOfSequence:
+      report_settled(write_records_.size(), outcome.status);
+      end(OwnershipEnd::kOutOfSequence);
+      return;
+    case LogStatus::kOk:
+      report_settled(write_records_.size(), outcome.status);
+      break;
+    default:
+      retry_later();
+      return;
   }
   failures_ = 0;
+  calls_ = 0;
   ++sequence_;
-  append_unconfirmed_ = false;
   unverified_ = false;
   write_records_.clear();
   const std::vector<PendingWrite> written = std::move(writing_);
@@ -269,9 +303,9 @@
   retry_at_ = now_ + Duration(jitter(random_));
 }
 
-void PartitionOwner::become_fenced() {
+void PartitionOwner::end(OwnershipEnd reason) {
   step_ = Step::kFenced;
-  observer_.on_partition_fenced(partition_);
+  observer_.on_partition_fenced(partition_, reason);
 }
 
 }  // namespace dockpoint
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -36,6 +36,17 @@
   return fmt::format("{}#{:x}", name.control_address, name.run);
 }
 
+const char* settled_name(LogStatus status) {
+  switch (status) {
+    case LogStatus::kOk:
+      return "written";
+    case LogStatus::kFenced:
+      return "fenced";
+    default:
+      return "out_of_sequence";
+  }
+}
+
 /// @return the results of `job` from `position` on that fit into one response.
 ResultPage page_of(const LedgerJob& job, std::uint64_t position) {
   ResultPage page{&job, static_cast<std::size_t>(position), 0};
@@ -320,8 +331,22 @@
   serve_waiters(job);
 }
 
-void BatchService::on_partition_fenced(int partition) {
-  spdlog::warn("batch: partition fenced by a newer owner partition={}", partition);
+void BatchService::on_append_settled(int partition, const SettledAppend& append) {
+  const char* outcome = settled_name(append.status);
+  context_.metrics.count_settled_append(outcome);
+  spdlog::info(
+      "batch: append in doubt settled partition={} sequence={} records={} calls={} inDoubtMs={} "
+      "outcome={}",
+      partition, append.sequence, append.records, append.calls, to_ms(append.in_doubt), outcome);
+}
+
+void BatchService::on_partition_fenced(int partition, OwnershipEnd reason) {
+  if (reason == OwnershipEnd::kFenced) {
+    spdlog::warn("batch: partition fenced by a newer owner partition={}", partition);
+  } else {
+    spdlog::error("batch: partition given up partition={} why=\"append out of sequence\"",
+                  partition);
+  }
   fenced_.push_back(partition);
 }
 
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -77,7 +77,8 @@
   void on_job(int partition, const std::string& job) override;
   void on_job_ended(int partition, const std::string& job) override;
   void on_results(int partition, const std::string& job) override;
-  void on_partition_fenced(int partition) override;
+  void on_append_settled(int partition, const SettledAppend& append) override;
+  void on_partition_fenced(int partition, OwnershipEnd reason) override;
   void on_acquired(int partition, std::uint64_t epoch) override;
   void on_revoked(int partition) override;
   void on_ownership_uncertain(int partition) override;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -93,6 +93,10 @@
                      .Name("dockpoint_gateway_log_calls_total")
                      .Help("Calls to the log by kind and outcome.")
                      .Register(registry_)),
+      settled_appends_(prometheus::BuildCounter()
+                           .Name("dockpoint_gateway_settled_appends_total")
+                           .Help("Appends of results that were in doubt, by outcome.")
+                           .Register(registry_)),
       configuration_version_(make_gauge(registry_, "dockpoint_gateway_configuration_version",
                                         "Version of the routes in force.")),
       configuration_age_(make_gauge(registry_, "dockpoint_gateway_configuration_age_seconds",
@@ -229,6 +233,10 @@
   log_calls_.Add({{"call", call}, {"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::count_settled_append(const std::string& outcome) {
+  settled_appends_.Add({{"outcome", outcome}}).Increment();
+}
+
 void GatewayMetrics::set_configuration_version(std::uint64_t version) {
   configuration_version_.Set(static_cast<double>(version));
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -53,6 +53,9 @@
   void count_suspect_cleared();
   void count_item(const std::string& outcome);
   void count_log_call(const std::string& call, const std::string& outcome);
+  /// Counts an append of results that was sent several times because answers were missing.
+  /// @param outcome `written`, `fenced` or `out_of_sequence`.
+  void count_settled_append(const std::string& outcome);
   void set_configuration_version(std::uint64_t version);
   /// Sets the time since the log last confirmed the configuration and the replica records.
   void set_fleet_age(Duration configuration, Duration replicas);
@@ -90,6 +93,7 @@
   prometheus::Counter& suspensions_;
   prometheus::Family<prometheus::Counter>& items_;
   prometheus::Family<prometheus::Counter>& log_calls_;
+  prometheus::Family<prometheus::Counter>& settled_appends_;
   prometheus::Gauge& configuration_version_;
   prometheus::Gauge& configuration_age_;
   prometheus::Gauge& replicas_age_;
--- a/tests/batch/partition_owner_test.cpp
+++ b/tests/batch/partition_owner_test.cpp
@@ -55,7 +55,7 @@
   void on_job(int /*partition*/, const std::string& /*job*/) override {}
   void on_job_ended(int /*partition*/, const std::string& /*job*/) override {}
   void on_results(int /*partition*/, const std::string& /*job*/) override {}
-  void on_partition_fenced(int /*partition*/) override {}
+  void on_partition_fenced(int /*partition*/, OwnershipEnd /*reason*/) override {}
 };
 
 }  // namespace
--- a/tests/batch/partition_ownership_test.cpp
+++ b/tests/batch/partition_ownership_test.cpp
@@ -165,7 +165,9 @@
   void on_job(int, const std::string&) override {}
   void on_job_ended(int, const std::string&) override {}
   void on_results(int, const std::string&) override {}
-  void on_partition_fenced(int partition) override { fenced_.push_back(partition); }
+  void on_partition_fenced(int partition, OwnershipEnd /*reason*/) override {
+    fenced_.push_back(partition);
+  }
   void on_acquired(int partition, std::uint64_t epoch) override {
     owners_[partition] =
         std::make_unique<PartitionOwner>(knobs_, log_, kTopics, partition, epoch, epoch,
--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -73,6 +73,7 @@
   metrics.count_rate_limited("clinic", "node_share");
   metrics.count_caller_refused("unknown_key");
   metrics.count_log_call("read", "ok");
+  metrics.count_settled_append("written");
   std::set<std::string> served;
   std::istringstream lines(metrics.text());
   const std::string type = "# TYPE ";
@@ -85,7 +86,7 @@
   for (const std::string& cell : first_cells(read_page("PLATFORM.md"), "dockpoint_gateway_")) {
     listed.insert(cell.substr(0, cell.find('{')));
   }
-  BOOST_TEST(served.size() == 26U);
+  BOOST_TEST(served.size() == 27U);
   BOOST_TEST((served == listed));
 }
 
