Items of batch jobs are never held: they are owed, whatever crashed under them

Callers saw accepted items that were never run again after bursts of crashes (LOST), though replicas were idle. The quarantine took items, and the prompt parts that a job's items share, for the cause of crashes at which they were only present, and after a few trials held them for ten minutes. An item that is handed in for later is never the cause.

Items are no suspects any more, and their runs neither accuse nor clear a prompt part. Gone are their trials, excuses, conclusive and shared crashes and the check before each start. The time of a crash under an item still counts when parts are judged. Evidence against items from earlier builds is dropped. Online requests and parts are judged as before.

--- a/include/dockpoint/admission/crash_evidence.hpp
+++ b/include/dockpoint/admission/crash_evidence.hpp
@@ -12,12 +12,11 @@
 /// Messages in which nodes exchange evidence of requests that crash replicas.
 namespace dockpoint {
 
-/// A replica that ended while it ran a request.
+/// A replica that ended while it ran an online request.
 struct CrashEvidence {
   RequestFingerprint request;    ///< The suspect: a whole request, or a part of its prompt.
   std::uint64_t replica = 0;     ///< Hash of the id of the replica incarnation that ended.
   TimePoint ended_at{};          ///< On the local clock of the node that stores it.
-  bool batch = false;            ///< The request is an item of a batch job.
   bool prompt_part = false;      ///< The suspect is a part of a prompt.
   bool ran_well_before = false;  ///< The node that saw the crash knew of a good run of the suspect.
 };
--- a/include/dockpoint/admission/request_quarantine.hpp
+++ b/include/dockpoint/admission/request_quarantine.hpp
@@ -9,8 +9,12 @@
 #include "dockpoint/admission/crash_evidence.hpp"
 #include "dockpoint/core/knobs.hpp"
 
-/// Quarantines what crashes replicas: requests (queries of death), and parts of prompts that other
-/// requests share. Both are suspects in one table.
+/// Quarantines what crashes replicas: online requests (queries of death), and parts of prompts that
+/// other requests share. Both are suspects in one table.
+///
+/// Batch items are never suspects: an item that is accepted is owed, whatever crashed while it ran.
+/// Their runs neither accuse nor clear a prompt part. Of a crash under an item only its time
+/// counts.
 ///
 /// A suspect is quarantined once enough replicas, anywhere in the fleet, have ended while running
 /// it. A single end proves little, since everything else that ran there is equally suspect; a
@@ -27,11 +31,8 @@
 ///
 /// Attribution: see crash_attribution.hpp.
 ///
-/// Trials: a crash says little about an item if other replicas crashed at the same moment, or if
-/// other suspected items ran there. An item with too few other crashes is quarantined, but soon run
-/// again by the node that owns it. If the replica survives, the item is cleared at all nodes; if it
-/// crashes, the item waits longer for its next trial. The number of trials is bounded; it follows
-/// from the number of crashes, so all nodes agree on it.
+/// Trials: a part with few crashes, or that was always beside another quarantined part, may be
+/// innocent and is tried again, see part_trials.hpp.
 ///
 /// Evidence expires, so that a request is tried again once the replicas may have been fixed; until
 /// the rest of its evidence has expired, one more crash quarantines it again. The evidence of all
@@ -52,7 +53,7 @@
   int crashes = 0;
   Duration since_last_crash{};
   Duration retry_after{};  ///< Until the quarantine ends without new evidence.
-  bool trial_due = false;  ///< May be run now, to see if its replica survives.
+  bool trial_due = false;  ///< A prompt part that may be tried, to see if the replica survives.
 };
 
 /// See the file comment. Not thread-safe.
@@ -62,6 +63,9 @@
 
   /// Merges a crash reported by this or another node.
   EvidenceEffect take(const CrashEvidence& evidence, TimePoint now);
+  /// Records a crash that accuses nobody.
+  /// @param replica hash of the id of the replica incarnation.
+  void note_crash(std::uint64_t replica, TimePoint ended_at);
   /// Merges a clearance of a suspect.
   /// @return whether the clearance was new; for one by a good run, whether it voided evidence.
   bool take(const RequestClearance& clearance, TimePoint now);
@@ -104,14 +108,9 @@
                                                   const std::vector<TimePoint>& times) const;
   /// @return whether replicas that did not run the part crashed from shortly before `from` to `to`.
   bool crashes_without(const Entry& part, TimePoint from, TimePoint to) const;
-  /// @return whether no other replica crashed at about the same time.
-  bool is_isolated(std::uint64_t replica, TimePoint ended_at) const;
-  /// @return whether a quarantined item or prompt part may be innocent.
-  /// @param crashes the result of `attributed_crash_times`.
-  bool is_doubtful(const Entry& entry, const std::vector<TimePoint>& crashes) const;
-  /// @return whether a trial of a quarantined item is due.
+  /// @return whether a trial of a quarantined prompt part that may be innocent is due.
   /// @param crashes the result of `attributed_crash_times`.
-  bool trial_due(const Entry& entry, const std::vector<TimePoint>& crashes, TimePoint now) const;
+  bool trial_due(const Entry& part, const std::vector<TimePoint>& crashes, TimePoint now) const;
   /// Evicts the request with the fewest crashes (counted up to the quarantine limit); among equals
   /// the one whose most recent event is oldest.
   void evict_one();
--- a/include/dockpoint/admission/run_suspects.hpp
+++ b/include/dockpoint/admission/run_suspects.hpp
@@ -8,11 +8,10 @@
 
 namespace dockpoint {
 
-/// What may be to blame if a replica crashes while it runs a request.
+/// What may be to blame if a replica crashes while it runs an online request.
 struct RunSuspects {
   RequestFingerprint content;               ///< The whole request.
   std::vector<RequestFingerprint> parts{};  ///< Parts of its prompt that other requests share.
-  bool batch = false;                       ///< The request is an item of a batch job.
 };
 
 /// Identifies a prompt part for the replicas of one service: other services hold other weights. The
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -257,8 +257,6 @@
   Duration item_silence = 3s;
   /// Pause of an item whose route is unknown.
   Duration item_route_wait = 1s;
-  /// Interval between checks of an item that crashes replicas.
-  Duration item_quarantine_wait = 1s;
   /// How long a job is offered to the log.
   Duration submission_wait = 2500ms;
   /// Time without an answer of the log after which a job is forwarded; the objectives for accepting
@@ -308,19 +306,18 @@
   /// Maximum wait that a caller is given for room under the limit.
   Duration quota_retry_latest = 10s;
 
-  // Requests that crash replicas.
+  // Online requests that crash replicas.
   /// Replicas that crashed under a request before it is quarantined.
   std::size_t crash_limit = 3;
-  /// If true, crashes attributed to quarantined online requests do not count against items.
+  /// If true, crashes that another suspect explains do not count against a prompt part.
   bool crash_attribution = true;
   /// How long a crash counts.
   Duration crash_memory = 10min;
   /// Crashes of different replicas within this time are taken for one event with a common cause.
   Duration crash_coincidence = 250ms;
-  /// Trials of a quarantined batch item or prompt part whose guilt is doubtful.
+  /// Trials of a quarantined prompt part whose guilt is doubtful.
   std::size_t crash_trials = 3;
-  /// Time from the last crash of such a suspect to its first trial; four times as long for the
-  /// next.
+  /// Time from the last crash of such a part to its first trial; four times as long for the next.
   Duration crash_trial_wait = 2s;
   /// Time for which a prompt part that ran well before, and then was present at as many crashes as
   /// the limit, may be cleared by other nodes before it is quarantined.
--- a/src/admission/crash_attribution.cpp
+++ b/src/admission/crash_attribution.cpp
@@ -14,19 +14,15 @@
   }
 }
 
-/// Adds the crashes of a suspect that are among `causes` to `marked`.
-void mark_common(const Suspect& suspect, const Crashes& causes, Crashes& marked) {
+/// Marks the crashes of a suspect that are among `causes` as explained.
+void excuse(Suspect& suspect, const Crashes& causes) {
   for (const auto& [replica, ended_at] : suspect.crashes) {
     if (causes.contains(replica)) {
-      marked.insert(replica);
+      suspect.explained.insert(replica);
     }
   }
 }
 
-void excuse(Suspect& suspect, const Crashes& causes) {
-  mark_common(suspect, causes, suspect.explained);
-}
-
 void count_crashes(const Suspect& suspect, std::map<std::uint64_t, int>& suspects_at_crash) {
   for (const auto& [replica, ended_at] : suspect.crashes) {
     ++suspects_at_crash[replica];
@@ -79,14 +75,9 @@
   if (!knobs.crash_attribution) {
     return;
   }
-  Crashes of_requests;
   std::vector<Crashes> of_each_request;
-  std::map<std::uint64_t, int> items_at_crash;
   for (const Suspect* suspect : candidates) {
-    if (suspect->batch) {
-      count_crashes(*suspect, items_at_crash);
-    } else if (!suspect->prompt_part) {
-      add_crashes(*suspect, of_requests);
+    if (!suspect->prompt_part) {
       of_each_request.emplace_back();
       add_crashes(*suspect, of_each_request.back());
     }
@@ -103,21 +94,13 @@
     }
   }
   for (Suspect* suspect : candidates) {
-    if (suspect->prompt_part && suspect->ran_well_before) {
-      excuse(*suspect, of_parts);
+    if (!suspect->prompt_part) {
+      continue;
     }
-    // With more crashes, an item is quarantined, and its trials decide.
-    if (suspect->batch && suspect->crashes.size() <= knobs.crash_limit) {
-      excuse(*suspect, of_requests);
+    if (suspect->ran_well_before) {
       excuse(*suspect, of_parts);
     }
-    if (suspect->batch) {
-      mark_shared(*suspect, items_at_crash);
-      mark_common(*suspect, of_requests, suspect->shared);
-      mark_common(*suspect, of_parts, suspect->shared);
-    } else if (suspect->prompt_part) {
-      mark_shared(*suspect, parts_at_crash);
-    }
+    mark_shared(*suspect, parts_at_crash);
   }
 }
 
--- a/src/admission/crash_evidence.cpp
+++ b/src/admission/crash_evidence.cpp
@@ -16,7 +16,7 @@
   std::uint64_t low = 0;
   std::uint64_t replica = 0;
   std::int64_t age_ms = 0;
-  bool batch = false;
+  bool batch = false;  ///< Of a batch item; sent by builds that suspected items, never by this one.
   bool prompt_part = false;
   bool ran_well_before = false;
   DOCKPOINT_FIELDS(high, low, replica, age_ms, batch, prompt_part, ran_well_before)
@@ -48,7 +48,7 @@
   CrashReportWire wire;
   for (const CrashEvidence& evidence : report.evidence) {
     wire.evidence.push_back({evidence.request.high, evidence.request.low, evidence.replica,
-                             to_ms(now - evidence.ended_at), evidence.batch, evidence.prompt_part,
+                             to_ms(now - evidence.ended_at), false, evidence.prompt_part,
                              evidence.ran_well_before});
   }
   for (const RequestClearance& clearance : report.clearances) {
@@ -73,10 +73,12 @@
   }
   CrashReport report;
   for (const EvidenceWire& evidence : wire->evidence) {
+    if (evidence.batch) {
+      continue;  // An item is never the cause.
+    }
     report.evidence.push_back({{evidence.high, evidence.low},
                                evidence.replica,
                                time_from_age(evidence.age_ms, now),
-                               evidence.batch,
                                evidence.prompt_part,
                                evidence.ran_well_before});
   }
--- a/src/admission/request_quarantine.cpp
+++ b/src/admission/request_quarantine.cpp
@@ -37,8 +37,7 @@
     return EvidenceEffect::kKnown;
   }
   const bool before = is_quarantined(entry, now);
-  replica_crashes_.try_emplace(evidence.replica, evidence.ended_at);
-  entry.batch = evidence.batch;
+  note_crash(evidence.replica, evidence.ended_at);
   entry.prompt_part = entry.prompt_part || evidence.prompt_part;
   entry.ran_well_before = entry.ran_well_before || evidence.ran_well_before;
   entry.crashes[evidence.replica] = evidence.ended_at;
@@ -53,6 +52,10 @@
                                                : EvidenceEffect::kCounted;
 }
 
+void RequestQuarantine::note_crash(std::uint64_t replica, TimePoint ended_at) {
+  replica_crashes_.try_emplace(replica, ended_at);
+}
+
 bool RequestQuarantine::take(const RequestClearance& clearance, TimePoint now) {
   const auto found = entries_.find(clearance.request);
   // Clearances by runs follow each other closely, and each one counts to the moment.
@@ -115,40 +118,11 @@
   return verdicts.front();
 }
 
-bool RequestQuarantine::is_isolated(std::uint64_t replica, TimePoint ended_at) const {
-  return std::none_of(replica_crashes_.begin(), replica_crashes_.end(), [&](const auto& other) {
-    const Duration apart = other.second - ended_at;
-    return other.first != replica && std::chrono::abs(apart) <= knobs_.crash_coincidence;
-  });
-}
-
-bool RequestQuarantine::is_doubtful(const Entry& entry,
-                                    const std::vector<TimePoint>& crashes) const {
-  if (entry.prompt_part) {
-    return crashes.size() < knobs_.crash_limit + kConclusiveExtraCrashes ||
-           entry.shared.size() == entry.crashes.size();
-  }
-  const auto conclusive = static_cast<std::size_t>(
-      std::count_if(entry.crashes.begin(), entry.crashes.end(), [&](const auto& crash) {
-        return !entry.shared.contains(crash.first) && is_isolated(crash.first, crash.second);
-      }));
-  return conclusive + 1 < knobs_.crash_limit;
-}
-
-bool RequestQuarantine::trial_due(const Entry& entry, const std::vector<TimePoint>& crashes,
+bool RequestQuarantine::trial_due(const Entry& part, const std::vector<TimePoint>& crashes,
                                   TimePoint now) const {
-  if (entry.prompt_part) {
-    return is_doubtful(entry, crashes) && now - crashes.front() >= knobs_.crash_trial_wait;
-  }
-  const std::size_t trials = entry.crashes.size() - knobs_.crash_limit;
-  if (!entry.batch || trials >= knobs_.crash_trials || !is_doubtful(entry, crashes)) {
-    return false;
-  }
-  Duration wait = knobs_.crash_trial_wait;
-  for (std::size_t trial = 0; trial < trials; ++trial) {
-    wait *= kWaitFactor;
-  }
-  return now - crashes.front() >= wait;
+  const bool conclusive = crashes.size() >= knobs_.crash_limit + kConclusiveExtraCrashes &&
+                          part.shared.size() < part.crashes.size();
+  return part.prompt_part && !conclusive && now - crashes.front() >= knobs_.crash_trial_wait;
 }
 
 bool RequestQuarantine::accused(const RequestFingerprint& suspect) const {
@@ -168,8 +142,8 @@
     return report;
   }
   for (const auto& [replica, ended_at] : found->second.crashes) {
-    report.evidence.push_back({request, replica, ended_at, found->second.batch,
-                               found->second.prompt_part, found->second.ran_well_before});
+    report.evidence.push_back(
+        {request, replica, ended_at, found->second.prompt_part, found->second.ran_well_before});
   }
   if (found->second.cleared_at) {
     report.clearances.push_back({request, *found->second.cleared_at, found->second.cleared_by_run});
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -7,7 +7,6 @@
 
 #include "dockpoint/batch/partial_output.hpp"
 #include "dockpoint/core/hash.hpp"
-#include "gateway/crash_watch.hpp"
 #include "gateway/item_run.hpp"
 #include "net/clock.hpp"
 
@@ -288,10 +287,6 @@
     return true;
   }
   const BatchItem& item = job->job.items[ref.item];
-  if (quarantined(*job, item, ref, now)) {
-    retry(ref, context_.knobs.item_quarantine_wait, now);
-    return true;
-  }
   const RouteConfig* route = route_of(*job, item);
   if (route == nullptr || route->services.empty()) {
     retry(ref, context_.knobs.item_route_wait, now);
@@ -308,14 +303,6 @@
   if (choice.replica == nullptr) {
     return false;
   }
-  if (kept.part_on_trial) {
-    context_.crash_watch->begin_trial(*kept.part_on_trial, now);
-  }
-  if (kept.on_trial || kept.part_on_trial) {
-    context_.metrics.count_item("trial");
-    spdlog::info("batch: quarantined item on trial job={} item={} replica={}", ref.job, item.id,
-                 choice.replica->record.id);
-  }
   const net::RequestHead head = context_.protocol.item_request(
       job->job, item,
       {choice.replica->record.registered_name(), kItemDeadline, kept.produced.last_event});
@@ -361,95 +348,17 @@
 
 ReplicaChoice BatchExecutor::choose_replica(ReplicaQuery query, const ItemProgress& kept,
                                             TimePoint now) {
-  const std::set<std::string> tried =
-      kept.on_trial || kept.part_on_trial ? replicas_of_trials() : std::set<std::string>{};
-  query.excluded = tried;
   if (!kept.last_replica.empty()) {
     query.excluded.insert(kept.last_replica);
   }
   const ReplicaChoice choice = context_.selector.choose(query, now);
-  if (choice.replica != nullptr || query.excluded == tried) {
+  if (choice.replica != nullptr || query.excluded.empty()) {
     return choice;
   }
-  query.excluded = tried;  // Only the replica of the last interrupted run is available.
+  query.excluded.clear();  // Only the replica of the last interrupted run is available.
   return context_.selector.choose(query, now);
 }
 
-std::set<std::string> BatchExecutor::replicas_of_trials() const {
-  std::set<std::string> replicas;
-  for (const auto& run : runs_) {
-    const auto kept = progress_.find(run->ref());
-    const bool on_trial =
-        kept != progress_.end() && (kept->second.on_trial || kept->second.part_on_trial);
-    if (on_trial) {
-      replicas.insert(run->replica());
-    }
-  }
-  return replicas;
-}
-
-void BatchExecutor::replica_survived(const ItemRef& ref) {
-  const std::optional<RunSuspects> run = suspects(ref);
-  if (context_.crash_watch == nullptr || !run) {
-    return;
-  }
-  context_.crash_watch->parts_ran_well(run->parts);
-  if (std::exchange(progress_[ref].on_trial, false)) {
-    context_.metrics.count_item("acquitted");
-    context_.crash_watch->trial_survived(run->content);
-  }
-}
-
-bool BatchExecutor::quarantined(const LedgerJob& job, const BatchItem& item, const ItemRef& ref,
-                                TimePoint now) {
-  ItemProgress& kept = progress_[ref];
-  kept.on_trial = false;
-  kept.part_on_trial.reset();
-  if (context_.crash_watch == nullptr || !context_.crash_watch->may_hold()) {
-    return false;
-  }
-  const RunSuspects run = suspects_of_item(job, item);
-  const auto request = context_.crash_watch->check(run.content, now);
-  const auto part = context_.crash_watch->check_parts_of_item(run.parts, now);
-  const bool request_held = request && !request->trial_due;
-  const bool held = request_held || (part && !part->trial_due);
-  if (!held) {
-    kept.on_trial = request.has_value();
-    kept.part_on_trial = part;
-  }
-  if (held && !kept.quarantined) {
-    const QuarantineVerdict& verdict = request_held ? *request : *part;
-    context_.metrics.count_quarantined("batch");
-    spdlog::info("batch: item quarantined job={} item={} content={} ends={} lastEndMs={} forMs={}",
-                 ref.job, item.id, verdict.suspect.hex(), verdict.crashes,
-                 to_ms(verdict.since_last_crash), to_ms(verdict.retry_after));
-  }
-  kept.quarantined = held;
-  return held;
-}
-
-std::optional<RunSuspects> BatchExecutor::suspects(const ItemRef& ref) const {
-  const LedgerJob* job = job_of(ref);
-  if (job == nullptr) {
-    return std::nullopt;
-  }
-  return suspects_of_item(*job, job->job.items[ref.item]);
-}
-
-RunSuspects BatchExecutor::suspects_of_item(const LedgerJob& job, const BatchItem& item) const {
-  const RequestFingerprint content =
-      fingerprint_of({"POST", job.job.host, item.path, job.job.tenant, item.body});
-  const RouteConfig* route = route_of(job, item);
-  if (route == nullptr || route->services.empty()) {
-    return {content, {}, true};
-  }
-  std::vector<std::uint64_t> ids;
-  for (const PromptPart& part : context_.protocol.read_item(item).prompt) {
-    ids.push_back(part.id);
-  }
-  return {content, shared_parts(route->services.front().service, ids), true};
-}
-
 void BatchExecutor::give_up_expired() {
   const std::int64_t now_ms = net::unix_now_ms();
   std::vector<ItemRef> expired;
--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -6,8 +6,6 @@
 #include <string>
 #include <tuple>
 
-#include "dockpoint/admission/request_quarantine.hpp"
-#include "dockpoint/admission/run_suspects.hpp"
 #include "dockpoint/batch/batch_share.hpp"
 #include "dockpoint/batch/due_time.hpp"
 #include "dockpoint/batch/partition_owner.hpp"
@@ -37,10 +35,6 @@
   bool restarted = false;    ///< The checkpoint in the log is obsolete.
   int interruptions = 0;     ///< Consecutive; determine the retry backoff.
   std::string last_replica;  ///< Replica of the last interrupted or failed run.
-  bool quarantined = false;  ///< Crashes replicas; waits for the quarantine to end.
-  bool on_trial = false;     ///< Quarantined, and run to see whether it crashes its replica.
-  /// A quarantined part of its prompt, which it is run to try.
-  std::optional<QuarantineVerdict> part_on_trial;
   /// Since when only replicas that cannot resume the output could run the item.
   std::optional<TimePoint> waiting_for_origin_since;
 
@@ -55,7 +49,8 @@
 /// number of concurrent items of this node. A node that has just started waits until it can know
 /// the load of the other nodes. A run that is interrupted, or preempted by online requests, resumes
 /// after its last event at any replica of the same software version with a free slot; see
-/// partial_output.hpp for when it starts again instead.
+/// partial_output.hpp for when it starts again instead. An item is owed until its result is listed:
+/// whatever happens to its replicas, it runs again after a short pause, on one replica at a time.
 ///
 /// Single-threaded; borrows the context. Partition owners are registered while they are active.
 class BatchExecutor {
@@ -106,17 +101,8 @@
   void start_waiting(TimePoint now, const BatchShare& share);
   /// Preempts runs that are not urgent if online requests need their slots.
   void preempt_excess_runs(const BatchShare& share);
-  /// @return the replica for an item, if possible not that of its last interrupted run. An item on
-  /// trial shares no replica with another one: if the replica crashed, both would seem guilty.
+  /// @return the replica for an item, if possible not that of its last interrupted run.
   ReplicaChoice choose_replica(ReplicaQuery query, const ItemProgress& kept, TimePoint now);
-  std::set<std::string> replicas_of_trials() const;
-  /// Clears an item whose run ended without a crash of its replica, and the parts of its prompt.
-  void replica_survived(const ItemRef& ref);
-  /// @return whether the item must not run now because it crashes replicas.
-  bool quarantined(const LedgerJob& job, const BatchItem& item, const ItemRef& ref, TimePoint now);
-  /// @return what may be to blame if an item's replica crashes, or nothing if the item is unknown.
-  std::optional<RunSuspects> suspects(const ItemRef& ref) const;
-  RunSuspects suspects_of_item(const LedgerJob& job, const BatchItem& item) const;
   /// Sets the software version that the item's kept output requires, or discards the output if it
   /// cannot or should not be resumed.
   /// @return whether the item may be sent now.
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -47,11 +47,11 @@
   life_->alive = false;
 }
 
-void CrashWatch::run_broken(const RunSuspects& run, const std::string& replica) {
+void CrashWatch::run_broken(const std::optional<RunSuspects>& run, const std::string& replica) {
   const Replica* known = context_.replicas.find(replica);
   if (known == nullptr || known->record.draining) {
     spdlog::info("quarantine: crash not counted content={} replica={} why=\"{}\"",
-                 run.content.hex(), replica,
+                 run ? run->content.hex() : "item", replica,
                  known == nullptr ? "the replica has left" : "the replica drains");
     return;
   }
@@ -96,7 +96,7 @@
                replica, ended, suspicion.runs.size(), suspicion.attempts,
                to_ms(now - suspicion.broken_at));
   if (ended) {
-    for (const RunSuspects& run : suspicion.runs) {
+    for (const std::optional<RunSuspects>& run : suspicion.runs) {
       count_run(run, replica, suspicion.broken_at, now);
     }
   }
@@ -112,18 +112,21 @@
   });
 }
 
-void CrashWatch::replica_ended(const RunSuspects& run, const std::string& replica) {
+void CrashWatch::replica_ended(const std::optional<RunSuspects>& run, const std::string& replica) {
   const TimePoint now = net::steady_now();
   count_run(run, replica, now, now);
 }
 
-void CrashWatch::count_run(const RunSuspects& run, const std::string& replica, TimePoint ended_at,
-                           TimePoint now) {
-  CrashEvidence evidence{run.content, hash64(replica), ended_at, run.batch};
+void CrashWatch::count_run(const std::optional<RunSuspects>& run, const std::string& replica,
+                           TimePoint ended_at, TimePoint now) {
+  if (!run) {
+    quarantine_.note_crash(hash64(replica), ended_at);
+    return;
+  }
+  CrashEvidence evidence{run->content, hash64(replica), ended_at};
   count(evidence, replica, now);
-  evidence.batch = false;
   evidence.prompt_part = true;
-  for (const RequestFingerprint& part : run.parts) {
+  for (const RequestFingerprint& part : run->parts) {
     const std::optional<TimePoint> ran_well = good_runs_.last(part);
     if (ran_well && *ran_well > ended_at) {
       continue;
@@ -179,32 +182,19 @@
 
 std::optional<QuarantineVerdict> CrashWatch::check_parts_or_begin_trial(
     const std::vector<RequestFingerprint>& parts, TimePoint now) {
-  const std::optional<QuarantineVerdict> verdict = check_parts_of_item(parts, now);
-  if (!verdict) {
-    return std::nullopt;
-  }
-  if (!verdict->trial_due || !spread_.runs_trials(verdict->suspect, members_())) {
+  const std::optional<QuarantineVerdict> verdict = quarantine_.check_parts(parts, now);
+  const bool trial_due = verdict && verdict->trial_due &&
+                         trials_.may_begin(verdict->suspect, now) &&
+                         spread_.runs_trials(verdict->suspect, members_());
+  if (!trial_due) {
     return verdict;
   }
-  begin_trial(*verdict, now);
+  trials_.begin(verdict->suspect, now);
+  spdlog::info("quarantine: prompt part on trial content={} ends={}", verdict->suspect.hex(),
+               verdict->crashes);
   return std::nullopt;
 }
 
-std::optional<QuarantineVerdict> CrashWatch::check_parts_of_item(
-    const std::vector<RequestFingerprint>& parts, TimePoint now) const {
-  std::optional<QuarantineVerdict> verdict = quarantine_.check_parts(parts, now);
-  if (verdict) {
-    verdict->trial_due = verdict->trial_due && trials_.may_begin(verdict->suspect, now);
-  }
-  return verdict;
-}
-
-void CrashWatch::begin_trial(const QuarantineVerdict& verdict, TimePoint now) {
-  trials_.begin(verdict.suspect, now);
-  spdlog::info("quarantine: prompt part on trial content={} ends={}", verdict.suspect.hex(),
-               verdict.crashes);
-}
-
 void CrashWatch::count(const CrashEvidence& evidence, const std::string& replica, TimePoint now) {
   switch (quarantine_.take(evidence, now)) {
     case EvidenceEffect::kKnown:
@@ -271,18 +261,10 @@
 }
 
 bool CrashWatch::clear(const RequestFingerprint& request) {
-  return clear(request, "operator");
-}
-
-void CrashWatch::trial_survived(const RequestFingerprint& request) {
-  clear(request, "trial");
-}
-
-bool CrashWatch::clear(const RequestFingerprint& request, const char* source) {
   const TimePoint now = net::steady_now();
   const bool known = !quarantine_.report(request).empty();
   quarantine_.take(RequestClearance{request, now}, now);
-  spdlog::info("quarantine: request cleared content={} source={} known={}", request.hex(), source,
+  spdlog::info("quarantine: request cleared content={} source=operator known={}", request.hex(),
                known);
   spread_.send_to_all(request, now);
   log_.save(request, quarantine_.report(request), now);
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -21,7 +21,8 @@
 
 struct GatewayContext;
 
-/// Detects requests and prompt parts that crash replicas, and quarantines them.
+/// Detects online requests and prompt parts that crash replicas, and quarantines them. Batch items
+/// are never held; see request_quarantine.hpp.
 ///
 /// A broken connection does not prove a crash: the link may have been reset, or this node may have
 /// been paused. The replica is therefore probed, and a crash is counted against the requests that
@@ -41,10 +42,12 @@
              std::uint64_t seed, Members members, Send send);
   ~CrashWatch();
 
-  /// Records that the connection to a replica broke while it ran a request.
-  void run_broken(const RunSuspects& run, const std::string& replica);
-  /// Records that a replica process is known to have ended while it ran a request.
-  void replica_ended(const RunSuspects& run, const std::string& replica);
+  /// Records that the connection to a replica broke during a run.
+  /// @param run what may be to blame; nothing for a batch item.
+  void run_broken(const std::optional<RunSuspects>& run, const std::string& replica);
+  /// Records that a replica process is known to have ended during a run.
+  /// @param run as above.
+  void replica_ended(const std::optional<RunSuspects>& run, const std::string& replica);
   /// Records that a run with these prompt parts ended well, which clears them.
   void parts_ran_well(const std::vector<RequestFingerprint>& parts);
   /// Records that a run of a request ended well, which clears its content.
@@ -59,17 +62,9 @@
   /// the part is due and this node's to run, the request is the trial: nothing is returned.
   std::optional<QuarantineVerdict> check_parts_or_begin_trial(
       const std::vector<RequestFingerprint>& parts, TimePoint now);
-  /// @return the verdict if one of the prompt parts of a batch item is quarantined, or nothing.
-  /// Only the node that owns the item can run it, so it may run a trial that is due.
-  std::optional<QuarantineVerdict> check_parts_of_item(const std::vector<RequestFingerprint>& parts,
-                                                       TimePoint now) const;
-  /// Records that a request with a quarantined prompt part is sent as a trial.
-  void begin_trial(const QuarantineVerdict& verdict, TimePoint now);
   /// Clears a request on behalf of an operator, so that it may be sent to replicas again.
   /// @return whether anything was recorded about the request.
   bool clear(const RequestFingerprint& request);
-  /// Clears a quarantined batch item whose trial ended without a crash, at all nodes.
-  void trial_survived(const RequestFingerprint& request);
   /// @return the evidence and clearances of a request.
   CrashReport known(const RequestFingerprint& request) const { return quarantine_.report(request); }
   /// @return requests that are quarantined or cleared.
@@ -90,18 +85,16 @@
   struct Suspicion {
     Address address;
     TimePoint broken_at{};
-    std::vector<RunSuspects> runs;
+    std::vector<std::optional<RunSuspects>> runs;
     int attempts = 0;
   };
 
   void probe(const std::string& replica);
   void handle_probe_result(const std::string& replica, ProbeResult result);
   void schedule_probe(const std::string& replica);
-  /// @param source who clears the request, for the log.
-  bool clear(const RequestFingerprint& request, const char* source);
   /// Counts a crash against a request and the parts of its prompt.
-  void count_run(const RunSuspects& run, const std::string& replica, TimePoint ended_at,
-                 TimePoint now);
+  void count_run(const std::optional<RunSuspects>& run, const std::string& replica,
+                 TimePoint ended_at, TimePoint now);
   void count(const CrashEvidence& evidence, const std::string& replica, TimePoint now);
   /// Clears a suspect that ran well at a time, and tells the nodes that have evidence against it.
   void clear_by_run(const RequestFingerprint& suspect, TimePoint ran_well_at, TimePoint now);
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -161,7 +161,6 @@
       return;
     }
     context_.metrics.count_item("succeeded");
-    executor_.replica_survived(ref_);
     executor_.remove_run(self);
     executor_.complete(ref_, true, std::move(kept.produced.text));
     return;
@@ -171,7 +170,6 @@
     return;
   }
   kept.last_replica = attempt_.replica();  // The fault may be the replica's: prefer another one.
-  executor_.replica_survived(ref_);
   ++kept.produced.failures;
   context_.metrics.count_item("failed");
   spdlog::info("batch: item failed job={} item={} status={} failures={}/{}", ref_.job, item_id_,
@@ -211,14 +209,13 @@
 }
 
 void ItemRun::report_to_crash_watch(bool replica_ended) {
-  const std::optional<RunSuspects> run = executor_.suspects(ref_);
-  if (!run || context_.crash_watch == nullptr) {
+  if (context_.crash_watch == nullptr) {
     return;
   }
   if (replica_ended) {
-    context_.crash_watch->replica_ended(*run, attempt_.replica());
+    context_.crash_watch->replica_ended(std::nullopt, attempt_.replica());
   } else {
-    context_.crash_watch->run_broken(*run, attempt_.replica());
+    context_.crash_watch->run_broken(std::nullopt, attempt_.replica());
   }
 }
 
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -695,7 +695,7 @@
 }
 
 RunSuspects OnlineCall::suspects() {
-  return {fingerprint(), shared_prompt_parts(), false};
+  return {fingerprint(), shared_prompt_parts()};
 }
 
 void OnlineCall::note_good_run() {
--- a/src/gateway/quarantine_log.cpp
+++ b/src/gateway/quarantine_log.cpp
@@ -23,7 +23,7 @@
   std::uint64_t low = 0;
   std::vector<EndRecord> ends;
   std::int64_t cleared_unix_ms = 0;  ///< 0: never.
-  bool batch = false;                ///< Whether the request is a batch item.
+  bool batch = false;                ///< Of a batch item; written by builds that suspected items.
   bool prompt_part = false;
   bool ran_well_before = false;
   bool cleared_by_run = false;
@@ -61,7 +61,6 @@
   record.low = request.low;
   for (const CrashEvidence& evidence : report.evidence) {
     record.ends.push_back({evidence.replica, unix_ms_of(evidence.ended_at, now)});
-    record.batch = evidence.batch;
     record.prompt_part = evidence.prompt_part;
     record.ran_well_before = evidence.ran_well_before;
   }
@@ -117,13 +116,15 @@
     spdlog::warn("quarantine: unreadable record key={} bytes={}", record.key, record.value.size());
     return;
   }
+  if (read->batch) {
+    return;
+  }
   const TimePoint now = net::steady_now();
   CrashReport report;
   for (const EndRecord& end : read->ends) {
     report.evidence.push_back({{read->high, read->low},
                                end.replica,
                                time_of(end.ended_unix_ms, now),
-                               read->batch,
                                read->prompt_part,
                                read->ran_well_before});
   }
