A checkpoint step larger than a record is written in several, not dropped

Steps now go into as many records as they need, in one append; output too large for an append is reported, and nothing after it is written.

--- a/include/dockpoint/batch/partition_owner.hpp
+++ b/include/dockpoint/batch/partition_owner.hpp
@@ -88,10 +88,12 @@
 
   /// Writes a result. It appears in the ledger once the log has confirmed it.
   void write_result(const std::string& job, ItemResult result);
-  /// Writes the output of an unfinished item since its last checkpoint.
+  /// Writes the output of an unfinished item since its last checkpoint, in one append.
   /// @param restart whether to discard all earlier checkpoints of the item.
-  void write_checkpoint(const std::string& job, std::uint32_t item, const ItemCheckpoint& added,
-                        bool restart);
+  /// @return false if the output is too large for an append: nothing is written, and no later
+  /// output of the item may be written without it.
+  [[nodiscard]] bool write_checkpoint(const std::string& job, std::uint32_t item,
+                                      const ItemCheckpoint& added, bool restart);
 
   /// @return whether jobs and results are loaded and the epoch is verified, so reads can be served.
   bool active() const { return step_ == Step::kActive && !unverified_ && !reads_ended_; }
--- a/src/batch/partition_owner.cpp
+++ b/src/batch/partition_owner.cpp
@@ -202,14 +202,27 @@
   }
 }
 
-void PartitionOwner::write_checkpoint(const std::string& job, std::uint32_t item,
+bool PartitionOwner::write_checkpoint(const std::string& job, std::uint32_t item,
                                       const ItemCheckpoint& added, bool restart) {
-  if (added.text.size() > log_.limits().record_bytes / 2) {
-    return;  // Too large for one step; after a failover the item resumes from its previous step.
+  if (added.text.size() > log_.limits().call_bytes / 2) {
+    return false;
   }
-  const CheckpointStep step{next_step(job, item)++, restart,        added.text,
-                            added.last_event,       added.failures, added.origin};
-  queue_.push_back({job, {checkpoint_record(job, item, step)}, std::nullopt});
+  const std::size_t piece_bytes = log_.limits().record_bytes / 2;
+  PendingWrite write{job, {}, std::nullopt};
+  std::size_t position = 0;
+  do {
+    const std::string piece = added.text.substr(position, piece_bytes);
+    const bool first = position == 0;
+    position += piece.size();
+    const bool last = position == added.text.size();
+    // The event is that of the whole text, so it comes with the last piece.
+    const CheckpointStep step{
+        next_step(job, item)++, restart && first, piece, last ? added.last_event : std::nullopt,
+        added.failures,         added.origin};
+    write.records.push_back(checkpoint_record(job, item, step));
+  } while (position < added.text.size());
+  queue_.push_back(std::move(write));
+  return true;
 }
 
 bool PartitionOwner::has_pending_result(const std::string& job, std::uint32_t item) const {
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -132,7 +132,11 @@
   const ItemCheckpoint added{progress.produced.text.substr(progress.saved_bytes),
                              progress.produced.last_event, progress.produced.failures,
                              progress.produced.origin};
-  owner->write_checkpoint(ref.job, ref.item, added, progress.restarted);
+  if (!owner->write_checkpoint(ref.job, ref.item, added, progress.restarted)) {
+    spdlog::warn("batch: output too large for a checkpoint job={} item={} bytes={}", ref.job,
+                 ref.item, added.text.size());
+    return;  // After a hand-over the item resumes from its previous checkpoint.
+  }
   progress.restarted = false;
   progress.saved_bytes = progress.produced.text.size();
   progress.saved_failures = progress.produced.failures;
--- a/tests/batch/append_exploration_test.cpp
+++ b/tests/batch/append_exploration_test.cpp
@@ -192,7 +192,7 @@
       return;
     }
     if (chance(2)) {
-      owner.write_checkpoint(kJob, item, {"part", 1, 0}, true);
+      BOOST_REQUIRE(owner.write_checkpoint(kJob, item, {"part", 1, 0}, true));
     }
     if (!owner.has_pending_result(kJob, item)) {
       owner.write_result(kJob, {item, true, std::to_string(random_())});
--- a/tests/batch/partition_owner_test.cpp
+++ b/tests/batch/partition_owner_test.cpp
@@ -109,6 +109,37 @@
   BOOST_TEST(listed_items("a") == listed, boost::test_tools::per_element());
 }
 
+// Guards against an item's text that lacks what it wrote within one second: the step was dropped as
+// too large, and the steps after it were joined to those before.
+BOOST_AUTO_TEST_CASE(a_checkpoint_larger_than_a_record_reaches_the_next_owner_whole) {
+  submit("a", 1);
+  run(500);
+  const std::string large(3 * kRecordBytes, 'x');
+  BOOST_TEST(owner->write_checkpoint("a", 0, {"before ", 1, 0}, false));
+  BOOST_TEST(owner->write_checkpoint("a", 0, {large, 2, 0}, false));
+  BOOST_TEST(owner->write_checkpoint("a", 0, {" after", 3, 0}, false));
+  run(500);
+  owner = make_owner(2);
+  run(500);
+  const auto* loaded = owner->ledger().checkpoint("a", 0);
+  BOOST_REQUIRE(loaded != nullptr);
+  BOOST_TEST(loaded->checkpoint.text == "before " + large + " after");
+  BOOST_TEST(loaded->checkpoint.last_event.value() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(output_too_large_for_an_append_is_reported_and_leaves_earlier_steps) {
+  submit("a", 1);
+  run(500);
+  BOOST_TEST(owner->write_checkpoint("a", 0, {"before", 1, 0}, false));
+  BOOST_TEST(!owner->write_checkpoint("a", 0, {std::string(9 * kRecordBytes, 'x'), 2, 0}, false));
+  run(500);
+  owner = make_owner(2);
+  run(500);
+  const auto* loaded = owner->ledger().checkpoint("a", 0);
+  BOOST_REQUIRE(loaded != nullptr);
+  BOOST_TEST(loaded->checkpoint.text == "before");
+}
+
 // Guards against stale reads: the next owner lists a result whose append the former owner takes for
 // unconfirmed, and a caller that has read it there must not miss it at the former owner.
 BOOST_AUTO_TEST_CASE(a_revoked_owner_serves_no_reads_and_its_results_reach_the_next_owner) {
--- a/tests/batch/partition_ownership_test.cpp
+++ b/tests/batch/partition_ownership_test.cpp
@@ -153,7 +153,7 @@
       for (const auto& [id, job] : owner->ledger().jobs()) {
         for (std::uint32_t item = 0; !job.ended && item < job.job.items.size(); ++item) {
           if (!job.listed[item] && !owner->has_pending_result(id, item) && random_() % 10 == 0) {
-            owner->write_checkpoint(id, item, {"part", 1, 0}, true);
+            BOOST_REQUIRE(owner->write_checkpoint(id, item, {"part", 1, 0}, true));
             owner->write_result(id, {item, true, id + std::to_string(item)});
           }
         }
