--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -78,7 +78,11 @@
   *alive_ = false;
 }
 
-void BatchService::refuse(const net::ExchangePtr& exchange) {
+void BatchService::refuse(const net::ExchangePtr& exchange, const std::string& job,
+                          const char* why) {
+  spdlog::info("batch: call refused job={} partition={} tookMs={} why=\"{}\"", job,
+               job_partition(job, log_.limits().partitions),
+               to_ms(net::steady_now() - exchange->received()), why);
   exchange->respond(503, {{"Retry-After", kRetryAfter}}, {});
 }
 
@@ -95,6 +99,7 @@
   } else if (owner == nullptr && !forwarded) {
     forward(exchange, call, partition);
   } else {
+    spdlog::info("batch: forwarded call refused job={} owner={}", call.job, owner != nullptr);
     exchange->respond(503, {{kNotOwnerHeader, "1"}, {"Retry-After", kRetryAfter}}, {});
   }
 }
@@ -114,7 +119,11 @@
   if (job == nullptr) {
     // The job may have been accepted recently and not yet been read from the log.
     if (deadline_reached) {
-      refuse(waiter.exchange);
+      const bool serves = owner != nullptr && owner->active();
+      refuse(waiter.exchange, waiter.call.job,
+             !serves                               ? "the partition is not loaded"
+             : !may_serve_reads(net::steady_now()) ? "the lease is not renewed"
+                                                   : "the job is not in the log so far");
     }
     return deadline_reached;
   }
@@ -158,7 +167,7 @@
                 if (outcome.status == LogStatus::kOk) {
                   exchange->respond(200, {}, {});
                 } else {
-                  refuse(exchange);
+                  refuse(exchange, job, "the log did not confirm the end");
                 }
               });
 }
@@ -172,27 +181,29 @@
   const auto address =
       known == owner_addresses_.end() ? std::nullopt : Address::parse(known->second);
   if (!address || known->second == name_.control_address) {
-    refuse(exchange);
+    refuse(exchange, call.job, address ? "this node is the last known owner" : "no owner is known");
     return;
   }
   net::RequestHead head = exchange->request();
   head.headers.erase_connection_fields();
   head.headers.set(kForwardedHeader, "1");
-  net::SimpleCall::start(context_.client, context_.loop, {*address, "control"},
-                         net::serialize(head), {}, call.wait + kForwardTimeout,
-                         [this, alive = alive_, exchange](net::SimpleCall::Outcome outcome) {
-                           if (!*alive) {
-                             return;
-                           }
-                           if (outcome.failure || outcome.head.headers.has(kNotOwnerHeader)) {
-                             refresh_owners();
-                             refuse(exchange);
-                             return;
-                           }
-                           net::Headers headers = outcome.head.headers;
-                           headers.erase_connection_fields();
-                           exchange->respond(outcome.head.status, std::move(headers), outcome.body);
-                         });
+  net::SimpleCall::start(
+      context_.client, context_.loop, {*address, "control"}, net::serialize(head), {},
+      call.wait + kForwardTimeout,
+      [this, alive = alive_, exchange, job = call.job](net::SimpleCall::Outcome outcome) {
+        if (!*alive) {
+          return;
+        }
+        if (outcome.failure || outcome.head.headers.has(kNotOwnerHeader)) {
+          refresh_owners();
+          refuse(exchange, job,
+                 outcome.failure ? "the owner did not answer" : "the called node is not the owner");
+          return;
+        }
+        net::Headers headers = outcome.head.headers;
+        headers.erase_connection_fields();
+        exchange->respond(outcome.head.status, std::move(headers), outcome.body);
+      });
 }
 
 void BatchService::refresh_owners() {
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -98,7 +98,7 @@
   void forward(const net::ExchangePtr& exchange, const JobCall& call, int partition);
   void refresh_owners();
   PartitionOwner* owner_of(int partition) const;
-  void refuse(const net::ExchangePtr& exchange);
+  void refuse(const net::ExchangePtr& exchange, const std::string& job, const char* why);
   void update_metrics();
 
   GatewayContext& context_;
