--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -427,8 +427,9 @@
       to_ms(now - sent_at_));
   const bool not_run = not_sent || (rejected_ && head_seen_);
   if (not_run) {
+    const bool gone = not_sent && now - sent_at_ < context_.knobs.connection_refusal_time;
     end_attempt();
-    after_failure(AttemptFailure::kNotRun, now);
+    after_failure(gone ? AttemptFailure::kReplicaGone : AttemptFailure::kNotRun, now);
   } else if (failure == net::CallFailure::kMalformed) {
     end_attempt();
     retry_or_resume(now);
@@ -459,7 +460,9 @@
 
 void OnlineCall::after_failure(AttemptFailure failure, TimePoint now) {
   history_.answer_begun = exchange_->answered();
-  context_.metrics.count_attempt(failure == AttemptFailure::kNotRun ? "not_run" : "failed");
+  const bool not_run =
+      failure == AttemptFailure::kNotRun || failure == AttemptFailure::kReplicaGone;
+  context_.metrics.count_attempt(not_run ? "not_run" : "failed");
   const NextStep step = decide_after_failure(history_, failure, context_.knobs);
   if (now >= deadline_) {
     expire(now);
--- a/src/routing/attempt_policy.cpp
+++ b/src/routing/attempt_policy.cpp
@@ -22,6 +22,11 @@
     return history.not_run_in_row < knobs.maximum_sends_not_run ? retry_or_resume(history)
                                                                 : give_up(history);
   }
+  if (failure == AttemptFailure::kReplicaGone) {
+    ++history.replicas_gone;
+    return history.replicas_gone < knobs.maximum_sends_to_gone_replicas ? retry_or_resume(history)
+                                                                        : give_up(history);
+  }
   ++history.runs_possible;
   history.not_run_in_row = 0;
   const bool allowed = history.answer_begun ? history.resumable : history.repeatable;
--- a/tests/platform/online_proxy_test.cpp
+++ b/tests/platform/online_proxy_test.cpp
@@ -93,6 +93,25 @@
   BOOST_TEST(fixture.directory.find("r1")->online == 0);
 }
 
+// Guards against sound requests that are refused since a few replicas crashed just before.
+BOOST_AUTO_TEST_CASE(a_request_passes_over_all_replicas_that_have_just_ended) {
+  constexpr int kEnded = 10;
+  ProxyFixture fixture(kFrontendPort);
+  fixture.route().kind = RouteKind::kNonIdempotent;
+  StandInReplica replica(fixture.loop, "running", kFirstPort,
+                         [](const auto& exchange) { answer(exchange, "whole"); });
+  fixture.directory.upsert(replica.record("lm"), {});
+  ReplicaRecord ended = replica.record("lm");
+  for (int number = 0; number < kEnded; ++number) {
+    ended.id = "ended-" + std::to_string(number);
+    ended.address.port = static_cast<std::uint16_t>(kDeadPort + number);
+    fixture.directory.upsert(ended, {});
+  }
+  const auto outcome = fixture.send_request();
+  BOOST_TEST(outcome.head.status == 200);
+  BOOST_TEST(replica.requests() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(an_unexecuted_request_is_retried_elsewhere_then_refused) {
   ProxyFixture fixture(kFrontendPort);
   fixture.route().kind = RouteKind::kNonIdempotent;
--- a/tests/routing/attempt_policy_test.cpp
+++ b/tests/routing/attempt_policy_test.cpp
@@ -32,6 +32,16 @@
   BOOST_TEST(decides(past, AttemptFailure::kNotRun, NextStep::kRefuse));
 }
 
+// Guards against sound requests that are refused since a few replicas crashed just before.
+BOOST_AUTO_TEST_CASE(replicas_that_have_ended_do_not_use_up_the_sends_to_those_that_run) {
+  AttemptHistory past = history(false, false, 1);
+  for (int send = 1; send < kKnobs.maximum_sends_to_gone_replicas; ++send) {
+    BOOST_TEST(decides(past, AttemptFailure::kReplicaGone, NextStep::kRetry));
+  }
+  BOOST_TEST(past.not_run_in_row == 0);
+  BOOST_TEST(decides(past, AttemptFailure::kReplicaGone, NextStep::kRefuse));
+}
+
 BOOST_AUTO_TEST_CASE(attempts_that_may_have_run_are_retried_only_if_repeatable_and_never_refused) {
   AttemptHistory once = history(false, false, 3);
   BOOST_TEST(decides(once, AttemptFailure::kMayHaveRun, NextStep::kFail));
