--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -20,8 +20,8 @@
   int partition = 0;
   std::string job;
   std::uint32_t item = 0;
-  friend bool operator==(const ItemRef &, const ItemRef &) = default;
-  friend bool operator<(const ItemRef &left, const ItemRef &right) {
+  friend bool operator==(const ItemRef&, const ItemRef&) = default;
+  friend bool operator<(const ItemRef& left, const ItemRef& right) {
     return std::tie(left.partition, left.job, left.item) <
            std::tie(right.partition, right.job, right.item);
   }
@@ -31,14 +31,12 @@
 /// resumed.
 struct ItemProgress {
   ItemCheckpoint produced;
-  std::size_t saved_bytes =
-      0; ///< Bytes of the produced text that the log holds.
+  std::size_t saved_bytes = 0;  ///< Bytes of the produced text that the log holds.
   int saved_failures = 0;
-  bool restarted = false;   ///< The checkpoint in the log is obsolete.
-  int interruptions = 0;    ///< Consecutive; determine the retry backoff.
-  std::string last_replica; ///< Replica of the last interrupted or failed run.
-  std::set<net::ConnectionNumber>
-      used_connections; ///< Connections that carried earlier runs.
+  bool restarted = false;    ///< The checkpoint in the log is obsolete.
+  int interruptions = 0;     ///< Consecutive; determine the retry backoff.
+  std::string last_replica;  ///< Replica of the last interrupted or failed run.
+  std::set<net::ConnectionNumber> used_connections;  ///< Connections that carried earlier runs.
   /// Since when only replicas that cannot resume the output could run the item.
   std::optional<TimePoint> waiting_for_origin_since;
 
@@ -61,11 +59,11 @@
 /// Single-threaded; borrows the context. Partition owners are registered while
 /// they are active.
 class BatchExecutor {
-public:
-  explicit BatchExecutor(GatewayContext &context);
+ public:
+  explicit BatchExecutor(GatewayContext& context);
   ~BatchExecutor();
 
-  void add_partition(PartitionOwner &owner);
+  void add_partition(PartitionOwner& owner);
   /// Cancels all runs of the partition and discards its items.
   void remove_partition(int partition);
   /// Cancels all runs of the partition, starts no further ones, and checkpoints
@@ -73,24 +71,22 @@
   void hand_over(int partition);
   /// Calls hand_over() for every partition.
   void hand_over_all();
-  void add_job(PartitionOwner &owner, const LedgerJob &job);
-  void end_job(int partition, const std::string &job);
+  void add_job(PartitionOwner& owner, const LedgerJob& job);
+  void end_job(int partition, const std::string& job);
 
   void tick(TimePoint now);
 
   /// Preempts the least urgent item that runs at a replica, to free a slot for
   /// an online request.
   /// @return whether an item was preempted.
-  bool yield_slot(const std::string &replica);
+  bool yield_slot(const std::string& replica);
 
   std::size_t running() const { return runs_.size(); }
   /// @return number of items that are running, waiting or delayed.
-  std::size_t pending() const {
-    return waiting_.size() + delayed_.size() + runs_.size();
-  }
+  std::size_t pending() const { return waiting_.size() + delayed_.size() + runs_.size(); }
   bool running_in(int partition) const;
 
-private:
+ private:
   friend class ItemRun;
 
   /// Entry of the queue of waiting items, in order of execution.
@@ -98,57 +94,54 @@
     bool overdue = false;
     DueTime due;
     ItemRef ref;
-    friend bool operator<(const Waiting &left, const Waiting &right) {
+    friend bool operator<(const Waiting& left, const Waiting& right) {
       return std::tie(left.overdue, left.due.at_ms, left.ref) <
              std::tie(right.overdue, right.due.at_ms, right.ref);
     }
   };
 
   BatchShare share() const;
-  bool is_urgent(const DueTime &due) const;
+  bool is_urgent(const DueTime& due) const;
   /// @return whether the retention of an item's job has expired, so that the
   /// item may be failed.
-  bool has_expired(const ItemRef &ref, std::int64_t now_ms) const;
-  void start_waiting(TimePoint now, const BatchShare &share);
+  bool has_expired(const ItemRef& ref, std::int64_t now_ms) const;
+  void start_waiting(TimePoint now, const BatchShare& share);
   /// Preempts runs that are not urgent if online requests need their slots.
-  void preempt_excess_runs(const BatchShare &share);
+  void preempt_excess_runs(const BatchShare& share);
   /// @return the replica for an item, if possible not that of its last
   /// interrupted run.
-  ReplicaChoice choose_replica(ReplicaQuery query, const ItemProgress &kept,
-                               TimePoint now);
+  ReplicaChoice choose_replica(ReplicaQuery query, const ItemProgress& kept, TimePoint now);
   /// Sets the software version that the item's kept output requires, or
   /// discards the output if it cannot or should not be resumed.
   /// @return whether the item may be sent now.
-  bool resume_or_restart(const ItemRef &ref, ItemProgress &kept,
-                         ReplicaQuery &query, TimePoint now);
+  bool resume_or_restart(const ItemRef& ref, ItemProgress& kept, ReplicaQuery& query,
+                         TimePoint now);
   /// Starts or reschedules an item.
   /// @return whether the item needs no further attempt now; false if no replica
   /// has a free slot.
-  bool start(const Waiting &entry, TimePoint now);
-  const RouteConfig *route_of(const LedgerJob &job,
-                              const BatchItem &item) const;
+  bool start(const Waiting& entry, TimePoint now);
+  const RouteConfig* route_of(const LedgerJob& job, const BatchItem& item) const;
   void give_up_expired();
-  void save_progress(const ItemRef &ref, ItemProgress &progress);
+  void save_progress(const ItemRef& ref, ItemProgress& progress);
   void save_all_progress();
-  void enqueue(const ItemRef &ref);
-  void retry(const ItemRef &ref, Duration delay, TimePoint now);
-  void complete(const ItemRef &ref, bool succeeded, std::string text);
-  void remove_run(const std::shared_ptr<ItemRun> &run);
-  PartitionOwner *owner_of(int partition) const;
-  const LedgerJob *job_of(const ItemRef &ref) const;
-
-  GatewayContext &context_;
-  const double rounding_; ///< See FleetLoad::rounding.
-  std::map<int, PartitionOwner *> owners_;
+  void enqueue(const ItemRef& ref);
+  void retry(const ItemRef& ref, Duration delay, TimePoint now);
+  void complete(const ItemRef& ref, bool succeeded, std::string text);
+  void remove_run(const std::shared_ptr<ItemRun>& run);
+  PartitionOwner* owner_of(int partition) const;
+  const LedgerJob* job_of(const ItemRef& ref) const;
+
+  GatewayContext& context_;
+  const double rounding_;  ///< See FleetLoad::rounding.
+  std::map<int, PartitionOwner*> owners_;
   std::set<int> suspended_;
   std::set<Waiting> waiting_;
   std::multimap<TimePoint, ItemRef> delayed_;
   std::map<ItemRef, ItemProgress> progress_;
   std::set<std::shared_ptr<ItemRun>> runs_;
-  TimePoint
-      start_allowed_at_{}; ///< No item starts earlier; set by the first tick.
+  TimePoint start_allowed_at_{};  ///< No item starts earlier; set by the first tick.
   TimePoint next_expiry_check_{};
   TimePoint next_checkpoint_{};
 };
 
-} // namespace dockpoint
+}  // namespace dockpoint
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -22,28 +22,34 @@
 /// Pause before an item is retried, e.g. after a replica had no free slot.
 constexpr Duration kRetryPause = std::chrono::milliseconds(150);
 
-} // namespace
-
-ItemRun::ItemRun(BatchExecutor &executor, ItemRef ref, std::string item_id,
-                 RequestInfo info, int attempts, const DueTime &due)
-    : executor_(executor), context_(executor.context_), ref_(std::move(ref)),
-      item_id_(std::move(item_id)), info_(std::move(info)), attempts_(attempts),
-      due_(due), attempt_(context_, TrafficClass::kBatch) {}
-
-ItemProgress &ItemRun::progress() { return executor_.progress_[ref_]; }
+}  // namespace
+
+ItemRun::ItemRun(BatchExecutor& executor, ItemRef ref, std::string item_id, RequestInfo info,
+                 int attempts, const DueTime& due)
+    : executor_(executor),
+      context_(executor.context_),
+      ref_(std::move(ref)),
+      item_id_(std::move(item_id)),
+      info_(std::move(info)),
+      attempts_(attempts),
+      due_(due),
+      attempt_(context_, TrafficClass::kBatch) {}
+
+ItemProgress& ItemRun::progress() {
+  return executor_.progress_[ref_];
+}
 
-void ItemRun::start(const Replica &replica, std::string bytes,
-                    double missing_tokens, TimePoint now) {
+void ItemRun::start(const Replica& replica, std::string bytes, double missing_tokens,
+                    TimePoint now) {
   last_progress_ = now;
   origin_ = {replica.record.service, replica.record.software_version};
   attempt_.avoid_connections(progress().used_connections);
   attempt_.start(replica, std::move(bytes), missing_tokens, *this);
 }
 
-bool ItemRun::on_head(const net::ResponseHead &head) {
+bool ItemRun::on_head(const net::ResponseHead& head) {
   const TimePoint now = net::steady_now();
-  const std::optional<ReplicaAnswer> answer =
-      attempt_.handle_head(head, item_id_, now);
+  const std::optional<ReplicaAnswer> answer = attempt_.handle_head(head, item_id_, now);
   if (!answer) {
     return false;
   }
@@ -61,13 +67,12 @@
   answer_bytes_ += bytes.size();
   if (status_ / 100 == 2 && !rejected_) {
     attempt_.observe_stream(bytes, last_progress_);
-    framer_.feed(bytes,
-                 [this](const StreamEvent &event) { handle_event(event); });
+    framer_.feed(bytes, [this](const StreamEvent& event) { handle_event(event); });
   }
 }
 
-void ItemRun::handle_event(const StreamEvent &event) {
-  ItemCheckpoint &kept = progress().produced;
+void ItemRun::handle_event(const StreamEvent& event) {
+  ItemCheckpoint& kept = progress().produced;
   if (!event.id || broken_sequence_) {
     return;
   }
@@ -94,18 +99,18 @@
   const EndedAnswer answer{end == net::ResponseEnd::kFramed, stream,
                            stream && !framer_.at_boundary(), answer_bytes_};
   // The status alone says what became of an item that failed.
-  const AnswerEnd verdict =
-      stream && !rejected_ ? judge_answer_end(answer) : AnswerEnd::kWhole;
+  const AnswerEnd verdict = stream && !rejected_ ? judge_answer_end(answer) : AnswerEnd::kWhole;
   if (verdict == AnswerEnd::kWhole) {
     accept_answer(now);
     return;
   }
   context_.metrics.count_doubtful_end(to_string(verdict));
-  spdlog::info("batch: end of answer in doubt job={} item={} replica={} "
-               "status={} framed={} "
-               "partialEventBytes={} verdict={}",
-               ref_.job, item_id_, attempt_.replica(), status_, answer.framed,
-               framer_.partial_bytes(), to_string(verdict));
+  spdlog::info(
+      "batch: end of answer in doubt job={} item={} replica={} "
+      "status={} framed={} "
+      "partialEventBytes={} verdict={}",
+      ref_.job, item_id_, attempt_.replica(), status_, answer.framed, framer_.partial_bytes(),
+      to_string(verdict));
   if (verdict == AnswerEnd::kDoubtful) {
     verify_end();
   } else {
@@ -114,8 +119,7 @@
 }
 
 void ItemRun::verify_end() {
-  const ProbeTimes times{context_.knobs.crash_probe_timeout,
-                         context_.knobs.answer_end_observation};
+  const ProbeTimes times{context_.knobs.crash_probe_timeout, context_.knobs.answer_end_observation};
   ReplicaProbe::start(context_.loop, attempt_.address(), times,
                       [weak = weak_from_this()](ProbeResult result) {
                         const auto self = weak.lock();
@@ -126,13 +130,12 @@
                         if (result == ProbeResult::kListens) {
                           self->accept_answer(now);
                         } else {
-                          self->handle_broken_run(
-                              now, "the replica ended with its answer");
+                          self->handle_broken_run(now, "the replica ended with its answer");
                         }
                       });
 }
 
-void ItemRun::handle_broken_run(TimePoint now, const char *why) {
+void ItemRun::handle_broken_run(TimePoint now, const char* why) {
   attempt_.signal(ReplicaSignal::kBroken, now);
   report_to_crash_watch(false);
   interrupted(now, why);
@@ -141,13 +144,12 @@
 void ItemRun::accept_answer(TimePoint now) {
   const auto self = shared_from_this();
   const bool failed = !rejected_ && status_ == kItemFailed;
-  attempt_.signal(failed ? ReplicaSignal::kFailed : ReplicaSignal::kAnswered,
-                  now);
+  attempt_.signal(failed ? ReplicaSignal::kFailed : ReplicaSignal::kAnswered, now);
   if (status_ / 100 == 2 && !rejected_) {
     attempt_.note_pace(now);
   }
   attempt_.end();
-  ItemProgress &kept = progress();
+  ItemProgress& kept = progress();
   kept.used_connections = attempt_.used_connections();
   if (rejected_) {
     context_.metrics.count_item("no_room");
@@ -170,12 +172,11 @@
     interrupted(now, "the answer says nothing of the item");
     return;
   }
-  kept.last_replica =
-      attempt_.replica(); // The fault may be the replica's: prefer another one.
+  kept.last_replica = attempt_.replica();  // The fault may be the replica's: prefer another one.
   ++kept.produced.failures;
   context_.metrics.count_item("failed");
-  spdlog::info("batch: item failed job={} item={} status={} failures={}/{}",
-               ref_.job, item_id_, status_, kept.produced.failures, attempts_);
+  spdlog::info("batch: item failed job={} item={} status={} failures={}/{}", ref_.job, item_id_,
+               status_, kept.produced.failures, attempts_);
   executor_.remove_run(self);
   if (status_ == kItemImpossible || kept.produced.failures >= attempts_) {
     executor_.complete(ref_, false, {});
@@ -191,21 +192,20 @@
     handle_broken_run(now, "the connection ended");
     return;
   }
-  attempt_.signal(
-      not_sent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken, now);
+  attempt_.signal(not_sent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken, now);
   interrupted(now, "the connection ended");
 }
 
-void ItemRun::interrupted(TimePoint now, const char *why) {
+void ItemRun::interrupted(TimePoint now, const char* why) {
   const auto self = shared_from_this();
-  ItemProgress &kept = progress();
+  ItemProgress& kept = progress();
   kept.last_replica = attempt_.replica();
   attempt_.end();
   ++kept.interruptions;
   context_.metrics.count_item("interrupted");
   if (is_sampled(item_id_)) {
-    spdlog::info("batch: run interrupted job={} item={} events={} why=\"{}\"",
-                 ref_.job, item_id_, kept.produced.last_event.value_or(0), why);
+    spdlog::info("batch: run interrupted job={} item={} events={} why=\"{}\"", ref_.job, item_id_,
+                 kept.produced.last_event.value_or(0), why);
   }
   executor_.remove_run(self);
   executor_.retry(ref_, kRetryPause * std::min(kept.interruptions, 8), now);
@@ -232,4 +232,4 @@
   }
 }
 
-} // namespace dockpoint
+}  // namespace dockpoint
--- a/src/gateway/replica_attempt.cpp
+++ b/src/gateway/replica_attempt.cpp
@@ -8,8 +8,8 @@
 
 namespace dockpoint {
 
-void ReplicaAttempt::start(const Replica &replica, std::string bytes,
-                           double missing_tokens, net::CallObserver &observer) {
+void ReplicaAttempt::start(const Replica& replica, std::string bytes, double missing_tokens,
+                           net::CallObserver& observer) {
   replica_ = replica.record.id;
   last_replica_ = replica_;
   address_ = replica.record.address;
@@ -21,13 +21,11 @@
   options.connect_timeout = context_.knobs.replica_connect_timeout;
   options.maximum_idle = context_.knobs.replica_connection_idle;
   options.avoided_connections = used_connections_;
-  call_ = context_.client.start(endpoint_of(replica.record), std::move(bytes),
-                                options, observer);
+  call_ = context_.client.start(endpoint_of(replica.record), std::move(bytes), options, observer);
 }
 
-std::optional<ReplicaAnswer>
-ReplicaAttempt::handle_head(const net::ResponseHead &head,
-                            const std::string &id, TimePoint now) {
+std::optional<ReplicaAnswer> ReplicaAttempt::handle_head(const net::ResponseHead& head,
+                                                         const std::string& id, TimePoint now) {
   const ReplicaAnswer answer = context_.protocol.read_answer(head, id);
   if (!answer.belongs) {
     return std::nullopt;
@@ -40,18 +38,14 @@
   return answer;
 }
 
-void ReplicaAttempt::note_load(const ReplicaAnswer &answer, TimePoint now) {
+void ReplicaAttempt::note_load(const ReplicaAnswer& answer, TimePoint now) {
   if (answer.load) {
     context_.replicas.report(replica_, *answer.load, now);
-    if (answer.load->pace_unreadable &&
-        context_.replicas.first_unreadable_pace(replica_)) {
-      spdlog::warn(
-          "fleet: unreadable pace reported by replica ignored replica={}",
-          replica_);
+    if (answer.load->pace_unreadable && context_.replicas.first_unreadable_pace(replica_)) {
+      spdlog::warn("fleet: unreadable pace reported by replica ignored replica={}", replica_);
     }
   }
-  if (answer.not_run && !answer.wrong_replica &&
-      context_.replicas.turned_away(replica_, now)) {
+  if (answer.not_run && !answer.wrong_replica && context_.replicas.turned_away(replica_, now)) {
     context_.metrics.count_full_replica();
   }
 }
@@ -61,16 +55,14 @@
 }
 
 void ReplicaAttempt::note_pace(TimePoint now) {
-  const Replica *replica = context_.replicas.find(replica_);
+  const Replica* replica = context_.replicas.find(replica_);
   if (replica == nullptr || now < replica->cold_until) {
-    return; // The pace of a cold replica does not represent its later pace.
+    return;  // The pace of a cold replica does not represent its later pace.
   }
   if (const auto step = stream_.step()) {
-    context_.replicas.paces().observed(replica->key, PaceSample::kEvent, *step,
-                                       now);
+    context_.replicas.paces().observed(replica->key, PaceSample::kEvent, *step, now);
   } else if (!stream_.begun()) {
-    context_.replicas.paces().observed(replica->key, PaceSample::kRun,
-                                       now - started_at_, now);
+    context_.replicas.paces().observed(replica->key, PaceSample::kRun, now - started_at_, now);
   }
 }
 
@@ -96,4 +88,4 @@
   context_.replicas.prefilled(replica_, std::exchange(prefill_tokens_, 0));
 }
 
-} // namespace dockpoint
+}  // namespace dockpoint
--- a/src/gateway/replica_attempt.hpp
+++ b/src/gateway/replica_attempt.hpp
@@ -17,26 +17,25 @@
 /// Single-threaded; borrows the context. The destructor ends an attempt under
 /// way.
 class ReplicaAttempt {
-public:
-  ReplicaAttempt(GatewayContext &context, TrafficClass traffic)
+ public:
+  ReplicaAttempt(GatewayContext& context, TrafficClass traffic)
       : context_(context), traffic_(traffic) {}
   ~ReplicaAttempt() { end(); }
-  ReplicaAttempt(const ReplicaAttempt &) = delete;
-  ReplicaAttempt &operator=(const ReplicaAttempt &) = delete;
+  ReplicaAttempt(const ReplicaAttempt&) = delete;
+  ReplicaAttempt& operator=(const ReplicaAttempt&) = delete;
 
   /// Sends `bytes` to the replica. No attempt may be under way. A connection
   /// that carried an earlier attempt is not reused: all attempts have the same
   /// id, so answers to them look alike.
   /// @param missing_tokens prompt tokens that are not in the replica's cache
   /// and need prefill.
-  void start(const Replica &replica, std::string bytes, double missing_tokens,
-             net::CallObserver &observer);
+  void start(const Replica& replica, std::string bytes, double missing_tokens,
+             net::CallObserver& observer);
   /// Handles the head of an answer: records the reported load, and removes the
   /// replica from the directory if another one has taken over its address.
   /// @param id of the request. @return nothing if the answer belongs to another
   /// request.
-  std::optional<ReplicaAnswer> handle_head(const net::ResponseHead &head,
-                                           const std::string &id,
+  std::optional<ReplicaAnswer> handle_head(const net::ResponseHead& head, const std::string& id,
                                            TimePoint now);
   /// Observes bytes of a stream: the interval between its events is a sample of
   /// the replica's pace.
@@ -50,39 +49,36 @@
   void end();
 
   /// @return the connections that carried attempts so far.
-  const std::set<net::ConnectionNumber> &used_connections() const {
-    return used_connections_;
-  }
+  const std::set<net::ConnectionNumber>& used_connections() const { return used_connections_; }
   /// Adds connections that carried earlier attempts with the same id.
-  void avoid_connections(const std::set<net::ConnectionNumber> &connections) {
+  void avoid_connections(const std::set<net::ConnectionNumber>& connections) {
     used_connections_.insert(connections.begin(), connections.end());
   }
 
   bool under_way() const { return !replica_.empty(); }
   /// @return the replica of the attempt under way or, after it, of the last
   /// one.
-  const std::string &replica() const { return last_replica_; }
+  const std::string& replica() const { return last_replica_; }
   /// @return its address.
-  const Address &address() const { return address_; }
+  const Address& address() const { return address_; }
   /// @return the call, or null.
-  net::Call *call() const { return call_.get(); }
+  net::Call* call() const { return call_.get(); }
 
-private:
+ private:
   /// Removes the prompt tokens from the replica's pending prefill.
   void note_prefilled();
-  void note_load(const ReplicaAnswer &answer, TimePoint now);
+  void note_load(const ReplicaAnswer& answer, TimePoint now);
 
-  GatewayContext &context_;
+  GatewayContext& context_;
   const TrafficClass traffic_;
-  std::string replica_;      ///< Empty between attempts.
-  std::string last_replica_; ///< Kept after the attempt ends.
-  Address address_;          ///< Of `last_replica_`.
+  std::string replica_;       ///< Empty between attempts.
+  std::string last_replica_;  ///< Kept after the attempt ends.
+  Address address_;           ///< Of `last_replica_`.
   net::CallPtr call_;
   std::set<net::ConnectionNumber> used_connections_;
   TimePoint started_at_{};
   StreamPace stream_;
-  double prefill_tokens_ =
-      0; ///< Counted as the replica's load until the first byte.
+  double prefill_tokens_ = 0;  ///< Counted as the replica's load until the first byte.
 };
 
-} // namespace dockpoint
+}  // namespace dockpoint
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -32,19 +32,19 @@
     return std::nullopt;
   }
   const std::string_view digits = value.substr(start + kKey.size());
-  const std::size_t end =
-      std::min(digits.find_first_not_of("0123456789"), digits.size());
+  const std::size_t end = std::min(digits.find_first_not_of("0123456789"), digits.size());
   unsigned seconds = 0;
-  if (!Poco::NumberParser::tryParseUnsigned(std::string(digits.substr(0, end)),
-                                            seconds)) {
+  if (!Poco::NumberParser::tryParseUnsigned(std::string(digits.substr(0, end)), seconds)) {
     return std::nullopt;
   }
   return std::chrono::seconds(seconds);
 }
 
-} // namespace
+}  // namespace
 
-Call::~Call() { cancel(); }
+Call::~Call() {
+  cancel();
+}
 
 void Call::cancel() {
   observer_ = nullptr;
@@ -75,15 +75,15 @@
 }
 
 HttpClient::~HttpClient() {
-  retain([](const Endpoint &) { return false; });
+  retain([](const Endpoint&) { return false; });
   connecting_.clear();
-  for (ClientConnection *connection : std::exchange(connections_, {})) {
+  for (ClientConnection* connection : std::exchange(connections_, {})) {
     connection->orphan();
   }
 }
 
-CallPtr HttpClient::start(const Endpoint &endpoint, std::string bytes,
-                          const CallOptions &options, CallObserver &observer) {
+CallPtr HttpClient::start(const Endpoint& endpoint, std::string bytes, const CallOptions& options,
+                          CallObserver& observer) {
   const TimePoint now = steady_now();
   ++counts_.calls;
   CallPtr call(new Call(observer, std::move(bytes)));
@@ -94,15 +94,13 @@
     }
   }
   ++counts_.connections;
-  const auto connection =
-      std::make_shared<ClientConnection>(*this, endpoint, counts_.connections);
+  const auto connection = std::make_shared<ClientConnection>(*this, endpoint, counts_.connections);
   connection->connect(options, call, now);
   return call;
 }
 
-std::shared_ptr<ClientConnection>
-HttpClient::take_idle(const Endpoint &endpoint, TimePoint now,
-                      const CallOptions &options) {
+std::shared_ptr<ClientConnection> HttpClient::take_idle(const Endpoint& endpoint, TimePoint now,
+                                                        const CallOptions& options) {
   const auto found = idle_.find(endpoint);
   if (found == idle_.end()) {
     return nullptr;
@@ -110,7 +108,7 @@
   std::shared_ptr<ClientConnection> taken;
   std::vector<std::shared_ptr<ClientConnection>> stale;
   std::vector<std::shared_ptr<ClientConnection>> avoided;
-  auto &connections = found->second;
+  auto& connections = found->second;
   while (!connections.empty() && !taken) {
     const auto candidate = connections.back();
     connections.pop_back();
@@ -118,10 +116,9 @@
       avoided.push_back(candidate);
       continue;
     }
-    const Duration limit = std::min(
-        options.maximum_idle, candidate->server_idle_limit_ - kIdleMargin);
-    if (now - candidate->idle_since_ <= limit &&
-        candidate->connection_->reusable()) {
+    const Duration limit =
+        std::min(options.maximum_idle, candidate->server_idle_limit_ - kIdleMargin);
+    if (now - candidate->idle_since_ <= limit && candidate->connection_->reusable()) {
       taken = candidate;
     } else {
       stale.push_back(candidate);
@@ -131,14 +128,14 @@
   if (connections.empty()) {
     idle_.erase(found);
   }
-  for (const auto &connection : stale) {
+  for (const auto& connection : stale) {
     connection->abandon();
   }
   return taken;
 }
 
-void HttpClient::keep(const std::shared_ptr<ClientConnection> &connection) {
-  auto &connections = idle_[connection->endpoint()];
+void HttpClient::keep(const std::shared_ptr<ClientConnection>& connection) {
+  auto& connections = idle_[connection->endpoint()];
   if (connections.size() >= kMaximumIdle) {
     connection->abandon();
     return;
@@ -147,7 +144,7 @@
   connections.push_back(connection);
 }
 
-void HttpClient::forget(const std::shared_ptr<ClientConnection> &connection) {
+void HttpClient::forget(const std::shared_ptr<ClientConnection>& connection) {
   connecting_.erase(connection);
   const auto found = idle_.find(connection->endpoint());
   if (found != idle_.end()) {
@@ -158,12 +155,11 @@
   }
 }
 
-void HttpClient::abandon_idle(const Endpoint &endpoint) {
-  retain(
-      [&](const Endpoint &kept) { return kept < endpoint || endpoint < kept; });
+void HttpClient::abandon_idle(const Endpoint& endpoint) {
+  retain([&](const Endpoint& kept) { return kept < endpoint || endpoint < kept; });
 }
 
-void HttpClient::retain(const std::function<bool(const Endpoint &)> &keep) {
+void HttpClient::retain(const std::function<bool(const Endpoint&)>& keep) {
   for (auto entry = idle_.begin(); entry != idle_.end();) {
     if (keep(entry->first)) {
       ++entry;
@@ -171,7 +167,7 @@
     }
     const auto connections = std::move(entry->second);
     entry = idle_.erase(entry);
-    for (const auto &connection : connections) {
+    for (const auto& connection : connections) {
       connection->abandon();
     }
   }
@@ -179,28 +175,26 @@
 
 void HttpClient::tick(TimePoint now) {
   const auto connecting = connecting_;
-  for (const auto &connection : connecting) {
+  for (const auto& connection : connecting) {
     if (now >= connection->connect_deadline_) {
       connection->fail_connect();
     }
   }
   std::vector<std::shared_ptr<ClientConnection>> expired;
-  for (const auto &[endpoint, connections] : idle_) {
-    for (const auto &connection : connections) {
-      if (now - connection->idle_since_ >
-          connection->server_idle_limit_ - kIdleMargin) {
+  for (const auto& [endpoint, connections] : idle_) {
+    for (const auto& connection : connections) {
+      if (now - connection->idle_since_ > connection->server_idle_limit_ - kIdleMargin) {
         expired.push_back(connection);
       }
     }
   }
-  for (const auto &connection : expired) {
+  for (const auto& connection : expired) {
     forget(connection);
     connection->abandon();
   }
 }
 
-ClientConnection::ClientConnection(HttpClient &client, Endpoint endpoint,
-                                   ConnectionNumber number)
+ClientConnection::ClientConnection(HttpClient& client, Endpoint endpoint, ConnectionNumber number)
     : client_(&client), endpoint_(std::move(endpoint)), number_(number) {
   client.connections_.insert(this);
 }
@@ -225,29 +219,25 @@
   abandon();
 }
 
-void ClientConnection::connect(const CallOptions &options, const CallPtr &call,
-                               TimePoint now) {
+void ClientConnection::connect(const CallOptions& options, const CallPtr& call, TimePoint now) {
   call_ = call;
   call->connection_ = shared_from_this();
   connect_deadline_ = now + options.connect_timeout;
   connecting_ = std::make_unique<tcp::socket>(client_->loop_);
   ErrorCode error;
   connecting_->open(tcp::v4(), error);
-  const auto address =
-      boost::asio::ip::make_address(endpoint_.address.host, error);
+  const auto address = boost::asio::ip::make_address(endpoint_.address.host, error);
   set_user_timeout(*connecting_, options.user_timeout_ms);
   set_keepalive(*connecting_, kServerKeepaliveSeconds);
   client_->connecting_.insert(shared_from_this());
   connecting_->async_connect(
       tcp::endpoint(address, endpoint_.address.port),
-      [self = shared_from_this()](const ErrorCode &result) {
-        self->on_connected(result);
-      });
+      [self = shared_from_this()](const ErrorCode& result) { self->on_connected(result); });
 }
 
-void ClientConnection::on_connected(const ErrorCode &error) {
+void ClientConnection::on_connected(const ErrorCode& error) {
   if (!connecting_) {
-    return; // The call was cancelled in the meantime.
+    return;  // The call was cancelled in the meantime.
   }
   if (error) {
     fail_connect();
@@ -273,7 +263,7 @@
   fail(CallFailure::kNotSent);
 }
 
-bool ClientConnection::send(const CallPtr &call) {
+bool ClientConnection::send(const CallPtr& call) {
   if (!connection_ || !input_.empty() || !connection_->send(call->bytes_)) {
     abandon();
     return false;
@@ -292,11 +282,10 @@
   skipping_response_ = false;
   keep_alive_ = true;
   parser_ = std::make_unique<ResponseParser>(
-      [this](const ResponseHead &head) {
+      [this](const ResponseHead& head) {
         update_keep_alive(head);
         const CallPtr call = call_;
-        skipping_response_ = !call || call->observer_ == nullptr ||
-                             !call->observer_->on_head(head);
+        skipping_response_ = !call || call->observer_ == nullptr || !call->observer_->on_head(head);
         head_received_ = head_received_ || !skipping_response_;
       },
       [this](std::string_view bytes) {
@@ -307,7 +296,7 @@
       });
 }
 
-void ClientConnection::update_keep_alive(const ResponseHead &head) {
+void ClientConnection::update_keep_alive(const ResponseHead& head) {
   keep_alive_ = head.keep_alive;
   if (const auto limit = keep_alive_timeout(head.headers.get("Keep-Alive"))) {
     server_idle_limit_ = *limit;
@@ -330,14 +319,13 @@
   while (call_ && parser_ && !input_.empty()) {
     const ParseStatus status = parser_->feed(input_);
     if (!call_) {
-      return; // Cancelled by its observer.
+      return;  // Cancelled by its observer.
     }
     if (status == ParseStatus::kNeedMore) {
       return;
     }
     if (status != ParseStatus::kDone) {
-      fail(head_received_ ? CallFailure::kInterrupted
-                          : CallFailure::kMalformed);
+      fail(head_received_ ? CallFailure::kInterrupted : CallFailure::kMalformed);
       return;
     }
     if (!skipping_response_ && parser_->head().status / 100 != 1) {
@@ -418,34 +406,31 @@
 
 /// Ends a simple call that exceeds its timeout.
 struct SimpleCall::Timer {
-  explicit Timer(boost::asio::io_context &loop) : timer(loop) {}
+  explicit Timer(boost::asio::io_context& loop) : timer(loop) {}
   boost::asio::steady_timer timer;
 };
 
-SimpleCall::SimpleCall(boost::asio::io_context &loop, bool accepts_unframed)
-    : timer_(std::make_shared<Timer>(loop)),
-      accepts_unframed_(accepts_unframed) {}
+SimpleCall::SimpleCall(boost::asio::io_context& loop, bool accepts_unframed)
+    : timer_(std::make_shared<Timer>(loop)), accepts_unframed_(accepts_unframed) {}
 
-std::shared_ptr<SimpleCall>
-SimpleCall::start(HttpClient &client, boost::asio::io_context &loop,
-                  const Endpoint &endpoint, std::string bytes,
-                  const CallOptions &options, Duration timeout, Done done) {
-  std::shared_ptr<SimpleCall> simple(
-      new SimpleCall(loop, options.accepts_unframed));
+std::shared_ptr<SimpleCall> SimpleCall::start(HttpClient& client, boost::asio::io_context& loop,
+                                              const Endpoint& endpoint, std::string bytes,
+                                              const CallOptions& options, Duration timeout,
+                                              Done done) {
+  std::shared_ptr<SimpleCall> simple(new SimpleCall(loop, options.accepts_unframed));
   simple->self_ = simple;
   simple->done_ = std::move(done);
   simple->timer_->timer.expires_after(timeout);
-  simple->timer_->timer.async_wait(
-      [weak = std::weak_ptr(simple)](const ErrorCode &error) {
-        const auto self = weak.lock();
-        if (!error && self) {
-          const bool sent = self->call_ && self->call_->sent();
-          if (self->call_) {
-            self->call_->time_out();
-          }
-          self->finish(sent ? CallFailure::kNoAnswer : CallFailure::kNotSent);
-        }
-      });
+  simple->timer_->timer.async_wait([weak = std::weak_ptr(simple)](const ErrorCode& error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      const bool sent = self->call_ && self->call_->sent();
+      if (self->call_) {
+        self->call_->time_out();
+      }
+      self->finish(sent ? CallFailure::kNoAnswer : CallFailure::kNotSent);
+    }
+  });
   simple->call_ = client.start(endpoint, std::move(bytes), options, *simple);
   return simple;
 }
@@ -458,7 +443,7 @@
   finish(std::nullopt);
 }
 
-bool SimpleCall::on_head(const ResponseHead &head) {
+bool SimpleCall::on_head(const ResponseHead& head) {
   outcome_.head = head;
   return true;
 }
@@ -472,7 +457,9 @@
   finish(whole ? std::nullopt : std::optional(CallFailure::kInterrupted));
 }
 
-void SimpleCall::on_failure(CallFailure failure) { finish(failure); }
+void SimpleCall::on_failure(CallFailure failure) {
+  finish(failure);
+}
 
 void SimpleCall::finish(std::optional<CallFailure> failure) {
   const auto self = std::exchange(self_, nullptr);
@@ -483,4 +470,4 @@
   }
 }
 
-} // namespace dockpoint::net
+}  // namespace dockpoint::net
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -22,31 +22,31 @@
 
 /// Reason why a call did not receive a complete response.
 enum class CallFailure {
-  kNotSent, ///< No connection accepted any byte of the request: it did not run.
-  kNoAnswer, ///< The request was sent; the connection closed before a response
-             ///< head.
-  kInterrupted, ///< The connection closed in the middle of the response.
-  kMalformed,   ///< The received bytes are not a valid HTTP response.
+  kNotSent,      ///< No connection accepted any byte of the request: it did not run.
+  kNoAnswer,     ///< The request was sent; the connection closed before a response
+                 ///< head.
+  kInterrupted,  ///< The connection closed in the middle of the response.
+  kMalformed,    ///< The received bytes are not a valid HTTP response.
 };
 
 /// What marked the end of a response.
 enum class ResponseEnd {
-  kFramed, ///< Its length, its last chunk, or a status without a body: it is
-           ///< whole.
-  kConnectionClosed, ///< The server closed the connection in good order. A
-                     ///< server that fails does so too, hence this does not
-                     ///< prove that the response is whole.
+  kFramed,            ///< Its length, its last chunk, or a status without a body: it is
+                      ///< whole.
+  kConnectionClosed,  ///< The server closed the connection in good order. A
+                      ///< server that fails does so too, hence this does not
+                      ///< prove that the response is whole.
 };
 
 /// Receives the response to a call. Callbacks run on the event loop, never from
 /// within `start`.
 class CallObserver {
-public:
+ public:
   virtual ~CallObserver() = default;
   /// Called when a response head has arrived.
   /// @return whether the response belongs to this call; if not, the whole
   /// response is skipped.
-  virtual bool on_head(const ResponseHead &head) = 0;
+  virtual bool on_head(const ResponseHead& head) = 0;
   virtual void on_body(std::string_view bytes) = 0;
   /// Called when the response has ended. The call has ended.
   virtual void on_complete(ResponseEnd end) = 0;
@@ -57,9 +57,9 @@
 /// Address and identity of a server.
 struct Endpoint {
   Address address;
-  std::string identity; ///< Connections are reused only for the same address
-                        ///< and identity.
-  friend bool operator<(const Endpoint &left, const Endpoint &right) {
+  std::string identity;  ///< Connections are reused only for the same address
+                         ///< and identity.
+  friend bool operator<(const Endpoint& left, const Endpoint& right) {
     return std::tie(left.address.host, left.address.port, left.identity) <
            std::tie(right.address.host, right.address.port, right.identity);
   }
@@ -71,9 +71,8 @@
 /// How a call uses its connection.
 struct CallOptions {
   Duration connect_timeout = std::chrono::milliseconds(400);
-  Duration maximum_idle =
-      std::chrono::seconds(3); ///< Connections idle for longer are not reused.
-  int user_timeout_ms = 1'000; ///< TCP_USER_TIMEOUT for unacknowledged data.
+  Duration maximum_idle = std::chrono::seconds(3);  ///< Connections idle for longer are not reused.
+  int user_timeout_ms = 1'000;                      ///< TCP_USER_TIMEOUT for unacknowledged data.
   /// `SimpleCall` only: a response without length or chunks is not a failure.
   /// For servers whose bodies show by themselves whether they are whole.
   bool accepts_unframed = false;
@@ -89,10 +88,10 @@
 /// A request in flight. Destroying or cancelling it closes its connection
 /// unless the response is complete.
 class Call {
-public:
+ public:
   ~Call();
-  Call(const Call &) = delete;
-  Call &operator=(const Call &) = delete;
+  Call(const Call&) = delete;
+  Call& operator=(const Call&) = delete;
 
   /// Cancels the call: closes the connection immediately and makes no further
   /// callbacks.
@@ -111,13 +110,13 @@
   /// @return the connection that carried the request, or 0 if none has yet.
   ConnectionNumber connection_number() const { return connection_number_; }
 
-private:
+ private:
   friend class HttpClient;
   friend class ClientConnection;
-  Call(CallObserver &observer, std::string bytes)
+  Call(CallObserver& observer, std::string bytes)
       : observer_(&observer), bytes_(std::move(bytes)) {}
 
-  CallObserver *observer_;
+  CallObserver* observer_;
   std::string bytes_;
   std::shared_ptr<ClientConnection> connection_;
   bool sent_ = false;
@@ -136,52 +135,49 @@
 /// Makes calls over persistent connections. Single-threaded. Destroying the
 /// client ends all calls without further callbacks.
 class HttpClient {
-public:
-  explicit HttpClient(boost::asio::io_context &loop) : loop_(loop) {}
+ public:
+  explicit HttpClient(boost::asio::io_context& loop) : loop_(loop) {}
   ~HttpClient();
 
   /// Starts a call.
   /// @param bytes the complete request: head and body.
-  CallPtr start(const Endpoint &endpoint, std::string bytes,
-                const CallOptions &options, CallObserver &observer);
+  CallPtr start(const Endpoint& endpoint, std::string bytes, const CallOptions& options,
+                CallObserver& observer);
 
   /// Closes the idle persistent connections to an endpoint.
-  void abandon_idle(const Endpoint &endpoint);
+  void abandon_idle(const Endpoint& endpoint);
   /// Closes idle persistent connections to servers that are not in `keep`.
-  void retain(const std::function<bool(const Endpoint &)> &keep);
+  void retain(const std::function<bool(const Endpoint&)>& keep);
   /// Enforces timeouts; call several times a second.
   void tick(TimePoint now);
 
-  const ClientCounts &counts() const { return counts_; }
+  const ClientCounts& counts() const { return counts_; }
 
-private:
+ private:
   friend class ClientConnection;
 
-  std::shared_ptr<ClientConnection> take_idle(const Endpoint &endpoint,
-                                              TimePoint now,
-                                              const CallOptions &options);
-  void keep(const std::shared_ptr<ClientConnection> &connection);
-  void forget(const std::shared_ptr<ClientConnection> &connection);
+  std::shared_ptr<ClientConnection> take_idle(const Endpoint& endpoint, TimePoint now,
+                                              const CallOptions& options);
+  void keep(const std::shared_ptr<ClientConnection>& connection);
+  void forget(const std::shared_ptr<ClientConnection>& connection);
 
-  boost::asio::io_context &loop_;
+  boost::asio::io_context& loop_;
   std::map<Endpoint, std::vector<std::shared_ptr<ClientConnection>>> idle_;
   std::set<std::shared_ptr<ClientConnection>> connecting_;
-  std::set<ClientConnection *> connections_; ///< All existing connections.
+  std::set<ClientConnection*> connections_;  ///< All existing connections.
   ClientCounts counts_;
 };
 
 /// A connection to a server, used by one call at a time.
-class ClientConnection : public TcpObserver,
-                         public std::enable_shared_from_this<ClientConnection> {
-public:
-  ClientConnection(HttpClient &client, Endpoint endpoint,
-                   ConnectionNumber number);
+class ClientConnection : public TcpObserver, public std::enable_shared_from_this<ClientConnection> {
+ public:
+  ClientConnection(HttpClient& client, Endpoint endpoint, ConnectionNumber number);
   ~ClientConnection() override;
 
-  void connect(const CallOptions &options, const CallPtr &call, TimePoint now);
+  void connect(const CallOptions& options, const CallPtr& call, TimePoint now);
   /// Sends the request of `call` on an idle connection. @return false if no
   /// byte was accepted.
-  bool send(const CallPtr &call);
+  bool send(const CallPtr& call);
   void abandon();
   /// Closes the idle persistent connections to the same endpoint.
   void abandon_idle_siblings();
@@ -193,21 +189,21 @@
   void on_closed(bool clean) override;
   void on_drained() override {}
 
-  const Endpoint &endpoint() const { return endpoint_; }
+  const Endpoint& endpoint() const { return endpoint_; }
 
-private:
+ private:
   friend class HttpClient;
   friend class Call;
 
-  void on_connected(const boost::system::error_code &error);
+  void on_connected(const boost::system::error_code& error);
   void fail_connect();
   void begin_response();
   void parse();
   void complete(ResponseEnd end);
   void fail(CallFailure failure);
-  void update_keep_alive(const ResponseHead &head);
+  void update_keep_alive(const ResponseHead& head);
 
-  HttpClient *client_;
+  HttpClient* client_;
   Endpoint endpoint_;
   const ConnectionNumber number_;
   std::unique_ptr<tcp::socket> connecting_;
@@ -215,21 +211,18 @@
   CallPtr call_;
   std::unique_ptr<ResponseParser> parser_;
   std::string input_;
-  bool skipping_response_ =
-      false;               ///< The current response belongs to another call.
-  bool keep_alive_ = true; ///< Whether the current response allows reuse.
-  bool head_received_ = false; ///< The response head of this call has arrived.
+  bool skipping_response_ = false;  ///< The current response belongs to another call.
+  bool keep_alive_ = true;          ///< Whether the current response allows reuse.
+  bool head_received_ = false;      ///< The response head of this call has arrived.
   bool parsing_ = false;
   TimePoint connect_deadline_{};
   TimePoint idle_since_{};
-  Duration server_idle_limit_ =
-      std::chrono::hours(1); ///< From the `Keep-Alive` header.
+  Duration server_idle_limit_ = std::chrono::hours(1);  ///< From the `Keep-Alive` header.
 };
 
 /// Collects a complete response and delivers it once.
-class SimpleCall : public CallObserver,
-                   public std::enable_shared_from_this<SimpleCall> {
-public:
+class SimpleCall : public CallObserver, public std::enable_shared_from_this<SimpleCall> {
+ public:
   /// The response; `failure` is set if there is none.
   struct Outcome {
     std::optional<CallFailure> failure;
@@ -240,29 +233,27 @@
 
   /// @param timeout for the whole call; `done` is called exactly once, unless
   /// cancelled.
-  static std::shared_ptr<SimpleCall>
-  start(HttpClient &client, boost::asio::io_context &loop,
-        const Endpoint &endpoint, std::string bytes, const CallOptions &options,
-        Duration timeout, Done done);
+  static std::shared_ptr<SimpleCall> start(HttpClient& client, boost::asio::io_context& loop,
+                                           const Endpoint& endpoint, std::string bytes,
+                                           const CallOptions& options, Duration timeout, Done done);
   void cancel();
 
-  bool on_head(const ResponseHead &head) override;
+  bool on_head(const ResponseHead& head) override;
   void on_body(std::string_view bytes) override;
   void on_complete(ResponseEnd end) override;
   void on_failure(CallFailure failure) override;
 
-private:
-  SimpleCall(boost::asio::io_context &loop, bool accepts_unframed);
+ private:
+  SimpleCall(boost::asio::io_context& loop, bool accepts_unframed);
   void finish(std::optional<CallFailure> failure);
 
   struct Timer;
   std::shared_ptr<Timer> timer_;
-  std::shared_ptr<SimpleCall>
-      self_; ///< Keeps this object alive until the call ends.
+  std::shared_ptr<SimpleCall> self_;  ///< Keeps this object alive until the call ends.
   const bool accepts_unframed_;
   CallPtr call_;
   Outcome outcome_;
   Done done_;
 };
 
-} // namespace dockpoint::net
+}  // namespace dockpoint::net
--- a/tests/support/raw_replica.hpp
+++ b/tests/support/raw_replica.hpp
@@ -17,44 +17,45 @@
 
 /// How a `RawReplica` ends its answer.
 enum class AnswerEnding {
-  kKeepsOpen, ///< Leaves the connection open.
-  kCloses,    ///< Closes the connection in good order (FIN).
-  kResets,    ///< Resets the connection (RST).
-  kCrashes,   ///< Its process ends: the listener and all connections close in
-              ///< good order.
+  kKeepsOpen,  ///< Leaves the connection open.
+  kCloses,     ///< Closes the connection in good order (FIN).
+  kResets,     ///< Resets the connection (RST).
+  kCrashes,    ///< Its process ends: the listener and all connections close in
+               ///< good order.
 };
 
 /// A replica that answers each request with given bytes, without any framing of
 /// its own.
 class RawReplica {
-public:
+ public:
   /// The bytes of one answer, and what follows them.
   struct Answer {
     std::string bytes;
     AnswerEnding ending = AnswerEnding::kKeepsOpen;
   };
   /// @param request head and body. @return the answer.
-  using Handler = std::function<Answer(const std::string &request)>;
+  using Handler = std::function<Answer(const std::string& request)>;
 
   /// Whether each answer is sent again, where the next one on its connection is
   /// due.
   bool repeats_answers = false;
 
-  RawReplica(boost::asio::io_context &loop, std::string id, std::uint16_t port,
-             Handler handler)
-      : id_(std::move(id)), port_(port), handler_(std::move(handler)),
+  RawReplica(boost::asio::io_context& loop, std::string id, std::uint16_t port, Handler handler)
+      : id_(std::move(id)),
+        port_(port),
+        handler_(std::move(handler)),
         acceptor_(loop, {boost::asio::ip::make_address("127.0.0.1"), port}) {
     accept();
   }
   ~RawReplica() { crash(); }
 
-  ReplicaRecord record(const std::string &service) const {
+  ReplicaRecord record(const std::string& service) const {
     return {id_, service, {"127.0.0.1", port_}, "zone-a", 4, false, {}};
   }
   int requests() const { return requests_; }
   bool running() const { return acceptor_.is_open(); }
 
-private:
+ private:
   using Tcp = boost::asio::ip::tcp;
   using ErrorCode = boost::system::error_code;
 
@@ -68,23 +69,22 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
 
   void accept() {
-    acceptor_.async_accept([this, life = std::weak_ptr(life_)](
-                               ErrorCode error, Tcp::socket socket) {
-      if (error || life.expired()) {
-        return;
-      }
-      const auto connection = std::make_shared<Connection>(std::move(socket));
-      connections_.insert(connection);
-      read(connection);
-      accept();
-    });
+    acceptor_.async_accept(
+        [this, life = std::weak_ptr(life_)](ErrorCode error, Tcp::socket socket) {
+          if (error || life.expired()) {
+            return;
+          }
+          const auto connection = std::make_shared<Connection>(std::move(socket));
+          connections_.insert(connection);
+          read(connection);
+          accept();
+        });
   }
 
-  void read(const ConnectionPtr &connection) {
+  void read(const ConnectionPtr& connection) {
     connection->socket.async_read_some(
         boost::asio::buffer(connection->buffer),
-        [this, life = std::weak_ptr(life_), connection](ErrorCode error,
-                                                        std::size_t count) {
+        [this, life = std::weak_ptr(life_), connection](ErrorCode error, std::size_t count) {
           if (life.expired()) {
             return;
           }
@@ -101,7 +101,7 @@
         });
   }
 
-  static bool is_complete(const std::string &request) {
+  static bool is_complete(const std::string& request) {
     const std::size_t head = request.find("\r\n\r\n");
     if (head == std::string::npos) {
       return false;
@@ -109,42 +109,38 @@
     const std::string name = "Content-Length: ";
     const std::size_t length = request.find(name);
     const std::size_t body =
-        length < head ? std::stoul(request.substr(length + name.size()))
-                      : std::size_t{0};
+        length < head ? std::stoul(request.substr(length + name.size())) : std::size_t{0};
     return request.size() >= head + 4 + body;
   }
 
-  void answer(const ConnectionPtr &connection) {
+  void answer(const ConnectionPtr& connection) {
     ++requests_;
     const Answer answer = handler_(std::exchange(connection->input, {}));
-    const std::string repeated =
-        std::exchange(connection->last_answer, answer.bytes);
-    const std::string bytes =
-        (repeats_answers ? repeated : std::string()) + answer.bytes;
+    const std::string repeated = std::exchange(connection->last_answer, answer.bytes);
+    const std::string bytes = (repeats_answers ? repeated : std::string()) + answer.bytes;
     ErrorCode ignored;
     boost::asio::write(connection->socket, boost::asio::buffer(bytes), ignored);
     switch (answer.ending) {
-    case AnswerEnding::kKeepsOpen:
-      read(connection);
-      return;
-    case AnswerEnding::kResets:
-      connection->socket.set_option(boost::asio::socket_base::linger(true, 0),
-                                    ignored);
-      [[fallthrough]];
-    case AnswerEnding::kCloses:
-      connections_.erase(connection);
-      connection->socket.close(ignored);
-      return;
-    case AnswerEnding::kCrashes:
-      crash();
-      return;
+      case AnswerEnding::kKeepsOpen:
+        read(connection);
+        return;
+      case AnswerEnding::kResets:
+        connection->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        [[fallthrough]];
+      case AnswerEnding::kCloses:
+        connections_.erase(connection);
+        connection->socket.close(ignored);
+        return;
+      case AnswerEnding::kCrashes:
+        crash();
+        return;
     }
   }
 
   void crash() {
     ErrorCode ignored;
     acceptor_.close(ignored);
-    for (const ConnectionPtr &connection : std::exchange(connections_, {})) {
+    for (const ConnectionPtr& connection : std::exchange(connections_, {})) {
       connection->socket.close(ignored);
     }
   }
@@ -158,4 +154,4 @@
   const std::shared_ptr<int> life_ = std::make_shared<int>();
 };
 
-} // namespace dockpoint::test
+}  // namespace dockpoint::test
