--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -27,8 +27,7 @@
   }
 };
 
-/// Progress of an item, kept between runs so that an interrupted run can be
-/// resumed.
+/// Progress of an item, kept between runs so that an interrupted run can be resumed.
 struct ItemProgress {
   ItemCheckpoint produced;
   std::size_t saved_bytes = 0;  ///< Bytes of the produced text that the log holds.
@@ -46,18 +45,15 @@
 
 /// Runs batch items of the partitions that this node owns.
 ///
-/// Items run in order of their due times; items that are already overdue come
-/// last. An item is sent only to a replica with fewer occupied slots than the
-/// batch limit, and BatchShare limits the number of concurrent items of this
-/// node. A node that has just started waits until it can know the load of the
-/// other nodes. A run that is interrupted, or preempted by online requests,
-/// resumes after its last event at any replica of the same software version
-/// with a free slot; see partial_output.hpp for when it starts again instead.
-/// An item is owed until its result is listed: whatever happens to its
-/// replicas, it runs again after a short pause, on one replica at a time.
+/// Items run in order of their due times; items that are already overdue come last. An item is sent
+/// only to a replica with fewer occupied slots than the batch limit, and BatchShare limits the
+/// number of concurrent items of this node. A node that has just started waits until it can know
+/// the load of the other nodes. A run that is interrupted, or preempted by online requests, resumes
+/// after its last event at any replica of the same software version with a free slot; see
+/// partial_output.hpp for when it starts again instead. An item is owed until its result is listed:
+/// whatever happens to its replicas, it runs again after a short pause, on one replica at a time.
 ///
-/// Single-threaded; borrows the context. Partition owners are registered while
-/// they are active.
+/// Single-threaded; borrows the context. Partition owners are registered while they are active.
 class BatchExecutor {
  public:
   explicit BatchExecutor(GatewayContext& context);
@@ -66,8 +62,8 @@
   void add_partition(PartitionOwner& owner);
   /// Cancels all runs of the partition and discards its items.
   void remove_partition(int partition);
-  /// Cancels all runs of the partition, starts no further ones, and checkpoints
-  /// their output, so that the next owner resumes from it.
+  /// Cancels all runs of the partition, starts no further ones, and checkpoints their output, so
+  /// that the next owner resumes from it.
   void hand_over(int partition);
   /// Calls hand_over() for every partition.
   void hand_over_all();
@@ -76,8 +72,7 @@
 
   void tick(TimePoint now);
 
-  /// Preempts the least urgent item that runs at a replica, to free a slot for
-  /// an online request.
+  /// Preempts the least urgent item that runs at a replica, to free a slot for an online request.
   /// @return whether an item was preempted.
   bool yield_slot(const std::string& replica);
 
@@ -102,23 +97,20 @@
 
   BatchShare share() const;
   bool is_urgent(const DueTime& due) const;
-  /// @return whether the retention of an item's job has expired, so that the
-  /// item may be failed.
+  /// @return whether the retention of an item's job has expired, so that the item may be failed.
   bool has_expired(const ItemRef& ref, std::int64_t now_ms) const;
   void start_waiting(TimePoint now, const BatchShare& share);
   /// Preempts runs that are not urgent if online requests need their slots.
   void preempt_excess_runs(const BatchShare& share);
-  /// @return the replica for an item, if possible not that of its last
-  /// interrupted run.
+  /// @return the replica for an item, if possible not that of its last interrupted run.
   ReplicaChoice choose_replica(ReplicaQuery query, const ItemProgress& kept, TimePoint now);
-  /// Sets the software version that the item's kept output requires, or
-  /// discards the output if it cannot or should not be resumed.
+  /// Sets the software version that the item's kept output requires, or discards the output if it
+  /// cannot or should not be resumed.
   /// @return whether the item may be sent now.
   bool resume_or_restart(const ItemRef& ref, ItemProgress& kept, ReplicaQuery& query,
                          TimePoint now);
   /// Starts or reschedules an item.
-  /// @return whether the item needs no further attempt now; false if no replica
-  /// has a free slot.
+  /// @return whether the item needs no further attempt now; false if no replica has a free slot.
   bool start(const Waiting& entry, TimePoint now);
   const RouteConfig* route_of(const LedgerJob& job, const BatchItem& item) const;
   void give_up_expired();
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -106,8 +106,7 @@
   }
   context_.metrics.count_doubtful_end(to_string(verdict));
   spdlog::info(
-      "batch: end of answer in doubt job={} item={} replica={} "
-      "status={} framed={} "
+      "batch: end of answer in doubt job={} item={} replica={} status={} framed={} "
       "partialEventBytes={} verdict={}",
       ref_.job, item_id_, attempt_.replica(), status_, answer.framed, framer_.partial_bytes(),
       to_string(verdict));
--- a/src/gateway/replica_attempt.hpp
+++ b/src/gateway/replica_attempt.hpp
@@ -10,12 +10,10 @@
 
 namespace dockpoint {
 
-/// One attempt to run a request or item at a replica: the call, and its share
-/// of the replica's load in the directory from start to end. Reusable for the
-/// next attempt.
+/// One attempt to run a request or item at a replica: the call, and its share of the replica's load
+/// in the directory from start to end. Reusable for the next attempt.
 ///
-/// Single-threaded; borrows the context. The destructor ends an attempt under
-/// way.
+/// Single-threaded; borrows the context. The destructor ends an attempt under way.
 class ReplicaAttempt {
  public:
   ReplicaAttempt(GatewayContext& context, TrafficClass traffic)
@@ -24,28 +22,24 @@
   ReplicaAttempt(const ReplicaAttempt&) = delete;
   ReplicaAttempt& operator=(const ReplicaAttempt&) = delete;
 
-  /// Sends `bytes` to the replica. No attempt may be under way. A connection
-  /// that carried an earlier attempt is not reused: all attempts have the same
-  /// id, so answers to them look alike.
-  /// @param missing_tokens prompt tokens that are not in the replica's cache
-  /// and need prefill.
+  /// Sends `bytes` to the replica. No attempt may be under way. A connection that carried an
+  /// earlier attempt is not reused: all attempts have the same id, so answers to them look alike.
+  /// @param missing_tokens prompt tokens that are not in the replica's cache and need prefill.
   void start(const Replica& replica, std::string bytes, double missing_tokens,
              net::CallObserver& observer);
-  /// Handles the head of an answer: records the reported load, and removes the
-  /// replica from the directory if another one has taken over its address.
-  /// @param id of the request. @return nothing if the answer belongs to another
-  /// request.
+  /// Handles the head of an answer: records the reported load, and removes the replica from the
+  /// directory if another one has taken over its address.
+  /// @param id of the request. @return nothing if the answer belongs to another request.
   std::optional<ReplicaAnswer> handle_head(const net::ResponseHead& head, const std::string& id,
                                            TimePoint now);
-  /// Observes bytes of a stream: the interval between its events is a sample of
-  /// the replica's pace.
+  /// Observes bytes of a stream: the interval between its events is a sample of the replica's
+  /// pace.
   void observe_stream(std::string_view bytes, TimePoint now);
   /// Reports the pace of a successful run to the directory.
   void note_pace(TimePoint now);
   /// Reports the outcome of the attempt to the directory.
   void signal(ReplicaSignal signal, TimePoint now);
-  /// Ends the attempt and closes the connection of an incomplete call. May be
-  /// called at any time.
+  /// Ends the attempt and closes the connection of an incomplete call. May be called at any time.
   void end();
 
   /// @return the connections that carried attempts so far.
@@ -56,8 +50,7 @@
   }
 
   bool under_way() const { return !replica_.empty(); }
-  /// @return the replica of the attempt under way or, after it, of the last
-  /// one.
+  /// @return the replica of the attempt under way or, after it, of the last one.
   const std::string& replica() const { return last_replica_; }
   /// @return its address.
   const Address& address() const { return address_; }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -14,8 +14,7 @@
 
 using ErrorCode = boost::system::error_code;
 
-/// Margin before the server's idle timeout at which a persistent connection is
-/// no longer reused.
+/// Margin before the server's idle timeout at which a persistent connection is no longer reused.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(600);
 
 /// Maximum number of idle persistent connections to one server.
@@ -55,8 +54,8 @@
 
 void Call::time_out() {
   if (connection_ && reused_) {
-    // All open connections may have stopped responding together; later calls on
-    // them would time out.
+    // All open connections may have stopped responding together; later calls on them would time
+    // out.
     connection_->abandon_idle_siblings();
   }
   cancel();
@@ -306,8 +305,7 @@
 void ClientConnection::on_bytes(std::string_view bytes) {
   const auto self = shared_from_this();
   if (!call_) {
-    // Unexpected bytes without a pending call: the connection must not be
-    // reused.
+    // Unexpected bytes without a pending call: the connection must not be reused.
     abandon();
     return;
   }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -23,29 +23,24 @@
 /// Reason why a call did not receive a complete response.
 enum class CallFailure {
   kNotSent,      ///< No connection accepted any byte of the request: it did not run.
-  kNoAnswer,     ///< The request was sent; the connection closed before a response
-                 ///< head.
+  kNoAnswer,     ///< The request was sent; the connection closed before a response head.
   kInterrupted,  ///< The connection closed in the middle of the response.
   kMalformed,    ///< The received bytes are not a valid HTTP response.
 };
 
 /// What marked the end of a response.
 enum class ResponseEnd {
-  kFramed,            ///< Its length, its last chunk, or a status without a body: it is
-                      ///< whole.
-  kConnectionClosed,  ///< The server closed the connection in good order. A
-                      ///< server that fails does so too, hence this does not
-                      ///< prove that the response is whole.
+  kFramed,            ///< Its length, its last chunk, or a status without a body: it is whole.
+  kConnectionClosed,  ///< The server closed the connection in good order. A server that fails does
+                      ///< so too, hence this does not prove that the response is whole.
 };
 
-/// Receives the response to a call. Callbacks run on the event loop, never from
-/// within `start`.
+/// Receives the response to a call. Callbacks run on the event loop, never from within `start`.
 class CallObserver {
  public:
   virtual ~CallObserver() = default;
   /// Called when a response head has arrived.
-  /// @return whether the response belongs to this call; if not, the whole
-  /// response is skipped.
+  /// @return whether the response belongs to this call; if not, the whole response is skipped.
   virtual bool on_head(const ResponseHead& head) = 0;
   virtual void on_body(std::string_view bytes) = 0;
   /// Called when the response has ended. The call has ended.
@@ -57,8 +52,7 @@
 /// Address and identity of a server.
 struct Endpoint {
   Address address;
-  std::string identity;  ///< Connections are reused only for the same address
-                         ///< and identity.
+  std::string identity;  ///< Connections are reused only for the same address and identity.
   friend bool operator<(const Endpoint& left, const Endpoint& right) {
     return std::tie(left.address.host, left.address.port, left.identity) <
            std::tie(right.address.host, right.address.port, right.identity);
@@ -73,32 +67,29 @@
   Duration connect_timeout = std::chrono::milliseconds(400);
   Duration maximum_idle = std::chrono::seconds(3);  ///< Connections idle for longer are not reused.
   int user_timeout_ms = 1'000;                      ///< TCP_USER_TIMEOUT for unacknowledged data.
-  /// `SimpleCall` only: a response without length or chunks is not a failure.
-  /// For servers whose bodies show by themselves whether they are whole.
+  /// `SimpleCall` only: a response without length or chunks is not a failure. For servers whose
+  /// bodies show by themselves whether they are whole.
   bool accepts_unframed = false;
-  /// Connections that are not reused for the call: they carried a request with
-  /// the same id, and a late second answer to it could not be told from the
-  /// answer to this call.
+  /// Connections that are not reused for the call: they carried a request with the same id, and a
+  /// late second answer to it could not be told from the answer to this call.
   std::set<ConnectionNumber> avoided_connections{};
 };
 
 class HttpClient;
 class ClientConnection;
 
-/// A request in flight. Destroying or cancelling it closes its connection
-/// unless the response is complete.
+/// A request in flight. Destroying or cancelling it closes its connection unless the response is
+/// complete.
 class Call {
  public:
   ~Call();
   Call(const Call&) = delete;
   Call& operator=(const Call&) = delete;
 
-  /// Cancels the call: closes the connection immediately and makes no further
-  /// callbacks.
+  /// Cancels the call: closes the connection immediately and makes no further callbacks.
   void cancel();
-  /// Cancels the call because the response timed out. If its connection was a
-  /// reused one, the other persistent connections to that server are closed
-  /// too.
+  /// Cancels the call because the response timed out. If its connection was a reused one, the other
+  /// persistent connections to that server are closed too.
   void time_out();
   /// Applies backpressure to the server until `resume_reading` is called.
   void pause_reading();
@@ -132,8 +123,8 @@
   std::uint64_t calls = 0;
 };
 
-/// Makes calls over persistent connections. Single-threaded. Destroying the
-/// client ends all calls without further callbacks.
+/// Makes calls over persistent connections. Single-threaded. Destroying the client ends all calls
+/// without further callbacks.
 class HttpClient {
  public:
   explicit HttpClient(boost::asio::io_context& loop) : loop_(loop) {}
@@ -175,14 +166,12 @@
   ~ClientConnection() override;
 
   void connect(const CallOptions& options, const CallPtr& call, TimePoint now);
-  /// Sends the request of `call` on an idle connection. @return false if no
-  /// byte was accepted.
+  /// Sends the request of `call` on an idle connection. @return false if no byte was accepted.
   bool send(const CallPtr& call);
   void abandon();
   /// Closes the idle persistent connections to the same endpoint.
   void abandon_idle_siblings();
-  /// Ends the connection and its call without a callback, because the client is
-  /// being destroyed.
+  /// Ends the connection and its call without a callback, because the client is being destroyed.
   void orphan();
 
   void on_bytes(std::string_view bytes) override;
@@ -231,8 +220,7 @@
   };
   using Done = std::function<void(Outcome)>;
 
-  /// @param timeout for the whole call; `done` is called exactly once, unless
-  /// cancelled.
+  /// @param timeout for the whole call; `done` is called exactly once, unless cancelled.
   static std::shared_ptr<SimpleCall> start(HttpClient& client, boost::asio::io_context& loop,
                                            const Endpoint& endpoint, std::string bytes,
                                            const CallOptions& options, Duration timeout, Done done);
--- a/tests/support/raw_replica.hpp
+++ b/tests/support/raw_replica.hpp
@@ -20,12 +20,10 @@
   kKeepsOpen,  ///< Leaves the connection open.
   kCloses,     ///< Closes the connection in good order (FIN).
   kResets,     ///< Resets the connection (RST).
-  kCrashes,    ///< Its process ends: the listener and all connections close in
-               ///< good order.
+  kCrashes,    ///< Its process ends: the listener and all connections close in good order.
 };
 
-/// A replica that answers each request with given bytes, without any framing of
-/// its own.
+/// A replica that answers each request with given bytes, without any framing of its own.
 class RawReplica {
  public:
   /// The bytes of one answer, and what follows them.
@@ -36,8 +34,7 @@
   /// @param request head and body. @return the answer.
   using Handler = std::function<Answer(const std::string& request)>;
 
-  /// Whether each answer is sent again, where the next one on its connection is
-  /// due.
+  /// Whether each answer is sent again, where the next one on its connection is due.
   bool repeats_answers = false;
 
   RawReplica(boost::asio::io_context& loop, std::string id, std::uint16_t port, Handler handler)
