--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -105,8 +105,6 @@
   int maximum_sends_not_run = 4;
   /// Maximum sends of one request to replicas whose process had ended.
   int maximum_sends_to_gone_replicas = 16;
-  /// A connection that fails within this time was refused by a running machine.
-  Duration connection_refusal_time = 50ms;
   /// A repeatable request moves to another replica after this many objectives without a byte; see
   /// `silence_minimum`.
   int silence_objectives = 3;
--- a/include/dockpoint/routing/attempt_policy.hpp
+++ b/include/dockpoint/routing/attempt_policy.hpp
@@ -14,7 +14,7 @@
 /// Failure of an attempt, classified by what the engine may have done.
 enum class AttemptFailure {
   kNotRun,       ///< The replica reported it, or no connection accepted a byte.
-  kReplicaGone,  ///< The replica's address refused the connection at once: its process has ended.
+  kReplicaGone,  ///< The replica's machine refused the connection: its process has ended.
   kMayHaveRun,   ///< The request was sent, but no answer usable for the caller arrived.
   kInterrupted,  ///< The caller has received part of the answer.
 };
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -427,7 +427,7 @@
       to_ms(now - sent_at_));
   const bool not_run = not_sent || (rejected_ && head_seen_);
   if (not_run) {
-    const bool gone = not_sent && now - sent_at_ < context_.knobs.connection_refusal_time;
+    const bool gone = not_sent && attempt_.call()->connection_refused();
     end_attempt();
     after_failure(gone ? AttemptFailure::kReplicaGone : AttemptFailure::kNotRun, now);
   } else if (failure == net::CallFailure::kMalformed) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -239,6 +239,7 @@
     return;  // The call was cancelled in the meantime.
   }
   if (error) {
+    call_->connection_refused_ = error == boost::asio::error::connection_refused;
     fail_connect();
     return;
   }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -98,6 +98,8 @@
   bool sent() const { return sent_; }
   /// @return whether the call uses a connection that had been used before.
   bool reused() const { return reused_; }
+  /// @return whether the server's machine refused the connection: no process listens there.
+  bool connection_refused() const { return connection_refused_; }
   /// @return the connection that carried the request, or 0 if none has yet.
   ConnectionNumber connection_number() const { return connection_number_; }
 
@@ -112,6 +114,7 @@
   std::shared_ptr<ClientConnection> connection_;
   bool sent_ = false;
   bool reused_ = false;
+  bool connection_refused_ = false;
   ConnectionNumber connection_number_ = 0;
 };
 
