Resolver answers log when their addresses change, in a module of their own

Hypotheses before any change of logic:

A node that is stopping answers the resolver from a view that no longer changes: the others tell their departure to members that have not left, so it lists nodes that stopped after it. 2. A node that has just started learns outdated records and lists nodes that stopped before it started. 3. Callers get no new answer and keep the old one.

The line names the addresses that an answer gained and lost, and whether the node is stopping; it is written only when they change. No change of behaviour.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,11 +18,8 @@
 /// Interval at which timeouts and due calls are checked.
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 
-/// Time that callers may cache a resolver answer, unless the settings give a shorter one.
-constexpr Duration kAddressLifetime = std::chrono::seconds(1);
-
-/// Some callers cache a resolver answer for up to this multiple of its lifetime.
-constexpr int kAddressLifetimeMultiple = 3;
+/// A stopping node without requests exits once no caller has come for this long.
+constexpr Duration kCallerAbsence = std::chrono::seconds(1);
 
 /// The process exits this long before the grace period is over.
 constexpr Duration kGraceMargin = std::chrono::milliseconds(300);
@@ -121,6 +118,7 @@
           }),
       batch_(context_, log_, parts.batch_topics, {settings_.control_address, run_id_},
              combine_hash(hash64(settings_.node), run_id_)),
+      address_resolver_(parts.resolver, settings_.address_lifetime, hash64(settings_.node)),
       frontend_(loop, [this](const auto& exchange) { serve_frontend(exchange); }),
       readiness_(loop, [this](const auto& exchange) { serve_readiness(exchange); }),
       resolver_(loop, [this](const auto& exchange) { serve_resolver(exchange); }),
@@ -431,27 +429,7 @@
 }
 
 void Gateway::serve_resolver(const net::ExchangePtr& exchange) {
-  if (!parts_.resolver.asks_for_addresses(exchange->request())) {
-    exchange->respond(404, {}, {});
-    return;
-  }
-  std::vector<std::string> addresses = peers_.frontends();
-  if (addresses.empty()) {
-    exchange->respond(503, {{"Retry-After", "0.5"}}, {});
-    return;
-  }
-  const std::size_t limit = parts_.resolver.maximum_addresses();
-  if (addresses.size() > limit) {
-    // Each node starts at a different offset, so that together the nodes return all addresses.
-    std::rotate(
-        addresses.begin(),
-        addresses.begin() + static_cast<std::ptrdiff_t>(hash64(settings_.node) % addresses.size()),
-        addresses.end());
-    addresses.resize(limit);
-  }
-  const Duration lifetime = std::min(kAddressLifetime, settings_.address_lifetime);
-  exchange->respond(200, {{"Content-Type", "application/json"}},
-                    parts_.resolver.write_addresses(addresses, lifetime));
+  address_resolver_.serve(exchange, peers_.frontends(), stopping_);
 }
 
 void Gateway::serve_forwarded_job(const net::ExchangePtr& exchange) {
@@ -604,10 +582,9 @@
     left_group_ = true;
     batch_.leave();
   }
-  const bool cached_addresses_expired =
-      age > std::min(kAddressLifetime, settings_.address_lifetime) * kAddressLifetimeMultiple;
-  const bool callers_gone = online_.in_flight() == 0 && frontend_.active() == 0 &&
-                            now - last_caller_at_ > kAddressLifetime;
+  const bool cached_addresses_expired = age > address_resolver_.address_validity();
+  const bool callers_gone =
+      online_.in_flight() == 0 && frontend_.active() == 0 && now - last_caller_at_ > kCallerAbsence;
   const bool idle = left_group_ && cached_addresses_expired && callers_gone;
   if (idle || age > settings_.grace - kGraceMargin) {
     spdlog::info("gateway: stopped afterMs={} online={}", to_ms(age), online_.in_flight());
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -11,6 +11,7 @@
 #include "dockpoint/core/suspension_detector.hpp"
 #include "dockpoint/log/hedged_log.hpp"
 #include "dockpoint/membership/stream_origins.hpp"
+#include "gateway/address_resolver.hpp"
 #include "gateway/batch_service.hpp"
 #include "gateway/bounded_log.hpp"
 #include "gateway/crash_watch.hpp"
@@ -20,7 +21,6 @@
 #include "gateway/peer_link.hpp"
 #include "gateway/record_server.hpp"
 #include "gateway/relayed_log.hpp"
-#include "gateway/resolver_protocol.hpp"
 
 /// A dockpoint node: routes online requests and batch items to the replicas of a fleet.
 ///
@@ -139,6 +139,7 @@
   StreamOrigins stream_origins_;
   CrashWatch crash_watch_;
   BatchService batch_;
+  AddressResolver address_resolver_;
   net::HttpServer frontend_;
   net::HttpServer readiness_;
   net::HttpServer resolver_;
