Nodes that are stopping hear of later departures, and outdated records do not revive departed members

Change: a departure is told also to members that left within 30 s, since they still answer callers, and a departure of an unknown member is kept. Tests membership/a_node_that_has_left_hears_of_later_departures and an_outdated_record_does_not_show_a_departed_node_as_alive failed before.

Rejected: repeating the announcement for lost datagrams; no test could show a difference, since probes and gossip tell within a second.

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -28,6 +28,8 @@
   Duration sync_interval = 20s;
   /// How long a dead or departed member is remembered.
   Duration dead_retention = 10min;
+  /// Time for which a departed member is told of other departures: it still answers callers.
+  Duration departed_notice_time = 30s;
   /// Maximum gossip updates piggybacked on one message.
   std::size_t updates_per_message = 24;
   /// An update is retransmitted this many times log2(members).
--- a/include/dockpoint/membership/membership.hpp
+++ b/include/dockpoint/membership/membership.hpp
@@ -54,7 +54,8 @@
   /// Processes a message of any type; answers probes and sync requests.
   void receive(const PeerMessage& message, TimePoint now);
 
-  /// Announces that this node leaves. All its later messages carry the left state.
+  /// Announces that this node leaves. All its later messages carry the left state. A node that
+  /// has left still hears of other departures and answers messages.
   void leave();
 
   /// @return every member not dead or left, this node included while it has not left. The list
@@ -133,6 +134,7 @@
   const Knobs knobs_;
   Member self_;
   bool left_ = false;
+  TimePoint now_{};  ///< Of the last tick.
   std::mt19937_64 random_;
   PeerSender& sender_;
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -16,6 +16,7 @@
 }
 
 void Membership::tick(TimePoint now) {
+  now_ = now;
   if (left_) {
     return;
   }
@@ -77,7 +78,9 @@
   PeerMessage message = make_message(PeerMessageType::kLeave);
   message.updates = {self_};
   for (const auto& [id, entry] : members_) {
-    if (entry.member.state <= MemberState::kSuspect) {
+    const bool still_answers = entry.member.state == MemberState::kLeft &&
+                               now_ - entry.state_since < knobs_.departed_notice_time;
+    if (entry.member.state <= MemberState::kSuspect || still_answers) {
       sender_.send(entry.member.peer_address, message);
     }
   }
@@ -331,6 +334,10 @@
   }
   const auto known = members_.find(update.id);
   if (known == members_.end()) {
+    if (update.state == MemberState::kLeft) {
+      // Keeps outdated records of others from showing the member as alive.
+      members_[update.id] = Entry{update, now};
+    }
     if (update.state >= MemberState::kDead) {
       return;
     }
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -131,6 +131,36 @@
   BOOST_TEST(cluster["n1"].is_alive("n2"));
 }
 
+// Guards against a stopping node that still hands callers the addresses of nodes that stopped later.
+BOOST_AUTO_TEST_CASE(a_node_that_has_left_hears_of_later_departures) {
+  Cluster cluster(5);
+  cluster.run(5'000);
+  cluster["n2"].leave();
+  cluster.run(1'000);
+  cluster["n3"].leave();
+  cluster.run(100);
+  BOOST_TEST(!cluster["n2"].is_alive("n3"));
+}
+
+// Guards against a starting node that hands callers the address of a node that stopped before.
+BOOST_AUTO_TEST_CASE(an_outdated_record_does_not_show_a_departed_node_as_alive) {
+  Cluster cluster(4);
+  cluster.run(5'000);
+  const Member before = *cluster["n0"].find("n2");
+  cluster["n2"].leave();
+  cluster.run(100);
+  cluster.add("n9", 100);
+  PeerMessage departure;
+  departure.type = PeerMessageType::kSyncResponse;
+  departure.sender = *cluster["n0"].find("n0");
+  departure.updates = {*cluster["n0"].find("n2")};
+  cluster["n9"].receive(departure, at(5'200));
+  PeerMessage outdated = departure;
+  outdated.updates = {before};
+  cluster["n9"].receive(outdated, at(5'200));
+  BOOST_TEST(!cluster["n9"].is_alive("n2"));
+}
+
 BOOST_AUTO_TEST_CASE(a_suspected_member_refutes_the_suspicion) {
   Cluster cluster(3);
   cluster.run(5'000);
