A stopping node accepts only requests that end before it exits

Cause: a stopping node refused new requests after a fixed share of the grace period (0.55: 4.4 s), whatever they last. What was left, 3.3 s, is less than one fault-triage answer in a hundred takes (of 3,734: median 0.57 s, 99% 3.1 s, 99.9% 4.0 s). The share bounded nothing; it was only usual.

Change: StopAdmission, apart from I/O. While callers may still use an address that they resolved before the node left (its lifetime times three), a request is accepted if the longest recent answer of its route fits into what is left; later only if its own time limit ends before the exit. Others get 503 at once, with a Retry-After of 20 ms, and have not run. Submitted jobs and calls on jobs have known limits and follow the same rule.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include "dockpoint/core/address.hpp"
 #include "dockpoint/core/hash.hpp"
 #include "gateway/quarantine_endpoint.hpp"
+#include "gateway/retry_after.hpp"
 #include "net/clock.hpp"
 
 namespace dockpoint {
@@ -24,12 +25,8 @@
 /// The process exits this long before the grace period is over.
 constexpr Duration kGraceMargin = std::chrono::milliseconds(300);
 
-/// Share of the grace period after which new requests are refused, so that callers retry on another
-/// node: they might not complete before the process exits.
-constexpr double kGraceShareForRequests = 0.55;
-
-/// Retry-After of a stopping node, in seconds: another node can serve the request at once.
-constexpr const char* kStoppingRetryAfter = "0.02";
+/// Maximum time that a call on a batch job takes beyond the wait that its caller asked for.
+constexpr Duration kJobCallLimit = std::chrono::seconds(2);
 
 /// Retry-After if this node's configuration may be stale, in seconds: the next query to a peer is
 /// answered by then.
@@ -140,6 +137,7 @@
   selector_.use_slot_shares(slot_shares_);
   context_.rate_limiter = &rate_limiter_;
   context_.crash_watch = &crash_watch_;
+  context_.stop_admission = &stop_admission_;
   context_.stream_origins = &stream_origins_;
   context_.announce_load = [this] { peers_.announce_load(); };
   context_.peers_reaching_log = [this] { return peers_.control_addresses_reaching_log(); };
@@ -340,16 +338,13 @@
     exchange->respond(503, {{"Retry-After", "0.5"}}, {});
     return;
   }
-  const Duration time_since_stop = exchange->received() - stop_requested_at_;
-  if (stopping_ && time_since_stop > std::chrono::duration_cast<Duration>(settings_.grace *
-                                                                          kGraceShareForRequests)) {
-    exchange->respond(503, {{"Retry-After", kStoppingRetryAfter}}, {});
-    return;
-  }
   const net::RequestHead& head = exchange->request();
   const net::Target target = net::Target::parse(head.target);
   const Tenant* tenant = nullptr;
   if (auto call = context_.protocol.read_job_call(head)) {
+    if (refuse_while_stopping(exchange, call->wait + kJobCallLimit)) {
+      return;
+    }
     if (admit_caller(exchange, *configuration, true, tenant)) {
       call->job = tenant_job_id(tenant == nullptr ? std::string{} : tenant->name, call->job);
       batch_.handle(exchange, *call, false);
@@ -362,12 +357,24 @@
   } else if (!admit_caller(exchange, *configuration, route->needs_key, tenant)) {
     return;
   } else if (route->kind == RouteKind::kBatch) {
-    batch_.submit(exchange, *route, std::nullopt);
+    if (!refuse_while_stopping(exchange, knobs_.submission_wait)) {
+      batch_.submit(exchange, *route, std::nullopt);
+    }
   } else {
     online_.handle(exchange, configuration, *route, tenant);
   }
 }
 
+bool Gateway::refuse_while_stopping(const net::ExchangePtr& exchange, Duration limit) {
+  if (stop_admission_.accepts(exchange->received(), exchange->received() + limit, std::nullopt)) {
+    return false;
+  }
+  spdlog::info("gateway: call refused while stopping target={} sinceStopMs={}",
+               exchange->request().target, to_ms(exchange->received() - stop_requested_at_));
+  exchange->respond(503, {{"Retry-After", retry_after_value(kStoppingRetryAfter)}}, {});
+  return true;
+}
+
 bool Gateway::admit_caller(const net::ExchangePtr& exchange,
                            const RoutingConfiguration& configuration, bool key_required,
                            const Tenant*& tenant) {
@@ -570,6 +577,8 @@
   stopping_ = true;
   stop_requested_at_ = net::steady_now();
   last_caller_at_ = stop_requested_at_;
+  stop_admission_.begin(stop_requested_at_ + settings_.grace - kGraceMargin,
+                        stop_requested_at_ + address_resolver_.address_validity());
   spdlog::info("gateway: stopping online={} items={}", online_.in_flight(), batch_.pending_items());
   peers_.leave();
   frontend_.set_closing(true);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "dockpoint/admission/stop_admission.hpp"
 #include "dockpoint/core/life.hpp"
 #include "dockpoint/core/suspension_detector.hpp"
 #include "dockpoint/log/hedged_log.hpp"
@@ -31,7 +32,8 @@
 /// Shutdown: the node reports itself as not ready at once and leaves the membership, which removes
 /// it from its peers' resolver answers. It lets running batch items finish and releases its
 /// partitions. It keeps serving callers that have cached its address, asking them in every response
-/// to close the connection, and exits when they have gone or when the grace period is over.
+/// to close the connection, refuses what might not end in time (admission/stop_admission.hpp), and
+/// exits when they have gone or when the grace period is over.
 namespace dockpoint {
 
 /// External dependencies of a gateway. References and pointers are not owned and must outlive it.
@@ -87,6 +89,10 @@
   /// Handles a peer's request to yield a batch item's slot.
   void handle_slot_request(const SlotRequest& request);
   void serve_frontend(const net::ExchangePtr& exchange);
+  /// Refuses a call on a batch job that might not be answered before this node exits.
+  /// @param limit maximum time that the call takes.
+  /// @return whether it was refused.
+  bool refuse_while_stopping(const net::ExchangePtr& exchange, Duration limit);
   /// Authenticates the caller. Responds with an error if it is not admitted; otherwise replaces the
   /// API key in the request by the tenant's name.
   /// @param key_required whether a request without a key is refused.
@@ -153,6 +159,7 @@
   TimePoint next_slot_assignment_{};   ///< When slots are next divided among nodes.
   TimePoint stop_requested_at_{};
   TimePoint last_caller_at_{};
+  StopAdmission stop_admission_;
   bool stopping_ = false;
   bool left_group_ = false;
   HandlerGuard handlers_;
--- a/src/gateway/gateway_context.hpp
+++ b/src/gateway/gateway_context.hpp
@@ -18,6 +18,7 @@
 namespace dockpoint {
 
 class CrashWatch;
+class StopAdmission;
 class StreamOrigins;
 
 /// Dependencies shared by the components of a gateway. Used only on the event loop's thread.
@@ -41,8 +42,9 @@
   std::function<void(const Replica&)> request_slot = {};
   /// @return time since the log last confirmed the replicas' records.
   std::function<Duration()> replica_records_age = {};
-  TenantRateLimiter* rate_limiter = nullptr;  ///< Null disables rate limiting.
-  CrashWatch* crash_watch = nullptr;          ///< Null disables quarantine.
+  TenantRateLimiter* rate_limiter = nullptr;      ///< Null disables rate limiting.
+  CrashWatch* crash_watch = nullptr;              ///< Null disables quarantine.
+  const StopAdmission* stop_admission = nullptr;  ///< Null: this node never stops.
   /// Origins of the streams of all nodes; null: no stream is resumed across requests.
   StreamOrigins* stream_origins = nullptr;
 };
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -78,6 +78,9 @@
     refuse("the route names no service");
     return;
   }
+  if (refuse_while_stopping(exchange_->received())) {
+    return;
+  }
   const bool resumes = last_event_ && history_.resumable && context_.stream_origins != nullptr;
   if (!resumes) {
     service_ = proxy_.rotation_.next(route_);
@@ -360,6 +363,7 @@
     return;
   }
   context_.selector.note_service_time(service_, ended_at - sent_at_);
+  proxy_.answer_times_.record(route_.name, ended_at - exchange_->received(), now);
   if (head_.status / 100 == 2) {
     note_good_run();
   }
@@ -615,6 +619,18 @@
   return true;
 }
 
+bool OnlineCall::refuse_while_stopping(TimePoint now) {
+  if (context_.stop_admission == nullptr || !context_.stop_admission->stopping()) {
+    return false;
+  }
+  const std::optional<Duration> usual = proxy_.answer_times_.longest(route_.name, now);
+  if (context_.stop_admission->accepts(now, deadline_, usual)) {
+    return false;
+  }
+  refuse("the node is stopping", kStoppingRetryAfter);
+  return true;
+}
+
 bool OnlineCall::refuse_for_load(const ReplicaChoice& choice, TimePoint now) {
   if (sends_ > 0 || info_.last_event_id) {
     return false;
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -68,6 +68,9 @@
   void retry_or_resume(TimePoint now);
   /// Ends the attempt under way, if any, and excludes its replica from the next choice.
   void end_attempt();
+  /// Refuses the request if this node may exit before its answer is complete.
+  /// @return whether it was refused.
+  bool refuse_while_stopping(TimePoint now);
   /// Refuses the request if it has not been sent yet and would miss its latency objective.
   /// @return whether it was refused.
   bool refuse_for_load(const ReplicaChoice& choice, TimePoint now);
--- a/src/gateway/online_proxy.hpp
+++ b/src/gateway/online_proxy.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "dockpoint/admission/overload_policy.hpp"
+#include "dockpoint/admission/stop_admission.hpp"
 #include "gateway/gateway_context.hpp"
 #include "net/http_server.hpp"
 
@@ -37,6 +38,7 @@
   GatewayContext& context_;
   ServiceRotation rotation_;
   OverloadPolicy overload_;
+  AnswerTimes answer_times_;
   std::set<std::shared_ptr<OnlineCall>> calls_;
 };
 
