Owners audit their open items: each waits, is delayed, runs or is being written

Ways in which an item may lie were read: hand-over, fencing, retries, partial output, shares, candidates, expiry. None was found. What the logs lacked was a line that tells a fleet with too much work from an item that was forgotten.

Every 5 s each owner compares the open items of its ledger with those that it schedules. It logs the counts with the limits on runs and the time since the last start, logs an error for an item that nothing works on, and schedules it: the ledger decides what is owed, not the events that were handled. The comparison is apart from I/O (item_audit).

--- a/include/dockpoint/batch/partition_owner.hpp
+++ b/include/dockpoint/batch/partition_owner.hpp
@@ -102,6 +102,9 @@
   int partition() const { return partition_; }
   std::uint64_t epoch() const { return epoch_; }
   std::size_t pending_writes() const { return queue_.size() + writing_.size(); }
+  /// @return the size of the largest text that fits into one append together with its overhead, in
+  /// bytes.
+  std::size_t largest_text() const;
   /// @return whether a result of the item is queued or being written.
   bool has_pending_result(const std::string& job, std::uint32_t item) const;
 
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -235,6 +235,8 @@
   double batch_slot_share = 0.8;
   /// Share of all slots for urgent items, regardless of online load.
   double batch_urgent_share = 0.6;
+  /// Interval between audits of the items that a node owns.
+  Duration item_audit_interval = 5s;
   /// Items that a node with items may always run.
   double batch_least_items = 2;
   /// Expected used share of a replica's slots from which an item there yields its slot to an online
--- a/src/batch/partition_owner.cpp
+++ b/src/batch/partition_owner.cpp
@@ -225,6 +225,12 @@
   return true;
 }
 
+std::size_t PartitionOwner::largest_text() const {
+  // The rest is for keys, framing and the removal of the item's checkpoint steps.
+  constexpr double kTextShare = 0.875;
+  return static_cast<std::size_t>(kTextShare * static_cast<double>(log_.limits().call_bytes));
+}
+
 bool PartitionOwner::has_pending_result(const std::string& job, std::uint32_t item) const {
   const auto matches = [&](const PendingWrite& pending) {
     return pending.result && pending.result->item == item && pending.job == job;
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -13,9 +13,6 @@
 namespace dockpoint {
 namespace {
 
-/// Deadline sent to a replica with an item.
-constexpr Duration kItemDeadline = std::chrono::seconds(60);
-
 /// @return whether `left` is preempted before `right`: overdue runs first, then the latest due
 /// time.
 bool preempted_before(const ItemRun& left, const ItemRun& right, std::int64_t now_ms) {
@@ -185,6 +182,10 @@
     delayed_.erase(delayed_.begin());
     enqueue(ref);
   }
+  if (now >= next_audit_ && !owners_.empty()) {
+    next_audit_ = now + context_.knobs.item_audit_interval;
+    audit(now, share());
+  }
   if (waiting_.empty() && runs_.empty()) {
     return;
   }
@@ -255,6 +256,45 @@
   return true;
 }
 
+void BatchExecutor::audit(TimePoint now, const BatchShare& share) {
+  std::size_t open = 0;
+  std::size_t unscheduled = 0;
+  for (const auto& [partition, owner] : owners_) {
+    if (suspended_.contains(partition)) {
+      continue;
+    }
+    const ItemAudit audit = audit_items(owner->ledger(), scheduled_items(partition));
+    open += audit.open;
+    for (const auto& [job, item] : audit.unscheduled) {
+      if (!owner->has_pending_result(job, item)) {
+        ++unscheduled;
+        spdlog::error("batch: item was not scheduled job={} item={}", job, item);
+        enqueue({partition, job, item});
+      }
+    }
+  }
+  if (open > 0) {
+    spdlog::info(
+        "batch: items open={} waiting={} delayed={} running={} allowed={} allowedUrgent={} "
+        "unscheduled={} sinceLastStartMs={}",
+        open, waiting_.size(), delayed_.size(), runs_.size(), share.non_urgent(), share.urgent(),
+        unscheduled, to_ms(now - last_start_));
+  }
+}
+
+std::set<ItemKey> BatchExecutor::scheduled_items(int partition) const {
+  std::set<ItemKey> items;
+  const auto add = [&](const ItemRef& ref) {
+    if (ref.partition == partition) {
+      items.insert({ref.job, ref.item});
+    }
+  };
+  std::for_each(waiting_.begin(), waiting_.end(), [&](const Waiting& entry) { add(entry.ref); });
+  std::for_each(delayed_.begin(), delayed_.end(), [&](const auto& entry) { add(entry.second); });
+  std::for_each(runs_.begin(), runs_.end(), [&](const auto& run) { add(run->ref()); });
+  return items;
+}
+
 void BatchExecutor::preempt_excess_runs(const BatchShare& share) {
   std::vector<std::shared_ptr<ItemRun>> non_urgent;
   std::copy_if(runs_.begin(), runs_.end(), std::back_inserter(non_urgent),
@@ -313,6 +353,7 @@
   const auto run = std::make_shared<ItemRun>(*this, ref, item.id, std::move(info),
                                              std::max(1, route->attempts), entry.due);
   runs_.insert(run);
+  last_start_ = now;
   run->start(*choice.replica, net::serialize(head) + item.body, choice.missing_tokens, now);
   return true;
 }
@@ -404,6 +445,11 @@
   }
 }
 
+std::size_t BatchExecutor::largest_text(int partition) const {
+  const PartitionOwner* owner = owner_of(partition);
+  return owner == nullptr ? 0 : owner->largest_text();
+}
+
 void BatchExecutor::remove_run(const std::shared_ptr<ItemRun>& run) {
   runs_.erase(run);
 }
--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -8,6 +8,7 @@
 
 #include "dockpoint/batch/batch_share.hpp"
 #include "dockpoint/batch/due_time.hpp"
+#include "dockpoint/batch/item_audit.hpp"
 #include "dockpoint/batch/partition_owner.hpp"
 #include "gateway/gateway_context.hpp"
 
@@ -56,6 +57,9 @@
 /// Single-threaded; borrows the context. Partition owners are registered while they are active.
 class BatchExecutor {
  public:
+  /// Deadline sent to a replica with an item.
+  static constexpr Duration kItemDeadline = std::chrono::seconds(60);
+
   explicit BatchExecutor(GatewayContext& context);
   ~BatchExecutor();
 
@@ -100,6 +104,11 @@
   /// @return whether the retention of an item's job has expired, so that the item may be failed.
   bool has_expired(const ItemRef& ref, std::int64_t now_ms) const;
   void start_waiting(TimePoint now, const BatchShare& share);
+  /// Logs the state of all open items, and schedules those that nothing works on: none should
+  /// exist.
+  void audit(TimePoint now, const BatchShare& share);
+  /// @return the items of a partition that wait or run.
+  std::set<ItemKey> scheduled_items(int partition) const;
   /// Preempts runs that are not urgent if online requests need their slots.
   void preempt_excess_runs(const BatchShare& share);
   /// @return the replica for an item, if possible not that of its last interrupted run.
@@ -119,6 +128,8 @@
   void enqueue(const ItemRef& ref);
   void retry(const ItemRef& ref, Duration delay, TimePoint now);
   void complete(const ItemRef& ref, bool succeeded, std::string text);
+  /// @return the size of the largest output that the log takes as a result, in bytes.
+  std::size_t largest_text(int partition) const;
   void remove_run(const std::shared_ptr<ItemRun>& run);
   PartitionOwner* owner_of(int partition) const;
   const LedgerJob* job_of(const ItemRef& ref) const;
@@ -133,6 +144,8 @@
   std::set<std::shared_ptr<ItemRun>> runs_;
   TimePoint start_allowed_at_{};  ///< No item starts earlier; set by the first tick.
   TimePoint next_expiry_check_{};
+  TimePoint next_audit_{};
+  TimePoint last_start_{};  ///< When the last item was sent.
   TimePoint next_checkpoint_{};
 };
 
