Answers that never end are cut off, one limit a layer

What callers would see: a request is held until its deadline, and memory grows, while a replica sends bytes without end; an item is never done, since each byte counted as progress.

Cause: progress was measured in bytes. Only the head of one answer had a limit.

Change: limits on bytes of a call that are no part of its body (1 MiB and 16 for each byte of the body), on buffered answers (16 MiB, 48 MiB together), on bytes of a stream without a further event (1 MiB; the silence limit counts from the last event with data), on the output of an item (seven eighths of an append) and on the time of its run. This side closes the connection; the request goes on elsewhere where it may be repeated, gets 502 where not; the item runs elsewhere. Each hit is logged and counted.

--- a/include/dockpoint/streaming/event_framer.hpp
+++ b/include/dockpoint/streaming/event_framer.hpp
@@ -9,11 +9,16 @@
 /// Splits a `text/event-stream` into complete events.
 namespace dockpoint {
 
+/// Maximum number of bytes of a stream without a further event that belongs to the answer. A
+/// replica that fails may send an event that does not end, comments, or old events, without end.
+inline constexpr std::size_t kMaxBytesWithoutEvent = 1024 * 1024;
+
 /// One complete event.
 struct StreamEvent {
   std::string_view bytes;  ///< As received, including the terminating empty line.
   std::optional<std::uint64_t> id;
-  std::string data;  ///< Lines of `data`, joined by line feeds.
+  std::string data;       ///< Lines of `data`, joined by line feeds.
+  bool has_data = false;  ///< Whether it has any such line; comments have none.
 };
 
 /// Splits a stream of bytes into events and buffers an incomplete one. Not thread-safe.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -70,6 +70,10 @@
               .Name("dockpoint_gateway_doubtful_ends_total")
               .Help("Answers whose end does not prove that they are whole, by conclusion.")
               .Register(registry_)),
+      endless_answers_(prometheus::BuildCounter()
+                           .Name("dockpoint_gateway_endless_answers_total")
+                           .Help("Answers ended because they exceeded a limit, by limit.")
+                           .Register(registry_)),
       quarantined_(prometheus::BuildCounter()
                        .Name("dockpoint_gateway_quarantined_total")
                        .Help("Requests and items not sent since they crash replicas.")
@@ -209,6 +213,10 @@
   doubtful_ends_.Add({{"conclusion", conclusion}}).Increment();
 }
 
+void GatewayMetrics::count_endless_answer(const std::string& limit) {
+  endless_answers_.Add({{"limit", limit}}).Increment();
+}
+
 void GatewayMetrics::set_quarantined_requests(std::size_t count) {
   quarantined_requests_.Set(static_cast<double>(count));
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -43,6 +43,8 @@
   /// Counts an answer whose end does not prove that it is whole.
   /// @param conclusion name of an `AnswerEnd`.
   void count_doubtful_end(const std::string& conclusion);
+  /// Counts an answer that was ended because it exceeded a limit on its size or time.
+  void count_endless_answer(const std::string& limit);
   void set_quarantined_requests(std::size_t count);
   /// Counts a suspension of the machine.
   void count_suspension();
@@ -88,6 +90,7 @@
   prometheus::Family<prometheus::Counter>& callers_refused_;
   prometheus::Family<prometheus::Counter>& broken_runs_;
   prometheus::Family<prometheus::Counter>& doubtful_ends_;
+  prometheus::Family<prometheus::Counter>& endless_answers_;
   prometheus::Family<prometheus::Counter>& quarantined_;
   prometheus::Counter& suspects_cleared_;
   prometheus::Counter& suspensions_;
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -22,6 +22,9 @@
 /// Pause before an item is retried, e.g. after a replica had no free slot.
 constexpr Duration kRetryPause = std::chrono::milliseconds(150);
 
+/// Time after the deadline sent to the replica at which a run is ended from this side.
+constexpr Duration kDeadlineMargin = std::chrono::seconds(1);
+
 }  // namespace
 
 ItemRun::ItemRun(BatchExecutor& executor, ItemRef ref, std::string item_id, RequestInfo info,
@@ -41,6 +44,7 @@
 
 void ItemRun::start(const Replica& replica, std::string bytes, double missing_tokens,
                     TimePoint now) {
+  started_at_ = now;
   last_progress_ = now;
   origin_ = {replica.record.service, replica.record.software_version};
   attempt_.avoid_connections(progress().used_connections);
@@ -63,14 +67,31 @@
 }
 
 void ItemRun::on_body(std::string_view bytes) {
-  last_progress_ = net::steady_now();
   answer_bytes_ += bytes.size();
-  if (status_ / 100 == 2 && !rejected_) {
-    attempt_.observe_stream(bytes, last_progress_);
-    framer_.feed(bytes, [this](const StreamEvent& event) { handle_event(event); });
+  if (status_ / 100 != 2 || rejected_) {
+    return;
+  }
+  attempt_.observe_stream(bytes, net::steady_now());
+  bytes_without_event_ += bytes.size();
+  framer_.feed(bytes, [this](const StreamEvent& event) { handle_event(event); });
+  if (bytes_without_event_ > kMaxBytesWithoutEvent) {
+    end_endless_run("bytes_without_event", "the stream does not go on");
+  } else if (progress().produced.text.size() > executor_.largest_text(ref_.partition)) {
+    progress().restart();
+    end_endless_run("item_text", "the output is larger than the log takes");
   }
 }
 
+void ItemRun::end_endless_run(const char* limit, const char* why) {
+  const TimePoint now = net::steady_now();
+  context_.metrics.count_endless_answer(limit);
+  spdlog::warn(
+      "batch: answer exceeds a limit job={} item={} replica={} limit={} bodyBytes={} afterMs={}",
+      ref_.job, item_id_, attempt_.replica(), limit, answer_bytes_, to_ms(now - started_at_));
+  attempt_.signal(ReplicaSignal::kBroken, now);
+  interrupted(now, why);
+}
+
 void ItemRun::handle_event(const StreamEvent& event) {
   ItemCheckpoint& kept = progress().produced;
   if (!event.id || broken_sequence_) {
@@ -90,6 +111,8 @@
   }
   kept.text += event.data;
   kept.last_event = event.id;
+  last_progress_ = net::steady_now();
+  bytes_without_event_ = 0;
 }
 
 void ItemRun::on_complete(net::ResponseEnd end) {
@@ -187,6 +210,10 @@
 void ItemRun::on_failure(net::CallFailure failure) {
   const TimePoint now = net::steady_now();
   const bool not_sent = failure == net::CallFailure::kNotSent;
+  if (failure == net::CallFailure::kOversized) {
+    end_endless_run("overhead", "the answer does not end");
+    return;
+  }
   if (!not_sent && failure != net::CallFailure::kMalformed) {
     handle_broken_run(now, "the connection ended");
     return;
@@ -225,6 +252,8 @@
   if (context_.replicas.incarnation_ended(attempt_.replica())) {
     report_to_crash_watch(true);
     interrupted(now, "the replica has started again");
+  } else if (now - started_at_ > BatchExecutor::kItemDeadline + kDeadlineMargin) {
+    end_endless_run("run_time", "the run does not end");
   } else if (now - last_progress_ > context_.knobs.item_silence) {
     attempt_.signal(ReplicaSignal::kBroken, now);
     interrupted(now, "the replica is silent");
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -35,6 +35,9 @@
   /// Takes the answer as whole once its replica has proved to run still.
   void verify_end();
   void accept_answer(TimePoint now);
+  /// Ends a run whose answer exceeds a limit; the item runs again elsewhere.
+  /// @param limit name of the limit, for logs and metrics.
+  void end_endless_run(const char* limit, const char* why);
   /// Proceeds after a run that was sent and whose answer is not whole.
   void handle_broken_run(TimePoint now, const char* why);
   /// Reports an interrupted run to the crash watch.
@@ -51,11 +54,13 @@
   const DueTime due_;
   ReplicaAttempt attempt_;
   StreamOrigin origin_;  ///< Of the replica that runs it.
-  TimePoint last_progress_{};
+  TimePoint started_at_{};
+  TimePoint last_progress_{};  ///< Start, head or last event of the answer.
   int status_ = 0;
   std::size_t answer_bytes_ = 0;  ///< Of the answer's body.
   bool rejected_ = false;
-  bool broken_sequence_ = false;  ///< The stream skipped an event id after the checkpoint.
+  bool broken_sequence_ = false;         ///< The stream skipped an event id after the checkpoint.
+  std::size_t bytes_without_event_ = 0;  ///< Since the last event of the stream.
   EventFramer framer_;
 };
 
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -50,7 +50,8 @@
       route_(route),
       tenant_(tenant),
       info_(context_.protocol.read_request(exchange_->request())),
-      attempt_(context_, TrafficClass::kOnline) {
+      attempt_(context_, TrafficClass::kOnline),
+      body_(proxy.answer_budget_) {
   const Duration timeout = route_.timeout > Duration{} ? route_.timeout : kDefaultTimeout;
   deadline_ = exchange_->received() + std::min(timeout, info_.time_left.value_or(timeout));
   history_.repeatable = route_.repeatable();
@@ -195,6 +196,7 @@
   silence_reported_ = false;
   body_.clear();
   answer_bytes_ = 0;
+  bytes_without_event_ = 0;
   framer_.discard_partial();
   ++sends_;
   load_at_choice_ = choice.replica->load(now);
@@ -271,30 +273,60 @@
 }
 
 void OnlineCall::on_body(std::string_view bytes) {
-  last_progress_ = net::steady_now();
+  const auto self = shared_from_this();
   answer_bytes_ += bytes.size();
   if (!streaming_) {
-    body_.append(bytes);
+    last_progress_ = net::steady_now();
+    if (!body_.append(bytes)) {
+      abandon_endless_answer("buffered_body");
+    }
     return;
   }
-  attempt_.observe_stream(bytes, last_progress_);
-  const auto self = shared_from_this();
+  attempt_.observe_stream(bytes, net::steady_now());
+  bytes_without_event_ += bytes.size();
   if (history_.resumable) {
     framer_.feed(bytes, [this](const StreamEvent& event) { forward_event(event); });
   } else {
-    framer_.feed(bytes, [](const StreamEvent&) {});
+    framer_.feed(bytes, [this](const StreamEvent& event) { note_progress(event); });
     exchange_->write(bytes);
   }
+  if (!finished_ && bytes_without_event_ > kMaxBytesWithoutEvent) {
+    abandon_endless_answer("bytes_without_event");
+    return;
+  }
   if (!finished_ && attempt_.call() && exchange_->pending_output() > kMaxPendingOutput) {
     backpressured_ = true;
     attempt_.call()->pause_reading();
   }
 }
 
+void OnlineCall::note_progress(const StreamEvent& event) {
+  if (event.has_data) {  // Comments have none.
+    last_progress_ = net::steady_now();
+    bytes_without_event_ = 0;
+  }
+}
+
+void OnlineCall::abandon_endless_answer(const char* limit) {
+  report_endless_answer(limit);
+  const TimePoint now = net::steady_now();
+  attempt_.signal(ReplicaSignal::kBroken, now);
+  end_attempt();
+  retry_or_resume(now);
+}
+
+void OnlineCall::report_endless_answer(const char* limit) {
+  context_.metrics.count_endless_answer(limit);
+  spdlog::warn("online: answer exceeds a limit id={} replica={} limit={} bodyBytes={} afterMs={}",
+               info_.id, attempt_.replica(), limit, answer_bytes_,
+               to_ms(net::steady_now() - sent_at_));
+}
+
 void OnlineCall::forward_event(const StreamEvent& event) {
   if (event.id && last_event_ && *event.id <= *last_event_) {
     return;  // The caller received it from an earlier attempt.
   }
+  note_progress(event);
   if (event.id) {
     if (!last_event_) {
       origin_ = {service_, attempt_software_};
@@ -413,7 +445,7 @@
   net::Headers headers = head_.headers;
   headers.erase_connection_fields();
   note_first_byte();
-  exchange_->respond(head_.status, std::move(headers), body_);
+  exchange_->respond(head_.status, std::move(headers), body_.bytes());
   finish("answered", success ? "answer complete" : "the replica's failure was passed on");
 }
 
@@ -434,6 +466,10 @@
     const bool gone = not_sent && attempt_.call()->connection_refused();
     end_attempt();
     after_failure(gone ? AttemptFailure::kReplicaGone : AttemptFailure::kNotRun, now);
+  } else if (failure == net::CallFailure::kOversized) {
+    report_endless_answer("overhead");
+    end_attempt();
+    retry_or_resume(now);
   } else if (failure == net::CallFailure::kMalformed) {
     end_attempt();
     retry_or_resume(now);
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -60,8 +60,14 @@
   void log_resumption(const ReplicaRecord& replica) const;
   void on_caller_gone();
   void on_caller_drained();
+  /// Ends an attempt whose answer exceeds a limit, and proceeds as after a broken connection.
+  /// @param limit name of the limit, for logs and metrics.
+  void abandon_endless_answer(const char* limit);
+  void report_endless_answer(const char* limit);
   bool begin_stream(const net::ResponseHead& head);
   void forward_event(const StreamEvent& event);
+  /// Records the progress of a stream if the event carries data.
+  void note_progress(const StreamEvent& event);
   void complete_buffered();
   void after_failure(AttemptFailure failure, TimePoint now);
   /// Proceeds after an attempt that may have run, at another replica if the route allows it.
@@ -135,8 +141,9 @@
   bool streaming_ = false;         ///< The current answer is forwarded as a stream.
   bool silence_reported_ = false;  ///< The silence of this attempt was reported to the directory.
   net::ResponseHead head_;
-  std::string body_;
-  std::size_t answer_bytes_ = 0;  ///< Of the current answer's body.
+  BufferedAnswer body_;
+  std::size_t answer_bytes_ = 0;         ///< Of the current answer's body.
+  std::size_t bytes_without_event_ = 0;  ///< Of a stream, since its last event.
   EventFramer framer_;
   std::optional<std::uint64_t> last_event_;  ///< Id of the last event that the caller has.
   std::string attempt_software_;             ///< Software version of the last chosen replica.
--- a/src/gateway/online_proxy.hpp
+++ b/src/gateway/online_proxy.hpp
@@ -6,6 +6,7 @@
 
 #include "dockpoint/admission/overload_policy.hpp"
 #include "dockpoint/admission/stop_admission.hpp"
+#include "gateway/buffered_answer.hpp"
 #include "gateway/gateway_context.hpp"
 #include "net/http_server.hpp"
 
@@ -39,6 +40,7 @@
   ServiceRotation rotation_;
   OverloadPolicy overload_;
   AnswerTimes answer_times_;
+  AnswerBudget answer_budget_;
   std::set<std::shared_ptr<OnlineCall>> calls_;
 };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -274,6 +274,8 @@
   call->connection_number_ = number_;
   std::string().swap(call->bytes_);
   head_received_ = false;
+  received_bytes_ = 0;
+  body_bytes_ = 0;
   begin_response();
   return true;
 }
@@ -291,6 +293,7 @@
       [this](std::string_view bytes) {
         const CallPtr call = call_;
         if (!skipping_response_ && call && call->observer_ != nullptr) {
+          body_bytes_ += bytes.size();
           call->observer_->on_body(bytes);
         }
       });
@@ -310,8 +313,18 @@
     abandon();
     return;
   }
+  received_bytes_ += bytes.size();
   input_.append(bytes);
   parse();
+  if (call_ && overhead_exceeded()) {
+    fail(CallFailure::kOversized);
+  }
+}
+
+bool ClientConnection::overhead_exceeded() const {
+  const std::uint64_t allowed =
+      ResponseLimits::kOverheadBytes + ResponseLimits::kOverheadPerBodyByte * body_bytes_;
+  return received_bytes_ - body_bytes_ > allowed;
 }
 
 void ClientConnection::parse() {
@@ -448,7 +461,14 @@
 }
 
 void SimpleCall::on_body(std::string_view bytes) {
-  outcome_.body.append(bytes);
+  if (outcome_.body.size() + bytes.size() <= ResponseLimits::kSimpleBodyBytes) {
+    outcome_.body.append(bytes);
+    return;
+  }
+  if (call_) {
+    call_->cancel();
+  }
+  finish(CallFailure::kOversized);
 }
 
 void SimpleCall::on_complete(ResponseEnd end) {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -26,6 +26,7 @@
   kNoAnswer,     ///< The request was sent; the connection closed before a response head.
   kInterrupted,  ///< The connection closed in the middle of the response.
   kMalformed,    ///< The received bytes are not a valid HTTP response.
+  kOversized,    ///< The received bytes exceed a limit, see `ResponseLimits`.
 };
 
 /// What marked the end of a response.
@@ -59,6 +60,17 @@
   }
 };
 
+/// Limits on what a server may send for one call. A server that fails may send without end.
+struct ResponseLimits {
+  /// Bytes that are no part of the response's body: heads, provisional responses, responses to
+  /// other calls, chunk sizes and extensions, trailers.
+  static constexpr std::uint64_t kOverheadBytes = 1024 * 1024;
+  /// Additional overhead for each byte of the body, since chunks may be short.
+  static constexpr std::uint64_t kOverheadPerBodyByte = 16;
+  /// Body of a `SimpleCall`, in bytes.
+  static constexpr std::size_t kSimpleBodyBytes = 16 * 1024 * 1024;
+};
+
 /// Numbers a client's connections, starting at 1.
 using ConnectionNumber = std::uint64_t;
 
@@ -194,6 +206,8 @@
   void complete(ResponseEnd end);
   void fail(CallFailure failure);
   void update_keep_alive(const ResponseHead& head);
+  /// @return whether the bytes received for the call exceed the limit on its overhead.
+  bool overhead_exceeded() const;
 
   HttpClient* client_;
   Endpoint endpoint_;
@@ -203,9 +217,11 @@
   CallPtr call_;
   std::unique_ptr<ResponseParser> parser_;
   std::string input_;
-  bool skipping_response_ = false;  ///< The current response belongs to another call.
-  bool keep_alive_ = true;          ///< Whether the current response allows reuse.
-  bool head_received_ = false;      ///< The response head of this call has arrived.
+  std::uint64_t received_bytes_ = 0;  ///< For the current call.
+  std::uint64_t body_bytes_ = 0;      ///< Of them, passed on to its observer.
+  bool skipping_response_ = false;    ///< The current response belongs to another call.
+  bool keep_alive_ = true;            ///< Whether the current response allows reuse.
+  bool head_received_ = false;        ///< The response head of this call has arrived.
   bool parsing_ = false;
   TimePoint connect_deadline_{};
   TimePoint idle_since_{};
--- a/src/streaming/event_framer.cpp
+++ b/src/streaming/event_framer.cpp
@@ -30,8 +30,7 @@
 }
 
 StreamEvent parse_event(std::string_view bytes) {
-  StreamEvent event{bytes, std::nullopt, {}};
-  bool has_data = false;
+  StreamEvent event{bytes, std::nullopt, {}, false};
   std::string_view rest = bytes;
   while (!rest.empty()) {
     const std::size_t newline = std::min(rest.find('\n'), rest.size());
@@ -44,9 +43,9 @@
     const std::string_view name = line.substr(0, colon);
     const std::string_view value = value_after(line, colon);
     if (name == "data") {
-      event.data += has_data ? "\n" : "";
+      event.data += event.has_data ? "\n" : "";
       event.data += value;
-      has_data = true;
+      event.has_data = true;
     } else if (name == "id") {
       std::uint64_t number = 0;
       const auto result = std::from_chars(value.data(), value.data() + value.size(), number);
--- a/tests/platform/unframed_answers_test.cpp
+++ b/tests/platform/unframed_answers_test.cpp
@@ -5,15 +5,11 @@
 #include <boost/test/unit_test.hpp>
 #include <list>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 
-#include "platform/gateway_node.hpp"
-#include "platform/replica_records.hpp"
-#include "platform/stand_in_store.hpp"
+#include "platform/job_fixture.hpp"
 #include "platform/stand_ins.hpp"
-#include "platform/wire_names.hpp"
 #include "support/raw_replica.hpp"
 
 using namespace dockpoint;
@@ -90,16 +86,11 @@
 };
 
 /// A node with a job of one item, and two replicas. The first run of the item is answered as given.
-struct BatchFixture {
-  boost::asio::io_context loop{1};
-  StandInStore store{loop, GatewayNode::kStorePort, GatewayNode::kPartitions};
-  net::HttpClient caller{loop};
+struct BatchFixture : JobFixture {
   std::list<RawReplica> replicas;
-  std::unique_ptr<GatewayNode> node;
   int runs = 0;
 
   explicit BatchFixture(const RawReplica::Answer& first_answer) {
-    store.put(platform::kConfigurationTopic, platform::kConfigurationKey, route_configuration(3));
     for (const std::uint16_t port : {kFirstPort, kSecondPort}) {
       const std::string id = "r" + std::to_string(port);
       replicas.emplace_back(loop, id, port, [this, first_answer](const std::string& request) {
@@ -110,42 +101,9 @@
         return RawReplica::Answer{answer_bytes(Framing::kNone, body, body.size()),
                                   AnswerEnding::kCloses};
       });
-      store.put(platform::kReplicasTopic, id,
-                replica_record("127.0.0.1:" + std::to_string(port)).dump());
-    }
-    node = std::make_unique<GatewayNode>(loop, 1);
-  }
-
-  net::SimpleCall::Outcome call(const std::string& method, const std::string& target,
-                                const std::string& body) {
-    const net::Headers headers{{"Host", "a.example"},
-                               {"Attempt-Id", "job"},
-                               {"Content-Length", std::to_string(body.size())}};
-    std::optional<net::SimpleCall::Outcome> result;
-    net::SimpleCall::start(caller, loop, {*Address::parse(GatewayNode::address(1, 0)), "caller"},
-                           net::serialize(net::RequestHead{method, target, headers}) + body, {},
-                           std::chrono::seconds(5),
-                           [&](net::SimpleCall::Outcome outcome) { result = std::move(outcome); });
-    while (!result) {
-      loop.run_one_for(std::chrono::milliseconds(5));
-      store.tick();
-    }
-    return std::move(*result);
-  }
-
-  /// Submits the job and waits for the result of its item.
-  std::string text_of_item() {
-    const std::string job =
-        R"({"requests":[{"id":"request-1","path":"/batch/1","headers":{},"body":"aGk="}]})";
-    while (call("POST", "/batch/x", job).head.status != 202) {
-    }
-    while (true) {
-      const auto outcome = call("GET", "/v1/lots/job?sinceRevision=0", {});
-      const auto page = nlohmann::json::parse(outcome.body, nullptr, false);
-      if (outcome.head.status == 200 && !page["results"].empty()) {
-        return page["results"][0]["text"];
-      }
+      add_replica(port);
     }
+    start();
   }
 };
 
@@ -295,6 +253,7 @@
         continue;
       }
       BatchFixture fixture({answer_bytes(Framing::kNone, kEvents, sent), ending});
+      fixture.submit();
       BOOST_TEST(fixture.text_of_item() == "a\nb\nc", "cut after " << sent);
       BOOST_TEST(fixture.runs == 2);
     }
