--- a/tests/admission/stop_admission_test.cpp
+++ b/tests/admission/stop_admission_test.cpp
@@ -6,8 +6,8 @@
 #include "support/fleet.hpp"
 
 using namespace dockpoint;
-using test::at;
 using std::chrono::milliseconds;
+using test::at;
 
 namespace {
 
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -131,7 +131,7 @@
   BOOST_TEST(cluster["n1"].is_alive("n2"));
 }
 
-// Guards against a stopping node that still hands callers the addresses of nodes that stopped later.
+// Guards against a stopping node that hands callers the addresses of nodes that stopped later.
 BOOST_AUTO_TEST_CASE(a_node_that_has_left_hears_of_later_departures) {
   Cluster cluster(5);
   cluster.run(5'000);
