Relayed reads and the record server run without I/O and clocks

No change of behaviour. RelayedLog asks other nodes through RecordTransport and gets the time from its caller, RecordServer answers through a callback; HTTP stands in http_record_transport.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -64,7 +64,8 @@
           settings_.node, settings_.zone},
       online_(context_, hash64(settings_.node)),
       log_(knobs, parts.log),
-      relayed_log_(loop, client, log_,
+      record_transport_(loop, client),
+      relayed_log_(record_transport_, log_, net::steady_now,
                    {parts.fleet_topics.replicas, parts.fleet_topics.configuration}, settings_.node,
                    settings_.zone, knobs.freshness_bound,
                    [this](const std::vector<ReplicaCount>& counts) { fleet_.take_counts(counts); }),
@@ -473,7 +474,7 @@
     return;
   }
   if (path == kRecordsPath) {
-    record_server_.serve(exchange);
+    serve_records(record_server_, exchange);
     return;
   }
   if (path == kFleetStatePath) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -18,6 +18,7 @@
 #include "gateway/crash_watch.hpp"
 #include "gateway/fleet_watch.hpp"
 #include "gateway/gateway_settings.hpp"
+#include "gateway/http_record_transport.hpp"
 #include "gateway/online_proxy.hpp"
 #include "gateway/peer_link.hpp"
 #include "gateway/record_server.hpp"
@@ -137,6 +138,7 @@
   GatewayContext context_;
   OnlineProxy online_;
   HedgedLog log_;
+  HttpRecordTransport record_transport_;
   RelayedLog relayed_log_;
   RecordServer record_server_;
   FleetWatch fleet_;
--- a/src/gateway/record_server.cpp
+++ b/src/gateway/record_server.cpp
@@ -1,9 +1,6 @@
 #include "gateway/record_server.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include "dockpoint/core/hash.hpp"
-#include "net/clock.hpp"
 
 namespace dockpoint {
 
@@ -26,10 +23,6 @@
   }
 }
 
-void RecordServer::refuse(const net::ExchangePtr& exchange) {
-  exchange->respond(503, {}, {});  // The requesting node tries another source, or the log.
-}
-
 RecordCache::Filter RecordServer::filter_of(const RecordQuestion& question,
                                             const CachedPartition& kept) const {
   if (question.whole || !kept.parts) {
@@ -40,39 +33,33 @@
   };
 }
 
-void RecordServer::respond(const net::ExchangePtr& exchange, const CachedPartition& kept,
+void RecordServer::respond(const Reply& reply, const CachedPartition& kept,
                            const RecordQuestion& question, RecordAnswer answer) {
   answer.age_ms = static_cast<std::uint64_t>(to_ms(standing_(question.partition).age));
   if (kept.parts && !question.whole) {
     answer.counts = counts_();
   }
-  exchange->respond(200, {{"Content-Type", "application/msgpack"}}, pack(answer));
+  reply(answer);
 }
 
-void RecordServer::serve(const net::ExchangePtr& exchange) {
-  const auto question = read_record_target(exchange->request().target);
-  if (!question) {
-    spdlog::warn("fleet: malformed record request target={}", exchange->request().target);
-    exchange->respond(400, {}, {});
-    return;
-  }
-  const auto kept = cached_partitions_.find(question->partition);
+void RecordServer::serve(const RecordQuestion& question, TimePoint received, Reply reply) {
+  const auto kept = cached_partitions_.find(question.partition);
   if (kept == cached_partitions_.end() || !kept->second.records.loaded()) {
-    refuse(exchange);
+    reply(std::nullopt);
     return;
   }
-  if (!question->follows) {
+  if (!question.follows) {
     const RecordCache& records = kept->second.records;
-    respond(exchange, kept->second, *question,
-            answer_of(records.newest(question->after_key, filter_of(*question, kept->second))));
+    respond(reply, kept->second, question,
+            answer_of(records.newest(question.after_key, filter_of(question, kept->second))));
     return;
   }
-  const WaitingRead waiting{exchange, *question, exchange->received() + question->wait};
-  if (try_read(waiting, exchange->received())) {
+  const WaitingRead waiting{question, received + question.wait, std::move(reply)};
+  if (try_read(waiting, received)) {
     return;
   }
   if (waiting_.size() >= kMaxWaitingReads) {
-    refuse(exchange);
+    waiting.reply(std::nullopt);
     return;
   }
   waiting_.push_back(waiting);
@@ -82,7 +69,7 @@
   const auto kept = cached_partitions_.find(waiting.question.partition);
   const bool confirmed = standing_(waiting.question.partition).state == WatchState::kFollowing;
   if (kept == cached_partitions_.end() || !kept->second.records.loaded() || !confirmed) {
-    refuse(waiting.exchange);
+    waiting.reply(std::nullopt);
     return true;
   }
   const RecordCache& records = kept->second.records;
@@ -96,7 +83,7 @@
   if (outcome.status == LogStatus::kOk && outcome.records.empty() && now < waiting.until) {
     return false;
   }
-  respond(waiting.exchange, kept->second, waiting.question, answer_of(outcome));
+  respond(waiting.reply, kept->second, waiting.question, answer_of(outcome));
   return true;
 }
 
--- a/src/gateway/record_server.hpp
+++ b/src/gateway/record_server.hpp
@@ -8,7 +8,6 @@
 #include "dockpoint/log/keyed_watch.hpp"
 #include "dockpoint/log/record_cache.hpp"
 #include "gateway/record_protocol.hpp"
-#include "net/http_server.hpp"
 
 namespace dockpoint {
 
@@ -18,9 +17,11 @@
 /// A read waits here until there is a record or its wait has expired. A node whose view is not
 /// confirmed by the log refuses reads at once, including waiting ones, so that no reader waits on a
 /// node that has lost the log. It still answers loads: a node that starts during a log outage gets
-/// the known records and their age. Single-threaded.
+/// the known records and their age. Free of I/O and clocks; not thread-safe.
 class RecordServer {
  public:
+  /// Receives the answer to a request; without an answer the request is refused.
+  using Reply = std::function<void(const std::optional<RecordAnswer>&)>;
   /// Returns the watch state and age of this node's view of a partition.
   using Standing = std::function<WatchAge(const TopicPartition&)>;
   /// @return whether a record belongs to the subset of a node.
@@ -44,7 +45,8 @@
   void add(const TopicPartition& partition, const KeyedRecord& record);
 
   /// Answers a record request, at once or when records arrive.
-  void serve(const net::ExchangePtr& exchange);
+  /// @param received when the request arrived.
+  void serve(const RecordQuestion& question, TimePoint received, Reply reply);
   /// Answers reads whose records have arrived or whose wait has expired; call after new records and
   /// several times a second.
   void tick(TimePoint now);
@@ -55,15 +57,14 @@
     bool parts = false;
   };
   struct WaitingRead {
-    net::ExchangePtr exchange;
     RecordQuestion question;
     TimePoint until{};
+    Reply reply;
   };
 
-  static void refuse(const net::ExchangePtr& exchange);
   RecordCache::Filter filter_of(const RecordQuestion& question, const CachedPartition& kept) const;
-  void respond(const net::ExchangePtr& exchange, const CachedPartition& kept,
-               const RecordQuestion& question, RecordAnswer answer);
+  void respond(const Reply& reply, const CachedPartition& kept, const RecordQuestion& question,
+               RecordAnswer answer);
   /// @return whether the read was answered or refused.
   bool try_read(const WaitingRead& waiting, TimePoint now);
 
--- a/src/gateway/relayed_log.cpp
+++ b/src/gateway/relayed_log.cpp
@@ -5,9 +5,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "dockpoint/core/address.hpp"
-#include "net/clock.hpp"
-
 namespace dockpoint {
 namespace {
 
@@ -15,16 +12,14 @@
 /// the partition and no records.
 constexpr const char* kAfterAllKeys = "~~~~";
 
-constexpr int kOk = 200;
-
 }  // namespace
 
-RelayedLog::RelayedLog(boost::asio::io_context& loop, net::HttpClient& client, PartitionedLog& log,
+RelayedLog::RelayedLog(RecordTransport& transport, PartitionedLog& log, Clock clock,
                        std::vector<TopicPartition> relayed, const std::string& node,
                        std::string zone, Duration bound, CountsReceived on_counts)
-    : loop_(loop),
-      client_(client),
+    : transport_(transport),
       log_(log),
+      clock_(std::move(clock)),
       relayed_(std::move(relayed)),
       node_(node),
       on_counts_(std::move(on_counts)),
@@ -41,7 +36,7 @@
 
 void RelayedLog::others_run() {
   if (running_peer_since_ == TimePoint{}) {
-    running_peer_since_ = net::steady_now();
+    running_peer_since_ = clock_();
   }
 }
 
@@ -49,7 +44,7 @@
   const std::size_t reads = replicas * members_known_;
   if (phase_ == Phase::kDirect && reads >= kRelayedReads) {
     phase_ = Phase::kRelaying;
-    relaying_since_ = net::steady_now();
+    relaying_since_ = clock_();
     sources_.succeeded(relaying_since_);
     spdlog::info("fleet: records are read from other nodes passesOn={} members={} replicas={}",
                  passes_on(), members_known_, replicas);
@@ -88,7 +83,7 @@
 }
 
 void RelayedLog::query_partition_size() {
-  relaying_since_ = net::steady_now();
+  relaying_since_ = clock_();
   if (!others_expected_) {
     phase_ = Phase::kDirect;
     return;
@@ -102,12 +97,12 @@
     const bool large = size.status == LogStatus::kOk ? size.end >= kRelayedRecords
                                                      : members_known_ >= kRelayingMembers;
     phase_ = large ? Phase::kDelayingStart : Phase::kDirect;
-    tick(net::steady_now());
+    tick(clock_());
   });
 }
 
 void RelayedLog::delay_call(Duration delay, std::function<void()> call) {
-  delayed_calls_.push_back({net::steady_now() + delay, std::move(call)});
+  delayed_calls_.push_back({clock_() + delay, std::move(call)});
 }
 
 bool RelayedLog::relays_partition(const TopicPartition& partition) const {
@@ -115,38 +110,20 @@
 }
 
 void RelayedLog::ask_source(const std::string& address, const RecordQuestion& question,
-                            Duration limit,
-                            std::function<void(std::optional<RecordAnswer>, bool refused)> done) {
-  const std::optional<Address> parsed = Address::parse(address);
-  if (!parsed) {
-    spdlog::warn("fleet: malformed address of a record source address={}", address);
-    done(std::nullopt, false);
-    return;
-  }
-  const net::RequestHead head{"GET", record_target(question), {{"Host", address}}};
-  net::SimpleCall::start(client_, loop_, {*parsed, "control"}, net::serialize(head), {}, limit,
-                         [this, alive = alive_, address,
-                          done = std::move(done)](const net::SimpleCall::Outcome& outcome) {
-                           if (!*alive) {
-                             return;
-                           }
-                           std::optional<RecordAnswer> answer;
-                           if (!outcome.failure && outcome.head.status == kOk) {
-                             answer = unpack<RecordAnswer>(outcome.body);
-                             if (!answer) {
-                               spdlog::warn(
-                                   "fleet: malformed records received from node={} bytes={}",
-                                   address, outcome.body.size());
-                             }
-                           }
-                           if (answer) {
-                             sources_.succeeded(net::steady_now());
-                             if (!answer->counts.empty()) {
-                               on_counts_(answer->counts);
-                             }
-                           }
-                           done(std::move(answer), !outcome.failure && outcome.head.status != kOk);
-                         });
+                            Duration limit, std::function<void(const RecordReply&)> done) {
+  transport_.ask(address, question, limit,
+                 [this, alive = alive_, done = std::move(done)](const RecordReply& reply) {
+                   if (!*alive) {
+                     return;
+                   }
+                   if (reply.answer) {
+                     sources_.succeeded(clock_());
+                     if (!reply.answer->counts.empty()) {
+                       on_counts_(reply.answer->counts);
+                     }
+                   }
+                   done(reply);
+                 });
 }
 
 void RelayedLog::newest(const TopicPartition& partition, const std::string& after_key,
@@ -169,7 +146,7 @@
 
 void RelayedLog::load(const TopicPartition& partition, const std::string& after_key,
                       std::function<void(NewestOutcome)> done) {
-  const TimePoint now = net::steady_now();
+  const TimePoint now = clock_();
   const std::optional<std::string> address =
       relays_partition(partition) ? sources_.next(now) : std::nullopt;
   const bool within_retry_period = now - relaying_since_ < kLoadRetryPeriod;
@@ -185,14 +162,14 @@
   RecordQuestion question{partition, node_, passes_on()};
   question.after_key = after_key;
   ask_source(*address, question, kPageTimeout,
-             [this, address, again, done](const std::optional<RecordAnswer>& answer, bool refused) {
-               if (answer) {
-                 done(newest_outcome_of(*answer));
+             [this, address, again, done](const RecordReply& reply) {
+               if (reply.answer) {
+                 done(newest_outcome_of(*reply.answer));
                  return;
                }
                spdlog::info("fleet: failed to load a page of records from node={} refused={}",
-                            *address, refused);
-               sources_.failed(*address, refused, net::steady_now());
+                            *address, reply.refused);
+               sources_.failed(*address, reply.refused, clock_());
                delay_call(kLoadRetry, again);  // The source may still be loading.
              });
 }
@@ -209,7 +186,7 @@
 
 void RelayedLog::read_from_log(const TopicPartition& partition, LogOffset from,
                                const ReadTimes& times, std::function<void(ReadOutcome)> done) {
-  if (!sources_.may_read_log(net::steady_now())) {
+  if (!sources_.may_read_log(clock_())) {
     ReadOutcome refused;
     refused.status = LogStatus::kRefused;
     done(std::move(refused));
@@ -220,9 +197,9 @@
               const bool answered =
                   outcome.status == LogStatus::kOk || outcome.status == LogStatus::kCompacted;
               if (*alive && answered) {
-                sources_.succeeded(net::steady_now());
+                sources_.succeeded(clock_());
               } else if (*alive) {
-                sources_.log_failed(net::steady_now());
+                sources_.log_failed(clock_());
               }
               done(std::move(outcome));
             });
@@ -231,8 +208,7 @@
 void RelayedLog::read_from_source(const TopicPartition& partition, LogOffset from,
                                   const ReadTimes& times, int tries,
                                   std::function<void(ReadOutcome)> done) {
-  const std::optional<std::string> address =
-      tries > 0 ? sources_.next(net::steady_now()) : std::nullopt;
+  const std::optional<std::string> address = tries > 0 ? sources_.next(clock_()) : std::nullopt;
   if (!address) {
     // Deferred so that `done` is never called from within `read`.
     delay_call({}, [this, partition, from, times, done = std::move(done)] {
@@ -243,15 +219,15 @@
   const RecordQuestion question{partition, node_, passes_on(), true, from, times.wait, {}};
   const Duration half_limit = times.limit / 2;
   ask_source(*address, question, times.wait + half_limit,
-             [this, partition, from, half_limit, tries, address, done = std::move(done)](
-                 const std::optional<RecordAnswer>& answer, bool refused) {
-               if (answer) {
-                 done(read_outcome_of(*answer));
+             [this, partition, from, half_limit, tries, address,
+              done = std::move(done)](const RecordReply& reply) {
+               if (reply.answer) {
+                 done(read_outcome_of(*reply.answer));
                  return;
                }
                spdlog::info("fleet: failed to read records from node={} refused={}", *address,
-                            refused);
-               sources_.failed(*address, refused, net::steady_now());
+                            reply.refused);
+               sources_.failed(*address, reply.refused, clock_());
                read_from_source(partition, from, {{}, half_limit}, tries - 1, done);
              });
 }
--- a/src/gateway/relayed_log.hpp
+++ b/src/gateway/relayed_log.hpp
@@ -1,14 +1,12 @@
 #pragma once
 
-#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "dockpoint/membership/record_sources.hpp"
-#include "gateway/record_protocol.hpp"
-#include "net/http_client.hpp"
+#include "gateway/record_transport.hpp"
 
 namespace dockpoint {
 
@@ -22,7 +20,7 @@
 /// Otherwise the load waits until the other nodes of the zone are known, or for a short time.
 ///
 /// A read that finds no source and may not go to the log yet is refused; the follower retries it.
-/// Single-threaded; borrows loop, client and log.
+/// Free of I/O and clocks; not thread-safe. Borrows transport and log.
 class RelayedLog : public PartitionedLog {
  public:
   /// Every node reads a partition with fewer records than this from the log: 200 KB at 250 nodes
@@ -45,12 +43,14 @@
   /// once.
   static constexpr Duration kPageTimeout = std::chrono::seconds(2);
 
+  /// @return the current time.
+  using Clock = std::function<TimePoint()>;
   using CountsReceived = std::function<void(const std::vector<ReplicaCount>&)>;
 
   /// @param relayed partitions whose records are relayed; the end offset of the first one indicates
   /// the size of the fleet.
   /// @param node,zone of this node.
-  RelayedLog(boost::asio::io_context& loop, net::HttpClient& client, PartitionedLog& log,
+  RelayedLog(RecordTransport& transport, PartitionedLog& log, Clock clock,
              std::vector<TopicPartition> relayed, const std::string& node, std::string zone,
              Duration bound, CountsReceived on_counts);
   ~RelayedLog() override;
@@ -115,13 +115,13 @@
   void read_from_source(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
                         int tries, std::function<void(ReadOutcome)> done);
   void ask_source(const std::string& address, const RecordQuestion& question, Duration limit,
-                  std::function<void(std::optional<RecordAnswer>, bool refused)> done);
+                  std::function<void(const RecordReply&)> done);
   void load(const TopicPartition& partition, const std::string& after_key,
             std::function<void(NewestOutcome)> done);
 
-  boost::asio::io_context& loop_;
-  net::HttpClient& client_;
+  RecordTransport& transport_;
   PartitionedLog& log_;
+  const Clock clock_;
   const std::vector<TopicPartition> relayed_;
   const std::string node_;
   const CountsReceived on_counts_;
--- a/tests/gateway/record_relay_test.cpp
+++ b/tests/gateway/record_relay_test.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "emulator/memory_log.hpp"
+#include "gateway/http_record_transport.hpp"
 #include "gateway/record_server.hpp"
 #include "gateway/relayed_log.hpp"
 #include "net/clock.hpp"
@@ -103,13 +104,15 @@
                         return std::vector<ReplicaCount>{{"lm", "zone", kRecords, 4, true}};
                       }};
   std::unique_ptr<net::HttpServer> control = std::make_unique<net::HttpServer>(
-      loop, [this](const auto& exchange) { server.serve(exchange); });
+      loop, [this](const auto& exchange) { serve_records(server, exchange); });
   std::vector<ReplicaCount> counts;
+  HttpRecordTransport transport{loop, client};
   RelayedLog reader{
-      loop,     client,
-      log,      {kReplicas},
-      "node-x", "zone",
-      kBound,   [this](const std::vector<ReplicaCount>& received) { counts = received; }};
+      transport,       log,
+      net::steady_now, {kReplicas},
+      "node-x",        "zone",
+      kBound,          [this](const std::vector<ReplicaCount>& received) {
+        counts = received; }};
 };
 
 }  // namespace
@@ -197,8 +200,8 @@
   RelayFixture world;
   MemoryLog small{LogLimits{1, 4096, 1 << 20, 1s}, 1};
   small.append(kReplicas, {{"r1", "value", 0}}, std::nullopt, [](const AppendOutcome&) {});
-  RelayedLog reader{world.loop, world.client, small,  {kReplicas},
-                    "node-x",   "zone",       kBound, [](const auto&) {}};
+  RelayedLog reader{world.transport, small,  net::steady_now, {kReplicas},
+                    "node-x",        "zone", kBound,          [](const auto&) {}};
   reader.expect_others(true);
   reader.set_members(world.alive());
   const auto outcome = std::make_shared<std::optional<NewestOutcome>>();
