--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "dockpoint/core/codec.hpp"
@@ -103,6 +104,10 @@
   /// @return whether a record belongs to the subset of another node of this zone. Removals belong
   /// to every subset.
   bool belongs_to(std::uint64_t node_hash, const KeyedRecord& record) const;
+  /// @return whether this node's subset includes a replica.
+  bool uses(const std::string& service, const std::string& zone, std::string_view name) const {
+    return subset_.contains(service, zone, name);
+  }
   /// @return the number of replicas, counted here or received from a peer.
   std::size_t replicas() const { return subset_.replicas(); }
   /// @return the number of slices that the zone's nodes are divided into.
--- a/src/gateway/relayed_log.cpp
+++ b/src/gateway/relayed_log.cpp
@@ -16,13 +16,15 @@
 
 RelayedLog::RelayedLog(RecordTransport& transport, PartitionedLog& log, Clock clock,
                        std::vector<TopicPartition> relayed, const std::string& node,
-                       std::string zone, Duration bound, CountsReceived on_counts)
+                       std::string zone, Duration bound, CountsReceived on_counts,
+                       const Thresholds& thresholds)
     : transport_(transport),
       log_(log),
       clock_(std::move(clock)),
       relayed_(std::move(relayed)),
       node_(node),
       on_counts_(std::move(on_counts)),
+      thresholds_(thresholds),
       sources_(node, std::move(zone), bound) {}
 
 RelayedLog::~RelayedLog() {
@@ -42,13 +44,13 @@
 
 void RelayedLog::set_replicas(std::size_t replicas) {
   const std::size_t reads = replicas * members_known_;
-  if (phase_ == Phase::kDirect && reads >= kRelayedReads) {
+  if (phase_ == Phase::kDirect && reads >= thresholds_.reads) {
     phase_ = Phase::kRelaying;
     relaying_since_ = clock_();
     sources_.succeeded(relaying_since_);
     spdlog::info("fleet: records are read from other nodes passesOn={} members={} replicas={}",
                  passes_on(), members_known_, replicas);
-  } else if (phase_ == Phase::kRelaying && reads < kRelayedReads / 2) {
+  } else if (phase_ == Phase::kRelaying && reads < thresholds_.reads / 2) {
     phase_ = Phase::kDirect;
     spdlog::info("fleet: records are read from the log members={} replicas={}", members_known_,
                  replicas);
@@ -94,8 +96,8 @@
       return;
     }
     // If the log does not answer, the number of nodes decides.
-    const bool large = size.status == LogStatus::kOk ? size.end >= kRelayedRecords
-                                                     : members_known_ >= kRelayingMembers;
+    const bool large = size.status == LogStatus::kOk ? size.end >= thresholds_.records
+                                                     : members_known_ >= thresholds_.members;
     phase_ = large ? Phase::kDelayingStart : Phase::kDirect;
     tick(clock_());
   });
--- a/src/gateway/relayed_log.hpp
+++ b/src/gateway/relayed_log.hpp
@@ -23,15 +23,18 @@
 /// Free of I/O and clocks; not thread-safe. Borrows transport and log.
 class RelayedLog : public PartitionedLog {
  public:
-  /// Every node reads a partition with fewer records than this from the log: 200 KB at 250 nodes
-  /// are 50 MB for the whole fleet.
-  static constexpr LogOffset kRelayedRecords = 2'000;
-  /// Replicas times nodes from which on records are relayed: 100,000 records are 25 MB, which the
-  /// log serves in 0.3 s. Relaying ends below half of this value.
-  static constexpr std::size_t kRelayedReads = 100'000;
-  /// Number of members from which on the fleet counts as large if the log does not answer: in
-  /// smaller fleets every running node has all records and includes them in its fleet state.
-  static constexpr std::size_t kRelayingMembers = 128;
+  /// From which size of the fleet on records are relayed.
+  struct Thresholds {
+    /// Every node reads a partition with fewer records than this from the log: 200 KB at 250 nodes
+    /// are 50 MB for the whole fleet.
+    LogOffset records = 2'000;
+    /// Replicas times nodes: 100,000 records are 25 MB, which the log serves in 0.3 s. Relaying
+    /// ends below half of this value.
+    std::size_t reads = 100'000;
+    /// Number of members from which on the fleet counts as large if the log does not answer: in
+    /// smaller fleets every running node has all records and includes them in its fleet state.
+    std::size_t members = 128;
+  };
   /// Longest delay of the first load until other nodes are known: their second round of probes.
   static constexpr Duration kStartDelay = std::chrono::milliseconds(1'500);
   /// Time within which a running node sends the whole membership: 62 datagrams for 986 members.
@@ -52,7 +55,7 @@
   /// @param node,zone of this node.
   RelayedLog(RecordTransport& transport, PartitionedLog& log, Clock clock,
              std::vector<TopicPartition> relayed, const std::string& node, std::string zone,
-             Duration bound, CountsReceived on_counts);
+             Duration bound, CountsReceived on_counts, const Thresholds& thresholds);
   ~RelayedLog() override;
 
   /// @param expected whether other nodes may exist.
@@ -125,6 +128,7 @@
   const std::vector<TopicPartition> relayed_;
   const std::string node_;
   const CountsReceived on_counts_;
+  const Thresholds thresholds_;
   RecordSources sources_;
   Phase phase_ = Phase::kUnknown;
   bool others_expected_ = false;
--- a/tests/gateway/gateway_surroundings.hpp
+++ b/tests/gateway/gateway_surroundings.hpp
@@ -10,9 +10,13 @@
 
 /// The objects that the components of a gateway share, for testing one component alone.
 struct GatewaySurroundings {
-  explicit GatewaySurroundings(const Knobs& node_knobs = {}) : knobs(node_knobs) {}
+  explicit GatewaySurroundings(const Knobs& node_knobs = {}, std::string name = "node",
+                               std::string zone = {})
+      : knobs(node_knobs), node(std::move(name)), node_zone(std::move(zone)) {}
 
   Knobs knobs;
+  std::string node;
+  std::string node_zone;
   boost::asio::io_context loop{1};
   net::HttpClient client{loop};
   platform::PlatformTraffic protocol;
@@ -21,7 +25,7 @@
   ReplicaSelector selector{knobs, directory, "zone-a", 1};
   GatewayContext context{loop,      knobs,    protocol, client,
                          directory, selector, metrics,  std::make_shared<RoutingConfiguration>(),
-                         "node"};
+                         node,      node_zone};
 };
 
 }  // namespace dockpoint::test
--- a/tests/gateway/record_relay_test.cpp
+++ b/tests/gateway/record_relay_test.cpp
@@ -107,12 +107,15 @@
       loop, [this](const auto& exchange) { serve_records(server, exchange); });
   std::vector<ReplicaCount> counts;
   HttpRecordTransport transport{loop, client};
-  RelayedLog reader{
-      transport,       log,
-      net::steady_now, {kReplicas},
-      "node-x",        "zone",
-      kBound,          [this](const std::vector<ReplicaCount>& received) {
-        counts = received; }};
+  RelayedLog reader{transport,
+                    log,
+                    net::steady_now,
+                    {kReplicas},
+                    "node-x",
+                    "zone",
+                    kBound,
+                    [this](const std::vector<ReplicaCount>& received) { counts = received; },
+                    {}};
 };
 
 }  // namespace
@@ -200,8 +203,8 @@
   RelayFixture world;
   MemoryLog small{LogLimits{1, 4096, 1 << 20, 1s}, 1};
   small.append(kReplicas, {{"r1", "value", 0}}, std::nullopt, [](const AppendOutcome&) {});
-  RelayedLog reader{world.transport, small,  net::steady_now, {kReplicas},
-                    "node-x",        "zone", kBound,          [](const auto&) {}};
+  RelayedLog reader{world.transport, small,  net::steady_now,    {kReplicas}, "node-x",
+                    "zone",          kBound, [](const auto&) {}, {}};
   reader.expect_others(true);
   reader.set_members(world.alive());
   const auto outcome = std::make_shared<std::optional<NewestOutcome>>();
