Nodes turn to the log by the age of their view, for each topic apart; relays do so in place of their readers

What callers saw: requests to replicas over 5 s after their leave, on fleets whose records are relayed. Cause: a node read from the log when it had had no answer for a quarter to half of the bound. The time was one for both topics, so that a log answer for the configuration postpones the replicas' read; an answer without news from a source that itself hears nothing counted as success; and relays waited as long as all others when the log turned both readers away. A read waits for a source or for its turn at the log instead of failing every 0.2 to 0.5 s. A load's age counts from its first page, and a read that is only a part of what there is does not confirm the view.

--- a/include/dockpoint/log/keyed_watch.hpp
+++ b/include/dockpoint/log/keyed_watch.hpp
@@ -108,7 +108,7 @@
     TimePoint confirmed_at{};  ///< When the end of the partition was last reached.
     LogOffset next = 0;
     LogOffset load_end = 0;
-    Duration load_age{};  ///< Age of the first page.
+    TimePoint load_confirmed_at{};  ///< When the log confirmed the first page.
     std::string page_key;
     bool first_page = true;
     std::vector<KeyedRecord> pages;
--- a/src/gateway/relayed_log.cpp
+++ b/src/gateway/relayed_log.cpp
@@ -47,7 +47,6 @@
   if (phase_ == Phase::kDirect && reads >= thresholds_.reads) {
     phase_ = Phase::kRelaying;
     relaying_since_ = clock_();
-    sources_.succeeded(relaying_since_);
     spdlog::info("fleet: records are read from other nodes passesOn={} members={} replicas={}",
                  passes_on(), members_known_, replicas);
   } else if (phase_ == Phase::kRelaying && reads < thresholds_.reads / 2) {
@@ -63,7 +62,6 @@
   if (phase_ == Phase::kDelayingStart &&
       (members_received || now - relaying_since_ >= kStartDelay)) {
     phase_ = Phase::kRelaying;
-    sources_.succeeded(now);
     spdlog::info("fleet: records are read from other nodes passesOn={} heldMs={}", passes_on(),
                  to_ms(now - relaying_since_));
   }
@@ -118,11 +116,8 @@
                    if (!*alive) {
                      return;
                    }
-                   if (reply.answer) {
-                     sources_.succeeded(clock_());
-                     if (!reply.answer->counts.empty()) {
-                       on_counts_(reply.answer->counts);
-                     }
+                   if (reply.answer && !reply.answer->counts.empty()) {
+                     on_counts_(reply.answer->counts);
                    }
                    done(reply);
                  });
@@ -146,92 +141,137 @@
   });
 }
 
+RecordSources::Step RelayedLog::next_load_step(const TopicPartition& partition, TimePoint now) {
+  using Target = RecordSources::Step::Target;
+  const auto confirmed = confirmed_at_.find(partition);
+  if (confirmed != confirmed_at_.end()) {
+    RecordSources::Step step = sources_.next_step(partition, now - confirmed->second, now);
+    // A page takes longer than a read, but must not outlast the time until the log is due.
+    const Duration spare = confirmed->second + sources_.log_age() - now;
+    step.limit = std::clamp(spare, step.limit, kPageTimeout);
+    return step;
+  }
+  if (const std::optional<std::string> source = sources_.next(now)) {
+    return {Target::kSource, *source, {}, kPageTimeout, {}};
+  }
+  const bool retries_sources = now - relaying_since_ < kLoadRetryPeriod;
+  return {retries_sources ? Target::kPause : Target::kLog, {}, {}, {}, now + kLoadRetry};
+}
+
 void RelayedLog::load(const TopicPartition& partition, const std::string& after_key,
                       std::function<void(NewestOutcome)> done) {
-  const TimePoint now = clock_();
-  const std::optional<std::string> address =
-      relays_partition(partition) ? sources_.next(now) : std::nullopt;
-  const bool within_retry_period = now - relaying_since_ < kLoadRetryPeriod;
-  if (!address && (!within_retry_period || sources_.has_no_sources())) {
+  if (!relays_partition(partition) || sources_.has_no_sources()) {
     log_.newest(partition, after_key, std::move(done));
     return;
   }
+  const TimePoint now = clock_();
+  const RecordSources::Step step = next_load_step(partition, now);
   const auto again = [this, partition, after_key, done] { load(partition, after_key, done); };
-  if (!address) {
-    delay_call(kLoadRetry, again);
+  if (step.target == RecordSources::Step::Target::kPause) {
+    delay_call(step.until - now, again);
+    return;
+  }
+  if (step.target == RecordSources::Step::Target::kLog) {
+    load_from_log(partition, after_key, std::move(done));
     return;
   }
   RecordQuestion question{partition, node_, passes_on()};
   question.after_key = after_key;
-  ask_source(*address, question, kPageTimeout,
-             [this, address, again, done](const RecordReply& reply) {
+  ask_source(step.source, question, step.limit,
+             [this, source = step.source, now, again, done](const RecordReply& reply) {
                if (reply.answer) {
-                 done(newest_outcome_of(*reply.answer));
+                 NewestOutcome outcome = newest_outcome_of(*reply.answer);
+                 outcome.age += clock_() - now;
+                 done(std::move(outcome));
                  return;
                }
                spdlog::info("fleet: failed to load a page of records from node={} refused={}",
-                            *address, reply.refused);
-               sources_.failed(*address, reply.refused, clock_());
+                            source, reply.refused);
+               sources_.failed(source, reply.refused, clock_());
                delay_call(kLoadRetry, again);  // The source may still be loading.
              });
 }
 
+void RelayedLog::load_from_log(const TopicPartition& partition, const std::string& after_key,
+                               std::function<void(NewestOutcome)> done) {
+  log_.newest(partition, after_key,
+              [this, partition, alive = alive_, done = std::move(done)](NewestOutcome outcome) {
+                if (*alive) {
+                  take_log_status(partition, outcome.status);
+                }
+                done(std::move(outcome));
+              });
+}
+
+void RelayedLog::take_log_status(const TopicPartition& partition, LogStatus status) {
+  if (status == LogStatus::kOk || status == LogStatus::kCompacted) {
+    sources_.log_answered(partition);
+  } else {
+    sources_.log_failed(partition, clock_());
+  }
+}
+
 void RelayedLog::read(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
                       std::function<void(ReadOutcome)> done) {
-  constexpr int kTries = 3;
-  if (relays_partition(partition) && !sources_.has_no_sources()) {
-    read_from_source(partition, from, times, kTries, std::move(done));
-  } else {
+  if (!relays_partition(partition) || sources_.has_no_sources()) {
     log_.read(partition, from, times, std::move(done));
+    return;
   }
+  confirmed_at_[partition] = times.confirmed_at;
+  advance_read(std::make_shared<Read>(Read{partition, from, times, std::move(done)}));
 }
 
-void RelayedLog::read_from_log(const TopicPartition& partition, LogOffset from,
-                               const ReadTimes& times, std::function<void(ReadOutcome)> done) {
-  if (!sources_.may_read_log(clock_())) {
-    ReadOutcome refused;
-    refused.status = LogStatus::kRefused;
-    done(std::move(refused));
+void RelayedLog::advance_read(const ReadPtr& read) {
+  const TimePoint now = clock_();
+  if (!relays_partition(read->partition) || sources_.has_no_sources()) {
+    log_.read(read->partition, read->from, read->times, read->done);
     return;
   }
-  log_.read(partition, from, times,
-            [this, alive = alive_, done = std::move(done)](ReadOutcome outcome) {
-              const bool answered =
-                  outcome.status == LogStatus::kOk || outcome.status == LogStatus::kCompacted;
-              if (*alive && answered) {
-                sources_.succeeded(clock_());
-              } else if (*alive) {
-                sources_.log_failed(clock_());
+  const Duration age = now - read->times.confirmed_at;
+  const RecordSources::Step step = sources_.next_step(read->partition, age, now);
+  switch (step.target) {
+    case RecordSources::Step::Target::kSource:
+      read_from_source(read, step);
+      return;
+    case RecordSources::Step::Target::kLog:
+      spdlog::info("fleet: records are read from the log in place of nodes topic={} ageMs={}",
+                   read->partition.topic, to_ms(age));
+      read_from_log(read, step);
+      return;
+    case RecordSources::Step::Target::kPause:
+      delay_call(step.until - now, [this, read] { advance_read(read); });
+      return;
+  }
+}
+
+void RelayedLog::read_from_log(const ReadPtr& read, const RecordSources::Step& step) {
+  log_.read(read->partition, read->from, {step.wait, step.limit, read->times.confirmed_at},
+            [this, alive = alive_, read](ReadOutcome outcome) {
+              if (*alive) {
+                take_log_status(read->partition, outcome.status);
               }
-              done(std::move(outcome));
+              read->done(std::move(outcome));
             });
 }
 
-void RelayedLog::read_from_source(const TopicPartition& partition, LogOffset from,
-                                  const ReadTimes& times, int tries,
-                                  std::function<void(ReadOutcome)> done) {
-  const std::optional<std::string> address = tries > 0 ? sources_.next(clock_()) : std::nullopt;
-  if (!address) {
-    // Deferred so that `done` is never called from within `read`.
-    delay_call({}, [this, partition, from, times, done = std::move(done)] {
-      read_from_log(partition, from, {{}, times.limit}, done);
-    });
-    return;
-  }
-  const RecordQuestion question{partition, node_, passes_on(), true, from, times.wait, {}};
-  const Duration half_limit = times.limit / 2;
-  ask_source(*address, question, times.wait + half_limit,
-             [this, partition, from, half_limit, tries, address,
-              done = std::move(done)](const RecordReply& reply) {
-               if (reply.answer) {
-                 done(read_outcome_of(*reply.answer));
-                 return;
-               }
-               spdlog::info("fleet: failed to read records from node={} refused={}", *address,
-                            reply.refused);
-               sources_.failed(*address, reply.refused, clock_());
-               read_from_source(partition, from, {{}, half_limit}, tries - 1, done);
-             });
+void RelayedLog::read_from_source(const ReadPtr& read, const RecordSources::Step& step) {
+  RecordQuestion question{read->partition, node_, passes_on(), true, read->from, step.wait, {}};
+  const TimePoint asked_at = clock_();
+  ask_source(
+      step.source, question, step.wait + step.limit,
+      [this, read, asked_at, source = step.source, wait = step.wait](const RecordReply& reply) {
+        if (reply.answer) {
+          ReadOutcome outcome = read_outcome_of(*reply.answer);
+          const Duration late = clock_() - asked_at - wait;
+          outcome.age += std::max(late, Duration{});
+          read->done(std::move(outcome));
+          return;
+        }
+        spdlog::info("fleet: failed to read records from node={} refused={}", source,
+                     reply.refused);
+        sources_.failed(source, reply.refused, clock_());
+        advance_read(read);
+      });
 }
 
 void RelayedLog::append(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
--- a/src/gateway/relayed_log.hpp
+++ b/src/gateway/relayed_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,7 +20,9 @@
 /// partition, which is one small call. With few records the fleet is small, and nothing is delayed.
 /// Otherwise the load waits until the other nodes of the zone are known, or for a short time.
 ///
-/// A read that finds no source and may not go to the log yet is refused; the follower retries it.
+/// A read goes from source to source, waits while none is available, and goes to the log when the
+/// node's view has become too old; see RecordSources. The age of an answer includes the time that
+/// it was under way.
 /// Free of I/O and clocks; not thread-safe. Borrows transport and log.
 class RelayedLog : public PartitionedLog {
  public:
@@ -112,15 +115,29 @@
   void query_partition_size();
   void delay_call(Duration delay, std::function<void()> call);
   bool relays_partition(const TopicPartition& partition) const;
-  void read_from_log(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
-                     std::function<void(ReadOutcome)> done);
-  /// Reads from a source; if that fails, from further sources without a wait.
-  void read_from_source(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
-                        int tries, std::function<void(ReadOutcome)> done);
+  /// A read under way.
+  struct Read {
+    TopicPartition partition;
+    LogOffset from = 0;
+    ReadTimes times;
+    std::function<void(ReadOutcome)> done;
+  };
+  using ReadPtr = std::shared_ptr<Read>;
+
+  /// Makes the next step of a read.
+  void advance_read(const ReadPtr& read);
+  void read_from_log(const ReadPtr& read, const RecordSources::Step& step);
+  void read_from_source(const ReadPtr& read, const RecordSources::Step& step);
+  /// Notes whether the log answered.
+  void take_log_status(const TopicPartition& partition, LogStatus status);
   void ask_source(const std::string& address, const RecordQuestion& question, Duration limit,
                   std::function<void(const RecordReply&)> done);
   void load(const TopicPartition& partition, const std::string& after_key,
             std::function<void(NewestOutcome)> done);
+  void load_from_log(const TopicPartition& partition, const std::string& after_key,
+                     std::function<void(NewestOutcome)> done);
+  /// @return the next step of a load: of the first one, sources are retried for some time.
+  RecordSources::Step next_load_step(const TopicPartition& partition, TimePoint now);
 
   RecordTransport& transport_;
   PartitionedLog& log_;
@@ -136,6 +153,7 @@
   TimePoint running_peer_since_{};  ///< Zero: no running peer was heard.
   TimePoint relaying_since_{};      ///< Start of relaying, or of the size query that precedes it.
   std::vector<DelayedCall> delayed_calls_;
+  std::map<TopicPartition, TimePoint> confirmed_at_;  ///< Of the view when its last read began.
   std::shared_ptr<bool> alive_ =
       std::make_shared<bool>(true);  ///< For callbacks that outlive this object.
 };
--- a/src/log/keyed_watch.cpp
+++ b/src/log/keyed_watch.cpp
@@ -124,7 +124,7 @@
   if (state_->first_page) {
     state_->first_page = false;
     state_->load_end = outcome.end;
-    state_->load_age = outcome.age;
+    state_->load_confirmed_at = now_ - outcome.age;
   }
   if (!outcome.records.empty()) {
     state_->page_key = outcome.records.back().key;
@@ -148,7 +148,7 @@
   const auto state = state_;
   observer_.on_snapshot(records);
   if (state->alive) {
-    state->confirmed_at = now_ - state->load_age;
+    state->confirmed_at = state->load_confirmed_at;
     observer_.on_caught_up();
   }
   if (state->alive && !state->call_pending) {
@@ -172,7 +172,7 @@
       on_records(std::move(outcome));
     }
   };
-  log_.read(partition_, state_->next, {wait, limit}, take);
+  log_.read(partition_, state_->next, {wait, limit, state_->confirmed_at}, take);
 }
 
 void KeyedWatch::on_records(ReadOutcome outcome) {
@@ -207,7 +207,9 @@
   if (mode_ == WatchMode::kFollow && !outcome.records.empty() && state->next >= outcome.end) {
     state->next_call_at = now_ + knobs_.watch_pause;
   }
-  state->confirmed_at = now_ - outcome.age;
+  if (state->next >= outcome.end) {
+    state->confirmed_at = now_ - outcome.age;
+  }
   observer_.on_caught_up();
   if (state->alive && !state->call_pending && now_ >= state->next_call_at) {
     proceed();
--- a/tests/gateway/relay_chain_exploration_test.cpp
+++ b/tests/gateway/relay_chain_exploration_test.cpp
@@ -43,6 +43,8 @@
 constexpr std::int64_t kSlowTickMs = 350;
 constexpr std::int64_t kCheckMs = 50;
 constexpr std::int64_t kRunMs = 40'000;
+/// Nothing changes in this time before the end.
+constexpr std::int64_t kLastChangeMs = 7'000;
 constexpr std::int64_t kBoundMs = 5'000;
 /// Time after the last failure of the log or of a node itself until the node must meet the bound.
 constexpr std::int64_t kSettleMs = 6'000;
@@ -268,7 +270,6 @@
       fail_something();
       next_failure_ = now_ + 200 + static_cast<std::int64_t>(draw(4'000));
     }
-    constexpr std::int64_t kLastChangeMs = 7'000;
     if (now_ >= next_change_ && now_ < kRunMs - kLastChangeMs) {
       change_something();
       next_change_ = now_ + 200 + static_cast<std::int64_t>(draw(2'000));
@@ -520,7 +521,9 @@
       put(kTopics.replicas, replica, "draining");
       confirmed_changes_.push_back({now_, 0, replica});
       constexpr std::int64_t kDrainMs = 20'000;
-      schedule(kDrainMs, [this, replica] { put(kTopics.replicas, replica, ""); });
+      if (now_ + kDrainMs < kRunMs - kLastChangeMs) {
+        schedule(kDrainMs, [this, replica] { put(kTopics.replicas, replica, ""); });
+      }
     }
   }
 
