A reload requested while a load is running is not forgotten

Cause: KeyedWatch cleared the request at the end of any load, also of one that had begun before, and ignored it while the first page was under way. A node that became a relay in that time, or whose division widened, kept the pages of its former subset: it then served, and used, a part of the replicas until the next change. Change: a request is noted apart from the load under way and starts another one after it.

--- a/include/dockpoint/log/keyed_watch.hpp
+++ b/include/dockpoint/log/keyed_watch.hpp
@@ -98,6 +98,7 @@
     bool loaded = false;
     bool reachable = true;
     bool reload = false;  ///< Requested or under way; the records loaded before remain valid.
+    bool reload_requested = false;   ///< Since the load under way began, if one is.
     bool refresh_requested = false;  ///< Requested after the current read began.
     bool unconfirmed = false;        ///< No call begun after `mark_unconfirmed` has succeeded yet.
     std::uint64_t call = 0;          ///< Number of the pending call, or of the last one.
--- a/src/log/keyed_watch.cpp
+++ b/src/log/keyed_watch.cpp
@@ -74,8 +74,10 @@
 }
 
 void KeyedWatch::reload() {
-  const bool begun = state_->loaded || !state_->first_page;
-  state_->reload = state_->reload || begun;
+  const bool loading = state_->call_pending || !state_->first_page;
+  const bool begun = state_->loaded || state_->reload || loading;
+  state_->reload = begun;
+  state_->reload_requested = begun;
 }
 
 void KeyedWatch::proceed() {
@@ -96,6 +98,7 @@
   state_->call_pending = true;
   if (state_->first_page) {
     state_->refresh_requested = false;
+    state_->reload_requested = false;
   }
   const std::uint64_t call = ++state_->call;
   log_.newest(partition_, state_->page_key, [this, state = state_, call](NewestOutcome outcome) {
@@ -139,7 +142,7 @@
   state_->page_key.clear();
   state_->first_page = true;
   state_->loaded = true;
-  state_->reload = false;
+  state_->reload = state_->reload_requested;
   state_->next = state_->load_end;
   state_->offsets.clear();
   for (const KeyedRecord& record : records) {
--- a/tests/log/keyed_watch_test.cpp
+++ b/tests/log/keyed_watch_test.cpp
@@ -100,6 +100,28 @@
   BOOST_TEST(losses == 1);
 }
 
+// The pages before the request may lack what it asks for.
+BOOST_AUTO_TEST_CASE(a_reload_requested_during_a_load_follows_that_load) {
+  for (int key = 0; key < 120; ++key) {
+    put("k" + std::to_string(key), "1");
+  }
+  run(1'000);
+  watch.reload();
+  put("news", "1");  // Ends the pending read.
+  run(220);          // The first page has arrived.
+  BOOST_TEST(snapshots == 1);
+  watch.reload();
+  run(2'000);
+  BOOST_TEST(snapshots == 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_reload_requested_before_the_first_page_has_arrived_follows_that_load) {
+  watch.tick(at(0));
+  watch.reload();
+  run(500);
+  BOOST_TEST(snapshots == 2);
+}
+
 BOOST_AUTO_TEST_CASE(after_a_pause_the_state_is_overdue_before_the_first_tick) {
   for (std::int64_t phase = 0; phase < 3'000; phase += 50) {
     run(200 + phase);
