A node of a large fleet forgets replicas outside of its subset

Cause: a node that reads its subset from another node is sent nothing about other replicas, but kept their records from earlier, and used them at once when its subset widened: a drain in between was unknown to it until the reload had ended. Change: such a node forgets the records outside of its subset; the reload brings them.

--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -285,6 +285,8 @@
                  record->draining ? "drains" : "ready", record->id, record->service,
                  record->software_version, record->address.to_string(), record->slots);
     context_.replicas.upsert(*record, now);
+  } else if (counts_from_peer_) {
+    forget_record(name);
   } else if (used_before) {
     context_.replicas.remove(record->id);
   }
@@ -353,6 +355,19 @@
       known.counted = false;
     }
     subset_widened_ = subset_.widened();  // The load under way already covers this subset.
+    subset_revision_ = 0;                 // Records outside of the subset are forgotten.
+  }
+}
+
+void FleetWatch::forget_unfollowed_records() {
+  std::vector<std::string> unfollowed;
+  for (const auto& [name, known] : records_) {
+    if (!known.replica.empty() && !subset_.contains(known.service, known.zone, name)) {
+      unfollowed.push_back(name);
+    }
+  }
+  for (const std::string& name : unfollowed) {
+    forget_record(name);
   }
 }
 
@@ -382,6 +397,9 @@
   if (widened && counts_from_peer_) {
     replica_follower_->reload();  // Records of the new subset have not been read.
   }
+  if (counts_from_peer_) {
+    forget_unfollowed_records();
+  }
   std::size_t added = 0;
   std::size_t removed = 0;
   for (const auto& [name, known] : records_) {
@@ -445,14 +463,19 @@
 }
 
 void FleetWatch::remove_replica(const std::string& id) {
-  suspended_.erase(id);
-  auto known = records_.extract(id);
+  const auto known = records_.find(id);
+  if (known != records_.end() && context_.replicas.find(known->second.replica) != nullptr) {
+    spdlog::info("fleet: replica gone record={} replica={}", id, known->second.replica);
+  }
+  forget_record(id);
+}
+
+void FleetWatch::forget_record(const std::string& name) {
+  suspended_.erase(name);
+  auto known = records_.extract(name);
   if (known.empty()) {
     return;
   }
-  if (context_.replicas.find(known.mapped().replica) != nullptr) {
-    spdlog::info("fleet: replica gone record={} replica={}", id, known.mapped().replica);
-  }
   unreadable_ -= known.mapped().replica.empty() ? 1 : 0;
   forget_replica(known.mapped());
   update_record_metrics();
--- a/tests/gateway/relay_chain_exploration_test.cpp
+++ b/tests/gateway/relay_chain_exploration_test.cpp
@@ -640,11 +640,21 @@
       if (known != expected) {
         ++findings_.disagreements;
         note(index, "uses " + std::to_string(known.size()) + " replicas, expected " +
-                        std::to_string(expected.size()) + " at the end");
+                        std::to_string(expected.size()) + " at the end" + describe_division(index));
       }
     }
   }
 
+  /// @return how the node divides the replicas.
+  std::string describe_division(std::size_t index) const {
+    std::string text;
+    for (const ReplicaCount& count : nodes_[index].instance->watch.replica_counts()) {
+      text += ", " + std::to_string(count.replicas) + " replicas in " +
+              std::to_string(count.slices) + " slices, divided=" + std::to_string(count.divided);
+    }
+    return text;
+  }
+
   void note(std::size_t index, const std::string& what) {
     if (findings_.first.empty()) {
       findings_.first = std::to_string(now_) + " ms: node " + std::to_string(index) + " " + what;
