A load that began before a reload request is not published; a node's first load turns to the log in time

Cause of the first: the request started another load afterwards, but the pages for the former subset were published before. Change: the load starts again at the next page; after 5 s the first load goes to the log, and no page is awaited beyond that.

--- a/include/dockpoint/log/keyed_watch.hpp
+++ b/include/dockpoint/log/keyed_watch.hpp
@@ -75,7 +75,8 @@
   void refresh();
 
   /// Reloads the newest records after the pending call has ended, because the log's content as seen
-  /// by this node has changed. Does nothing if the first load has not begun.
+  /// by this node has changed. A load under way starts again. Does nothing if the first load has
+  /// not begun.
   void reload();
   /// Marks the state as unconfirmed until the log confirms it, after a suspension of the machine.
   /// Abandons the pending call: its connection may be dead, and its timeout did not run meanwhile.
@@ -117,6 +118,8 @@
   };
 
   void proceed();
+  /// Drops the pages read so far; the next page is the first one.
+  void restart_load();
   void load_page();
   void on_page(NewestOutcome outcome);
   void follow();
--- a/src/gateway/relayed_log.cpp
+++ b/src/gateway/relayed_log.cpp
@@ -151,11 +151,15 @@
     step.limit = std::clamp(spare, step.limit, kPageTimeout);
     return step;
   }
-  if (const std::optional<std::string> source = sources_.next(now)) {
-    return {Target::kSource, *source, {}, kPageTimeout, {}};
+  if (now - relaying_since_ >= kLoadRetryPeriod && sources_.may_read_log(partition, now)) {
+    return {Target::kLog, {}, {}, {}, {}};
   }
-  const bool retries_sources = now - relaying_since_ < kLoadRetryPeriod;
-  return {retries_sources ? Target::kPause : Target::kLog, {}, {}, {}, now + kLoadRetry};
+  const std::optional<std::string> source = sources_.next(now);
+  if (!source) {
+    return {Target::kPause, {}, {}, {}, now + kLoadRetry};
+  }
+  const Duration spare = relaying_since_ + kLoadRetryPeriod - now;
+  return {Target::kSource, *source, {}, std::clamp(spare, kShortestPageTimeout, kPageTimeout), {}};
 }
 
 void RelayedLog::load(const TopicPartition& partition, const std::string& after_key,
--- a/src/gateway/relayed_log.hpp
+++ b/src/gateway/relayed_log.hpp
@@ -42,12 +42,14 @@
   static constexpr Duration kStartDelay = std::chrono::milliseconds(1'500);
   /// Time within which a running node sends the whole membership: 62 datagrams for 986 members.
   static constexpr Duration kMembershipPropagation = std::chrono::milliseconds(200);
-  /// Period after the start in which a node retries sources that are still loading.
+  /// Period after the start in which a node loads from sources only, which may still be loading.
   static constexpr Duration kLoadRetryPeriod = std::chrono::seconds(5);
   static constexpr Duration kLoadRetry = std::chrono::milliseconds(100);
   /// Timeout of a page from another node; 150 KB take 0.1 s at 30 Mbit/s, and 32 nodes may ask at
   /// once.
   static constexpr Duration kPageTimeout = std::chrono::seconds(2);
+  /// The same where the log is due soon.
+  static constexpr Duration kShortestPageTimeout = std::chrono::milliseconds(500);
 
   /// @return the current time.
   using Clock = std::function<TimePoint()>;
--- a/src/log/keyed_watch.cpp
+++ b/src/log/keyed_watch.cpp
@@ -67,9 +67,7 @@
   if (state_->call_pending) {
     state_->call_pending = false;
     ++state_->call;  // A late answer is ignored.
-    state_->pages.clear();
-    state_->page_key.clear();
-    state_->first_page = true;
+    restart_load();
   }
 }
 
@@ -80,6 +78,12 @@
   state_->reload_requested = begun;
 }
 
+void KeyedWatch::restart_load() {
+  state_->pages.clear();
+  state_->page_key.clear();
+  state_->first_page = true;
+}
+
 void KeyedWatch::proceed() {
   if (mode_ == WatchMode::kOnDemand && !state_->refresh_requested) {
     return;
@@ -117,13 +121,17 @@
   // A node that relays records may be behind the records delivered before, or behind the previous
   // page: accepting its answer would revert newer records.
   if (outcome.end < (state_->first_page ? state_->next : state_->load_end)) {
-    state_->pages.clear();
-    state_->page_key.clear();
-    state_->first_page = true;
+    restart_load();
     fail();
     return;
   }
   succeed();
+  if (state_->reload_requested) {
+    // The pages lack what the request asks for, so they are no snapshot.
+    restart_load();
+    load_page();
+    return;
+  }
   if (state_->first_page) {
     state_->first_page = false;
     state_->load_end = outcome.end;
@@ -138,11 +146,9 @@
     return;
   }
   const std::vector<KeyedRecord> records = std::move(state_->pages);
-  state_->pages.clear();
-  state_->page_key.clear();
-  state_->first_page = true;
+  restart_load();
   state_->loaded = true;
-  state_->reload = state_->reload_requested;
+  state_->reload = false;
   state_->next = state_->load_end;
   state_->offsets.clear();
   for (const KeyedRecord& record : records) {
