A relayed read does not skip records from beyond the end of a load

Change: reads stop at the end up to which everything is known, which follows the position of the watch.

--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -15,13 +15,15 @@
  public:
   using Snapshot = std::function<void(const std::vector<KeyedRecord>&)>;
   using Record = std::function<void(const KeyedRecord&)>;
+  using CaughtUp = std::function<void(LogOffset position)>;
   using Reachable = std::function<void(bool)>;
 
   Follower(const Knobs& knobs, PartitionedLog& log, TopicPartition partition, std::uint64_t seed,
-           Snapshot on_snapshot, Record on_record, Reachable on_reachable)
+           Snapshot on_snapshot, Record on_record, CaughtUp on_caught_up, Reachable on_reachable)
       : name_(partition.topic),
         on_snapshot_(std::move(on_snapshot)),
         on_record_(std::move(on_record)),
+        on_caught_up_(std::move(on_caught_up)),
         on_reachable_(std::move(on_reachable)),
         watch_(knobs, log, std::move(partition), seed, *this) {}
 
@@ -36,7 +38,7 @@
 
   void on_snapshot(const std::vector<KeyedRecord>& records) override { on_snapshot_(records); }
   void on_record(const KeyedRecord& record) override { on_record_(record); }
-  void on_caught_up() override {}
+  void on_caught_up() override { on_caught_up_(watch_.position()); }
   void on_reachable(bool reachable, Duration silence) override {
     spdlog::warn("fleet: log {} topic={} sinceAnswerMs={} position={}",
                  reachable ? "regained" : "lost", name_, to_ms(silence), watch_.position());
@@ -47,6 +49,7 @@
   const std::string name_;
   Snapshot on_snapshot_;
   Record on_record_;
+  CaughtUp on_caught_up_;
   Reachable on_reachable_;
   KeyedWatch watch_;
 };
@@ -63,7 +66,9 @@
   configuration_follower_ = std::make_unique<Follower>(
       context_.knobs, log, topics_.configuration, seed,
       [this](const std::vector<KeyedRecord>& records) { take_operator_page(records); },
-      [this](const KeyedRecord& record) { take_operator_record(record); }, [](bool) {});
+      [this](const KeyedRecord& record) { take_operator_record(record); },
+      [this](LogOffset position) { advance_record_server(topics_.configuration, position); },
+      [](bool) {});
   replica_follower_ = std::make_unique<Follower>(
       context_.knobs, log, topics_.replicas, seed + 1,
       [this](const std::vector<KeyedRecord>& records) {
@@ -95,6 +100,7 @@
           take_replica(record.key, record.value);
         }
       },
+      [this](LogOffset position) { advance_record_server(topics_.replicas, position); },
       [this](bool reachable) { note_reachable(reachable); });
 }
 
@@ -164,6 +170,12 @@
   }
 }
 
+void FleetWatch::advance_record_server(const TopicPartition& partition, LogOffset position) {
+  if (record_server_ != nullptr) {
+    record_server_->advance(partition, position);
+  }
+}
+
 void FleetWatch::note_reachable(bool reachable) {
   if (reachable) {
     removal_grace_.log_regained(now_);
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -164,6 +164,8 @@
   /// Suspends or resumes new work for replicas whose removal is deferred; see RemovalGrace.
   void update_deferred_replicas();
   void retain_replicas(const std::vector<std::string>& ids);
+  /// Tells the record server up to which offset this node has read a partition.
+  void advance_record_server(const TopicPartition& partition, LogOffset position);
   /// Called when the log becomes unreachable or reachable.
   void note_reachable(bool reachable);
   WatchAge age_of(const Follower& follower, TimePoint now) const;
--- a/src/gateway/record_server.cpp
+++ b/src/gateway/record_server.cpp
@@ -23,6 +23,13 @@
   }
 }
 
+void RecordServer::advance(const TopicPartition& partition, LogOffset end) {
+  const auto kept = cached_partitions_.find(partition);
+  if (kept != cached_partitions_.end() && kept->second.records.loaded()) {
+    kept->second.records.advance(end);
+  }
+}
+
 RecordCache::Filter RecordServer::filter_of(const RecordQuestion& question,
                                             const CachedPartition& kept) const {
   if (question.whole || !kept.parts) {
--- a/src/gateway/record_server.hpp
+++ b/src/gateway/record_server.hpp
@@ -43,6 +43,8 @@
   void replace(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
                LogOffset end);
   void add(const TopicPartition& partition, const KeyedRecord& record);
+  /// Notes that this node has read all records before `end`.
+  void advance(const TopicPartition& partition, LogOffset end);
 
   /// Answers a record request, at once or when records arrive.
   /// @param received when the request arrived.
