--- a/src/gateway/relayed_log.cpp
+++ b/src/gateway/relayed_log.cpp
@@ -25,14 +25,14 @@
 
 RelayedLog::RelayedLog(RecordTransport& transport, PartitionedLog& log, Clock clock,
                        std::vector<TopicPartition> relayed, const std::string& node,
-                       std::string zone, Duration bound, CountsReceived on_counts,
+                       std::string zone, Duration bound, Observers observers,
                        const Thresholds& thresholds)
     : transport_(transport),
       log_(log),
       clock_(std::move(clock)),
       relayed_(std::move(relayed)),
       node_(node),
-      on_counts_(std::move(on_counts)),
+      observers_(std::move(observers)),
       thresholds_(thresholds),
       sources_(node, std::move(zone), bound) {}
 
@@ -126,7 +126,7 @@
                      return;
                    }
                    if (reply.answer && !reply.answer->counts.empty()) {
-                     on_counts_(reply.answer->counts);
+                     observers_.on_counts(reply.answer->counts);
                    }
                    done(reply);
                  });
@@ -281,6 +281,7 @@
             [this, alive = alive_, read](ReadOutcome outcome) {
               if (*alive) {
                 take_log_status(read->partition, outcome.status);
+                observe_answer(*read, AnswerOrigin::kLog, "log", outcome);
               }
               read->done(std::move(outcome));
             });
@@ -296,6 +297,7 @@
         if (reply.answer) {
           ReadOutcome outcome = read_outcome_of(*reply.answer);
           outcome.age += time_under_way(*reply.answer, clock_() - asked_at, wait);
+          observe_answer(*read, AnswerOrigin::kNode, source, outcome);
           read->done(std::move(outcome));
           return;
         }
@@ -306,6 +308,21 @@
       });
 }
 
+void RelayedLog::observe_answer(const Read& read, AnswerOrigin origin, const std::string& source,
+                                const ReadOutcome& outcome) const {
+  if (outcome.status != LogStatus::kOk) {
+    return;
+  }
+  const Duration age = clock_() - read.times.confirmed_at;
+  observers_.on_answer(origin, age);
+  if (!outcome.records.empty() && age > sources_.budget().source_wait()) {
+    spdlog::info(
+        "fleet: records arrived late topic={} records={} from={} ageMs={} source={} sourceAgeMs={}",
+        read.partition.topic, outcome.records.size(), read.from, to_ms(age), source,
+        to_ms(outcome.age));
+  }
+}
+
 void RelayedLog::append(const TopicPartition& partition, const std::vector<KeyedRecord>& records,
                         const std::optional<ProducerPosition>& position,
                         std::function<void(AppendOutcome)> done) {
--- a/src/gateway/relayed_log.hpp
+++ b/src/gateway/relayed_log.hpp
@@ -53,14 +53,21 @@
 
   /// @return the current time.
   using Clock = std::function<TimePoint()>;
-  using CountsReceived = std::function<void(const std::vector<ReplicaCount>&)>;
+  /// Where the answer to a relayed read came from.
+  enum class AnswerOrigin { kLog, kNode };
+  struct Observers {
+    std::function<void(const std::vector<ReplicaCount>&)> on_counts;
+    /// Called for each answer with the age of this node's view when it arrived: no record in the
+    /// answer is older.
+    std::function<void(AnswerOrigin, Duration age)> on_answer;
+  };
 
   /// @param relayed partitions whose records are relayed; the end offset of the first one indicates
   /// the size of the fleet.
   /// @param node,zone of this node.
   RelayedLog(RecordTransport& transport, PartitionedLog& log, Clock clock,
              std::vector<TopicPartition> relayed, const std::string& node, std::string zone,
-             Duration bound, CountsReceived on_counts, const Thresholds& thresholds);
+             Duration bound, Observers observers, const Thresholds& thresholds);
   ~RelayedLog() override;
 
   /// @param expected whether other nodes may exist.
@@ -133,6 +140,10 @@
   void advance_read(const ReadPtr& read);
   void read_from_log(const ReadPtr& read, const RecordSources::Step& step);
   void read_from_source(const ReadPtr& read, const RecordSources::Step& step);
+  /// Observes the answer to a read, and logs records that were long on their way.
+  /// @param source the node that answered, or "log".
+  void observe_answer(const Read& read, AnswerOrigin origin, const std::string& source,
+                      const ReadOutcome& outcome) const;
   /// Notes whether the log answered.
   void take_log_status(const TopicPartition& partition, LogStatus status);
   void ask_source(const std::string& address, const RecordQuestion& question, Duration limit,
@@ -149,7 +160,7 @@
   const Clock clock_;
   const std::vector<TopicPartition> relayed_;
   const std::string node_;
-  const CountsReceived on_counts_;
+  const Observers observers_;
   const Thresholds thresholds_;
   RecordSources sources_;
   Phase phase_ = Phase::kUnknown;
--- a/tests/gateway/record_relay_test.cpp
+++ b/tests/gateway/record_relay_test.cpp
@@ -115,7 +115,8 @@
                     "node-x",
                     "zone",
                     kBound,
-                    [this](const std::vector<ReplicaCount>& received) { counts = received; },
+                    {[this](const std::vector<ReplicaCount>& received) { counts = received; },
+                     [](RelayedLog::AnswerOrigin, Duration) {}},
                     {}};
 };
 
@@ -269,8 +270,15 @@
   RelayFixture world;
   MemoryLog small{LogLimits{1, 4096, 1 << 20, 1s}, 1};
   small.append(kReplicas, {{"r1", "value", 0}}, std::nullopt, [](const AppendOutcome&) {});
-  RelayedLog reader{world.transport, small,  net::steady_now,    {kReplicas}, "node-x",
-                    "zone",          kBound, [](const auto&) {}, {}};
+  RelayedLog reader{world.transport,
+                    small,
+                    net::steady_now,
+                    {kReplicas},
+                    "node-x",
+                    "zone",
+                    kBound,
+                    {[](const auto&) {}, [](RelayedLog::AnswerOrigin, Duration) {}},
+                    {}};
   reader.expect_others(true);
   reader.set_members(world.alive());
   const auto outcome = std::make_shared<std::optional<NewestOutcome>>();
--- a/tests/gateway/relay_chain_exploration_test.cpp
+++ b/tests/gateway/relay_chain_exploration_test.cpp
@@ -693,11 +693,11 @@
     : GatewaySurroundings(setup.knobs, name_of(index)),
       link(log),
       transport(world, index),
-      relayed(
-          transport, link, clock, {kTopics.replicas, kTopics.configuration}, name_of(index), kZone,
-          setup.knobs.freshness_bound,
-          [this](const std::vector<ReplicaCount>& counts) { watch.take_counts(counts); },
-          kThresholds),
+      relayed(transport, link, clock, {kTopics.replicas, kTopics.configuration}, name_of(index),
+              kZone, setup.knobs.freshness_bound,
+              {[this](const std::vector<ReplicaCount>& counts) { watch.take_counts(counts); },
+               [](RelayedLog::AnswerOrigin, Duration) {}},
+              kThresholds),
       server(
           RelayBudget(setup.knobs.freshness_bound),
           [this, clock](const TopicPartition& partition) {
