--- a/tests/gateway/relay_chain_exploration_test.cpp
+++ b/tests/gateway/relay_chain_exploration_test.cpp
@@ -763,4 +763,17 @@
   BOOST_TEST(found.empty(), found.size() << " seeds have violations, first " << found.front());
 }
 
+// With a budget that is derived from a longer bound, the same seeds miss changes.
+BOOST_AUTO_TEST_CASE(exploration_detects_stale_views_with_a_longer_bound) {
+  const DisabledLogging logs_off;
+  constexpr std::uint64_t kSeeds = 16;
+  std::size_t found = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Setup setup = setup_of(seed);
+    setup.knobs.freshness_bound = std::chrono::milliseconds(3 * kBoundMs);
+    found += ChainSimulation(setup, seed).run().stale > 0 ? 1 : 0;
+  }
+  BOOST_TEST(found > kSeeds / 8, found);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
