A source whose own read is overdue refuses reads again; two checks get their former strictness back

A relay's read of the log in place of its readers did not count the time that the answer was late; both ways to the log now share one function that does.

--- a/src/gateway/record_server.cpp
+++ b/src/gateway/record_server.cpp
@@ -51,9 +51,7 @@
 }
 
 bool RecordServer::may_serve(const WatchAge& standing) const {
-  const bool reads_log =
-      standing.state == WatchState::kFollowing || standing.state == WatchState::kOverdue;
-  return reads_log && standing.age <= budget_.longest_served_age();
+  return standing.state == WatchState::kFollowing && standing.age <= budget_.longest_served_age();
 }
 
 bool RecordServer::gains(const WaitingRead& read, const WatchAge& standing, TimePoint now) const {
--- a/src/gateway/relayed_log.cpp
+++ b/src/gateway/relayed_log.cpp
@@ -227,20 +227,15 @@
 void RelayedLog::read(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
                       std::function<void(ReadOutcome)> done) {
   if (!relays_partition(partition) || sources_.has_no_sources()) {
-    read_for_others(partition, from, times, std::move(done));
+    read_as_reader(partition, from, times, std::move(done));
     return;
   }
   confirmed_at_[partition] = times.confirmed_at;
   advance_read(std::make_shared<Read>(Read{partition, from, times, std::move(done)}));
 }
 
-void RelayedLog::read_for_others(const TopicPartition& partition, LogOffset from, ReadTimes times,
-                                 std::function<void(ReadOutcome)> done) {
-  if (!relays_partition(partition)) {
-    log_.read(partition, from, times, std::move(done));
-    return;
-  }
-  times.wait = std::min(times.wait, sources_.budget().log_wait());
+void RelayedLog::read_log(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
+                          std::function<void(ReadOutcome)> done) {
   const TimePoint asked_at = clock_();
   log_.read(partition, from, times,
             [this, alive = alive_, asked_at, wait = times.wait,
@@ -253,10 +248,20 @@
             });
 }
 
+void RelayedLog::read_as_reader(const TopicPartition& partition, LogOffset from, ReadTimes times,
+                                std::function<void(ReadOutcome)> done) {
+  if (!relays_partition(partition)) {
+    log_.read(partition, from, times, std::move(done));
+    return;
+  }
+  times.wait = std::min(times.wait, sources_.budget().log_wait());
+  read_log(partition, from, times, std::move(done));
+}
+
 void RelayedLog::advance_read(const ReadPtr& read) {
   const TimePoint now = clock_();
   if (!relays_partition(read->partition) || sources_.has_no_sources()) {
-    read_for_others(read->partition, read->from, read->times, read->done);
+    read_as_reader(read->partition, read->from, read->times, read->done);
     return;
   }
   const Duration age = now - read->times.confirmed_at;
@@ -277,14 +282,14 @@
 }
 
 void RelayedLog::read_from_log(const ReadPtr& read, const RecordSources::Step& step) {
-  log_.read(read->partition, read->from, {step.wait, step.limit, read->times.confirmed_at},
-            [this, alive = alive_, read](ReadOutcome outcome) {
-              if (*alive) {
-                take_log_status(read->partition, outcome.status);
-                observe_answer(*read, AnswerOrigin::kLog, "log", outcome);
-              }
-              read->done(std::move(outcome));
-            });
+  read_log(read->partition, read->from, {step.wait, step.limit, read->times.confirmed_at},
+           [this, alive = alive_, read](ReadOutcome outcome) {
+             if (*alive) {
+               take_log_status(read->partition, outcome.status);
+               observe_answer(*read, AnswerOrigin::kLog, "log", outcome);
+             }
+             read->done(std::move(outcome));
+           });
 }
 
 void RelayedLog::read_from_source(const ReadPtr& read, const RecordSources::Step& step) {
--- a/src/gateway/relayed_log.hpp
+++ b/src/gateway/relayed_log.hpp
@@ -133,9 +133,13 @@
   };
   using ReadPtr = std::shared_ptr<Read>;
 
-  /// Reads from the log, as often as the nodes that read from this one need it.
-  void read_for_others(const TopicPartition& partition, LogOffset from, ReadTimes times,
-                       std::function<void(ReadOutcome)> done);
+  /// Reads from the log; the age of the outcome includes the time that it was late.
+  void read_log(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
+                std::function<void(ReadOutcome)> done);
+  /// Reads from the log as a node without sources: one that others read from waits only as long as
+  /// they can.
+  void read_as_reader(const TopicPartition& partition, LogOffset from, ReadTimes times,
+                      std::function<void(ReadOutcome)> done);
   /// Makes the next step of a read.
   void advance_read(const ReadPtr& read);
   void read_from_log(const ReadPtr& read, const RecordSources::Step& step);
--- a/tests/gateway/record_relay_test.cpp
+++ b/tests/gateway/record_relay_test.cpp
@@ -182,7 +182,7 @@
   });
   world.server.tick(now);
   BOOST_TEST(refusals == 0);
-  world.standing.state = WatchState::kLost;
+  world.standing.state = WatchState::kOverdue;
   world.server.tick(now);
   BOOST_TEST(refusals == 1);
 }
@@ -261,7 +261,7 @@
   const ReadOutcome outcome = world.wait_for(world.start_read(kRecords - 1, 0s));
   const Duration took = net::steady_now() - began;
   BOOST_TEST((took >= budget.shortest_log_age()));
-  BOOST_TEST((took < budget.greatest_age()));
+  BOOST_TEST((took < kBound * 3 / 4));
   BOOST_TEST_REQUIRE((outcome.status == LogStatus::kOk));
   BOOST_TEST(outcome.records.size() == 1U);
 }
