A reload from a node with an old view does not make the reader's own view older

No change came late.

A relay that has just started answers its read as compacted, so it reloads; another relay serves pages whatever its own view's age, here 6.4 s. The load replaces the time of confirmation by the older one, although a load is taken only if it ends at or after the reader's position: all that was confirmed before is in it.

Change: a confirmation never goes back, after a load and after a read. The exploration now counts and names such views as violations.

--- a/include/dockpoint/log/keyed_watch.hpp
+++ b/include/dockpoint/log/keyed_watch.hpp
@@ -124,6 +124,8 @@
   void on_page(NewestOutcome outcome);
   void follow();
   void on_records(ReadOutcome outcome);
+  /// Notes that the log had confirmed the delivered records at a time.
+  void confirm(TimePoint at);
   void fail();
   void succeed();
 
--- a/src/log/keyed_watch.cpp
+++ b/src/log/keyed_watch.cpp
@@ -157,7 +157,7 @@
   const auto state = state_;
   observer_.on_snapshot(records);
   if (state->alive) {
-    state->confirmed_at = state->load_confirmed_at;
+    confirm(state->load_confirmed_at);
     observer_.on_caught_up();
   }
   if (state->alive && !state->call_pending) {
@@ -217,7 +217,7 @@
     state->next_call_at = now_ + knobs_.watch_pause;
   }
   if (state->next >= outcome.end) {
-    state->confirmed_at = now_ - outcome.age;
+    confirm(now_ - outcome.age);
   }
   observer_.on_caught_up();
   if (state->alive && !state->call_pending && now_ >= state->next_call_at) {
@@ -225,6 +225,11 @@
   }
 }
 
+void KeyedWatch::confirm(TimePoint at) {
+  // Data from a node whose own view is older extends this view and takes nothing from it.
+  state_->confirmed_at = std::max(state_->confirmed_at, at);
+}
+
 void KeyedWatch::fail() {
   state_->refresh_requested = true;
   ++state_->failures;
--- a/tests/membership/relay_chain_exploration_test.cpp
+++ b/tests/membership/relay_chain_exploration_test.cpp
@@ -130,14 +130,15 @@
 
 /// Violations found in one run.
 struct Findings {
-  std::size_t stale = 0;
+  std::size_t stale = 0;      ///< Changes that a settled node did not act on in time.
+  std::size_t old_views = 0;  ///< Views older than the bound by their own account.
   std::size_t regressions = 0;
   std::size_t disagreements = 0;
   double mean_calls = 0;
   std::int64_t worst_age_ms = 0;  ///< Greatest age of a settled node's view, by its own account.
   std::string first;
 
-  bool none() const { return stale + regressions + disagreements == 0; }
+  bool none() const { return stale + old_views + regressions + disagreements == 0; }
 };
 
 class ChainSimulation {
@@ -558,6 +559,10 @@
     const Duration age =
         std::max(watch.replicas_age(now()).age, watch.configuration_age(now()).age);
     findings_.worst_age_ms = std::max(findings_.worst_age_ms, to_ms(age));
+    if (to_ms(age) > kBoundMs) {
+      ++findings_.old_views;
+      note(index, "has a view of " + std::to_string(to_ms(age)) + " ms");
+    }
     for (const ConfirmedChange& change : confirmed_changes_) {
       if (now_ <= change.confirmed_at + kBoundMs ||
           knows(*node.instance, change, evacuation_changes_)) {
@@ -715,7 +720,8 @@
     if (!findings.none()) {
       found.push_back(seed);
       BOOST_TEST_MESSAGE("seed " << seed << ": " << findings.first << " (stale " << findings.stale
-                                 << ", regressions " << findings.regressions << ", disagreements "
+                                 << ", old views " << findings.old_views << ", regressions "
+                                 << findings.regressions << ", disagreements "
                                  << findings.disagreements << ")");
     }
   }
