A request is not sent to a replica that began to drain while its connection was set up

What callers could see: a request that reaches a replica later after its drain than the node's view is old, by up to replica_connect_timeout (300 ms): the replica is chosen, a new connection is set up, and the request goes out on it without another look. It is the only time between choice and sending: requests that wait, retries, resumed streams and items choose when they are sent. At a bound of 2,000 ms the budget of a direct read uses the whole bound, so 300 ms are beyond it.

Change: the client asks once more when a new connection is ready. A request that is no longer wanted fails as not sent and goes elsewhere; the replica counts no failure. It holds for drains, replicas that left or whose record the node no longer follows, and evacuated zones.

Before: three of the four cases of replica_attempt fail (the request arrives).

--- a/src/gateway/replica_attempt.cpp
+++ b/src/gateway/replica_attempt.cpp
@@ -21,6 +21,11 @@
   options.connect_timeout = context_.knobs.replica_connect_timeout;
   options.maximum_idle = context_.knobs.replica_connection_idle;
   options.avoided_connections = used_connections_;
+  // The replica may begin to drain while the connection is set up.
+  options.still_wanted = [&replicas = context_.replicas, id = replica_] {
+    const Replica* known = replicas.find(id);
+    return known != nullptr && replicas.takes_work(*known);
+  };
   call_ = context_.client.start(endpoint_of(replica.record), std::move(bytes), options, observer);
 }
 
@@ -67,6 +72,9 @@
 }
 
 void ReplicaAttempt::signal(ReplicaSignal signal, TimePoint now) {
+  if (call_ && call_->withdrawn()) {
+    return;  // The replica did not fail.
+  }
   context_.replicas.signal(replica_, signal, now);
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -221,6 +221,7 @@
 void ClientConnection::connect(const CallOptions& options, const CallPtr& call, TimePoint now) {
   call_ = call;
   call->connection_ = shared_from_this();
+  call->still_wanted_ = options.still_wanted;
   connect_deadline_ = now + options.connect_timeout;
   connecting_ = std::make_unique<tcp::socket>(client_->loop_);
   ErrorCode error;
@@ -248,7 +249,8 @@
   connecting_.reset();
   const CallPtr call = std::exchange(call_, nullptr);
   connection_->start();
-  if (!send(call)) {
+  call->withdrawn_ = call->still_wanted_ && !call->still_wanted_();
+  if (call->withdrawn_ || !send(call)) {
     call_ = call;
     fail(CallFailure::kNotSent);
   }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -85,6 +85,9 @@
   /// Connections that are not reused for the call: they carried a request with the same id, and a
   /// late second answer to it could not be told from the answer to this call.
   std::set<ConnectionNumber> avoided_connections{};
+  /// Asked when a new connection is ready, up to `connect_timeout` after the call was started.
+  /// @return whether to send the request; if not, the call fails as not sent. Empty: always.
+  std::function<bool()> still_wanted{};
 };
 
 class HttpClient;
@@ -112,6 +115,8 @@
   bool reused() const { return reused_; }
   /// @return whether the server's machine refused the connection: no process listens there.
   bool connection_refused() const { return connection_refused_; }
+  /// @return whether the request was not sent since it was no longer wanted.
+  bool withdrawn() const { return withdrawn_; }
   /// @return the connection that carried the request, or 0 if none has yet.
   ConnectionNumber connection_number() const { return connection_number_; }
 
@@ -123,10 +128,12 @@
 
   CallObserver* observer_;
   std::string bytes_;
+  std::function<bool()> still_wanted_;
   std::shared_ptr<ClientConnection> connection_;
   bool sent_ = false;
   bool reused_ = false;
   bool connection_refused_ = false;
+  bool withdrawn_ = false;
   ConnectionNumber connection_number_ = 0;
 };
 
