--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -20,8 +20,8 @@
 run "exploration of fixed seeds" "$folder/dockpoint-sim" explore --seeds 1-1000
 run "tests of scripts" node --test --test-reporter=spec tests/scripts/
 (cd tests/system && npm ci --no-audit --no-fund --silent) || failures=$((failures + 1))
-run "system tests" env DOCKPOINT_BINARIES="$PWD/$folder" \
+run "system tests" scripts/with-test-ports.sh env DOCKPOINT_BINARIES="$PWD/$folder" \
   node --test --test-concurrency=1 --test-reporter=spec tests/system/
-run "soak of real processes, short" env DOCKPOINT_BINARIES="$PWD/$folder" \
+run "soak of real processes, short" scripts/with-test-ports.sh env DOCKPOINT_BINARIES="$PWD/$folder" \
   node tests/platform/soak/soak.mjs --seed 201 --seconds 30
 [ "$failures" = 0 ]
--- a/scripts/run-unit-tests.sh
+++ b/scripts/run-unit-tests.sh
@@ -33,5 +33,6 @@
   xargs -P "$(nproc)" -I{} bash -c 'run_suite "$@"' run_suite {} "${without_known_red[@]}" "$@" ||
   failures=$((failures + 1))
 echo "== suites that open sockets"
-"$TEST_PROGRAM" "${suites[@]/#/--run_test=!}" "${without_known_red[@]}" "$@" || failures=$((failures + 1))
+scripts/with-test-ports.sh "$TEST_PROGRAM" "${suites[@]/#/--run_test=!}" "${without_known_red[@]}" "$@" ||
+  failures=$((failures + 1))
 [ "$failures" = 0 ]
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -18,4 +18,5 @@
 export DOCKPOINT_RELAY_SEEDS=6
 scripts/run-unit-tests.sh "$folder" --report_level=short
 (cd tests/system && npm ci --no-audit --no-fund --silent)
-DOCKPOINT_BINARIES="$PWD/$folder" node --test --test-reporter=spec tests/system/openai_client.test.mjs
+scripts/with-test-ports.sh env DOCKPOINT_BINARIES="$PWD/$folder" \
+  node --test --test-reporter=spec tests/system/openai_client.test.mjs
