Reports of one crash under several suspects reach a node in one message

Cause, from the log: two nodes count three crashes each within 30 ms and quarantine the part. Their reports of a crash are one message a suspect. A node that has heard of a crash under the request, or under another part, and not yet under the quarantined part takes it for a crash without that part (RequestQuarantine::crashes_without), no longer counts simultaneous crashes one by one, and serves the part until the next message.

The new test of crash_report_spread asks for one message where three went out.

--- a/include/dockpoint/membership/crash_report_spread.hpp
+++ b/include/dockpoint/membership/crash_report_spread.hpp
@@ -19,6 +19,10 @@
 /// node gossips decided requests to random members, for nodes that were cut off or not running, and
 /// a node that has just started or was suspended requests them.
 ///
+/// Reports that are due at the same time go to a node in one message: a crash is evidence against
+/// each suspect that ran on the replica, and against the others if one of them was absent, so a
+/// node that knew it of some suspects only would release a quarantined one until it knows the rest.
+///
 /// Good runs: a node on which a run ended well with a suspect tells the witnesses, which have the
 /// evidence; if the suspect had reached the limit, they tell all members. So a common prompt part
 /// that many nodes clear at once costs a message for each of them, and not the square. A node that
@@ -74,6 +78,11 @@
     int rounds_left = 0;
     TimePoint next_at{};
   };
+  /// Reports on several requests to the same nodes.
+  struct Batch {
+    CrashReport report;
+    std::size_t requests = 0;
+  };
 
   /// @return addresses of the other members with a capability.
   std::vector<std::string> others(const std::vector<const Member*>& members,
--- a/src/membership/crash_report_spread.cpp
+++ b/src/membership/crash_report_spread.cpp
@@ -102,6 +102,7 @@
 
 void CrashReportSpread::add_pending_reports(const std::vector<const Member*>& members,
                                             TimePoint now, std::vector<CrashReportSend>& sends) {
+  std::map<std::vector<std::string>, Batch> batches;
   for (PendingReport& pending : pending_) {
     if (now < pending.next_at) {
       continue;
@@ -110,7 +111,17 @@
     pending.next_at = now + knobs_.crash_report_interval;
     CrashReport report = quarantine_.report(pending.request);
     std::vector<std::string> addresses = recipients(pending, report, members);
-    sends.push_back({std::move(addresses), std::move(report)});
+    std::sort(addresses.begin(), addresses.end());
+    Batch& batch = batches[addresses];
+    append(batch.report, report);
+    if (++batch.requests == knobs_.crash_gossip_requests) {
+      sends.push_back({std::move(addresses), std::exchange(batch, {}).report});
+    }
+  }
+  for (auto& [addresses, batch] : batches) {
+    if (batch.requests > 0) {
+      sends.push_back({addresses, std::move(batch.report)});
+    }
   }
   std::erase_if(pending_, [](const PendingReport& pending) { return pending.rounds_left <= 0; });
 }
--- a/tests/membership/crash_report_spread_test.cpp
+++ b/tests/membership/crash_report_spread_test.cpp
@@ -348,6 +348,56 @@
   BOOST_TEST(fleet.bytes() == 0U);
 }
 
+// A node that knew of a crash under one part of a prompt first released a quarantined part that was
+// there too, until the next message arrived.
+BOOST_AUTO_TEST_CASE(a_crash_is_reported_under_all_its_suspects_in_one_message) {
+  const Knobs knobs;
+  constexpr std::size_t kSuspects = 3;
+  RequestQuarantine quarantine(knobs);
+  CrashReportSpread spread(knobs, quarantine, "sender", 1);
+  std::vector<Member> members(kSuspects);
+  std::vector<const Member*> alive;
+  for (Member& member : members) {
+    member.id = "n" + std::to_string(alive.size());
+    member.peer_address = member.id;
+    member.capabilities = kAllCapabilities;
+    alive.push_back(&member);
+  }
+  const TimePoint now{1h};
+  for (std::uint64_t suspect = 1; suspect <= kSuspects; ++suspect) {
+    const RequestFingerprint request{suspect, suspect};
+    quarantine.take(CrashEvidence{request, 1, now, false, true}, now);
+    spread.send_to_witnesses(request, now);
+  }
+  const std::vector<CrashReportSend> sends = spread.next(alive, now);
+  BOOST_TEST_REQUIRE(sends.size() == 1U);
+  BOOST_TEST(sends.front().report.evidence.size() == kSuspects);
+  BOOST_TEST(sends.front().addresses.size() == alive.size());
+}
+
+BOOST_AUTO_TEST_CASE(no_message_reports_more_requests_than_a_page_of_gossip) {
+  const Knobs knobs;
+  RequestQuarantine quarantine(knobs);
+  CrashReportSpread spread(knobs, quarantine, "sender", 1);
+  Member member;
+  member.id = "n";
+  member.peer_address = "a";
+  member.capabilities = kAllCapabilities;
+  const TimePoint now{1h};
+  const std::size_t suspects = 2 * knobs.crash_gossip_requests + 1;
+  for (std::uint64_t suspect = 1; suspect <= suspects; ++suspect) {
+    const RequestFingerprint request{suspect, suspect};
+    quarantine.take(CrashEvidence{request, 1, now}, now);
+    spread.send_to_witnesses(request, now);
+  }
+  std::size_t reported = 0;
+  for (const CrashReportSend& send : spread.next({&member}, now)) {
+    BOOST_TEST(send.report.evidence.size() <= knobs.crash_gossip_requests);
+    reported += send.report.evidence.size();
+  }
+  BOOST_TEST(reported == suspects);
+}
+
 BOOST_AUTO_TEST_CASE(members_of_an_older_build_receive_no_reports) {
   const Knobs knobs;
   RequestQuarantine quarantine(knobs);
