A leaf leaves the log to its sources until one has answered; a source that is behind is not asked again at once

Cause, from the logs of a zone from second -24 to -9: when the nodes turn to relayed records, 2 s after the start, sources hold no records for others yet and refuse. 2.5 to 3 s later the views of all leaves are old enough for the log, and each loads all records from it: 77 turns to the log in that zone in second -19, 330 in second -18. The log's bandwidth is used up, it refuses readers and relays too, so the sources stay behind and the leaves keep turning to the log.

Change: (1) from the time at which the nodes begin to relay a leaf does not read the log for 5 s, or until a source has answered.

--- a/include/dockpoint/membership/record_sources.hpp
+++ b/include/dockpoint/membership/record_sources.hpp
@@ -78,6 +78,13 @@
   /// Excludes a source for a while, after a failed read.
   /// @param refused whether the source refused, rather than giving no usable answer.
   void failed(const std::string& address, bool refused, TimePoint now);
+  /// Notes that the nodes of the fleet begin to read from each other, which hold no records for
+  /// others yet. A node that no other node reads from does not turn to the log before `until`, or
+  /// until a source has answered: all of them would load all records at once, and the log could not
+  /// serve the readers any more.
+  void begin(TimePoint until) { settled_at_ = until; }
+  /// Reports that a source answered.
+  void source_answered() { settled_at_ = {}; }
   /// Reports that the log answered a read.
   void log_answered(const TopicPartition& partition) { log_failures_.erase(partition); }
   /// Reports that the log refused a read or did not answer.
@@ -99,6 +106,7 @@
     TimePoint retry_at{};
   };
 
+  /// @return from when on this node may read from the log, whatever the age of its view.
   TimePoint log_retry_at(const TopicPartition& partition) const;
   TimePoint source_available_at(TimePoint now) const;
 
@@ -107,6 +115,7 @@
   std::vector<std::string> sources_;  ///< Control addresses in order of preference.
   const RelayBudget budget_;
   bool passes_on_ = true;
+  TimePoint settled_at_{};  ///< Until then sources may have no records yet.
   std::map<TopicPartition, LogFailures> log_failures_;
   std::map<std::string, TimePoint> excluded_until_;  ///< End of the exclusion, by source.
 };
--- a/src/gateway/relayed_log.cpp
+++ b/src/gateway/relayed_log.cpp
@@ -56,6 +56,7 @@
   if (phase_ == Phase::kDirect && reads >= thresholds_.reads) {
     phase_ = Phase::kRelaying;
     relaying_since_ = clock_();
+    sources_.begin(relaying_since_ + kLoadRetryPeriod);
     spdlog::info("fleet: records are read from other nodes passesOn={} members={} replicas={}",
                  passes_on(), members_known_, replicas);
   } else if (phase_ == Phase::kRelaying && reads < thresholds_.reads / 2) {
@@ -71,6 +72,7 @@
   if (phase_ == Phase::kDelayingStart &&
       (members_received || now - relaying_since_ >= kStartDelay)) {
     phase_ = Phase::kRelaying;
+    sources_.begin(relaying_since_ + kLoadRetryPeriod);
     spdlog::info("fleet: records are read from other nodes passesOn={} heldMs={}", passes_on(),
                  to_ms(now - relaying_since_));
   }
@@ -125,6 +127,9 @@
                    if (!*alive) {
                      return;
                    }
+                   if (reply.answer) {
+                     sources_.source_answered();
+                   }
                    if (reply.answer && !reply.answer->counts.empty()) {
                      observers_.on_counts(reply.answer->counts);
                    }
@@ -302,6 +307,12 @@
         if (reply.answer) {
           ReadOutcome outcome = read_outcome_of(*reply.answer);
           outcome.age += time_under_way(*reply.answer, clock_() - asked_at, wait);
+          if (!advances_view(*read, outcome)) {
+            // The source is behind this node. Asked again at once, it would answer the same.
+            sources_.failed(source, true, clock_());
+            advance_read(read);
+            return;
+          }
           observe_answer(*read, AnswerOrigin::kNode, source, outcome);
           read->done(std::move(outcome));
           return;
@@ -313,6 +324,11 @@
       });
 }
 
+bool RelayedLog::advances_view(const Read& read, const ReadOutcome& outcome) const {
+  const bool confirms = clock_() - outcome.age > read.times.confirmed_at;
+  return outcome.status != LogStatus::kOk || !outcome.records.empty() || confirms;
+}
+
 void RelayedLog::observe_answer(const Read& read, AnswerOrigin origin, const std::string& source,
                                 const ReadOutcome& outcome) const {
   if (outcome.status != LogStatus::kOk) {
--- a/src/gateway/relayed_log.hpp
+++ b/src/gateway/relayed_log.hpp
@@ -144,6 +144,8 @@
   void advance_read(const ReadPtr& read);
   void read_from_log(const ReadPtr& read, const RecordSources::Step& step);
   void read_from_source(const ReadPtr& read, const RecordSources::Step& step);
+  /// @return whether an answer makes this node's view newer, or says that it has to reload.
+  bool advances_view(const Read& read, const ReadOutcome& outcome) const;
   /// Observes the answer to a read, and logs records that were long on their way.
   /// @param source the node that answered, or "log".
   void observe_answer(const Read& read, AnswerOrigin origin, const std::string& source,
--- a/src/membership/record_sources.cpp
+++ b/src/membership/record_sources.cpp
@@ -108,7 +108,9 @@
 
 TimePoint RecordSources::log_retry_at(const TopicPartition& partition) const {
   const auto failures = log_failures_.find(partition);
-  return failures == log_failures_.end() ? TimePoint{} : failures->second.retry_at;
+  const TimePoint settled_at = passes_on_ ? TimePoint{} : settled_at_;
+  return failures == log_failures_.end() ? settled_at
+                                         : std::max(settled_at, failures->second.retry_at);
 }
 
 TimePoint RecordSources::source_available_at(TimePoint now) const {
--- a/tests/membership/record_sources_test.cpp
+++ b/tests/membership/record_sources_test.cpp
@@ -187,6 +187,25 @@
 }
 
 // The end of a read at a source that does not answer leaves the time for the log.
+// When a fleet of a thousand nodes began to relay, all of them loaded all records from the log,
+// which then refused the nodes that the others were to read from.
+BOOST_AUTO_TEST_CASE(leaf_leaves_the_log_to_its_sources_until_one_has_answered) {
+  const Fleet fleet(200);
+  RecordSources sources = fleet.sources_of(leaf_of(fleet));
+  const TimePoint began = at(1'000);
+  const TimePoint until = began + kBound;
+  sources.begin(until);
+  exclude_all(sources, began);
+  BOOST_TEST((sources.next_step(kReplicas, kBound, began).target != Step::Target::kLog));
+  exclude_all(sources, until);
+  BOOST_TEST((sources.next_step(kReplicas, kBound, until).target == Step::Target::kLog));
+
+  sources.begin(until + kBound);
+  sources.source_answered();
+  exclude_all(sources, until);
+  BOOST_TEST((sources.next_step(kReplicas, kBound, until).target == Step::Target::kLog));
+}
+
 BOOST_AUTO_TEST_CASE(read_at_a_source_ends_before_the_log_is_due) {
   const Fleet fleet(300);
   RecordSources sources = fleet.sources_of(leaf_of(fleet));
