--- a/include/dockpoint/log/keyed_watch.hpp
+++ b/include/dockpoint/log/keyed_watch.hpp
@@ -75,8 +75,7 @@
   void refresh();
 
   /// Reloads the newest records after the pending call has ended, because the log's content as seen
-  /// by this node has changed. A load under way starts again. Does nothing if the first load has
-  /// not begun.
+  /// by this node has changed. Does nothing if the first load has not begun.
   void reload();
   /// Marks the state as unconfirmed until the log confirms it, after a suspension of the machine.
   /// Abandons the pending call: its connection may be dead, and its timeout did not run meanwhile.
@@ -99,7 +98,6 @@
     bool loaded = false;
     bool reachable = true;
     bool reload = false;  ///< Requested or under way; the records loaded before remain valid.
-    bool reload_requested = false;   ///< Since the load under way began, if one is.
     bool refresh_requested = false;  ///< Requested after the current read began.
     bool unconfirmed = false;        ///< No call begun after `mark_unconfirmed` has succeeded yet.
     std::uint64_t call = 0;          ///< Number of the pending call, or of the last one.
@@ -110,7 +108,7 @@
     TimePoint confirmed_at{};  ///< When the end of the partition was last reached.
     LogOffset next = 0;
     LogOffset load_end = 0;
-    TimePoint load_confirmed_at{};  ///< When the log confirmed the first page.
+    Duration load_age{};  ///< Age of the first page.
     std::string page_key;
     bool first_page = true;
     std::vector<KeyedRecord> pages;
@@ -118,14 +116,10 @@
   };
 
   void proceed();
-  /// Drops the pages read so far; the next page is the first one.
-  void restart_load();
   void load_page();
   void on_page(NewestOutcome outcome);
   void follow();
   void on_records(ReadOutcome outcome);
-  /// Notes that the log had confirmed the delivered records at a time.
-  void confirm(TimePoint at);
   void fail();
   void succeed();
 
--- a/include/dockpoint/log/partitioned_log.hpp
+++ b/include/dockpoint/log/partitioned_log.hpp
@@ -67,8 +67,6 @@
 struct ReadTimes {
   Duration wait{};   ///< Longest wait for a record if there is none yet.
   Duration limit{};  ///< Timeout of the answer beyond the wait; the read then ends as `kUnknown`.
-  /// When the log last confirmed the caller's view of the partition; the clock's epoch: never.
-  TimePoint confirmed_at{};
 };
 
 struct NewestOutcome {
--- a/include/dockpoint/log/record_cache.hpp
+++ b/include/dockpoint/log/record_cache.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -35,14 +34,10 @@
   /// Page size in records, as at the log: 150 KB of replica records.
   static constexpr std::size_t kPageRecords = 500;
 
-  /// Replaces the content by a load that ends at `end`. Pages of a load are no snapshot: the later
-  /// ones may hold records from beyond `end`. Reads return these only once `end()` is beyond them,
-  /// since the records before them are not known yet.
+  /// Replaces the content by a load that ends at `end`.
   void replace(const std::vector<KeyedRecord>& records, LogOffset end);
   /// Adds one record, at any offset; ignored if not newer than the known record of its key.
   void add(const KeyedRecord& record);
-  /// Notes that all records before `end` are known.
-  void advance(LogOffset end) { end_ = std::max(end_, end); }
 
   bool loaded() const { return loaded_; }
   /// @return the offset up to which records are known.
--- a/include/dockpoint/membership/record_sources.hpp
+++ b/include/dockpoint/membership/record_sources.hpp
@@ -7,8 +7,6 @@
 #include <vector>
 
 #include "dockpoint/core/time.hpp"
-#include "dockpoint/log/partitioned_log.hpp"
-#include "dockpoint/log/relay_budget.hpp"
 #include "dockpoint/membership/member.hpp"
 
 /// Selects where a node of a large fleet reads the fleet's records: the log or another node.
@@ -23,13 +21,12 @@
 /// dozens of others.
 ///
 /// A source that does not answer is excluded for some seconds, one that refuses because it is
-/// behind itself for a shorter time, and the next one is tried. When a node turns to the log
-/// depends on the age of its view, see log/relay_budget.hpp. A relay whose sources all failed does
-/// so at once, so that a zone does not depend on its two readers; there are few relays. All other
-/// nodes do so only at an age that differs from node to node: hundreds of nodes that turned to the
-/// log while their sources are slow would slow down these sources further. Each partition has its
-/// own age, and its own pause after the log has failed: an answer for one topic says nothing about
-/// another.
+/// behind itself for a shorter time, and the next one is tried. Only when no source has answered
+/// for a quarter to half of the bound on the age of a node's state does the node read from the log
+/// itself. This delay differs from node to node, and doubles with each failure of the log: hundreds
+/// of nodes that turned to the log while their sources are slow would slow down these sources
+/// further. Without this limit, 986 nodes that each repeatedly requested the same 400 KB blocked
+/// the log for more than 8 s.
 namespace dockpoint {
 
 /// See the top of this file. Free of I/O and clocks; not thread-safe.
@@ -46,20 +43,6 @@
   /// How long a source that refused is excluded.
   static constexpr Duration kRefusalRetryDelay = std::chrono::milliseconds(200);
 
-  /// Where a read goes next.
-  struct Step {
-    enum class Target {
-      kSource,  ///< To `source`.
-      kLog,     ///< To the log.
-      kPause,   ///< Nowhere before `until`.
-    };
-    Target target = Target::kPause;
-    std::string source;  ///< Control address.
-    Duration wait{};     ///< Longest wait for records if there are none.
-    Duration limit{};    ///< Timeout beyond the wait.
-    TimePoint until{};
-  };
-
   /// @param node,zone name and zone of this node.
   /// @param bound maximum permitted age of the node's fleet state.
   RecordSources(std::string node, std::string zone, Duration bound);
@@ -72,51 +55,27 @@
   std::optional<std::string> next(TimePoint now);
   /// @return whether this node has no sources and thus always reads from the log.
   bool has_no_sources() const { return sources_.empty(); }
-  /// @param age of the node's view of the partition.
-  /// @return the next step of a read, of a node that has sources.
-  Step next_step(const TopicPartition& partition, Duration age, TimePoint now);
+  /// @return whether the node may read from the log instead of from a source.
+  bool may_read_log(TimePoint now) const;
   /// Excludes a source for a while, after a failed read.
   /// @param refused whether the source refused, rather than giving no usable answer.
   void failed(const std::string& address, bool refused, TimePoint now);
-  /// Notes that the nodes of the fleet begin to read from each other, which hold no records for
-  /// others yet. A node that no other node reads from does not turn to the log before `until`, or
-  /// until a source has answered: all of them would load all records at once, and the log could not
-  /// serve the readers any more.
-  void begin(TimePoint until) { settled_at_ = until; }
-  /// Reports that a source answered.
-  void source_answered() { settled_at_ = {}; }
-  /// Reports that the log answered a read.
-  void log_answered(const TopicPartition& partition) { log_failures_.erase(partition); }
+  /// Reports that records were received from a source or from the log.
+  void succeeded(TimePoint now);
   /// Reports that the log refused a read or did not answer.
-  void log_failed(const TopicPartition& partition, TimePoint now);
-  const RelayBudget& budget() const { return budget_; }
-  /// @return whether no pause after a failure of the log is under way.
-  bool may_read_log(const TopicPartition& partition, TimePoint now) const {
-    return now >= log_retry_at(partition);
-  }
-  /// @return age of its view from which on this node reads from the log.
-  Duration log_age() const;
+  void log_failed(TimePoint now);
 
   /// @return whether this node must hold all records because other nodes read from it.
   bool passes_on() const { return passes_on_; }
 
  private:
-  struct LogFailures {
-    int count = 0;  ///< Consecutive.
-    TimePoint retry_at{};
-  };
-
-  /// @return from when on this node may read from the log, whatever the age of its view.
-  TimePoint log_retry_at(const TopicPartition& partition) const;
-  TimePoint source_available_at(TimePoint now) const;
-
   const std::string node_;
   const std::string zone_;
-  std::vector<std::string> sources_;  ///< Control addresses in order of preference.
-  const RelayBudget budget_;
+  std::vector<std::string> sources_;   ///< Control addresses in order of preference.
+  const Duration log_fallback_delay_;  ///< Time without an answer before the log is read.
   bool passes_on_ = true;
-  TimePoint settled_at_{};  ///< Until then sources may have no records yet.
-  std::map<TopicPartition, LogFailures> log_failures_;
+  TimePoint waiting_since_{};                        ///< Last success, or last failure of the log.
+  int log_failures_ = 0;                             ///< Consecutive.
   std::map<std::string, TimePoint> excluded_until_;  ///< End of the exclusion, by source.
 };
 
--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -15,15 +15,13 @@
  public:
   using Snapshot = std::function<void(const std::vector<KeyedRecord>&)>;
   using Record = std::function<void(const KeyedRecord&)>;
-  using CaughtUp = std::function<void(LogOffset position)>;
   using Reachable = std::function<void(bool)>;
 
   Follower(const Knobs& knobs, PartitionedLog& log, TopicPartition partition, std::uint64_t seed,
-           Snapshot on_snapshot, Record on_record, CaughtUp on_caught_up, Reachable on_reachable)
+           Snapshot on_snapshot, Record on_record, Reachable on_reachable)
       : name_(partition.topic),
         on_snapshot_(std::move(on_snapshot)),
         on_record_(std::move(on_record)),
-        on_caught_up_(std::move(on_caught_up)),
         on_reachable_(std::move(on_reachable)),
         watch_(knobs, log, std::move(partition), seed, *this) {}
 
@@ -38,7 +36,7 @@
 
   void on_snapshot(const std::vector<KeyedRecord>& records) override { on_snapshot_(records); }
   void on_record(const KeyedRecord& record) override { on_record_(record); }
-  void on_caught_up() override { on_caught_up_(watch_.position()); }
+  void on_caught_up() override {}
   void on_reachable(bool reachable, Duration silence) override {
     spdlog::warn("fleet: log {} topic={} sinceAnswerMs={} position={}",
                  reachable ? "regained" : "lost", name_, to_ms(silence), watch_.position());
@@ -49,7 +47,6 @@
   const std::string name_;
   Snapshot on_snapshot_;
   Record on_record_;
-  CaughtUp on_caught_up_;
   Reachable on_reachable_;
   KeyedWatch watch_;
 };
@@ -66,9 +63,7 @@
   configuration_follower_ = std::make_unique<Follower>(
       context_.knobs, log, topics_.configuration, seed,
       [this](const std::vector<KeyedRecord>& records) { take_operator_page(records); },
-      [this](const KeyedRecord& record) { take_operator_record(record); },
-      [this](LogOffset position) { advance_record_server(topics_.configuration, position); },
-      [](bool) {});
+      [this](const KeyedRecord& record) { take_operator_record(record); }, [](bool) {});
   replica_follower_ = std::make_unique<Follower>(
       context_.knobs, log, topics_.replicas, seed + 1,
       [this](const std::vector<KeyedRecord>& records) {
@@ -100,7 +95,6 @@
           take_replica(record.key, record.value);
         }
       },
-      [this](LogOffset position) { advance_record_server(topics_.replicas, position); },
       [this](bool reachable) { note_reachable(reachable); });
 }
 
@@ -170,12 +164,6 @@
   }
 }
 
-void FleetWatch::advance_record_server(const TopicPartition& partition, LogOffset position) {
-  if (record_server_ != nullptr) {
-    record_server_->advance(partition, position);
-  }
-}
-
 void FleetWatch::note_reachable(bool reachable) {
   if (reachable) {
     removal_grace_.log_regained(now_);
@@ -297,8 +285,6 @@
                  record->draining ? "drains" : "ready", record->id, record->service,
                  record->software_version, record->address.to_string(), record->slots);
     context_.replicas.upsert(*record, now);
-  } else if (counts_from_peer_) {
-    forget_record(name);
   } else if (used_before) {
     context_.replicas.remove(record->id);
   }
@@ -343,8 +329,7 @@
     }
   }
   const Duration bound = context_.knobs.freshness_bound;
-  // The steps of relayed records have waits of their own, see RelayBudget; a read that fails must
-  // leave time for others.
+  // Relayed records take two more steps, each of which may wait for the pause between two reads.
   const Duration read_bound = relays ? bound * 3 / 4 : bound;
   configuration_follower_->set_bound(read_bound);
   replica_follower_->set_bound(read_bound);
@@ -368,19 +353,6 @@
       known.counted = false;
     }
     subset_widened_ = subset_.widened();  // The load under way already covers this subset.
-    subset_revision_ = 0;                 // Records outside of the subset are forgotten.
-  }
-}
-
-void FleetWatch::forget_unfollowed_records() {
-  std::vector<std::string> unfollowed;
-  for (const auto& [name, known] : records_) {
-    if (!known.replica.empty() && !subset_.contains(known.service, known.zone, name)) {
-      unfollowed.push_back(name);
-    }
-  }
-  for (const std::string& name : unfollowed) {
-    forget_record(name);
   }
 }
 
@@ -410,9 +382,6 @@
   if (widened && counts_from_peer_) {
     replica_follower_->reload();  // Records of the new subset have not been read.
   }
-  if (counts_from_peer_) {
-    forget_unfollowed_records();
-  }
   std::size_t added = 0;
   std::size_t removed = 0;
   for (const auto& [name, known] : records_) {
@@ -476,19 +445,14 @@
 }
 
 void FleetWatch::remove_replica(const std::string& id) {
-  const auto known = records_.find(id);
-  if (known != records_.end() && context_.replicas.find(known->second.replica) != nullptr) {
-    spdlog::info("fleet: replica gone record={} replica={}", id, known->second.replica);
-  }
-  forget_record(id);
-}
-
-void FleetWatch::forget_record(const std::string& name) {
-  suspended_.erase(name);
-  auto known = records_.extract(name);
+  suspended_.erase(id);
+  auto known = records_.extract(id);
   if (known.empty()) {
     return;
   }
+  if (context_.replicas.find(known.mapped().replica) != nullptr) {
+    spdlog::info("fleet: replica gone record={} replica={}", id, known.mapped().replica);
+  }
   unreadable_ -= known.mapped().replica.empty() ? 1 : 0;
   forget_replica(known.mapped());
   update_record_metrics();
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -26,9 +26,8 @@
 /// are applied only from that position on, so that its view never goes back. Records that lapsed
 /// during a log outage are kept for a grace period, see removal_grace.hpp.
 ///
-/// In a large fleet the node uses only a subset of the replicas, see routing/replica_subset.hpp. A
-/// node that reads all records keeps those of the others for its peers and for when the subset
-/// changes.
+/// In a large fleet the node uses only a subset of the replicas, see routing/replica_subset.hpp. It
+/// keeps the records of the others for its peers and for when the subset changes.
 ///
 /// A record may have been written by another program. An unreadable record names no replica: its
 /// replica gets no more work, and the other records stay in effect. A record of an earlier
@@ -150,22 +149,15 @@
   /// Adds replicas that now belong to this node's subset to the directory, and removes those that
   /// no longer do.
   void apply_subset();
-  /// Forgets the records outside of the subset. A node that reads its subset from another node gets
-  /// no news of them, and must not use them again when its subset widens.
-  void forget_unfollowed_records();
   /// @return whether the record belongs to an incarnation older than the newest one known.
   bool is_of_earlier_incarnation(const ReplicaRecord& record) const;
   /// Handles a removed record: removes the replica at once, or after its grace period.
   void drop_record(const std::string& id);
   void remove_replica(const std::string& id);
-  /// Forgets a record and stops using its replica.
-  void forget_record(const std::string& name);
   void update_record_metrics();
   /// Suspends or resumes new work for replicas whose removal is deferred; see RemovalGrace.
   void update_deferred_replicas();
   void retain_replicas(const std::vector<std::string>& ids);
-  /// Tells the record server up to which offset this node has read a partition.
-  void advance_record_server(const TopicPartition& partition, LogOffset position);
   /// Called when the log becomes unreachable or reachable.
   void note_reachable(bool reachable);
   WatchAge age_of(const Follower& follower, TimePoint now) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -65,16 +65,13 @@
       online_(context_, hash64(settings_.node)),
       log_(knobs, parts.log),
       record_transport_(loop, client),
-      relayed_log_(record_transport_, log_, net::steady_now,
-                   {parts.fleet_topics.replicas, parts.fleet_topics.configuration}, settings_.node,
-                   settings_.zone, knobs.freshness_bound,
-                   {[this](const std::vector<ReplicaCount>& counts) { fleet_.take_counts(counts); },
-                    [this](RelayedLog::AnswerOrigin origin, Duration age) {
-                      metrics_.observe_record_age(origin == RelayedLog::AnswerOrigin::kLog, age);
-                    }},
-                   RelayedLog::Thresholds{}),
+      relayed_log_(
+          record_transport_, log_, net::steady_now,
+          {parts.fleet_topics.replicas, parts.fleet_topics.configuration}, settings_.node,
+          settings_.zone, knobs.freshness_bound,
+          [this](const std::vector<ReplicaCount>& counts) { fleet_.take_counts(counts); },
+          RelayedLog::Thresholds{}),
       record_server_(
-          RelayBudget(knobs.freshness_bound),
           [this](const TopicPartition& partition) {
             const TimePoint now = net::steady_now();
             return partition == parts_.fleet_topics.replicas ? fleet_.replicas_age(now)
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -12,13 +12,6 @@
   return buckets;
 }
 
-/// Bucket upper bounds of the histogram of record ages, in seconds.
-const prometheus::Histogram::BucketBoundaries& record_age_buckets() {
-  static const prometheus::Histogram::BucketBoundaries buckets{0.1, 0.25, 0.5, 0.75, 1, 1.5,
-                                                               2,   2.5,  3,   4,    5, 10};
-  return buckets;
-}
-
 /// Bucket upper bounds of the wait error histogram, in seconds.
 const prometheus::Histogram::BucketBoundaries& wait_error_buckets() {
   static const prometheus::Histogram::BucketBoundaries buckets{-0.4, -0.2, -0.1, -0.05, 0,
@@ -44,10 +37,6 @@
                       .Name("dockpoint_gateway_first_byte_seconds")
                       .Help("Time from a request's arrival to the first byte of its answer.")
                       .Register(registry_)),
-      record_age_(prometheus::BuildHistogram()
-                      .Name("dockpoint_gateway_record_age_seconds")
-                      .Help("Age of the view of the fleet's records when an answer arrived.")
-                      .Register(registry_)),
       wait_error_(prometheus::BuildHistogram()
                       .Name("dockpoint_gateway_wait_error_seconds")
                       .Help("Time from sending to the first byte, less the wait expected there.")
@@ -265,11 +254,6 @@
   replicas_age_.Set(std::chrono::duration<double>(replicas).count());
 }
 
-void GatewayMetrics::observe_record_age(bool from_log, Duration age) {
-  record_age_.Add({{"source", from_log ? "log" : "node"}}, record_age_buckets())
-      .Observe(std::chrono::duration<double>(age).count());
-}
-
 void GatewayMetrics::set_unreadable_records(std::size_t count) {
   unreadable_records_.Set(static_cast<double>(count));
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -61,10 +61,6 @@
   void set_configuration_version(std::uint64_t version);
   /// Sets the time since the log last confirmed the configuration and the replica records.
   void set_fleet_age(Duration configuration, Duration replicas);
-  /// Observes an answer to a relayed read of the fleet's records.
-  /// @param from_log whether the log answered in place of a node.
-  /// @param age of this node's view when the answer arrived.
-  void observe_record_age(bool from_log, Duration age);
   /// @param count replica records that could not be decoded as a replica.
   void set_unreadable_records(std::size_t count);
   /// @param slots replica slots assigned to this node, summed over all services.
@@ -86,7 +82,6 @@
   prometheus::Registry registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Histogram>& first_byte_;
-  prometheus::Family<prometheus::Histogram>& record_age_;
   prometheus::Family<prometheus::Histogram>& wait_error_;
   prometheus::Family<prometheus::Counter>& attempts_;
   prometheus::Family<prometheus::Counter>& placements_;
--- a/src/gateway/record_protocol.cpp
+++ b/src/gateway/record_protocol.cpp
@@ -12,8 +12,6 @@
 
 /// Longest wait that a request may ask for.
 constexpr std::int64_t kMaxReadWaitMs = 30'000;
-/// Greatest age of a view that is told apart; a view that was never confirmed is older.
-constexpr std::int64_t kMaxReaderAgeMs = 3'600'000;
 
 template <class Number>
 std::optional<Number> number_of(const net::Target& target, std::string_view name) {
@@ -51,9 +49,7 @@
                   net::percent_encode(question.partition.topic), question.partition.partition,
                   net::percent_encode(question.node), question.whole ? 1 : 0);
   if (question.follows) {
-    target += fmt::format("&from={}&wait={}", question.from, to_ms(question.wait));
-    return question.reader_age ? target + fmt::format("&age={}", to_ms(*question.reader_age))
-                               : target;
+    return target + fmt::format("&from={}&wait={}", question.from, to_ms(question.wait));
   }
   return target + fmt::format("&after={}", net::percent_encode(question.after_key));
 }
@@ -73,10 +69,6 @@
     question.follows = true;
     question.from = *from;
     question.wait = std::chrono::milliseconds(std::clamp<std::int64_t>(wait_ms, 0, kMaxReadWaitMs));
-    if (const auto age_ms = number_of<std::int64_t>(parsed, "age")) {
-      question.reader_age =
-          std::chrono::milliseconds(std::clamp<std::int64_t>(*age_ms, 0, kMaxReaderAgeMs));
-    }
     return question;
   }
   const auto after = parsed.parameter("after");
--- a/src/gateway/record_protocol.hpp
+++ b/src/gateway/record_protocol.hpp
@@ -26,8 +26,6 @@
   LogOffset from = 0;    ///< Read: first offset.
   Duration wait{};       ///< Read: longest wait for a record if there is none yet.
   std::string after_key{};  ///< Load: key after which to continue.
-  /// Read: age of the reader's view; none if the reader is of a build that does not tell.
-  std::optional<Duration> reader_age = std::nullopt;
 };
 
 /// One record in a response.
@@ -49,10 +47,7 @@
   std::uint64_t age_ms = 0;  ///< Time since the log confirmed these records.
   std::vector<ReplicaCount>
       counts;  ///< Counts of all replicas, if the response holds only a subset of them.
-  /// How long the request waited at the source; negative if the source is of a build that does not
-  /// tell. The rest of the time until the response arrived makes the records older.
-  std::int64_t held_ms = -1;
-  DOCKPOINT_FIELDS(forgotten, records, end, next, more, age_ms, counts, held_ms)
+  DOCKPOINT_FIELDS(forgotten, records, end, next, more, age_ms, counts)
 };
 
 /// @return the request target for a question.
--- a/src/gateway/record_server.cpp
+++ b/src/gateway/record_server.cpp
@@ -23,13 +23,6 @@
   }
 }
 
-void RecordServer::advance(const TopicPartition& partition, LogOffset end) {
-  const auto kept = cached_partitions_.find(partition);
-  if (kept != cached_partitions_.end() && kept->second.records.loaded()) {
-    kept->second.records.advance(end);
-  }
-}
-
 RecordCache::Filter RecordServer::filter_of(const RecordQuestion& question,
                                             const CachedPartition& kept) const {
   if (question.whole || !kept.parts) {
@@ -40,26 +33,13 @@
   };
 }
 
-void RecordServer::respond(const WaitingRead& read, const CachedPartition& kept,
-                           RecordAnswer answer, TimePoint now) {
-  answer.age_ms = static_cast<std::uint64_t>(to_ms(standing_(read.question.partition).age));
-  answer.held_ms = to_ms(now - read.received);
-  if (kept.parts && !read.question.whole) {
+void RecordServer::respond(const Reply& reply, const CachedPartition& kept,
+                           const RecordQuestion& question, RecordAnswer answer) {
+  answer.age_ms = static_cast<std::uint64_t>(to_ms(standing_(question.partition).age));
+  if (kept.parts && !question.whole) {
     answer.counts = counts_();
   }
-  read.reply(answer);
-}
-
-bool RecordServer::may_serve(const WatchAge& standing) const {
-  return standing.state == WatchState::kFollowing && standing.age <= budget_.longest_served_age();
-}
-
-bool RecordServer::gains(const WaitingRead& read, const WatchAge& standing, TimePoint now) const {
-  if (!read.question.reader_age) {
-    return false;
-  }
-  const Duration reader_age = *read.question.reader_age + (now - read.received);
-  return standing.age + budget_.least_gain() <= reader_age;
+  reply(answer);
 }
 
 void RecordServer::serve(const RecordQuestion& question, TimePoint received, Reply reply) {
@@ -68,46 +48,42 @@
     reply(std::nullopt);
     return;
   }
-  const WaitingRead read{question, received, std::move(reply)};
   if (!question.follows) {
     const RecordCache& records = kept->second.records;
-    respond(read, kept->second,
-            answer_of(records.newest(question.after_key, filter_of(question, kept->second))),
-            received);
+    respond(reply, kept->second, question,
+            answer_of(records.newest(question.after_key, filter_of(question, kept->second))));
     return;
   }
-  if (try_read(read, received)) {
+  const WaitingRead waiting{question, received + question.wait, std::move(reply)};
+  if (try_read(waiting, received)) {
     return;
   }
   if (waiting_.size() >= kMaxWaitingReads) {
-    read.reply(std::nullopt);
+    waiting.reply(std::nullopt);
     return;
   }
-  waiting_.push_back(read);
+  waiting_.push_back(waiting);
 }
 
 bool RecordServer::try_read(const WaitingRead& waiting, TimePoint now) {
   const auto kept = cached_partitions_.find(waiting.question.partition);
-  const WatchAge standing = standing_(waiting.question.partition);
-  if (kept == cached_partitions_.end() || !kept->second.records.loaded() || !may_serve(standing)) {
+  const bool confirmed = standing_(waiting.question.partition).state == WatchState::kFollowing;
+  if (kept == cached_partitions_.end() || !kept->second.records.loaded() || !confirmed) {
     waiting.reply(std::nullopt);
     return true;
   }
   const RecordCache& records = kept->second.records;
   const bool has_new_records = records.end() > waiting.question.from;
-  const bool answers_without_records =
-      now >= waiting.received + waiting.question.wait || gains(waiting, standing, now);
-  if (!has_new_records && !answers_without_records) {
+  if (!has_new_records && now < waiting.until) {
     return false;
   }
   const ReadOutcome outcome =
       records.read(waiting.question.from, filter_of(waiting.question, kept->second));
-  // All new records may belong to other subsets.
-  const bool is_empty = outcome.status == LogStatus::kOk && outcome.records.empty();
-  if (is_empty && !answers_without_records) {
+  // If all new records belong to other subsets, the read is answered only when its wait expires.
+  if (outcome.status == LogStatus::kOk && outcome.records.empty() && now < waiting.until) {
     return false;
   }
-  respond(waiting, kept->second, answer_of(outcome), now);
+  respond(waiting.reply, kept->second, waiting.question, answer_of(outcome));
   return true;
 }
 
--- a/src/gateway/relayed_log.hpp
+++ b/src/gateway/relayed_log.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,9 +19,7 @@
 /// partition, which is one small call. With few records the fleet is small, and nothing is delayed.
 /// Otherwise the load waits until the other nodes of the zone are known, or for a short time.
 ///
-/// A read goes from source to source, waits while none is available, and goes to the log when the
-/// node's view has become too old; see RecordSources. The age of an answer includes the time that
-/// it was under way.
+/// A read that finds no source and may not go to the log yet is refused; the follower retries it.
 /// Free of I/O and clocks; not thread-safe. Borrows transport and log.
 class RelayedLog : public PartitionedLog {
  public:
@@ -42,32 +39,23 @@
   static constexpr Duration kStartDelay = std::chrono::milliseconds(1'500);
   /// Time within which a running node sends the whole membership: 62 datagrams for 986 members.
   static constexpr Duration kMembershipPropagation = std::chrono::milliseconds(200);
-  /// Period after the start in which a node loads from sources only, which may still be loading.
+  /// Period after the start in which a node retries sources that are still loading.
   static constexpr Duration kLoadRetryPeriod = std::chrono::seconds(5);
   static constexpr Duration kLoadRetry = std::chrono::milliseconds(100);
   /// Timeout of a page from another node; 150 KB take 0.1 s at 30 Mbit/s, and 32 nodes may ask at
   /// once.
   static constexpr Duration kPageTimeout = std::chrono::seconds(2);
-  /// The same where the log is due soon.
-  static constexpr Duration kShortestPageTimeout = std::chrono::milliseconds(500);
 
   /// @return the current time.
   using Clock = std::function<TimePoint()>;
-  /// Where the answer to a relayed read came from.
-  enum class AnswerOrigin { kLog, kNode };
-  struct Observers {
-    std::function<void(const std::vector<ReplicaCount>&)> on_counts;
-    /// Called for each answer with the age of this node's view when it arrived: no record in the
-    /// answer is older.
-    std::function<void(AnswerOrigin, Duration age)> on_answer;
-  };
+  using CountsReceived = std::function<void(const std::vector<ReplicaCount>&)>;
 
   /// @param relayed partitions whose records are relayed; the end offset of the first one indicates
   /// the size of the fleet.
   /// @param node,zone of this node.
   RelayedLog(RecordTransport& transport, PartitionedLog& log, Clock clock,
              std::vector<TopicPartition> relayed, const std::string& node, std::string zone,
-             Duration bound, Observers observers, const Thresholds& thresholds);
+             Duration bound, CountsReceived on_counts, const Thresholds& thresholds);
   ~RelayedLog() override;
 
   /// @param expected whether other nodes may exist.
@@ -124,49 +112,22 @@
   void query_partition_size();
   void delay_call(Duration delay, std::function<void()> call);
   bool relays_partition(const TopicPartition& partition) const;
-  /// A read under way.
-  struct Read {
-    TopicPartition partition;
-    LogOffset from = 0;
-    ReadTimes times;
-    std::function<void(ReadOutcome)> done;
-  };
-  using ReadPtr = std::shared_ptr<Read>;
-
-  /// Reads from the log; the age of the outcome includes the time that it was late.
-  void read_log(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
-                std::function<void(ReadOutcome)> done);
-  /// Reads from the log as a node without sources: one that others read from waits only as long as
-  /// they can.
-  void read_as_reader(const TopicPartition& partition, LogOffset from, ReadTimes times,
-                      std::function<void(ReadOutcome)> done);
-  /// Makes the next step of a read.
-  void advance_read(const ReadPtr& read);
-  void read_from_log(const ReadPtr& read, const RecordSources::Step& step);
-  void read_from_source(const ReadPtr& read, const RecordSources::Step& step);
-  /// @return whether an answer makes this node's view newer, or says that it has to reload.
-  bool advances_view(const Read& read, const ReadOutcome& outcome) const;
-  /// Observes the answer to a read, and logs records that were long on their way.
-  /// @param source the node that answered, or "log".
-  void observe_answer(const Read& read, AnswerOrigin origin, const std::string& source,
-                      const ReadOutcome& outcome) const;
-  /// Notes whether the log answered.
-  void take_log_status(const TopicPartition& partition, LogStatus status);
+  void read_from_log(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
+                     std::function<void(ReadOutcome)> done);
+  /// Reads from a source; if that fails, from further sources without a wait.
+  void read_from_source(const TopicPartition& partition, LogOffset from, const ReadTimes& times,
+                        int tries, std::function<void(ReadOutcome)> done);
   void ask_source(const std::string& address, const RecordQuestion& question, Duration limit,
                   std::function<void(const RecordReply&)> done);
   void load(const TopicPartition& partition, const std::string& after_key,
             std::function<void(NewestOutcome)> done);
-  void load_from_log(const TopicPartition& partition, const std::string& after_key,
-                     std::function<void(NewestOutcome)> done);
-  /// @return the next step of a load: of the first one, sources are retried for some time.
-  RecordSources::Step next_load_step(const TopicPartition& partition, TimePoint now);
 
   RecordTransport& transport_;
   PartitionedLog& log_;
   const Clock clock_;
   const std::vector<TopicPartition> relayed_;
   const std::string node_;
-  const Observers observers_;
+  const CountsReceived on_counts_;
   const Thresholds thresholds_;
   RecordSources sources_;
   Phase phase_ = Phase::kUnknown;
@@ -175,7 +136,6 @@
   TimePoint running_peer_since_{};  ///< Zero: no running peer was heard.
   TimePoint relaying_since_{};      ///< Start of relaying, or of the size query that precedes it.
   std::vector<DelayedCall> delayed_calls_;
-  std::map<TopicPartition, TimePoint> confirmed_at_;  ///< Of the view when its last read began.
   std::shared_ptr<bool> alive_ =
       std::make_shared<bool>(true);  ///< For callbacks that outlive this object.
 };
--- a/src/log/keyed_watch.cpp
+++ b/src/log/keyed_watch.cpp
@@ -67,21 +67,15 @@
   if (state_->call_pending) {
     state_->call_pending = false;
     ++state_->call;  // A late answer is ignored.
-    restart_load();
+    state_->pages.clear();
+    state_->page_key.clear();
+    state_->first_page = true;
   }
 }
 
 void KeyedWatch::reload() {
-  const bool loading = state_->call_pending || !state_->first_page;
-  const bool begun = state_->loaded || state_->reload || loading;
-  state_->reload = begun;
-  state_->reload_requested = begun;
-}
-
-void KeyedWatch::restart_load() {
-  state_->pages.clear();
-  state_->page_key.clear();
-  state_->first_page = true;
+  const bool begun = state_->loaded || !state_->first_page;
+  state_->reload = state_->reload || begun;
 }
 
 void KeyedWatch::proceed() {
@@ -102,7 +96,6 @@
   state_->call_pending = true;
   if (state_->first_page) {
     state_->refresh_requested = false;
-    state_->reload_requested = false;
   }
   const std::uint64_t call = ++state_->call;
   log_.newest(partition_, state_->page_key, [this, state = state_, call](NewestOutcome outcome) {
@@ -121,21 +114,17 @@
   // A node that relays records may be behind the records delivered before, or behind the previous
   // page: accepting its answer would revert newer records.
   if (outcome.end < (state_->first_page ? state_->next : state_->load_end)) {
-    restart_load();
+    state_->pages.clear();
+    state_->page_key.clear();
+    state_->first_page = true;
     fail();
     return;
   }
   succeed();
-  if (state_->reload_requested) {
-    // The pages lack what the request asks for, so they are no snapshot.
-    restart_load();
-    load_page();
-    return;
-  }
   if (state_->first_page) {
     state_->first_page = false;
     state_->load_end = outcome.end;
-    state_->load_confirmed_at = now_ - outcome.age;
+    state_->load_age = outcome.age;
   }
   if (!outcome.records.empty()) {
     state_->page_key = outcome.records.back().key;
@@ -146,7 +135,9 @@
     return;
   }
   const std::vector<KeyedRecord> records = std::move(state_->pages);
-  restart_load();
+  state_->pages.clear();
+  state_->page_key.clear();
+  state_->first_page = true;
   state_->loaded = true;
   state_->reload = false;
   state_->next = state_->load_end;
@@ -157,7 +148,7 @@
   const auto state = state_;
   observer_.on_snapshot(records);
   if (state->alive) {
-    confirm(state->load_confirmed_at);
+    state->confirmed_at = now_ - state->load_age;
     observer_.on_caught_up();
   }
   if (state->alive && !state->call_pending) {
@@ -181,7 +172,7 @@
       on_records(std::move(outcome));
     }
   };
-  log_.read(partition_, state_->next, {wait, limit, state_->confirmed_at}, take);
+  log_.read(partition_, state_->next, {wait, limit}, take);
 }
 
 void KeyedWatch::on_records(ReadOutcome outcome) {
@@ -216,20 +207,13 @@
   if (mode_ == WatchMode::kFollow && !outcome.records.empty() && state->next >= outcome.end) {
     state->next_call_at = now_ + knobs_.watch_pause;
   }
-  if (state->next >= outcome.end) {
-    confirm(now_ - outcome.age);
-  }
+  state->confirmed_at = now_ - outcome.age;
   observer_.on_caught_up();
   if (state->alive && !state->call_pending && now_ >= state->next_call_at) {
     proceed();
   }
 }
 
-void KeyedWatch::confirm(TimePoint at) {
-  // Data from a node whose own view is older extends this view and takes nothing from it.
-  state_->confirmed_at = std::max(state_->confirmed_at, at);
-}
-
 void KeyedWatch::fail() {
   state_->refresh_requested = true;
   ++state_->failures;
--- a/src/log/record_cache.cpp
+++ b/src/log/record_cache.cpp
@@ -79,8 +79,7 @@
     return outcome;
   }
   outcome.next = end_;
-  for (auto entry = by_offset_.lower_bound(from); entry != by_offset_.end() && entry->first < end_;
-       ++entry) {
+  for (auto entry = by_offset_.lower_bound(from); entry != by_offset_.end(); ++entry) {
     const auto known = newest_.find(entry->second);
     KeyedRecord record{entry->second, known == newest_.end() ? std::string{} : known->second.value,
                        entry->first};
--- a/src/membership/record_sources.cpp
+++ b/src/membership/record_sources.cpp
@@ -30,7 +30,10 @@
 }  // namespace
 
 RecordSources::RecordSources(std::string node, std::string zone, Duration bound)
-    : node_(std::move(node)), zone_(std::move(zone)), budget_(bound) {}
+    : node_(std::move(node)),
+      zone_(std::move(zone)),
+      log_fallback_delay_(bound / 4 + std::chrono::duration_cast<Duration>(
+                                          bound / 4 * fraction_of(hash64(node_)))) {}
 
 void RecordSources::update(const std::vector<const Member*>& alive) {
   std::vector<RankedMember> order;
@@ -75,57 +78,19 @@
   return source == sources_.end() ? std::nullopt : std::optional(*source);
 }
 
-Duration RecordSources::log_age() const {
-  if (passes_on_) {
-    return budget_.relay_log_age();
-  }
-  const Duration spread = budget_.longest_log_age() - budget_.shortest_log_age();
-  return budget_.shortest_log_age() +
-         std::chrono::duration_cast<Duration>(spread * fraction_of(hash64(node_)));
-}
-
-RecordSources::Step RecordSources::next_step(const TopicPartition& partition, Duration age,
-                                             TimePoint now) {
-  const TimePoint retry_at = log_retry_at(partition);
-  const bool log_due = age >= log_age() && now >= retry_at;
-  const std::optional<std::string> source = log_due ? std::nullopt : next(now);
-  if (source) {
-    // The read ends before the log is due.
-    const Duration spare = log_age() - budget_.source_limit() - age;
-    const Duration wait = std::clamp(spare, Duration{}, budget_.source_wait());
-    return {Step::Target::kSource, *source, wait, budget_.source_limit(), {}};
-  }
-  if (log_due) {
-    return {Step::Target::kLog, {}, {}, budget_.log_limit(), {}};
-  }
-  if (passes_on_ && now >= retry_at) {
-    return {Step::Target::kLog, {}, budget_.log_wait(), budget_.log_limit(), {}};
-  }
-  const TimePoint log_at =
-      passes_on_ ? retry_at : std::max(retry_at, now + std::max(log_age() - age, Duration{}));
-  return {Step::Target::kPause, {}, {}, {}, std::min(log_at, source_available_at(now))};
+bool RecordSources::may_read_log(TimePoint now) const {
+  return sources_.empty() || now - waiting_since_ >= log_fallback_delay_ * (1 << log_failures_);
 }
 
-TimePoint RecordSources::log_retry_at(const TopicPartition& partition) const {
-  const auto failures = log_failures_.find(partition);
-  const TimePoint settled_at = passes_on_ ? TimePoint{} : settled_at_;
-  return failures == log_failures_.end() ? settled_at
-                                         : std::max(settled_at, failures->second.retry_at);
-}
-
-TimePoint RecordSources::source_available_at(TimePoint now) const {
-  TimePoint earliest = TimePoint::max();
-  for (const std::string& source : sources_) {
-    const auto excluded = excluded_until_.find(source);
-    earliest = std::min(earliest, excluded == excluded_until_.end() ? now : excluded->second);
-  }
-  return earliest;
+void RecordSources::succeeded(TimePoint now) {
+  waiting_since_ = now;
+  log_failures_ = 0;
 }
 
-void RecordSources::log_failed(const TopicPartition& partition, TimePoint now) {
-  LogFailures& failures = log_failures_[partition];
-  ++failures.count;
-  failures.retry_at = now + budget_.log_pause(failures.count);
+void RecordSources::log_failed(TimePoint now) {
+  constexpr int kMaximumDoublings = 4;
+  waiting_since_ = now;
+  log_failures_ = std::min(log_failures_ + 1, kMaximumDoublings);
 }
 
 void RecordSources::failed(const std::string& address, bool refused, TimePoint now) {
