The check of an answer's end is logged with its result and duration

The same line for online requests and items takes the place of "answer not passed on", which was written for one outcome only.

--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -142,13 +142,19 @@
 
 void ItemRun::verify_end() {
   const ProbeTimes times{context_.knobs.crash_probe_timeout, context_.knobs.answer_end_observation};
+  const TimePoint ended_at = net::steady_now();
   ReplicaProbe::start(context_.loop, attempt_.address(), times,
-                      [weak = weak_from_this()](ProbeResult result) {
+                      [weak = weak_from_this(), ended_at](ProbeResult result) {
                         const auto self = weak.lock();
                         if (!self || !self->attempt_.under_way()) {
                           return;
                         }
                         const TimePoint now = net::steady_now();
+                        spdlog::info(
+                            "batch: end of answer checked job={} item={} replica={} process={} "
+                            "tookMs={}",
+                            self->ref_.job, self->item_id_, self->attempt_.replica(),
+                            to_string(result), to_ms(now - ended_at));
                         if (result == ProbeResult::kListens) {
                           self->accept_answer(now);
                         } else {
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -372,14 +372,14 @@
         if (!self || self->finished_ || self->sends_ != send || !self->attempt_.under_way()) {
           return;
         }
+        const TimePoint now = net::steady_now();
+        spdlog::info("online: end of answer checked id={} replica={} process={} tookMs={}",
+                     self->info_.id, self->attempt_.replica(), to_string(result),
+                     to_ms(now - ended_at));
         if (result == ProbeResult::kListens) {
           self->accept_answer(ended_at);
           return;
         }
-        spdlog::warn("online: answer not passed on id={} replica={} why=\"the replica {}\"",
-                     self->info_.id, self->attempt_.replica(),
-                     result == ProbeResult::kEnded ? "has ended" : "does not respond");
-        const TimePoint now = net::steady_now();
         self->attempt_.signal(ReplicaSignal::kBroken, now);
         self->handle_broken_attempt(now);
       });
