--- a/tests/platform/stand_ins.hpp
+++ b/tests/platform/stand_ins.hpp
@@ -125,6 +125,12 @@
   ReplicaDirectory directory{knobs_};
   const Tenant* tenant = nullptr;  ///< Tenant of all requests, or null.
 
+  /// Configures the path of the health checks of a service's replicas.
+  void set_health_path(const std::string& service, const std::string& path) {
+    RoutingConfiguration configuration = *context_.configuration;
+    configuration.services[service].health_path = path;
+    context_.configuration = std::make_shared<RoutingConfiguration>(std::move(configuration));
+  }
   /// Enables rate limiting of tenants with `limiter` (borrowed).
   void limit_rate(TenantRateLimiter& limiter) { context_.rate_limiter = &limiter; }
 
--- a/tests/platform/unframed_answers_test.cpp
+++ b/tests/platform/unframed_answers_test.cpp
@@ -117,6 +117,22 @@
   return fixture.send_request();
 }
 
+/// Health checks of the service, as the operator configures them.
+enum class HealthChecks { kAnswered, kUnanswered };
+
+/// @return what the caller gets from one replica of a service with health checks.
+net::SimpleCall::Outcome checked_answer_of(RouteKind kind, const RawReplica::Answer& answer,
+                                           HealthChecks checks = HealthChecks::kAnswered) {
+  ProxyFixture fixture(kFrontendPort);
+  fixture.route().kind = kind;
+  fixture.set_health_path("lm", "/healthz");
+  RawReplica replica(fixture.loop, "r1", kFirstPort,
+                     [&answer](const std::string&) { return answer; });
+  replica.answers_health_checks = checks == HealthChecks::kAnswered;
+  fixture.directory.upsert(replica.record("lm"), {});
+  return fixture.send_request();
+}
+
 /// @return whether the caller takes the answer for complete.
 bool is_complete(const net::SimpleCall::Outcome& outcome) {
   return !outcome.failure && outcome.head.status == 200;
@@ -183,6 +199,63 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_unframed_stream_is_broken_off_when_another_process_has_its_address) {
+  for (const Framing framing : {Framing::kNone, Framing::kHttp10}) {
+    for (std::size_t sent = kEventBytes; sent < kEvents.size(); sent += kEventBytes) {
+      const auto outcome = checked_answer_of(
+          RouteKind::kStreaming, {answer_bytes(framing, kEvents, sent), AnswerEnding::kRestarts});
+      BOOST_TEST(!is_complete(outcome), "cut after " << sent);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_unframed_body_is_not_passed_on_when_another_process_has_its_address) {
+  for (std::size_t sent = 0; sent < kBody.size(); ++sent) {
+    const auto outcome =
+        checked_answer_of(RouteKind::kNonIdempotent,
+                          {answer_bytes(Framing::kNone, kBody, sent), AnswerEnding::kRestarts});
+    BOOST_TEST(outcome.head.status == 502);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_unframed_stream_is_broken_off_when_its_process_does_not_respond) {
+  const auto outcome =
+      checked_answer_of(RouteKind::kStreaming,
+                        {answer_bytes(Framing::kNone, kEvents, kEventBytes), AnswerEnding::kCloses},
+                        HealthChecks::kUnanswered);
+  BOOST_TEST(!is_complete(outcome));
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_unframed_answer_is_passed_on_when_its_process_states_its_name) {
+  for (const Framing framing : {Framing::kNone, Framing::kHttp10}) {
+    for (const RouteKind kind :
+         {RouteKind::kStreaming, RouteKind::kIdempotent, RouteKind::kNonIdempotent}) {
+      const std::string& body = kind == RouteKind::kStreaming ? kEvents : kBody;
+      const auto outcome = checked_answer_of(
+          kind, {answer_bytes(framing, body, body.size()), AnswerEnding::kCloses});
+      BOOST_TEST(is_complete(outcome));
+      BOOST_TEST(outcome.body == body);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_resumable_stream_goes_on_when_another_process_has_its_address) {
+  for (std::size_t sent = kEventBytes; sent < kEvents.size(); sent += kEventBytes) {
+    ProxyFixture fixture(kFrontendPort);
+    fixture.route().kind = RouteKind::kStreaming;
+    fixture.route().resumable = true;
+    fixture.route().attempts = 2;
+    fixture.set_health_path("lm", "/healthz");
+    const TwoReplicas replicas(
+        fixture, RouteKind::kStreaming,
+        {answer_bytes(Framing::kNone, kEvents, sent), AnswerEnding::kRestarts});
+    const auto outcome = fixture.send_request();
+    BOOST_TEST(is_complete(outcome), "cut after " << sent);
+    BOOST_TEST(outcome.body == kEvents);
+    BOOST_TEST(replicas.runs() == 2);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_reset_answer_is_never_passed_on_as_complete) {
   for (const Framing framing : {Framing::kNone, Framing::kHttp10}) {
     for (const RouteKind kind : {RouteKind::kStreaming, RouteKind::kNonIdempotent}) {
@@ -260,4 +333,13 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_item_has_each_event_once_when_another_process_has_its_replicas_address) {
+  for (std::size_t sent = kEventBytes; sent < kEvents.size(); sent += kEventBytes) {
+    BatchFixture fixture({answer_bytes(Framing::kNone, kEvents, sent), AnswerEnding::kRestarts});
+    fixture.submit();
+    BOOST_TEST(fixture.text_of_item() == "a\nb\nc", "cut after " << sent);
+    BOOST_TEST(fixture.runs == 2);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/raw_replica.hpp
+++ b/tests/support/raw_replica.hpp
@@ -21,9 +21,11 @@
   kCloses,     ///< Closes the connection in good order (FIN).
   kResets,     ///< Resets the connection (RST).
   kCrashes,    ///< Its process ends: the listener and all connections close in good order.
+  kRestarts,   ///< Its process ends, and another one, under another name, has its address at once.
 };
 
-/// A replica that answers each request with given bytes, without any framing of its own.
+/// A replica that answers each request with given bytes, without any framing of its own. It answers
+/// health checks itself and does not count them as requests.
 class RawReplica {
  public:
   /// The bytes of one answer, and what follows them.
@@ -36,6 +38,8 @@
 
   /// Whether each answer is sent again, where the next one on its connection is due.
   bool repeats_answers = false;
+  /// Whether health checks are answered; a frozen process accepts connections only.
+  bool answers_health_checks = true;
 
   RawReplica(boost::asio::io_context& loop, std::string id, std::uint16_t port, Handler handler)
       : id_(std::move(id)),
@@ -110,7 +114,28 @@
     return request.size() >= head + 4 + body;
   }
 
+  /// @return whether the request is a health check, which is answered or left without an answer.
+  bool handle_health_check(const ConnectionPtr& connection) {
+    if (!connection->input.starts_with("GET /healthz ")) {
+      return false;
+    }
+    connection->input.clear();
+    if (answers_health_checks) {
+      const std::string name = restarted_ ? id_ + "-restarted" : id_;
+      ErrorCode ignored;
+      boost::asio::write(connection->socket,
+                         boost::asio::buffer("HTTP/1.1 200 OK\r\nInstance-Id: " + name +
+                                             "\r\nContent-Length: 0\r\n\r\n"),
+                         ignored);
+    }
+    read(connection);
+    return true;
+  }
+
   void answer(const ConnectionPtr& connection) {
+    if (handle_health_check(connection)) {
+      return;
+    }
     ++requests_;
     const Answer answer = handler_(std::exchange(connection->input, {}));
     const std::string repeated = std::exchange(connection->last_answer, answer.bytes);
@@ -131,12 +156,21 @@
       case AnswerEnding::kCrashes:
         crash();
         return;
+      case AnswerEnding::kRestarts:
+        restarted_ = true;
+        close_connections();
+        return;
     }
   }
 
   void crash() {
     ErrorCode ignored;
     acceptor_.close(ignored);
+    close_connections();
+  }
+
+  void close_connections() {
+    ErrorCode ignored;
     for (const ConnectionPtr& connection : std::exchange(connections_, {})) {
       connection->socket.close(ignored);
     }
@@ -148,6 +182,7 @@
   Tcp::acceptor acceptor_;
   std::set<ConnectionPtr> connections_;
   int requests_ = 0;
+  bool restarted_ = false;
   const std::shared_ptr<int> life_ = std::make_shared<int>();
 };
 
