An unframed answer is whole only if the process that gave it still runs

The end of an answer without length or chunks was judged by whether the replica's address accepts a connection for 20 ms; another process that listens there, or the machine of a frozen one, passed for the process that ran the request.

Now a process vouches by what no other one has: connections that the node held when the answer ended and still holds 20 ms later, or its name, asked for by a health check that names it. No answer, or one without a name, proves nothing: the stream goes on elsewhere or is broken off. Only a service without health checks is still judged by its listener.

Asking each unframed stream's replica for the events after the last one would also find answers that a living process gave up, for a second run of each; not taken, not measured.

--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -7,7 +7,6 @@
 
 #include "dockpoint/streaming/answer_end.hpp"
 #include "gateway/crash_watch.hpp"
-#include "gateway/replica_probe.hpp"
 #include "gateway/sampling.hpp"
 #include "net/clock.hpp"
 
@@ -141,26 +140,24 @@
 }
 
 void ItemRun::verify_end() {
-  const ProbeTimes times{context_.knobs.crash_probe_timeout, context_.knobs.answer_end_observation};
   const TimePoint ended_at = net::steady_now();
-  ReplicaProbe::start(context_.loop, attempt_.address(), times,
-                      [weak = weak_from_this(), ended_at](ProbeResult result) {
-                        const auto self = weak.lock();
-                        if (!self || !self->attempt_.under_way()) {
-                          return;
-                        }
-                        const TimePoint now = net::steady_now();
-                        spdlog::info(
-                            "batch: end of answer checked job={} item={} replica={} process={} "
-                            "tookMs={}",
-                            self->ref_.job, self->item_id_, self->attempt_.replica(),
-                            to_string(result), to_ms(now - ended_at));
-                        if (result == ProbeResult::kListens) {
-                          self->accept_answer(now);
-                        } else {
-                          self->handle_broken_run(now, "the replica ended with its answer");
-                        }
-                      });
+  attempt_.check_process(weak_from_this(), [this, ended_at](ProcessState process) {
+    if (attempt_.under_way()) {
+      handle_checked_end(process, ended_at);
+    }
+  });
+}
+
+void ItemRun::handle_checked_end(ProcessState process, TimePoint ended_at) {
+  const auto self = shared_from_this();
+  const TimePoint now = net::steady_now();
+  spdlog::info("batch: end of answer checked job={} item={} replica={} process={} tookMs={}",
+               ref_.job, item_id_, attempt_.replica(), to_string(process), to_ms(now - ended_at));
+  if (process == ProcessState::kRuns) {
+    accept_answer(now);
+  } else {
+    handle_broken_run(now, "the replica ended with its answer");
+  }
 }
 
 void ItemRun::handle_broken_run(TimePoint now, const char* why) {
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -34,6 +34,8 @@
   void interrupted(TimePoint now, const char* why);
   /// Takes the answer as whole once its replica has proved to run still.
   void verify_end();
+  /// @param process state of the process whose answer ended at `ended_at`.
+  void handle_checked_end(ProcessState process, TimePoint ended_at);
   void accept_answer(TimePoint now);
   /// Ends a run whose answer exceeds a limit; the item runs again elsewhere.
   /// @param limit name of the limit, for logs and metrics.
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -7,7 +7,6 @@
 
 #include "dockpoint/core/hash.hpp"
 #include "gateway/crash_watch.hpp"
-#include "gateway/replica_probe.hpp"
 #include "gateway/retry_after.hpp"
 #include "gateway/sampling.hpp"
 #include "net/clock.hpp"
@@ -363,26 +362,25 @@
 }
 
 void OnlineCall::verify_end() {
-  const ProbeTimes times{context_.knobs.crash_probe_timeout, context_.knobs.answer_end_observation};
   const TimePoint ended_at = net::steady_now();
-  ReplicaProbe::start(
-      context_.loop, attempt_.address(), times,
-      [weak = weak_from_this(), send = sends_, ended_at](ProbeResult result) {
-        const auto self = weak.lock();
-        if (!self || self->finished_ || self->sends_ != send || !self->attempt_.under_way()) {
-          return;
-        }
-        const TimePoint now = net::steady_now();
-        spdlog::info("online: end of answer checked id={} replica={} process={} tookMs={}",
-                     self->info_.id, self->attempt_.replica(), to_string(result),
-                     to_ms(now - ended_at));
-        if (result == ProbeResult::kListens) {
-          self->accept_answer(ended_at);
-          return;
-        }
-        self->attempt_.signal(ReplicaSignal::kBroken, now);
-        self->handle_broken_attempt(now);
-      });
+  attempt_.check_process(weak_from_this(), [this, send = sends_, ended_at](ProcessState process) {
+    if (!finished_ && sends_ == send && attempt_.under_way()) {
+      handle_checked_end(process, ended_at);
+    }
+  });
+}
+
+void OnlineCall::handle_checked_end(ProcessState process, TimePoint ended_at) {
+  const auto self = shared_from_this();
+  const TimePoint now = net::steady_now();
+  spdlog::info("online: end of answer checked id={} replica={} process={} tookMs={}", info_.id,
+               attempt_.replica(), to_string(process), to_ms(now - ended_at));
+  if (process == ProcessState::kRuns) {
+    accept_answer(ended_at);
+    return;
+  }
+  attempt_.signal(ReplicaSignal::kBroken, now);
+  handle_broken_attempt(now);
 }
 
 void OnlineCall::accept_answer(TimePoint ended_at) {
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -52,6 +52,8 @@
   void log_answer_end(const EndedAnswer& answer, AnswerEnd verdict) const;
   /// Passes the answer on once its replica has proved to run still.
   void verify_end();
+  /// @param process state of the process whose answer ended at `ended_at`.
+  void handle_checked_end(ProcessState process, TimePoint ended_at);
   /// Passes the answer on, or the rest of it. @param ended_at when it ended.
   void accept_answer(TimePoint ended_at);
   /// Proceeds after an attempt that was sent and whose answer is not whole.
--- a/src/gateway/replica_attempt.cpp
+++ b/src/gateway/replica_attempt.cpp
@@ -12,7 +12,8 @@
                            net::CallObserver& observer) {
   replica_ = replica.record.id;
   last_replica_ = replica_;
-  address_ = replica.record.address;
+  process_ = {endpoint_of(replica.record), replica.record.registered_name(),
+              replica.record.service};
   prefill_tokens_ = missing_tokens;
   started_at_ = net::steady_now();
   stream_ = {};
@@ -78,6 +79,11 @@
   context_.replicas.signal(replica_, signal, now);
 }
 
+void ReplicaAttempt::check_process(std::weak_ptr<void> owner,
+                                   std::function<void(ProcessState)> done) const {
+  dockpoint::check_process(context_, process_, std::move(owner), std::move(done));
+}
+
 void ReplicaAttempt::end() {
   if (replica_.empty()) {
     return;
--- a/src/gateway/replica_attempt.hpp
+++ b/src/gateway/replica_attempt.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -7,6 +9,7 @@
 
 #include "dockpoint/streaming/stream_pace.hpp"
 #include "gateway/gateway_context.hpp"
+#include "gateway/process_check.hpp"
 
 namespace dockpoint {
 
@@ -52,8 +55,8 @@
   bool under_way() const { return !replica_.empty(); }
   /// @return the replica of the attempt under way or, after it, of the last one.
   const std::string& replica() const { return last_replica_; }
-  /// @return its address.
-  const Address& address() const { return address_; }
+  /// Checks whether the process that answered still runs, see `check_process`.
+  void check_process(std::weak_ptr<void> owner, std::function<void(ProcessState)> done) const;
   /// @return the call, or null.
   net::Call* call() const { return call_.get(); }
 
@@ -66,7 +69,7 @@
   const TrafficClass traffic_;
   std::string replica_;       ///< Empty between attempts.
   std::string last_replica_;  ///< Kept after the attempt ends.
-  Address address_;           ///< Of `last_replica_`.
+  ReplicaProcess process_;    ///< Of `last_replica_`.
   net::CallPtr call_;
   std::set<net::ConnectionNumber> used_connections_;
   TimePoint started_at_{};
--- a/src/gateway/replica_probe.cpp
+++ b/src/gateway/replica_probe.cpp
@@ -17,18 +17,6 @@
 
 }  // namespace
 
-const char* to_string(ProbeResult result) {
-  switch (result) {
-    case ProbeResult::kListens:
-      return "listens";
-    case ProbeResult::kEnded:
-      return "ended";
-    case ProbeResult::kUnknown:
-      break;
-  }
-  return "unknown";
-}
-
 ReplicaProbe::ReplicaProbe(boost::asio::io_context& loop, const ProbeTimes& times, Done done)
     : socket_(loop), timer_(loop), times_(times), done_(std::move(done)) {}
 
--- a/src/gateway/replica_probe.hpp
+++ b/src/gateway/replica_probe.hpp
@@ -20,8 +20,6 @@
              ///< and closed: the process may be ending, or a proxy accepts on its behalf.
 };
 
-const char* to_string(ProbeResult result);
-
 /// Time limits of a probe.
 struct ProbeTimes {
   Duration connect{};  ///< For the connection attempt.
--- a/src/gateway/traffic_protocol.hpp
+++ b/src/gateway/traffic_protocol.hpp
@@ -45,6 +45,13 @@
   std::optional<ReportedLoad> load;
 };
 
+/// What a health check's answer says about the process that gave it.
+enum class ReplicaIdentity {
+  kConfirmed,  ///< It is the replica that was asked.
+  kAnother,    ///< Another replica has its address.
+  kNotStated,
+};
+
 /// Operations on batch jobs.
 enum class JobOperation { kRead, kItemBody, kEnd };
 
@@ -84,6 +91,13 @@
   virtual ReplicaAnswer read_answer(const net::ResponseHead& head,
                                     const std::string& request_id) const = 0;
 
+  /// @return a health check that asks the replica for its name.
+  virtual net::RequestHead identity_request(const Address& address, const std::string& health_path,
+                                            const std::string& replica_name) const = 0;
+  /// @param head of the answer to an `identity_request` with this name.
+  virtual ReplicaIdentity read_identity(const net::ResponseHead& head,
+                                        const std::string& replica_name) const = 0;
+
   /// @return the call, or nothing if the request does not concern a batch job.
   virtual std::optional<JobCall> read_job_call(const net::RequestHead& head) const = 0;
   /// Parses a submitted job; the tenant is taken from the head, see `name_tenant`.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -154,6 +154,18 @@
   }
 }
 
+std::set<ConnectionNumber> HttpClient::established(const Endpoint& endpoint) const {
+  std::set<ConnectionNumber> numbers;
+  for (const ClientConnection* connection : connections_) {
+    const Endpoint& other = connection->endpoint();
+    const bool same = !(other < endpoint) && !(endpoint < other);
+    if (same && connection->connection_ && connection->connection_->open()) {
+      numbers.insert(connection->number_);
+    }
+  }
+  return numbers;
+}
+
 void HttpClient::abandon_idle(const Endpoint& endpoint) {
   retain([&](const Endpoint& kept) { return kept < endpoint || endpoint < kept; });
 }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -157,6 +157,8 @@
   CallPtr start(const Endpoint& endpoint, std::string bytes, const CallOptions& options,
                 CallObserver& observer);
 
+  /// @return the connections to an endpoint that are open, in use or idle.
+  std::set<ConnectionNumber> established(const Endpoint& endpoint) const;
   /// Closes the idle persistent connections to an endpoint.
   void abandon_idle(const Endpoint& endpoint);
   /// Closes idle persistent connections to servers that are not in `keep`.
