A resumed run that does not begin after the caller's last event is not passed on

The first event of a resumed run now has to follow the last one; otherwise the run is a broken attempt, and the stream goes on elsewhere or is broken off. Repeated events are skipped as before, and ids of one run only have to rise.

--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -197,6 +197,8 @@
   answer_bytes_ = 0;
   bytes_without_event_ = 0;
   framer_.discard_partial();
+  awaits_resumed_event_ = last_event_.has_value();
+  out_of_sequence_ = false;
   ++sends_;
   load_at_choice_ = choice.replica->load(now);
   slots_at_choice_ = replica.slots;
@@ -285,6 +287,10 @@
   bytes_without_event_ += bytes.size();
   if (history_.resumable) {
     framer_.feed(bytes, [this](const StreamEvent& event) { forward_event(event); });
+    if (out_of_sequence_) {
+      abandon_resumed_run();
+      return;
+    }
   } else {
     framer_.feed(bytes, [this](const StreamEvent& event) { note_progress(event); });
     exchange_->write(bytes);
@@ -321,10 +327,28 @@
                to_ms(net::steady_now() - sent_at_));
 }
 
+void OnlineCall::abandon_resumed_run() {
+  spdlog::warn("online: resumed run is out of sequence id={} replica={} lastEvent={}", info_.id,
+               attempt_.replica(), *last_event_);
+  const TimePoint now = net::steady_now();
+  attempt_.signal(ReplicaSignal::kBroken, now);
+  end_attempt();
+  retry_or_resume(now);
+}
+
+bool OnlineCall::continues_the_stream(const StreamEvent& event) const {
+  return event.id ? *event.id == *last_event_ + 1 : !event.has_data;
+}
+
 void OnlineCall::forward_event(const StreamEvent& event) {
   if (event.id && last_event_ && *event.id <= *last_event_) {
     return;  // The caller received it from an earlier attempt.
   }
+  out_of_sequence_ = out_of_sequence_ || (awaits_resumed_event_ && !continues_the_stream(event));
+  if (out_of_sequence_) {
+    return;
+  }
+  awaits_resumed_event_ = awaits_resumed_event_ && !event.id;
   note_progress(event);
   if (event.id) {
     if (!last_event_) {
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -68,6 +68,10 @@
   void report_endless_answer(const char* limit);
   bool begin_stream(const net::ResponseHead& head);
   void forward_event(const StreamEvent& event);
+  /// @return whether an event of a resumed run may follow the last one that the caller has.
+  bool continues_the_stream(const StreamEvent& event) const;
+  /// Ends a resumed run that did not begin where the stream stopped, and resumes it elsewhere.
+  void abandon_resumed_run();
   /// Records the progress of a stream if the event carries data.
   void note_progress(const StreamEvent& event);
   void complete_buffered();
@@ -148,6 +152,8 @@
   std::size_t bytes_without_event_ = 0;  ///< Of a stream, since its last event.
   EventFramer framer_;
   std::optional<std::uint64_t> last_event_;  ///< Id of the last event that the caller has.
+  bool awaits_resumed_event_ = false;        ///< No event of the resumed run has continued it yet.
+  bool out_of_sequence_ = false;             ///< The resumed run began elsewhere.
   std::string attempt_software_;             ///< Software version of the last chosen replica.
   StreamOrigin origin_;                      ///< Known once there is a `last_event_`.
   OriginSource origin_source_ = OriginSource::kOwnRecord;
