A node that has just started takes no version for the only one that ever served

The log now names the versions that served; a node reads them once when it starts and claims nothing before. A return that comes while the records are being read waits for them, up to the limit of the inquiry.

--- a/include/dockpoint/routing/software_versions.hpp
+++ b/include/dockpoint/routing/software_versions.hpp
@@ -5,9 +5,11 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "dockpoint/core/knobs.hpp"
 #include "dockpoint/routing/replica_directory.hpp"
+#include "dockpoint/routing/served_version.hpp"
 
 namespace dockpoint {
 
@@ -19,15 +21,25 @@
  public:
   explicit SoftwareVersions(const Knobs& knobs) : knobs_(knobs) {}
 
+  /// Claims no sole version until `restore` has told which versions served before this process
+  /// started.
+  void await_history() { history_known_ = false; }
+  bool history_known() const { return history_known_; }
+  /// Counts these versions as seen now.
+  void restore(const std::vector<ServedVersion>& versions, TimePoint now);
   /// Notes the versions that serve now.
   void observe(const ReplicaDirectory& replicas, TimePoint now);
-  /// @return the only version of the service, or nothing if there are several or none.
+  /// @return the only version of the service, or nothing if there are several or none, or if there
+  /// may have been others.
   std::optional<std::string> sole(const std::string& service) const;
   /// @return whether replicas of more than one version serve or served recently.
   bool several(const std::string& service) const;
+  /// @return all versions that serve or served recently.
+  std::vector<ServedVersion> known() const;
 
  private:
   const Knobs& knobs_;
+  bool history_known_ = true;
   std::uint64_t revision_ = 0;  ///< Of the directory that `serving_` was read from.
   std::map<std::string, std::set<std::string>> serving_;  ///< Versions by service.
   /// When replicas of each version were last seen, by service and version.
--- a/include/dockpoint/streaming/origin_inquiry.hpp
+++ b/include/dockpoint/streaming/origin_inquiry.hpp
@@ -42,9 +42,10 @@
   void add_unknown(const std::string& address, bool several_versions);
 
   /// @param sole origin of all streams if this node has seen a single software version.
+  /// @param sole_pending whether this node does not know yet which versions served before.
   /// @return the result, or nothing while answers may still change it.
   std::optional<OriginVerdict> verdict(const std::optional<StreamOrigin>& sole, TimePoint now,
-                                       const Knobs& knobs) const;
+                                       const Knobs& knobs, bool sole_pending = false) const;
   /// @return addresses of the nodes that have not answered.
   const std::set<std::string>& awaited() const { return awaited_; }
   /// @return whether the question should be repeated now; true once per interval.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 
 #include "dockpoint/core/address.hpp"
 #include "dockpoint/core/hash.hpp"
+#include "dockpoint/membership/witnesses.hpp"
 #include "gateway/quarantine_endpoint.hpp"
 #include "gateway/retry_after.hpp"
 #include "net/clock.hpp"
@@ -104,6 +105,9 @@
             stream_origins_.take(message, address, net::steady_now());
           },
           [this](const std::string& address) { crash_watch_.send_decisions(address); }),
+      version_log_(knobs, log_, parts.versions_topic, combine_hash(hash64(settings_.node), run_id_),
+                   software_versions_,
+                   [this](const ServedVersion& version) { return keeps_version_record(version); }),
       stream_origins_(
           knobs, software_versions_, settings_.node,
           [this]() -> const std::vector<const Member*>& { return peers_.alive(); },
@@ -158,6 +162,7 @@
   spdlog::info("gateway: started node={} zone={} run={} seeds={}", settings_.node, settings_.zone,
                run_id_, settings_.seeds.size());
   crash_watch_.catch_up(net::steady_now());
+  version_log_.load();
   tick();
 }
 
@@ -198,6 +203,7 @@
     metrics_.count_suspension();
     fleet_.mark_unconfirmed();
     crash_watch_.catch_up(now);
+    version_log_.load();
   }
 }
 
@@ -216,6 +222,7 @@
   peers_.tick(now);
   crash_watch_.tick(now);
   software_versions_.observe(replicas_, now);
+  version_log_.tick(now);
   stream_origins_.set_view_partial(fleet_.slices() > 1);
   stream_origins_.tick(now);
   refresh_outliers(now);
@@ -295,6 +302,14 @@
   metrics_.set_software_versions(counts);
 }
 
+bool Gateway::keeps_version_record(const ServedVersion& version) const {
+  const std::uint64_t key = hash64(version.version, hash64(version.service));
+  const std::vector<const Member*> keepers = select_witnesses(
+      key, peers_.alive(), Capability::kStreamOrigins, knobs_.stream_origin_witnesses);
+  return std::any_of(keepers.begin(), keepers.end(),
+                     [this](const Member* member) { return member->id == settings_.node; });
+}
+
 void Gateway::request_slot(const Replica& replica) {
   if (batch_.yield_slot(replica.record.id)) {
     return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -23,6 +23,7 @@
 #include "gateway/peer_link.hpp"
 #include "gateway/record_server.hpp"
 #include "gateway/relayed_log.hpp"
+#include "gateway/version_log.hpp"
 
 /// A dockpoint node: routes online requests and batch items to the replicas of a fleet.
 ///
@@ -46,6 +47,7 @@
   FleetTopics fleet_topics;
   BatchTopics batch_topics;
   std::string quarantine_topic;  ///< Topic of requests that crash replicas.
+  std::string versions_topic;    ///< Topic of the software versions that serve.
   BoundedLog* process_log;       ///< Drained several times a second; may be null.
 };
 
@@ -87,6 +89,8 @@
   /// Makes a batch item on a full replica yield its slot to an online request that was sent there.
   /// The item is run by this node or by a peer, which is then sent the request.
   void request_slot(const Replica& replica);
+  /// @return whether this node writes and removes the record of a version.
+  bool keeps_version_record(const ServedVersion& version) const;
   /// Handles a peer's request to yield a batch item's slot.
   void handle_slot_request(const SlotRequest& request);
   void serve_frontend(const net::ExchangePtr& exchange);
@@ -144,6 +148,7 @@
   FleetWatch fleet_;
   CatchUp catch_up_;
   PeerLink peers_;
+  VersionLog version_log_;
   StreamOrigins stream_origins_;
   CrashWatch crash_watch_;
   BatchService batch_;
--- a/src/membership/stream_origins.cpp
+++ b/src/membership/stream_origins.cpp
@@ -128,8 +128,8 @@
 
 void StreamOrigins::finish_if_certain(const StreamKey& key, TimePoint now) {
   const auto pending = inquiries_.find(key);
-  const auto verdict =
-      pending->second.inquiry.verdict(sole_origin(pending->second.service), now, knobs_);
+  const auto verdict = pending->second.inquiry.verdict(sole_origin(pending->second.service), now,
+                                                       knobs_, !versions_.history_known());
   if (!verdict) {
     return;
   }
--- a/src/routing/software_versions.cpp
+++ b/src/routing/software_versions.cpp
@@ -4,6 +4,13 @@
 
 namespace dockpoint {
 
+void SoftwareVersions::restore(const std::vector<ServedVersion>& versions, TimePoint now) {
+  history_known_ = true;
+  for (const ServedVersion& served : versions) {
+    last_seen_[served.service][served.version] = now;
+  }
+}
+
 void SoftwareVersions::observe(const ReplicaDirectory& replicas, TimePoint now) {
   const std::uint64_t revision = replicas.revision();
   if (std::exchange(revision_, revision) != revision) {
@@ -26,7 +33,7 @@
 
 std::optional<std::string> SoftwareVersions::sole(const std::string& service) const {
   const auto found = last_seen_.find(service);
-  if (found == last_seen_.end() || found->second.size() != 1) {
+  if (!history_known_ || found == last_seen_.end() || found->second.size() != 1) {
     return std::nullopt;
   }
   return found->second.begin()->first;
@@ -37,4 +44,14 @@
   return found != last_seen_.end() && found->second.size() > 1;
 }
 
+std::vector<ServedVersion> SoftwareVersions::known() const {
+  std::vector<ServedVersion> served;
+  for (const auto& [service, versions] : last_seen_) {
+    for (const auto& [version, seen] : versions) {
+      served.push_back({service, version});
+    }
+  }
+  return served;
+}
+
 }  // namespace dockpoint
--- a/src/streaming/origin_inquiry.cpp
+++ b/src/streaming/origin_inquiry.cpp
@@ -25,12 +25,14 @@
 }
 
 std::optional<OriginVerdict> OriginInquiry::verdict(const std::optional<StreamOrigin>& sole,
-                                                    TimePoint now, const Knobs& knobs) const {
+                                                    TimePoint now, const Knobs& knobs,
+                                                    bool sole_pending) const {
   const Duration age = now - asked_at_;
   if (record_) {
     return OriginVerdict{*record_, OriginSource::kPeerRecord, age};
   }
-  if (!awaited_.empty() && age < knobs.stream_origin_question_limit) {
+  const bool may_change = !awaited_.empty() || (sole_pending && !several_versions_);
+  if (may_change && age < knobs.stream_origin_question_limit) {
     return std::nullopt;
   }
   if (sole && !several_versions_) {
--- a/tests/membership/stream_origins_exploration_test.cpp
+++ b/tests/membership/stream_origins_exploration_test.cpp
@@ -8,7 +8,10 @@
 #include <random>
 #include <set>
 
+#include "dockpoint/core/hash.hpp"
 #include "dockpoint/membership/stream_origins.hpp"
+#include "dockpoint/membership/witnesses.hpp"
+#include "dockpoint/routing/version_records.hpp"
 
 using namespace dockpoint;
 using namespace std::chrono_literals;
@@ -39,21 +42,41 @@
   int unservable = 0;    ///< Refused, and no replica of the version is in the node's view.
   int hash_differs = 0;  ///< A version chosen by hashing alone would have been another one.
   int messages = 0;
+  int writes = 0;  ///< Changes of the log's records of versions.
   int streams = 0;
   int resumed() const { return right + mixed + refused; }
 };
 
+/// What a node that starts learns of the versions that served before.
+enum class History {
+  kRecords,  ///< Those that the log names.
+  kNone,     ///< Nothing; it takes what it sees for all.
+  kAge,      ///< Nothing; it claims no sole version until all earlier streams are over.
+};
+
+/// Time after which a node reads the records of versions, and its writes are confirmed.
+constexpr Duration kLogTime = 30ms;
+
+/// What differs between explorations.
+struct Scenario {
+  Duration max_view_delay = kMaxViewDelay;
+  Duration restart_time = kRestartTime;
+  std::vector<Duration> kills_of_all{};
+  History history = History::kRecords;
+};
+
 /// One simulated fleet.
 class Exploration {
  public:
-  Exploration(std::uint64_t seed, const Knobs& knobs) : knobs_(knobs), random_(seed) {
+  Exploration(std::uint64_t seed, const Knobs& knobs, Scenario scenario)
+      : knobs_(knobs), scenario_(std::move(scenario)), random_(seed) {
     for (int number = 0; number < kNodes; ++number) {
       Member member;
       member.id = "node-" + std::to_string(number);
       member.peer_address = member.id;
       member.capabilities = kAllCapabilities;
       members_.push_back(member);
-      view_delays_.push_back(uniform(Duration{}, kMaxViewDelay));
+      view_delays_.push_back(uniform(Duration{}, scenario_.max_view_delay));
     }
     for (int number = 0; number < kNodes; ++number) {
       start(number);
@@ -75,6 +98,9 @@
     SoftwareVersions versions;
     std::vector<const Member*> alive;
     std::unique_ptr<StreamOrigins> origins;
+    std::unique_ptr<VersionRecords> records;
+    TimePoint history_at{};  ///< When it learns of earlier versions.
+    bool history_known = false;
     std::set<std::string> known_versions;
   };
   struct Message {
@@ -107,6 +133,15 @@
         [this, number](const std::string& address, const std::string& bytes) {
           send(number, address, bytes);
         });
+    node->records =
+        std::make_unique<VersionRecords>([this, borrowed, number](const ServedVersion& version) {
+          return keeps(*borrowed, number, version);
+        });
+    node->history_known = scenario_.history == History::kNone;
+    node->history_at = now_ + (scenario_.history == History::kAge ? kMaxStreamTime : kLogTime);
+    if (!node->history_known) {
+      node->versions.await_history();
+    }
     nodes_[number] = std::move(node);
     update_view(number);
   }
@@ -120,6 +155,35 @@
     }
   }
 
+  bool keeps(const Node& node, int number, const ServedVersion& version) const {
+    const auto keepers =
+        select_witnesses(hash64(version.version), node.alive, Capability::kStreamOrigins,
+                         knobs_.stream_origin_witnesses);
+    return std::find(keepers.begin(), keepers.end(), &members_[static_cast<std::size_t>(number)]) !=
+           keepers.end();
+  }
+
+  /// Reads the records of versions once, then writes those that the node keeps.
+  void use_log(Node& node) {
+    if (!node.history_known && now_ >= node.history_at) {
+      node.history_known = true;
+      const bool reads = scenario_.history == History::kRecords;
+      const std::vector<ServedVersion> served(reads ? log_.begin() : log_.end(), log_.end());
+      node.versions.restore(served, now_);
+      for (const ServedVersion& version : served) {
+        node.records->recorded(version);
+      }
+    }
+    if (!node.history_known || scenario_.history != History::kRecords) {
+      return;
+    }
+    for (const VersionChange& change : node.records->due(node.versions.known(), now_)) {
+      ++outcome_.writes;
+      change.removed ? (void)log_.erase(change.version) : (void)log_.insert(change.version);
+      node.records->confirmed(change);
+    }
+  }
+
   void update_view(int number) {
     Node& node = *nodes_.at(number);
     const Duration seen = now_ - start_ - view_delays_[static_cast<std::size_t>(number)];
@@ -156,7 +220,12 @@
   }
 
   void step(Duration time) {
-    if (time % kKillInterval == Duration{} && time > Duration{}) {
+    const auto& of_all = scenario_.kills_of_all;
+    if (std::find(of_all.begin(), of_all.end(), time) != of_all.end()) {
+      for (int number = 0; number < kNodes; ++number) {
+        kill(number);
+      }
+    } else if (of_all.empty() && time % kKillInterval == Duration{} && time > Duration{}) {
       kill_some();
     }
     restart_killed();
@@ -171,6 +240,7 @@
     }
     for (auto& [number, node] : nodes_) {
       update_view(number);
+      use_log(*node);
       if (time % 50ms == Duration{}) {
         node->origins->tick(now_);
       }
@@ -182,18 +252,21 @@
 
   void kill_some() {
     for (int count = 0; count < kKilledAtOnce; ++count) {
-      const int number = any_of(kNodes);
-      nodes_.erase(number);
-      dead_since_[number] = now_;
-      for (auto stream = open_.begin(); stream != open_.end();) {
-        stream = stream->node == number ? interrupt(stream) : std::next(stream);
-      }
+      kill(any_of(kNodes));
+    }
+  }
+
+  void kill(int number) {
+    nodes_.erase(number);
+    dead_since_[number] = now_;
+    for (auto stream = open_.begin(); stream != open_.end();) {
+      stream = stream->node == number ? interrupt(stream) : std::next(stream);
     }
   }
 
   void restart_killed() {
     for (auto dead = dead_since_.begin(); dead != dead_since_.end();) {
-      if (now_ - dead->second < kRestartTime) {
+      if (now_ - dead->second < scenario_.restart_time) {
         ++dead;
         continue;
       }
@@ -290,6 +363,7 @@
   }
 
   const Knobs& knobs_;
+  const Scenario scenario_;
   std::mt19937_64 random_;
   const TimePoint start_ = TimePoint{} + 100s;
   TimePoint now_ = start_;
@@ -297,30 +371,33 @@
   std::vector<Duration> view_delays_;
   std::map<int, std::unique_ptr<Node>> nodes_;
   std::map<int, TimePoint> dead_since_;
+  std::set<ServedVersion> log_;  ///< Versions that the log names.
   std::multimap<TimePoint, Message> messages_;
   std::vector<Stream> open_;
   std::multimap<TimePoint, Stream> returning_;
   Outcome outcome_;
 };
 
-Outcome explore(const Knobs& knobs) {
+Outcome explore(const Knobs& knobs, const Scenario& scenario = {}) {
   constexpr std::uint64_t kSeeds = 20;
   Outcome total;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    const Outcome outcome = Exploration(seed, knobs).run();
+    const Outcome outcome = Exploration(seed, knobs, scenario).run();
     total.right += outcome.right;
     total.mixed += outcome.mixed;
     total.refused += outcome.refused;
     total.unservable += outcome.unservable;
     total.hash_differs += outcome.hash_differs;
     total.messages += outcome.messages;
+    total.writes += outcome.writes;
     total.streams += outcome.streams;
   }
   BOOST_TEST_MESSAGE("witnesses " << knobs.stream_origin_witnesses << ": streams " << total.streams
                                   << " right " << total.right << " mixed " << total.mixed
                                   << " refused " << total.refused << " unservable "
                                   << total.unservable << " hashing alone differs "
-                                  << total.hash_differs << " messages " << total.messages);
+                                  << total.hash_differs << " messages " << total.messages
+                                  << " writes " << total.writes);
   return total;
 }
 
@@ -355,4 +432,24 @@
   BOOST_TEST(with.refused < without.refused);
 }
 
+// A version's last replicas leave when all nodes are killed: no process has seen it.
+BOOST_AUTO_TEST_CASE(no_stream_is_resumed_at_another_version_after_all_nodes_were_killed) {
+  Scenario scenario;
+  scenario.max_view_delay = 300ms;
+  scenario.restart_time = 100ms;
+  for (Duration time = 2s; time < kEnd; time += 1800ms) {
+    scenario.kills_of_all.push_back(time);
+  }
+  scenario.kills_of_all.push_back(kFirstVersionGoneAt + 200ms);
+  const Outcome with_records = explore(Knobs{}, scenario);
+  BOOST_TEST(with_records.mixed == 0);
+  BOOST_TEST(with_records.right > 1000);
+  scenario.history = History::kAge;
+  const Outcome by_age = explore(Knobs{}, scenario);
+  BOOST_TEST(by_age.mixed == 0);
+  BOOST_TEST(with_records.refused < by_age.refused);
+  scenario.history = History::kNone;
+  BOOST_TEST(explore(Knobs{}, scenario).mixed > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/gateway_node.hpp
+++ b/tests/platform/gateway_node.hpp
@@ -38,7 +38,8 @@
         store(loop, client, {"127.0.0.1", store_port}, {kPartitions, 262'144, 2'097'152}),
         gateway(loop, client, knobs, settings(number),
                 {store, traffic, traffic, fleet, platform::PlatformFleet::fleet_topics(),
-                 platform::PlatformFleet::batch_topics(), platform::kQuarantineTopic, &log}) {
+                 platform::PlatformFleet::batch_topics(), platform::kQuarantineTopic,
+                 platform::kVersionsTopic, &log}) {
     gateway.start();
   }
 
--- a/tests/routing/software_versions_test.cpp
+++ b/tests/routing/software_versions_test.cpp
@@ -55,4 +55,24 @@
   BOOST_TEST(replicas.serves("lm", "v2"));
 }
 
+BOOST_AUTO_TEST_CASE(no_version_is_the_sole_one_until_earlier_ones_are_known) {
+  versions.await_history();
+  add("a", "v2");
+  versions.observe(replicas, kNow);
+  BOOST_TEST(!versions.sole("lm").has_value());
+  versions.restore({}, kNow);
+  BOOST_TEST((versions.sole("lm") == "v2"));
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_served_before_the_start_counts) {
+  versions.await_history();
+  add("a", "v2");
+  versions.observe(replicas, kNow);
+  versions.restore({{"lm", "v1"}, {"lm", "v2"}, {"other", "v7"}}, kNow);
+  BOOST_TEST(!versions.sole("lm").has_value());
+  BOOST_TEST(versions.several("lm"));
+  versions.observe(replicas, kNow + knobs.stream_origin_lifetime + 1s);
+  BOOST_TEST((versions.sole("lm") == "v2"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
