Soak: ends in good order, addresses that are back at once, streams that may not be resumed, several readers of a job

A replica that ends closes or resets its connections, and its address is back at once or after 30, 300 or 1,500 ms. Streams of a second route may not be resumed and must end as complete after their last event only. Four readers beside the first one read the newest jobs at any node: no other result at a position, and none missing a second after it was read, the bound of the users' rule; the strict check of the first reader stays.

--- a/tests/platform/soak/faulty_proxy.mjs
+++ b/tests/platform/soak/faulty_proxy.mjs
@@ -48,12 +48,26 @@
     }
   }
 
-  /** The target's process ends: open connections are reset, new ones are refused. */
-  stop() {
-    for (const pair of [...this.#pairs]) this.#reset(pair);
+  /** The target's process ends: open connections end as `endConnections` says, new ones are refused. */
+  stop(inGoodOrder = false) {
+    this.endConnections(inGoodOrder);
     this.server.close();
   }
 
+  /**
+   * Ends all open connections.
+   * @param inGoodOrder whether they are closed (FIN), as a machine does for most processes that end, or reset
+   */
+  endConnections(inGoodOrder) {
+    for (const pair of [...this.#pairs]) {
+      if (inGoodOrder) {
+        this.#close(pair);
+      } else {
+        this.#reset(pair);
+      }
+    }
+  }
+
   /** The target's process has started again. */
   start() {
     this.server.listen(this.listen.port, this.listen.host);
@@ -108,6 +122,16 @@
     return this.#mode === 'silent' || (this.#mode === 'one_way' && !towardsTarget);
   }
 
+  /** Closes the caller's connection after what was passed on so far. */
+  #close(pair) {
+    this.#pairs.delete(pair);
+    pair.callee.removeAllListeners('data');
+    pair.callee.removeAllListeners('end');
+    pair.callee.destroy();
+    pair.caller.end();
+    pair.caller.resume();
+  }
+
   #reset(pair) {
     this.#pairs.delete(pair);
     pair.caller.resetAndDestroy();
--- a/tests/platform/soak/soak.mjs
+++ b/tests/platform/soak/soak.mjs
@@ -10,7 +10,7 @@
 // Changes of the configuration change both limits and which of the two is the more urgent.
 //
 //     node tests/platform/soak/soak.mjs [--seed N] [--seconds N] [--nodes N] [--replicas N] [--service-ms N]
-//         [--instance N]
+//         [--instance N] [--replacement-pause FACTOR]
 //
 // Some requests crash the replica that runs them and come again, under other ids, at any node; replicas crash
 // for other reasons too. Once a request has crashed three replicas, few further attempts of it reach one.
@@ -20,6 +20,10 @@
 //
 // Replicas are replaced by others of another software version, in whose output the version stands. Callers whose
 // stream breaks resume it at any node: the text that they have in the end is of one version and lacks no event.
+// Other streams may not be resumed: they end as complete after their last event only. A replica that ends closes or
+// resets its connections, and another one has its address after a short or a longer time.
+//
+// Several readers read each job at any node. What one of them has read a while ago, all of them find.
 //
 // In fleets of more than 20 nodes the slots of replicas are dealt among them: `--nodes 24 --replicas 8
 // --service-ms 100`, by hand. Then the nodes' own slots must not add up to more than there are in calm times.
@@ -45,6 +49,8 @@
     replicas: { type: 'string', default: '4' },
     'service-ms': { type: 'string', default: '0' },
     instance: { type: 'string', default: '0' },
+    /** Multiplies the time between two replacements of replicas. */
+    'replacement-pause': { type: 'string', default: '1' },
   },
 });
 const seconds = Number(options.seconds);
@@ -92,8 +98,8 @@
 /** Requests that crash replicas: different ones, each sent again after so long. */
 const CRASHING_REQUESTS = 2;
 const CRASHING_PAUSE_MS = 400;
-/** A replica that crashed starts again after this time. */
-const CRASH_DOWN_MS = 1500;
+/** A replica that crashed starts again after one of these times; 0: its address accepts connections all the time. */
+const CRASH_DOWN_MS = [0, 30, 300, 1500];
 /** After so many crashes a request has to be known, */
 const CRASHES_NEEDED = 3;
 /** a part of prompts after so many, */
@@ -105,6 +111,11 @@
 const ATTEMPTS_AFTER_CRASHES = 3;
 /** Software versions of replicas. */
 const VERSIONS = ['v1', 'v2', 'v3'];
+/** Readers of jobs beside the one that reads each job in turn; they read the newest of this many jobs. */
+const READERS = 4;
+const RECENT_JOBS = 4;
+/** What was read this long ago is to be found at all nodes. */
+const SETTLED_MS = 1000;
 /** Attempts of a caller to resume its stream. */
 const STREAM_RETRIES = 3;
 /** Requests that nobody waits for have their answers after this time. */
@@ -126,6 +137,7 @@
 /** Apart from the faults' numbers, so that their sequence stays that of the seed. */
 const versionRandom = generator(Number(options.seed) + 2);
 const partRandom = generator(Number(options.seed) + 3);
+const endRandom = generator(Number(options.seed) + 4);
 /** Apart from the faults' numbers: how many of these are drawn depends on the machine's pace. */
 const tenantRandom = generator(Number(options.seed) + 1);
 const pick = (list, from = random) => list[Math.floor(from() * list.length)];
@@ -302,10 +314,17 @@
 async function crashReplica(number, version = '') {
   if (crashedReplicas.has(number)) return;
   crashedReplicas.add(number);
-  replicaLinks[number].stop();
-  await sleep(CRASH_DOWN_MS);
-  await control(`/life?number=${number}&version=${version}`);
-  replicaLinks[number].start();
+  const inGoodOrder = endRandom() < 0.5;
+  const downMs = pick(CRASH_DOWN_MS, endRandom);
+  if (downMs === 0) {
+    await control(`/life?number=${number}&version=${version}`);
+    replicaLinks[number].endConnections(inGoodOrder);
+  } else {
+    replicaLinks[number].stop(inGoodOrder);
+    await sleep(downMs);
+    await control(`/life?number=${number}&version=${version}`);
+    replicaLinks[number].start();
+  }
   crashedReplicas.delete(number);
 }
 
@@ -325,7 +344,7 @@
 /** Replaces replicas by others of another software version. */
 async function replaceReplicas() {
   while (!finished) {
-    await sleep(between(1500, 4000, versionRandom));
+    await sleep(between(1500, 4000, versionRandom) * Number(options['replacement-pause']));
     const number = Math.floor(versionRandom() * REPLICAS);
     const to = pick(VERSIONS, versionRandom);
     say(`replica-${number} is replaced by ${to}`);
@@ -391,6 +410,28 @@
   }
 }
 
+/** Reads one stream of a route that may not be resumed. */
+async function followTalk(number) {
+  const target = `/talk/${number}`;
+  const id = `talk${number}`;
+  const answer = await readStream(pick(machines, endRandom).ip, target, { 'Attempt-Id': id });
+  if (answer.status !== 200) return;
+  const { events } = answer;
+  if (!events.every((event, index) => event.startsWith(`id: ${index + 1}\ndata: ${target} ${index + 1} `))) {
+    violate('ORDER', `${id} lacks an event or has one twice: ${events}`);
+  }
+  if (answer.ended && events.length < EVENTS) violate('ORDER', `${id} ends after ${events.length} events`);
+  counts.talks[answer.ended ? 'ended' : 'broken'] += 1;
+}
+
+async function followTalks() {
+  counts.talks = { ended: 0, broken: 0 };
+  for (let number = 1; !finished; ++number) {
+    followTalk(number);
+    await sleep(between(20, 60, endRandom));
+  }
+}
+
 async function followStreams() {
   counts.streams = { begun: 0, complete: 0 };
   while (!finished) {
@@ -536,6 +577,40 @@
   }
 }
 
+/** Positions that any reader has read, by job: when each was read first. */
+const readPositions = new Map();
+
+/** Reads a job as one of several readers: what any of them read a while before is there, at any node. */
+async function readAsOneOfSeveral(id) {
+  const startedAt = Date.now();
+  const machine = pick(machines, endRandom);
+  const answer = await callNode(machine, 'GET', `/v1/lots/${id}?sinceRevision=0`);
+  if (answer.status !== 200) return;
+  const { results } = JSON.parse(answer.text);
+  const positions = readPositions.get(id) ?? [];
+  readPositions.set(id, positions);
+  positions.forEach(({ readAt, result }, index) => {
+    const age = startedAt - readAt;
+    const same = JSON.stringify(results[index]) === result;
+    if (results[index] && !same) violate('TWICE', `job ${id} position ${index} at ${machine.name} has another result`);
+    if (!results[index] && age > SETTLED_MS) {
+      violate('LOST', `job ${id} position ${index} at ${machine.name} is missing ${age} ms after it was read`);
+    }
+  });
+  results.forEach((result, index) => {
+    positions[index] ??= { readAt: Date.now(), result: JSON.stringify(result) };
+  });
+}
+
+/** One of several readers, of jobs that still get results for the most part. */
+async function readJobsBesideOthers() {
+  while (!finished) {
+    const recent = [...jobs.keys()].slice(-RECENT_JOBS);
+    if (recent.length > 0) await readAsOneOfSeveral(pick(recent, endRandom));
+    await sleep(between(5, 40, endRandom));
+  }
+}
+
 /** Value of a metric at a node; 0 without an answer. @param name with its labels */
 async function metricAt(machine, name) {
   const answer = await call(machine.ip, NODE_PORTS.metrics, 'GET', '/metrics', { timeout: 1000 });
@@ -734,7 +809,8 @@
     await eventually(machine.name, async () => (await call(machine.ip, NODE_PORTS.readiness, 'GET', '/')).status === 200);
   }
   const work = [sendRequests(), submitJobs(), readJobs(), watchVersions(), sendUnknownKeys(), crashReplicas(),
-    replaceReplicas(), followStreams(), sendCrashingParts(), sendSoundParts(),
+    replaceReplicas(), followStreams(), followTalks(), sendCrashingParts(), sendSoundParts(),
+    ...Array.from({ length: READERS }, () => readJobsBesideOthers()),
     ...Array.from({ length: CRASHING_REQUESTS }, (_, index) => sendCrashing(index))];
   const tenants = [sendAsTenant('hot', HOT_PER_SECOND), sendAsTenant('steady', STEADY_PER_SECOND)];
   await makeFaults();
--- a/tests/platform/soak/stand_in_main.cpp
+++ b/tests/platform/soak/stand_in_main.cpp
@@ -79,6 +79,8 @@
  {"name":"stream","host":"soak.example","pathPrefix":"/stream/","type":"streaming",
   "timeoutMs":3000,"targetMs":300,"gapTargetMs":500,"priority":0,"service":"lm","attempts":2,
   "resumable":true},
+ {"name":"talk","host":"soak.example","pathPrefix":"/talk/","type":"streaming",
+  "timeoutMs":3000,"targetMs":300,"gapTargetMs":500,"priority":0,"service":"lm","attempts":1},
  {"name":"batch","host":"soak.example","pathPrefix":"/batch/","type":"batch","timeoutMs":20000,
   "targetMs":400,"completionTargetMs":20000,"retentionS":300,"priority":2,"service":"lm",
   "attempts":3})";
@@ -136,13 +138,18 @@
  private:
   void serve(const net::ExchangePtr& exchange) {
     const net::RequestHead& request = exchange->request();
-    ++arrivals_;
+    const bool health_check = request.target == "/healthz";
+    arrivals_ += health_check ? 0 : 1;
     if (request.headers.get("Target-Instance") != id_) {
       net::Headers headers = genuine_headers(exchange);
       headers.add("Not-Executed", "1");
       exchange->respond(421, headers, {});
       return;
     }
+    if (health_check) {
+      exchange->respond(200, {{"Instance-Id", id_}}, {});
+      return;
+    }
     note_run(request);
     const bool crashing_part =
         request.headers.get("Prompt-Prefix").find(kCrashingPart) != std::string_view::npos;
@@ -151,7 +158,7 @@
       record_.crashing[crashing_target_].push_back(net::unix_now_ms());
       return;
     }
-    if (request.target.starts_with("/stream/")) {
+    if (request.target.starts_with("/stream/") || request.target.starts_with("/talk/")) {
       stream(exchange, random_() % kBreakStreamEvery == 0);
       return;
     }
