A crash is counted though the replica's address accepts connections at once

A refused connection is reported by SimpleCall as such, since it proves the end.

Stand-in replicas answer health checks with their name and do not count them as requests.

--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -16,14 +16,14 @@
 /// Interval between two removals of expired evidence.
 constexpr Duration kCleaningInterval = std::chrono::seconds(1);
 
-/// @return the metric label value of a probe result.
-const char* verdict_name(ProbeResult result) {
-  switch (result) {
-    case ProbeResult::kListens:
+/// @return the metric label value of a process's state.
+const char* verdict_name(ProcessState state) {
+  switch (state) {
+    case ProcessState::kRuns:
       return "replica_runs";
-    case ProbeResult::kEnded:
+    case ProcessState::kEnded:
       return "replica_ended";
-    case ProbeResult::kUnknown:
+    case ProcessState::kUnknown:
       break;
   }
   return "unknown";
@@ -43,9 +43,7 @@
       members_(std::move(members)),
       send_(std::move(send)) {}
 
-CrashWatch::~CrashWatch() {
-  life_->alive = false;
-}
+CrashWatch::~CrashWatch() = default;
 
 void CrashWatch::run_broken(const std::optional<RunSuspects>& run, const std::string& replica) {
   const Replica* known = context_.replicas.find(replica);
@@ -58,40 +56,34 @@
   const auto [suspicion, first] = suspicions_.try_emplace(replica);
   suspicion->second.runs.push_back(run);
   if (first) {
-    suspicion->second.address = known->record.address;
+    suspicion->second.process = process_of(known->record);
     suspicion->second.broken_at = net::steady_now();
-    probe(replica);
+    check_process_of(replica);
   }
 }
 
-void CrashWatch::probe(const std::string& replica) {
+void CrashWatch::check_process_of(const std::string& replica) {
   Suspicion& suspicion = suspicions_[replica];
   ++suspicion.attempts;
-  const ProbeTimes times{context_.knobs.crash_probe_timeout,
-                         context_.knobs.crash_probe_observation};
-  ReplicaProbe::start(context_.loop, suspicion.address, times,
-                      [this, life = life_, replica](ProbeResult result) {
-                        if (life->alive) {
-                          handle_probe_result(replica, result);
-                        }
-                      });
+  check_process(context_, suspicion.process, context_.knobs.crash_probe_observation, life_,
+                [this, replica](ProcessState state) { handle_process_state(replica, state); });
 }
 
-void CrashWatch::handle_probe_result(const std::string& replica, ProbeResult result) {
+void CrashWatch::handle_process_state(const std::string& replica, ProcessState state) {
   const auto found = suspicions_.find(replica);
   if (found == suspicions_.end()) {
     return;
   }
-  if (result == ProbeResult::kUnknown &&
+  if (state == ProcessState::kUnknown &&
       found->second.attempts < context_.knobs.crash_probe_attempts) {
-    schedule_probe(replica);
+    schedule_check(replica);
     return;
   }
   const Suspicion suspicion = std::move(found->second);
   suspicions_.erase(found);
   const TimePoint now = net::steady_now();
-  const bool ended = result == ProbeResult::kEnded;
-  context_.metrics.count_broken_runs(verdict_name(result), suspicion.runs.size());
+  const bool ended = state == ProcessState::kEnded;
+  context_.metrics.count_broken_runs(verdict_name(state), suspicion.runs.size());
   spdlog::info("quarantine: runs interrupted replica={} ended={} runs={} attempts={} afterMs={}",
                replica, ended, suspicion.runs.size(), suspicion.attempts,
                to_ms(now - suspicion.broken_at));
@@ -102,14 +94,15 @@
   }
 }
 
-void CrashWatch::schedule_probe(const std::string& replica) {
+void CrashWatch::schedule_check(const std::string& replica) {
   const auto timer = std::make_shared<boost::asio::steady_timer>(context_.loop);
   timer->expires_after(context_.knobs.crash_probe_interval);
-  timer->async_wait([this, life = life_, replica, timer](const boost::system::error_code& error) {
-    if (!error && life->alive) {
-      probe(replica);
-    }
-  });
+  timer->async_wait(
+      [this, life = std::weak_ptr(life_), replica, timer](const boost::system::error_code& error) {
+        if (!error && !life.expired()) {
+          check_process_of(replica);
+        }
+      });
 }
 
 void CrashWatch::replica_ended(const std::optional<RunSuspects>& run, const std::string& replica) {
--- a/src/gateway/crash_watch.hpp
+++ b/src/gateway/crash_watch.hpp
@@ -14,20 +14,18 @@
 #include "dockpoint/core/life.hpp"
 #include "dockpoint/membership/crash_report_spread.hpp"
 #include "dockpoint/routing/replica_directory.hpp"
+#include "gateway/process_check.hpp"
 #include "gateway/quarantine_log.hpp"
-#include "gateway/replica_probe.hpp"
 
 namespace dockpoint {
 
-struct GatewayContext;
-
 /// Detects online requests and prompt parts that crash replicas, and quarantines them. Batch items
 /// are never held; see request_quarantine.hpp.
 ///
 /// A broken connection does not prove a crash: the link may have been reset, or this node may have
-/// been paused. The replica is therefore probed, and a crash is counted against the requests that
-/// ran there only if its address no longer accepts connections. Replicas that had announced a drain
-/// are not counted.
+/// been paused. The replica's process is therefore checked, and a crash is counted against the
+/// requests that ran there only if it has ended. Replicas that had announced a drain are not
+/// counted.
 ///
 /// Single-threaded; borrows the context.
 class CrashWatch {
@@ -81,17 +79,17 @@
   void tick(TimePoint now);
 
  private:
-  /// Broken runs at one replica, kept until a probe shows whether its process has ended.
+  /// Broken runs at one replica, kept until a check shows whether its process has ended.
   struct Suspicion {
-    Address address;
+    ReplicaProcess process;
     TimePoint broken_at{};
     std::vector<std::optional<RunSuspects>> runs;
     int attempts = 0;
   };
 
-  void probe(const std::string& replica);
-  void handle_probe_result(const std::string& replica, ProbeResult result);
-  void schedule_probe(const std::string& replica);
+  void check_process_of(const std::string& replica);
+  void handle_process_state(const std::string& replica, ProcessState state);
+  void schedule_check(const std::string& replica);
   /// Counts a crash against a request and the parts of its prompt.
   void count_run(const std::optional<RunSuspects>& run, const std::string& replica,
                  TimePoint ended_at, TimePoint now);
--- a/src/gateway/process_check.cpp
+++ b/src/gateway/process_check.cpp
@@ -40,10 +40,11 @@
 /// One check, in up to two steps.
 class ProcessCheck : public std::enable_shared_from_this<ProcessCheck> {
  public:
-  ProcessCheck(GatewayContext& context, ReplicaProcess process, std::weak_ptr<void> owner,
-               std::function<void(ProcessState)> done)
+  ProcessCheck(GatewayContext& context, ReplicaProcess process, Duration observation,
+               std::weak_ptr<void> owner, std::function<void(ProcessState)> done)
       : context_(context),
         process_(std::move(process)),
+        observation_(observation),
         owner_(std::move(owner)),
         done_(std::move(done)),
         timer_(context.loop),
@@ -54,7 +55,7 @@
       ask();
       return;
     }
-    timer_.expires_after(context_.knobs.answer_end_observation);
+    timer_.expires_after(observation_);
     timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
       if (!error && !self->owner_.expired()) {
         self->compare_connections();
@@ -86,8 +87,7 @@
   }
 
   void probe_listener() {
-    const ProbeTimes times{context_.knobs.crash_probe_timeout,
-                           context_.knobs.answer_end_observation};
+    const ProbeTimes times{context_.knobs.crash_probe_timeout, observation_};
     ReplicaProbe::start(
         context_.loop, process_.endpoint.address, times,
         [self = shared_from_this()](ProbeResult result) { self->finish(state_of(result)); });
@@ -109,6 +109,10 @@
     if (owner_.expired()) {
       return;
     }
+    if (outcome.connection_refused) {
+      finish(ProcessState::kEnded);
+      return;
+    }
     // The head suffices, even if the body is not whole.
     const bool answered = outcome.head.status != 0;
     finish(answered ? state_of(context_.protocol.read_identity(outcome.head, process_.name))
@@ -123,6 +127,7 @@
 
   GatewayContext& context_;
   const ReplicaProcess process_;
+  const Duration observation_;
   const std::weak_ptr<void> owner_;
   const std::function<void(ProcessState)> done_;
   boost::asio::steady_timer timer_;
@@ -143,9 +148,14 @@
   return "unknown";
 }
 
-void check_process(GatewayContext& context, const ReplicaProcess& process,
+ReplicaProcess process_of(const ReplicaRecord& replica) {
+  return {endpoint_of(replica), replica.registered_name(), replica.service};
+}
+
+void check_process(GatewayContext& context, const ReplicaProcess& process, Duration observation,
                    std::weak_ptr<void> owner, std::function<void(ProcessState)> done) {
-  std::make_shared<ProcessCheck>(context, process, std::move(owner), std::move(done))->start();
+  std::make_shared<ProcessCheck>(context, process, observation, std::move(owner), std::move(done))
+      ->start();
 }
 
 }  // namespace dockpoint
--- a/src/gateway/process_check.hpp
+++ b/src/gateway/process_check.hpp
@@ -29,9 +29,13 @@
   std::string service;
 };
 
+ReplicaProcess process_of(const ReplicaRecord& replica);
+
+/// @param observation time for which connections of before must stay open: a process that is ending
+/// may close them one after the other.
 /// @param owner of the check: it borrows the context only while its owner exists.
 /// @param done called once from the event loop, unless the owner is gone.
-void check_process(GatewayContext& context, const ReplicaProcess& process,
+void check_process(GatewayContext& context, const ReplicaProcess& process, Duration observation,
                    std::weak_ptr<void> owner, std::function<void(ProcessState)> done);
 
 }  // namespace dockpoint
--- a/src/gateway/replica_attempt.cpp
+++ b/src/gateway/replica_attempt.cpp
@@ -12,8 +12,7 @@
                            net::CallObserver& observer) {
   replica_ = replica.record.id;
   last_replica_ = replica_;
-  process_ = {endpoint_of(replica.record), replica.record.registered_name(),
-              replica.record.service};
+  process_ = process_of(replica.record);
   prefill_tokens_ = missing_tokens;
   started_at_ = net::steady_now();
   stream_ = {};
@@ -81,7 +80,8 @@
 
 void ReplicaAttempt::check_process(std::weak_ptr<void> owner,
                                    std::function<void(ProcessState)> done) const {
-  dockpoint::check_process(context_, process_, std::move(owner), std::move(done));
+  dockpoint::check_process(context_, process_, context_.knobs.answer_end_observation,
+                           std::move(owner), std::move(done));
 }
 
 void ReplicaAttempt::end() {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -491,6 +491,7 @@
 }
 
 void SimpleCall::on_failure(CallFailure failure) {
+  outcome_.connection_refused = call_ && call_->connection_refused();
   finish(failure);
 }
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -243,6 +243,7 @@
   /// The response; `failure` is set if there is none.
   struct Outcome {
     std::optional<CallFailure> failure;
+    bool connection_refused = false;  ///< No process listens at the address.
     ResponseHead head;
     std::string body;
   };
--- a/tests/gateway/process_check_test.cpp
+++ b/tests/gateway/process_check_test.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::uint16_t kPort = 28'405;
+constexpr Duration kObservation = std::chrono::milliseconds(20);
 const std::string kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
 struct Fixture : GatewaySurroundings {
@@ -52,7 +53,8 @@
   }
   ProcessState check() {
     std::optional<ProcessState> state;
-    check_process(context, process, owner, [&](ProcessState found) { state = found; });
+    check_process(context, process, kObservation, owner,
+                  [&](ProcessState found) { state = found; });
     while (!state) {
       loop.run_one();
     }
@@ -73,7 +75,7 @@
 BOOST_AUTO_TEST_CASE(a_process_that_closes_its_connections_is_asked_for_its_name) {
   keep_connection();
   std::optional<ProcessState> state;
-  check_process(context, process, owner, [&](ProcessState found) { state = found; });
+  check_process(context, process, kObservation, owner, [&](ProcessState found) { state = found; });
   // Another process has the address.
   replica.reset();
   replica.emplace(loop, "r2", kPort, [](const std::string&) {
@@ -90,7 +92,7 @@
   replica->answers_health_checks = false;
   BOOST_TEST((check() == ProcessState::kUnknown));
   replica.reset();
-  BOOST_TEST((check() == ProcessState::kUnknown));
+  BOOST_TEST((check() == ProcessState::kEnded));
 }
 
 BOOST_AUTO_TEST_CASE(without_health_checks_a_listener_decides) {
@@ -102,7 +104,8 @@
 
 BOOST_AUTO_TEST_CASE(nothing_is_reported_to_an_owner_that_is_gone) {
   bool reported = false;
-  check_process(context, process, std::make_shared<int>(), [&](ProcessState) { reported = true; });
+  check_process(context, process, kObservation, std::make_shared<int>(),
+                [&](ProcessState) { reported = true; });
   loop.run_for(std::chrono::milliseconds(100));
   BOOST_TEST(!reported);
 }
--- a/tests/platform/crashing_requests_test.cpp
+++ b/tests/platform/crashing_requests_test.cpp
@@ -38,6 +38,8 @@
   std::unique_ptr<GatewayNode> first = std::make_unique<GatewayNode>(loop, 1);
   std::unique_ptr<GatewayNode> second = std::make_unique<GatewayNode>(loop, 2);
   int requests = 0;
+  bool replaced_at_once = false;  ///< Another process has the address of a crashed replica at once.
+  int replaced = 0;
   int item_crashes_left = 0;  ///< Replicas that still crash while they run `kUnluckyItemBody`.
 
   Fixture() {
@@ -63,7 +65,9 @@
     headers.add("Content-Type", "text/event-stream");
     exchange->begin({200, {}, headers});
     exchange->write("id: 1\ndata: a\n\n");
-    if (exchange->body() == kCrashingBody) {
+    if (exchange->body() == kCrashingBody && replaced_at_once) {
+      replica.restart_as("replaced-" + std::to_string(++replaced));
+    } else if (exchange->body() == kCrashingBody) {
       replica.crash();
     } else if (exchange->body() == kUnluckyItemBody && item_crashes_left > 0) {
       --item_crashes_left;
@@ -152,6 +156,17 @@
   }
 }
 
+// The addresses of such replicas accept connections all the time.
+BOOST_AUTO_TEST_CASE(a_request_is_quarantined_though_its_replicas_are_replaced_at_once) {
+  replaced_at_once = true;
+  for (int round = 0; round < kReplicas - 1; ++round) {
+    send_request(1 + round % 2, kCrashingBody);
+    run_for(std::chrono::milliseconds(300));
+  }
+  BOOST_TEST(replaced >= kQuarantineCrashes);
+  BOOST_TEST(replaced <= kQuarantineCrashes + kConcurrentCrashes);
+}
+
 BOOST_AUTO_TEST_CASE(a_quarantined_request_is_refused_with_retry_after) {
   send_crashing_requests(kReplicas - 1);
   const int before = crashed();
--- a/tests/platform/stand_ins.hpp
+++ b/tests/platform/stand_ins.hpp
@@ -16,28 +16,29 @@
 /// Stand-ins for replicas and callers in gateway tests, on loopback and one event loop.
 namespace dockpoint::test {
 
-/// An HTTP server in place of a replica; the test's handler answers the requests.
+/// An HTTP server in place of a replica; the test's handler answers the requests. It answers health
+/// checks itself and does not count them as requests.
 class StandInReplica {
  public:
   using Handler = std::function<void(const net::ExchangePtr&)>;
 
   StandInReplica(boost::asio::io_context& loop, std::string id, std::uint16_t port, Handler handler)
-      : id_(std::move(id)),
-        port_(port),
-        handler_(std::move(handler)),
-        loop_(loop),
-        server_(std::in_place, loop, [this](const net::ExchangePtr& exchange) {
-          ++requests_;
-          last_ = exchange->request();
-          handler_(exchange);
-        }) {
-    server_->listen("127.0.0.1:" + std::to_string(port_));
+      : id_(std::move(id)), port_(port), handler_(std::move(handler)), loop_(loop) {
+    listen();
   }
 
   /// Simulates a crash of the replica's process: closes the server in the next loop iteration.
   void crash() {
     boost::asio::post(loop_, [this] { server_.reset(); });
   }
+  /// Simulates a crash after which another process, under another name, has the address at once.
+  void restart_as(const std::string& id) {
+    boost::asio::post(loop_, [this, id] {
+      server_.reset();
+      id_ = id;
+      listen();
+    });
+  }
   bool running() const { return server_.has_value(); }
 
   ReplicaRecord record(const std::string& service) const {
@@ -47,7 +48,21 @@
   const net::RequestHead& last() const { return last_; }
 
  private:
-  const std::string id_;
+  void listen() {
+    server_.emplace(loop_, [this](const net::ExchangePtr& exchange) { serve(exchange); });
+    server_->listen("127.0.0.1:" + std::to_string(port_));
+  }
+  void serve(const net::ExchangePtr& exchange) {
+    if (exchange->request().target == "/healthz") {
+      exchange->respond(200, {{"Instance-Id", id_}}, {});
+      return;
+    }
+    ++requests_;
+    last_ = exchange->request();
+    handler_(exchange);
+  }
+
+  std::string id_;
   const std::uint16_t port_;
   Handler handler_;
   int requests_ = 0;
