The check of a process counts only connections of before the request, and one that is held suffices

A connection that was made after the answer's process had ended, to the one that has the address now, was counted among those of before, since they were taken when the end was read; they are now those made before the request was sent, or before the crash watch noticed the break. A connection whose reading is paused by a slow caller cannot notice its end and no longer counts. One connection that is held suffices: requiring all sent a health check to a busy replica whenever any other connection ended.

--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -56,7 +56,7 @@
   const auto [suspicion, first] = suspicions_.try_emplace(replica);
   suspicion->second.runs.push_back(run);
   if (first) {
-    suspicion->second.process = process_of(known->record);
+    suspicion->second.process = process_of(known->record, context_.client);
     suspicion->second.broken_at = net::steady_now();
     check_process_of(replica);
   }
--- a/src/gateway/process_check.cpp
+++ b/src/gateway/process_check.cpp
@@ -48,7 +48,7 @@
         owner_(std::move(owner)),
         done_(std::move(done)),
         timer_(context.loop),
-        connections_before_(context.client.established(process_.endpoint)) {}
+        connections_before_(established()) {}
 
   void start() {
     if (connections_before_.empty()) {
@@ -64,12 +64,17 @@
   }
 
  private:
-  /// A process that ends closes all its connections at the same time.
+  std::set<net::ConnectionNumber> established() const {
+    return context_.client.established(process_.endpoint, process_.newest_connection);
+  }
+
+  /// A process that ends closes all its connections, so one that is left shows that it runs.
   void compare_connections() {
-    const std::set<net::ConnectionNumber> now = context_.client.established(process_.endpoint);
-    const bool all_held = std::includes(now.begin(), now.end(), connections_before_.begin(),
-                                        connections_before_.end());
-    if (all_held) {
+    const std::set<net::ConnectionNumber> now = established();
+    const bool held =
+        std::any_of(connections_before_.begin(), connections_before_.end(),
+                    [&](net::ConnectionNumber number) { return now.contains(number); });
+    if (held) {
       done_(ProcessState::kRuns);
     } else {
       ask();
@@ -148,8 +153,9 @@
   return "unknown";
 }
 
-ReplicaProcess process_of(const ReplicaRecord& replica) {
-  return {endpoint_of(replica), replica.registered_name(), replica.service};
+ReplicaProcess process_of(const ReplicaRecord& replica, const net::HttpClient& client) {
+  return {endpoint_of(replica), replica.registered_name(), replica.service,
+          client.counts().connections};
 }
 
 void check_process(GatewayContext& context, const ReplicaProcess& process, Duration observation,
--- a/src/gateway/replica_attempt.cpp
+++ b/src/gateway/replica_attempt.cpp
@@ -12,7 +12,7 @@
                            net::CallObserver& observer) {
   replica_ = replica.record.id;
   last_replica_ = replica_;
-  process_ = process_of(replica.record);
+  process_ = process_of(replica.record, context_.client);
   prefill_tokens_ = missing_tokens;
   started_at_ = net::steady_now();
   stream_ = {};
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -154,12 +154,16 @@
   }
 }
 
-std::set<ConnectionNumber> HttpClient::established(const Endpoint& endpoint) const {
+std::set<ConnectionNumber> HttpClient::established(const Endpoint& endpoint,
+                                                   ConnectionNumber newest) const {
   std::set<ConnectionNumber> numbers;
   for (const ClientConnection* connection : connections_) {
+    const TcpConnection* tcp = connection->connection_.get();
+    if (connection->number_ > newest || tcp == nullptr || !tcp->open() || tcp->paused()) {
+      continue;
+    }
     const Endpoint& other = connection->endpoint();
-    const bool same = !(other < endpoint) && !(endpoint < other);
-    if (same && connection->connection_ && connection->connection_->open()) {
+    if (!(other < endpoint) && !(endpoint < other)) {
       numbers.insert(connection->number_);
     }
   }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -157,8 +157,10 @@
   CallPtr start(const Endpoint& endpoint, std::string bytes, const CallOptions& options,
                 CallObserver& observer);
 
-  /// @return the connections to an endpoint that are open, in use or idle.
-  std::set<ConnectionNumber> established(const Endpoint& endpoint) const;
+  /// @param newest connections with a greater number are left out.
+  /// @return the connections to an endpoint, in use or idle, that were open when their input was
+  /// last read; those whose reading is paused are left out.
+  std::set<ConnectionNumber> established(const Endpoint& endpoint, ConnectionNumber newest) const;
   /// Closes the idle persistent connections to an endpoint.
   void abandon_idle(const Endpoint& endpoint);
   /// Closes idle persistent connections to servers that are not in `keep`.
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -54,6 +54,8 @@
   void detach() { observer_ = nullptr; }
 
   bool open() const { return socket_.is_open(); }
+  /// @return whether input is not read at the moment, so that an end of it would not be noticed.
+  bool paused() const { return paused_; }
   /// @return whether the connection is open and has no unread input.
   bool reusable();
   std::size_t pending_output() const { return output_.size(); }
