A node that was suspended claims a sole version again; records stay while the view is partial

After a suspension the records of versions were read again, but a watch that has loaded them delivers new ones only, and the history stayed unknown until the next start: each return without a record would have waited 250 ms and been refused. The records are now kept by key and restored whenever the watch has caught up.

--- a/include/dockpoint/routing/version_records.hpp
+++ b/include/dockpoint/routing/version_records.hpp
@@ -31,13 +31,15 @@
 
   explicit VersionRecords(IsKeeper is_keeper) : is_keeper_(std::move(is_keeper)) {}
 
-  /// The log holds a record of a version.
+  /// The log holds a record of a version, as far as this node knows.
   void recorded(const ServedVersion& version) { recorded_.insert(version); }
   /// The log has confirmed a change.
   void confirmed(const VersionChange& change);
   /// @param known versions that serve or served recently, as this node has seen them.
+  /// @param view_partial whether replicas of other versions may serve unseen.
   /// @return the changes that this node has to write.
-  std::vector<VersionChange> due(const std::vector<ServedVersion>& known, TimePoint now);
+  std::vector<VersionChange> due(const std::vector<ServedVersion>& known, bool view_partial,
+                                 TimePoint now);
 
  private:
   const IsKeeper is_keeper_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -222,7 +222,7 @@
   peers_.tick(now);
   crash_watch_.tick(now);
   software_versions_.observe(replicas_, now);
-  version_log_.tick(now);
+  version_log_.tick(fleet_.slices() > 1, now);
   stream_origins_.set_view_partial(fleet_.slices() > 1);
   stream_origins_.tick(now);
   refresh_outliers(now);
--- a/src/gateway/version_log.cpp
+++ b/src/gateway/version_log.cpp
@@ -3,12 +3,10 @@
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
-#include <optional>
 #include <utility>
 
 #include "dockpoint/core/codec.hpp"
 #include "dockpoint/core/hash.hpp"
-#include "net/clock.hpp"
 
 namespace dockpoint {
 namespace {
@@ -53,12 +51,13 @@
   watch_.refresh();
 }
 
-void VersionLog::tick(TimePoint now) {
+void VersionLog::tick(bool view_partial, TimePoint now) {
+  now_ = now;
   watch_.tick(now);
   if (!loaded_ || now < next_write_) {
     return;
   }
-  for (const VersionChange& change : records_.due(versions_.known(), now)) {
+  for (const VersionChange& change : records_.due(versions_.known(), view_partial, now)) {
     next_write_ = now + knobs_.log_retry_delay_limit;
     write(change);
   }
@@ -80,18 +79,37 @@
 }
 
 void VersionLog::on_snapshot(const std::vector<KeyedRecord>& records) {
-  std::vector<ServedVersion> served;
+  named_.clear();
   for (const KeyedRecord& record : records) {
-    const auto read = record.value.empty() ? std::nullopt : unpack<VersionRecord>(record.value);
-    if (read) {
-      served.push_back({read->service, read->version});
-      records_.recorded(served.back());
-    } else if (!record.value.empty()) {
-      spdlog::warn("versions: unreadable record key={} bytes={}", record.key, record.value.size());
+    on_record(record);
+  }
+}
+
+void VersionLog::on_record(const KeyedRecord& record) {
+  if (record.value.empty()) {
+    const auto named = named_.extract(record.key);
+    if (!named.empty()) {
+      records_.confirmed({named.mapped(), true});
     }
+    return;
+  }
+  const auto read = unpack<VersionRecord>(record.value);
+  if (!read) {
+    spdlog::warn("versions: unreadable record key={} bytes={}", record.key, record.value.size());
+    return;
+  }
+  const ServedVersion served{read->service, read->version};
+  named_[record.key] = served;
+  records_.recorded(served);
+}
+
+void VersionLog::on_caught_up() {
+  std::vector<ServedVersion> served;
+  for (const auto& [key, version] : named_) {
+    served.push_back(version);
   }
   loaded_ = true;
-  versions_.restore(served, net::steady_now());
+  versions_.restore(served, now_);
   spdlog::info("versions: records loaded count={}", served.size());
 }
 
--- a/src/gateway/version_log.hpp
+++ b/src/gateway/version_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -12,8 +13,8 @@
 
 namespace dockpoint {
 
-/// Keeps the software versions that serve in the log, see version_records.hpp: reads them once when
-/// the node starts, and writes the changes of those that this node keeps.
+/// Keeps the software versions that serve in the log, see version_records.hpp: reads them when the
+/// node starts or was suspended, and writes the changes of those that this node keeps.
 ///
 /// Single-threaded; borrows its arguments.
 class VersionLog : private KeyedWatchObserver {
@@ -22,15 +23,17 @@
              SoftwareVersions& versions, VersionRecords::IsKeeper is_keeper);
   ~VersionLog() override;
 
-  /// Reads the records; repeated until the log has answered. No sole version is claimed before.
+  /// Reads the records, at a start or after a suspension; repeated until the log has answered. No
+  /// sole version is claimed before.
   void load();
   /// Starts due reads and writes; call several times a second, after the versions were observed.
-  void tick(TimePoint now);
+  /// @param view_partial whether this node sees only a part of the replicas.
+  void tick(bool view_partial, TimePoint now);
 
  private:
   void on_snapshot(const std::vector<KeyedRecord>& records) override;
-  void on_record(const KeyedRecord& /*record*/) override {}
-  void on_caught_up() override {}
+  void on_record(const KeyedRecord& record) override;
+  void on_caught_up() override;
   void on_reachable(bool /*reachable*/, Duration /*silence*/) override {}
   void write(const VersionChange& change);
 
@@ -39,8 +42,10 @@
   const TopicPartition partition_;
   SoftwareVersions& versions_;
   VersionRecords records_;
+  std::map<std::string, ServedVersion> named_;  ///< By key, as last read.
   KeyedWatch watch_;
   bool loaded_ = false;
+  TimePoint now_{};
   TimePoint next_write_{};
   const std::shared_ptr<Life> life_ = std::make_shared<Life>();
 };
--- a/src/routing/version_records.cpp
+++ b/src/routing/version_records.cpp
@@ -21,7 +21,10 @@
 }
 
 std::vector<VersionChange> VersionRecords::due(const std::vector<ServedVersion>& known,
-                                               TimePoint now) {
+                                               bool view_partial, TimePoint now) {
+  std::erase_if(unrecorded_since_, [&](const auto& entry) {
+    return std::find(known.begin(), known.end(), entry.first) == known.end();
+  });
   std::vector<VersionChange> changes;
   for (const ServedVersion& version : known) {
     if (recorded_.contains(version)) {
@@ -34,7 +37,7 @@
   }
   for (const ServedVersion& version : recorded_) {
     const bool gone = std::find(known.begin(), known.end(), version) == known.end();
-    if (gone && is_keeper_(version)) {
+    if (gone && !view_partial && is_keeper_(version)) {
       changes.push_back({version, true});
     }
   }
--- a/tests/membership/stream_origins_exploration_test.cpp
+++ b/tests/membership/stream_origins_exploration_test.cpp
@@ -177,7 +177,7 @@
     if (!node.history_known || scenario_.history != History::kRecords) {
       return;
     }
-    for (const VersionChange& change : node.records->due(node.versions.known(), now_)) {
+    for (const VersionChange& change : node.records->due(node.versions.known(), false, now_)) {
       ++outcome_.writes;
       change.removed ? (void)log_.erase(change.version) : (void)log_.insert(change.version);
       node.records->confirmed(change);
