--- a/tests/platform/soak/stand_in_main.cpp
+++ b/tests/platform/soak/stand_in_main.cpp
@@ -131,6 +131,7 @@
   /// It starts again after a crash. @param version of its software; empty: as before.
   void begin_life(const std::string& version) {
     id_ = name_ + "-" + std::to_string(++lives_);
+    replica_.rename(id_);
     version_ = version.empty() ? version_ : version;
     crashing_target_.clear();
   }
@@ -138,18 +139,13 @@
  private:
   void serve(const net::ExchangePtr& exchange) {
     const net::RequestHead& request = exchange->request();
-    const bool health_check = request.target == "/healthz";
-    arrivals_ += health_check ? 0 : 1;
+    ++arrivals_;
     if (request.headers.get("Target-Instance") != id_) {
       net::Headers headers = genuine_headers(exchange);
       headers.add("Not-Executed", "1");
       exchange->respond(421, headers, {});
       return;
     }
-    if (health_check) {
-      exchange->respond(200, {{"Instance-Id", id_}}, {});
-      return;
-    }
     note_run(request);
     const bool crashing_part =
         request.headers.get("Prompt-Prefix").find(kCrashingPart) != std::string_view::npos;
--- a/tests/platform/stand_ins.hpp
+++ b/tests/platform/stand_ins.hpp
@@ -39,6 +39,8 @@
       listen();
     });
   }
+  /// Another process has taken the address, under another name; the test ends the connections.
+  void rename(const std::string& id) { id_ = id; }
   bool running() const { return server_.has_value(); }
 
   ReplicaRecord record(const std::string& service) const {
@@ -54,7 +56,8 @@
   }
   void serve(const net::ExchangePtr& exchange) {
     if (exchange->request().target == "/healthz") {
-      exchange->respond(200, {{"Instance-Id", id_}}, {});
+      const bool asked_for = exchange->request().headers.get("Target-Instance") == id_;
+      exchange->respond(asked_for ? 200 : 421, {{"Instance-Id", id_}}, {});
       return;
     }
     ++requests_;
