--- a/tests/membership/stream_origins_exploration_test.cpp
+++ b/tests/membership/stream_origins_exploration_test.cpp
@@ -1,5 +1,6 @@
 /// Explores how nodes learn where a stream began: with lost and late messages, killed nodes, views
-/// of the fleet seconds apart, and a second software version that appears while streams are open.
+/// of the fleet seconds apart, nodes that are cut off or stand still, and a second software version
+/// that appears while streams are open.
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -57,14 +58,36 @@
 /// Time after which a node reads the records of versions, and its writes are confirmed.
 constexpr Duration kLogTime = 30ms;
 
+/// How nodes fall out of step with the fleet. Callers and replicas reach them all the same.
+enum class OutOfStep {
+  kCutOff,          ///< Each is cut off from the log and from all other nodes.
+  kMembersLost,     ///< The same, and after a while they see no other member.
+  kCutOffTogether,  ///< They are cut off from the log and the other nodes, but hear each other.
+  kLogOutOfReach,   ///< They are cut off from the log only.
+  kSuspended,       ///< They do nothing; what reaches them waits.
+};
+
+/// The first nodes of the fleet, out of step while the second version appears.
+struct Outage {
+  OutOfStep kind = OutOfStep::kCutOff;
+  int nodes = 0;
+  Duration from = 5s;
+  Duration until = 9s;
+};
+
 /// What differs between explorations.
 struct Scenario {
   Duration max_view_delay = kMaxViewDelay;
   Duration restart_time = kRestartTime;
   std::vector<Duration> kills_of_all{};
   History history = History::kRecords;
+  bool kills = true;
+  Outage outage{};
 };
 
+/// Share of the callers that come back to a node that is out of step, if there is one.
+constexpr double kReturnsToOutOfStep = 0.5;
+
 /// One simulated fleet.
 class Exploration {
  public:
@@ -115,6 +138,7 @@
     std::string hashed_version;
     TimePoint ends_at{};
     int tries_left = 2;
+    bool waits = false;  ///< Its caller waits for a node that is suspended.
   };
 
   Duration uniform(Duration least, Duration most) {
@@ -146,10 +170,43 @@
     update_view(number);
   }
 
+  bool outage_at(Duration time) const {
+    return time >= scenario_.outage.from && time < scenario_.outage.until;
+  }
+  /// @return whether the node is out of step now.
+  bool out_of_step(int number) const {
+    return number < scenario_.outage.nodes && outage_at(now_ - start_);
+  }
+  bool suspended(int number) const {
+    return scenario_.outage.kind == OutOfStep::kSuspended && out_of_step(number);
+  }
+  /// @return whether the node has the view of the fleet of the outage's beginning. A node that was
+  /// suspended acts once before it reads anything.
+  bool view_is_old(int number) const {
+    const Duration time = now_ - start_;
+    const bool just_resumed = scenario_.outage.kind == OutOfStep::kSuspended &&
+                              number < scenario_.outage.nodes && time >= scenario_.outage.until &&
+                              time < scenario_.outage.until + 2 * kStep;
+    return out_of_step(number) || just_resumed;
+  }
+  bool reachable(int from, int to) const {
+    switch (scenario_.outage.kind) {
+      case OutOfStep::kCutOff:
+      case OutOfStep::kMembersLost:
+        return !out_of_step(from) && !out_of_step(to);
+      case OutOfStep::kCutOffTogether:
+        return out_of_step(from) == out_of_step(to);
+      case OutOfStep::kLogOutOfReach:
+      case OutOfStep::kSuspended:
+        break;
+    }
+    return true;
+  }
+
   void send(int from, const std::string& address, const std::string& bytes) {
     ++outcome_.messages;
     const int to = std::stoi(address.substr(address.find('-') + 1));
-    if (!chance(kMessageLoss)) {
+    if (!chance(kMessageLoss) && reachable(from, to)) {
       messages_.emplace(now_ + uniform(1ms, kMaxMessageDelay),
                         Message{members_[static_cast<std::size_t>(from)].peer_address, bytes, to});
     }
@@ -186,19 +243,27 @@
 
   void update_view(int number) {
     Node& node = *nodes_.at(number);
-    const Duration seen = now_ - start_ - view_delays_[static_cast<std::size_t>(number)];
+    const Duration time = view_is_old(number) ? scenario_.outage.from : now_ - start_;
+    const Duration seen = time - view_delays_[static_cast<std::size_t>(number)];
     show(node, "v1", seen < kFirstVersionGoneAt);
     show(node, "v2", seen >= kSecondVersionAt);
     node.versions.observe(node.replicas, now_);
     node.alive.clear();
     for (int other = 0; other < kNodes; ++other) {
       const auto dead = dead_since_.find(other);
-      if (dead == dead_since_.end() || now_ - dead->second < kDeathNoticedAfter) {
+      const bool seen_alive = dead == dead_since_.end() || now_ - dead->second < kDeathNoticedAfter;
+      if (seen_alive && (other == number || !lost_from_view(number))) {
         node.alive.push_back(&members_[static_cast<std::size_t>(other)]);
       }
     }
   }
 
+  /// @return whether the node takes all other members for dead.
+  bool lost_from_view(int number) const {
+    return scenario_.outage.kind == OutOfStep::kMembersLost && out_of_step(number) &&
+           now_ - start_ >= scenario_.outage.from + kDeathNoticedAfter;
+  }
+
   static void show(Node& node, const std::string& version, bool serves) {
     if (serves == node.known_versions.contains(version)) {
       return;
@@ -225,13 +290,18 @@
       for (int number = 0; number < kNodes; ++number) {
         kill(number);
       }
-    } else if (of_all.empty() && time % kKillInterval == Duration{} && time > Duration{}) {
+    } else if (scenario_.kills && of_all.empty() && time % kKillInterval == Duration{} &&
+               time > Duration{}) {
       kill_some();
     }
     restart_killed();
     while (!messages_.empty() && messages_.begin()->first <= now_) {
       const Message message = messages_.begin()->second;
       messages_.erase(messages_.begin());
+      if (suspended(message.to)) {
+        messages_.emplace(start_ + scenario_.outage.until + kStep, message);
+        continue;
+      }
       const auto node = nodes_.find(message.to);
       if (node != nodes_.end()) {
         node->second->origins->take(*decode_stream_origin_message(message.bytes), message.from,
@@ -239,6 +309,9 @@
       }
     }
     for (auto& [number, node] : nodes_) {
+      if (suspended(number)) {
+        continue;
+      }
       update_view(number);
       use_log(*node);
       if (time % 50ms == Duration{}) {
@@ -295,7 +368,7 @@
     Stream stream;
     stream.node = live_node();
     Node& node = *nodes_.at(stream.node);
-    if (node.known_versions.empty()) {
+    if (node.known_versions.empty() || suspended(stream.node)) {
       return;
     }
     stream.key = stream_key("", "request-" + std::to_string(++outcome_.streams));
@@ -326,6 +399,17 @@
     }
   }
 
+  int node_to_return_to() {
+    const Outage& outage = scenario_.outage;
+    if (outage.nodes > 0 && outage_at(now_ - start_) && chance(kReturnsToOutOfStep)) {
+      const int number = any_of(outage.nodes);
+      if (nodes_.contains(number)) {
+        return number;
+      }
+    }
+    return live_node();
+  }
+
   void return_callers() {
     while (!returning_.empty() && returning_.begin()->first <= now_) {
       Stream stream = returning_.begin()->second;
@@ -333,7 +417,15 @@
       if (nodes_.empty()) {
         continue;
       }
-      stream.node = live_node();
+      if (!stream.waits) {
+        stream.node = node_to_return_to();
+      }
+      if (suspended(stream.node)) {
+        stream.waits = true;
+        returning_.emplace(start_ + scenario_.outage.until, stream);
+        continue;
+      }
+      stream.waits = false;
       Node& node = *nodes_.at(stream.node);
       node.origins->resolve(stream.key, "lm", now_, [this, stream](const OriginVerdict& verdict) {
         resumed(stream, verdict);
@@ -378,10 +470,9 @@
   Outcome outcome_;
 };
 
-Outcome explore(const Knobs& knobs, const Scenario& scenario = {}) {
-  constexpr std::uint64_t kSeeds = 20;
+Outcome explore(const Knobs& knobs, const Scenario& scenario = {}, std::uint64_t seeds = 20) {
   Outcome total;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     const Outcome outcome = Exploration(seed, knobs, scenario).run();
     total.right += outcome.right;
     total.mixed += outcome.mixed;
@@ -401,6 +492,33 @@
   return total;
 }
 
+const std::vector<Outage> kOutages{
+    {OutOfStep::kCutOff, 1},
+    {OutOfStep::kMembersLost, 1},
+    {OutOfStep::kCutOff, 3},
+    {OutOfStep::kCutOffTogether, 3},
+    {OutOfStep::kCutOff, 5},
+    {OutOfStep::kCutOffTogether, 5},
+    {OutOfStep::kLogOutOfReach, 1},
+    {OutOfStep::kLogOutOfReach, kNodes},
+    {OutOfStep::kSuspended, 1, 5s, 9s},
+    {OutOfStep::kSuspended, 1, 5900ms, 6500ms},
+    {OutOfStep::kSuspended, 3, 5500ms, 7s},
+    {OutOfStep::kSuspended, 8, 6150ms, 6600ms},
+};
+
+Scenario with_outage(const Outage& outage) {
+  Scenario scenario;
+  scenario.max_view_delay = 300ms;
+  scenario.kills = false;
+  scenario.outage = outage;
+  return scenario;
+}
+
+std::ostream& operator<<(std::ostream& out, const Outage& outage) {
+  return out << "kind " << static_cast<int>(outage.kind) << " nodes " << outage.nodes;
+}
+
 /// @return the outcome with the default settings, explored once.
 const Outcome& default_outcome() {
   static const Outcome outcome = explore(Knobs{});
@@ -452,4 +570,17 @@
   BOOST_TEST(explore(Knobs{}, scenario).mixed > 0);
 }
 
+// A node that hears nobody, or that has just stood still, knows the older version only.
+BOOST_AUTO_TEST_CASE(no_stream_is_resumed_at_another_version_by_a_node_out_of_step) {
+  constexpr std::uint64_t kSeeds = 5;
+  constexpr int kMinRight = 1000;
+  for (const Outage& outage : kOutages) {
+    BOOST_TEST_CONTEXT(outage) {
+      const Outcome outcome = explore(Knobs{}, with_outage(outage), kSeeds);
+      BOOST_TEST(outcome.mixed == 0);
+      BOOST_TEST(outcome.right > kMinRight);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
