A sole software version is claimed only from a view that the log has confirmed

Silence counted as agreement, and an old view as the present.

Each replica that served a stream was recorded in the log before. So a node now reads the end of the replicas' records after the caller came back (ReadBarrier), and claims a sole version only once its view has reached that end. One read serves all questions that wait; none is made while several versions are known. Where the log does not answer for 500 ms the return is refused (unconfirmed). A node that sees a part of the replicas claims none. Questions end only at ticks, and after a pause wait anew, so that answers in the socket count.

--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -378,6 +378,11 @@
   Duration stream_origin_question_repeat = 50ms;
   /// Maximum wait for answers to a question for an origin.
   Duration stream_origin_question_limit = 250ms;
+  /// Maximum wait until the log confirms that a single software version serves. A caller that is
+  /// refused then can still resume its stream at another node.
+  Duration stream_origin_confirmation_limit = 500ms;
+  /// Minimum time between two reads that confirm a view of the log; see ReadBarrier.
+  Duration read_barrier_interval = 100ms;
   /// Estimated time in which a replica produces one event of a batch item.
   Duration item_event_time = 15ms;
   /// Pause of an item that waits for a replica that can resume its output.
--- a/include/dockpoint/membership/stream_origins.hpp
+++ b/include/dockpoint/membership/stream_origins.hpp
@@ -23,6 +23,7 @@
 /// told; the node keeps the origins of its streams and tells the witnesses when a second version
 /// appears. The node at which a stream is resumed asks the witnesses, and more nodes in case its
 /// view of the members differs; see origin_inquiry.hpp for what it concludes from their answers.
+/// Where a single version serves in its own view, it has the log confirm that view meanwhile.
 ///
 /// Free of I/O and clocks.
 namespace dockpoint {
@@ -34,12 +35,15 @@
   using Send = std::function<void(const std::string& address, const std::string& bytes)>;
   /// @return the live members.
   using Members = std::function<const std::vector<const Member*>&()>;
+  /// Has the log confirm the versions that this node sees, as of this time or later; called again
+  /// until `confirmed` is.
+  using Confirm = std::function<void(TimePoint as_of)>;
   /// Called once with the result of a question.
   using Resolved = std::function<void(const OriginVerdict&)>;
 
   /// @param node id of this node.
   StreamOrigins(const Knobs& knobs, const SoftwareVersions& versions, std::string node,
-                Members members, Send send);
+                Members members, Send send, Confirm confirm);
 
   /// Records where a stream began; call before its first event is passed on.
   void record(const StreamKey& key, const StreamOrigin& origin, TimePoint now);
@@ -49,6 +53,8 @@
   void resolve(const StreamKey& key, const std::string& service, TimePoint now, Resolved resolved);
   /// @param address datagram address of the sender.
   void take(const StreamOriginMessage& message, const std::string& address, TimePoint now);
+  /// The log has confirmed the versions that this node sees.
+  void confirmed(TimePoint now);
   /// Whether this node sees only a part of the replicas, so that its own view does not show that a
   /// single version serves.
   void set_view_partial(bool partial) { view_partial_ = partial; }
@@ -79,18 +85,24 @@
   /// @return datagram addresses of the best witnesses of a stream, without this node.
   std::vector<std::string> witnesses(const StreamKey& key, std::size_t count) const;
   void answer(const StreamOriginQuestion& question, const std::string& address, TimePoint now);
-  std::optional<StreamOrigin> sole_origin(const std::string& service) const;
+  VersionView view_for(const PendingInquiry& pending) const;
+  /// Sends the question to all nodes that have not answered it.
+  void ask(const StreamKey& key, const PendingInquiry& pending);
   void finish_if_certain(const StreamKey& key, TimePoint now);
+  /// Ends all questions whose result is certain.
+  void finish_certain(TimePoint now);
 
   const Knobs& knobs_;
   const SoftwareVersions& versions_;
   const std::string node_;
   const Members members_;
   const Send send_;
+  const Confirm confirm_;
   StreamOriginTable table_;
   std::map<StreamKey, PendingInquiry> inquiries_;
   std::deque<Repeat> repeats_;
   bool view_partial_ = false;
+  TimePoint last_tick_{};
 };
 
 }  // namespace dockpoint
--- a/include/dockpoint/routing/software_versions.hpp
+++ b/include/dockpoint/routing/software_versions.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -29,6 +30,10 @@
   void restore(const std::vector<ServedVersion>& versions, TimePoint now);
   /// Notes the versions that serve now.
   void observe(const ReplicaDirectory& replicas, TimePoint now);
+  /// All replicas that were recorded in the log before this time have been observed.
+  void confirm(TimePoint as_of) { confirmed_at_ = std::max(confirmed_at_, as_of); }
+  /// @return whether all replicas that were recorded before this time have been observed.
+  bool confirmed_since(TimePoint time) const { return confirmed_at_ >= time; }
   /// @return the only version of the service, or nothing if there are several or none, or if there
   /// may have been others.
   std::optional<std::string> sole(const std::string& service) const;
@@ -40,6 +45,7 @@
  private:
   const Knobs& knobs_;
   bool history_known_ = true;
+  TimePoint confirmed_at_{};
   std::uint64_t revision_ = 0;  ///< Of the directory that `serving_` was read from.
   std::map<std::string, std::set<std::string>> serving_;  ///< Versions by service.
   /// When replicas of each version were last seen, by service and version.
--- a/include/dockpoint/streaming/origin_inquiry.hpp
+++ b/include/dockpoint/streaming/origin_inquiry.hpp
@@ -14,7 +14,9 @@
 enum class OriginSource {
   kOwnRecord,    ///< This node served the stream or is one of its witnesses.
   kPeerRecord,   ///< Another node answered.
-  kSoleVersion,  ///< No node has a record, and all see the same single software version.
+  kSoleVersion,  ///< No node has a record, and a single software version serves.
+  kUnconfirmed,  ///< No node has a record, and the log did not confirm that the only version that
+                 ///< this node sees is the only one that serves.
   kUnknown,      ///< No node has a record, and there may be several versions.
 };
 
@@ -27,11 +29,21 @@
   Duration age{};  ///< Of this node's record, or of the inquiry.
 };
 
+/// What a node's own view shows of the software versions of a service.
+struct VersionView {
+  std::optional<StreamOrigin> sole;  ///< Origin of all streams, if it shows a single version.
+  bool may_be_several = false;       ///< It shows several versions, or only a part of the replicas.
+  bool history_known = true;         ///< Whether it includes the versions that served before.
+  /// Whether the log has confirmed, since the stream was resumed, that the view lacks no replica.
+  bool confirmed = false;
+};
+
 /// Asks other nodes for the origin of a stream that a caller resumes.
 ///
 /// A wrong origin joins the output of two versions, while a caller whose stream cannot go on can
-/// start again. So without a record the stream goes on only if no node has seen a second version.
-/// Not thread-safe.
+/// start again. So without a record the stream goes on only if no node has seen a second version,
+/// and the log has confirmed this node's view: a node that is cut off neither hears of a second
+/// version nor of the nodes that know it. Not thread-safe.
 class OriginInquiry {
  public:
   /// @param asked addresses of the nodes that are asked.
@@ -41,18 +53,22 @@
   /// A node answered that it has no record.
   void add_unknown(const std::string& address, bool several_versions);
 
-  /// @param sole origin of all streams if this node has seen a single software version.
-  /// @param sole_pending whether this node does not know yet which versions served before.
   /// @return the result, or nothing while answers may still change it.
-  std::optional<OriginVerdict> verdict(const std::optional<StreamOrigin>& sole, TimePoint now,
-                                       const Knobs& knobs, bool sole_pending = false) const;
+  std::optional<OriginVerdict> verdict(const VersionView& view, TimePoint now,
+                                       const Knobs& knobs) const;
+  /// Starts the wait for answers anew, after a pause in which none could be received.
+  void restart(TimePoint now) { asked_at_ = now; }
+  /// @return when the question was asked, or the wait was started anew.
+  TimePoint asked_at() const { return asked_at_; }
+  /// @return whether a confirmation of this node's view can settle the question.
+  bool needs_confirmation(const VersionView& view) const;
   /// @return addresses of the nodes that have not answered.
   const std::set<std::string>& awaited() const { return awaited_; }
   /// @return whether the question should be repeated now; true once per interval.
   bool repeat_due(TimePoint now, const Knobs& knobs);
 
  private:
-  const TimePoint asked_at_;
+  TimePoint asked_at_;
   TimePoint sent_at_;
   std::set<std::string> awaited_;
   std::optional<StreamOrigin> record_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -113,7 +113,11 @@
           [this]() -> const std::vector<const Member*>& { return peers_.alive(); },
           [this](const std::string& address, const std::string& bytes) {
             peers_.send_bytes(address, bytes);
-          }),
+          },
+          [this](TimePoint as_of) { request_version_confirmation(as_of); }),
+      replica_barrier_(
+          knobs, log_, parts.fleet_topics.replicas, [this] { return fleet_.replicas_position(); },
+          [this](TimePoint as_of) { confirm_versions(as_of); }),
       crash_watch_(
           context_, log_, parts.quarantine_topic, combine_hash(hash64(settings_.node), run_id_),
           [this]() -> const std::vector<const Member*>& { return peers_.alive(); },
@@ -223,6 +227,7 @@
   crash_watch_.tick(now);
   software_versions_.observe(replicas_, now);
   version_log_.tick(fleet_.slices() > 1, now);
+  replica_barrier_.tick();
   stream_origins_.set_view_partial(fleet_.slices() > 1);
   stream_origins_.tick(now);
   refresh_outliers(now);
@@ -310,6 +315,20 @@
                      [this](const Member* member) { return member->id == settings_.node; });
 }
 
+void Gateway::request_version_confirmation(TimePoint as_of) {
+  // Without any records the read would return all of them.
+  if (fleet_.replicas_known()) {
+    replica_barrier_.request(as_of, net::steady_now());
+  }
+}
+
+void Gateway::confirm_versions(TimePoint as_of) {
+  const TimePoint now = net::steady_now();
+  software_versions_.observe(replicas_, now);
+  software_versions_.confirm(as_of);
+  stream_origins_.confirmed(now);
+}
+
 void Gateway::request_slot(const Replica& replica) {
   if (batch_.yield_slot(replica.record.id)) {
     return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -11,6 +11,7 @@
 #include "dockpoint/core/life.hpp"
 #include "dockpoint/core/suspension_detector.hpp"
 #include "dockpoint/log/hedged_log.hpp"
+#include "dockpoint/log/read_barrier.hpp"
 #include "dockpoint/membership/stream_origins.hpp"
 #include "gateway/address_resolver.hpp"
 #include "gateway/batch_service.hpp"
@@ -91,6 +92,10 @@
   void request_slot(const Replica& replica);
   /// @return whether this node writes and removes the record of a version.
   bool keeps_version_record(const ServedVersion& version) const;
+  /// Has the log confirm that this node knows all replicas, as of a moment.
+  void request_version_confirmation(TimePoint as_of);
+  /// The log has confirmed that this node knows all replicas, as of a moment.
+  void confirm_versions(TimePoint as_of);
   /// Handles a peer's request to yield a batch item's slot.
   void handle_slot_request(const SlotRequest& request);
   void serve_frontend(const net::ExchangePtr& exchange);
@@ -150,6 +155,7 @@
   PeerLink peers_;
   VersionLog version_log_;
   StreamOrigins stream_origins_;
+  ReadBarrier replica_barrier_;
   CrashWatch crash_watch_;
   BatchService batch_;
   AddressResolver address_resolver_;
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -130,8 +130,13 @@
       "originAgeMs={} service={} software={}",
       info_.id, info_.resumed_attempt, fingerprint().hex(), *last_event_, to_string(origin_source_),
       to_ms(origin_age_), service_, origin_.software_version);
-  refuse(known ? "no replica of the stream's software version"
-               : "the stream's software version is unknown");
+  if (known) {
+    refuse("no replica of the stream's software version");
+  } else if (origin_source_ == OriginSource::kUnconfirmed) {
+    refuse("the log has not confirmed that a single software version serves");
+  } else {
+    refuse("the stream's software version is unknown");
+  }
 }
 
 void OnlineCall::record_origin() {
--- a/src/membership/stream_origins.cpp
+++ b/src/membership/stream_origins.cpp
@@ -8,12 +8,13 @@
 namespace dockpoint {
 
 StreamOrigins::StreamOrigins(const Knobs& knobs, const SoftwareVersions& versions, std::string node,
-                             Members members, Send send)
+                             Members members, Send send, Confirm confirm)
     : knobs_(knobs),
       versions_(versions),
       node_(std::move(node)),
       members_(std::move(members)),
       send_(std::move(send)),
+      confirm_(std::move(confirm)),
       table_(knobs) {}
 
 bool StreamOrigins::must_announce(const std::string& service) const {
@@ -79,12 +80,9 @@
     return;
   }
   const std::vector<std::string> asked = witnesses(key, knobs_.stream_origin_asked);
-  inquiries_.emplace(key,
-                     PendingInquiry{OriginInquiry(asked, now), service, {std::move(resolved)}});
-  const std::string question = encode(StreamOriginMessage{{}, {{key, service}}, {}});
-  for (const std::string& address : asked) {
-    send_(address, question);
-  }
+  const auto added = inquiries_.emplace(
+      key, PendingInquiry{OriginInquiry(asked, now), service, {std::move(resolved)}});
+  ask(key, added.first->second);
   finish_if_certain(key, now);
 }
 
@@ -121,18 +119,30 @@
   send_(address, encode(message));
 }
 
-std::optional<StreamOrigin> StreamOrigins::sole_origin(const std::string& service) const {
-  const std::optional<std::string> version = versions_.sole(service);
-  return version ? std::optional(StreamOrigin{service, *version}) : std::nullopt;
+VersionView StreamOrigins::view_for(const PendingInquiry& pending) const {
+  VersionView view;
+  view.history_known = versions_.history_known();
+  view.confirmed = versions_.confirmed_since(pending.inquiry.asked_at());
+  view.may_be_several = view_partial_ || versions_.several(pending.service);
+  if (const std::optional<std::string> version = versions_.sole(pending.service)) {
+    view.sole = StreamOrigin{pending.service, *version};
+  }
+  return view;
 }
 
 void StreamOrigins::finish_if_certain(const StreamKey& key, TimePoint now) {
   const auto pending = inquiries_.find(key);
-  const auto verdict = pending->second.inquiry.verdict(sole_origin(pending->second.service), now,
-                                                       knobs_, !versions_.history_known());
+  const OriginInquiry& inquiry = pending->second.inquiry;
+  const VersionView view = view_for(pending->second);
+  // Limits end at ticks only, which notice pauses of this process.
+  auto verdict = inquiry.verdict(view, last_tick_, knobs_);
   if (!verdict) {
+    if (inquiry.needs_confirmation(view)) {
+      confirm_(inquiry.asked_at());
+    }
     return;
   }
+  verdict->age = now - inquiry.asked_at();
   const std::vector<Resolved> resolved = std::move(pending->second.resolved);
   inquiries_.erase(pending);
   for (const Resolved& notify : resolved) {
@@ -148,26 +158,48 @@
   }
 }
 
+void StreamOrigins::confirmed(TimePoint now) {
+  finish_certain(now);
+}
+
+void StreamOrigins::ask(const StreamKey& key, const PendingInquiry& pending) {
+  const std::string question = encode(StreamOriginMessage{{}, {{key, pending.service}}, {}});
+  for (const std::string& address : pending.inquiry.awaited()) {
+    send_(address, question);
+  }
+}
+
+void StreamOrigins::finish_certain(TimePoint now) {
+  std::vector<StreamKey> pending;
+  for (const auto& [key, entry] : inquiries_) {
+    pending.push_back(key);
+  }
+  for (const StreamKey& key : pending) {
+    if (inquiries_.contains(key)) {
+      finish_if_certain(key, now);
+    }
+  }
+}
+
 void StreamOrigins::tick(TimePoint now) {
+  // After a pause of this process the answers may wait in its socket.
+  const bool paused = now - last_tick_ > knobs_.stream_origin_question_limit / 2;
+  last_tick_ = now;
   table_.forget_old(now);
   announce_earlier_streams(now);
   while (!repeats_.empty() && repeats_.front().at <= now) {
     send_to_witnesses(repeats_.front().records);
     repeats_.pop_front();
   }
-  std::vector<StreamKey> pending;
   for (auto& [key, entry] : inquiries_) {
-    pending.push_back(key);
+    if (paused) {
+      entry.inquiry.restart(now);
+    }
     if (entry.inquiry.repeat_due(now, knobs_)) {
-      const std::string question = encode(StreamOriginMessage{{}, {{key, entry.service}}, {}});
-      for (const std::string& address : entry.inquiry.awaited()) {
-        send_(address, question);
-      }
+      ask(key, entry);
     }
   }
-  for (const StreamKey& key : pending) {
-    finish_if_certain(key, now);
-  }
+  finish_certain(now);
 }
 
 }  // namespace dockpoint
--- a/src/streaming/origin_inquiry.cpp
+++ b/src/streaming/origin_inquiry.cpp
@@ -10,6 +10,8 @@
       return "peer_record";
     case OriginSource::kSoleVersion:
       return "sole_version";
+    case OriginSource::kUnconfirmed:
+      return "unconfirmed";
     case OriginSource::kUnknown:
       break;
   }
@@ -24,21 +26,31 @@
   several_versions_ = several_versions_ || several_versions;
 }
 
-std::optional<OriginVerdict> OriginInquiry::verdict(const std::optional<StreamOrigin>& sole,
-                                                    TimePoint now, const Knobs& knobs,
-                                                    bool sole_pending) const {
+bool OriginInquiry::needs_confirmation(const VersionView& view) const {
+  const bool may_be_sole = !several_versions_ && !view.may_be_several;
+  return may_be_sole && !view.confirmed && (view.sole || !view.history_known);
+}
+
+std::optional<OriginVerdict> OriginInquiry::verdict(const VersionView& view, TimePoint now,
+                                                    const Knobs& knobs) const {
   const Duration age = now - asked_at_;
   if (record_) {
     return OriginVerdict{*record_, OriginSource::kPeerRecord, age};
   }
-  const bool may_change = !awaited_.empty() || (sole_pending && !several_versions_);
-  if (may_change && age < knobs.stream_origin_question_limit) {
+  const bool awaits_answers = !awaited_.empty() && age < knobs.stream_origin_question_limit;
+  const bool may_be_sole = !several_versions_ && !view.may_be_several;
+  const bool log_may_settle = may_be_sole && (needs_confirmation(view) || !view.history_known);
+  const bool awaits_log = log_may_settle && age < knobs.stream_origin_confirmation_limit;
+  if (awaits_answers || awaits_log) {
     return std::nullopt;
   }
-  if (sole && !several_versions_) {
-    return OriginVerdict{*sole, OriginSource::kSoleVersion, age};
+  if (log_may_settle) {
+    return OriginVerdict{{}, OriginSource::kUnconfirmed, age};
+  }
+  if (!may_be_sole || !view.sole) {
+    return OriginVerdict{{}, OriginSource::kUnknown, age};
   }
-  return OriginVerdict{{}, OriginSource::kUnknown, age};
+  return OriginVerdict{*view.sole, OriginSource::kSoleVersion, age};
 }
 
 bool OriginInquiry::repeat_due(TimePoint now, const Knobs& knobs) {
--- a/tests/membership/stream_origins_exploration_test.cpp
+++ b/tests/membership/stream_origins_exploration_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -44,6 +45,7 @@
   int hash_differs = 0;  ///< A version chosen by hashing alone would have been another one.
   int messages = 0;
   int writes = 0;  ///< Changes of the log's records of versions.
+  int reads = 0;   ///< Of the log's end, to confirm views.
   int streams = 0;
   int resumed() const { return right + mixed + refused; }
 };
@@ -124,6 +126,9 @@
     std::unique_ptr<VersionRecords> records;
     TimePoint history_at{};  ///< When it learns of earlier versions.
     bool history_known = false;
+    TimePoint wanted_as_of{};             ///< Of the view's last requested confirmation.
+    std::optional<TimePoint> read_since;  ///< Begin of the pending read that confirms the view.
+    TimePoint confirmed_at{};             ///< Up to which the view is complete.
     std::set<std::string> known_versions;
   };
   struct Message {
@@ -156,7 +161,8 @@
         [borrowed]() -> const std::vector<const Member*>& { return borrowed->alive; },
         [this, number](const std::string& address, const std::string& bytes) {
           send(number, address, bytes);
-        });
+        },
+        [this, borrowed](TimePoint as_of) { borrowed->wanted_as_of = as_of; });
     node->records =
         std::make_unique<VersionRecords>([this, borrowed, number](const ServedVersion& version) {
           return keeps(*borrowed, number, version);
@@ -241,10 +247,35 @@
     }
   }
 
+  bool log_reachable(int number) const {
+    return scenario_.outage.kind == OutOfStep::kSuspended || !out_of_step(number);
+  }
+
+  /// Reads the end of the log for an inquiry, as ReadBarrier does.
+  void confirm_view(int number) {
+    Node& node = *nodes_.at(number);
+    if (!log_reachable(number)) {
+      node.read_since.reset();
+      return;
+    }
+    if (node.read_since && now_ - *node.read_since >= kLogTime) {
+      node.confirmed_at = *node.read_since;
+      node.read_since.reset();
+      update_view(number);
+      node.versions.confirm(node.confirmed_at);
+      node.origins->confirmed(now_);
+    }
+    if (!node.read_since && node.wanted_as_of > node.confirmed_at) {
+      ++outcome_.reads;
+      node.read_since = now_;
+    }
+  }
+
   void update_view(int number) {
     Node& node = *nodes_.at(number);
     const Duration time = view_is_old(number) ? scenario_.outage.from : now_ - start_;
-    const Duration seen = time - view_delays_[static_cast<std::size_t>(number)];
+    const Duration seen =
+        std::max(time - view_delays_[static_cast<std::size_t>(number)], node.confirmed_at - start_);
     show(node, "v1", seen < kFirstVersionGoneAt);
     show(node, "v2", seen >= kSecondVersionAt);
     node.versions.observe(node.replicas, now_);
@@ -314,6 +345,7 @@
       }
       update_view(number);
       use_log(*node);
+      confirm_view(number);
       if (time % 50ms == Duration{}) {
         node->origins->tick(now_);
       }
@@ -441,7 +473,7 @@
     Node& node = *found->second;
     const bool servable = node.replicas.serves("lm", stream.origin.software_version);
     outcome_.hash_differs += hashed_version(stream.key, node) != stream.hashed_version ? 1 : 0;
-    if (verdict.source == OriginSource::kUnknown) {
+    if (verdict.origin.unknown()) {
       ++(servable ? outcome_.refused : outcome_.unservable);
       return;
     }
@@ -481,6 +513,7 @@
     total.hash_differs += outcome.hash_differs;
     total.messages += outcome.messages;
     total.writes += outcome.writes;
+    total.reads += outcome.reads;
     total.streams += outcome.streams;
   }
   BOOST_TEST_MESSAGE("witnesses " << knobs.stream_origin_witnesses << ": streams " << total.streams
@@ -488,7 +521,7 @@
                                   << " refused " << total.refused << " unservable "
                                   << total.unservable << " hashing alone differs "
                                   << total.hash_differs << " messages " << total.messages
-                                  << " writes " << total.writes);
+                                  << " writes " << total.writes << " reads " << total.reads);
   return total;
 }
 
--- /dev/null
+++ b/tests/membership/stream_origins_test.cpp
@@ -0,0 +1,125 @@
+#include "dockpoint/membership/stream_origins.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+using namespace dockpoint;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint kNow = TimePoint{} + 1000s;
+const StreamKey kStream = stream_key("", "first");
+
+/// A node that sees a single version, and one other member.
+struct Fixture {
+  Knobs knobs;
+  ReplicaDirectory replicas{knobs};
+  SoftwareVersions versions{knobs};
+  Member peer;
+  std::vector<const Member*> alive{&peer};
+  std::optional<TimePoint> confirmation_wanted;
+  std::optional<OriginVerdict> verdict;
+  StreamOrigins origins{knobs,
+                        versions,
+                        "node",
+                        [this]() -> const std::vector<const Member*>& { return alive; },
+                        [](const std::string&, const std::string&) {},
+                        [this](TimePoint as_of) { confirmation_wanted = as_of; }};
+
+  Fixture() {
+    peer.id = "peer";
+    peer.peer_address = "peer";
+    peer.capabilities = kAllCapabilities;
+    ReplicaRecord record{"replica", "lm", {}, "zone", 8, false, {}};
+    record.software_version = "v1";
+    replicas.upsert(record, kNow);
+    versions.observe(replicas, kNow);
+    origins.tick(kNow);
+  }
+  void resolve(TimePoint now) {
+    origins.resolve(kStream, "lm", now, [this](const OriginVerdict& found) { verdict = found; });
+  }
+  void confirm(TimePoint as_of, TimePoint now) {
+    versions.confirm(as_of);
+    origins.confirmed(now);
+  }
+  void run(TimePoint from, Duration time) {
+    for (Duration passed{}; passed <= time; passed += 50ms) {
+      origins.tick(from + passed);
+    }
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(stream_origins, Fixture)
+
+BOOST_AUTO_TEST_CASE(a_node_without_other_members_has_its_view_confirmed) {
+  alive.clear();
+  resolve(kNow);
+  BOOST_TEST(!verdict.has_value());
+  BOOST_TEST((confirmation_wanted == kNow));
+  confirm(kNow, kNow + 20ms);
+  BOOST_REQUIRE(verdict.has_value());
+  BOOST_TEST((verdict->source == OriginSource::kSoleVersion));
+}
+
+BOOST_AUTO_TEST_CASE(a_confirmation_of_before_the_return_does_not_count) {
+  alive.clear();
+  resolve(kNow);
+  confirm(kNow - 1ms, kNow);
+  BOOST_TEST(!verdict.has_value());
+  run(kNow, knobs.stream_origin_confirmation_limit);
+  BOOST_REQUIRE(verdict.has_value());
+  BOOST_TEST((verdict->source == OriginSource::kUnconfirmed));
+}
+
+// The record that the peer sent waits in the node's socket when its timers run.
+BOOST_AUTO_TEST_CASE(answers_that_arrived_during_a_pause_are_read_before_a_question_ends) {
+  resolve(kNow);
+  const TimePoint resumed = kNow + 2s;
+  origins.tick(resumed);
+  BOOST_TEST(!verdict.has_value());
+  StreamOriginMessage answer;
+  answer.records.push_back({kStream, {"lm", "v2"}});
+  origins.take(answer, "peer", resumed);
+  BOOST_REQUIRE(verdict.has_value());
+  BOOST_TEST(verdict->origin.software_version == "v2");
+}
+
+// One of the answers is read before the timers run.
+BOOST_AUTO_TEST_CASE(the_first_answer_after_a_pause_does_not_end_the_question) {
+  Member other = peer;
+  other.id = "other";
+  other.peer_address = "other";
+  alive.push_back(&other);
+  resolve(kNow);
+  confirm(kNow, kNow);
+  StreamOriginMessage unknown;
+  unknown.unknown.push_back({kStream, false});
+  origins.take(unknown, "peer", kNow + 2s);
+  BOOST_TEST(!verdict.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_sees_a_part_of_the_replicas_claims_no_sole_version) {
+  alive.clear();
+  origins.set_view_partial(true);
+  resolve(kNow);
+  BOOST_REQUIRE(verdict.has_value());
+  BOOST_TEST((verdict->source == OriginSource::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_read_while_several_versions_are_known) {
+  ReplicaRecord record{"second", "lm", {}, "zone", 8, false, {}};
+  record.software_version = "v2";
+  replicas.upsert(record, kNow);
+  versions.observe(replicas, kNow);
+  resolve(kNow);
+  run(kNow, knobs.stream_origin_question_limit);
+  BOOST_TEST(!confirmation_wanted.has_value());
+  BOOST_REQUIRE(verdict.has_value());
+  BOOST_TEST((verdict->source == OriginSource::kUnknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/streaming/origin_inquiry_test.cpp
+++ b/tests/streaming/origin_inquiry_test.cpp
@@ -8,7 +8,10 @@
 namespace {
 
 constexpr TimePoint kNow = TimePoint{} + 1000s;
-const StreamOrigin kFirst{"lm", "v1"};
+/// A view with a single version, confirmed by the log.
+const VersionView kFirst{StreamOrigin{"lm", "v1"}, false, true, true};
+/// The same before the log has confirmed it.
+const VersionView kUnconfirmed{StreamOrigin{"lm", "v1"}, false, true, false};
 
 struct Fixture {
   Knobs knobs;
@@ -34,7 +37,7 @@
   inquiry.add_unknown("b", false);
   const auto verdict = inquiry.verdict(kFirst, kNow, knobs);
   BOOST_REQUIRE(verdict.has_value());
-  BOOST_TEST((verdict->origin == kFirst));
+  BOOST_TEST((verdict->origin == *kFirst.sole));
   BOOST_TEST((verdict->source == OriginSource::kSoleVersion));
 }
 
@@ -48,8 +51,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(no_version_is_assumed_if_this_node_sees_several) {
-  const auto verdict =
-      inquiry.verdict(std::nullopt, kNow + knobs.stream_origin_question_limit, knobs);
+  const VersionView several{std::nullopt, true, true, true};
+  const auto verdict = inquiry.verdict(several, kNow + knobs.stream_origin_question_limit, knobs);
   BOOST_REQUIRE(verdict.has_value());
   BOOST_TEST((verdict->source == OriginSource::kUnknown));
 }
@@ -65,4 +68,39 @@
   BOOST_TEST(inquiry.verdict(kFirst, kNow + knobs.stream_origin_question_limit, knobs).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(no_version_is_assumed_before_the_log_has_confirmed_the_view) {
+  inquiry.add_unknown("a", false);
+  inquiry.add_unknown("b", false);
+  BOOST_TEST(inquiry.needs_confirmation(kUnconfirmed));
+  BOOST_TEST(!inquiry.verdict(kUnconfirmed, kNow, knobs).has_value());
+  const auto verdict =
+      inquiry.verdict(kUnconfirmed, kNow + knobs.stream_origin_confirmation_limit, knobs);
+  BOOST_REQUIRE(verdict.has_value());
+  BOOST_TEST(verdict->origin.unknown());
+  BOOST_TEST((verdict->source == OriginSource::kUnconfirmed));
+}
+
+BOOST_AUTO_TEST_CASE(silence_of_all_other_nodes_is_no_agreement) {
+  for (const Duration age :
+       {knobs.stream_origin_question_limit, knobs.stream_origin_confirmation_limit}) {
+    const auto verdict = inquiry.verdict(kUnconfirmed, kNow + age, knobs);
+    BOOST_TEST((!verdict || verdict->source == OriginSource::kUnconfirmed));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_log_is_not_waited_for_if_several_versions_are_known) {
+  inquiry.add_unknown("a", true);
+  inquiry.add_unknown("b", false);
+  BOOST_TEST(!inquiry.needs_confirmation(kUnconfirmed));
+  BOOST_TEST(inquiry.verdict(kUnconfirmed, kNow, knobs).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(answers_are_waited_for_anew_after_a_pause) {
+  const TimePoint later = kNow + knobs.stream_origin_confirmation_limit;
+  inquiry.restart(later);
+  BOOST_TEST(!inquiry.verdict(kFirst, later, knobs).has_value());
+  BOOST_TEST(
+      inquiry.verdict(kFirst, later + knobs.stream_origin_question_limit, knobs).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
