Real nodes: a node that was out of step resumes no stream at an older version

Nodes on real sockets: one stands still, its datagram socket is full and its log does not answer, while a second software version joins; streams that began there break, the other nodes end, and the callers come back to that node while it still stands. On the code as landed 12 of 24 streams go on at the older version (the other 12 began at it):

online: stream resumed ... replica=r1 software=v1 before=v1 origin=sole_version originAgeMs=254 recordsAgeMs=1530

--- a/tests/platform/resumed_streams_test.cpp
+++ b/tests/platform/resumed_streams_test.cpp
@@ -3,6 +3,7 @@
 /// version.
 
 #include <algorithm>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <list>
 #include <map>
@@ -69,8 +70,8 @@
   }
 };
 
-/// Three nodes and replicas of two software versions.
-struct Fixture {
+/// Nodes and replicas, at first none.
+struct Fleet {
   boost::asio::io_context loop{1};
   StandInStore store{loop, GatewayNode::kStorePort, GatewayNode::kPartitions};
   net::HttpClient caller{loop};
@@ -80,16 +81,6 @@
   std::vector<net::ExchangePtr> stalled;
   int requests = 0;
 
-  Fixture() {
-    store.put(platform::kConfigurationTopic, platform::kConfigurationKey, kConfiguration);
-    add_replicas("v1", kReplicasPerVersion);
-    add_replicas("v2", kReplicasPerVersion);
-    for (int node = 1; node <= kNodes; ++node) {
-      nodes[node] = std::make_unique<GatewayNode>(loop, node);
-    }
-    wait_until_ready();
-  }
-
   void add_replicas(const std::string& version, int count) {
     for (int index = 0; index < count; ++index) {
       add_replica(version);
@@ -103,13 +94,15 @@
     replicas.emplace_back(loop, id, port, [this, version](const net::ExchangePtr& exchange) {
       run(version, exchange);
     });
-    put_record(id, port, "ready");
+    store.put(platform::kReplicasTopic, id, record_of(id));
   }
 
-  void put_record(const std::string& id, std::uint16_t port, const std::string& state) {
-    nlohmann::json record = replica_record("127.0.0.1:" + std::to_string(port), 8, state);
+  /// @return the record of a ready replica, by the number in its id.
+  std::string record_of(const std::string& id) {
+    const int port = kFirstReplicaPort + std::stoi(id.substr(1));
+    nlohmann::json record = replica_record("127.0.0.1:" + std::to_string(port), 8, "ready");
     record["version"] = version_of[id];
-    store.put(platform::kReplicasTopic, id, record.dump());
+    return record.dump();
   }
 
   /// Runs a stream: resumes it after `Last-Event-Id` if the request names one.
@@ -132,7 +125,9 @@
     }
   }
 
-  void poll_once() {
+  virtual ~Fleet() = default;
+
+  virtual void poll_once() {
     loop.run_one_for(std::chrono::milliseconds(5));
     store.tick();
   }
@@ -148,14 +143,17 @@
   /// Waits until all nodes know all replicas and each other.
   void wait_until_ready() {
     for (const auto& [number, node] : nodes) {
-      wait_for([&, number = number] {
-        ReceivedStream stream;
-        attempt(stream, number, "/here/1", "whole");
-        return stream.status == 200;
-      });
+      wait_until_serves(number);
     }
     run_for(std::chrono::seconds(1));
   }
+  void wait_until_serves(int node) {
+    wait_for([&] {
+      ReceivedStream stream;
+      attempt(stream, node, "/here/1", "whole");
+      return stream.status == 200;
+    });
+  }
 
   /// Starts an attempt of a caller: its first one, or one that resumes the stream.
   std::shared_ptr<std::optional<net::SimpleCall::Outcome>> start_attempt(ReceivedStream& stream,
@@ -262,6 +260,76 @@
   }
 };
 
+/// Three nodes and replicas of two software versions.
+struct Fixture : Fleet {
+  Fixture() {
+    store.put(platform::kConfigurationTopic, platform::kConfigurationKey, kConfiguration);
+    add_replicas("v1", kReplicasPerVersion);
+    add_replicas("v2", kReplicasPerVersion);
+    for (int node = 1; node <= kNodes; ++node) {
+      nodes[node] = std::make_unique<GatewayNode>(loop, node);
+    }
+    wait_until_ready();
+  }
+};
+
+/// Replicas of one software version, and a last node that can stand still and be cut off from the
+/// log: it runs on an event loop of its own, and follows a copy of the log.
+struct OutOfStepFixture : Fleet {
+  static constexpr std::uint16_t kCopyPort = GatewayNode::kStorePort + 1;
+  static constexpr int kOutOfStep = kNodes;
+
+  boost::asio::io_context own_loop{1};
+  StandInStore copy{loop, kCopyPort, GatewayNode::kPartitions};
+  std::unique_ptr<GatewayNode> out_of_step;
+  bool stands_still = false;
+
+  OutOfStepFixture() {
+    add_replicas("v1", kReplicasPerVersion);
+    for (StandInStore* log : {&store, &copy}) {
+      log->put(platform::kConfigurationTopic, platform::kConfigurationKey, kConfiguration);
+    }
+    for (const auto& [id, version] : version_of) {
+      copy.put(platform::kReplicasTopic, id, record_of(id));
+    }
+    for (int node = 1; node < kOutOfStep; ++node) {
+      nodes[node] = std::make_unique<GatewayNode>(loop, node);
+    }
+    out_of_step = std::make_unique<GatewayNode>(own_loop, kOutOfStep, kCopyPort);
+    wait_until_ready();
+    wait_until_serves(kOutOfStep);
+  }
+
+  /// The node stands still, hears no datagram that is sent to it from now on, and is cut off from
+  /// the log.
+  void fall_out_of_step() {
+    stands_still = true;
+    copy.log.faults.down = true;
+    fill_datagram_buffer();
+  }
+
+  /// Sends the node more datagrams than its socket holds, so that all later ones are lost.
+  void fill_datagram_buffer() {
+    constexpr int kDatagrams = 2000;
+    const Address address = *Address::parse(GatewayNode::settings(kOutOfStep).datagram_address);
+    boost::asio::ip::udp::socket socket(loop, boost::asio::ip::udp::v4());
+    const boost::asio::ip::udp::endpoint target(boost::asio::ip::make_address(address.host),
+                                                address.port);
+    const std::string noise(1000, '\0');
+    for (int sent = 0; sent < kDatagrams; ++sent) {
+      socket.send_to(boost::asio::buffer(noise), target);
+    }
+  }
+
+  void poll_once() override {
+    Fleet::poll_once();
+    copy.tick();
+    if (!stands_still) {
+      own_loop.run_for(std::chrono::milliseconds(1));
+    }
+  }
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(resumed_streams, Fixture)
@@ -307,6 +375,32 @@
   BOOST_TEST(complete(streams) == kStreams);
 }
 
+// It hears no other node, and its view of the replicas lacks the version that joined meanwhile.
+BOOST_FIXTURE_TEST_CASE(a_node_that_was_out_of_step_resumes_no_stream_at_an_older_version,
+                        OutOfStepFixture) {
+  fall_out_of_step();
+  add_replicas("v2", kReplicasPerVersion);
+  run_for(std::chrono::milliseconds(500));
+  std::vector<ReceivedStream> streams(kStreams);
+  for (ReceivedStream& stream : streams) {
+    attempt(stream, 2, "/caller/1", kBreaks);
+    BOOST_REQUIRE(stream.last_event == kBreakAfter);
+  }
+  nodes.clear();
+  std::vector<std::shared_ptr<std::optional<net::SimpleCall::Outcome>>> results;
+  for (ReceivedStream& stream : streams) {
+    results.push_back(start_attempt(stream, kOutOfStep, "/caller/1", kBreaks));
+  }
+  run_for(std::chrono::milliseconds(500));
+  stands_still = false;
+  for (int index = 0; index < kStreams; ++index) {
+    const auto& result = results[static_cast<std::size_t>(index)];
+    wait_for([&] { return result->has_value(); });
+    streams[static_cast<std::size_t>(index)].take((*result)->body);
+  }
+  BOOST_TEST(mixed(streams) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(an_interrupted_item_keeps_its_software_version) {
   const std::vector<std::string> jobs = submit_jobs(4, 6, kBreaksInBase64);
   BOOST_TEST(spoiled(wait_for_texts(jobs, 6)) == 0);
