--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -24,4 +24,6 @@
   node --test --test-concurrency=1 --test-reporter=spec tests/system/
 run "soak of real processes, short" scripts/with-test-ports.sh env DOCKPOINT_BINARIES="$PWD/$folder" \
   node tests/platform/soak/soak.mjs --seed 201 --seconds 30
+run "soak of real processes, a node out of step" scripts/with-test-ports.sh env DOCKPOINT_BINARIES="$PWD/$folder" \
+  node tests/platform/soak/soak.mjs --seed 3 --replicas 8 --out-of-step
 [ "$failures" = 0 ]
--- a/tests/platform/soak/soak.mjs
+++ b/tests/platform/soak/soak.mjs
@@ -10,7 +10,7 @@
 // Changes of the configuration change both limits and which of the two is the more urgent.
 //
 //     node tests/platform/soak/soak.mjs [--seed N] [--seconds N] [--nodes N] [--replicas N] [--service-ms N]
-//         [--instance N] [--replacement-pause FACTOR]
+//         [--instance N] [--replacement-pause FACTOR] [--out-of-step]
 //
 // Some requests crash the replica that runs them and come again, under other ids, at any node; replicas crash
 // for other reasons too. Once a request has crashed three replicas, few further attempts of it reach one.
@@ -25,6 +25,10 @@
 //
 // Several readers read each job at any node. What one of them has read a while ago, all of them find.
 //
+// With `--out-of-step` the one trouble is that a node stands still, hears no datagram and is cut off from the log while
+// a second software version joins. Streams that begin there meanwhile break, since all other nodes are killed; their
+// callers come back to that node, most of them while it stands still.
+//
 // In fleets of more than 20 nodes the slots of replicas are dealt among them: `--nodes 24 --replicas 8
 // --service-ms 100`, by hand. Then the nodes' own slots must not add up to more than there are in calm times.
 //
@@ -32,6 +36,7 @@
 // nodes stay in the folder that it names. It ends only processes that it has started.
 
 import { mkdtempSync, writeFileSync } from 'node:fs';
+import dgram from 'node:dgram';
 import http from 'node:http';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
@@ -51,6 +56,7 @@
     instance: { type: 'string', default: '0' },
     /** Multiplies the time between two replacements of replicas. */
     'replacement-pause': { type: 'string', default: '1' },
+    'out-of-step': { type: 'boolean', default: false },
   },
 });
 const seconds = Number(options.seconds);
@@ -116,6 +122,10 @@
 const RECENT_JOBS = 4;
 /** What was read this long ago is to be found at all nodes. */
 const SETTLED_MS = 1000;
+/** The time before a node falls out of step, in which all nodes see one software version. */
+const IN_STEP_MS = 3000;
+/** More datagrams than the socket of a node holds. */
+const DATAGRAMS_OF_A_FULL_SOCKET = 2000;
 /** Attempts of a caller to resume its stream. */
 const STREAM_RETRIES = 3;
 /** Requests that nobody waits for have their answers after this time. */
@@ -138,6 +148,7 @@
 const versionRandom = generator(Number(options.seed) + 2);
 const partRandom = generator(Number(options.seed) + 3);
 const endRandom = generator(Number(options.seed) + 4);
+const outOfStepRandom = generator(Number(options.seed) + 5);
 /** Apart from the faults' numbers: how many of these are drawn depends on the machine's pace. */
 const tenantRandom = generator(Number(options.seed) + 1);
 const pick = (list, from = random) => list[Math.floor(from() * list.length)];
@@ -341,9 +352,45 @@
   }
 }
 
+/** The node that callers of broken streams come back to, if there is one. */
+let returnsTo = null;
+
+/** Sends a node more datagrams than its socket holds, so that it hears nothing that is sent later. */
+async function fillDatagramSocket(machine) {
+  const socket = dgram.createSocket('udp4');
+  const noise = Buffer.alloc(1000);
+  const send = () => new Promise((resolve) => { socket.send(noise, NODE_PORTS.datagrams, machine.ip, resolve); });
+  for (let sent = 0; sent < DATAGRAMS_OF_A_FULL_SOCKET; ++sent) await send();
+  socket.close();
+}
+
+/** One node is out of step while a second software version joins; then the others are killed. */
+async function fallOutOfStep() {
+  await sleep(IN_STEP_MS);
+  const machine = pick(machines, outOfStepRandom);
+  say(`${machine.name} falls out of step`);
+  machine.storeLink.set('silent');
+  machine.process.signal('SIGSTOP');
+  machine.frozen = true;
+  await fillDatagramSocket(machine);
+  for (let number = 0; number < REPLICAS; number += 2) crashReplica(number, 'v2');
+  await sleep(between(1600, 2500, outOfStepRandom));
+  returnsTo = machine;
+  for (const other of machines) {
+    if (other !== machine) other.process.signal('SIGKILL');
+  }
+  await sleep(between(50, 400, outOfStepRandom));
+  machine.process.signal('SIGCONT');
+  machine.frozen = false;
+  await sleep(between(1000, 4000, outOfStepRandom));
+  returnsTo = null;
+  machine.storeLink.set('pass');
+  say(`${machine.name} is in step again`);
+}
+
 /** Replaces replicas by others of another software version. */
 async function replaceReplicas() {
-  while (!finished) {
+  while (!finished && !options['out-of-step']) {
     await sleep(between(1500, 4000, versionRandom) * Number(options['replacement-pause']));
     const number = Math.floor(versionRandom() * REPLICAS);
     const to = pick(VERSIONS, versionRandom);
@@ -385,7 +432,9 @@
     const headers = resumed
       ? { 'Attempt-Id': `${firstId}-${attempt}`, Resumes: firstId, 'Last-Event-Id': events.length }
       : { 'Attempt-Id': firstId };
-    const answer = await readStream(pick(machines, versionRandom).ip, target, headers);
+    const any = pick(machines, versionRandom);
+    const machine = resumed && returnsTo !== null ? returnsTo : any;
+    const answer = await readStream(machine.ip, target, headers);
     if (answer.status === 200) {
       events.push(...answer.events);
       const wanted = events.map((_, index) => `id: ${index + 1}\ndata: ${target} ${index + 1} `);
@@ -732,6 +781,10 @@
 }
 
 async function makeFaults() {
+  if (options['out-of-step']) {
+    await makeFault(fallOutOfStep);
+    return;
+  }
   while (Date.now() - started < seconds * 1000) {
     const turn = random();
     if (turn < 0.15) {
