A record under a request's content does not decide against those of other nodes

Callers that name no attempt are found by the content of their request. Two of them with the same content at two software versions share the key, and a node that had served one of them decided the other one's return by its own record at once; a node whose records contradicted each other answered as if it had none (read in the code; the users' callers name their attempts, so this is not taken for the reported cases).

Such a record now counts only if all asked nodes have answered and none contradicts it, and a node says when its records do (an appended field; older builds do not send it). While a single version is confirmed nothing changes but a round trip; with several versions and a silent node the return is refused.

Tests: stream_origins, three cases; on the code before, the first one's verdict is there at once, from the own record (by reading: the interface changed). Not measured: how often callers without an attempt are refused during a release.

--- a/include/dockpoint/membership/stream_origins.hpp
+++ b/include/dockpoint/membership/stream_origins.hpp
@@ -49,8 +49,10 @@
   void record(const StreamKey& key, const StreamOrigin& origin, TimePoint now);
   /// Finds the origin of a stream, now or after answers of other nodes. An unanswered question ends
   /// with an unknown origin.
+  /// @param identity what the key stands for.
   /// @param service of the stream's route; empty if the route has several.
-  void resolve(const StreamKey& key, const std::string& service, TimePoint now, Resolved resolved);
+  void resolve(const StreamKey& key, StreamIdentity identity, const std::string& service,
+               TimePoint now, Resolved resolved);
   /// @param address datagram address of the sender.
   void take(const StreamOriginMessage& message, const std::string& address, TimePoint now);
   /// The log has confirmed the versions that this node sees.
--- a/include/dockpoint/streaming/origin_inquiry.hpp
+++ b/include/dockpoint/streaming/origin_inquiry.hpp
@@ -38,20 +38,32 @@
   bool confirmed = false;
 };
 
+/// What a stream is known by.
+enum class StreamIdentity {
+  kAttempt,  ///< The id of its caller's first attempt: a record is of this stream.
+  kContent,  ///< The content of its request: a record may be of another caller's stream.
+};
+
 /// Asks other nodes for the origin of a stream that a caller resumes.
 ///
 /// A wrong origin joins the output of two versions, while a caller whose stream cannot go on can
 /// start again. So without a record the stream goes on only if no node has seen a second version,
 /// and the log has confirmed this node's view: a node that is cut off neither hears of a second
-/// version nor of the nodes that know it. Not thread-safe.
+/// version nor of the nodes that know it. A record under the content of a request counts only if
+/// all asked nodes have answered and none contradicts it. Not thread-safe.
 class OriginInquiry {
  public:
   /// @param asked addresses of the nodes that are asked.
-  OriginInquiry(const std::vector<std::string>& asked, TimePoint now);
+  OriginInquiry(const std::vector<std::string>& asked, TimePoint now,
+                StreamIdentity identity = StreamIdentity::kAttempt);
 
-  void add_record(const StreamOrigin& origin) { record_ = origin; }
+  /// This node has a record.
+  void add_own_record(const StreamOrigin& origin);
+  /// A node answered with its record.
+  void add_record(const std::string& address, const StreamOrigin& origin);
   /// A node answered that it has no record.
-  void add_unknown(const std::string& address, bool several_versions);
+  /// @param contradictory whether it has several that contradict each other.
+  void add_unknown(const std::string& address, bool several_versions, bool contradictory = false);
 
   /// @return the result, or nothing while answers may still change it.
   std::optional<OriginVerdict> verdict(const VersionView& view, TimePoint now,
@@ -68,11 +80,16 @@
   bool repeat_due(TimePoint now, const Knobs& knobs);
 
  private:
+  void note_record(const StreamOrigin& origin, OriginSource source);
+
   TimePoint asked_at_;
   TimePoint sent_at_;
   std::set<std::string> awaited_;
+  const StreamIdentity identity_;
   std::optional<StreamOrigin> record_;
+  OriginSource record_source_ = OriginSource::kPeerRecord;
   bool several_versions_ = false;
+  bool contradictory_ = false;
 };
 
 }  // namespace dockpoint
--- a/include/dockpoint/streaming/stream_origin_message.hpp
+++ b/include/dockpoint/streaming/stream_origin_message.hpp
@@ -22,6 +22,8 @@
   StreamKey key;
   /// Whether the sender has seen several software versions of the service.
   bool several_versions = false;
+  /// Whether the sender knows streams of different origins under the key. Appended.
+  bool contradictory = false;
 };
 
 /// One message. Messages may be lost, duplicated or delayed.
--- a/include/dockpoint/streaming/stream_origin_table.hpp
+++ b/include/dockpoint/streaming/stream_origin_table.hpp
@@ -39,6 +39,8 @@
   void record(const StreamOriginRecord& record, bool announced, TimePoint now);
   /// @return the origin, or nothing if it is unknown or contradictory.
   std::optional<KnownOrigin> find(const StreamKey& key, TimePoint now) const;
+  /// @return whether streams of different origins were recorded under the key.
+  bool contradictory(const StreamKey& key) const;
   /// Marks records of which no witness has been told as announced.
   /// @param wanted whether the witnesses of a service's streams are told.
   /// @return those records.
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -98,7 +98,9 @@
 void OnlineCall::find_origin(TimePoint now) {
   const std::string service =
       route_.services.size() == 1 ? route_.services.front().service : std::string{};
-  context_.stream_origins->resolve(resumed_key(), service, now,
+  const StreamIdentity identity =
+      info_.resumed_attempt.empty() ? StreamIdentity::kContent : StreamIdentity::kAttempt;
+  context_.stream_origins->resolve(resumed_key(), identity, service, now,
                                    [weak = weak_from_this()](const OriginVerdict& verdict) {
                                      if (const auto self = weak.lock()) {
                                        self->resume_stream(verdict);
--- a/src/membership/stream_origins.cpp
+++ b/src/membership/stream_origins.cpp
@@ -68,12 +68,17 @@
   return addresses;
 }
 
-void StreamOrigins::resolve(const StreamKey& key, const std::string& service, TimePoint now,
-                            Resolved resolved) {
-  if (const auto known = table_.find(key, now)) {
+void StreamOrigins::resolve(const StreamKey& key, StreamIdentity identity,
+                            const std::string& service, TimePoint now, Resolved resolved) {
+  const std::optional<KnownOrigin> known = table_.find(key, now);
+  if (known && identity == StreamIdentity::kAttempt) {
     resolved({known->origin, OriginSource::kOwnRecord, known->age});
     return;
   }
+  if (table_.contradictory(key)) {
+    resolved({{}, OriginSource::kUnknown, {}});
+    return;
+  }
   const auto pending = inquiries_.find(key);
   if (pending != inquiries_.end()) {
     pending->second.resolved.push_back(std::move(resolved));
@@ -81,7 +86,10 @@
   }
   const std::vector<std::string> asked = witnesses(key, knobs_.stream_origin_asked);
   const auto added = inquiries_.emplace(
-      key, PendingInquiry{OriginInquiry(asked, now), service, {std::move(resolved)}});
+      key, PendingInquiry{OriginInquiry(asked, now, identity), service, {std::move(resolved)}});
+  if (known) {
+    added.first->second.inquiry.add_own_record(known->origin);
+  }
   ask(key, added.first->second);
   finish_if_certain(key, now);
 }
@@ -92,7 +100,7 @@
     table_.record(record, true, now);
     const auto pending = inquiries_.find(record.key);
     if (pending != inquiries_.end()) {
-      pending->second.inquiry.add_record(record.origin);
+      pending->second.inquiry.add_record(address, record.origin);
       finish_if_certain(record.key, now);
     }
   }
@@ -102,7 +110,7 @@
   for (const StreamOriginUnknown& unknown : message.unknown) {
     const auto pending = inquiries_.find(unknown.key);
     if (pending != inquiries_.end()) {
-      pending->second.inquiry.add_unknown(address, unknown.several_versions);
+      pending->second.inquiry.add_unknown(address, unknown.several_versions, unknown.contradictory);
       finish_if_certain(unknown.key, now);
     }
   }
@@ -114,7 +122,8 @@
   if (const auto known = table_.find(question.key, now)) {
     message.records.push_back({question.key, known->origin});
   } else {
-    message.unknown.push_back({question.key, versions_.several(question.service)});
+    message.unknown.push_back(
+        {question.key, versions_.several(question.service), table_.contradictory(question.key)});
   }
   send_(address, encode(message));
 }
--- a/src/streaming/origin_inquiry.cpp
+++ b/src/streaming/origin_inquiry.cpp
@@ -18,12 +18,33 @@
   return "unknown";
 }
 
-OriginInquiry::OriginInquiry(const std::vector<std::string>& asked, TimePoint now)
-    : asked_at_(now), sent_at_(now), awaited_(asked.begin(), asked.end()) {}
+OriginInquiry::OriginInquiry(const std::vector<std::string>& asked, TimePoint now,
+                             StreamIdentity identity)
+    : asked_at_(now), sent_at_(now), awaited_(asked.begin(), asked.end()), identity_(identity) {}
 
-void OriginInquiry::add_unknown(const std::string& address, bool several_versions) {
+void OriginInquiry::note_record(const StreamOrigin& origin, OriginSource source) {
+  if (record_) {
+    contradictory_ = contradictory_ || *record_ != origin;
+    return;
+  }
+  record_ = origin;
+  record_source_ = source;
+}
+
+void OriginInquiry::add_own_record(const StreamOrigin& origin) {
+  note_record(origin, OriginSource::kOwnRecord);
+}
+
+void OriginInquiry::add_record(const std::string& address, const StreamOrigin& origin) {
+  awaited_.erase(address);
+  note_record(origin, OriginSource::kPeerRecord);
+}
+
+void OriginInquiry::add_unknown(const std::string& address, bool several_versions,
+                                bool contradictory) {
   awaited_.erase(address);
   several_versions_ = several_versions_ || several_versions;
+  contradictory_ = contradictory_ || contradictory;
 }
 
 bool OriginInquiry::needs_confirmation(const VersionView& view) const {
@@ -34,8 +55,11 @@
 std::optional<OriginVerdict> OriginInquiry::verdict(const VersionView& view, TimePoint now,
                                                     const Knobs& knobs) const {
   const Duration age = now - asked_at_;
-  if (record_) {
-    return OriginVerdict{*record_, OriginSource::kPeerRecord, age};
+  if (contradictory_) {
+    return OriginVerdict{{}, OriginSource::kUnknown, age};
+  }
+  if (record_ && identity_ == StreamIdentity::kAttempt) {
+    return OriginVerdict{*record_, record_source_, age};
   }
   const bool awaits_answers = !awaited_.empty() && age < knobs.stream_origin_question_limit;
   const bool may_be_sole = !several_versions_ && !view.may_be_several;
@@ -44,6 +68,9 @@
   if (awaits_answers || awaits_log) {
     return std::nullopt;
   }
+  if (record_ && awaited_.empty()) {
+    return OriginVerdict{*record_, record_source_, age};
+  }
   if (log_may_settle) {
     return OriginVerdict{{}, OriginSource::kUnconfirmed, age};
   }
--- a/src/streaming/stream_origin_message.cpp
+++ b/src/streaming/stream_origin_message.cpp
@@ -30,7 +30,8 @@
   std::uint64_t high = 0;
   std::uint64_t low = 0;
   bool several_versions = false;
-  DOCKPOINT_FIELDS(high, low, several_versions)
+  bool contradictory = false;  ///< Appended: older builds do not send it.
+  DOCKPOINT_FIELDS(high, low, several_versions, contradictory)
 };
 
 struct MessageWire {
@@ -52,7 +53,8 @@
     wire.questions.push_back({question.key.high, question.key.low, question.service});
   }
   for (const StreamOriginUnknown& unknown : message.unknown) {
-    wire.unknown.push_back({unknown.key.high, unknown.key.low, unknown.several_versions});
+    wire.unknown.push_back(
+        {unknown.key.high, unknown.key.low, unknown.several_versions, unknown.contradictory});
   }
   return kStreamOriginTag + pack(wire);
 }
@@ -78,7 +80,8 @@
     message.questions.push_back({{question.high, question.low}, std::move(question.service)});
   }
   for (const UnknownWire& unknown : wire->unknown) {
-    message.unknown.push_back({{unknown.high, unknown.low}, unknown.several_versions});
+    message.unknown.push_back(
+        {{unknown.high, unknown.low}, unknown.several_versions, unknown.contradictory});
   }
   return message;
 }
--- a/src/streaming/stream_origin_table.cpp
+++ b/src/streaming/stream_origin_table.cpp
@@ -31,6 +31,11 @@
   return KnownOrigin{found->second.origin, now - found->second.confirmed_at};
 }
 
+bool StreamOriginTable::contradictory(const StreamKey& key) const {
+  const auto found = entries_.find(key);
+  return found != entries_.end() && found->second.contradictory;
+}
+
 std::vector<StreamOriginRecord> StreamOriginTable::take_unannounced(
     const std::function<bool(const std::string& service)>& wanted) {
   std::vector<StreamOriginRecord> records;
--- a/tests/membership/stream_origins_exploration_test.cpp
+++ b/tests/membership/stream_origins_exploration_test.cpp
@@ -459,9 +459,9 @@
       }
       stream.waits = false;
       Node& node = *nodes_.at(stream.node);
-      node.origins->resolve(stream.key, "lm", now_, [this, stream](const OriginVerdict& verdict) {
-        resumed(stream, verdict);
-      });
+      node.origins->resolve(
+          stream.key, StreamIdentity::kAttempt, "lm", now_,
+          [this, stream](const OriginVerdict& verdict) { resumed(stream, verdict); });
     }
   }
 
--- a/tests/membership/stream_origins_test.cpp
+++ b/tests/membership/stream_origins_test.cpp
@@ -31,14 +31,18 @@
     peer.id = "peer";
     peer.peer_address = "peer";
     peer.capabilities = kAllCapabilities;
-    ReplicaRecord record{"replica", "lm", {}, "zone", 8, false, {}};
-    record.software_version = "v1";
-    replicas.upsert(record, kNow);
-    versions.observe(replicas, kNow);
+    add_version("v1");
     origins.tick(kNow);
   }
-  void resolve(TimePoint now) {
-    origins.resolve(kStream, "lm", now, [this](const OriginVerdict& found) { verdict = found; });
+  void resolve(TimePoint now, StreamIdentity identity = StreamIdentity::kAttempt) {
+    origins.resolve(kStream, identity, "lm", now,
+                    [this](const OriginVerdict& found) { verdict = found; });
+  }
+  void add_version(const std::string& version) {
+    ReplicaRecord record{"replica-" + version, "lm", {}, "zone", 8, false, {}};
+    record.software_version = version;
+    replicas.upsert(record, kNow);
+    versions.observe(replicas, kNow);
   }
   void confirm(TimePoint as_of, TimePoint now) {
     versions.confirm(as_of);
@@ -110,11 +114,45 @@
   BOOST_TEST((verdict->source == OriginSource::kUnknown));
 }
 
+// Two callers with the same content, at two versions: this node served one of them.
+BOOST_AUTO_TEST_CASE(a_record_under_a_content_does_not_decide_against_that_of_another_node) {
+  origins.record(kStream, {"lm", "v1"}, kNow);
+  resolve(kNow, StreamIdentity::kContent);
+  BOOST_TEST(!verdict.has_value());
+  StreamOriginMessage answer;
+  answer.records.push_back({kStream, {"lm", "v2"}});
+  origins.take(answer, "peer", kNow);
+  BOOST_REQUIRE(verdict.has_value());
+  BOOST_TEST((verdict->source == OriginSource::kUnknown));
+  verdict.reset();
+  resolve(kNow, StreamIdentity::kContent);
+  BOOST_REQUIRE(verdict.has_value());
+  BOOST_TEST((verdict->source == OriginSource::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(a_record_under_a_content_decides_if_no_node_contradicts_it) {
+  add_version("v2");
+  origins.record(kStream, {"lm", "v1"}, kNow);
+  resolve(kNow, StreamIdentity::kContent);
+  BOOST_TEST(!verdict.has_value());
+  StreamOriginMessage answer;
+  answer.unknown.push_back({kStream, true, false});
+  origins.take(answer, "peer", kNow);
+  BOOST_REQUIRE(verdict.has_value());
+  BOOST_TEST(verdict->origin.software_version == "v1");
+}
+
+BOOST_AUTO_TEST_CASE(silent_nodes_may_contradict_a_record_under_a_content) {
+  add_version("v2");
+  origins.record(kStream, {"lm", "v1"}, kNow);
+  resolve(kNow, StreamIdentity::kContent);
+  run(kNow, knobs.stream_origin_question_limit);
+  BOOST_REQUIRE(verdict.has_value());
+  BOOST_TEST((verdict->source == OriginSource::kUnknown));
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_read_while_several_versions_are_known) {
-  ReplicaRecord record{"second", "lm", {}, "zone", 8, false, {}};
-  record.software_version = "v2";
-  replicas.upsert(record, kNow);
-  versions.observe(replicas, kNow);
+  add_version("v2");
   resolve(kNow);
   run(kNow, knobs.stream_origin_question_limit);
   BOOST_TEST(!confirmation_wanted.has_value());
--- a/tests/streaming/origin_inquiry_test.cpp
+++ b/tests/streaming/origin_inquiry_test.cpp
@@ -24,7 +24,7 @@
 
 BOOST_AUTO_TEST_CASE(the_first_record_decides) {
   BOOST_TEST(!inquiry.verdict(kFirst, kNow, knobs).has_value());
-  inquiry.add_record({"lm", "v2"});
+  inquiry.add_record("a", {"lm", "v2"});
   const auto verdict = inquiry.verdict(kFirst, kNow, knobs);
   BOOST_REQUIRE(verdict.has_value());
   BOOST_TEST(verdict->origin.software_version == "v2");
--- a/tests/streaming/stream_origin_message_test.cpp
+++ b/tests/streaming/stream_origin_message_test.cpp
@@ -32,6 +32,15 @@
   BOOST_TEST(decoded->unknown[0].several_versions);
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_of_a_build_without_contradictions_is_read) {
+  const auto decoded = decode_stream_origin_message("\xc5\x93\x90\x90\x91\x93\x05\x06\xc3");
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_REQUIRE(decoded->unknown.size() == 1U);
+  BOOST_TEST((decoded->unknown[0].key == StreamKey{5, 6}));
+  BOOST_TEST(decoded->unknown[0].several_versions);
+  BOOST_TEST(!decoded->unknown[0].contradictory);
+}
+
 BOOST_AUTO_TEST_CASE(a_full_message_fits_into_a_datagram) {
   StreamOriginMessage message;
   const std::string long_name(100, 'x');
