Questions for origins: pauses that recur end them, and content keys need evidence of their own

- Each gap of 125 ms between two ticks started a question's wait anew, so that a loaded node kept callers until their deadlines.
Now three times at most: pauses_that_recur_do_not_prolong_a_question_without_end.
- A record under a content decided where nobody could be asked and the log was silent: a_record_under_a_content_does_not_decide_at_a_node_that_hears_nobody.
- A second caller with the same content joined the first one's question, and was answered by a confirmation of before its return: a_caller_with_the_same_content_needs_a_confirmation_of_its_own.
- ReadBarrier dropped an end that the view had reached meanwhile when a newer one was read.
- a_node_that_was_out_of_step... passed for a node that fails all requests: it now wants 503, and a new case wants streams of the only version to go on at a real node once the log has confirmed it.
- stream_origins_exploration: groups that are cut off together and see only each other.

The new constant in origin_inquiry_test is kConfirmed for kFirst, a view in place of an origin.

--- a/include/dockpoint/log/read_barrier.hpp
+++ b/include/dockpoint/log/read_barrier.hpp
@@ -15,12 +15,13 @@
 /// the view; etcd's ReadIndex and ZooKeeper's sync rest on the same argument.
 namespace dockpoint {
 
-/// See the top of this file. Single-threaded; borrows the log. May be destroyed at any time.
+/// See the top of this file. Single-threaded; borrows the log.
 class ReadBarrier {
  public:
   /// @return the offset up to which the view includes all records.
   using Position = std::function<LogOffset()>;
-  /// Called when the view includes all records that were appended before `as_of`.
+  /// Called when the view includes all records that were appended before `as_of`, the moment at
+  /// which a read began. Must not destroy the barrier.
   using Passed = std::function<void(TimePoint as_of)>;
 
   ReadBarrier(const Knobs& knobs, PartitionedLog& log, TopicPartition partition, Position position,
--- a/include/dockpoint/membership/stream_origins.hpp
+++ b/include/dockpoint/membership/stream_origins.hpp
@@ -70,6 +70,9 @@
     OriginInquiry inquiry;
     std::string service;
     std::vector<Resolved> resolved;
+    /// Callers with the same content who came back later: what is known as of before does not show
+    /// where their streams began.
+    std::vector<Resolved> later{};
   };
   struct Repeat {
     TimePoint at{};
--- a/include/dockpoint/streaming/origin_inquiry.hpp
+++ b/include/dockpoint/streaming/origin_inquiry.hpp
@@ -34,7 +34,8 @@
   std::optional<StreamOrigin> sole;  ///< Origin of all streams, if it shows a single version.
   bool may_be_several = false;       ///< It shows several versions, or only a part of the replicas.
   bool history_known = true;         ///< Whether it includes the versions that served before.
-  /// Whether the log has confirmed, since the stream was resumed, that the view lacks no replica.
+  /// Whether the log has confirmed, since the stream was resumed, that the view lacks no current
+  /// record of a replica.
   bool confirmed = false;
 };
 
@@ -68,8 +69,10 @@
   /// @return the result, or nothing while answers may still change it.
   std::optional<OriginVerdict> verdict(const VersionView& view, TimePoint now,
                                        const Knobs& knobs) const;
-  /// Starts the wait for answers anew, after a pause in which none could be received.
-  void restart(TimePoint now) { asked_at_ = now; }
+  /// Starts the wait for answers anew, after a pause in which none could be received. Only a few
+  /// times, so that pauses that recur do not prolong the wait without end.
+  void restart(TimePoint now);
+  StreamIdentity identity() const { return identity_; }
   /// @return when the question was asked, or the wait was started anew.
   TimePoint asked_at() const { return asked_at_; }
   /// @return whether a confirmation of this node's view can settle the question.
@@ -83,6 +86,8 @@
   void note_record(const StreamOrigin& origin, OriginSource source);
 
   TimePoint asked_at_;
+  int restarts_ = 0;
+  const bool asked_any_;
   TimePoint sent_at_;
   std::set<std::string> awaited_;
   const StreamIdentity identity_;
--- a/src/log/read_barrier.cpp
+++ b/src/log/read_barrier.cpp
@@ -31,6 +31,7 @@
               }
               state->read_pending = false;
               if (outcome.status == LogStatus::kOk) {
+                tick();  // The view may have reached the end that was read before.
                 state->end = End{now, outcome.end};
                 tick();
               }
--- a/src/membership/stream_origins.cpp
+++ b/src/membership/stream_origins.cpp
@@ -81,7 +81,9 @@
   }
   const auto pending = inquiries_.find(key);
   if (pending != inquiries_.end()) {
-    pending->second.resolved.push_back(std::move(resolved));
+    std::vector<Resolved>& waiting =
+        identity == StreamIdentity::kContent ? pending->second.later : pending->second.resolved;
+    waiting.push_back(std::move(resolved));
     return;
   }
   const std::vector<std::string> asked = witnesses(key, knobs_.stream_origin_asked);
@@ -152,11 +154,19 @@
     return;
   }
   verdict->age = now - inquiry.asked_at();
-  const std::vector<Resolved> resolved = std::move(pending->second.resolved);
+  const PendingInquiry ended = std::move(pending->second);
   inquiries_.erase(pending);
-  for (const Resolved& notify : resolved) {
+  for (const Resolved& notify : ended.resolved) {
     notify(*verdict);
   }
+  if (!ended.later.empty()) {
+    resolve(key, ended.inquiry.identity(), ended.service, now,
+            [later = ended.later](const OriginVerdict& found) {
+              for (const Resolved& notify : later) {
+                notify(found);
+              }
+            });
+  }
 }
 
 void StreamOrigins::announce_earlier_streams(TimePoint now) {
--- a/src/streaming/origin_inquiry.cpp
+++ b/src/streaming/origin_inquiry.cpp
@@ -1,6 +1,11 @@
 #include "dockpoint/streaming/origin_inquiry.hpp"
 
 namespace dockpoint {
+namespace {
+
+constexpr int kMaxRestarts = 3;
+
+}  // namespace
 
 const char* to_string(OriginSource source) {
   switch (source) {
@@ -20,7 +25,18 @@
 
 OriginInquiry::OriginInquiry(const std::vector<std::string>& asked, TimePoint now,
                              StreamIdentity identity)
-    : asked_at_(now), sent_at_(now), awaited_(asked.begin(), asked.end()), identity_(identity) {}
+    : asked_at_(now),
+      asked_any_(!asked.empty()),
+      sent_at_(now),
+      awaited_(asked.begin(), asked.end()),
+      identity_(identity) {}
+
+void OriginInquiry::restart(TimePoint now) {
+  if (restarts_ < kMaxRestarts) {
+    ++restarts_;
+    asked_at_ = now;
+  }
+}
 
 void OriginInquiry::note_record(const StreamOrigin& origin, OriginSource source) {
   if (record_) {
@@ -68,12 +84,12 @@
   if (awaits_answers || awaits_log) {
     return std::nullopt;
   }
-  if (record_ && awaited_.empty()) {
-    return OriginVerdict{*record_, record_source_, age};
-  }
   if (log_may_settle) {
     return OriginVerdict{{}, OriginSource::kUnconfirmed, age};
   }
+  if (record_ && asked_any_ && awaited_.empty()) {
+    return OriginVerdict{*record_, record_source_, age};
+  }
   if (!may_be_sole || !view.sole) {
     return OriginVerdict{{}, OriginSource::kUnknown, age};
   }
--- a/tests/membership/stream_origins_exploration_test.cpp
+++ b/tests/membership/stream_origins_exploration_test.cpp
@@ -65,6 +65,7 @@
   kCutOff,          ///< Each is cut off from the log and from all other nodes.
   kMembersLost,     ///< The same, and after a while they see no other member.
   kCutOffTogether,  ///< They are cut off from the log and the other nodes, but hear each other.
+  kGroupLost,       ///< The same, and after a while they see no other member than each other.
   kLogOutOfReach,   ///< They are cut off from the log only.
   kSuspended,       ///< They do nothing; what reaches them waits.
 };
@@ -201,6 +202,7 @@
       case OutOfStep::kMembersLost:
         return !out_of_step(from) && !out_of_step(to);
       case OutOfStep::kCutOffTogether:
+      case OutOfStep::kGroupLost:
         return out_of_step(from) == out_of_step(to);
       case OutOfStep::kLogOutOfReach:
       case OutOfStep::kSuspended:
@@ -283,16 +285,28 @@
     for (int other = 0; other < kNodes; ++other) {
       const auto dead = dead_since_.find(other);
       const bool seen_alive = dead == dead_since_.end() || now_ - dead->second < kDeathNoticedAfter;
-      if (seen_alive && (other == number || !lost_from_view(number))) {
+      if (seen_alive && !lost_from_view(number, other)) {
         node.alive.push_back(&members_[static_cast<std::size_t>(other)]);
       }
     }
   }
 
-  /// @return whether the node takes all other members for dead.
-  bool lost_from_view(int number) const {
-    return scenario_.outage.kind == OutOfStep::kMembersLost && out_of_step(number) &&
-           now_ - start_ >= scenario_.outage.from + kDeathNoticedAfter;
+  /// @return whether a node that is out of step takes another one for dead.
+  bool lost_from_view(int number, int other) const {
+    const bool noticed =
+        out_of_step(number) && now_ - start_ >= scenario_.outage.from + kDeathNoticedAfter;
+    switch (scenario_.outage.kind) {
+      case OutOfStep::kMembersLost:
+        return noticed && other != number;
+      case OutOfStep::kGroupLost:
+        return noticed && !out_of_step(other);
+      case OutOfStep::kCutOff:
+      case OutOfStep::kCutOffTogether:
+      case OutOfStep::kLogOutOfReach:
+      case OutOfStep::kSuspended:
+        break;
+    }
+    return false;
   }
 
   static void show(Node& node, const std::string& version, bool serves) {
@@ -538,6 +552,8 @@
     {OutOfStep::kSuspended, 1, 5900ms, 6500ms},
     {OutOfStep::kSuspended, 3, 5500ms, 7s},
     {OutOfStep::kSuspended, 8, 6150ms, 6600ms},
+    {OutOfStep::kGroupLost, 3},
+    {OutOfStep::kGroupLost, 5},
 };
 
 Scenario with_outage(const Outage& outage) {
--- a/tests/membership/stream_origins_test.cpp
+++ b/tests/membership/stream_origins_test.cpp
@@ -151,6 +151,40 @@
   BOOST_TEST((verdict->source == OriginSource::kUnknown));
 }
 
+BOOST_AUTO_TEST_CASE(a_record_under_a_content_does_not_decide_at_a_node_that_hears_nobody) {
+  alive.clear();
+  origins.record(kStream, {"lm", "v1"}, kNow);
+  resolve(kNow, StreamIdentity::kContent);
+  run(kNow, knobs.stream_origin_confirmation_limit);
+  BOOST_REQUIRE(verdict.has_value());
+  BOOST_TEST((verdict->source == OriginSource::kUnconfirmed));
+}
+
+// The stream of the second caller may have begun after the confirmation that the first one waits
+// for.
+BOOST_AUTO_TEST_CASE(a_caller_with_the_same_content_needs_a_confirmation_of_its_own) {
+  alive.clear();
+  std::vector<OriginSource> sources;
+  const auto add = [&](const OriginVerdict& found) { sources.push_back(found.source); };
+  origins.resolve(kStream, StreamIdentity::kContent, "lm", kNow, add);
+  origins.resolve(kStream, StreamIdentity::kContent, "lm", kNow + 20ms, add);
+  confirm(kNow, kNow + 40ms);
+  BOOST_TEST(sources.size() == 1U);
+  confirm(kNow + 40ms, kNow + 60ms);
+  BOOST_REQUIRE(sources.size() == 2U);
+  BOOST_TEST((sources[1] == OriginSource::kSoleVersion));
+}
+
+BOOST_AUTO_TEST_CASE(pauses_that_recur_do_not_prolong_a_question_without_end) {
+  constexpr Duration kPause = 150ms;
+  constexpr int kMaxPauses = 12;
+  resolve(kNow);
+  for (int pause = 1; pause <= kMaxPauses; ++pause) {
+    origins.tick(kNow + pause * kPause);
+  }
+  BOOST_TEST(verdict.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_read_while_several_versions_are_known) {
   add_version("v2");
   resolve(kNow);
--- a/tests/platform/resumed_streams_test.cpp
+++ b/tests/platform/resumed_streams_test.cpp
@@ -396,11 +396,28 @@
   for (int index = 0; index < kStreams; ++index) {
     const auto& result = results[static_cast<std::size_t>(index)];
     wait_for([&] { return result->has_value(); });
+    BOOST_TEST((*result)->head.status == 503);
     streams[static_cast<std::size_t>(index)].take((*result)->body);
   }
   BOOST_TEST(mixed(streams) == 0);
 }
 
+// No other node is left that knows where the streams began.
+BOOST_FIXTURE_TEST_CASE(a_stream_of_the_only_version_goes_on_once_the_log_has_confirmed_it,
+                        OutOfStepFixture) {
+  std::vector<ReceivedStream> streams(kStreams);
+  for (ReceivedStream& stream : streams) {
+    attempt(stream, 2, "/caller/1", kBreaks);
+    BOOST_REQUIRE(stream.last_event == kBreakAfter);
+  }
+  nodes.clear();
+  for (ReceivedStream& stream : streams) {
+    attempt(stream, kOutOfStep, "/caller/1", kBreaks);
+  }
+  BOOST_TEST(mixed(streams) == 0);
+  BOOST_TEST(complete(streams) == kStreams);
+}
+
 BOOST_AUTO_TEST_CASE(an_interrupted_item_keeps_its_software_version) {
   const std::vector<std::string> jobs = submit_jobs(4, 6, kBreaksInBase64);
   BOOST_TEST(spoiled(wait_for_texts(jobs, 6)) == 0);
--- a/tests/streaming/origin_inquiry_test.cpp
+++ b/tests/streaming/origin_inquiry_test.cpp
@@ -9,7 +9,7 @@
 
 constexpr TimePoint kNow = TimePoint{} + 1000s;
 /// A view with a single version, confirmed by the log.
-const VersionView kFirst{StreamOrigin{"lm", "v1"}, false, true, true};
+const VersionView kConfirmed{StreamOrigin{"lm", "v1"}, false, true, true};
 /// The same before the log has confirmed it.
 const VersionView kUnconfirmed{StreamOrigin{"lm", "v1"}, false, true, false};
 
@@ -23,9 +23,9 @@
 BOOST_FIXTURE_TEST_SUITE(origin_inquiry, Fixture)
 
 BOOST_AUTO_TEST_CASE(the_first_record_decides) {
-  BOOST_TEST(!inquiry.verdict(kFirst, kNow, knobs).has_value());
+  BOOST_TEST(!inquiry.verdict(kConfirmed, kNow, knobs).has_value());
   inquiry.add_record("a", {"lm", "v2"});
-  const auto verdict = inquiry.verdict(kFirst, kNow, knobs);
+  const auto verdict = inquiry.verdict(kConfirmed, kNow, knobs);
   BOOST_REQUIRE(verdict.has_value());
   BOOST_TEST(verdict->origin.software_version == "v2");
   BOOST_TEST((verdict->source == OriginSource::kPeerRecord));
@@ -33,18 +33,18 @@
 
 BOOST_AUTO_TEST_CASE(without_a_record_a_sole_version_is_assumed_once_all_have_answered) {
   inquiry.add_unknown("a", false);
-  BOOST_TEST(!inquiry.verdict(kFirst, kNow, knobs).has_value());
+  BOOST_TEST(!inquiry.verdict(kConfirmed, kNow, knobs).has_value());
   inquiry.add_unknown("b", false);
-  const auto verdict = inquiry.verdict(kFirst, kNow, knobs);
+  const auto verdict = inquiry.verdict(kConfirmed, kNow, knobs);
   BOOST_REQUIRE(verdict.has_value());
-  BOOST_TEST((verdict->origin == *kFirst.sole));
+  BOOST_TEST((verdict->origin == *kConfirmed.sole));
   BOOST_TEST((verdict->source == OriginSource::kSoleVersion));
 }
 
 BOOST_AUTO_TEST_CASE(no_version_is_assumed_if_a_peer_has_seen_several) {
   inquiry.add_unknown("a", true);
   inquiry.add_unknown("b", false);
-  const auto verdict = inquiry.verdict(kFirst, kNow, knobs);
+  const auto verdict = inquiry.verdict(kConfirmed, kNow, knobs);
   BOOST_REQUIRE(verdict.has_value());
   BOOST_TEST(verdict->origin.unknown());
   BOOST_TEST((verdict->source == OriginSource::kUnknown));
@@ -57,6 +57,13 @@
   BOOST_TEST((verdict->source == OriginSource::kUnknown));
 }
 
+BOOST_AUTO_TEST_CASE(no_version_is_assumed_if_this_node_has_seen_none) {
+  const VersionView none{std::nullopt, false, true, true};
+  const auto verdict = inquiry.verdict(none, kNow + knobs.stream_origin_question_limit, knobs);
+  BOOST_REQUIRE(verdict.has_value());
+  BOOST_TEST((verdict->source == OriginSource::kUnknown));
+}
+
 BOOST_AUTO_TEST_CASE(silent_nodes_are_asked_again_and_waited_for_until_the_limit) {
   inquiry.add_unknown("a", false);
   BOOST_TEST(!inquiry.repeat_due(kNow, knobs));
@@ -64,8 +71,9 @@
   BOOST_TEST(inquiry.repeat_due(later, knobs));
   BOOST_TEST(!inquiry.repeat_due(later, knobs));
   BOOST_TEST((inquiry.awaited() == std::set<std::string>{"b"}));
-  BOOST_TEST(!inquiry.verdict(kFirst, later, knobs).has_value());
-  BOOST_TEST(inquiry.verdict(kFirst, kNow + knobs.stream_origin_question_limit, knobs).has_value());
+  BOOST_TEST(!inquiry.verdict(kConfirmed, later, knobs).has_value());
+  BOOST_TEST(
+      inquiry.verdict(kConfirmed, kNow + knobs.stream_origin_question_limit, knobs).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(no_version_is_assumed_before_the_log_has_confirmed_the_view) {
@@ -98,9 +106,9 @@
 BOOST_AUTO_TEST_CASE(answers_are_waited_for_anew_after_a_pause) {
   const TimePoint later = kNow + knobs.stream_origin_confirmation_limit;
   inquiry.restart(later);
-  BOOST_TEST(!inquiry.verdict(kFirst, later, knobs).has_value());
+  BOOST_TEST(!inquiry.verdict(kConfirmed, later, knobs).has_value());
   BOOST_TEST(
-      inquiry.verdict(kFirst, later + knobs.stream_origin_question_limit, knobs).has_value());
+      inquiry.verdict(kConfirmed, later + knobs.stream_origin_question_limit, knobs).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
