A view that skipped records, or holds a part of the replicas, shows no sole version

- The directory keeps the versions of all replicas that were recorded, also of those removed before the next observation: a_version_whose_replica_came_and_went_between_two_observations_counts (fails before, the version is not seen).
- A node of a zone with few replicas of a divided service has one slice and still sees a part of the other zones: the view is partial if any service is divided, if counts come from a peer, or while it is loaded again, and this is told before a confirmation takes effect.
The keepers' removal of version records rests on the same.

Not measured on large fleets.

--- a/include/dockpoint/log/keyed_watch.hpp
+++ b/include/dockpoint/log/keyed_watch.hpp
@@ -84,6 +84,8 @@
   void set_bound(Duration bound) { budget_ = FreshnessBudget(bound); }
 
   WatchState state(TimePoint now) const;
+  /// @return whether the newest records are being loaded again, or will be.
+  bool reloading() const { return state_->reload; }
   /// @return when the log last confirmed that all records up to the end of the partition were
   /// delivered; the epoch of the clock: never.
   TimePoint confirmed_at() const { return state_->confirmed_at; }
--- a/include/dockpoint/routing/replica_directory.hpp
+++ b/include/dockpoint/routing/replica_directory.hpp
@@ -3,8 +3,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "dockpoint/core/address.hpp"
@@ -13,6 +15,7 @@
 #include "dockpoint/core/time.hpp"
 #include "dockpoint/routing/load_digest.hpp"
 #include "dockpoint/routing/replica_pace.hpp"
+#include "dockpoint/routing/served_version.hpp"
 #include "dockpoint/routing/zone_evacuations.hpp"
 
 /// One node's view of the replicas: their records, their load and their health.
@@ -184,6 +187,9 @@
 
   /// Changes whenever a replica is added, removed or starts to drain.
   std::uint64_t revision() const { return revision_; }
+  /// @return software versions of the replicas that were added or changed since the last call,
+  /// also of those that have been removed since.
+  std::set<ServedVersion> take_recorded_versions() { return std::exchange(recorded_versions_, {}); }
 
  private:
   struct PeerLoad {
@@ -224,6 +230,7 @@
       ended_incarnations_;  ///< Recently ended ones, with the time of `end_incarnation`.
   ZoneEvacuations evacuations_;
   std::uint64_t revision_ = 1;
+  std::set<ServedVersion> recorded_versions_;  ///< Since `take_recorded_versions`.
 };
 
 }  // namespace dockpoint
--- a/include/dockpoint/routing/replica_subset.hpp
+++ b/include/dockpoint/routing/replica_subset.hpp
@@ -73,6 +73,8 @@
                     std::string_view name) const;
   /// @return number of slices of the nodes in this zone: that of its most finely divided service.
   std::size_t slices() const;
+  /// @return whether nodes use only a part of the replicas of some service.
+  bool divided() const;
   /// @return number of replicas of all services.
   std::size_t replicas() const;
   /// Changes whenever the result of `contains` may change for a replica registered earlier.
--- a/include/dockpoint/routing/software_versions.hpp
+++ b/include/dockpoint/routing/software_versions.hpp
@@ -28,11 +28,11 @@
   bool history_known() const { return history_known_; }
   /// Counts these versions as seen now.
   void restore(const std::vector<ServedVersion>& versions, TimePoint now);
-  /// Notes the versions that serve now.
-  void observe(const ReplicaDirectory& replicas, TimePoint now);
-  /// All replicas that were recorded in the log before this time have been observed.
+  /// Notes the versions that serve now, and those that came and went since the last call.
+  void observe(ReplicaDirectory& replicas, TimePoint now);
+  /// The view that was observed last lacked no record that was in the log at this time.
   void confirm(TimePoint as_of) { confirmed_at_ = std::max(confirmed_at_, as_of); }
-  /// @return whether all replicas that were recorded before this time have been observed.
+  /// @return whether the view was confirmed as of this time or later.
   bool confirmed_since(TimePoint time) const { return confirmed_at_ >= time; }
   /// @return the only version of the service, or nothing if there are several or none, or if there
   /// may have been others.
--- a/src/gateway/fleet_watch.cpp
+++ b/src/gateway/fleet_watch.cpp
@@ -80,6 +80,7 @@
           take_replica(record.key, record.value);
         }
         retain_replicas(ids);
+        replacements_ += replicas_known_ ? 1 : 0;
         replicas_known_ = true;
       },
       [this](const KeyedRecord& record) {
@@ -471,6 +472,10 @@
   }
 }
 
+bool FleetWatch::view_partial() const {
+  return subset_.divided() || counts_from_peer_ || replica_follower_->watch().reloading();
+}
+
 LogOffset FleetWatch::replicas_position() const {
   return replicas_known_ ? std::max(peer_position_, replica_follower_->watch().position()) : 0;
 }
@@ -507,6 +512,7 @@
     return;
   }
   peer_position_ = state.replicas_position;
+  replacements_ += replicas_known_ ? 1 : 0;
   replicas_known_ = true;
   std::vector<std::string> ids;
   for (const StoredReplica& replica : state.replicas) {
--- a/src/gateway/fleet_watch.hpp
+++ b/src/gateway/fleet_watch.hpp
@@ -88,6 +88,12 @@
   bool has_configuration() const { return context_.configuration->version > 0; }
   /// @return whether the replica records have been read, from the log or a peer.
   bool replicas_known() const { return replicas_known_; }
+  /// @return whether this node may not see all replicas, so that its view does not show which
+  /// software versions serve.
+  bool view_partial() const;
+  /// @return how often the view of the replicas was replaced as a whole. Replicas that came and
+  /// went since the view before are not in it.
+  std::uint64_t replacements() const { return replacements_; }
 
   /// Sets the server from which other nodes read the records that this node relays; it must outlive
   /// this object.
@@ -187,6 +193,7 @@
       mass_expired_services_;  ///< Services with a mass expiry, kept while any removal is deferred.
   LogOffset peer_position_ = 0;  ///< Position of the replicas last taken from a peer.
   bool replicas_known_ = false;
+  std::uint64_t replacements_ = 0;
   TimePoint now_{};
   TimePoint started_at_{};
   std::unique_ptr<Follower> configuration_follower_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -225,10 +225,9 @@
   rate_limiter_.tick(now);
   peers_.tick(now);
   crash_watch_.tick(now);
-  software_versions_.observe(replicas_, now);
-  version_log_.tick(fleet_.slices() > 1, now);
+  observe_versions(now);
+  version_log_.tick(fleet_.view_partial(), now);
   replica_barrier_.tick();
-  stream_origins_.set_view_partial(fleet_.slices() > 1);
   stream_origins_.tick(now);
   refresh_outliers(now);
   batch_.set_peers_reach_log(peers_.some_peer_reaches_log(), now);
@@ -315,6 +314,14 @@
                      [this](const Member* member) { return member->id == settings_.node; });
 }
 
+void Gateway::observe_versions(TimePoint now) {
+  software_versions_.observe(replicas_, now);
+  stream_origins_.set_view_partial(fleet_.view_partial());
+  if (std::exchange(view_replacements_, fleet_.replacements()) != fleet_.replacements()) {
+    version_log_.load();
+  }
+}
+
 void Gateway::request_version_confirmation(TimePoint as_of) {
   // Without any records the read would return all of them.
   if (fleet_.replicas_known()) {
@@ -324,7 +331,7 @@
 
 void Gateway::confirm_versions(TimePoint as_of) {
   const TimePoint now = net::steady_now();
-  software_versions_.observe(replicas_, now);
+  observe_versions(now);
   software_versions_.confirm(as_of);
   stream_origins_.confirmed(now);
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -92,6 +92,9 @@
   void request_slot(const Replica& replica);
   /// @return whether this node writes and removes the record of a version.
   bool keeps_version_record(const ServedVersion& version) const;
+  /// Notes the software versions that serve. After a replacement of the view the log tells which
+  /// versions came and went unseen.
+  void observe_versions(TimePoint now);
   /// Has the log confirm that this node knows all replicas, as of a moment.
   void request_version_confirmation(TimePoint as_of);
   /// The log has confirmed that this node knows all replicas, as of a moment.
@@ -167,9 +170,10 @@
   boost::asio::steady_timer timer_;
   SuspensionDetector suspension_;
   std::vector<std::weak_ptr<net::Exchange>>
-      active_state_responses_;         ///< Fleet state responses in progress.
-  std::uint64_t members_version_ = 0;  ///< Members version last passed to the components.
-  TimePoint next_slot_assignment_{};   ///< When slots are next divided among nodes.
+      active_state_responses_;           ///< Fleet state responses in progress.
+  std::uint64_t members_version_ = 0;    ///< Members version last passed to the components.
+  std::uint64_t view_replacements_ = 0;  ///< After which the records of versions were last read.
+  TimePoint next_slot_assignment_{};     ///< When slots are next divided among nodes.
   TimePoint stop_requested_at_{};
   TimePoint last_caller_at_{};
   StopAdmission stop_admission_;
--- a/src/routing/replica_directory.cpp
+++ b/src/routing/replica_directory.cpp
@@ -47,6 +47,7 @@
   // A replica may become cold again while it runs.
   replica.cold_until = std::max(replica.cold_until, now + record.cold_remaining);
   ++revision_;
+  recorded_versions_.insert({record.service, record.software_version});
   if (added) {
     by_key_[replica.key] = &replica;
     paces_.add(replica.key, record.service);
--- a/src/routing/replica_subset.cpp
+++ b/src/routing/replica_subset.cpp
@@ -116,6 +116,11 @@
   return replicas;
 }
 
+bool ReplicaSubset::divided() const {
+  return std::any_of(services_.begin(), services_.end(),
+                     [](const auto& entry) { return entry.second.divided; });
+}
+
 std::size_t ReplicaSubset::slices() const {
   std::size_t most = 1;
   for (const auto& [service, counted] : services_) {
--- a/src/routing/software_versions.cpp
+++ b/src/routing/software_versions.cpp
@@ -11,7 +11,10 @@
   }
 }
 
-void SoftwareVersions::observe(const ReplicaDirectory& replicas, TimePoint now) {
+void SoftwareVersions::observe(ReplicaDirectory& replicas, TimePoint now) {
+  for (const ServedVersion& recorded : replicas.take_recorded_versions()) {
+    last_seen_[recorded.service][recorded.version] = now;
+  }
   const std::uint64_t revision = replicas.revision();
   if (std::exchange(revision_, revision) != revision) {
     serving_.clear();
--- a/tests/gateway/fleet_watch_test.cpp
+++ b/tests/gateway/fleet_watch_test.cpp
@@ -91,6 +91,20 @@
   BOOST_TEST(ready() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(views_that_skip_records_are_counted) {
+  write("r1", true);
+  run(200);
+  BOOST_TEST(watch.replacements() == 0U);
+  BOOST_TEST(!watch.view_partial());
+  FleetState state;
+  state.replicas_known = true;
+  state.replicas_position = 9;
+  watch.take(state, "peer");
+  BOOST_TEST(watch.replacements() == 1U);
+  watch.take(state, "a peer that has read no further");
+  BOOST_TEST(watch.replacements() == 1U);
+}
+
 // One of four replicas drained and left while the node was cut off, and its record was compacted
 // away. The grace period for lapsed records kept it in use for 2 s more, beyond the bound on sends
 // to a draining replica (seed 207 of the freshness exploration).
@@ -167,6 +181,7 @@
   }
   run(3'000);
   BOOST_TEST(watch.state().replicas.size() == kReplicas);
+  BOOST_TEST(watch.view_partial());
   // The replicas are in another zone than the node, so only spares are used.
   BOOST_TEST(ready() > 0U);
   BOOST_TEST(ready() < 400U);
--- a/tests/routing/software_versions_test.cpp
+++ b/tests/routing/software_versions_test.cpp
@@ -46,6 +46,17 @@
   BOOST_TEST((versions.sole("lm") == "v2"));
 }
 
+// A node that was out of step reads the record of a replica and its removal at once.
+BOOST_AUTO_TEST_CASE(a_version_whose_replica_came_and_went_between_two_observations_counts) {
+  add("a", "v1");
+  versions.observe(replicas, kNow);
+  add("b", "v2");
+  replicas.remove("b");
+  versions.observe(replicas, kNow + 1s);
+  BOOST_TEST(versions.several("lm"));
+  BOOST_TEST(!versions.sole("lm").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(draining_replicas_count) {
   add("a", "v1", true);
   add("b", "v2");
