Size lines and trailers are bounded, and trailers are dropped

What callers saw: clients that send trailers or a chunk's size line without end made a node hold all of it, until its machine's memory was used up. Cause: Beast takes a size line only once it is complete, and the last one only with the trailers; what it cannot take stays in the connection's input, which nothing bounded. Besides, trailer fields were added to the request's head after routing had seen it. Change: more than the limit on heads left over after a head is refused with 431, for answers of replicas, the log and peers ends the call as oversized. Trailers are dropped (RFC 9110, 6.5): none may set a key, a host or an id.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -354,6 +354,10 @@
     if (status == ParseStatus::kNeedMore) {
       return;
     }
+    if (status == ParseStatus::kHeaderTooLarge && head_received_) {
+      fail(CallFailure::kOversized);
+      return;
+    }
     if (status != ParseStatus::kDone) {
       fail(head_received_ ? CallFailure::kInterrupted : CallFailure::kMalformed);
       return;
--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -9,7 +9,7 @@
 namespace http = boost::beast::http;
 namespace {
 
-/// Maximum size of a response head, in bytes.
+/// Maximum size of a response head, of a chunk's size line, and of trailers, in bytes.
 constexpr std::uint32_t kResponseHeaderLimit = 64 * 1024;
 
 /// Maximum body size for which memory is reserved up front, in bytes.
@@ -38,8 +38,11 @@
 
 /// Feeds `parser` until it is done or cannot consume the remaining bytes.
 /// @param chunk_seen whether a chunk of the body has begun; the parser's callbacks set it.
+/// @param line_limit maximum bytes after the head that may remain unconsumed: Beast takes a size
+/// line only once it is complete, and the last one only together with the trailers.
 template <class Parser>
-ParseStatus feed_parser(Parser& parser, const bool& chunk_seen, std::string& buffer) {
+ParseStatus feed_parser(Parser& parser, const bool& chunk_seen, std::size_t line_limit,
+                        std::string& buffer) {
   std::size_t consumed = 0;
   ParseStatus status = ParseStatus::kNeedMore;
   while (consumed < buffer.size() && !parser.is_done()) {
@@ -66,13 +69,17 @@
     status = ParseStatus::kDone;
   }
   buffer.erase(0, consumed);
+  if (status == ParseStatus::kNeedMore && parser.is_header_done() && buffer.size() > line_limit) {
+    status = ParseStatus::kHeaderTooLarge;
+  }
   return status;
 }
 
 }  // namespace
 
-RequestParser::RequestParser(std::uint32_t header_limit, std::uint64_t body_limit_bytes) {
-  this->header_limit(header_limit);
+RequestParser::RequestParser(std::uint32_t header_limit_bytes, std::uint64_t body_limit_bytes)
+    : header_limit_(header_limit_bytes) {
+  this->header_limit(header_limit_bytes);
   this->body_limit(body_limit_bytes);
   this->eager(true);
 }
@@ -80,7 +87,7 @@
 ParseStatus RequestParser::feed(std::string& buffer) {
   started_ = started_ || !buffer.empty();
   const ParseStatus status =
-      feed_parser(static_cast<basic_parser<true>&>(*this), chunk_seen_, buffer);
+      feed_parser(static_cast<basic_parser<true>&>(*this), chunk_seen_, header_limit_, buffer);
   head_.keep_alive = is_header_done() && keep_alive();
   return status;
 }
@@ -98,6 +105,9 @@
 
 void RequestParser::on_field_impl(http::field /*field*/, String name, String value,
                                   ErrorCode& /*error*/) {
+  if (is_header_done()) {
+    return;
+  }
   head_.headers.add(std::string(name.data(), name.size()), std::string(value.data(), value.size()));
 }
 
@@ -136,7 +146,8 @@
 }
 
 ParseStatus ResponseParser::feed(std::string& buffer) {
-  return feed_parser(static_cast<basic_parser<false>&>(*this), chunk_seen_, buffer);
+  return feed_parser(static_cast<basic_parser<false>&>(*this), chunk_seen_, kResponseHeaderLimit,
+                     buffer);
 }
 
 bool ResponseParser::feed_end() {
@@ -159,6 +170,9 @@
 
 void ResponseParser::on_field_impl(http::field /*field*/, String name, String value,
                                    ErrorCode& /*error*/) {
+  if (is_header_done()) {
+    return;
+  }
   head_.headers.add(std::string(name.data(), name.size()), std::string(value.data(), value.size()));
 }
 
--- a/src/net/http_parser.hpp
+++ b/src/net/http_parser.hpp
@@ -15,15 +15,17 @@
 enum class ParseStatus {
   kNeedMore,
   kDone,
-  kHeaderTooLarge,
+  kHeaderTooLarge,  ///< The head, a chunk's size line, or the trailers.
   kBodyTooLarge,
   kMalformed,
 };
 
-/// Parses one request and buffers its body. Not thread-safe.
+/// Parses one request and buffers its body. Trailers are dropped: they must not pass for fields of
+/// the head (RFC 9110, 6.5). Not thread-safe.
 class RequestParser : private boost::beast::http::basic_parser<true> {
  public:
-  /// @param header_limit, body_limit in bytes.
+  /// @param header_limit, body_limit in bytes. The former also bounds the size line of a chunk with
+  /// its extensions, and the trailers.
   RequestParser(std::uint32_t header_limit, std::uint64_t body_limit);
 
   /// Consumes bytes from the front of `buffer`; bytes of the next request remain in it.
@@ -52,13 +54,14 @@
   std::size_t on_chunk_body_impl(std::uint64_t remaining, String bytes, ErrorCode& error) override;
   void on_finish_impl(ErrorCode& error) override;
 
+  const std::uint32_t header_limit_;
   RequestHead head_;
   std::string body_;
   bool started_ = false;
   bool chunk_seen_ = false;
 };
 
-/// Parses one response and forwards its body as it arrives. Not thread-safe.
+/// Parses one response and forwards its body as it arrives. Trailers are dropped. Not thread-safe.
 class ResponseParser : private boost::beast::http::basic_parser<false> {
  public:
   /// Called with a piece of the body.
--- a/tests/net/http_parser_test.cpp
+++ b/tests/net/http_parser_test.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::uint32_t kHeaderLimit = 1'024;
 constexpr std::uint64_t kBodyLimit = 64;
+constexpr std::size_t kResponseLineLimit = 64 * 1024;
 
 struct Parsed {
   ParseStatus status = ParseStatus::kNeedMore;
@@ -179,6 +180,45 @@
   }
 }
 
+// Beast takes size lines and trailers only once they are complete; they were buffered without a
+// bound.
+BOOST_AUTO_TEST_CASE(size_lines_and_trailers_without_end_are_rejected) {
+  constexpr std::size_t kPiece = 100;
+  const std::string request = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const char* begin :
+       {"1;", "1\r\nx\r\n1;", "0;", "1\r\nx\r\n0;", "0\r\nT: ", "1\r\nx\r\n0\r\nT: ", ""}) {
+    for (const bool is_request : {true, false}) {
+      RequestParser request_parser(kHeaderLimit, kBodyLimit);
+      ResponseParser response_parser([](const ResponseHead&) {}, [](std::string_view) {});
+      const std::size_t limit = is_request ? kHeaderLimit : kResponseLineLimit;
+      ParseStatus status = ParseStatus::kNeedMore;
+      std::string buffer = (is_request ? request : answer) + begin;
+      for (std::size_t fed = 0; fed <= limit && status == ParseStatus::kNeedMore; fed += kPiece) {
+        buffer += std::string(kPiece, 'e');
+        status = is_request ? request_parser.feed(buffer) : response_parser.feed(buffer);
+        BOOST_REQUIRE(buffer.size() <= limit + kPiece);
+      }
+      BOOST_TEST((status == ParseStatus::kHeaderTooLarge || status == ParseStatus::kMalformed),
+                 begin);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(trailers_do_not_become_fields_of_the_head) {
+  const Parsed request = parse_in_pieces(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+      "Host: other\r\nApi-Key: key\r\n\r\n",
+      7);
+  BOOST_TEST((request.status == ParseStatus::kDone));
+  BOOST_TEST(request.head.headers.get("Host") == "h");
+  BOOST_TEST(!request.head.headers.has("Api-Key"));
+  ResponseParser parser([](const ResponseHead&) {}, [](std::string_view) {});
+  std::string answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nT: v\r\n\r\n";
+  BOOST_TEST((parser.feed(answer) == ParseStatus::kDone));
+  BOOST_TEST(!parser.head().headers.has("T"));
+}
+
 BOOST_AUTO_TEST_CASE(mutated_requests_neither_crash_nor_exceed_the_body_limit) {
   constexpr int kRounds = 30'000;
   const std::string seed =
