Clients over a limit read their answer

What callers saw: of clients that sent 30 MB over the limit of 64 KB none read a 413: the connection was reset while they still sent. A reset client may send again what can never be accepted. Cause: the connection was closed with input unread, which resets it. Change: after a refusal the output is ended, and input is read and dropped for 2 s and 4 MB at most; beyond that it is not read until the connection is closed. The same holds where a response ends a connection on which more has arrived. Connections whose last response is still being sent stay with their server, and end with its idle time.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -10,12 +10,18 @@
 
 using ErrorCode = boost::system::error_code;
 
-/// Maximum number of pipelined bytes buffered while a response is pending.
+/// Pipelined bytes after which a connection is not read while a response is pending.
 constexpr std::size_t kMaximumPipelinedBytes = 256 * 1024;
 
 /// Status code for a request that times out before it is complete.
 constexpr int kRequestTimeoutStatus = 408;
 
+/// Time for which input is dropped after a refusal.
+constexpr Duration kLingerTime = std::chrono::seconds(2);
+
+/// Bytes that are dropped after a refusal; then the connection is not read until it is closed.
+constexpr std::size_t kLingerBytes = 4 * 1024 * 1024;
+
 /// Listen backlog.
 constexpr int kBacklog = 1024;
 
@@ -203,6 +209,10 @@
 
 void ServerConnection::on_bytes(std::string_view bytes) {
   const auto self = shared_from_this();
+  if (phase_ != Phase::kOpen) {
+    drop_input(bytes.size());
+    return;
+  }
   if (idle()) {
     timeout_start_ = steady_now();
   }
@@ -221,7 +231,7 @@
     return;  // `finish` was called from within the handler; the loop below continues.
   }
   parsing_ = true;
-  while (!exchange_ && !input_.empty() && connection_->open()) {
+  while (!exchange_ && phase_ == Phase::kOpen && !input_.empty() && connection_->open()) {
     const ParseStatus status = parser_->feed(input_);
     if (status == ParseStatus::kDone) {
       dispatch();
@@ -237,6 +247,9 @@
     break;
   }
   parsing_ = false;
+  if (input_.empty()) {
+    std::string().swap(input_);
+  }
 }
 
 void ServerConnection::dispatch() {
@@ -251,8 +264,7 @@
 void ServerConnection::refuse(int status) {
   Headers headers{{"Connection", "close"}, {"Content-Length", "0"}};
   send(serialize(ResponseHead{status, {}, std::move(headers)}));
-  connection_->close_after_output();
-  drop();
+  close_after_output(true);
 }
 
 bool ServerConnection::send(std::string_view bytes) {
@@ -268,14 +280,37 @@
   exchange_.reset();
   timeout_start_ = steady_now();
   if (!keep_alive) {
-    connection_->close_after_output();
-    drop();
+    close_after_output(!input_.empty());
     return;
   }
   connection_->resume();
   parse();
 }
 
+void ServerConnection::close_after_output(bool linger) {
+  phase_ = Phase::kClosing;
+  lingers_ = linger;
+  timeout_start_ = steady_now();
+  new_parser();
+  std::string().swap(input_);
+  connection_->resume();
+  if (connection_->pending_output() == 0) {
+    on_drained();
+  }
+}
+
+void ServerConnection::linger() {
+  phase_ = Phase::kLingering;
+  connection_->shutdown_output();
+}
+
+void ServerConnection::drop_input(std::size_t bytes) {
+  dropped_bytes_ += bytes;
+  if (dropped_bytes_ > kLingerBytes) {
+    connection_->pause();
+  }
+}
+
 void ServerConnection::on_closed(bool /*clean*/) {
   const auto self = shared_from_this();
   const ExchangePtr exchange = std::exchange(exchange_, nullptr);
@@ -290,6 +325,15 @@
 }
 
 void ServerConnection::on_drained() {
+  const auto self = shared_from_this();
+  if (phase_ == Phase::kClosing) {
+    if (lingers_) {
+      linger();
+    } else {
+      close();
+    }
+    return;
+  }
   if (exchange_ && exchange_->drained_) {
     const ExchangePtr exchange = exchange_;
     exchange->drained_();
@@ -302,6 +346,12 @@
   }
   const Duration age = now - timeout_start_;
   const ServerLimits& limits = server_->limits_;
+  if (phase_ == Phase::kLingering) {
+    if (age > kLingerTime) {
+      close();
+    }
+    return;
+  }
   if (idle()) {
     if (age > limits.idle_timeout) {
       close();
@@ -316,15 +366,16 @@
 }
 
 void ServerConnection::close() {
-  connection_->detach();
+  const auto self = shared_from_this();
   connection_->close();
   drop();
 }
 
 void ServerConnection::drop() {
+  const auto self = shared_from_this();
   connection_->detach();
   exchange_.reset();
-  server_->remove(shared_from_this());
+  server_->remove(self);
 }
 
 }  // namespace dockpoint::net
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -122,7 +122,8 @@
 };
 
 /// A client connection. Requests are handled sequentially; pipelined input is buffered up to a
-/// limit.
+/// limit. After a refusal, further input is read and dropped for a while before the connection is
+/// closed: closing it with unread input would reset it, and the client might lose the answer.
 class ServerConnection : public TcpObserver, public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(HttpServer& server, tcp::socket socket);
@@ -130,7 +131,6 @@
   void start();
   void tick(TimePoint now);
   void close();
-  bool busy() const { return exchange_ != nullptr; }
   /// @return whether no request byte has arrived since the last response.
   bool idle() const { return !exchange_ && input_.empty() && !parser_->started(); }
 
@@ -141,13 +141,26 @@
  private:
   friend class Exchange;
 
+  /// What remains to be done on the connection.
+  enum class Phase {
+    kOpen,       ///< Requests are served.
+    kClosing,    ///< The last response is being sent.
+    kLingering,  ///< The last response is sent; input is dropped.
+  };
+
   void new_parser();
   void parse();
   void dispatch();
+  /// Responds without passing the request on, and ends the connection.
   void refuse(int status);
   bool send(std::string_view bytes);
   /// Called when the response to the current request is complete.
   void finish(bool keep_alive);
+  /// Ends the connection after the output queued so far. @param linger whether the client may still
+  /// be sending.
+  void close_after_output(bool linger);
+  void linger();
+  void drop_input(std::size_t bytes);
   /// @return whether the connection stays open after the current response.
   bool keeps_alive() const;
   void drop();
@@ -157,6 +170,9 @@
   std::unique_ptr<RequestParser> parser_;
   std::string input_;
   ExchangePtr exchange_;
+  Phase phase_ = Phase::kOpen;
+  bool lingers_ = false;  ///< Whether phase `kClosing` is followed by `kLingering`.
+  std::size_t dropped_bytes_ = 0;
   bool keep_alive_ = true;
   bool continue_sent_ = false;
   bool parsing_ = false;
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -85,7 +85,7 @@
 }
 
 bool TcpConnection::send(std::string_view bytes) {
-  if (!socket_.is_open() || closing_) {
+  if (!socket_.is_open()) {
     return false;
   }
   if (!output_.empty()) {
@@ -135,9 +135,7 @@
     return;
   }
   output_.shrink_to_fit();
-  if (closing_) {
-    close();
-  } else if (observer_ != nullptr) {
+  if (observer_ != nullptr) {
     observer_->on_drained();
   }
 }
@@ -151,12 +149,9 @@
   return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-void TcpConnection::close_after_output() {
-  if (output_.empty()) {
-    close();
-  } else {
-    closing_ = true;
-  }
+void TcpConnection::shutdown_output() {
+  ErrorCode ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
 void TcpConnection::close() {
@@ -173,9 +168,8 @@
 
 void TcpConnection::fail(bool clean) {
   const std::shared_ptr<TcpConnection> self = shared_from_this();
-  const bool was_closing = closing_;
   close();
-  if (observer_ != nullptr && !was_closing) {
+  if (observer_ != nullptr) {
     std::exchange(observer_, nullptr)->on_closed(clean);
   }
 }
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -43,8 +43,9 @@
   /// @return whether the connection is still open; if not, none of `bytes` was accepted.
   bool send(std::string_view bytes);
 
-  /// Closes the connection once all output is written.
-  void close_after_output();
+  /// Ends the output, so that the peer sees its end; input is still read. All output must have been
+  /// written.
+  void shutdown_output();
   /// Closes the connection immediately.
   void close();
   /// Closes the connection with a reset, so that the peer sees an error.
@@ -73,7 +74,6 @@
   bool paused_ = false;
   bool reading_ = false;
   bool writing_ = false;
-  bool closing_ = false;
 };
 
 /// Sets TCP_USER_TIMEOUT: the connection fails if sent data stays unacknowledged for this time.
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -69,4 +69,30 @@
   BOOST_TEST(response.find("Transfer-Encoding") == std::string::npos);
 }
 
+// The connection was closed with unread input, which resets it: the client could not read its
+// answer.
+BOOST_AUTO_TEST_CASE(a_client_that_sends_beyond_the_limit_reads_its_answer) {
+  constexpr std::size_t kBodyBytes = 3 * 1024 * 1024;
+  server->set_limits({16 * 1024, 64 * 1024});
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n";
+  const std::string body(kBodyBytes, 'x');
+  for (const std::string& request :
+       {head + "Content-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n" + body,
+        head + "Transfer-Encoding: chunked\r\n\r\n" + net::as_chunk(body) + net::as_chunk({})}) {
+    net::tcp::socket client = connect();
+    std::string answer;
+    bool ended = false;
+    boost::asio::async_write(client, boost::asio::buffer(request), [&](const auto& error, auto) {
+      BOOST_TEST(!error);
+      boost::asio::async_read(client, boost::asio::dynamic_buffer(answer),
+                              [&](const auto&, auto) { ended = true; });
+    });
+    while (!ended) {
+      loop.run_one();
+    }
+    BOOST_TEST(answer.starts_with("HTTP/1.1 413 "));
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
