One budget of bytes for all that clients make a node hold

What callers saw: bodies that stop short, and bodies at ports that expect none, held memory until the machine's was used up, and the process with all its requests was gone. Cause: every message was bounded, their sum was not. Input kept its capacity beside the body that it was copied to; bodies doubled beyond their limit; the configuration's limits were set for one port of five; the metrics port had no timeouts; pipelined input and unread answers had bounds of a connection only. Change: ClientBudget (no I/O) accounts for requests, copies, pipelined input, unread output and connections of all ports, and selects who gives way: whom the node waits for, longest without progress first, large ones before small ones, never a request that is being answered. ClientPool closes these from the event loop, not from within a callback: a request that is not complete gets 503 with a time to come back, since it has not run. Requests that would fill the budget while they are processed are refused, small ones last. clients.buffer_bytes, 64 MB by default, at least 16 of the largest requests.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,6 +39,9 @@
 /// Maximum number of fleet state responses in progress; each may be a megabyte.
 constexpr std::size_t kMaxConcurrentStateResponses = 2;
 
+/// The clients' buffers hold at least this many of the largest requests that are allowed.
+constexpr std::uint64_t kLargestRequests = 16;
+
 std::uint64_t new_run_id() {
   return static_cast<std::uint64_t>(net::unix_now_ms());
 }
@@ -127,11 +130,17 @@
       batch_(context_, log_, parts.batch_topics, {settings_.control_address, run_id_},
              combine_hash(hash64(settings_.node), run_id_)),
       address_resolver_(parts.resolver, settings_.address_lifetime, hash64(settings_.node)),
-      frontend_(loop, [this](const auto& exchange) { serve_frontend(exchange); }),
-      readiness_(loop, [this](const auto& exchange) { serve_readiness(exchange); }),
-      resolver_(loop, [this](const auto& exchange) { serve_resolver(exchange); }),
-      control_(loop, [this](const auto& exchange) { serve_control(exchange); }),
-      metrics_server_(loop, [this](const auto& exchange) { serve_metrics(exchange); }),
+      clients_(loop, settings_.client_limits),
+      frontend_(
+          loop, [this](const auto& exchange) { serve_frontend(exchange); }, clients_),
+      readiness_(
+          loop, [this](const auto& exchange) { serve_readiness(exchange); }, clients_),
+      resolver_(
+          loop, [this](const auto& exchange) { serve_resolver(exchange); }, clients_),
+      control_(
+          loop, [this](const auto& exchange) { serve_control(exchange); }, clients_),
+      metrics_server_(
+          loop, [this](const auto& exchange) { serve_metrics(exchange); }, clients_),
       timer_(loop) {}
 
 Gateway::~Gateway() = default;
@@ -154,6 +163,8 @@
   context_.peers_reaching_log = [this] { return peers_.control_addresses_reaching_log(); };
   context_.replica_records_age = [this] { return fleet_.replicas_age(net::steady_now()).age; };
   context_.request_slot = [this](const Replica& replica) { request_slot(replica); };
+  clients_.on_eviction(
+      [this](ClientState state, std::uint64_t held_bytes) { report_eviction(state, held_bytes); });
   peers_.open();
   peers_.set_candidates(seed_datagram_addresses());
   frontend_.listen(settings_.frontend_address);
@@ -220,6 +231,7 @@
   record_server_.tick(now);
   metrics_.set_fleet_age(fleet_.configuration_age(now).age, fleet_.replicas_age(now).age);
   announce_fleet_position();
+  metrics_.set_clients(clients_.budget().connections(), clients_.budget().bytes());
   peers_.set_pending_items(batch_.pending_items());
   peers_.set_log_reachable(batch_.lease_valid(now));
   rate_limiter_.tick(now);
@@ -234,7 +246,8 @@
   batch_.tick(now);
   online_.tick(now);
   context_.client.tick(now);
-  for (net::HttpServer* server : {&frontend_, &readiness_, &resolver_, &control_}) {
+  for (net::HttpServer* server :
+       {&frontend_, &readiness_, &resolver_, &control_, &metrics_server_}) {
     server->tick(now);
   }
   catch_up(now);
@@ -361,9 +374,7 @@
 }
 
 void Gateway::apply_configuration() {
-  const IngressLimits& limits = context_.configuration->limits;
-  frontend_.set_limits(
-      {limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
+  apply_ingress_limits(context_.configuration->limits);
   rate_limiter_.set_limits(context_.configuration->tenants);
   std::map<std::string, double> cold_rates;
   for (const auto& [name, service] : context_.configuration->services) {
@@ -375,6 +386,27 @@
   announce_fleet_position();
 }
 
+void Gateway::apply_ingress_limits(const IngressLimits& limits) {
+  frontend_.set_limits(
+      {limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
+  net::ServerLimits other_ports;
+  other_ports.header_bytes = limits.header_bytes;
+  other_ports.body_bytes = limits.body_bytes;
+  for (net::HttpServer* server : {&readiness_, &resolver_, &control_, &metrics_server_}) {
+    server->set_limits(other_ports);
+  }
+  const std::uint64_t largest_request = limits.header_bytes + limits.body_bytes;
+  clients_.set_buffer_bytes(
+      std::max(settings_.client_limits.buffer_bytes, kLargestRequests * largest_request));
+}
+
+void Gateway::report_eviction(ClientState state, std::uint64_t held_bytes) {
+  metrics_.count_client_evicted("buffers");
+  spdlog::info(
+      "clients: connection closed limit=buffers state={} bytes={} clients={} clientBytes={}",
+      name_of(state), held_bytes, clients_.budget().connections(), clients_.budget().bytes());
+}
+
 void Gateway::serve_frontend(const net::ExchangePtr& exchange) {
   last_caller_at_ = exchange->received();
   const std::shared_ptr<const RoutingConfiguration> configuration = context_.configuration;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -77,6 +77,9 @@
   /// unconfirmed.
   void detect_suspension(TimePoint now);
   void apply_configuration();
+  /// Bounds requests at all ports by the limits of the configuration.
+  void apply_ingress_limits(const IngressLimits& limits);
+  void report_eviction(ClientState state, std::uint64_t held_bytes);
   /// Passes the current members and the size of the fleet to the components that depend on them.
   void update_fleet_size(TimePoint now);
   /// Runs outlier detection on replica failures and logs every ejection and reinstatement.
@@ -162,6 +165,7 @@
   CrashWatch crash_watch_;
   BatchService batch_;
   AddressResolver address_resolver_;
+  net::ClientPool clients_;  ///< Of all servers below.
   net::HttpServer frontend_;
   net::HttpServer readiness_;
   net::HttpServer resolver_;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -74,6 +74,14 @@
                            .Name("dockpoint_gateway_endless_answers_total")
                            .Help("Answers ended because they exceeded a limit, by limit.")
                            .Register(registry_)),
+      clients_evicted_(prometheus::BuildCounter()
+                           .Name("dockpoint_gateway_clients_evicted_total")
+                           .Help("Connections of clients closed because of the limits on all.")
+                           .Register(registry_)),
+      client_connections_(make_gauge(registry_, "dockpoint_gateway_client_connections",
+                                     "Open connections of clients.")),
+      client_bytes_(make_gauge(registry_, "dockpoint_gateway_client_bytes",
+                               "Memory that clients' connections and their buffers occupy.")),
       quarantined_(prometheus::BuildCounter()
                        .Name("dockpoint_gateway_quarantined_total")
                        .Help("Requests and items not sent since they crash replicas.")
@@ -213,6 +221,15 @@
   doubtful_ends_.Add({{"conclusion", conclusion}}).Increment();
 }
 
+void GatewayMetrics::count_client_evicted(const std::string& limit) {
+  clients_evicted_.Add({{"limit", limit}}).Increment();
+}
+
+void GatewayMetrics::set_clients(std::size_t connections, std::uint64_t bytes) {
+  client_connections_.Set(static_cast<double>(connections));
+  client_bytes_.Set(static_cast<double>(bytes));
+}
+
 void GatewayMetrics::count_endless_answer(const std::string& limit) {
   endless_answers_.Add({{"limit", limit}}).Increment();
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -45,6 +45,11 @@
   void count_doubtful_end(const std::string& conclusion);
   /// Counts an answer that was ended because it exceeded a limit on its size or time.
   void count_endless_answer(const std::string& limit);
+  /// Counts a client's connection that was closed because of the limits on all clients.
+  /// @param limit `buffers`.
+  void count_client_evicted(const std::string& limit);
+  /// @param bytes memory that the connections and their buffers occupy.
+  void set_clients(std::size_t connections, std::uint64_t bytes);
   void set_quarantined_requests(std::size_t count);
   /// Counts a suspension of the machine.
   void count_suspension();
@@ -91,6 +96,9 @@
   prometheus::Family<prometheus::Counter>& broken_runs_;
   prometheus::Family<prometheus::Counter>& doubtful_ends_;
   prometheus::Family<prometheus::Counter>& endless_answers_;
+  prometheus::Family<prometheus::Counter>& clients_evicted_;
+  prometheus::Gauge& client_connections_;
+  prometheus::Gauge& client_bytes_;
   prometheus::Family<prometheus::Counter>& quarantined_;
   prometheus::Counter& suspects_cleared_;
   prometheus::Counter& suspensions_;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -21,6 +21,7 @@
 constexpr std::int64_t kMaxFreshnessMs = 600'000;
 constexpr std::int64_t kMaxRevocationMs = 600'000;
 constexpr double kDefaultRateWindowSeconds = 5;
+constexpr std::int64_t kMinClientBufferBytes = 1024 * 1024;
 
 std::string read_address(ObjectReader& section, const std::string& key, bool required) {
   const std::string text = required ? section.required_text(key) : section.text(key);
@@ -57,6 +58,12 @@
   window.slack = tenants.number("rate_slack", 0.0, window.slack);
 }
 
+void read_client_limits(ObjectReader& clients, ClientLimits& limits) {
+  limits.buffer_bytes =
+      static_cast<std::uint64_t>(clients.integer("buffer_bytes", {kMinClientBufferBytes, kMaxBytes},
+                                                 static_cast<std::int64_t>(limits.buffer_bytes)));
+}
+
 void read_experiment(ObjectReader& section, Knobs& knobs) {
   for (const std::string& name : section.keys()) {
     const double value = section.number(name, 0.0, 0.0);
@@ -106,6 +113,9 @@
   ObjectReader tenants = root.object("tenants");
   read_tenant_settings(tenants, settings);
   tenants.reject_unknown_keys();
+  ObjectReader clients = root.object("clients");
+  read_client_limits(clients, settings.client_limits);
+  clients.reject_unknown_keys();
   ObjectReader cold = root.object("cold_replicas");
   settings.cold_bound.overage = cold.number("overage", 0.0, settings.cold_bound.overage);
   settings.cold_bound.slack = cold.number("slack", 0.0, settings.cold_bound.slack);
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "dockpoint/admission/caller_identity.hpp"
+#include "dockpoint/admission/client_budget.hpp"
 #include "dockpoint/admission/tenant_rate_limiter.hpp"
 #include "dockpoint/core/error.hpp"
 #include "dockpoint/core/knobs.hpp"
@@ -38,6 +39,8 @@
   RevocationPolicy revocation;
   RateWindow rate_window;  ///< Window over which the tenants' rate limits are enforced.
 
+  ClientLimits client_limits;  ///< Limits on what clients make the node hold.
+
   ColdBound cold_bound;  ///< Bound on the requests sent to replicas that have just started.
 
   Knobs knobs;  ///< Includes the overrides of the file's `experiment` section.
--- /dev/null
+++ b/src/net/client_pool.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <unordered_map>
+
+#include "dockpoint/admission/client_budget.hpp"
+#include "dockpoint/core/life.hpp"
+
+namespace dockpoint::net {
+
+class ServerConnection;
+
+/// The clients of one or several servers, which share the limits of a `ClientBudget`.
+/// Single-threaded.
+class ClientPool {
+ public:
+  /// Called before a connection is closed because of the limits.
+  using EvictionObserver = std::function<void(ClientState state, std::uint64_t held_bytes)>;
+
+  ClientPool(boost::asio::io_context& loop, const ClientLimits& limits);
+
+  void on_eviction(EvictionObserver observer) { observer_ = std::move(observer); }
+  void set_buffer_bytes(std::uint64_t bytes) { budget_.set_buffer_bytes(bytes); }
+  const ClientBudget& budget() const { return budget_; }
+
+  ClientId add(ServerConnection& connection);
+  void remove(ClientId id);
+  /// Updates what a connection holds. If all together hold too much, others are closed soon, not
+  /// from within this call.
+  void update(ClientId id, ClientState state, std::uint64_t bytes);
+  void transferred(ClientId id, std::uint64_t bytes) { budget_.transferred(id, bytes); }
+  bool may_process(std::uint64_t bytes) const { return budget_.may_process(bytes); }
+
+ private:
+  void evict_excess();
+
+  boost::asio::io_context& loop_;
+  ClientBudget budget_;
+  std::unordered_map<ClientId, ServerConnection*> connections_;
+  EvictionObserver observer_;
+  bool eviction_posted_ = false;
+  HandlerGuard handlers_;
+};
+
+}  // namespace dockpoint::net
--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -78,7 +78,7 @@
 }  // namespace
 
 RequestParser::RequestParser(std::uint32_t header_limit_bytes, std::uint64_t body_limit_bytes)
-    : header_limit_(header_limit_bytes) {
+    : header_limit_(header_limit_bytes), body_limit_(body_limit_bytes) {
   this->header_limit(header_limit_bytes);
   this->body_limit(body_limit_bytes);
   this->eager(true);
@@ -112,6 +112,24 @@
                     std::string_view(value.data(), value.size()));
 }
 
+std::uint64_t RequestParser::held_bytes() const {
+  return head_.method.capacity() + head_.target.capacity() + head_.headers.memory_bytes() +
+         body_.capacity();
+}
+
+void RequestParser::append_body(std::string_view bytes) {
+  const std::uint64_t needed = body_.size() + bytes.size();
+  if (needed > body_.capacity()) {
+    // Halves of the limit: the last step then ends at the limit instead of beyond it.
+    std::uint64_t capacity = body_limit_;
+    while (capacity / 2 >= needed) {
+      capacity /= 2;
+    }
+    body_.reserve(capacity);
+  }
+  body_.append(bytes);
+}
+
 void RequestParser::on_header_impl(ErrorCode& /*error*/) {}
 
 void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t>& length,
@@ -122,7 +140,7 @@
 }
 
 std::size_t RequestParser::on_body_impl(String bytes, ErrorCode& /*error*/) {
-  body_.append(bytes.data(), bytes.size());
+  append_body({bytes.data(), bytes.size()});
   return bytes.size();
 }
 
@@ -133,7 +151,7 @@
 
 std::size_t RequestParser::on_chunk_body_impl(std::uint64_t /*remaining*/, String bytes,
                                               ErrorCode& /*error*/) {
-  body_.append(bytes.data(), bytes.size());
+  append_body({bytes.data(), bytes.size()});
   return bytes.size();
 }
 
--- a/src/net/http_parser.hpp
+++ b/src/net/http_parser.hpp
@@ -37,6 +37,8 @@
   bool started() const { return started_; }
   RequestHead& head() { return head_; }
   std::string& body() { return body_; }
+  /// @return memory of the head and the body so far, in bytes.
+  std::uint64_t held_bytes() const;
 
  private:
   using String = boost::beast::string_view;
@@ -54,7 +56,11 @@
   std::size_t on_chunk_body_impl(std::uint64_t remaining, String bytes, ErrorCode& error) override;
   void on_finish_impl(ErrorCode& error) override;
 
+  /// Appends to the body; its memory stays within the limit on bodies.
+  void append_body(std::string_view bytes);
+
   const std::uint32_t header_limit_;
+  const std::uint64_t body_limit_;
   RequestHead head_;
   std::string body_;
   bool started_ = false;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -11,11 +11,24 @@
 using ErrorCode = boost::system::error_code;
 
 /// Pipelined bytes after which a connection is not read while a response is pending.
-constexpr std::size_t kMaximumPipelinedBytes = 256 * 1024;
+constexpr std::size_t kMaximumPipelinedBytes = 16 * 1024;
+
+/// Bytes of responses that a client has not read after which its next request waits.
+constexpr std::size_t kMaximumUnreadBytes = 64 * 1024;
 
 /// Status code for a request that times out before it is complete.
 constexpr int kRequestTimeoutStatus = 408;
 
+/// Status code for a request that is refused because clients hold too much memory.
+constexpr int kOverloadedStatus = 503;
+
+/// Retry-After of requests that clients' limits refuse, in seconds: stalled clients give way at
+/// once.
+constexpr const char* kOverloadedRetryAfter = "0.5";
+
+/// A complete request is held here and copied for the replica.
+constexpr std::uint64_t kRequestCopies = 2;
+
 /// Time for which input is dropped after a refusal.
 constexpr Duration kLingerTime = std::chrono::seconds(2);
 
@@ -122,7 +135,14 @@
 }
 
 HttpServer::HttpServer(boost::asio::io_context& loop, Handler handler)
-    : loop_(loop), handler_(std::move(handler)), acceptor_(loop) {}
+    : loop_(loop),
+      handler_(std::move(handler)),
+      own_clients_(std::make_unique<ClientPool>(loop, ClientLimits{})),
+      clients_(*own_clients_),
+      acceptor_(loop) {}
+
+HttpServer::HttpServer(boost::asio::io_context& loop, Handler handler, ClientPool& clients)
+    : loop_(loop), handler_(std::move(handler)), clients_(clients), acceptor_(loop) {}
 
 HttpServer::~HttpServer() {
   for (const auto& connection : std::exchange(connections_, {})) {
@@ -192,11 +212,17 @@
 
 ServerConnection::ServerConnection(HttpServer& server, tcp::socket socket)
     : server_(&server),
+      clients_(&server.clients_),
+      id_(clients_->add(*this)),
       connection_(std::make_shared<TcpConnection>(std::move(socket), *this)),
       timeout_start_(steady_now()) {
   new_parser();
 }
 
+ServerConnection::~ServerConnection() {
+  connection_->detach();
+}
+
 void ServerConnection::start() {
   connection_->start();
 }
@@ -207,6 +233,30 @@
   continue_sent_ = false;
 }
 
+ClientState ServerConnection::state() const {
+  if (phase_ == Phase::kLingering) {
+    return ClientState::kRefused;
+  }
+  if (connection_->pending_output() > 0) {
+    return ClientState::kReceiving;
+  }
+  if (exchange_) {
+    return input_.empty() ? ClientState::kProcessing : ClientState::kPipelining;
+  }
+  if (!idle()) {
+    return ClientState::kSending;
+  }
+  return served_ ? ClientState::kIdle : ClientState::kNew;
+}
+
+std::uint64_t ServerConnection::held_bytes() const {
+  return input_.capacity() + connection_->output_memory() + parser_->held_bytes() + request_bytes_;
+}
+
+void ServerConnection::account() {
+  clients_->update(id_, state(), held_bytes());
+}
+
 void ServerConnection::on_bytes(std::string_view bytes) {
   const auto self = shared_from_this();
   if (phase_ != Phase::kOpen) {
@@ -216,14 +266,14 @@
   if (idle()) {
     timeout_start_ = steady_now();
   }
+  clients_->transferred(id_, bytes.size());
   input_.append(bytes);
-  if (exchange_) {
-    if (input_.size() > kMaximumPipelinedBytes) {
-      connection_->pause();
-    }
-    return;
-  }
   parse();
+  account();
+}
+
+bool ServerConnection::waits() const {
+  return exchange_ || connection_->pending_output() > kMaximumUnreadBytes;
 }
 
 void ServerConnection::parse() {
@@ -231,7 +281,7 @@
     return;  // `finish` was called from within the handler; the loop below continues.
   }
   parsing_ = true;
-  while (!exchange_ && phase_ == Phase::kOpen && !input_.empty() && connection_->open()) {
+  while (!waits() && phase_ == Phase::kOpen && !input_.empty() && connection_->open()) {
     const ParseStatus status = parser_->feed(input_);
     if (status == ParseStatus::kDone) {
       dispatch();
@@ -250,25 +300,41 @@
   if (input_.empty()) {
     std::string().swap(input_);
   }
+  if (waits() && input_.size() > kMaximumPipelinedBytes) {
+    connection_->pause();
+  }
 }
 
 void ServerConnection::dispatch() {
+  served_ = true;
+  const std::uint64_t request_bytes = kRequestCopies * parser_->held_bytes();
+  if (!clients_->may_process(request_bytes)) {
+    refuse(kOverloadedStatus);
+    return;
+  }
+  request_bytes_ = request_bytes;
   keep_alive_ = parser_->head().keep_alive;
   exchange_ = std::make_shared<Exchange>(weak_from_this(), std::move(parser_->head()),
                                          std::move(parser_->body()), steady_now());
   new_parser();
+  account();
   const ExchangePtr exchange = exchange_;
   server_->handler_(exchange);
 }
 
 void ServerConnection::refuse(int status) {
   Headers headers{{"Connection", "close"}, {"Content-Length", "0"}};
+  if (status == kOverloadedStatus) {
+    headers.add("Retry-After", kOverloadedRetryAfter);
+  }
   send(serialize(ResponseHead{status, {}, std::move(headers)}));
   close_after_output(true);
 }
 
 bool ServerConnection::send(std::string_view bytes) {
-  return connection_->send(bytes);
+  const bool sent = connection_->send(bytes);
+  account();
+  return sent;
 }
 
 bool ServerConnection::keeps_alive() const {
@@ -278,6 +344,7 @@
 void ServerConnection::finish(bool keep_alive) {
   const auto self = shared_from_this();
   exchange_.reset();
+  request_bytes_ = 0;
   timeout_start_ = steady_now();
   if (!keep_alive) {
     close_after_output(!input_.empty());
@@ -285,6 +352,7 @@
   }
   connection_->resume();
   parse();
+  account();
 }
 
 void ServerConnection::close_after_output(bool linger) {
@@ -296,12 +364,15 @@
   connection_->resume();
   if (connection_->pending_output() == 0) {
     on_drained();
+  } else {
+    account();
   }
 }
 
 void ServerConnection::linger() {
   phase_ = Phase::kLingering;
   connection_->shutdown_output();
+  account();
 }
 
 void ServerConnection::drop_input(std::size_t bytes) {
@@ -324,6 +395,14 @@
   }
 }
 
+void ServerConnection::on_sent(std::size_t bytes) {
+  clients_->transferred(id_, bytes);
+  if (!exchange_) {
+    timeout_start_ = steady_now();
+  }
+  account();
+}
+
 void ServerConnection::on_drained() {
   const auto self = shared_from_this();
   if (phase_ == Phase::kClosing) {
@@ -338,6 +417,11 @@
     const ExchangePtr exchange = exchange_;
     exchange->drained_();
   }
+  if (!exchange_ && phase_ == Phase::kOpen) {
+    connection_->resume();
+    parse();
+  }
+  account();
 }
 
 void ServerConnection::tick(TimePoint now) {
@@ -352,7 +436,7 @@
     }
     return;
   }
-  if (idle()) {
+  if (idle() || waits()) {
     if (age > limits.idle_timeout) {
       close();
     }
@@ -365,6 +449,24 @@
   }
 }
 
+void ServerConnection::give_way() {
+  const auto self = shared_from_this();
+  if (state() == ClientState::kSending) {
+    refuse(kOverloadedStatus);
+  } else {
+    abort();
+  }
+}
+
+void ServerConnection::abort() {
+  if (exchange_ || connection_->pending_output() > 0) {
+    connection_->reset();
+  } else {
+    connection_->close();
+  }
+  on_closed(false);
+}
+
 void ServerConnection::close() {
   const auto self = shared_from_this();
   connection_->close();
@@ -375,6 +477,7 @@
   const auto self = shared_from_this();
   connection_->detach();
   exchange_.reset();
+  clients_->remove(id_);
   server_->remove(self);
 }
 
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -9,6 +9,7 @@
 
 #include "dockpoint/core/life.hpp"
 #include "dockpoint/core/time.hpp"
+#include "net/client_pool.hpp"
 #include "net/http_message.hpp"
 #include "net/http_parser.hpp"
 #include "net/tcp_connection.hpp"
@@ -86,7 +87,10 @@
  public:
   using Handler = std::function<void(const ExchangePtr&)>;
 
+  /// A server whose clients share no limits with those of others.
   HttpServer(boost::asio::io_context& loop, Handler handler);
+  /// @param clients borrowed; servers with the same pool share its limits.
+  HttpServer(boost::asio::io_context& loop, Handler handler, ClientPool& clients);
   ~HttpServer();
 
   /// Starts accepting connections.
@@ -114,6 +118,8 @@
 
   boost::asio::io_context& loop_;
   Handler handler_;
+  const std::unique_ptr<ClientPool> own_clients_;  ///< Null if the pool is shared.
+  ClientPool& clients_;
   tcp::acceptor acceptor_;
   ServerLimits limits_;
   bool closing_ = false;
@@ -127,16 +133,23 @@
 class ServerConnection : public TcpObserver, public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(HttpServer& server, tcp::socket socket);
+  ~ServerConnection() override;
 
   void start();
   void tick(TimePoint now);
   void close();
+  /// Frees what the connection holds: refuses a request that is not complete, else closes.
+  void give_way();
   /// @return whether no request byte has arrived since the last response.
   bool idle() const { return !exchange_ && input_.empty() && !parser_->started(); }
+  ClientState state() const;
+  /// @return memory that requests and answers of the connection occupy, in bytes.
+  std::uint64_t held_bytes() const;
 
   void on_bytes(std::string_view bytes) override;
   void on_closed(bool clean) override;
   void on_drained() override;
+  void on_sent(std::size_t bytes) override;
 
  private:
   friend class Exchange;
@@ -161,18 +174,28 @@
   void close_after_output(bool linger);
   void linger();
   void drop_input(std::size_t bytes);
+  /// @return whether input is left until the current request is answered, or answers are read.
+  bool waits() const;
   /// @return whether the connection stays open after the current response.
   bool keeps_alive() const;
+  /// Resets the connection and tells the handler of the request in progress.
+  void abort();
   void drop();
+  /// Reports what the connection holds to the pool.
+  void account();
 
   HttpServer* server_;
+  ClientPool* clients_;
+  const ClientId id_;
   std::shared_ptr<TcpConnection> connection_;
   std::unique_ptr<RequestParser> parser_;
   std::string input_;
   ExchangePtr exchange_;
+  std::uint64_t request_bytes_ = 0;  ///< Memory of the request in progress and its copies.
   Phase phase_ = Phase::kOpen;
   bool lingers_ = false;  ///< Whether phase `kClosing` is followed by `kLingering`.
   std::size_t dropped_bytes_ = 0;
+  bool served_ = false;  ///< A request was complete before.
   bool keep_alive_ = true;
   bool continue_sent_ = false;
   bool parsing_ = false;
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -132,10 +132,13 @@
   output_.erase(0, error ? 0 : written);
   if (!output_.empty()) {
     wait_for_output();
-    return;
+  } else {
+    output_.shrink_to_fit();
   }
-  output_.shrink_to_fit();
   if (observer_ != nullptr) {
+    observer_->on_sent(error ? 0 : written);
+  }
+  if (observer_ != nullptr && socket_.is_open() && output_.empty()) {
     observer_->on_drained();
   }
 }
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -22,6 +22,8 @@
   virtual void on_closed(bool clean) = 0;
   /// Called when all queued output has been written and `pending_output` is zero again.
   virtual void on_drained() = 0;
+  /// Called when queued output has been written.
+  virtual void on_sent(std::size_t /*bytes*/) {}
 };
 
 /// Non-blocking reads and writes on one socket. An idle connection holds no read buffer; output
@@ -60,6 +62,8 @@
   /// @return whether the connection is open and has no unread input.
   bool reusable();
   std::size_t pending_output() const { return output_.size(); }
+  /// @return bytes of memory that queued output occupies.
+  std::size_t output_memory() const { return output_.empty() ? 0 : output_.capacity(); }
 
  private:
   void wait_for_input();
--- a/tests/net/http_parser_test.cpp
+++ b/tests/net/http_parser_test.cpp
@@ -234,6 +234,45 @@
   BOOST_TEST(parser.head().headers.memory_bytes() <= kCostPerByte * sent);
 }
 
+// Random requests in chunks, with extensions and trailers, cut at random places: what the parser
+// and its input hold follows from the limits, whatever the verdict.
+BOOST_AUTO_TEST_CASE(what_a_parser_holds_is_bounded_for_every_fragmentation) {
+  constexpr int kRounds = 3'000;
+  constexpr std::size_t kLargestPiece = 300;
+  constexpr std::uint64_t kFieldCost = 8;
+  constexpr std::uint64_t kBound =
+      kFieldCost * kHeaderLimit + 2 * kBodyLimit + kHeaderLimit + kLargestPiece;
+  std::mt19937_64 random(20261205);
+  for (int round = 0; round < kRounds; ++round) {
+    std::string bytes = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n";
+    for (std::uint64_t fields = random() % 100; fields > 0; --fields) {
+      bytes += "a:" + std::string(random() % 4, 'v') + "\r\n";
+    }
+    bytes += "\r\n";
+    for (std::uint64_t chunks = random() % 20; chunks > 0; --chunks) {
+      bytes +=
+          "1;e=" + std::string(random() % (random() % 20 == 0 ? 3'000 : 30), 'e') + "\r\nx\r\n";
+    }
+    bytes += "0;" + std::string(random() % 10 == 0 ? 2'000 : 3, 'e') + "\r\n";
+    for (std::uint64_t trailers = random() % 50; trailers > 0; --trailers) {
+      bytes += "Trailer: " + std::string(random() % 60, 't') + "\r\n";
+    }
+    bytes += "\r\n";
+    RequestParser parser(kHeaderLimit, kBodyLimit);
+    ParseStatus status = ParseStatus::kNeedMore;
+    std::string buffer;
+    while (!bytes.empty() && status == ParseStatus::kNeedMore) {
+      const std::size_t size = std::min(bytes.size(), 1 + random() % kLargestPiece);
+      buffer += bytes.substr(0, size);
+      bytes.erase(0, size);
+      status = parser.feed(buffer);
+      BOOST_REQUIRE(parser.held_bytes() + buffer.size() <= kBound);
+    }
+    BOOST_REQUIRE((status != ParseStatus::kNeedMore));
+    BOOST_REQUIRE(!parser.head().headers.has("Trailer"));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(mutated_requests_neither_crash_nor_exceed_the_body_limit) {
   constexpr int kRounds = 30'000;
   const std::string seed =
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server.hpp"
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
@@ -95,4 +96,36 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_stalled_request_is_refused_with_a_time_to_come_back) {
+  server.reset();
+  net::ClientPool clients(loop, {144 * 1024});
+  server = std::make_unique<net::HttpServer>(
+      loop, [](const net::ExchangePtr& exchange) { exchange->respond(200, {}, "ok"); }, clients);
+  server->listen("127.0.0.1:" + std::to_string(kPort));
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n";
+  net::tcp::socket stalled = connect();
+  boost::asio::write(stalled, boost::asio::buffer(head + std::string(49'000, 'x')));
+  loop.run_for(std::chrono::milliseconds(50));
+  net::tcp::socket other = connect();
+  boost::asio::write(other, boost::asio::buffer(head + std::string(49'000, 'x')));
+  loop.run_for(std::chrono::milliseconds(50));
+  net::tcp::socket ordinary = connect();
+  boost::asio::write(ordinary, boost::asio::buffer(head + std::string(20'000, 'x')));
+  loop.run_for(std::chrono::milliseconds(50));
+  boost::asio::write(ordinary, boost::asio::buffer(std::string(30'000, 'x')));
+  const auto answer_to = [&](net::tcp::socket& client) {
+    std::string answer;
+    boost::asio::async_read_until(client, boost::asio::dynamic_buffer(answer), "\r\n\r\n",
+                                  [](const auto&, auto) {});
+    while (answer.find("\r\n\r\n") == std::string::npos) {
+      loop.run_one();
+    }
+    return answer;
+  };
+  const std::string refusal = answer_to(stalled);
+  BOOST_TEST(refusal.starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(refusal.find("Retry-After: ") != std::string::npos);
+  BOOST_TEST(answer_to(ordinary).starts_with("HTTP/1.1 200 "));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
