Connections of clients leave descriptors to replicas, the log and peers

What callers saw: clients that connect and say nothing took all descriptors. No ordinary request was served for 15 to 20 s, and accept failed and was called again at once, which used the whole processor. Cause: nothing bounded connections, and nothing waited after EMFILE. Accepting rests for 100 ms after it failed for want of descriptors or memory. The kernel's receive buffer is 64 KB a client. The settings may state the machine's memory and descriptors, from which both defaults follow.

--- a/include/dockpoint/admission/client_budget.hpp
+++ b/include/dockpoint/admission/client_budget.hpp
@@ -8,7 +8,8 @@
 #include <string_view>
 #include <unordered_map>
 
-/// Decides which clients give way when all of them together hold too much memory.
+/// Decides which clients give way when all of them together hold too much memory or too many
+/// connections.
 ///
 /// A client that the node waits for gives way before one that waits for the node, and one that has
 /// made no progress for longest before the others: a crowd that stops short is older than an
@@ -19,8 +20,20 @@
 struct ClientLimits {
   /// Requests that are being received or processed, and answers that are not read yet, in bytes.
   std::uint64_t buffer_bytes = 64 * 1024 * 1024;
+  /// Connections; 0: three quarters of the descriptors that the process may open.
+  std::size_t connections = 0;
 };
 
+/// What the settings state about the machine; 0: not stated.
+struct MachineResources {
+  std::uint64_t memory_bytes = 0;
+  std::size_t descriptors = 0;
+};
+
+/// @return the limits that leave most memory and some descriptors of a machine to other uses:
+/// replicas, the log and peers.
+ClientLimits limits_for(const MachineResources& machine);
+
 /// What a connection waits for.
 enum class ClientState {
   kRefused,     ///< Its answer is sent; further input is dropped until it closes.
@@ -68,6 +81,10 @@
   bool may_process(std::uint64_t bytes) const;
   /// @return the connection to close next, if all together hold too many bytes.
   std::optional<ClientId> excess_buffer() const;
+  /// @return whether a further connection exceeds the limit.
+  bool full() const { return clients_.size() >= limits_.connections; }
+  /// @return the connection to close for a new one, or nothing if all wait for this node.
+  std::optional<ClientId> replaceable_connection() const;
 
   std::uint64_t bytes() const { return bytes_; }
   std::size_t connections() const { return clients_.size(); }
--- a/src/admission/client_budget.cpp
+++ b/src/admission/client_budget.cpp
@@ -1,7 +1,19 @@
 #include "dockpoint/admission/client_budget.hpp"
 
+#include <algorithm>
+
 namespace dockpoint {
 
+ClientLimits limits_for(const MachineResources& machine) {
+  constexpr std::uint64_t kBufferShare = 4;  // One part in so many of the memory.
+  ClientLimits limits;
+  if (machine.memory_bytes > 0) {
+    limits.buffer_bytes = std::min(limits.buffer_bytes, machine.memory_bytes / kBufferShare);
+  }
+  limits.connections = machine.descriptors / 4 * 3;
+  return limits;
+}
+
 std::string_view name_of(ClientState state) {
   switch (state) {
     case ClientState::kRefused:
@@ -125,4 +137,20 @@
   return std::nullopt;
 }
 
+std::optional<ClientId> ClientBudget::replaceable_connection() const {
+  for (const Rank rank : {Rank::kRefused, Rank::kNew, Rank::kIdle}) {
+    if (!queue(rank).empty()) {
+      return queue(rank).begin()->second;
+    }
+  }
+  const Queue& large = queue(Rank::kLarge);
+  const Queue& small = queue(Rank::kSmall);
+  if (large.empty() || small.empty()) {
+    return large.empty() && small.empty()
+               ? std::nullopt
+               : std::optional(large.empty() ? small.begin()->second : large.begin()->second);
+  }
+  return (large.begin()->first < small.begin()->first ? large : small).begin()->second;
+}
+
 }  // namespace dockpoint
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -164,7 +164,9 @@
   context_.replica_records_age = [this] { return fleet_.replicas_age(net::steady_now()).age; };
   context_.request_slot = [this](const Replica& replica) { request_slot(replica); };
   clients_.on_eviction(
-      [this](ClientState state, std::uint64_t held_bytes) { report_eviction(state, held_bytes); });
+      [this](net::EvictionReason reason, ClientState state, std::uint64_t held_bytes) {
+        report_eviction(reason, state, held_bytes);
+      });
   peers_.open();
   peers_.set_candidates(seed_datagram_addresses());
   frontend_.listen(settings_.frontend_address);
@@ -400,11 +402,13 @@
       std::max(settings_.client_limits.buffer_bytes, kLargestRequests * largest_request));
 }
 
-void Gateway::report_eviction(ClientState state, std::uint64_t held_bytes) {
-  metrics_.count_client_evicted("buffers");
-  spdlog::info(
-      "clients: connection closed limit=buffers state={} bytes={} clients={} clientBytes={}",
-      name_of(state), held_bytes, clients_.budget().connections(), clients_.budget().bytes());
+void Gateway::report_eviction(net::EvictionReason reason, ClientState state,
+                              std::uint64_t held_bytes) {
+  const char* limit = reason == net::EvictionReason::kBuffers ? "buffers" : "connections";
+  metrics_.count_client_evicted(limit);
+  spdlog::info("clients: connection closed limit={} state={} bytes={} clients={} clientBytes={}",
+               limit, name_of(state), held_bytes, clients_.budget().connections(),
+               clients_.budget().bytes());
 }
 
 void Gateway::serve_frontend(const net::ExchangePtr& exchange) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -79,7 +79,7 @@
   void apply_configuration();
   /// Bounds requests at all ports by the limits of the configuration.
   void apply_ingress_limits(const IngressLimits& limits);
-  void report_eviction(ClientState state, std::uint64_t held_bytes);
+  void report_eviction(net::EvictionReason reason, ClientState state, std::uint64_t held_bytes);
   /// Passes the current members and the size of the fleet to the components that depend on them.
   void update_fleet_size(TimePoint now);
   /// Runs outlier detection on replica failures and logs every ejection and reinstatement.
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -46,7 +46,7 @@
   /// Counts an answer that was ended because it exceeded a limit on its size or time.
   void count_endless_answer(const std::string& limit);
   /// Counts a client's connection that was closed because of the limits on all clients.
-  /// @param limit `buffers`.
+  /// @param limit `buffers` or `connections`.
   void count_client_evicted(const std::string& limit);
   /// @param bytes memory that the connections and their buffers occupy.
   void set_clients(std::size_t connections, std::uint64_t bytes);
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -22,6 +22,10 @@
 constexpr std::int64_t kMaxRevocationMs = 600'000;
 constexpr double kDefaultRateWindowSeconds = 5;
 constexpr std::int64_t kMinClientBufferBytes = 1024 * 1024;
+constexpr std::int64_t kMaxClientConnections = 1'000'000;
+constexpr std::int64_t kMaxMemoryMb = 1'000'000;
+constexpr std::int64_t kMaxDescriptors = 10'000'000;
+constexpr std::uint64_t kBytesOfMb = 1024 * 1024;
 
 std::string read_address(ObjectReader& section, const std::string& key, bool required) {
   const std::string text = required ? section.required_text(key) : section.text(key);
@@ -58,10 +62,19 @@
   window.slack = tenants.number("rate_slack", 0.0, window.slack);
 }
 
+MachineResources read_machine(ObjectReader& machine) {
+  const std::int64_t memory_mb = machine.integer("memory_mb", {0, kMaxMemoryMb}, 0);
+  const std::int64_t descriptors = machine.integer("descriptors", {0, kMaxDescriptors}, 0);
+  return {static_cast<std::uint64_t>(memory_mb) * kBytesOfMb,
+          static_cast<std::size_t>(descriptors)};
+}
+
 void read_client_limits(ObjectReader& clients, ClientLimits& limits) {
   limits.buffer_bytes =
       static_cast<std::uint64_t>(clients.integer("buffer_bytes", {kMinClientBufferBytes, kMaxBytes},
                                                  static_cast<std::int64_t>(limits.buffer_bytes)));
+  limits.connections = static_cast<std::size_t>(clients.integer(
+      "connections", {0, kMaxClientConnections}, static_cast<std::int64_t>(limits.connections)));
 }
 
 void read_experiment(ObjectReader& section, Knobs& knobs) {
@@ -113,6 +126,9 @@
   ObjectReader tenants = root.object("tenants");
   read_tenant_settings(tenants, settings);
   tenants.reject_unknown_keys();
+  ObjectReader machine = root.object("machine");
+  settings.client_limits = limits_for(read_machine(machine));
+  machine.reject_unknown_keys();
   ObjectReader clients = root.object("clients");
   read_client_limits(clients, settings.client_limits);
   clients.reject_unknown_keys();
--- a/src/net/client_pool.hpp
+++ b/src/net/client_pool.hpp
@@ -11,12 +11,19 @@
 
 class ServerConnection;
 
+/// Why a client's connection was closed.
+enum class EvictionReason {
+  kBuffers,      ///< All clients together hold too many bytes.
+  kConnections,  ///< A new connection takes its place.
+};
+
 /// The clients of one or several servers, which share the limits of a `ClientBudget`.
 /// Single-threaded.
 class ClientPool {
  public:
   /// Called before a connection is closed because of the limits.
-  using EvictionObserver = std::function<void(ClientState state, std::uint64_t held_bytes)>;
+  using EvictionObserver =
+      std::function<void(EvictionReason reason, ClientState state, std::uint64_t held_bytes)>;
 
   ClientPool(boost::asio::io_context& loop, const ClientLimits& limits);
 
@@ -24,6 +31,12 @@
   void set_buffer_bytes(std::uint64_t bytes) { budget_.set_buffer_bytes(bytes); }
   const ClientBudget& budget() const { return budget_; }
 
+  /// Closes another connection if there is no room for a new one.
+  /// @return whether a new connection may be added.
+  bool make_room();
+  /// Closes the connection that can best be spared, if there is one.
+  void release_connection();
+
   ClientId add(ServerConnection& connection);
   void remove(ClientId id);
   /// Updates what a connection holds. If all together hold too much, others are closed soon, not
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server.hpp"
 
+#include <cerrno>
 #include <utility>
 
 #include "dockpoint/core/address.hpp"
@@ -16,6 +17,9 @@
 /// Bytes of responses that a client has not read after which its next request waits.
 constexpr std::size_t kMaximumUnreadBytes = 64 * 1024;
 
+/// Receive buffer of the kernel for each client, which bounds what arrives unread, in bytes.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+
 /// Status code for a request that times out before it is complete.
 constexpr int kRequestTimeoutStatus = 408;
 
@@ -35,6 +39,11 @@
 /// Bytes that are dropped after a refusal; then the connection is not read until it is closed.
 constexpr std::size_t kLingerBytes = 4 * 1024 * 1024;
 
+/// Pause after a failure to accept a connection.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
+
+const ErrorCode kNoSystemDescriptors(ENFILE, boost::system::system_category());
+
 /// Listen backlog.
 constexpr int kBacklog = 1024;
 
@@ -139,10 +148,15 @@
       handler_(std::move(handler)),
       own_clients_(std::make_unique<ClientPool>(loop, ClientLimits{})),
       clients_(*own_clients_),
-      acceptor_(loop) {}
+      acceptor_(loop),
+      accept_timer_(loop) {}
 
 HttpServer::HttpServer(boost::asio::io_context& loop, Handler handler, ClientPool& clients)
-    : loop_(loop), handler_(std::move(handler)), clients_(clients), acceptor_(loop) {}
+    : loop_(loop),
+      handler_(std::move(handler)),
+      clients_(clients),
+      acceptor_(loop),
+      accept_timer_(loop) {}
 
 HttpServer::~HttpServer() {
   for (const auto& connection : std::exchange(connections_, {})) {
@@ -156,6 +170,8 @@
                                parsed ? parsed->port : std::uint16_t{0});
   acceptor_.open(endpoint.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  ErrorCode ignored;  // The kernel's default then holds.
+  acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
   acceptor_.bind(endpoint);
   acceptor_.listen(kBacklog);
   accept();
@@ -171,17 +187,36 @@
     if (error == boost::asio::error::operation_aborted || !acceptor_.is_open()) {
       return;
     }
-    if (!error) {
-      set_user_timeout(socket, kClientUserTimeoutMs);
-      set_keepalive(socket, kClientKeepaliveSeconds);
-      auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
-      connections_.insert(connection);
-      connection->start();
+    if (error == boost::asio::error::no_descriptors || error == boost::asio::error::no_memory ||
+        error == boost::asio::error::no_buffer_space || error == kNoSystemDescriptors) {
+      clients_.release_connection();
+      pause_accepting();
+      return;
+    }
+    if (!error && clients_.make_room()) {
+      take(std::move(socket));
     }
     accept();
   }));
 }
 
+void HttpServer::take(tcp::socket socket) {
+  set_user_timeout(socket, kClientUserTimeoutMs);
+  set_keepalive(socket, kClientKeepaliveSeconds);
+  auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
+  connections_.insert(connection);
+  connection->start();
+}
+
+void HttpServer::pause_accepting() {
+  accept_timer_.expires_after(kAcceptPause);
+  accept_timer_.async_wait(handlers_.wrap([this](const ErrorCode& error) {
+    if (!error && acceptor_.is_open()) {
+      accept();
+    }
+  }));
+}
+
 void HttpServer::remove(const std::shared_ptr<ServerConnection>& connection) {
   connections_.erase(connection);
 }
@@ -458,6 +493,16 @@
   }
 }
 
+void ServerConnection::evict() {
+  const auto self = shared_from_this();
+  if (state() == ClientState::kSending) {
+    refuse(kOverloadedStatus);
+    close();
+  } else {
+    abort();
+  }
+}
+
 void ServerConnection::abort() {
   if (exchange_ || connection_->pending_output() > 0) {
     connection_->reset();
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -114,6 +115,9 @@
   friend class ServerConnection;
 
   void accept();
+  void take(tcp::socket socket);
+  /// Accepts again after a pause: without free descriptors, accepting fails at once each time.
+  void pause_accepting();
   void remove(const std::shared_ptr<ServerConnection>& connection);
 
   boost::asio::io_context& loop_;
@@ -121,6 +125,7 @@
   const std::unique_ptr<ClientPool> own_clients_;  ///< Null if the pool is shared.
   ClientPool& clients_;
   tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_timer_;
   ServerLimits limits_;
   bool closing_ = false;
   std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
@@ -140,6 +145,8 @@
   void close();
   /// Frees what the connection holds: refuses a request that is not complete, else closes.
   void give_way();
+  /// Closes the connection for a new one; a request that is not complete is refused.
+  void evict();
   /// @return whether no request byte has arrived since the last response.
   bool idle() const { return !exchange_ && input_.empty() && !parser_->started(); }
   ClientState state() const;
--- a/tests/admission/client_budget_test.cpp
+++ b/tests/admission/client_budget_test.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::uint64_t kBody = 65'000;
 constexpr std::uint64_t kSmallRequest = 600;
-constexpr ClientLimits kLimits{2 * 1024 * 1024};
+constexpr ClientLimits kLimits{2 * 1024 * 1024, 100};
 
 /// A budget whose excess connections are closed at once, as the pool does.
 struct Replay {
@@ -133,6 +133,36 @@
   BOOST_TEST(replay.budget.bytes() <= kLimits.buffer_bytes);
 }
 
+BOOST_AUTO_TEST_CASE(connections_are_replaced_by_what_they_wait_for_and_then_by_age) {
+  ClientBudget budget(kLimits);
+  const auto add = [&](ClientState state) {
+    const ClientId id = budget.add();
+    budget.update(id, state, 0);
+    return id;
+  };
+  add(ClientState::kProcessing);
+  const ClientId sending = add(ClientState::kSending);
+  const ClientId receiving = add(ClientState::kReceiving);
+  const ClientId idle = add(ClientState::kIdle);
+  const ClientId fresh = add(ClientState::kNew);
+  const ClientId fresher = add(ClientState::kNew);
+  const ClientId refused = add(ClientState::kRefused);
+  for (const ClientId expected : {refused, fresh, fresher, idle, sending, receiving}) {
+    BOOST_TEST((budget.replaceable_connection() == expected));
+    budget.remove(expected);
+  }
+  BOOST_TEST(!budget.replaceable_connection().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_number_of_connections_is_limited) {
+  ClientBudget budget(kLimits);
+  for (std::size_t client = 0; client < kLimits.connections; ++client) {
+    BOOST_TEST(!budget.full());
+    budget.add();
+  }
+  BOOST_TEST(budget.full());
+}
+
 // Random events: the sum is that of all connections, and stays under the limit unless requests in
 // progress alone exceed it.
 BOOST_AUTO_TEST_CASE(the_sum_of_what_clients_hold_is_bounded) {
--- a/tests/gateway/gateway_settings_test.cpp
+++ b/tests/gateway/gateway_settings_test.cpp
@@ -62,6 +62,29 @@
   BOOST_TEST((settings.knobs.freshness_bound == std::chrono::milliseconds(1'500)));
 }
 
+BOOST_AUTO_TEST_CASE(client_limits_follow_from_the_machine_unless_they_are_set) {
+  constexpr std::uint64_t kMegabyte = 1024 * 1024;
+  const auto limits_with = [](const std::string& sections) {
+    std::string text = kCompleteSettings;
+    text.insert(1, sections);
+    const auto settings = boost::leaf::try_handle_all([&] { return parse_gateway_settings(text); },
+                                                      [] { return GatewaySettings{}; });
+    return settings.client_limits;
+  };
+  BOOST_TEST(limits_with("").buffer_bytes == 64 * kMegabyte);
+  BOOST_TEST(limits_with("").connections == 0U);
+  const std::string machine = R"("machine":{"memory_mb":120,"descriptors":8200},)";
+  BOOST_TEST(limits_with(machine).buffer_bytes == 30 * kMegabyte);
+  BOOST_TEST(limits_with(machine).connections == 6'150U);
+  BOOST_TEST(limits_with(R"("machine":{"memory_mb":4000},)").buffer_bytes == 64 * kMegabyte);
+  const ClientLimits set =
+      limits_with(machine + R"("clients":{"buffer_bytes":8388608,"connections":100},)");
+  BOOST_TEST(set.buffer_bytes == 8 * kMegabyte);
+  BOOST_TEST(set.connections == 100U);
+  BOOST_TEST(problem_after_replacing("{\"node\"", "{\"clients\":{\"buffer_bytes\":9},\"node\"")
+                 .find("clients.buffer_bytes") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(experiment_overrides_knobs_by_name) {
   std::string text = kCompleteSettings;
   text.insert(1, R"("experiment":{"batch_slot_share":0.25,"batch_start_delay":90},)");
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -1,5 +1,7 @@
 #include "net/http_server.hpp"
 
+#include <sys/resource.h>
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -98,7 +100,7 @@
 
 BOOST_AUTO_TEST_CASE(a_stalled_request_is_refused_with_a_time_to_come_back) {
   server.reset();
-  net::ClientPool clients(loop, {144 * 1024});
+  net::ClientPool clients(loop, {144 * 1024, 10});
   server = std::make_unique<net::HttpServer>(
       loop, [](const net::ExchangePtr& exchange) { exchange->respond(200, {}, "ok"); }, clients);
   server->listen("127.0.0.1:" + std::to_string(kPort));
@@ -128,4 +130,22 @@
   BOOST_TEST(answer_to(ordinary).starts_with("HTTP/1.1 200 "));
 }
 
+// Accepting failed at once and was tried again at once, which used the whole processor.
+BOOST_AUTO_TEST_CASE(accepting_rests_while_there_are_no_descriptors) {
+  constexpr std::size_t kMaximumHandlers = 100;
+  net::tcp::socket first = connect();
+  net::tcp::socket second = connect();
+  rlimit limit{};
+  BOOST_TEST_REQUIRE(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+  const rlimit none{0, limit.rlim_max};
+  BOOST_TEST_REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+  const std::size_t handlers = loop.run_for(std::chrono::milliseconds(300));
+  BOOST_TEST_REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  BOOST_TEST(handlers <= kMaximumHandlers);
+  BOOST_TEST(server->connections() == 0U);
+  while (server->connections() < 2) {
+    loop.run_one();
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
