dockpointd: bodies have a sum and a time, health checks their own threads

What callers saw: 56 bodies of 4 MB that stop short held 370 MB. 128 connections that say nothing kept all 64 threads, and /livez was not answered within 20 s. Cause: each thread buffered a body of up to 4 MB, for as long as its client liked, and a thread's freed memory stayed with it. Change: limits.bodies_bytes (64 MB) for the bodies of all requests, reserved before they are read where their length is announced; what finds no room is refused as not run (429). A body has 30 s. Large allocations go back to the system. listen.health serves health checks and metrics from threads of its own. Open: heads that arrive byte by byte keep their threads.

--- a/apps/dockpointd_main.cpp
+++ b/apps/dockpointd_main.cpp
@@ -1,5 +1,6 @@
 /// `dockpointd`: the daemon beside each caller.
 
+#include <malloc.h>
 #include <signal.h>
 #include <spdlog/spdlog.h>
 
@@ -17,6 +18,10 @@
     "Takes online requests and batch jobs and sends them to engines. SIGTERM drains: no new work,\n"
     "what is in progress is finished. A second SIGTERM ends the drain.";
 
+/// Larger allocations go back to the system when they are freed, instead of staying with the thread
+/// that made them.
+constexpr int kLargeAllocationBytes = 128 * 1024;
+
 constexpr timespec kSignalPoll{0, 100'000'000};
 
 bool signal_arrived(const sigset_t& signals) {
@@ -43,6 +48,7 @@
 
 int main(int argc, char** argv) {
   using namespace dockpoint;
+  mallopt(M_MMAP_THRESHOLD, kLargeAllocationBytes);
   std::string settings_path;
   bool check_only = false;
   SettingOverrides overrides;
--- a/src/http/admin_handler.cpp
+++ b/src/http/admin_handler.cpp
@@ -102,8 +102,9 @@
 
 void AdminHandler::apply_configuration(Poco::Net::HTTPServerRequest& request,
                                        Poco::Net::HTTPServerResponse& response) {
+  BodyReservation reservation(bodies_);
   const std::optional<Error> error = error_of([&]() -> Result<void> {
-    BOOST_LEAF_AUTO(body, read_request_body(request, kMaximumConfigurationBytes));
+    BOOST_LEAF_AUTO(body, read_request_body(request, kMaximumConfigurationBytes, reservation));
     BOOST_LEAF_AUTO(object, parse_json_object(body));
     Problems problems;
     ObjectReader reader(object, "", problems);
@@ -159,8 +160,9 @@
 
 void AdminHandler::validate_configuration(Poco::Net::HTTPServerRequest& request,
                                           Poco::Net::HTTPServerResponse& response) {
+  BodyReservation reservation(bodies_);
   const std::optional<Error> error = error_of([&]() -> Result<void> {
-    BOOST_LEAF_AUTO(body, read_request_body(request, kMaximumConfigurationBytes));
+    BOOST_LEAF_AUTO(body, read_request_body(request, kMaximumConfigurationBytes, reservation));
     BOOST_LEAF_CHECK(parse_fleet_config(body));
     return {};
   });
--- a/src/http/admin_handler.hpp
+++ b/src/http/admin_handler.hpp
@@ -5,6 +5,7 @@
 
 #include <string>
 
+#include "http/body_budget.hpp"
 #include "node/control_loop.hpp"
 
 namespace dockpoint {
@@ -12,7 +13,7 @@
 /// Serves the operator interface under `/admin/v1/`.
 class AdminHandler {
  public:
-  explicit AdminHandler(ControlLoop& control) : control_(control) {}
+  AdminHandler(ControlLoop& control, BodyBudget& bodies) : control_(control), bodies_(bodies) {}
 
   void show_configuration(Poco::Net::HTTPServerResponse& response);
   void show_history(Poco::Net::HTTPServerResponse& response);
@@ -28,6 +29,7 @@
   Result<ChangeOutcome> propose(ConfigurationChange change);
 
   ControlLoop& control_;
+  BodyBudget& bodies_;
 };
 
 }  // namespace dockpoint
--- a/src/http/api_server.cpp
+++ b/src/http/api_server.cpp
@@ -12,6 +12,9 @@
 constexpr int kOkStatus = 200;
 constexpr int kUnavailableStatus = 503;
 
+/// Threads of the address for health checks.
+constexpr int kHealthThreads = 4;
+
 bool is_get(const Poco::Net::HTTPServerRequest& request) {
   return request.getMethod() == "GET";
 }
@@ -49,21 +52,40 @@
     : Part("http"),
       options_(options),
       dependencies_(dependencies),
+      bodies_(options.maximum_bodies_bytes),
       peers_(dependencies.control),
       online_(dependencies.control, dependencies.online_calls, peers_, dependencies.metrics,
-              options.maximum_body_bytes),
+              options.maximum_body_bytes, bodies_),
       files_(dependencies.files, options.maximum_file_bytes),
-      batches_(dependencies.control, dependencies.files, dependencies.log, peers_),
-      admin_(dependencies.control) {}
+      batches_(dependencies.control, dependencies.files, dependencies.log, peers_, bodies_),
+      admin_(dependencies.control, bodies_) {}
 
 void ApiServer::run(std::stop_token stop) {
   HttpServer server(options_.server,
                     [this](Request& request, Response& response) { handle(request, response); });
   server.start();
+  const std::unique_ptr<HttpServer> health = start_health_server();
   wait_until_stopped(stop);
   server.stop();
 }
 
+std::unique_ptr<HttpServer> ApiServer::start_health_server() {
+  if (options_.health_address.empty()) {
+    return nullptr;
+  }
+  HttpServerOptions options;
+  options.address = options_.health_address;
+  options.threads = kHealthThreads;
+  auto server = std::make_unique<HttpServer>(options, [this](Request& request, Response& response) {
+    const std::string path = path_of(request.getURI());
+    if (!handle_health(path, response)) {
+      send_error(response, Error{ResultCode::kNotFound, "no such path: " + path, path});
+    }
+  });
+  server->start();
+  return server;
+}
+
 void ApiServer::handle(Request& request, Response& response) {
   const std::string path = path_of(request.getURI());
   if (handle_health(path, response)) {
--- a/src/http/api_server.hpp
+++ b/src/http/api_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <memory>
 
 #include "http/admin_handler.hpp"
 #include "http/batch_handler.hpp"
@@ -28,6 +29,8 @@
     HttpServerOptions server;
     std::size_t maximum_body_bytes = 0;
     std::uint64_t maximum_file_bytes = 0;
+    std::uint64_t maximum_bodies_bytes = 0;  ///< Of all requests that are not complete or answered.
+    std::string health_address;  ///< Also serves health checks and metrics; may be empty.
   };
 
   ApiServer(const Options& options, const Dependencies& dependencies);
@@ -44,6 +47,10 @@
   using Request = Poco::Net::HTTPServerRequest;
   using Response = Poco::Net::HTTPServerResponse;
 
+  /// Serves health checks on an address of their own: clients may hold all threads of the other
+  /// one.
+  /// @return null if none is set.
+  std::unique_ptr<HttpServer> start_health_server();
   void handle(Request& request, Response& response);
   bool handle_online(const std::string& path, Request& request, Response& response);
   bool handle_files(const std::string& path, Request& request, Response& response);
@@ -55,6 +62,7 @@
 
   const Options options_;
   const Dependencies dependencies_;
+  BodyBudget bodies_;
   PeerRequests peers_;
   OnlineHandler online_;
   FileHandler files_;
--- a/src/http/batch_handler.cpp
+++ b/src/http/batch_handler.cpp
@@ -118,8 +118,8 @@
 }
 
 BatchHandler::BatchHandler(ControlLoop& control, FileStore& files, LogClient& log,
-                           PeerRequests& peers)
-    : control_(control), files_(files), log_(log), peers_(peers) {}
+                           PeerRequests& peers, BodyBudget& bodies)
+    : control_(control), files_(files), log_(log), peers_(peers), bodies_(bodies) {}
 
 int BatchHandler::partition(const std::string& id) {
   return control_.call([&id](NodeController& controller, TimePoint) {
@@ -156,8 +156,9 @@
 
 void BatchHandler::create(Poco::Net::HTTPServerRequest& request,
                           Poco::Net::HTTPServerResponse& response) {
+  BodyReservation reservation(bodies_);
   const std::optional<Error> error = error_of([&]() -> Result<void> {
-    BOOST_LEAF_AUTO(body, read_request_body(request, kMaximumBodyBytes));
+    BOOST_LEAF_AUTO(body, read_request_body(request, kMaximumBodyBytes, reservation));
     BOOST_LEAF_AUTO(job, read_job(body, request));
     const std::shared_ptr<const FleetConfig> config = control_.call(
         [](NodeController& controller, TimePoint) { return controller.configuration().config(); });
--- a/src/http/batch_handler.hpp
+++ b/src/http/batch_handler.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "files/file_store.hpp"
+#include "http/body_budget.hpp"
 #include "http/peer_requests.hpp"
 #include "node/control_loop.hpp"
 
@@ -16,7 +17,8 @@
 /// to the owner of its partition.
 class BatchHandler {
  public:
-  BatchHandler(ControlLoop& control, FileStore& files, LogClient& log, PeerRequests& peers);
+  BatchHandler(ControlLoop& control, FileStore& files, LogClient& log, PeerRequests& peers,
+               BodyBudget& bodies);
 
   void create(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response);
   void get(const std::string& id, Poco::Net::HTTPServerRequest& request,
@@ -50,6 +52,7 @@
   FileStore& files_;
   LogClient& log_;
   PeerRequests& peers_;
+  BodyBudget& bodies_;
 };
 
 /// @return the batch object in the format of the OpenAI API.
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -8,8 +8,11 @@
 #include <Poco/URI.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <istream>
+#include <limits>
 
 #include "dockpoint/core/json_reader.hpp"
 
@@ -18,6 +21,43 @@
 
 constexpr std::size_t kMaximumDiscardedBytes = 64 * 1024 * 1024;
 
+/// Maximum time until a body is complete.
+constexpr std::chrono::seconds kBodyTime(30);
+
+/// Time for which a body that found no room is read and discarded.
+constexpr std::chrono::seconds kDiscardTime(2);
+
+/// Maximum time without a byte from a client that sends a request or reads an answer, in seconds.
+constexpr int kReceiveTimeoutSeconds = 30;
+
+/// Makes room in `body` for `needed` bytes of at most `limit`.
+bool reserve(std::string& body, std::size_t needed, std::size_t limit,
+             BodyReservation& reservation) {
+  if (needed <= body.capacity()) {
+    return true;
+  }
+  const std::size_t capacity = std::max(needed, std::min(limit, 2 * body.capacity()));
+  if (!reservation.grow_to(capacity)) {
+    return false;
+  }
+  body.reserve(capacity);
+  return true;
+}
+
+void shorten_receive_timeout(Poco::Net::HTTPServerRequest& request) {
+  auto& socket = static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+  socket.setReceiveTimeout(Poco::Timespan(kDiscardTime.count(), 0));
+}
+
+/// Makes room for a body whose length is announced.
+/// @return false if there is none; true also if the length is not announced or over the limit.
+bool reserve_announced(const Poco::Net::HTTPServerRequest& request, std::size_t limit,
+                       std::string& body, BodyReservation& reservation) {
+  const auto length = request.getContentLength64();
+  const bool usable = length > 0 && static_cast<std::uint64_t>(length) <= limit;
+  return !usable || reserve(body, static_cast<std::size_t>(length), limit, reservation);
+}
+
 class FunctionHandler : public Poco::Net::HTTPRequestHandler {
  public:
   explicit FunctionHandler(const HttpHandler& handler) : handler_(handler) {}
@@ -60,6 +100,7 @@
   parameters->setMaxThreads(options.threads);
   parameters->setMaxQueued(options.queued);
   parameters->setKeepAlive(true);
+  parameters->setTimeout(Poco::Timespan(kReceiveTimeoutSeconds, 0));
   parameters->setKeepAliveTimeout(Poco::Timespan(60, 0));
   parameters->setMaxKeepAliveRequests(kRequestsPerConnection);
   return parameters;
@@ -120,23 +161,62 @@
 }
 
 Result<std::string> read_request_body(Poco::Net::HTTPServerRequest& request, std::size_t limit) {
+  BodyBudget unlimited(std::numeric_limits<std::uint64_t>::max());
+  BodyReservation reservation(unlimited);
+  return read_request_body(request, limit, reservation);
+}
+
+Result<std::string> read_request_body(Poco::Net::HTTPServerRequest& request, std::size_t limit,
+                                      BodyReservation& reservation) {
   std::string body;
   std::size_t received = 0;
   std::array<char, 16 * 1024> buffer{};
   std::istream& in = request.stream();
-  // Part of an oversized body is read and discarded, so that its sender can receive the response.
-  while (in && received <= limit + kMaximumDiscardedBytes) {
-    in.read(buffer.data(), buffer.size());
-    const auto count = static_cast<std::size_t>(in.gcount());
+  auto deadline = std::chrono::steady_clock::now() + kBodyTime;
+  bool fits = reserve_announced(request, limit, body, reservation);
+  // Part of a body that is refused is read and discarded, so that its sender can receive the
+  // response.
+  while (received <= limit + kMaximumDiscardedBytes) {
+    if (!fits) {
+      shorten_receive_timeout(request);
+      deadline = std::min(deadline, std::chrono::steady_clock::now() + kDiscardTime);
+    }
+    // Waits for some bytes; `read` would wait until the buffer is full.
+    if (in.peek() == std::istream::traits_type::eof()) {
+      break;
+    }
+    const auto count = static_cast<std::size_t>(in.readsome(buffer.data(), buffer.size()));
     received += count;
-    if (received <= limit) {
+    fits = fits && (received > limit || reserve(body, received, limit, reservation));
+    if (fits && received <= limit) {
       body.append(buffer.data(), count);
+    } else {
+      std::string().swap(body);
+    }
+    if (std::chrono::steady_clock::now() > deadline) {
+      request.response().setKeepAlive(false);
+      break;
     }
   }
   if (received > limit) {
     return fail(ResultCode::kBodyTooLarge,
                 "the body is over the limit of " + std::to_string(limit) + " bytes");
   }
+  if (!fits) {
+    request.response().setKeepAlive(false);
+    return fail(Error{ResultCode::kOverloaded,
+                      "this node holds too many bytes of requests",
+                      {},
+                      RunState::kNotRun,
+                      std::chrono::seconds(1)});
+  }
+  if (in.bad()) {
+    return fail(ResultCode::kMalformedBody, "the connection failed before the body was complete");
+  }
+  if (!in.eof()) {
+    return fail(ResultCode::kDeadlineExceeded,
+                "the body did not arrive within " + std::to_string(kBodyTime.count()) + " s");
+  }
   return body;
 }
 
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "dockpoint/core/error.hpp"
+#include "http/body_budget.hpp"
 
 namespace dockpoint {
 
@@ -48,9 +49,14 @@
 /// @return whether `path` starts with `prefix`; if so, `rest` is set to the remainder.
 bool split_prefix(const std::string& path, const std::string& prefix, std::string& rest);
 
-/// Reads a complete body of at most `limit` bytes.
+/// Reads a complete body of at most `limit` bytes, within a limit on its time.
 Result<std::string> read_request_body(Poco::Net::HTTPServerRequest& request, std::size_t limit);
 
+/// The same, within what the requests of all threads may hold.
+/// @param reservation grows with the body; it must live as long as the body is used.
+Result<std::string> read_request_body(Poco::Net::HTTPServerRequest& request, std::size_t limit,
+                                      BodyReservation& reservation);
+
 void send_json(Poco::Net::HTTPServerResponse& response, int status, const std::string& json);
 
 void send_bytes(Poco::Net::HTTPServerResponse& response, const std::string& content_type,
--- a/src/http/online_handler.cpp
+++ b/src/http/online_handler.cpp
@@ -77,19 +77,22 @@
 }
 
 OnlineHandler::OnlineHandler(ControlLoop& control, OnlineCalls& calls, PeerRequests& peers,
-                             LatencyRecorder& latencies, std::size_t maximum_body_bytes)
+                             LatencyRecorder& latencies, std::size_t maximum_body_bytes,
+                             BodyBudget& bodies)
     : control_(control),
       calls_(calls),
       peers_(peers),
       latencies_(latencies),
       maximum_body_bytes_(maximum_body_bytes),
+      bodies_(bodies),
       sessions_(std::chrono::milliseconds(kMaximumDeadlineMs)) {}
 
 void OnlineHandler::handle(CompletionKind kind, Poco::Net::HTTPServerRequest& request,
                            Poco::Net::HTTPServerResponse& response) {
+  BodyReservation reservation(bodies_);
   Exchange exchange(kind, monotonic_now(), response);
   const std::optional<Error> error = error_of([&]() -> Result<void> {
-    BOOST_LEAF_ASSIGN(exchange.body, read_request_body(request, maximum_body_bytes_));
+    BOOST_LEAF_ASSIGN(exchange.body, read_request_body(request, maximum_body_bytes_, reservation));
     BOOST_LEAF_ASSIGN(exchange.completion, parse_completion_request(exchange.body, kind));
     BOOST_LEAF_CHECK(read_headers(request, exchange));
     return {};
--- a/src/http/online_handler.hpp
+++ b/src/http/online_handler.hpp
@@ -5,6 +5,7 @@
 
 #include <string>
 
+#include "http/body_budget.hpp"
 #include "http/completion_request.hpp"
 #include "http/engine_stream.hpp"
 #include "http/latency_recorder.hpp"
@@ -30,7 +31,7 @@
 class OnlineHandler {
  public:
   OnlineHandler(ControlLoop& control, OnlineCalls& calls, PeerRequests& peers,
-                LatencyRecorder& latencies, std::size_t maximum_body_bytes);
+                LatencyRecorder& latencies, std::size_t maximum_body_bytes, BodyBudget& bodies);
 
   void handle(CompletionKind kind, Poco::Net::HTTPServerRequest& request,
               Poco::Net::HTTPServerResponse& response);
@@ -76,6 +77,7 @@
   PeerRequests& peers_;
   LatencyRecorder& latencies_;
   const std::size_t maximum_body_bytes_;
+  BodyBudget& bodies_;
   HttpSessionPool sessions_;
 };
 
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -66,6 +66,8 @@
   api.server.address = settings.api_address;
   api.server.threads = settings.http_threads;
   api.maximum_body_bytes = static_cast<std::size_t>(settings.maximum_body_bytes);
+  api.maximum_bodies_bytes = static_cast<std::uint64_t>(settings.maximum_bodies_bytes);
+  api.health_address = settings.health_address;
   api.maximum_file_bytes = static_cast<std::uint64_t>(settings.maximum_file_bytes);
   api_ = std::make_shared<ApiServer>(
       api, ApiServer::Dependencies{*control_, online_calls_, files_, log_, *metrics_});
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -11,6 +11,9 @@
 namespace dockpoint {
 namespace {
 
+/// Value of an address that is not used.
+constexpr const char* kNone = "none";
+
 constexpr int kMegabyte = 1024 * 1024;
 constexpr int kLargestFile = 2'000'000'000;
 const std::vector<std::string> kLogLevels{"debug", "info", "warn", "error"};
@@ -65,6 +68,9 @@
   };
   check("listen.api", settings.api_address);
   check("listen.peer", settings.peer_address);
+  if (!settings.health_address.empty()) {
+    check("listen.health", settings.health_address);
+  }
   check("platform.log", settings.log_address);
   check("platform.machines", settings.machines_address);
   std::set<std::string> seeds;
@@ -88,6 +94,10 @@
   ObjectReader listen = root.object("listen");
   settings.api_address = read_address(listen, "api");
   settings.peer_address = read_address(listen, "peer");
+  const std::string health = listen.text("health");
+  if (!health.empty() && health != kNone) {
+    settings.health_address = read_address(listen, "health");
+  }
   listen.reject_unknown_keys();
   ObjectReader platform = root.object("platform");
   settings.log_address = read_address(platform, "log");
@@ -103,6 +113,8 @@
   ObjectReader limits = root.object("limits");
   settings.maximum_body_bytes = static_cast<int>(
       limits.integer("body_bytes", {1024, 64 * kMegabyte}, settings.maximum_body_bytes));
+  settings.maximum_bodies_bytes = static_cast<int>(
+      limits.integer("bodies_bytes", {1024, kLargestFile}, settings.maximum_bodies_bytes));
   settings.maximum_file_bytes = static_cast<int>(
       limits.integer("file_bytes", {1024, kLargestFile}, settings.maximum_file_bytes));
   settings.drain_seconds =
@@ -123,6 +135,8 @@
       {"node.zone", "zone", "", "Zone that this node is in."},
       {"listen.api", "listen-api", "", "IP:port of the HTTP interface."},
       {"listen.peer", "listen-peer", "", "IP:port for datagrams between nodes (UDP)."},
+      {"listen.health", "listen-health", kNone,
+       "IP:port that serves /livez, /readyz and /metrics alone, which clients cannot exhaust."},
       {"platform.log", "platform-log", "", "IP:port of the platform's log."},
       {"platform.machines", "platform-machines", "", "IP:port of the platform's machine list."},
       {"seeds", "seeds", "[]", "Peer addresses of other nodes to contact first."},
@@ -130,6 +144,8 @@
       {"threads.batch", "threads-batch", "64", "Batch items sent at once, 1 to 4096."},
       {"limits.body_bytes", "body-bytes", "4194304",
        "Largest body of an online request, 1024 to 67108864 bytes."},
+      {"limits.bodies_bytes", "bodies-bytes", "67108864",
+       "Bodies of all requests together that a node holds, 1024 to 2000000000 bytes."},
       {"limits.file_bytes", "file-bytes", "1073741824",
        "Largest uploaded file, 1024 to 2000000000 bytes."},
       {"limits.drain_seconds", "drain-seconds", "60",
@@ -182,12 +198,14 @@
       {"node.zone", settings.zone},
       {"listen.api", settings.api_address},
       {"listen.peer", settings.peer_address},
+      {"listen.health", settings.health_address.empty() ? kNone : settings.health_address},
       {"platform.log", settings.log_address},
       {"platform.machines", settings.machines_address},
       {"seeds", seeds},
       {"threads.http", std::to_string(settings.http_threads)},
       {"threads.batch", std::to_string(settings.batch_threads)},
       {"limits.body_bytes", std::to_string(settings.maximum_body_bytes)},
+      {"limits.bodies_bytes", std::to_string(settings.maximum_bodies_bytes)},
       {"limits.file_bytes", std::to_string(settings.maximum_file_bytes)},
       {"limits.drain_seconds", std::to_string(settings.drain_seconds)},
       {"log.level", settings.log_level},
--- a/src/node/settings.hpp
+++ b/src/node/settings.hpp
@@ -14,12 +14,14 @@
   std::string zone;
   std::string api_address;       ///< `IP:port` of the HTTP interface.
   std::string peer_address;      ///< `IP:port` for datagrams between nodes.
+  std::string health_address;    ///< `IP:port` of health checks alone; may be empty.
   std::string log_address;       ///< `IP:port` of the platform's log.
   std::string machines_address;  ///< `IP:port` of the platform's machine list.
   std::vector<std::string> seeds;
   int http_threads = 512;
   int batch_threads = 64;
   int maximum_body_bytes = 4 * 1024 * 1024;
+  int maximum_bodies_bytes = 64 * 1024 * 1024;
   int maximum_file_bytes = 1024 * 1024 * 1024;
   int drain_seconds = 60;
   std::string log_level = "info";
--- a/tests/system/cluster.mjs
+++ b/tests/system/cluster.mjs
@@ -96,8 +96,9 @@
    * Starts everything and publishes the configuration.
    * @param deployment parsed configuration; engine addresses are replaced by free ports.
    */
-  async start(deployment, { nodes = 3, zones = ['zone-1'], engineArgs = [] } = {}) {
+  async start(deployment, { nodes = 3, zones = ['zone-1'], engineArgs = [], nodeArgs = [] } = {}) {
     this.engineArgs = engineArgs;
+    this.nodeArgs = nodeArgs;
     this.logAddress = `127.0.0.1:${await freePort()}`;
     this.machinesAddress = `127.0.0.1:${await freePort()}`;
     this.logProcess = this.run('log', 'dockpoint-emulator', ['log', '--listen', this.logAddress]);
@@ -141,7 +142,7 @@
     node.process = this.run(name, 'dockpointd', [
       '--node-name', name, '--zone', node.zone, '--listen-api', node.api, '--listen-peer', node.peer,
       '--platform-log', this.logAddress, '--platform-machines', this.machinesAddress,
-      '--seeds', this.seeds.join(','), '--drain-seconds', '30', '--log-level', 'debug']);
+      '--seeds', this.seeds.join(','), '--drain-seconds', '30', '--log-level', 'debug', ...this.nodeArgs]);
   }
 
   /** Publishes a configuration through a node. */
