--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,6 +39,9 @@
 /// Maximum number of fleet state responses in progress; each may be a megabyte.
 constexpr std::size_t kMaxConcurrentStateResponses = 2;
 
+/// A crowd of clients must not displace other log lines.
+constexpr Duration kEvictionLogInterval = std::chrono::seconds(1);
+
 /// The clients' buffers hold at least this many of the largest requests that are allowed.
 constexpr std::uint64_t kLargestRequests = 16;
 
@@ -406,9 +409,17 @@
                               std::uint64_t held_bytes) {
   const char* limit = reason == net::EvictionReason::kBuffers ? "buffers" : "connections";
   metrics_.count_client_evicted(limit);
-  spdlog::info("clients: connection closed limit={} state={} bytes={} clients={} clientBytes={}",
-               limit, name_of(state), held_bytes, clients_.budget().connections(),
-               clients_.budget().bytes());
+  ++unlogged_evictions_;
+  const TimePoint now = net::steady_now();
+  if (now - eviction_logged_at_ < kEvictionLogInterval) {
+    return;
+  }
+  spdlog::warn(
+      "clients: connections closed count={} limit={} state={} bytes={} clients={} clientBytes={}",
+      unlogged_evictions_, limit, name_of(state), held_bytes, clients_.budget().connections(),
+      clients_.budget().bytes());
+  eviction_logged_at_ = now;
+  unlogged_evictions_ = 0;
 }
 
 void Gateway::serve_frontend(const net::ExchangePtr& exchange) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -495,11 +495,9 @@
 
 void ServerConnection::evict() {
   const auto self = shared_from_this();
-  if (state() == ClientState::kSending) {
-    refuse(kOverloadedStatus);
+  give_way();
+  if (connection_->open()) {
     close();
-  } else {
-    abort();
   }
 }
 
