--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -17,8 +17,9 @@
 /// Bytes of responses that a client has not read after which its next request waits.
 constexpr std::size_t kMaximumUnreadBytes = 64 * 1024;
 
-/// Receive buffer of the kernel for each client, which bounds what arrives unread, in bytes.
-constexpr int kReceiveBufferBytes = 64 * 1024;
+/// Receive buffer of the kernel for each client, in bytes: while the process stands still, every
+/// connection may fill its own.
+constexpr int kReceiveBufferBytes = 16 * 1024;
 
 /// Status code for a request that times out before it is complete.
 constexpr int kRequestTimeoutStatus = 408;
