A test of the server destroys it before the pool that it borrows

The address sanitizer reported the server's destructor using the pool of the test case (stack-buffer-overflow in http_server/a_stalled_request_is_refused_with_a_time_to_come_back); the product declares the pool before its servers. http_server passes under it now.

--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -128,6 +128,7 @@
   BOOST_TEST(refusal.starts_with("HTTP/1.1 503 "));
   BOOST_TEST(refusal.find("Retry-After: ") != std::string::npos);
   BOOST_TEST(answer_to(ordinary).starts_with("HTTP/1.1 200 "));
+  server.reset();  // It borrows the clients' pool.
 }
 
 // Accepting failed at once and was tried again at once, which used the whole processor.
