--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -79,8 +79,8 @@
   void apply_configuration();
   /// Bounds requests at all ports by the limits of the configuration.
   void apply_ingress_limits(const IngressLimits& limits);
-  /// Counts a client's connection that is closed because of the limits on all, and logs the last one
-  /// at an interval.
+  /// Counts a client's connection that is closed because of the limits on all, and logs the last
+  /// one at an interval.
   void report_eviction(net::EvictionReason reason, ClientState state, std::uint64_t held_bytes);
   /// Passes the current members and the size of the fleet to the components that depend on them.
   void update_fleet_size(TimePoint now);
