The head of an answer is judged in the parser: status 100 to 599, fields

Callers saw answers with status 000, 001 and 099 as "HTTP/1.1 0 ???" on every route, and 600 and 999 where the request may not be repeated.

Cause: Beast takes any three digits as a status, and each reader of an answer compared only the statuses that it knows. An unknown one was neither a success nor a failure, and was passed on.

Evidence: replicas that answer with raw bytes (tests/support/broken_heads.hpp).

The parser applies them before any reader sees the head, so that replicas, the log, peers, probes and batch items have them alike. What is refused ends the call as malformed: another replica answers where the request may be repeated, else the caller gets 502.

--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -12,6 +12,9 @@
 /// Maximum size of a response head, of a chunk's size line, and of trailers, in bytes.
 constexpr std::uint32_t kResponseHeaderLimit = 64 * 1024;
 
+/// Beast's number for HTTP/1.0.
+constexpr int kHttp10 = 10;
+
 /// Maximum body size for which memory is reserved up front, in bytes.
 constexpr std::uint64_t kReserveLimit = 256 * 1024;
 
@@ -94,7 +97,6 @@
 
 void RequestParser::on_request_impl(http::verb /*method*/, String method_text, String target,
                                     int version, ErrorCode& /*error*/) {
-  constexpr int kHttp10 = 10;
   head_.http_1_0 = version == kHttp10;
   head_.method.assign(method_text.data(), method_text.size());
   head_.target.assign(target.data(), target.size());
@@ -165,8 +167,13 @@
 }
 
 ParseStatus ResponseParser::feed(std::string& buffer) {
-  return feed_parser(static_cast<basic_parser<false>&>(*this), chunk_seen_, kResponseHeaderLimit,
-                     buffer);
+  const ParseStatus status = feed_parser(static_cast<basic_parser<false>&>(*this), chunk_seen_,
+                                         kResponseHeaderLimit, buffer);
+  const bool refused = status != ParseStatus::kNeedMore && status != ParseStatus::kDone;
+  if (refused && !is_header_done() && !fault_) {
+    fault_ = status == ParseStatus::kHeaderTooLarge ? HeadFault::kSize : HeadFault::kSyntax;
+  }
+  return status;
 }
 
 bool ResponseParser::feed_end() {
@@ -196,7 +203,12 @@
                     std::string_view(value.data(), value.size()));
 }
 
-void ResponseParser::on_header_impl(ErrorCode& /*error*/) {
+void ResponseParser::on_header_impl(ErrorCode& error) {
+  fault_ = find_fault(head_);
+  if (fault_) {
+    error = *fault_ == HeadFault::kStatus ? http::error::bad_status : http::error::bad_field;
+    return;
+  }
   head_.ends_with_connection = !chunked() && !content_length();
   head_.keep_alive = keep_alive() && !head_.ends_with_connection;
   on_head_(head_);
--- a/src/net/http_parser.hpp
+++ b/src/net/http_parser.hpp
@@ -3,9 +3,11 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "net/head_check.hpp"
 #include "net/http_message.hpp"
 
 /// Incremental HTTP/1.1 parsers based on Boost.Beast.
@@ -67,7 +69,8 @@
   bool chunk_seen_ = false;
 };
 
-/// Parses one response and forwards its body as it arrives. Trailers are dropped. Not thread-safe.
+/// Parses one response and forwards its body as it arrives. A response whose head has a fault is
+/// malformed: no part of it is forwarded. Trailers are dropped. Not thread-safe.
 class ResponseParser : private boost::beast::http::basic_parser<false> {
  public:
   /// Called with a piece of the body.
@@ -83,8 +86,11 @@
   /// @return whether this completes the response.
   bool feed_end();
 
-  bool has_head() const { return is_header_done(); }
+  /// @return whether a head without a fault is complete.
+  bool has_head() const { return is_header_done() && !fault_; }
   const ResponseHead& head() const { return head_; }
+  /// @return why the head is malformed; nothing if it is not, or not complete.
+  std::optional<HeadFault> fault() const { return fault_; }
 
  private:
   using String = boost::beast::string_view;
@@ -103,6 +109,7 @@
   void on_finish_impl(ErrorCode& error) override;
 
   ResponseHead head_;
+  std::optional<HeadFault> fault_;
   HeadSink on_head_;
   BodySink on_body_;
   bool chunk_seen_ = false;
--- /dev/null
+++ b/tests/platform/broken_answers_test.cpp
@@ -0,0 +1,200 @@
+/// Tests that an answer whose head no HTTP receiver accepts does not reach a caller, and that what
+/// is passed on can be read by the caller.
+
+#include <boost/test/unit_test.hpp>
+#include <list>
+#include <string>
+#include <vector>
+
+#include "net/clock.hpp"
+#include "platform/job_fixture.hpp"
+#include "platform/stand_ins.hpp"
+#include "support/broken_heads.hpp"
+#include "support/raw_replica.hpp"
+
+using namespace dockpoint;
+using namespace dockpoint::test;
+
+namespace {
+
+constexpr std::uint16_t kFrontendPort = 28'171;
+constexpr std::uint16_t kFirstPort = 28'172;
+constexpr int kReplicas = 3;
+
+const std::string kGenuine = "Attempt-Id: request-1\r\nResponse-Signature: signed\r\n";
+const std::string kBody = "2\r\nhi\r\n0\r\n\r\n";
+const std::string kEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const std::string kLastEvent = "id: 3\ndata: c\n\n";
+
+constexpr RouteKind kAllKinds[] = {RouteKind::kIdempotent, RouteKind::kNonIdempotent,
+                                   RouteKind::kStreaming};
+
+/// @return an answer with a broken head.
+std::string broken_answer(const BrokenHead& head, const std::string& fields = kGenuine) {
+  return head.with(fields) + kBody;
+}
+
+/// @return an answer in chunks. @param cut whether its last chunk is missing.
+std::string chunked_answer(const std::string& body, bool cut = false) {
+  return "HTTP/1.1 200 OK\r\n" + kGenuine + "Transfer-Encoding: chunked\r\n\r\n" +
+         net::as_chunk(body) + (cut ? "" : net::as_chunk({}));
+}
+
+/// A node before replicas that answer the sends of a request in turn.
+struct Node {
+  ProxyFixture fixture{kFrontendPort};
+  std::list<RawReplica> replicas;
+  std::size_t sends = 0;
+
+  Node(RouteKind kind, int attempts, const std::vector<RawReplica::Answer>& answers) {
+    RouteConfig& route = fixture.route();
+    route.kind = kind;
+    route.attempts = attempts;
+    route.resumable = kind == RouteKind::kStreaming;
+    for (int number = 0; number < kReplicas; ++number) {
+      replicas.emplace_back(fixture.loop, "r" + std::to_string(number),
+                            static_cast<std::uint16_t>(kFirstPort + number),
+                            [this, answers](const std::string&) {
+                              return answers.at(std::min(sends++, answers.size() - 1));
+                            });
+      fixture.directory.upsert(replicas.back().record("lm"), {});
+    }
+  }
+  /// @return failures that count against replicas, all together.
+  double failures() const {
+    double sum = 0;
+    for (const RawReplica& replica : replicas) {
+      const Replica* known = fixture.directory.find(replica.record("lm").id);
+      sum += known == nullptr ? 0 : known->own_failures.value(net::steady_now());
+    }
+    return sum;
+  }
+};
+
+/// @return what the caller gets if the request may not be repeated.
+net::SimpleCall::Outcome single_answer(RouteKind kind, const RawReplica::Answer& answer) {
+  Node node(kind, 1, {answer});
+  return node.fixture.send_request();
+}
+
+void check_that_none_is_passed_on(const std::vector<BrokenHead>& heads) {
+  for (const BrokenHead& head : heads) {
+    for (const RouteKind kind : kAllKinds) {
+      BOOST_TEST_CONTEXT(head.name << ", route kind " << static_cast<int>(kind)) {
+        const auto outcome = single_answer(kind, {broken_answer(head), AnswerEnding::kCloses});
+        BOOST_TEST(!outcome.failure.has_value());
+        BOOST_TEST(outcome.head.status == 502);
+        BOOST_TEST(outcome.body.empty());
+        BOOST_TEST(!outcome.head.headers.has("Response-Signature"));
+      }
+    }
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(broken_answers)
+
+// Guards against answers with status 000 and others outside 100 to 599 that reach a caller.
+BOOST_AUTO_TEST_CASE(an_answer_with_a_status_that_no_receiver_accepts_is_not_passed_on) {
+  check_that_none_is_passed_on(heads_with_broken_status());
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_with_a_broken_field_is_not_passed_on) {
+  check_that_none_is_passed_on(heads_with_broken_fields());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_be_repeated_is_answered_elsewhere) {
+  for (const BrokenHead& head : broken_heads()) {
+    BOOST_TEST_CONTEXT(head.name) {
+      Node node(RouteKind::kIdempotent, 2,
+                {{broken_answer(head), AnswerEnding::kCloses}, {chunked_answer("whole")}});
+      const auto outcome = node.fixture.send_request();
+      BOOST_TEST(outcome.head.status == 200);
+      BOOST_TEST(outcome.body == "whole");
+      BOOST_TEST(node.sends == 2U);
+      BOOST_TEST(node.failures() > 0.5);
+      BOOST_TEST(node.failures() < 1.5);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_goes_on_elsewhere_after_a_broken_head) {
+  for (const BrokenHead& head : broken_heads()) {
+    BOOST_TEST_CONTEXT(head.name) {
+      Node node(RouteKind::kStreaming, 3,
+                {{chunked_answer(kEvents, true), AnswerEnding::kCloses},
+                 {broken_answer(head), AnswerEnding::kCloses},
+                 {chunked_answer(kLastEvent)}});
+      const auto outcome = node.fixture.send_request();
+      BOOST_TEST(!outcome.failure.has_value());
+      BOOST_TEST(outcome.body == kEvents + kLastEvent);
+      BOOST_TEST(node.sends == 3U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_second_answer_on_a_connection_is_not_passed_on) {
+  for (const BrokenHead& head : broken_heads()) {
+    BOOST_TEST_CONTEXT(head.name) {
+      Node node(RouteKind::kNonIdempotent, 1,
+                {{chunked_answer("whole")}, {broken_answer(head), AnswerEnding::kCloses}});
+      BOOST_TEST(node.fixture.send_request().body == "whole");
+      BOOST_TEST(node.fixture.send_request().head.status == 502);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_answer_to_another_request_is_not_passed_on) {
+  for (const BrokenHead& head : broken_heads()) {
+    BOOST_TEST_CONTEXT(head.name) {
+      const auto outcome = single_answer(
+          RouteKind::kNonIdempotent,
+          {broken_answer(head, "Attempt-Id: other\r\nResponse-Signature: signed\r\n") +
+               chunked_answer("whole"),
+           AnswerEnding::kCloses});
+      BOOST_TEST(outcome.head.status == 502);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_answer_cut_at_any_byte_is_not_passed_on) {
+  for (const BrokenHead& head : broken_heads()) {
+    const std::string whole = broken_answer(head);
+    constexpr std::size_t kStep = 7;
+    for (std::size_t sent = whole.size() % kStep; sent < whole.size(); sent += kStep) {
+      const auto outcome =
+          single_answer(RouteKind::kNonIdempotent, {whole.substr(0, sent), AnswerEnding::kCloses});
+      BOOST_TEST(outcome.head.status == 502, head.name << ", cut after " << sent);
+    }
+  }
+}
+
+/// A node with a job of one item; the first runs of the item are answered with broken heads.
+struct BrokenItemRuns : JobFixture {
+  std::list<RawReplica> replicas;
+  std::size_t runs = 0;
+
+  explicit BrokenItemRuns(const std::vector<BrokenHead>& heads) {
+    for (const std::uint16_t port : {kFirstPort, static_cast<std::uint16_t>(kFirstPort + 1)}) {
+      replicas.emplace_back(loop, "r" + std::to_string(port), port, [this, heads](const auto&) {
+        const std::size_t run = runs++;
+        return run < heads.size()
+                   ? RawReplica::Answer{broken_answer(heads[run]), AnswerEnding::kCloses}
+                   : RawReplica::Answer{chunked_answer(kEvents)};
+      });
+      add_replica(port);
+    }
+    start();
+  }
+};
+
+BOOST_AUTO_TEST_CASE(an_item_runs_again_after_broken_heads) {
+  const std::vector<BrokenHead> heads{heads_with_broken_status()[0], heads_with_broken_fields()[0]};
+  BrokenItemRuns fixture(heads);
+  fixture.submit();
+  BOOST_TEST(fixture.text_of_item() == "a\nb");
+  BOOST_TEST(fixture.runs == heads.size() + 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
