Transfer codings other than a single chunked are malformed

Callers saw 200 with the size lines of chunks, or with coded bytes, as the body: `chunked, gzip`, `xchunked`, `gzip`, `gzip, chunked`. The field was dropped on the way, so that they could not tell.

Cause: Beast reads chunks if the last coding is `chunked`, and takes every other coding for a body that ends with the connection.

Fix: a framing that is not known is refused with the head (RFC 9112, 6.1 and 6.3), chunks from HTTP/1.0 too. A status without body ends with its head, whatever its coding says.

--- a/src/net/head_check.cpp
+++ b/src/net/head_check.cpp
@@ -39,6 +39,15 @@
   return true;
 }
 
+/// @return whether the length of the body can be known.
+bool has_known_coding(const ResponseHead& head) {
+  if (!allows_body(head.status) || !head.headers.has("Transfer-Encoding")) {
+    return true;
+  }
+  const std::vector<std::string> codings = head.headers.list("Transfer-Encoding");
+  return !head.http_1_0 && codings.size() == 1 && equal_names(codings.front(), "chunked");
+}
+
 }  // namespace
 
 const char* to_string(HeadFault fault) {
@@ -53,6 +62,8 @@
       return "reason";
     case HeadFault::kField:
       return "field";
+    case HeadFault::kTransferCoding:
+      return "transfer_coding";
   }
   return "syntax";
 }
@@ -68,6 +79,9 @@
   if (!has_sound_fields(head.headers)) {
     return HeadFault::kField;
   }
+  if (!has_known_coding(head)) {
+    return HeadFault::kTransferCoding;
+  }
   return std::nullopt;
 }
 
--- a/src/net/head_check.hpp
+++ b/src/net/head_check.hpp
@@ -10,11 +10,12 @@
 
 /// Why a response head is malformed.
 enum class HeadFault {
-  kSyntax,  ///< A line that is not HTTP, or framing that contradicts itself.
-  kSize,    ///< The head exceeds its limit.
-  kStatus,  ///< Outside 100 to 599, or a change of protocol that was not asked for.
-  kReason,  ///< A control byte in the reason phrase.
-  kField,   ///< A name that is no token, or a control byte in a value.
+  kSyntax,          ///< A line that is not HTTP, or framing that contradicts itself.
+  kSize,            ///< The head exceeds its limit.
+  kStatus,          ///< Outside 100 to 599, or a change of protocol that was not asked for.
+  kReason,          ///< A control byte in the reason phrase.
+  kField,           ///< A name that is no token, or a control byte in a value.
+  kTransferCoding,  ///< A transfer coding other than a single `chunked`.
 };
 
 /// @return the name of a fault, for logs and metrics.
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -29,17 +29,16 @@
   return text;
 }
 
-std::vector<std::string> tokens_of(std::string_view list) {
-  std::vector<std::string> tokens;
+/// Appends the elements of a comma-separated list; empty ones are left out.
+void append_elements(std::vector<std::string>& elements, std::string_view list) {
   while (!list.empty()) {
     const std::size_t comma = std::min(list.find(','), list.size());
-    const std::string_view token = trim(list.substr(0, comma));
-    if (!token.empty()) {
-      tokens.emplace_back(token);
+    const std::string_view element = trim(list.substr(0, comma));
+    if (!element.empty()) {
+      elements.emplace_back(element);
     }
     list.remove_prefix(std::min(comma + 1, list.size()));
   }
-  return tokens;
 }
 
 void append_fields(std::string& bytes, const Headers& headers) {
@@ -87,6 +86,17 @@
   return find(name).value_or(std::string_view{});
 }
 
+std::vector<std::string> Headers::list(std::string_view name) const {
+  std::vector<std::string> elements;
+  for (const Span& span : fields_) {
+    const HeaderField field = view(span);
+    if (equal_names(field.name, name)) {
+      append_elements(elements, field.value);
+    }
+  }
+  return elements;
+}
+
 void Headers::add(std::string_view name, std::string_view value) {
   fields_.push_back({static_cast<std::uint32_t>(text_.size()),
                      static_cast<std::uint32_t>(name.size()),
@@ -109,7 +119,9 @@
 }
 
 void Headers::erase_connection_fields() {
-  for (const std::string& name : tokens_of(get("Connection"))) {
+  std::vector<std::string> named;
+  append_elements(named, get("Connection"));
+  for (const std::string& name : named) {
     erase(name);
   }
   for (const std::string_view name : kConnectionFields) {
@@ -117,6 +129,12 @@
   }
 }
 
+bool allows_body(int status) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return status / 100 != 1 && status != kNoContent && status != kNotModified;
+}
+
 std::string_view reason_phrase(int status) {
   return Poco::Net::HTTPResponse::getReasonForStatus(
       static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -30,6 +30,8 @@
   /// @return the value, or an empty string.
   std::string_view get(std::string_view name) const;
   bool has(std::string_view name) const { return find(name).has_value(); }
+  /// @return the elements of a comma-separated list that all fields with that name make up.
+  std::vector<std::string> list(std::string_view name) const;
 
   /// @param name, value must not be views of these headers.
   void add(std::string_view name, std::string_view value);
@@ -74,8 +76,12 @@
   Headers headers;
   bool keep_alive = true;
   bool ends_with_connection = false;  ///< No content length and not chunked.
+  bool http_1_0 = false;              ///< The server knows no chunks.
 };
 
+/// @return whether a response with that status may have a body.
+bool allows_body(int status);
+
 /// @return the standard reason phrase.
 std::string_view reason_phrase(int status);
 
--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -188,8 +188,8 @@
 void ResponseParser::on_request_impl(http::verb /*method*/, String /*method_text*/,
                                      String /*target*/, int /*version*/, ErrorCode& /*error*/) {}
 
-void ResponseParser::on_response_impl(int code, String reason, int /*version*/,
-                                      ErrorCode& /*error*/) {
+void ResponseParser::on_response_impl(int code, String reason, int version, ErrorCode& /*error*/) {
+  head_.http_1_0 = version == kHttp10;
   head_.status = code;
   head_.reason.assign(reason.data(), reason.size());
 }
--- a/tests/net/broken_heads_test.cpp
+++ b/tests/net/broken_heads_test.cpp
@@ -108,4 +108,14 @@
   }
 }
 
+// An answer that may have no body ends with its head, whatever its framing says.
+BOOST_AUTO_TEST_CASE(codings_of_answers_without_body_do_not_matter) {
+  for (const char* status : {"204 No Content", "304 Not Modified"}) {
+    const Parsed parsed = parse_in_pieces(
+        "HTTP/1.1 " + std::string(status) + "\r\nTransfer-Encoding: gzip\r\n\r\n", 1);
+    BOOST_TEST((parsed.status == net::ParseStatus::kDone));
+    BOOST_TEST(parsed.heads == 1);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -104,6 +104,11 @@
   check_that_none_is_passed_on(heads_with_broken_fields());
 }
 
+// Guards against coded bytes, and sizes of chunks, that pass for the replica's body.
+BOOST_AUTO_TEST_CASE(an_answer_with_an_unknown_transfer_coding_is_not_passed_on) {
+  check_that_none_is_passed_on(heads_with_unknown_codings());
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_may_be_repeated_is_answered_elsewhere) {
   for (const BrokenHead& head : broken_heads()) {
     BOOST_TEST_CONTEXT(head.name) {
@@ -190,7 +195,8 @@
 };
 
 BOOST_AUTO_TEST_CASE(an_item_runs_again_after_broken_heads) {
-  const std::vector<BrokenHead> heads{heads_with_broken_status()[0], heads_with_broken_fields()[0]};
+  const std::vector<BrokenHead> heads{heads_with_broken_status()[0], heads_with_broken_fields()[0],
+                                      heads_with_unknown_codings()[0]};
   BrokenItemRuns fixture(heads);
   fixture.submit();
   BOOST_TEST(fixture.text_of_item() == "a\nb");
--- a/tests/support/broken_heads.hpp
+++ b/tests/support/broken_heads.hpp
@@ -67,10 +67,25 @@
   return heads;
 }
 
+/// @return heads with a transfer coding other than a single `chunked`.
+inline std::vector<BrokenHead> heads_with_unknown_codings() {
+  const std::string status = "HTTP/1.1 200 OK";
+  std::vector<BrokenHead> heads;
+  for (const char* codings :
+       {"chunked, gzip", "xchunked", "gzip", "gzip, chunked", "chunked, chunked", "identity",
+        "chunked;q=1", "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: gzip",
+        "gzip\r\nContent-Length: 7"}) {
+    heads.push_back(
+        {"coding " + std::string(codings), status, "Transfer-Encoding: " + std::string(codings)});
+  }
+  heads.push_back({"chunks of HTTP/1.0", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked"});
+  return heads;
+}
+
 /// @return all of them.
 inline std::vector<BrokenHead> broken_heads() {
   std::vector<BrokenHead> heads = heads_with_broken_status();
-  for (const auto& more : {heads_with_broken_fields()}) {
+  for (const auto& more : {heads_with_broken_fields(), heads_with_unknown_codings()}) {
     heads.insert(heads.end(), more.begin(), more.end());
   }
   return heads;
