A provisional answer does not end its connection, nor the judging of the final one

Callers got 502 for a whole answer that followed "100 Continue" or "103 Early Hints". A broken head after a provisional answer counted as a connection that broke off, which may be a crash.

Cause: a head without length and chunks was taken for one that ends with its connection, also where no body may follow; and whether a head had come before decided between malformed and interrupted.

Fix: only a status that allows a body can end with its connection. A head with a fault is malformed, whatever came before it. A simple call keeps the final head alone, so that a provisional one does not pass for the answer of a health check.

--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -222,7 +222,7 @@
     return;
   }
   attempt_.signal(not_sent ? ReplicaSignal::kUnreachable : ReplicaSignal::kBroken, now);
-  interrupted(now, "the connection ended");
+  interrupted(now, not_sent ? "the item was not sent" : "the answer is malformed");
 }
 
 void ItemRun::interrupted(TimePoint now, const char* why) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -354,12 +354,8 @@
     if (status == ParseStatus::kNeedMore) {
       return;
     }
-    if (status == ParseStatus::kHeaderTooLarge && head_received_) {
-      fail(CallFailure::kOversized);
-      return;
-    }
     if (status != ParseStatus::kDone) {
-      fail(head_received_ ? CallFailure::kInterrupted : CallFailure::kMalformed);
+      fail_refused(status);
       return;
     }
     if (!skipping_response_ && parser_->head().status / 100 != 1) {
@@ -374,6 +370,16 @@
   }
 }
 
+void ClientConnection::fail_refused(ParseStatus status) {
+  const std::optional<HeadFault> fault = parser_->fault();
+  if (fault || !head_received_) {
+    fail(CallFailure::kMalformed);
+  } else {
+    fail(status == ParseStatus::kHeaderTooLarge ? CallFailure::kOversized
+                                                : CallFailure::kInterrupted);
+  }
+}
+
 void ClientConnection::complete(ResponseEnd end) {
   const auto self = shared_from_this();
   const CallPtr call = std::exchange(call_, nullptr);
@@ -478,7 +484,10 @@
 }
 
 bool SimpleCall::on_head(const ResponseHead& head) {
-  outcome_.head = head;
+  const bool provisional = head.status / 100 == 1;
+  if (!provisional) {
+    outcome_.head = head;
+  }
   return true;
 }
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -25,7 +25,7 @@
   kNotSent,      ///< No connection accepted any byte of the request: it did not run.
   kNoAnswer,     ///< The request was sent; the connection closed before a response head.
   kInterrupted,  ///< The connection closed in the middle of the response.
-  kMalformed,    ///< The received bytes are not a valid HTTP response.
+  kMalformed,    ///< The head of the response is not valid HTTP; no part of it was passed on.
   kOversized,    ///< The received bytes exceed a limit, see `ResponseLimits`.
 };
 
@@ -216,6 +216,8 @@
   void parse();
   void complete(ResponseEnd end);
   void fail(CallFailure failure);
+  /// Ends the call because of bytes that the parser refused.
+  void fail_refused(ParseStatus status);
   void update_keep_alive(const ResponseHead& head);
   /// @return whether the bytes received for the call exceed the limit on its overhead.
   bool overhead_exceeded() const;
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -75,7 +75,7 @@
   std::string reason;
   Headers headers;
   bool keep_alive = true;
-  bool ends_with_connection = false;  ///< No content length and not chunked.
+  bool ends_with_connection = false;  ///< It may have a body, of unknown length and not chunked.
   bool http_1_0 = false;              ///< The server knows no chunks.
 };
 
--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -209,7 +209,7 @@
     error = *fault_ == HeadFault::kStatus ? http::error::bad_status : http::error::bad_field;
     return;
   }
-  head_.ends_with_connection = !chunked() && !content_length();
+  head_.ends_with_connection = allows_body(head_.status) && !chunked() && !content_length();
   head_.keep_alive = keep_alive() && !head_.ends_with_connection;
   on_head_(head_);
 }
--- a/tests/net/broken_heads_test.cpp
+++ b/tests/net/broken_heads_test.cpp
@@ -77,6 +77,19 @@
   }
 }
 
+// Guards against a broken head that passes for an answer that broke off, which may be a crash.
+BOOST_AUTO_TEST_CASE(a_broken_head_after_a_provisional_answer_ends_as_malformed) {
+  for (const BrokenHead& head : broken_heads()) {
+    BOOST_TEST_CONTEXT(head.name) {
+      answer = "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" + head.with({}) + kBody;
+      const auto outcome = call();
+      BOOST_TEST_REQUIRE(outcome.failure.has_value());
+      BOOST_TEST((*outcome.failure == net::CallFailure::kMalformed));
+      BOOST_TEST(outcome.head.status == 0);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_broken_head_is_found_for_every_fragmentation) {
   for (const BrokenHead& head : broken_heads()) {
     const std::string whole = head.with({}) + kBody;
--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -139,6 +139,31 @@
   }
 }
 
+// Guards against a provisional answer that passes for one that ends with its connection.
+BOOST_AUTO_TEST_CASE(a_whole_answer_after_provisional_ones_is_passed_on) {
+  for (const RouteKind kind : kAllKinds) {
+    const std::string body = kind == RouteKind::kStreaming ? kEvents : "whole";
+    const auto outcome = single_answer(kind, {"HTTP/1.1 100 Continue\r\n\r\n"
+                                              "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" +
+                                              chunked_answer(body)});
+    BOOST_TEST(outcome.head.status == 200);
+    BOOST_TEST(outcome.body == body);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_head_after_a_provisional_answer_is_not_passed_on) {
+  for (const BrokenHead& head : broken_heads()) {
+    for (const RouteKind kind : kAllKinds) {
+      BOOST_TEST_CONTEXT(head.name << ", route kind " << static_cast<int>(kind)) {
+        const auto outcome = single_answer(
+            kind,
+            {"HTTP/1.1 103 Early Hints\r\n\r\n" + broken_answer(head), AnswerEnding::kCloses});
+        BOOST_TEST(outcome.head.status == 502);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_broken_second_answer_on_a_connection_is_not_passed_on) {
   for (const BrokenHead& head : broken_heads()) {
     BOOST_TEST_CONTEXT(head.name) {
