Malformed answers are logged and counted apart from answers that broke off

On call saw only "attempt failed failure=3" for a replica, and nothing for the log, peers and probes.

Change: the client reports each malformed head with its server and fault; the gateway logs `http: answer is malformed` and counts dockpoint_gateway_malformed_answers_total{fault}.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -170,6 +170,10 @@
       [this](net::EvictionReason reason, ClientState state, std::uint64_t held_bytes) {
         report_eviction(reason, state, held_bytes);
       });
+  context_.client.on_malformed(
+      handlers_.wrap([this](const net::Endpoint& server, net::HeadFault fault) {
+        report_malformed_answer(server, fault);
+      }));
   peers_.open();
   peers_.set_candidates(seed_datagram_addresses());
   frontend_.listen(settings_.frontend_address);
@@ -422,6 +426,12 @@
   unlogged_evictions_ = 0;
 }
 
+void Gateway::report_malformed_answer(const net::Endpoint& server, net::HeadFault fault) {
+  metrics_.count_malformed_answer(net::to_string(fault));
+  spdlog::warn("http: answer is malformed server={} name={} fault={}", server.address.to_string(),
+               server.identity, net::to_string(fault));
+}
+
 void Gateway::serve_frontend(const net::ExchangePtr& exchange) {
   last_caller_at_ = exchange->received();
   const std::shared_ptr<const RoutingConfiguration> configuration = context_.configuration;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -106,6 +106,7 @@
   void confirm_versions(TimePoint as_of);
   /// Handles a peer's request to yield a batch item's slot.
   void handle_slot_request(const SlotRequest& request);
+  void report_malformed_answer(const net::Endpoint& server, net::HeadFault fault);
   void serve_frontend(const net::ExchangePtr& exchange);
   /// Refuses a call on a batch job that might not be answered before this node exits.
   /// @param limit maximum time that the call takes.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -74,6 +74,10 @@
                            .Name("dockpoint_gateway_endless_answers_total")
                            .Help("Answers ended because they exceeded a limit, by limit.")
                            .Register(registry_)),
+      malformed_answers_(prometheus::BuildCounter()
+                             .Name("dockpoint_gateway_malformed_answers_total")
+                             .Help("Answers whose head is not valid HTTP, by fault.")
+                             .Register(registry_)),
       clients_evicted_(prometheus::BuildCounter()
                            .Name("dockpoint_gateway_clients_evicted_total")
                            .Help("Connections of clients closed because of the limits on all.")
@@ -234,6 +238,10 @@
   endless_answers_.Add({{"limit", limit}}).Increment();
 }
 
+void GatewayMetrics::count_malformed_answer(const std::string& fault) {
+  malformed_answers_.Add({{"fault", fault}}).Increment();
+}
+
 void GatewayMetrics::set_quarantined_requests(std::size_t count) {
   quarantined_requests_.Set(static_cast<double>(count));
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -45,6 +45,9 @@
   void count_doubtful_end(const std::string& conclusion);
   /// Counts an answer that was ended because it exceeded a limit on its size or time.
   void count_endless_answer(const std::string& limit);
+  /// Counts an answer of any server whose head is malformed.
+  /// @param fault name of a `net::HeadFault`.
+  void count_malformed_answer(const std::string& fault);
   /// Counts a client's connection that was closed because of the limits on all clients.
   /// @param limit `buffers` or `connections`.
   void count_client_evicted(const std::string& limit);
@@ -96,6 +99,7 @@
   prometheus::Family<prometheus::Counter>& broken_runs_;
   prometheus::Family<prometheus::Counter>& doubtful_ends_;
   prometheus::Family<prometheus::Counter>& endless_answers_;
+  prometheus::Family<prometheus::Counter>& malformed_answers_;
   prometheus::Family<prometheus::Counter>& clients_evicted_;
   prometheus::Gauge& client_connections_;
   prometheus::Gauge& client_bytes_;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -372,6 +372,9 @@
 
 void ClientConnection::fail_refused(ParseStatus status) {
   const std::optional<HeadFault> fault = parser_->fault();
+  if (fault && client_ != nullptr && client_->malformed_handler_) {
+    client_->malformed_handler_(endpoint_, *fault);
+  }
   if (fault || !head_received_) {
     fail(CallFailure::kMalformed);
   } else {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -168,6 +168,10 @@
   /// Enforces timeouts; call several times a second.
   void tick(TimePoint now);
 
+  /// Called when a call ends because the head of its response is malformed, before its observer.
+  using MalformedHandler = std::function<void(const Endpoint& server, HeadFault fault)>;
+  void on_malformed(MalformedHandler handler) { malformed_handler_ = std::move(handler); }
+
   const ClientCounts& counts() const { return counts_; }
 
  private:
@@ -183,6 +187,7 @@
   std::set<std::shared_ptr<ClientConnection>> connecting_;
   std::set<ClientConnection*> connections_;  ///< All existing connections.
   ClientCounts counts_;
+  MalformedHandler malformed_handler_;
 };
 
 /// A connection to a server, used by one call at a time.
--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -228,4 +228,20 @@
   BOOST_TEST(fixture.runs == heads.size() + 1);
 }
 
+BOOST_AUTO_TEST_CASE(broken_heads_are_counted_and_are_no_evidence_of_a_crash) {
+  BrokenItemRuns fixture(std::vector<BrokenHead>(3, heads_with_broken_status()[0]));
+  fixture.submit();
+  BOOST_TEST(fixture.text_of_item() == "a\nb");
+  std::optional<net::SimpleCall::Outcome> page;
+  const net::RequestHead head{"GET", "/metrics", {{"Host", "node"}}};
+  net::SimpleCall::start(fixture.caller, fixture.loop,
+                         {*Address::parse(GatewayNode::address(1, 5)), "metrics"},
+                         net::serialize(head), {}, std::chrono::seconds(5),
+                         [&](net::SimpleCall::Outcome outcome) { page = std::move(outcome); });
+  fixture.run_until([&] { return page.has_value(); });
+  BOOST_TEST(page->body.find("dockpoint_gateway_malformed_answers_total{fault=\"status\"} 3") !=
+             std::string::npos);
+  BOOST_TEST(page->body.find("dockpoint_gateway_broken_runs_total{") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
