Fields that a second Connection field names are not passed on

Callers got `X-Hop`, a field of the connection to the replica, if a second `Connection` field named it. Cause: only the first `Connection` field was read. Fix: a list is read from all fields with its name; the same holds for what callers send to replicas.

--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -119,9 +119,7 @@
 }
 
 void Headers::erase_connection_fields() {
-  std::vector<std::string> named;
-  append_elements(named, get("Connection"));
-  for (const std::string& name : named) {
+  for (const std::string& name : list("Connection")) {
     erase(name);
   }
   for (const std::string_view name : kConnectionFields) {
--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -200,6 +200,21 @@
   }
 }
 
+// Guards against a second connection field that is not read.
+BOOST_AUTO_TEST_CASE(fields_that_any_connection_field_names_are_not_passed_on) {
+  const std::string fields =
+      "Connection: X-First\r\nX-First: 1\r\nConnection: close, X-Hop\r\nX-Hop: 2\r\nX-End: 3\r\n";
+  for (const RouteKind kind : kAllKinds) {
+    const auto outcome = single_answer(
+        kind, {"HTTP/1.1 200 OK\r\n" + kGenuine + fields + "Content-Length: 0\r\n\r\n",
+               AnswerEnding::kCloses});
+    BOOST_TEST(outcome.head.status == 200);
+    BOOST_TEST(!outcome.head.headers.has("X-First"));
+    BOOST_TEST(!outcome.head.headers.has("X-Hop"));
+    BOOST_TEST(outcome.head.headers.get("X-End") == "3");
+  }
+}
+
 /// A node with a job of one item; the first runs of the item are answered with broken heads.
 struct BrokenItemRuns : JobFixture {
   std::list<RawReplica> replicas;
