An answer is genuine only with the fields that its caller gets

Callers got 200 without the signature if the replica named `Response-Signature` in `Connection`; a success counts only with it. Cause: the signature was looked for before the fields of the connection were taken out. Two `Attempt-Id` fields, the second of another request, and an empty signature were taken for genuine too.

--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -86,6 +86,12 @@
   return find(name).value_or(std::string_view{});
 }
 
+std::size_t Headers::count(std::string_view name) const {
+  return static_cast<std::size_t>(
+      std::count_if(fields_.begin(), fields_.end(),
+                    [&](const Span& span) { return equal_names(view(span).name, name); }));
+}
+
 std::vector<std::string> Headers::list(std::string_view name) const {
   std::vector<std::string> elements;
   for (const Span& span : fields_) {
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -30,6 +30,8 @@
   /// @return the value, or an empty string.
   std::string_view get(std::string_view name) const;
   bool has(std::string_view name) const { return find(name).has_value(); }
+  /// @return the number of fields with that name.
+  std::size_t count(std::string_view name) const;
   /// @return the elements of a comma-separated list that all fields with that name make up.
   std::vector<std::string> list(std::string_view name) const;
 
--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -215,6 +215,28 @@
   }
 }
 
+// Guards against a success without its signature, which its caller does not count.
+BOOST_AUTO_TEST_CASE(an_answer_that_takes_its_signature_as_a_connection_field_is_not_passed_on) {
+  for (const RouteKind kind : kAllKinds) {
+    const auto outcome =
+        single_answer(kind, {"HTTP/1.1 200 OK\r\n" + kGenuine +
+                                 "Connection: Response-Signature\r\nContent-Length: 2\r\n\r\nhi",
+                             AnswerEnding::kCloses});
+    BOOST_TEST(outcome.head.status == 502);
+  }
+}
+
+// Guards against an answer that states two requests, one of them another.
+BOOST_AUTO_TEST_CASE(an_answer_with_two_request_ids_is_not_passed_on) {
+  for (const RouteKind kind : kAllKinds) {
+    const auto outcome = single_answer(
+        kind,
+        {"HTTP/1.1 200 OK\r\n" + kGenuine + "Attempt-Id: other\r\nContent-Length: 2\r\n\r\nhi",
+         AnswerEnding::kCloses});
+    BOOST_TEST(outcome.head.status == 502);
+  }
+}
+
 /// A node with a job of one item; the first runs of the item are answered with broken heads.
 struct BrokenItemRuns : JobFixture {
   std::list<RawReplica> replicas;
