No body and no length follow a status that allows none

Callers that keep a connection read a last chunk, `0`, after 204 on a streaming route, as the start of the next answer; 204 and 304 elsewhere had `Content-Length: 0`. Cause: the server framed every response as if it had a body. Fix: 204 and 304 end with their head.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -81,12 +81,18 @@
   }
   answered_ = true;
   ended_ = true;
+  ResponseHead head{status, {}, std::move(headers)};
   const bool keep = connection->keeps_alive();
   if (!keep) {
-    headers.set("Connection", "close");
+    head.headers.set("Connection", "close");
+  }
+  if (allows_body(head.status)) {
+    head.headers.set("Content-Length", std::to_string(body.size()));
+  } else {
+    head.headers.erase("Content-Length");
+    body = {};
   }
-  headers.set("Content-Length", std::to_string(body.size()));
-  std::string bytes = serialize(ResponseHead{status, {}, std::move(headers)});
+  std::string bytes = serialize(head);
   bytes += body;
   connection->send(bytes);
   connection->finish(keep);
@@ -98,7 +104,11 @@
     return;
   }
   answered_ = true;
-  framing_ = head_.http_1_0 ? BodyFraming::kUntilClose : framing;
+  if (!allows_body(head.status)) {
+    framing_ = BodyFraming::kNoBody;
+  } else {
+    framing_ = head_.http_1_0 ? BodyFraming::kUntilClose : framing;
+  }
   if (!connection->keeps_alive() || framing_ == BodyFraming::kUntilClose) {
     head.headers.set("Connection", "close");
     connection->keep_alive_ = false;
@@ -111,7 +121,7 @@
 
 void Exchange::write(std::string_view bytes) {
   const auto connection = connection_.lock();
-  if (!ended_ && connection && !bytes.empty()) {
+  if (!ended_ && connection && !bytes.empty() && framing_ != BodyFraming::kNoBody) {
     connection->send(framing_ == BodyFraming::kChunks ? as_chunk(bytes) : std::string(bytes));
   }
 }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -33,6 +33,7 @@
 enum class BodyFraming {
   kChunks,      ///< By a last chunk. HTTP/1.0 has no chunks: such clients get `kUntilClose`.
   kUntilClose,  ///< By the end of the connection.
+  kNoBody,      ///< By the end of the head: the status allows no body.
 };
 
 /// A request and its response. Only one response can be sent; later calls, and calls after the
--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -1,6 +1,8 @@
 /// Tests that an answer whose head no HTTP receiver accepts does not reach a caller, and that what
 /// is passed on can be read by the caller.
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <list>
 #include <string>
@@ -91,6 +93,30 @@
   }
 }
 
+/// @return the bytes that a caller reads until the connection ends or nothing more comes.
+std::string raw_bytes_of(ProxyFixture& fixture) {
+  net::tcp::socket socket(fixture.loop);
+  socket.connect({boost::asio::ip::make_address("127.0.0.1"), kFrontendPort});
+  boost::asio::write(socket, boost::asio::buffer(
+                                 std::string("POST /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: "
+                                             "request-1\r\nContent-Length: 2\r\n\r\nhi")));
+  std::string bytes;
+  bool arrived = false;
+  std::array<char, 4096> buffer{};
+  socket.async_read_some(boost::asio::buffer(buffer),
+                         [&](const boost::system::error_code&, std::size_t count) {
+                           bytes.assign(buffer.data(), count);
+                           arrived = true;
+                         });
+  fixture.run_until([&] { return arrived; });
+  const TimePoint end = net::steady_now() + std::chrono::milliseconds(100);
+  fixture.run_until([&] { return net::steady_now() > end; });
+  socket.non_blocking(true);
+  boost::system::error_code ignored;
+  const std::size_t more = socket.read_some(boost::asio::buffer(buffer), ignored);
+  return bytes.append(buffer.data(), more);
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(broken_answers)
@@ -237,6 +263,23 @@
   }
 }
 
+// Guards against bytes where no body may be, which a caller reads as the next answer.
+BOOST_AUTO_TEST_CASE(no_body_follows_a_status_without_body) {
+  for (const char* status : {"204 No Content", "304 Not Modified"}) {
+    for (const RouteKind kind : kAllKinds) {
+      BOOST_TEST_CONTEXT(status << ", route kind " << static_cast<int>(kind)) {
+        Node node(kind, 1, {{"HTTP/1.1 " + std::string(status) + "\r\n" + kGenuine + "\r\n"}});
+        const std::string bytes = raw_bytes_of(node.fixture);
+        BOOST_TEST(bytes.starts_with("HTTP/1.1 " + std::string(status).substr(0, 3)));
+        BOOST_TEST(bytes.ends_with("\r\n\r\n"));
+        BOOST_TEST(bytes.find("\r\n\r\n") == bytes.size() - 4);
+        BOOST_TEST(bytes.find("Transfer-Encoding") == std::string::npos);
+        BOOST_TEST(bytes.find("Content-Length") == std::string::npos);
+      }
+    }
+  }
+}
+
 /// A node with a job of one item; the first runs of the item are answered with broken heads.
 struct BrokenItemRuns : JobFixture {
   std::list<RawReplica> replicas;
