The server writes no head that our own client refuses

What is written to callers went through no check: a status, a name or a value from unchecked input would have been written as it was. The next fault of this kind is then seen in the log, and not by callers. The caller gets 502, which promises nothing about what ran; the log has an error with target and fault.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,7 @@
 #include "net/http_server.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <cerrno>
 #include <utility>
 
@@ -27,6 +29,9 @@
 /// Status code for a request that is refused because clients hold too much memory.
 constexpr int kOverloadedStatus = 503;
 
+/// Status code in place of a response that clients would refuse.
+constexpr int kBadGatewayStatus = 502;
+
 /// Retry-After of requests that clients' limits refuse, in seconds: stalled clients give way at
 /// once.
 constexpr const char* kOverloadedRetryAfter = "0.5";
@@ -54,6 +59,21 @@
 /// Idle time before TCP keep-alive probes to a client, in seconds.
 constexpr int kClientKeepaliveSeconds = 5;
 
+/// Replaces a final response's head that clients would refuse: it was made from unchecked input.
+/// @param target of the request, for the log.
+/// @return whether it was replaced; the body must then be left out.
+bool replace_malformed(ResponseHead& head, const std::string& target) {
+  const bool provisional = head.status / 100 == 1;
+  const std::optional<HeadFault> fault = provisional ? HeadFault::kStatus : find_fault(head);
+  if (!fault) {
+    return false;
+  }
+  spdlog::error("http: malformed response replaced target={} status={} fault={}", target,
+                head.status, to_string(*fault));
+  head = ResponseHead{kBadGatewayStatus, {}, {}};
+  return true;
+}
+
 int status_of(ParseStatus status) {
   switch (status) {
     case ParseStatus::kHeaderTooLarge:
@@ -82,6 +102,9 @@
   answered_ = true;
   ended_ = true;
   ResponseHead head{status, {}, std::move(headers)};
+  if (replace_malformed(head, head_.target)) {
+    body = {};
+  }
   const bool keep = connection->keeps_alive();
   if (!keep) {
     head.headers.set("Connection", "close");
@@ -103,6 +126,10 @@
   if (answered_ || !connection) {
     return;
   }
+  if (replace_malformed(head, head_.target)) {
+    respond(head.status, std::move(head.headers), {});
+    return;
+  }
   answered_ = true;
   if (!allows_body(head.status)) {
     framing_ = BodyFraming::kNoBody;
--- a/tests/net/broken_heads_test.cpp
+++ b/tests/net/broken_heads_test.cpp
@@ -1,11 +1,14 @@
 /// Tests that a call to any server (replica, log, peer, probe) whose answer has a broken head ends
 /// as malformed, and that no part of the answer reaches the caller of the client.
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <optional>
 #include <string>
 
 #include "net/http_client.hpp"
+#include "net/http_server.hpp"
 #include "support/broken_heads.hpp"
 #include "support/raw_replica.hpp"
 
@@ -15,6 +18,7 @@
 namespace {
 
 constexpr std::uint16_t kPort = 28'175;
+constexpr std::uint16_t kServerPort = 28'176;
 const std::string kBody = "2\r\nhi\r\n0\r\n\r\n";
 
 /// A client, and a server that answers with given bytes and closes the connection.
@@ -131,4 +135,47 @@
   }
 }
 
+// A server must not write what a client refuses to read.
+BOOST_AUTO_TEST_CASE(a_server_writes_no_broken_head) {
+  const net::ResponseHead heads[] = {
+      {0, {}, {}},
+      {99, {}, {}},
+      {101, {}, {}},
+      {600, {}, {}},
+      {200, "O\rK", {}},
+      {200, {}, {{"X Broken", "yes"}}},
+      {200, {}, {{"", "yes"}}},
+      {200, {}, {{"X", "a\r\nY: z"}}},
+      {200, {}, {{"X", std::string_view("a\0z", 3)}}},
+  };
+  std::size_t next = 0;
+  net::HttpServer writer(loop, [&](const net::ExchangePtr& exchange) {
+    const net::ResponseHead& head = heads[next / 2];
+    if (next++ % 2 == 0) {
+      exchange->respond(head.status, head.headers, "body");
+    } else {
+      exchange->begin(head);
+      exchange->write("body");
+      exchange->end();
+    }
+  });
+  writer.listen("127.0.0.1:" + std::to_string(kServerPort));
+  net::tcp::socket caller(loop);
+  caller.connect({boost::asio::ip::make_address("127.0.0.1"), kServerPort});
+  while (next < 2 * std::size(heads)) {
+    const bool reason_only = !heads[next / 2].reason.empty() && next % 2 == 0;
+    boost::asio::write(caller,
+                       boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    loop.run_for(std::chrono::milliseconds(20));
+    std::array<char, 1024> buffer{};
+    const std::size_t count = caller.read_some(boost::asio::buffer(buffer));
+    const std::string_view response(buffer.data(), count);
+    const std::string expected =
+        reason_only ? "HTTP/1.1 200 OK\r\n" : "HTTP/1.1 502 Bad Gateway\r\n";
+    BOOST_TEST(response.starts_with(expected), response);
+    BOOST_TEST(response.find("Broken") == std::string::npos);
+    BOOST_TEST((reason_only || response.find("body") == std::string::npos));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
