dockpointd: answers' heads are judged by the same parser

Callers got 200 with the body of an answer whose fields had blanks or control bytes in their names, lines without a colon, or a blank before the colon of its length; and 103 would have passed for the answer. Cause: Poco reads such heads, and reads another framing from them than was sent; it skips status 100 alone. No check of Poco's can be set for this. Fix: what a session's socket receives passes through net::ResponseParser until the final head is complete; a fault ends the exchange before Poco reads it. All exchanges have it: engines, items, peers, the log.

--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -8,6 +8,7 @@
 
 #include "dockpoint/core/address.hpp"
 #include "http/answer_body.hpp"
+#include "http/checked_session.hpp"
 
 namespace dockpoint {
 namespace {
@@ -34,7 +35,7 @@
     }
   }
   const Address parsed = Address::parse(address).value_or(Address{"0.0.0.0", 1});
-  auto session = std::make_unique<Poco::Net::HTTPClientSession>(parsed.host, parsed.port);
+  auto session = std::make_unique<CheckedHttpSession>(parsed.host, parsed.port);
   session->setKeepAlive(true);
   session->setKeepAliveTimeout(Poco::Timespan(60, 0));
   session->setTimeout(to_timespan(timeout_));
--- /dev/null
+++ b/tests/http/broken_engine_answers_test.cpp
@@ -0,0 +1,103 @@
+/// Tests that dockpointd takes no answer with a broken head for one, and that bytes without end
+/// cost it bounded memory.
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "http/engine_stream.hpp"
+#include "http/http_session.hpp"
+#include "support/broken_heads.hpp"
+#include "support/raw_replica.hpp"
+
+using namespace dockpoint;
+using namespace dockpoint::test;
+
+namespace {
+
+constexpr std::uint16_t kServerPort = 28'263;
+const std::string kServer = "127.0.0.1:28263";
+const std::string kChunkedJson = "2\r\n{}\r\n0\r\n\r\n";
+const std::string kChunkedEvents = "10\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
+
+/// Servers on a thread of their own.
+struct Fixture {
+  boost::asio::io_context loop;
+  std::mutex mutex;
+  std::string answer;
+  AnswerEnding ending = AnswerEnding::kCloses;
+  RawReplica server{loop, "server", kServerPort, [this](const std::string&) {
+                      const std::lock_guard<std::mutex> lock(mutex);
+                      return RawReplica::Answer{answer, ending};
+                    }};
+  HttpSessionPool sessions{std::chrono::seconds(5)};
+  std::thread thread;
+
+  void start() {
+    thread = std::thread([this] { loop.run(); });
+  }
+  void answer_with(std::string bytes) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    answer = std::move(bytes);
+  }
+  ~Fixture() {
+    loop.stop();
+    thread.join();
+  }
+};
+
+HttpExchange request_to(const std::string& address) {
+  HttpExchange request;
+  request.address = address;
+  request.method = "POST";
+  request.path = "/";
+  return request;
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(broken_engine_answers, Fixture)
+
+BOOST_AUTO_TEST_CASE(an_exchange_with_a_broken_head_has_no_answer) {
+  start();
+  for (const BrokenHead& head : broken_heads()) {
+    for (const std::string provisional : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+      BOOST_TEST_CONTEXT(head.name) {
+        answer_with(provisional +
+                    head.with("Content-Type: application/json\r\nConnection: close\r\n") + "{}");
+        const HttpOutcome outcome = exchange(sessions, request_to(kServer));
+        BOOST_TEST(!outcome.answer.has_value());
+        BOOST_TEST(outcome.failure.sent);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_with_a_broken_head_is_not_opened) {
+  start();
+  for (const BrokenHead& head : broken_heads()) {
+    BOOST_TEST_CONTEXT(head.name) {
+      answer_with(head.with("Content-Type: text/event-stream\r\n") + kChunkedEvents);
+      EngineStream stream(sessions, kServer);
+      BOOST_TEST((stream.open(request_to(kServer), "r1") == EngineStream::Status::kBroken));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(sound_answers_are_read_on_one_connection_after_another) {
+  ending = AnswerEnding::kKeepsOpen;
+  start();
+  for (const std::string provisional :
+       {"", "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"}) {
+    answer_with(provisional + "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                kChunkedJson);
+    const HttpOutcome outcome = exchange(sessions, request_to(kServer));
+    BOOST_REQUIRE(outcome.answer.has_value());
+    BOOST_TEST(outcome.answer->body == "{}");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
