dockpointd: a stream without an event, and what follows its last one, are bounded

A stream's line without end was kept whole: 300 MB for each of two requests, 810 MB resident, no answer. Cause: EngineStream::next and close read lines of any length, and any number of lines without an event. Fix: 1 MB without an event ends the stream, as at the gateway; 64 KB are read after the last event, then the connection is closed.

--- a/src/http/engine_stream.cpp
+++ b/src/http/engine_stream.cpp
@@ -2,7 +2,9 @@
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <spdlog/spdlog.h>
 
+#include "dockpoint/streaming/event_framer.hpp"
 #include "http/answer_body.hpp"
 #include "http/engine_protocol.hpp"
 
@@ -12,6 +14,11 @@
 constexpr std::string_view kDataPrefix = "data: ";
 constexpr std::string_view kDone = "[DONE]";
 
+/// Maximum size of what follows the last event, in bytes.
+constexpr std::size_t kMaximumRestBytes = 64 * 1024;
+
+constexpr int kEndOfInput = std::istream::traits_type::eof();
+
 }  // namespace
 
 EngineStream::EngineStream(HttpSessionPool& sessions, std::string address)
@@ -59,31 +66,58 @@
 
 EngineStream::Status EngineStream::next(std::string& data) {
   try {
-    for (std::string line; std::getline(*in_, line);) {
-      if (in_->eof()) {
-        break;  // The last line has no end.
-      }
+    std::size_t bytes_left = kMaxBytesWithoutEvent;
+    for (std::string line; read_line(line, bytes_left);) {
       if (!line.starts_with(kDataPrefix)) {
         continue;
       }
       data = line.substr(kDataPrefix.size());
       return data == kDone ? Status::kEnd : Status::kOk;
     }
+    if (bytes_left == 0) {
+      spdlog::warn("http: A stream has no event within its limit; engine={} limitBytes={}",
+                   address_, kMaxBytesWithoutEvent);
+    }
   } catch (const Poco::Exception&) {
     // Reported as broken below.
   }
   return Status::kBroken;
 }
 
+bool EngineStream::read_line(std::string& line, std::size_t& bytes_left) {
+  line.clear();
+  for (; bytes_left > 0; --bytes_left) {
+    const int letter = in_->rdbuf()->sbumpc();
+    if (letter == kEndOfInput) {
+      return false;  // The last line has no end.
+    }
+    if (letter == '\n') {
+      return true;
+    }
+    line += static_cast<char>(letter);
+  }
+  return false;
+}
+
 void EngineStream::close() {
   try {
-    std::string rest;
-    while (in_ != nullptr && std::getline(*in_, rest)) {
+    if (in_ != nullptr && skip_rest()) {
+      sessions_.release(address_, std::move(session_));
     }
-    sessions_.release(address_, std::move(session_));
   } catch (const Poco::Exception&) {
-    session_.reset();
+    // The connection is closed below.
+  }
+  session_.reset();
+}
+
+bool EngineStream::skip_rest() {
+  for (std::size_t skipped = 0; skipped <= kMaximumRestBytes; ++skipped) {
+    if (in_->rdbuf()->sbumpc() == kEndOfInput) {
+      return true;
+    }
   }
+  spdlog::warn("http: Bytes without end follow the last event; engine={}", address_);
+  return false;
 }
 
 }  // namespace dockpoint
--- a/src/http/engine_stream.hpp
+++ b/src/http/engine_stream.hpp
@@ -24,15 +24,24 @@
   /// Sends the request and reads the response head.
   Status open(const HttpExchange& request, const std::string& request_id);
 
-  /// Reads the data of the next event into `data`.
+  /// Reads the data of the next event into `data`. A stream that has none within
+  /// `kMaxBytesWithoutEvent` is broken.
   Status next(std::string& data);
 
-  /// Reads the rest of the response and returns the connection to the pool.
+  /// Reads the rest of the response and returns the connection to the pool, or closes it if the
+  /// rest does not end.
   void close();
 
   const HttpAnswer& answer() const { return answer_; }
 
  private:
+  /// Reads a line without its end.
+  /// @param bytes_left how many bytes may be read still; those that were are taken off.
+  /// @return whether the line is complete.
+  bool read_line(std::string& line, std::size_t& bytes_left);
+  /// Reads what follows the last event. @return whether the response has ended.
+  bool skip_rest();
+
   HttpSessionPool& sessions_;
   const std::string address_;
   HttpSessionPool::Session session_;
--- a/tests/http/broken_engine_answers_test.cpp
+++ b/tests/http/broken_engine_answers_test.cpp
@@ -10,6 +10,7 @@
 #include "http/engine_stream.hpp"
 #include "http/http_session.hpp"
 #include "support/broken_heads.hpp"
+#include "support/flooding_replica.hpp"
 #include "support/raw_replica.hpp"
 
 using namespace dockpoint;
@@ -18,10 +19,15 @@
 namespace {
 
 constexpr std::uint16_t kServerPort = 28'263;
+constexpr std::uint16_t kFloodPort = 28'264;
 const std::string kServer = "127.0.0.1:28263";
+const std::string kFlood = "127.0.0.1:28264";
 const std::string kChunkedJson = "2\r\n{}\r\n0\r\n\r\n";
 const std::string kChunkedEvents = "10\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
 
+/// Bytes after which a flood has to have been ended, with what the sockets between hold.
+constexpr std::uint64_t kToleratedBytes = 32 * 1024 * 1024;
+
 /// Servers on a thread of their own.
 struct Fixture {
   boost::asio::io_context loop;
@@ -32,6 +38,7 @@
                       const std::lock_guard<std::mutex> lock(mutex);
                       return RawReplica::Answer{answer, ending};
                     }};
+  std::optional<FloodingReplica> flood;
   HttpSessionPool sessions{std::chrono::seconds(5)};
   std::thread thread;
 
@@ -100,4 +107,48 @@
   }
 }
 
+// Guards against memory that grows with a line of a stream that does not end.
+BOOST_AUTO_TEST_CASE(a_line_of_a_stream_without_end_is_ended) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+  for (const bool after_the_last_event : {false, true}) {
+    flood.emplace(loop, "flood", kFloodPort, head + (after_the_last_event ? "data: [DONE]\n" : ""),
+                  [](std::uint64_t) { return std::string(4'000, 'x'); });
+    if (!thread.joinable()) {
+      start();
+    }
+    std::string data;
+    {
+      EngineStream stream(sessions, kFlood);
+      BOOST_REQUIRE((stream.open(request_to(kFlood), "r1") == EngineStream::Status::kOk));
+      const EngineStream::Status status = stream.next(data);
+      if (after_the_last_event) {
+        BOOST_TEST((status == EngineStream::Status::kEnd));
+        stream.close();
+      } else {
+        BOOST_TEST((status == EngineStream::Status::kBroken));
+      }
+    }
+    BOOST_TEST(flood->bytes_sent() <= kToleratedBytes);
+    loop.stop();
+    thread.join();
+    loop.restart();
+    flood.reset();
+    start();
+  }
+}
+
+// Guards against lines without an event that come without end.
+BOOST_AUTO_TEST_CASE(a_stream_without_events_is_ended) {
+  flood.emplace(loop, "flood", kFloodPort,
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n",
+                [](std::uint64_t) { return ": " + std::string(4'000, 'x') + "\n\n"; });
+  start();
+  EngineStream stream(sessions, kFlood);
+  BOOST_REQUIRE((stream.open(request_to(kFlood), "r1") == EngineStream::Status::kOk));
+  std::string data;
+  BOOST_TEST((stream.next(data) == EngineStream::Status::kBroken));
+  BOOST_TEST(flood->bytes_sent() <= kToleratedBytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
