dockpointd: answers that are held in memory share one bound

Each JSON body without end was kept up to 64 MB (140 MB for two requests), so that a faulty engine could fill the memory with one request a thread. Fix: the answers of a connection pool hold 64 MB together, the largest single answer. Small ones are read even then, so that other requests are served beside a flood. An answer that finds no room has no outcome, as one that is too long. Test: broken_engine_answers/large_answers_share_one_bound_and_small_ones_are_read_beside_them.

--- a/src/cli/api_client.cpp
+++ b/src/cli/api_client.cpp
@@ -99,7 +99,9 @@
     form.write(session->sendRequest(request));
     Poco::Net::HTTPResponse response;
     std::istream& in = session->receiveResponse(response);
-    std::optional<std::string> body = read_whole_body(*session, response, in, kMaximumAnswerBytes);
+    BodyReservation reservation(sessions_.answers());
+    std::optional<std::string> body =
+        read_whole_body(*session, response, in, kMaximumAnswerBytes, reservation);
     if (!body) {
       return fail(ResultCode::kPeerUnreachable, "the answer of " + address_ + " broke off");
     }
--- a/src/http/answer_body.cpp
+++ b/src/http/answer_body.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/StreamCopier.h>
 
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -11,6 +12,26 @@
 namespace dockpoint {
 namespace {
 
+/// Bodies up to this size are read even if others have used up the budget, in bytes.
+constexpr std::size_t kSmallBodyBytes = 64 * 1024;
+
+/// Makes room for a body of `needed` bytes. @return whether it may have as many.
+bool make_room(std::string& body, std::size_t needed, std::size_t limit,
+               BodyReservation& reservation) {
+  if (needed > limit) {
+    return false;
+  }
+  if (needed <= body.capacity()) {
+    return true;
+  }
+  const std::size_t capacity = std::max(needed, std::min(limit, 2 * body.capacity()));
+  if (!reservation.grow_to(capacity) && needed > kSmallBodyBytes) {
+    return false;
+  }
+  body.reserve(capacity);
+  return true;
+}
+
 /// Whether the peer closed the connection or sent bytes after its response.
 bool ended_by_peer(Poco::Net::HTTPClientSession& session) {
   return session.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
@@ -41,15 +62,16 @@
 
 std::optional<std::string> read_whole_body(Poco::Net::HTTPClientSession& session,
                                            const Poco::Net::HTTPResponse& answer, std::istream& in,
-                                           std::size_t limit) {
+                                           std::size_t limit, BodyReservation& reservation) {
   std::string body;
   std::array<char, 16 * 1024> buffer{};
   while (in) {
     in.read(buffer.data(), buffer.size());
-    body.append(buffer.data(), static_cast<std::size_t>(in.gcount()));
-    if (body.size() > limit) {
+    const auto count = static_cast<std::size_t>(in.gcount());
+    if (!make_room(body, body.size() + count, limit, reservation)) {
       return std::nullopt;
     }
+    body.append(buffer.data(), count);
   }
   if (in.bad()) {
     return std::nullopt;
--- a/src/http/answer_body.hpp
+++ b/src/http/answer_body.hpp
@@ -10,6 +10,8 @@
 #include <optional>
 #include <string>
 
+#include "http/body_budget.hpp"
+
 /// Bodies of HTTP answers, and whether they arrived whole. Poco ends a body with its connection,
 /// however the answer was framed.
 namespace dockpoint {
@@ -27,10 +29,11 @@
                        const Poco::Net::HTTPResponse& response, std::uint64_t received_bytes);
 
 /// Reads a body to its end. An unframed body is whole if it is a JSON document.
-/// @return the body; nothing if it is longer than `limit` bytes or was broken off.
+/// @param reservation grows with the body; its owner keeps it as long as the body.
+/// @return the body; nothing if it is longer than `limit` bytes, finds no room or was broken off.
 std::optional<std::string> read_whole_body(Poco::Net::HTTPClientSession& session,
                                            const Poco::Net::HTTPResponse& answer, std::istream& in,
-                                           std::size_t limit);
+                                           std::size_t limit, BodyReservation& reservation);
 
 /// Passes a body on as it arrives, in chunks. Unless it arrived whole, the connection to the caller
 /// is closed without a last chunk.
--- a/src/http/body_budget.hpp
+++ b/src/http/body_budget.hpp
@@ -3,7 +3,7 @@
 #include <atomic>
 #include <cstdint>
 
-/// Bounds the memory of the request bodies that a daemon holds.
+/// Bounds the memory of the bodies of requests, and of those of answers, that a daemon holds.
 namespace dockpoint {
 
 /// Bytes that all threads together may hold. Thread-safe.
@@ -27,7 +27,7 @@
   std::atomic<std::uint64_t> held_{0};
 };
 
-/// What one request holds of a budget, until it ends. Not thread-safe.
+/// What one body holds of a budget, until it is given up. Not thread-safe.
 class BodyReservation {
  public:
   explicit BodyReservation(BodyBudget& budget) : budget_(budget) {}
--- a/src/http/engine_stream.cpp
+++ b/src/http/engine_stream.cpp
@@ -52,8 +52,9 @@
     if (response.getContentType() == "text/event-stream") {
       return Status::kOk;
     }
-    std::optional<std::string> body =
-        read_whole_body(*session_, response, *in_, request.maximum_answer_bytes);
+    answer_.reservation = std::make_shared<BodyReservation>(sessions_.answers());
+    std::optional<std::string> body = read_whole_body(
+        *session_, response, *in_, request.maximum_answer_bytes, *answer_.reservation);
     if (!body) {
       return Status::kBroken;
     }
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -73,14 +73,15 @@
     out.flush();
     Poco::Net::HTTPResponse response;
     std::istream& in = session->receiveResponse(response);
+    const auto reservation = std::make_shared<BodyReservation>(pool.answers());
     std::optional<std::string> body =
-        read_whole_body(*session, response, in, request.maximum_answer_bytes);
+        read_whole_body(*session, response, in, request.maximum_answer_bytes, *reservation);
     if (!body) {
       outcome.failure.reason = "the answer is too long or broken off";
       return outcome;
     }
-    outcome.answer =
-        HttpAnswer{response.getStatus(), *std::move(body), response.get("x-request-id", "")};
+    outcome.answer = HttpAnswer{response.getStatus(), *std::move(body),
+                                response.get("x-request-id", ""), reservation};
     if (response.getKeepAlive()) {
       pool.release(request.address, std::move(session));
     }
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "dockpoint/core/error.hpp"
+#include "http/body_budget.hpp"
 
 namespace dockpoint {
 
@@ -27,8 +28,15 @@
   /// Returns a connection to the pool after its response was read completely.
   void release(const std::string& address, Session session);
 
+  /// @return the budget of the answers that are held in memory.
+  BodyBudget& answers() { return answers_; }
+
  private:
+  /// Maximum size of all answers together: the largest one, in bytes.
+  static constexpr std::uint64_t kAnswersBytes = 64 * 1024 * 1024;
+
   const std::chrono::milliseconds timeout_;
+  BodyBudget answers_{kAnswersBytes};
   std::mutex mutex_;
   std::unordered_map<std::string, std::vector<Session>> idle_;
 };
@@ -38,6 +46,8 @@
   int status = 0;
   std::string body;
   std::string request_id;  ///< `x-request-id` of the response; empty if absent.
+  /// What the body holds of the pool's budget.
+  std::shared_ptr<BodyReservation> reservation{};
 };
 
 /// Failure of an exchange.
--- a/tests/http/broken_engine_answers_test.cpp
+++ b/tests/http/broken_engine_answers_test.cpp
@@ -138,6 +138,26 @@
   }
 }
 
+// Guards against memory that grows with each large answer that is held.
+BOOST_AUTO_TEST_CASE(large_answers_share_one_bound_and_small_ones_are_read_beside_them) {
+  flood.emplace(loop, "flood", kFloodPort,
+                "HTTP/1.1 200 OK\r\nContent-Length: 40000000\r\nConnection: close\r\n\r\n",
+                [](std::uint64_t) { return std::string(16'000, 'x'); });
+  answer_with("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+  start();
+  std::vector<HttpOutcome> held;
+  std::size_t held_bytes = 0;
+  for (int number = 0; number < 4; ++number) {
+    held.push_back(exchange(sessions, request_to(kFlood)));
+    held_bytes += held.back().answer ? held.back().answer->body.size() : 0;
+  }
+  BOOST_TEST(held.front().answer.has_value());
+  BOOST_TEST(held_bytes <= HttpExchange{}.maximum_answer_bytes);
+  BOOST_TEST(exchange(sessions, request_to(kServer)).answer.has_value());
+  held.clear();
+  BOOST_TEST(exchange(sessions, request_to(kFlood)).answer.has_value());
+}
+
 // Guards against lines without an event that come without end.
 BOOST_AUTO_TEST_CASE(a_stream_without_events_is_ended) {
   flood.emplace(loop, "flood", kFloodPort,
