A stopping node takes no request whose usual time is not known

In a planned stop callers' streams were taken up to 0.8 s before the exit and cut. Cause: StopAdmission took the usual time of a route without completed answers as zero; and requests that timed out, which took longest, did not count. Evidence,: planned_stop/a_request_whose_usual_time_is_not_known_is_refused_if_it_may_outlast_the_node and a_request_is_refused_if_one_that_timed_out_shows_that_it_may_outlast_the_node failed (no answer). Fix: without a known time only the request's own limit counts, and a timeout is recorded as the time that the request took. A check changed: stop_admission had `accepts(2.9 s, limit 10.9 s, unknown time)` at an exit at 7.7 s as right. That is the fault; the opposite is checked now, with both sides of the bound.

--- a/include/dockpoint/admission/stop_admission.hpp
+++ b/include/dockpoint/admission/stop_admission.hpp
@@ -17,7 +17,7 @@
 /// Longest recent answers of each route. Not thread-safe.
 class AnswerTimes {
  public:
-  /// Records that an answer of `route` was complete after `took`.
+  /// Records that an answer of `route` was complete after `took`, or that its request timed out.
   void record(const std::string& route, Duration took, TimePoint now);
 
   /// @return the longest answer of the last one to two windows, or nothing without any.
@@ -46,10 +46,17 @@
 
   /// @return whether a request that arrives at `now` is accepted; always while the node runs.
   /// @param limit when the request is answered at the latest.
-  /// @param usual longest usual time to its answer, if known.
+  /// @param usual longest usual time to its answer; if not known, only `limit` counts.
   bool accepts(TimePoint now, TimePoint limit, std::optional<Duration> usual) const;
 
+  /// @return whether an answer to what is sent at `now` is expected before the exit; always while
+  /// the node runs. For requests that were accepted, before they are sent again.
+  bool ends_in_time(TimePoint now, TimePoint limit, std::optional<Duration> usual) const;
+
  private:
+  /// @return when the last answer of a replica has to be there.
+  TimePoint last_answer_at() const;
+
   std::optional<TimePoint> exit_at_;
   TimePoint addresses_valid_until_{};
 };
--- a/src/admission/stop_admission.cpp
+++ b/src/admission/stop_admission.cpp
@@ -45,14 +45,22 @@
 }
 
 bool StopAdmission::accepts(TimePoint now, TimePoint limit, std::optional<Duration> usual) const {
-  if (!exit_at_) {
+  if (!exit_at_ || limit <= last_answer_at()) {
     return true;
   }
-  const TimePoint answered_by = *exit_at_ - kDeliveryTime;
-  if (limit <= answered_by) {
+  return now <= addresses_valid_until_ && ends_in_time(now, limit, usual);
+}
+
+bool StopAdmission::ends_in_time(TimePoint now, TimePoint limit,
+                                 std::optional<Duration> usual) const {
+  if (!exit_at_ || limit <= last_answer_at()) {
     return true;
   }
-  return now <= addresses_valid_until_ && now + usual.value_or(Duration{}) <= answered_by;
+  return usual && now + *usual <= last_answer_at();
+}
+
+TimePoint StopAdmission::last_answer_at() const {
+  return *exit_at_ - kDeliveryTime;
 }
 
 }  // namespace dockpoint
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -610,7 +610,7 @@
   return !rejected_ && (head_.status == kInternalError || head_.status == kBadGateway);
 }
 
-void OnlineCall::expire(TimePoint /*now*/) {
+void OnlineCall::expire(TimePoint now) {
   const bool sent = attempt_.call() && attempt_.call()->sent() && !rejected_;
   end_attempt();
   if (exchange_->answered()) {
@@ -618,6 +618,7 @@
   } else if (!sent && history_.runs_possible == 0) {
     refuse("time is up before it was sent");
   } else {
+    proxy_.answer_times_.record(route_.name, now - exchange_->received(), now);
     fail(504, "time is up");
   }
 }
--- a/tests/admission/stop_admission_test.cpp
+++ b/tests/admission/stop_admission_test.cpp
@@ -52,10 +52,28 @@
   const StopAdmission admission = stopping_node();
   BOOST_TEST(admission.accepts(at(2'900), at(10'900), milliseconds(4'500)));
   BOOST_TEST(!admission.accepts(at(2'900), at(10'900), milliseconds(4'700)));
-  BOOST_TEST(admission.accepts(at(2'900), at(10'900), std::nullopt));
   BOOST_TEST(!admission.accepts(at(3'100), at(11'100), milliseconds(100)));
 }
 
+// Guards against a route without recent answers whose requests are taken as if they took no time.
+BOOST_AUTO_TEST_CASE(a_request_whose_usual_time_is_not_known_is_judged_by_its_limit) {
+  const StopAdmission admission = stopping_node();
+  BOOST_TEST(!admission.accepts(at(2'900), at(10'900), std::nullopt));
+  BOOST_TEST(!admission.accepts(at(0), at(7'600), std::nullopt));
+  BOOST_TEST(admission.accepts(at(0), at(7'500), std::nullopt));
+}
+
+BOOST_AUTO_TEST_CASE(an_attempt_is_sent_only_if_it_is_expected_to_end_before_the_exit) {
+  const StopAdmission running;
+  BOOST_TEST(running.ends_in_time(at(0), at(60'000), std::nullopt));
+  const StopAdmission admission = stopping_node();
+  // The addresses have expired, but the request was accepted before.
+  BOOST_TEST(admission.ends_in_time(at(5'000), at(12'000), milliseconds(2'500)));
+  BOOST_TEST(!admission.ends_in_time(at(5'001), at(12'000), milliseconds(2'500)));
+  BOOST_TEST(admission.ends_in_time(at(5'001), at(7'500), milliseconds(2'500)));
+  BOOST_TEST(!admission.ends_in_time(at(5'000), at(12'000), std::nullopt));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_whose_limit_ends_before_the_exit_is_accepted_late) {
   const StopAdmission admission = stopping_node();
   BOOST_TEST(admission.accepts(at(5'900), at(7'400), std::nullopt));
