A stopping node sends no attempt that cannot end before it exits

Requests that were taken 0.8 to 2.9 s after SIGTERM were abandoned at their first replica and sent to another as late as 1 s before the exit, and then cut. Cause: only the arrival of a request was checked, neither a retry nor a failover. Evidence,: planned_stop/no_attempt_is_repeated_that_cannot_end_before_the_exit and a_silent_replica_is_kept_when_another_attempt_cannot_end_before_the_exit failed. Fix: each send asks whether its answer can be expected in time; if not, the request ends at once with 502 if it may have run, else with 503 and a time to come back. A silent replica is not given up for an attempt that could not end. Streams that have begun go on as before: their callers resume them elsewhere.

--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -163,6 +163,9 @@
 }
 
 void OnlineCall::send(TimePoint now) {
+  if (end_instead_of_late_send(now)) {
+    return;
+  }
   ReplicaQuery query{service_, TrafficClass::kOnline, info_.prompt, excluded_, {}};
   if (last_event_) {
     query.software_version = origin_.software_version;
@@ -583,7 +586,7 @@
   if (silence < limit) {
     return;
   }
-  if (!may_fail_over()) {
+  if (!may_fail_over(now)) {
     if (!std::exchange(silence_reported_, true)) {
       attempt_.signal(ReplicaSignal::kSilent, now);
     }
@@ -600,7 +603,10 @@
   retry_or_resume(now);
 }
 
-bool OnlineCall::may_fail_over() const {
+bool OnlineCall::may_fail_over(TimePoint now) const {
+  if (!exchange_->answered() && !ends_in_time(now)) {
+    return false;  // The replica may still answer before this node exits; another one would not.
+  }
   const bool attempts_left = history_.runs_possible + 1 < history_.attempts_allowed;
   const bool repeatable = head_seen_ ? streaming_ && history_.resumable : history_.repeatable;
   return attempts_left && repeatable;
@@ -611,11 +617,11 @@
 }
 
 void OnlineCall::expire(TimePoint now) {
-  const bool sent = attempt_.call() && attempt_.call()->sent() && !rejected_;
+  const bool ran = may_have_run();
   end_attempt();
   if (exchange_->answered()) {
     break_off("time is up within the answer");
-  } else if (!sent && history_.runs_possible == 0) {
+  } else if (!ran) {
     refuse("time is up before it was sent");
   } else {
     proxy_.answer_times_.record(route_.name, now - exchange_->received(), now);
@@ -623,6 +629,11 @@
   }
 }
 
+bool OnlineCall::may_have_run() const {
+  const bool sent = attempt_.call() && attempt_.call()->sent() && !rejected_;
+  return sent || history_.runs_possible > 0;
+}
+
 void OnlineCall::on_caller_gone() {
   const auto self = shared_from_this();
   end_attempt();
@@ -697,6 +708,26 @@
   return true;
 }
 
+bool OnlineCall::ends_in_time(TimePoint now) const {
+  if (context_.stop_admission == nullptr || !context_.stop_admission->stopping()) {
+    return true;
+  }
+  const std::optional<Duration> usual = proxy_.answer_times_.longest(route_.name, now);
+  return context_.stop_admission->ends_in_time(now, deadline_, usual);
+}
+
+bool OnlineCall::end_instead_of_late_send(TimePoint now) {
+  if (exchange_->answered() || ends_in_time(now)) {
+    return false;
+  }
+  if (may_have_run()) {
+    fail(kBadGateway, "the node exits before another attempt ends");
+  } else {
+    refuse("the node exits before an attempt ends", kStoppingRetryAfter);
+  }
+  return true;
+}
+
 bool OnlineCall::refuse_for_load(const ReplicaChoice& choice, TimePoint now) {
   if (sends_ > 0 || info_.last_event_id) {
     return false;
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -83,6 +83,13 @@
   /// Refuses the request if this node may exit before its answer is complete.
   /// @return whether it was refused.
   bool refuse_while_stopping(TimePoint now);
+  /// @return whether an attempt that begins at `now` is expected to end before this node exits.
+  bool ends_in_time(TimePoint now) const;
+  /// Ends a request that is not sent since its answer would come after this node has exited.
+  /// @return whether it was ended; a stream that has begun never is, its caller resumes it.
+  bool end_instead_of_late_send(TimePoint now);
+  /// @return whether the request may have run at a replica.
+  bool may_have_run() const;
   /// Refuses the request if it has not been sent yet and would miss its latency objective.
   /// @return whether it was refused.
   bool refuse_for_load(const ReplicaChoice& choice, TimePoint now);
@@ -109,7 +116,7 @@
   void fail_over(const char* why, TimePoint now);
   /// @return whether the request may be retried or resumed at another replica while the current one
   /// is silent.
-  bool may_fail_over() const;
+  bool may_fail_over(TimePoint now) const;
   /// @return whether the complete answer states that the replica failed.
   bool replica_reported_failure() const;
   const char* kind() const;
--- a/tests/platform/planned_stop_test.cpp
+++ b/tests/platform/planned_stop_test.cpp
@@ -172,4 +172,48 @@
   BOOST_TEST(held.size() == before);
 }
 
+// Guards against attempts that are sent so late that the node exits before their answer.
+BOOST_AUTO_TEST_CASE(no_attempt_is_repeated_that_cannot_end_before_the_exit) {
+  complete_one("/quick/1", milliseconds(1'000));
+  const RequestPtr request = begin_held("/quick/1");
+  stop();
+  run_until_after_stop(milliseconds(2'800));
+  const std::size_t before = held.size();
+  held.back()->abort();
+  run_until([&] { return request->outcome.has_value(); });
+  BOOST_TEST_REQUIRE(request->outcome.has_value());
+  BOOST_TEST(!request->outcome->failure.has_value());
+  BOOST_TEST(request->outcome->head.status == 502);
+  BOOST_TEST(held.size() == before);
+}
+
+BOOST_AUTO_TEST_CASE(an_attempt_is_repeated_that_can_end_before_the_exit) {
+  complete_one("/quick/1", milliseconds(1'000));
+  const RequestPtr request = begin_held("/quick/1");
+  stop();
+  run_until_after_stop(milliseconds(1'500));
+  const std::size_t before = held.size();
+  held.back()->abort();
+  run_until([&] { return held.size() > before; });
+  BOOST_TEST(held.size() == before + 1);
+  answer(held.back());
+  run_until([&] { return request->outcome.has_value(); });
+  BOOST_TEST_REQUIRE(request->outcome.has_value());
+  BOOST_TEST(request->outcome->head.status == 200);
+}
+
+// Guards against giving up a run that may still answer for one that cannot.
+BOOST_AUTO_TEST_CASE(a_silent_replica_is_kept_when_another_attempt_cannot_end_before_the_exit) {
+  complete_one("/hasty/1", milliseconds(2'200));
+  const RequestPtr request = begin_held("/hasty/1");
+  const std::size_t before = held.size();
+  stop();
+  run_until_after_stop(milliseconds(2'500));
+  BOOST_TEST(held.size() == before);
+  answer(held.back());
+  run_until([&] { return request->outcome.has_value(); });
+  BOOST_TEST_REQUIRE(request->outcome.has_value());
+  BOOST_TEST(request->outcome->head.status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
