Each request under way gets a final answer before a stopping node exits

What was under way when the grace ended was reset: a request that may have run got no 502, one that was never sent no 503 (LOST). Cause: the stop ended the event loop, with nobody to answer what was left. Fix: 100 ms before the exit, after the last answer that is waited for, each request gets its final answer: 503 with a time to come back if it was not sent, 502 if it may have run; submissions of jobs 503 or 504 as at their own limit. Streams that have begun are broken off. The loop then runs on, so that the bytes leave.

--- a/include/dockpoint/admission/stop_admission.hpp
+++ b/include/dockpoint/admission/stop_admission.hpp
@@ -11,7 +11,8 @@
 /// A request that is accepted has to be answered before the process exits; one that is refused is
 /// served at another node, for one more round trip. While callers may still use an address that
 /// they resolved before the node left, the node accepts what usually ends in time. After that it
-/// accepts only requests whose own time limit ends before the exit.
+/// accepts only requests whose own time limit ends before the exit. What does not end in time after
+/// all gets a final answer just before the exit.
 namespace dockpoint {
 
 /// Longest recent answers of each route. Not thread-safe.
@@ -53,6 +54,10 @@
   /// the node runs. For requests that were accepted, before they are sent again.
   bool ends_in_time(TimePoint now, TimePoint limit, std::optional<Duration> usual) const;
 
+  /// @return whether requests under way have to get a final answer now, since the process exits
+  /// before theirs can be delivered.
+  bool final_answers_due(TimePoint now) const;
+
  private:
   /// @return when the last answer of a replica has to be there.
   TimePoint last_answer_at() const;
--- a/src/admission/stop_admission.cpp
+++ b/src/admission/stop_admission.cpp
@@ -11,6 +11,9 @@
 /// Time between the answer of a replica and its last byte at the caller.
 constexpr Duration kDeliveryTime = std::chrono::milliseconds(200);
 
+/// Time before the exit at which requests under way get a final answer.
+constexpr Duration kFinalAnswerTime = std::chrono::milliseconds(100);
+
 }  // namespace
 
 void AnswerTimes::record(const std::string& route, Duration took, TimePoint now) {
@@ -59,6 +62,10 @@
   return usual && now + *usual <= last_answer_at();
 }
 
+bool StopAdmission::final_answers_due(TimePoint now) const {
+  return exit_at_ && now >= *exit_at_ - kFinalAnswerTime;
+}
+
 TimePoint StopAdmission::last_answer_at() const {
   return *exit_at_ - kDeliveryTime;
 }
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -44,6 +44,8 @@
   void handle(const net::ExchangePtr& exchange, const JobCall& call, bool forwarded);
 
   void tick(TimePoint now);
+  /// Gives all jobs that are being submitted a final answer, because the process exits.
+  void end_submissions() { submissions_.end_all(); }
   /// Cancels and checkpoints all running items and starts no further ones; see drained().
   void drain();
   /// Leaves the group of partition owners now and thereby releases all partitions.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -20,12 +20,6 @@
 /// Interval at which timeouts and due calls are checked.
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 
-/// A stopping node without requests exits once no caller has come for this long.
-constexpr Duration kCallerAbsence = std::chrono::seconds(1);
-
-/// The process exits this long before the grace period is over.
-constexpr Duration kGraceMargin = std::chrono::milliseconds(300);
-
 /// Maximum time that a call on a batch job takes beyond the wait that its caller asked for.
 constexpr Duration kJobCallLimit = std::chrono::seconds(2);
 
@@ -33,9 +27,6 @@
 /// answered by then.
 constexpr const char* kStaleConfigurationRetryAfter = "0.5";
 
-/// Time after the stop request within which running batch items may finish.
-constexpr Duration kItemDrainTimeout = std::chrono::milliseconds(2500);
-
 /// Maximum number of fleet state responses in progress; each may be a megabyte.
 constexpr std::size_t kMaxConcurrentStateResponses = 2;
 
@@ -466,16 +457,6 @@
   }
 }
 
-bool Gateway::refuse_while_stopping(const net::ExchangePtr& exchange, Duration limit) {
-  if (stop_admission_.accepts(exchange->received(), exchange->received() + limit, std::nullopt)) {
-    return false;
-  }
-  spdlog::info("gateway: call refused while stopping target={} sinceStopMs={}",
-               exchange->request().target, to_ms(exchange->received() - stop_requested_at_));
-  exchange->respond(503, {{"Retry-After", retry_after_value(kStoppingRetryAfter)}}, {});
-  return true;
-}
-
 bool Gateway::admit_caller(const net::ExchangePtr& exchange,
                            const RoutingConfiguration& configuration, bool key_required,
                            const Tenant*& tenant) {
@@ -671,35 +652,4 @@
       }));
 }
 
-void Gateway::stop() {
-  if (stopping_) {
-    return;
-  }
-  stopping_ = true;
-  stop_requested_at_ = net::steady_now();
-  last_caller_at_ = stop_requested_at_;
-  stop_admission_.begin(stop_requested_at_ + settings_.grace - kGraceMargin,
-                        stop_requested_at_ + address_resolver_.address_validity());
-  spdlog::info("gateway: stopping online={} items={}", online_.in_flight(), batch_.pending_items());
-  peers_.leave();
-  frontend_.set_closing(true);
-  batch_.drain();
-}
-
-void Gateway::tick_stop(TimePoint now) {
-  const Duration age = now - stop_requested_at_;
-  if (!left_group_ && (batch_.drained() || age > kItemDrainTimeout)) {
-    left_group_ = true;
-    batch_.leave();
-  }
-  const bool cached_addresses_expired = age > address_resolver_.address_validity();
-  const bool callers_gone =
-      online_.in_flight() == 0 && frontend_.active() == 0 && now - last_caller_at_ > kCallerAbsence;
-  const bool idle = left_group_ && cached_addresses_expired && callers_gone;
-  if (idle || age > settings_.grace - kGraceMargin) {
-    spdlog::info("gateway: stopped afterMs={} online={}", to_ms(age), online_.in_flight());
-    loop_.stop();
-  }
-}
-
 }  // namespace dockpoint
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -73,6 +73,8 @@
   void schedule_tick();
   void tick();
   void tick_stop(TimePoint now);
+  /// Ends all requests under way before the process exits. @param since_stop for the log.
+  void send_final_answers(Duration since_stop);
   /// Detects that the machine was suspended. The node's state may be stale then, so it is marked as
   /// unconfirmed.
   void detect_suspension(TimePoint now);
@@ -188,6 +190,7 @@
   std::uint64_t unlogged_evictions_ = 0;
   bool stopping_ = false;
   bool left_group_ = false;
+  bool final_answers_sent_ = false;
   HandlerGuard handlers_;
 };
 
--- a/src/gateway/job_submissions.cpp
+++ b/src/gateway/job_submissions.cpp
@@ -273,6 +273,15 @@
   }
 }
 
+void JobSubmissions::end_all() {
+  const auto submissions = submissions_;
+  for (const SubmissionPtr& submission : submissions) {
+    if (!submission->finished) {
+      give_up(submission);
+    }
+  }
+}
+
 void JobSubmissions::refuse_over_limit(const SubmissionPtr& submission) {
   if (submission->may_run()) {
     return;  // The job may still be accepted, e.g. by the node it was forwarded to.
--- a/src/gateway/job_submissions.hpp
+++ b/src/gateway/job_submissions.hpp
@@ -47,6 +47,9 @@
   /// @param log_reachable whether the log has answered this node recently.
   void tick(TimePoint now, bool log_reachable);
   /// @return whether no submission is in progress.
+  /// Gives all submissions a final answer, because the process exits.
+  void end_all();
+
   bool empty() const { return submissions_.empty(); }
 
  private:
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -634,6 +634,19 @@
   return sent || history_.runs_possible > 0;
 }
 
+void OnlineCall::end_before_exit() {
+  const auto self = shared_from_this();
+  const bool ran = may_have_run();
+  end_attempt();
+  if (exchange_->answered()) {
+    break_off("the node exits within the answer");
+  } else if (!ran) {
+    refuse("the node exits before it was sent", kStoppingRetryAfter);
+  } else {
+    fail(kBadGateway, "the node exits before the answer");
+  }
+}
+
 void OnlineCall::on_caller_gone() {
   const auto self = shared_from_this();
   end_attempt();
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -31,6 +31,8 @@
 
   void start();
   void tick(TimePoint now);
+  /// Gives the request its final answer, because the process exits.
+  void end_before_exit();
 
   bool on_head(const net::ResponseHead& head) override;
   void on_body(std::string_view bytes) override;
--- a/src/gateway/online_proxy.cpp
+++ b/src/gateway/online_proxy.cpp
@@ -25,4 +25,11 @@
   }
 }
 
+void OnlineProxy::end_all() {
+  const auto calls = calls_;
+  for (const auto& call : calls) {
+    call->end_before_exit();
+  }
+}
+
 }  // namespace dockpoint
--- a/src/gateway/online_proxy.hpp
+++ b/src/gateway/online_proxy.hpp
@@ -31,6 +31,9 @@
   /// Enforces time limits; call several times a second.
   void tick(TimePoint now);
 
+  /// Gives all requests under way a final answer, because the process exits.
+  void end_all();
+
   std::size_t in_flight() const { return calls_.size(); }
 
  private:
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -275,6 +276,18 @@
   }
 }
 
+void HttpServer::respond_to_pending(int status) {
+  const auto connections = connections_;
+  for (const auto& connection : connections) {
+    connection->respond_to_pending(status);
+  }
+}
+
+bool HttpServer::has_unsent_output() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& connection) { return connection->has_unsent_output(); });
+}
+
 std::size_t HttpServer::active() const {
   std::size_t count = 0;
   for (const auto& connection : connections_) {
@@ -326,6 +339,12 @@
   return input_.capacity() + connection_->output_memory() + parser_->held_bytes() + request_bytes_;
 }
 
+void ServerConnection::respond_to_pending(int status) {
+  if (const ExchangePtr exchange = exchange_) {
+    exchange->respond(status, {}, {});
+  }
+}
+
 void ServerConnection::account() {
   clients_->update(id_, state(), held_bytes());
 }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -108,6 +108,11 @@
   /// Enforces timeouts; call a few times a second.
   void tick(TimePoint now);
 
+  /// Responds to all requests in progress that have no response yet.
+  void respond_to_pending(int status);
+  /// @return whether a connection has output that its client has not taken yet.
+  bool has_unsent_output() const;
+
   std::size_t connections() const { return connections_.size(); }
   /// @return number of connections with a request in progress.
   std::size_t active() const;
@@ -153,6 +158,9 @@
   ClientState state() const;
   /// @return memory that requests and answers of the connection occupy, in bytes.
   std::uint64_t held_bytes() const;
+  /// Responds to the request in progress if it has no response yet.
+  void respond_to_pending(int status);
+  bool has_unsent_output() const { return connection_->pending_output() > 0; }
 
   void on_bytes(std::string_view bytes) override;
   void on_closed(bool clean) override;
--- a/tests/admission/stop_admission_test.cpp
+++ b/tests/admission/stop_admission_test.cpp
@@ -74,6 +74,22 @@
   BOOST_TEST(!admission.ends_in_time(at(5'000), at(12'000), std::nullopt));
 }
 
+// A replay of a stop: what is accepted has an answer or a final answer before the exit.
+BOOST_AUTO_TEST_CASE(final_answers_are_due_after_the_last_expected_answer_and_before_the_exit) {
+  BOOST_TEST(!StopAdmission{}.final_answers_due(at(1'000'000)));
+  const StopAdmission admission = stopping_node();
+  int due = 0;
+  while (!admission.final_answers_due(at(due))) {
+    ++due;
+  }
+  BOOST_TEST(due > kExit - 200);
+  BOOST_TEST(due < kExit);
+  for (int now = 0; now < kExit; ++now) {
+    const bool taken = admission.ends_in_time(at(now), at(20'000), milliseconds(1'000));
+    BOOST_TEST_REQUIRE((!taken || now + 1'000 < due));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_request_whose_limit_ends_before_the_exit_is_accepted_late) {
   const StopAdmission admission = stopping_node();
   BOOST_TEST(admission.accepts(at(5'900), at(7'400), std::nullopt));
--- a/tests/platform/planned_stop_test.cpp
+++ b/tests/platform/planned_stop_test.cpp
@@ -136,12 +136,44 @@
     stopped_at = net::steady_now();
   }
   void run_until_after_stop(Duration time) { run_for(stopped_at + time - net::steady_now()); }
+  /// Runs the node until it exits. What it has not sent by then is lost.
+  void run_to_the_exit() {
+    run_until([] { return false; });
+    BOOST_TEST((net::steady_now() - stopped_at < GatewayNode::settings(1).grace));
+    node.reset();
+    loop.restart();
+    loop.run_for(milliseconds(200));
+  }
 };
 
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(planned_stop, StopFixture)
 
+// Guards against requests that are cut without an answer when the process exits.
+BOOST_AUTO_TEST_CASE(each_request_under_way_at_the_exit_gets_a_final_answer) {
+  std::vector<RequestPtr> under_way;
+  for (int round = 0; round < 4; ++round) {
+    for (const char* target : {"/quick/1", "/once/1", "/chat/1"}) {
+      under_way.push_back(begin_held(target));
+    }
+  }
+  const RequestPtr begun = begin_held("/chat/1");
+  net::Headers headers = genuine_headers(held.back());
+  held.back()->begin({200, {}, headers});
+  held.back()->write("id: 1\ndata: a\n\n");
+  stop();
+  run_to_the_exit();
+  for (const RequestPtr& request : under_way) {
+    BOOST_TEST_REQUIRE(request->outcome.has_value());
+    BOOST_TEST(!request->outcome->failure.has_value());
+    BOOST_TEST(request->outcome->head.status == 502);
+  }
+  BOOST_TEST_REQUIRE(begun->outcome.has_value());
+  BOOST_TEST(begun->outcome->failure.has_value());
+  BOOST_TEST(begun->outcome->body.starts_with("id: 1"));
+}
+
 // Guards against a route without completed answers whose requests are taken as if they took no
 // time.
 BOOST_AUTO_TEST_CASE(
