--- a/tests/platform/clients/crowd.mjs
+++ b/tests/platform/clients/crowd.mjs
@@ -14,7 +14,7 @@
 const STORE_PORT = BASE_PORT + 1;
 const CONTROL_PORT = BASE_PORT + 2;
 const REPLICA_PORT = BASE_PORT + 10;
-const NODE_IP = '127.0.0.11';
+export const NODE_IP = '127.0.0.11';
 /** The ports of the node that clients can reach. */
 export const PORTS = {
   frontend: BASE_PORT + 50, readiness: BASE_PORT + 51, resolver: BASE_PORT + 52, control: BASE_PORT + 53,
@@ -74,12 +74,12 @@
 /** One node before one replica and a store, on loopback. */
 export class NodeUnderTest {
   /** @param descriptors limit on the descriptors of the node's process */
-  static async start({ descriptors = DESCRIPTORS, limits = CLIENT_LIMITS } = {}) {
+  static async start({ descriptors = DESCRIPTORS, limits = CLIENT_LIMITS, replicas = 1 } = {}) {
     const node = new NodeUnderTest();
     node.descriptors = descriptors;
     const folder = mkdtempSync(path.join(tmpdir(), 'dockpoint-clients-'));
-    const replica = [STORE_PORT, CONTROL_PORT, 1, REPLICA_PORT, REPLICA_PORT].map(String);
-    node.platform = new ManagedProcess('platform', 'dockpoint-platform-stand-in', replica, folder);
+    const platform = [STORE_PORT, CONTROL_PORT, replicas, REPLICA_PORT, REPLICA_PORT].map(String);
+    node.platform = new ManagedProcess('platform', 'dockpoint-platform-stand-in', platform, folder);
     const settings = path.join(folder, 'node.json');
     writeFileSync(settings, JSON.stringify(settingsOf(limits)));
     if (spawnSync(path.join(BINARIES, 'dockpoint-platform'), ['--settings', settings, '--check']).status !== 0) {
@@ -111,6 +111,12 @@
     this.staysWithinBounds();
   }
 
+  /** Asks the stand-in's control address. @return what the replicas have run */
+  async platformCall(target) {
+    const response = await fetch(`http://127.0.0.1:${CONTROL_PORT}${target}`);
+    return response.json();
+  }
+
   staysWithinBounds() {
     assert.equal(this.process.child.exitCode ?? this.process.child.signalCode, null, 'the node has ended');
     const resident = this.peakResidentBytes();
