--- a/tests/platform/clients/planned_stop.test.mjs
+++ b/tests/platform/clients/planned_stop.test.mjs
@@ -8,6 +8,7 @@
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { generator } from '../random_numbers.mjs';
 import { NODE_IP, NodeUnderTest, PORTS } from './crowd.mjs';
 
 const REPLICAS = 12;
@@ -19,17 +20,6 @@
 const MAX_SERVICE_MS = 2900;
 const ROUTES = ['quick', 'once'];
 
-/** Numbers from 0 to 1 by a seed (mulberry32). */
-function randomNumbers(seed) {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296;
-  };
-}
-
 /** @return the status of a whole answer, or nothing if there was none. */
 function ask(agent, route, id) {
   return new Promise((resolve) => {
@@ -74,7 +64,7 @@
   const node = await NodeUnderTest.start({ replicas: REPLICAS, limits: undefined });
   const agent = new http.Agent({ keepAlive: true });
   try {
-    const times = changeServiceTimes(node, randomNumbers(seed));
+    const times = changeServiceTimes(node, generator(seed));
     const answers = askUntilGone(node, agent);
     await sleep(BEFORE_STOP_MS);
     node.process.signal('SIGTERM');
--- a/tests/platform/soak/soak.mjs
+++ b/tests/platform/soak/soak.mjs
@@ -43,6 +43,7 @@
 import { parseArgs } from 'node:util';
 
 import { ManagedProcess, eventually, sleep } from '../../system/cluster.mjs';
+import { generator } from '../random_numbers.mjs';
 import { FaultyProxy, MODES } from './faulty_proxy.mjs';
 import { FaultSpans, LimitHistory, refusalsInCalm, windowsOverLimit } from './tenant_checks.mjs';
 
@@ -133,16 +134,6 @@
 /** Accepted jobs must be done this long after the last fault. */
 const SETTLE_MS = 40000;
 
-/** Numbers from a seed (mulberry32). */
-function generator(seed) {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296;
-  };
-}
 const random = generator(Number(options.seed));
 /** Apart from the faults' numbers, so that their sequence stays that of the seed. */
 const versionRandom = generator(Number(options.seed) + 2);
