--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -32,7 +32,7 @@
   BodyBudget& answers() { return answers_; }
 
  private:
-  /// Maximum size of all answers together: the largest one, in bytes.
+  /// Maximum size of all answers together, in bytes: that of the largest single one.
   static constexpr std::uint64_t kAnswersBytes = 64 * 1024 * 1024;
 
   const std::chrono::milliseconds timeout_;
--- a/tests/platform/planned_stop_test.cpp
+++ b/tests/platform/planned_stop_test.cpp
@@ -22,8 +22,8 @@
 constexpr std::uint16_t kFirstPort = 28'181;
 constexpr int kReplicas = 2;
 
-/// Routes whose requests may take longer than the grace period of 4 s; on the last three a silent
-/// replica is left to the route's time limit, on `hasty` for 1.5 s.
+/// Routes whose requests may outlast the grace period of 4 s, except those of `warm` and `brief`. A
+/// silent replica is given up after three times `targetMs`.
 constexpr const char* kRoutes = R"({"version":1,"routeList":[
  {"name":"warm","host":"a.example","pathPrefix":"/warm/","type":"idempotent","timeoutMs":3000,
   "targetMs":300,"priority":0,"service":"lm","attempts":2},
