--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 mkdir -p "$out"
 flags=(-std=c++20 -O1 -Wall -Wextra -Iinclude -Isrc -I. -Itests -DSPDLOG_FMT_EXTERNAL -DDOCKPOINT_VERSION='"review"')
 libs=(target/libdockpoint_platform.a target/libdockpoint_gateway.a target/libdockpoint_core.a
-  -lPocoUtil -lPocoNet -lPocoJSON -lPocoFoundation -lspdlog -lfmt -lprometheus-cpp-core -lxxhash -lpthread -lz)
+  -lPocoNet -lPocoJSON -lPocoFoundation -lspdlog -lfmt -lprometheus-cpp-core -lxxhash -lpthread)
 g++ "${flags[@]}" -c src/emulator/memory_log.cpp -o "$out/memory_log.o"
 for driver in review/[4-8]/driver.cpp; do
   [ -e "$driver" ] || continue
