Answers that are not the replica's own are not believed

Cause: each reader of an answer judged by itself whose it is. Online requests did so in three places, each with its own condition; a run of an item looked at the status alone and kept events as they arrived.

Change: the head is judged once, into an AnswerKind, when it arrives. All readers get the kind from ReplicaAttempt, so none can leave the question out. Nothing is taken from a foreign answer: no event, failure, load, 421 or claim not to have run. The replica loses standing, the item or request goes on elsewhere at once; a counter and a log line tell of it.

TrafficProtocol::read_answer still reads the load whatever the kind; only ReplicaAttempt decides that it counts.

tests/docs: 32 metrics became 33.

--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -78,6 +78,10 @@
                              .Name("dockpoint_gateway_malformed_answers_total")
                              .Help("Answers whose head is not valid HTTP, by fault.")
                              .Register(registry_)),
+      foreign_answers_(prometheus::BuildCounter()
+                           .Name("dockpoint_gateway_foreign_answers_total")
+                           .Help("Answers that are not the replica's own, by traffic.")
+                           .Register(registry_)),
       clients_evicted_(prometheus::BuildCounter()
                            .Name("dockpoint_gateway_clients_evicted_total")
                            .Help("Connections of clients closed because of the limits on all.")
@@ -242,6 +246,10 @@
   malformed_answers_.Add({{"fault", fault}}).Increment();
 }
 
+void GatewayMetrics::count_foreign_answer(const std::string& traffic) {
+  foreign_answers_.Add({{"traffic", traffic}}).Increment();
+}
+
 void GatewayMetrics::set_quarantined_requests(std::size_t count) {
   quarantined_requests_.Set(static_cast<double>(count));
 }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -48,6 +48,9 @@
   /// Counts an answer of any server whose head is malformed.
   /// @param fault name of a `net::HeadFault`.
   void count_malformed_answer(const std::string& fault);
+  /// Counts an answer that is not the replica's own.
+  /// @param traffic `online` or `batch`.
+  void count_foreign_answer(const std::string& traffic);
   /// Counts a client's connection that was closed because of the limits on all clients.
   /// @param limit `buffers` or `connections`.
   void count_client_evicted(const std::string& limit);
@@ -100,6 +103,7 @@
   prometheus::Family<prometheus::Counter>& doubtful_ends_;
   prometheus::Family<prometheus::Counter>& endless_answers_;
   prometheus::Family<prometheus::Counter>& malformed_answers_;
+  prometheus::Family<prometheus::Counter>& foreign_answers_;
   prometheus::Family<prometheus::Counter>& clients_evicted_;
   prometheus::Gauge& client_connections_;
   prometheus::Gauge& client_bytes_;
--- a/src/gateway/item_run.cpp
+++ b/src/gateway/item_run.cpp
@@ -51,15 +51,22 @@
 }
 
 bool ItemRun::on_head(const net::ResponseHead& head) {
+  const auto self = shared_from_this();
   const TimePoint now = net::steady_now();
-  const std::optional<ReplicaAnswer> answer = attempt_.handle_head(head, item_id_, now);
-  if (!answer) {
+  answer_ = attempt_.handle_head(head, item_id_, now);
+  if (answer_ == AnswerKind::kOtherRequest) {
+    return false;
+  }
+  if (answer_ == AnswerKind::kForeign) {
+    interrupted(now, "the answer is not the replica's own");
     return false;
   }
   last_progress_ = now;
+  if (answer_ == AnswerKind::kProvisional) {
+    return true;
+  }
   status_ = head.status;
-  rejected_ = answer->not_run || answer->wrong_replica;
-  if (status_ / 100 == 2) {
+  if (answer_ == AnswerKind::kSuccess) {
     context_.selector.note_prompt(attempt_.replica(), info_.prompt, now);
   }
   return true;
@@ -67,7 +74,7 @@
 
 void ItemRun::on_body(std::string_view bytes) {
   answer_bytes_ += bytes.size();
-  if (status_ / 100 != 2 || rejected_) {
+  if (answer_ != AnswerKind::kSuccess) {
     return;
   }
   attempt_.observe_stream(bytes, net::steady_now());
@@ -117,11 +124,11 @@
 void ItemRun::on_complete(net::ResponseEnd end) {
   const auto self = shared_from_this();
   const TimePoint now = net::steady_now();
-  const bool stream = status_ / 100 == 2;
+  const bool stream = answer_ == AnswerKind::kSuccess;
   const EndedAnswer answer{end == net::ResponseEnd::kFramed, stream,
                            stream && !framer_.at_boundary(), answer_bytes_};
   // The status alone says what became of an item that failed.
-  const AnswerEnd verdict = stream && !rejected_ ? judge_answer_end(answer) : AnswerEnd::kWhole;
+  const AnswerEnd verdict = stream ? judge_answer_end(answer) : AnswerEnd::kWhole;
   if (verdict == AnswerEnd::kWhole) {
     accept_answer(now);
     return;
@@ -168,41 +175,48 @@
 
 void ItemRun::accept_answer(TimePoint now) {
   const auto self = shared_from_this();
-  const bool failed = !rejected_ && status_ == kItemFailed;
+  const bool failed = answer_ == AnswerKind::kFailure && status_ == kItemFailed;
   attempt_.signal(failed ? ReplicaSignal::kFailed : ReplicaSignal::kAnswered, now);
-  if (status_ / 100 == 2 && !rejected_) {
+  if (answer_ == AnswerKind::kSuccess) {
     attempt_.note_pace(now);
   }
   attempt_.end();
-  ItemProgress& kept = progress();
-  kept.used_connections = attempt_.used_connections();
-  if (rejected_) {
+  progress().used_connections = attempt_.used_connections();
+  if (shows_not_run(answer_)) {
     context_.metrics.count_item("no_room");
     executor_.remove_run(self);
     executor_.retry(ref_, kRetryPause, now);
-    return;
+  } else if (answer_ == AnswerKind::kSuccess) {
+    accept_success(now);
+  } else {
+    accept_failure(now);
   }
-  if (status_ / 100 == 2) {
-    if (broken_sequence_ || !kept.produced.last_event) {
-      kept.restart();
-      interrupted(now, "the stream lacks an event");
-      return;
-    }
-    context_.metrics.count_item("succeeded");
-    executor_.remove_run(self);
-    executor_.complete(ref_, true, std::move(kept.produced.text));
+}
+
+void ItemRun::accept_success(TimePoint now) {
+  ItemProgress& kept = progress();
+  if (broken_sequence_ || !kept.produced.last_event) {
+    kept.restart();
+    interrupted(now, "the stream lacks an event");
     return;
   }
+  context_.metrics.count_item("succeeded");
+  executor_.remove_run(shared_from_this());
+  executor_.complete(ref_, true, std::move(kept.produced.text));
+}
+
+void ItemRun::accept_failure(TimePoint now) {
   if (status_ != kItemFailed && status_ != kItemImpossible) {
     interrupted(now, "the answer says nothing of the item");
     return;
   }
+  ItemProgress& kept = progress();
   kept.last_replica = attempt_.replica();  // The fault may be the replica's: prefer another one.
   ++kept.produced.failures;
   context_.metrics.count_item("failed");
   spdlog::info("batch: item failed job={} item={} status={} failures={}/{}", ref_.job, item_id_,
                status_, kept.produced.failures, attempts_);
-  executor_.remove_run(self);
+  executor_.remove_run(shared_from_this());
   if (status_ == kItemImpossible || kept.produced.failures >= attempts_) {
     executor_.complete(ref_, false, {});
   } else {
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -37,6 +37,10 @@
   /// @param process state of the process whose answer ended at `ended_at`.
   void handle_checked_end(ProcessState process, TimePoint ended_at);
   void accept_answer(TimePoint now);
+  /// Lists the output as the item's result, unless an event is missing.
+  void accept_success(TimePoint now);
+  /// Counts the replica's failure, and gives the item up after too many.
+  void accept_failure(TimePoint now);
   /// Ends a run whose answer exceeds a limit; the item runs again elsewhere.
   /// @param limit name of the limit, for logs and metrics.
   void end_endless_run(const char* limit, const char* why);
@@ -58,9 +62,9 @@
   StreamOrigin origin_;  ///< Of the replica that runs it.
   TimePoint started_at_{};
   TimePoint last_progress_{};  ///< Start, head or last event of the answer.
+  AnswerKind answer_ = AnswerKind::kForeign;  ///< Until the head has arrived.
   int status_ = 0;
-  std::size_t answer_bytes_ = 0;  ///< Of the answer's body.
-  bool rejected_ = false;
+  std::size_t answer_bytes_ = 0;         ///< Of the answer's body.
   bool broken_sequence_ = false;         ///< The stream skipped an event id after the checkpoint.
   std::size_t bytes_without_event_ = 0;  ///< Since the last event of the stream.
   EventFramer framer_;
--- a/src/gateway/online_call.cpp
+++ b/src/gateway/online_call.cpp
@@ -198,8 +198,7 @@
        last_event_});
   sent_at_ = now;
   last_progress_ = now;
-  head_seen_ = false;
-  rejected_ = false;
+  answer_.reset();
   streaming_ = false;
   backpressured_ = false;
   silence_reported_ = false;
@@ -252,21 +251,28 @@
 }
 
 bool OnlineCall::on_head(const net::ResponseHead& head) {
+  const auto self = shared_from_this();
   const TimePoint now = net::steady_now();
-  const std::optional<ReplicaAnswer> answer = attempt_.handle_head(head, info_.id, now);
-  if (!answer) {
+  const AnswerKind answer = attempt_.handle_head(head, info_.id, now);
+  if (answer == AnswerKind::kOtherRequest) {
     spdlog::warn("online: answer to another request skipped id={} replica={} status={}", info_.id,
                  attempt_.replica(), head.status);
     return false;
   }
-  head_seen_ = true;
+  if (answer == AnswerKind::kForeign) {
+    end_attempt();
+    retry_or_resume(now);
+    return false;
+  }
   last_progress_ = now;
+  if (answer == AnswerKind::kProvisional) {
+    return true;
+  }
+  answer_ = answer;
   head_ = head;
-  rejected_ = answer->not_run || answer->wrong_replica;
-  const bool success = head.status / 100 == 2;
-  if (!rejected_ && success) {
+  if (answer == AnswerKind::kSuccess) {
     context_.selector.note_prompt(attempt_.replica(), info_.prompt, now);
-    if (route_.kind == RouteKind::kStreaming && answer->genuine) {
+    if (route_.kind == RouteKind::kStreaming) {
       streaming_ = begin_stream(head);
     }
   }
@@ -381,7 +387,7 @@
   const TimePoint now = net::steady_now();
   const EndedAnswer answer{end == net::ResponseEnd::kFramed, streaming_,
                            streaming_ && !framer_.at_boundary(), answer_bytes_};
-  const AnswerEnd verdict = rejected_ ? AnswerEnd::kWhole : judge_answer_end(answer);
+  const AnswerEnd verdict = rejected() ? AnswerEnd::kWhole : judge_answer_end(answer);
   if (verdict == AnswerEnd::kWhole) {
     accept_answer(now);
     return;
@@ -421,18 +427,18 @@
   const TimePoint now = net::steady_now();
   attempt_.signal(replica_reported_failure() ? ReplicaSignal::kFailed : ReplicaSignal::kAnswered,
                   now);
-  if (rejected_) {
+  if (rejected()) {
     end_attempt();
     after_failure(AttemptFailure::kNotRun, now);
     return;
   }
   context_.selector.note_service_time(service_, ended_at - sent_at_);
   proxy_.answer_times_.record(route_.name, ended_at - exchange_->received(), now);
-  if (head_.status / 100 == 2) {
+  if (answer_ == AnswerKind::kSuccess) {
     note_good_run();
-  }
-  if (head_.status / 100 == 2 && !backpressured_) {
-    attempt_.note_pace(ended_at);
+    if (!backpressured_) {
+      attempt_.note_pace(ended_at);
+    }
   }
   if (!streaming_) {
     complete_buffered();
@@ -454,15 +460,14 @@
 
 void OnlineCall::complete_buffered() {
   const TimePoint now = net::steady_now();
-  const bool success = head_.status / 100 == 2;
+  const bool success = answer_ == AnswerKind::kSuccess;
   if (exchange_->answered()) {
     // The attempt to resume the stream was not answered with a stream.
     end_attempt();
     after_failure(AttemptFailure::kInterrupted, now);
     return;
   }
-  const ReplicaAnswer answer = context_.protocol.read_answer(head_, info_.id);
-  const bool failed = head_.status >= 500 || (success && !answer.genuine);
+  const bool failed = head_.status >= kInternalError;
   if (failed && history_.repeatable && history_.runs_possible + 1 < history_.attempts_allowed &&
       now < deadline_) {
     end_attempt();
@@ -470,8 +475,8 @@
     return;
   }
   end_attempt();
-  if ((!success && promises_not_run(head_.status)) || (success && !answer.genuine)) {
-    fail(502, "the replica's answer cannot be passed on");
+  if (promises_not_run(head_.status)) {
+    fail(kBadGateway, "the replica's answer cannot be passed on");
     return;
   }
   net::Headers headers = head_.headers;
@@ -491,9 +496,9 @@
       "reused={} "
       "afterMs={}",
       info_.id, fingerprint().hex(), part_ids(info_.prompt), attempt_.replica(),
-      static_cast<int>(failure), head_seen_, attempt_.call() && attempt_.call()->reused(),
+      static_cast<int>(failure), answer_.has_value(), attempt_.call() && attempt_.call()->reused(),
       to_ms(now - sent_at_));
-  const bool not_run = not_sent || (rejected_ && head_seen_);
+  const bool not_run = not_sent || rejected();
   if (not_run) {
     const bool gone = not_sent && attempt_.call()->connection_refused();
     end_attempt();
@@ -580,7 +585,7 @@
 
 void OnlineCall::check_silence(TimePoint now) {
   const Duration silence = now - last_progress_;
-  const Duration objective = head_seen_ ? route_.gap_target : route_.target;
+  const Duration objective = answer_ ? route_.gap_target : route_.target;
   const Duration limit =
       std::max(objective * context_.knobs.silence_objectives, context_.knobs.silence_minimum);
   if (silence < limit) {
@@ -608,12 +613,12 @@
     return false;  // The replica may still answer before this node exits; another one would not.
   }
   const bool attempts_left = history_.runs_possible + 1 < history_.attempts_allowed;
-  const bool repeatable = head_seen_ ? streaming_ && history_.resumable : history_.repeatable;
+  const bool repeatable = answer_ ? streaming_ && history_.resumable : history_.repeatable;
   return attempts_left && repeatable;
 }
 
 bool OnlineCall::replica_reported_failure() const {
-  return !rejected_ && (head_.status == kInternalError || head_.status == kBadGateway);
+  return !rejected() && (head_.status == kInternalError || head_.status == kBadGateway);
 }
 
 void OnlineCall::expire(TimePoint now) {
@@ -630,7 +635,7 @@
 }
 
 bool OnlineCall::may_have_run() const {
-  const bool sent = attempt_.call() && attempt_.call()->sent() && !rejected_;
+  const bool sent = attempt_.call() && attempt_.call()->sent() && !rejected();
   return sent || history_.runs_possible > 0;
 }
 
--- a/src/gateway/online_call.hpp
+++ b/src/gateway/online_call.hpp
@@ -119,6 +119,8 @@
   /// @return whether the request may be retried or resumed at another replica while the current one
   /// is silent.
   bool may_fail_over(TimePoint now) const;
+  /// @return whether the answer of the attempt shows that the request has not run.
+  bool rejected() const { return answer_ && shows_not_run(*answer_); }
   /// @return whether the complete answer states that the replica failed.
   bool replica_reported_failure() const;
   const char* kind() const;
@@ -150,8 +152,7 @@
 
   ReplicaAttempt attempt_;
   TimePoint sent_at_{};
-  bool head_seen_ = false;
-  bool rejected_ = false;          ///< The replica did not run the request, or is the wrong one.
+  std::optional<AnswerKind> answer_;  ///< Of the attempt, once its head has arrived.
   bool backpressured_ = false;     ///< Slowed down by the caller: no sample of the replica's pace.
   bool streaming_ = false;         ///< The current answer is forwarded as a stream.
   bool silence_reported_ = false;  ///< The silence of this attempt was reported to the directory.
--- a/src/gateway/replica_attempt.cpp
+++ b/src/gateway/replica_attempt.cpp
@@ -29,18 +29,30 @@
   call_ = context_.client.start(endpoint_of(replica.record), std::move(bytes), options, observer);
 }
 
-std::optional<ReplicaAnswer> ReplicaAttempt::handle_head(const net::ResponseHead& head,
-                                                         const std::string& id, TimePoint now) {
+AnswerKind ReplicaAttempt::handle_head(const net::ResponseHead& head, const std::string& id,
+                                       TimePoint now) {
   const ReplicaAnswer answer = context_.protocol.read_answer(head, id);
-  if (!answer.belongs) {
-    return std::nullopt;
+  if (answer.kind == AnswerKind::kOtherRequest || answer.kind == AnswerKind::kProvisional) {
+    return answer.kind;
   }
   note_prefilled();
+  if (answer.kind == AnswerKind::kForeign) {
+    report_foreign_answer(head, id, now);
+    return answer.kind;
+  }
   note_load(answer, now);
-  if (answer.wrong_replica) {
+  if (answer.kind == AnswerKind::kWrongReplica) {
     context_.replicas.remove(replica_);
   }
-  return answer;
+  return answer.kind;
+}
+
+void ReplicaAttempt::report_foreign_answer(const net::ResponseHead& head, const std::string& id,
+                                           TimePoint now) {
+  context_.metrics.count_foreign_answer(traffic_ == TrafficClass::kBatch ? "batch" : "online");
+  spdlog::warn("http: answer is not the replica's own id={} replica={} status={} afterMs={}", id,
+               replica_, head.status, to_ms(now - started_at_));
+  signal(ReplicaSignal::kBroken, now);
 }
 
 void ReplicaAttempt::note_load(const ReplicaAnswer& answer, TimePoint now) {
@@ -50,7 +62,7 @@
       spdlog::warn("fleet: unreadable pace reported by replica ignored replica={}", replica_);
     }
   }
-  if (answer.not_run && !answer.wrong_replica && context_.replicas.turned_away(replica_, now)) {
+  if (answer.kind == AnswerKind::kNotRun && context_.replicas.turned_away(replica_, now)) {
     context_.metrics.count_full_replica();
   }
 }
--- a/src/gateway/replica_attempt.hpp
+++ b/src/gateway/replica_attempt.hpp
@@ -31,10 +31,10 @@
   void start(const Replica& replica, std::string bytes, double missing_tokens,
              net::CallObserver& observer);
   /// Handles the head of an answer: records the reported load, and removes the replica from the
-  /// directory if another one has taken over its address.
-  /// @param id of the request. @return nothing if the answer belongs to another request.
-  std::optional<ReplicaAnswer> handle_head(const net::ResponseHead& head, const std::string& id,
-                                           TimePoint now);
+  /// directory if another one has taken over its address. A foreign answer counts as a failure of
+  /// the replica, and nothing in it is recorded.
+  /// @param id of the request.
+  AnswerKind handle_head(const net::ResponseHead& head, const std::string& id, TimePoint now);
   /// Observes bytes of a stream: the interval between its events is a sample of the replica's
   /// pace.
   void observe_stream(std::string_view bytes, TimePoint now);
@@ -64,6 +64,7 @@
   /// Removes the prompt tokens from the replica's pending prefill.
   void note_prefilled();
   void note_load(const ReplicaAnswer& answer, TimePoint now);
+  void report_foreign_answer(const net::ResponseHead& head, const std::string& id, TimePoint now);
 
   GatewayContext& context_;
   const TrafficClass traffic_;
--- a/src/gateway/traffic_protocol.hpp
+++ b/src/gateway/traffic_protocol.hpp
@@ -36,12 +36,26 @@
   std::optional<std::uint64_t> last_event_id;  ///< The stream resumes after this event.
 };
 
-/// Contents of the head of a replica's answer.
+/// Whose answer a head begins, and what it says of the request. Decided once, when the head is
+/// read; everything that is taken from an answer depends on it.
+enum class AnswerKind {
+  kOtherRequest,  ///< It answers another request on the same connection.
+  kProvisional,   ///< Another head follows (status 1xx); says nothing of the request.
+  kForeign,       ///< Not an answer of the replica: nothing in it counts. The request may have run.
+  kNotRun,        ///< The replica has not run the request and never will.
+  kWrongReplica,  ///< Another replica now has the address; the request has not run.
+  kSuccess,       ///< The replica's own success.
+  kFailure,       ///< The replica's own answer of any other status; the request has run.
+};
+
+/// @return whether an answer of this kind shows that the request has not run.
+constexpr bool shows_not_run(AnswerKind kind) {
+  return kind == AnswerKind::kNotRun || kind == AnswerKind::kWrongReplica;
+}
+
+/// Contents of the head of an answer.
 struct ReplicaAnswer {
-  bool belongs = true;  ///< It answers this request, not an earlier one.
-  bool not_run = false;
-  bool wrong_replica = false;  ///< Another replica now has the address.
-  bool genuine = false;        ///< It carries the replica's response signature.
+  AnswerKind kind = AnswerKind::kForeign;
   std::optional<ReportedLoad> load;
 };
 
--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -71,6 +71,7 @@
   metrics.count_doubtful_end("doubtful");
   metrics.count_endless_answer("bytes_without_event");
   metrics.count_malformed_answer("status");
+  metrics.count_foreign_answer("batch");
   metrics.count_client_evicted("buffers");
   metrics.count_quarantined("streaming");
   metrics.count_rate_limited("clinic", "node_share");
@@ -89,7 +90,7 @@
   for (const std::string& cell : first_cells(read_page("PLATFORM.md"), "dockpoint_gateway_")) {
     listed.insert(cell.substr(0, cell.find('{')));
   }
-  BOOST_TEST(served.size() == 32U);
+  BOOST_TEST(served.size() == 33U);
   BOOST_TEST((served == listed));
 }
 
--- a/tests/platform/job_fixture.hpp
+++ b/tests/platform/job_fixture.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include "net/clock.hpp"
 #include "net/http_client.hpp"
 #include "platform/gateway_node.hpp"
 #include "platform/replica_records.hpp"
@@ -42,9 +43,9 @@
   }
 
   net::SimpleCall::Outcome call(const std::string& method, const std::string& target,
-                                const std::string& body) {
+                                const std::string& body, const std::string& id = "job") {
     const net::Headers headers{{"Host", "a.example"},
-                               {"Attempt-Id", "job"},
+                               {"Attempt-Id", id},
                                {"Content-Length", std::to_string(body.size())}};
     std::optional<net::SimpleCall::Outcome> result;
     net::SimpleCall::start(caller, loop, {*Address::parse(GatewayNode::address(1, 0)), "caller"},
@@ -62,6 +63,42 @@
     }
   }
 
+  /// Submits a job of `items` items, whose ids begin with the job's, under a path prefix.
+  void submit(const std::string& id, const std::string& path_prefix, int items) {
+    nlohmann::json requests = nlohmann::json::array();
+    for (int item = 0; item < items; ++item) {
+      requests.push_back({{"id", id + "-" + std::to_string(item)},
+                          {"path", path_prefix + std::to_string(item)}});
+    }
+    const std::string job = nlohmann::json{{"requests", requests}}.dump();
+    while (call("POST", path_prefix + "x", job, id).head.status != 202) {
+    }
+  }
+
+  /// @return the results of a job so far, once the node can read the job.
+  nlohmann::json results_of(const std::string& id) {
+    while (true) {
+      const auto outcome = call("GET", "/v1/lots/" + id + "?sinceRevision=0", {});
+      if (outcome.head.status == 200) {
+        return nlohmann::json::parse(outcome.body)["results"];
+      }
+    }
+  }
+
+  /// Reads a job until it has `count` results. @return its results at that time or after `limit`.
+  nlohmann::json wait_for_results(const std::string& id, std::size_t count, Duration limit) {
+    const TimePoint end = net::steady_now() + limit;
+    nlohmann::json results = results_of(id);
+    while (results.size() < count && net::steady_now() < end) {
+      results = results_of(id);
+    }
+    return results;
+  }
+
+  void put_configuration(const std::string& document) {
+    store.put(platform::kConfigurationTopic, platform::kConfigurationKey, document);
+  }
+
   /// Waits for the result of the item.
   std::string text_of_item() {
     while (true) {
