Output that a build without verified answers checkpointed is made again

Each step now states that its text was verified. Without that its origin counts as unknown, so the item runs from its start, as after a build that did not track origins.

Test: job_ledger/a_checkpoint_from_unverified_answers_has_no_known_origin. Price: items with partial output run anew once, when a partition passes from an older build to this one.

--- a/src/batch/job_ledger.cpp
+++ b/src/batch/job_ledger.cpp
@@ -52,7 +52,11 @@
   int failures = 0;
   std::string service;           ///< Missing in records of builds that did not track the origin.
   std::string software_version;  ///< Missing in the same records.
-  DOCKPOINT_FIELDS(restart, text, has_event, last_event, failures, service, software_version)
+  /// The text was taken from the replicas' own answers only. Missing in records of builds that did
+  /// not tell them from others.
+  bool verified = false;
+  DOCKPOINT_FIELDS(restart, text, has_event, last_event, failures, service, software_version,
+                   verified)
 };
 
 std::string checkpoint_key(const std::string& job, std::uint32_t item, std::uint32_t number) {
@@ -149,9 +153,14 @@
 
 KeyedRecord checkpoint_record(const std::string& job, std::uint32_t item,
                               const CheckpointStep& step) {
-  const StepWire wire{
-      step.restart,  step.text,           step.last_event.has_value(), step.last_event.value_or(0),
-      step.failures, step.origin.service, step.origin.software_version};
+  const StepWire wire{step.restart,
+                      step.text,
+                      step.last_event.has_value(),
+                      step.last_event.value_or(0),
+                      step.failures,
+                      step.origin.service,
+                      step.origin.software_version,
+                      true};
   return {checkpoint_key(job, item, step.number), pack(wire), 0};
 }
 
@@ -293,9 +302,12 @@
     if (step.wire.restart) {
       loaded.checkpoint = {};
     }
-    StreamOrigin origin{std::move(step.wire.service), std::move(step.wire.software_version)};
+    StreamOrigin origin;
+    if (step.wire.verified) {
+      origin = {std::move(step.wire.service), std::move(step.wire.software_version)};
+    }
     const bool first = loaded.checkpoint.text.empty();
-    // A build that does not track origins may have continued the text anywhere.
+    // An older build may have continued the text anywhere, or with bytes of no replica.
     loaded.checkpoint.origin =
         first || loaded.checkpoint.origin == origin ? std::move(origin) : StreamOrigin{};
     loaded.checkpoint.text += step.wire.text;
--- a/tests/batch/job_ledger_test.cpp
+++ b/tests/batch/job_ledger_test.cpp
@@ -125,6 +125,27 @@
   }
 }
 
+// Guards against foreign bytes that a build which did not verify answers kept as an item's output.
+BOOST_AUTO_TEST_CASE(a_checkpoint_from_unverified_answers_has_no_known_origin) {
+  const StreamOrigin origin{"lm", "v1"};
+  // A step as builds before the verification wrote it.
+  const auto unverified = [](std::uint32_t item, std::uint32_t number) {
+    KeyedRecord record = checkpoint_record("j1", item, {number, false, {}, std::nullopt, 0, {}});
+    const auto bytes =
+        nlohmann::json::to_msgpack(nlohmann::json{false, "\nb", true, 2, 0, "lm", "v1"});
+    record.value.assign(bytes.begin(), bytes.end());
+    return record;
+  };
+  JobLedger ledger;
+  ledger.load_results({unverified(0, 0), checkpoint_record("j1", 0, {1, false, "c", 3, 0, origin}),
+                       checkpoint_record("j1", 1, {0, false, "a", 1, 0, origin}), unverified(1, 1),
+                       unverified(2, 0),
+                       checkpoint_record("j1", 2, {1, true, "a", 1, 0, origin})});
+  BOOST_TEST(ledger.checkpoint("j1", 0)->checkpoint.origin.unknown());
+  BOOST_TEST(ledger.checkpoint("j1", 1)->checkpoint.origin.unknown());
+  BOOST_TEST((ledger.checkpoint("j1", 2)->checkpoint.origin == origin));
+}
+
 BOOST_AUTO_TEST_CASE(checkpoint_steps_are_concatenated_and_a_restart_discards_earlier_ones) {
   JobLedger ledger;
   ledger.load_results({checkpoint_record("j1", 4, {1, false, "\nb", 2, 0}),
