Batch items wait in a queue and have a share for each service

Cause: items of all services waited in one order. A round of starts cut the candidates off at the node's share before it looked for a replica, and ended at the first item without one. Skipping that one alone would start nothing else while more such items wait than the share holds.

Change: WaitingItems keeps a queue for each service; a round of one service ends without affecting the others. The share, running items and preemption count one service only. An item's expiry is computed when it is queued, so a check costs a comparison for each item.

tests/batch/due_time: retention_expired() became expiry_time(), which returns the bound in place of a comparison with it; the test now checks the bound itself, one check for two.

--- a/include/dockpoint/batch/due_time.hpp
+++ b/include/dockpoint/batch/due_time.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "dockpoint/core/knobs.hpp"
 
@@ -23,11 +24,12 @@
 /// the completion target `target`.
 DueTime due_time(std::int64_t submitted_ms, Duration target);
 
-/// An unfinished item may be abandoned once `retention` has passed since its submission. The
+/// An unfinished item may be given up once `retention` has passed since its submission. The
 /// clocks of the accepting node and of this node may both be off, so twice the clock error is
 /// added.
-/// @return whether the retention has expired; always false if `retention` is zero.
-bool retention_expired(const Knobs& knobs, std::int64_t submitted_ms, Duration retention,
-                       std::int64_t now_ms);
+/// @return the Unix time, in milliseconds, after which it may be given up; nothing if `retention`
+/// is zero.
+std::optional<std::int64_t> expiry_time(const Knobs& knobs, std::int64_t submitted_ms,
+                                        Duration retention);
 
 }  // namespace dockpoint
--- a/include/dockpoint/core/knobs.hpp
+++ b/include/dockpoint/core/knobs.hpp
@@ -264,8 +264,6 @@
   /// How long a route has to be missing until its waiting items are given up: an operator may
   /// remove a route in one version and bring it back in one of the next.
   Duration item_route_grace = 5s;
-  /// Pause of an item whose route names no service.
-  Duration item_route_wait = 1s;
   /// How long a job is offered to the log.
   Duration submission_wait = 2500ms;
   /// Time without an answer of the log after which a job is forwarded; the objectives for accepting
--- a/src/batch/due_time.cpp
+++ b/src/batch/due_time.cpp
@@ -11,11 +11,13 @@
   return {submitted_ms + to_ms(target), to_ms(target)};
 }
 
-bool retention_expired(const Knobs& knobs, std::int64_t submitted_ms, Duration retention,
-                       std::int64_t now_ms) {
+std::optional<std::int64_t> expiry_time(const Knobs& knobs, std::int64_t submitted_ms,
+                                        Duration retention) {
   constexpr int kClocks = 2;
-  return retention > Duration{} &&
-         now_ms > submitted_ms + to_ms(retention + kClocks * knobs.clock_error);
+  if (retention <= Duration{}) {
+    return std::nullopt;
+  }
+  return submitted_ms + to_ms(retention + kClocks * knobs.clock_error);
 }
 
 }  // namespace dockpoint
--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -59,26 +59,37 @@
 
 void BatchExecutor::enqueue(const ItemRef& ref) {
   const LedgerJob* job = job_of(ref);
-  if (job == nullptr) {
+  if (job == nullptr || suspended_.contains(ref.partition)) {
     return;
   }
-  const auto [progress, added] = progress_.try_emplace(ref);
-  if (added) {
-    const auto* loaded = owners_[ref.partition]->ledger().checkpoint(ref.job, ref.item);
-    if (loaded != nullptr) {
-      progress->second.produced = loaded->checkpoint;
-      progress->second.saved_bytes = loaded->checkpoint.text.size();
-      progress->second.saved_failures = loaded->checkpoint.failures;
-    }
-  }
+  load_progress(ref);
   const RouteConfig* route = route_of(*job, job->job.items[ref.item]);
   if (route == nullptr) {
     without_route_.try_emplace(ref, net::steady_now());
     return;
   }
   without_route_.erase(ref);
+  const std::int64_t now_ms = net::unix_now_ms();
   const DueTime due = due_time(job->job.submitted_ms, route->completion_target);
-  waiting_.insert({due.overdue(net::unix_now_ms()), due, ref});
+  const auto expires = expiry_time(context_.knobs, job->job.submitted_ms, route->retention);
+  const WaitingItem item{due.overdue(now_ms), due, ref, expires};
+  if (item.expired(now_ms)) {
+    give_up(ref, "its time is over");
+    return;
+  }
+  // Items of a route without services wait for one.
+  waiting_.add(route->services.empty() ? std::string{} : route->services.front().service, item);
+}
+
+void BatchExecutor::load_progress(const ItemRef& ref) {
+  const auto [progress, added] = progress_.try_emplace(ref);
+  const auto* loaded =
+      added ? owners_[ref.partition]->ledger().checkpoint(ref.job, ref.item) : nullptr;
+  if (loaded != nullptr) {
+    progress->second.produced = loaded->checkpoint;
+    progress->second.saved_bytes = loaded->checkpoint.text.size();
+    progress->second.saved_failures = loaded->checkpoint.failures;
+  }
 }
 
 void BatchExecutor::remove_partition(int partition) {
@@ -91,15 +102,19 @@
       runs_.erase(run);
     }
   }
-  std::erase_if(waiting_, [&](const Waiting& entry) { return entry.ref.partition == partition; });
-  std::erase_if(delayed_, [&](const auto& entry) { return entry.second.partition == partition; });
-  std::erase_if(without_route_,
-                [&](const auto& entry) { return entry.first.partition == partition; });
+  remove_waiting([&](const ItemRef& ref) { return ref.partition == partition; });
   std::erase_if(progress_, [&](const auto& entry) { return entry.first.partition == partition; });
 }
 
+void BatchExecutor::remove_waiting(const std::function<bool(const ItemRef&)>& matches) {
+  waiting_.remove_if([&](const WaitingItem& entry) { return matches(entry.ref); });
+  std::erase_if(delayed_, [&](const auto& entry) { return matches(entry.second); });
+  std::erase_if(without_route_, [&](const auto& entry) { return matches(entry.first); });
+}
+
 void BatchExecutor::hand_over(int partition) {
   suspended_.insert(partition);
+  remove_waiting([&](const ItemRef& ref) { return ref.partition == partition; });
   const auto runs = runs_;
   for (const auto& run : runs) {
     if (run->ref().partition == partition) {
@@ -157,9 +172,7 @@
       runs_.erase(run);
     }
   }
-  std::erase_if(waiting_, [&](const Waiting& entry) { return matches(entry.ref); });
-  std::erase_if(delayed_, [&](const auto& entry) { return matches(entry.second); });
-  std::erase_if(without_route_, [&](const auto& entry) { return matches(entry.first); });
+  remove_waiting(matches);
   std::erase_if(progress_, [&](const auto& entry) { return matches(entry.first); });
 }
 
@@ -197,56 +210,74 @@
   }
   if (now >= next_audit_ && !owners_.empty()) {
     next_audit_ = now + context_.knobs.item_audit_interval;
-    audit(now, share());
+    audit(now, shares());
   }
-  if (waiting_.empty() && runs_.empty()) {
+  if (waiting_.size() == 0 && runs_.empty()) {
     return;
   }
-  const BatchShare current = share();
-  preempt_excess_runs(current);
+  const Shares current = shares();
+  for (const auto& [service, share] : current) {
+    preempt_excess_runs(service, share);
+  }
   if (now >= start_allowed_at_) {
     start_waiting(now, current);
   }
 }
 
-BatchShare BatchExecutor::share() const {
-  FleetLoad load;
-  load.rounding = rounding_;
-  load.own_items = static_cast<double>(pending());
-  load.all_items = load.own_items + static_cast<double>(context_.replicas.peer_pending_items());
+BatchExecutor::Shares BatchExecutor::shares() const {
+  std::map<std::string, FleetLoad> loads;
+  for (const std::string& service : waiting_.services()) {
+    loads[service] = {};
+  }
+  for (const auto& run : runs_) {
+    loads[run->service()] = {};
+  }
   for (const auto& [id, replica] : context_.replicas.all()) {
-    const auto service = context_.configuration->services.find(replica.record.service);
-    const bool engine =
-        service != context_.configuration->services.end() && service->second.cache_tokens > 0;
-    if (engine && context_.replicas.takes_work(replica)) {
-      load.slots += replica.record.slots;
-      load.reserved += reserved_slots(context_.knobs, replica.record.slots);
-      load.online += replica.all_online();
+    const auto load = loads.find(replica.record.service);
+    if (load != loads.end() && context_.replicas.takes_work(replica)) {
+      load->second.slots += replica.record.slots;
+      load->second.reserved += reserved_slots(context_.knobs, replica.record.slots);
+      load->second.online += replica.all_online();
     }
   }
-  return {context_.knobs, load};
+  Shares shares;
+  for (auto& [service, load] : loads) {
+    load.rounding = rounding_;
+    load.own_items = static_cast<double>(pending());
+    load.all_items = load.own_items + static_cast<double>(context_.replicas.peer_pending_items());
+    shares.emplace(service, BatchShare(context_.knobs, load));
+  }
+  return shares;
+}
+
+std::map<std::string, std::size_t> BatchExecutor::running_by_service() const {
+  std::map<std::string, std::size_t> running;
+  for (const auto& run : runs_) {
+    ++running[run->service()];
+  }
+  return running;
 }
 
 bool BatchExecutor::is_urgent(const DueTime& due) const {
   return due.urgent(context_.knobs, net::unix_now_ms());
 }
 
-void BatchExecutor::start_waiting(TimePoint now, const BatchShare& share) {
-  std::vector<Waiting> candidates;
-  for (const Waiting& entry : waiting_) {
-    const std::size_t limit = is_urgent(entry.due) ? share.urgent() : share.non_urgent();
-    if (runs_.size() + candidates.size() >= limit) {
-      break;
-    }
-    if (!suspended_.contains(entry.ref.partition)) {
-      candidates.push_back(entry);
+void BatchExecutor::start_waiting(TimePoint now, const Shares& shares) {
+  const std::int64_t now_ms = net::unix_now_ms();
+  const std::map<std::string, std::size_t> running = running_by_service();
+  services_without_room_.clear();
+  for (const std::string& service : waiting_.services()) {
+    const auto share = shares.find(service);
+    if (share == shares.end()) {
+      continue;  // Its first item was queued after the shares were computed.
     }
-  }
-  for (const Waiting& entry : candidates) {
-    if (!start(entry, now)) {
-      break;
+    const auto occupied = running.find(service);
+    const bool no_room = waiting_.start_round(
+        service, context_.knobs, share->second, occupied == running.end() ? 0 : occupied->second,
+        now_ms, [&](const WaitingItem& item) { return start(item, now); });
+    if (no_room) {
+      services_without_room_.insert(service);
     }
-    waiting_.erase(entry);
   }
 }
 
@@ -269,7 +300,7 @@
   return true;
 }
 
-void BatchExecutor::audit(TimePoint now, const BatchShare& share) {
+void BatchExecutor::audit(TimePoint now, const Shares& shares) {
   std::size_t open = 0;
   std::size_t unscheduled = 0;
   for (const auto& [partition, owner] : owners_) {
@@ -288,10 +319,22 @@
   }
   if (open > 0) {
     spdlog::info(
-        "batch: items open={} waiting={} delayed={} running={} withoutRoute={} allowed={} "
-        "allowedUrgent={} unscheduled={} sinceLastStartMs={}",
-        open, waiting_.size(), delayed_.size(), runs_.size(), without_route_.size(),
-        share.non_urgent(), share.urgent(), unscheduled, to_ms(now - last_start_));
+        "batch: items open={} waiting={} delayed={} running={} withoutRoute={} unscheduled={} "
+        "sinceLastStartMs={}",
+        open, waiting_.size(), delayed_.size(), runs_.size(), without_route_.size(), unscheduled,
+        to_ms(now - last_start_));
+    log_services(shares);
+  }
+}
+
+void BatchExecutor::log_services(const Shares& shares) const {
+  const std::map<std::string, std::size_t> running = running_by_service();
+  for (const auto& [service, share] : shares) {
+    const auto runs = running.find(service);
+    spdlog::info(
+        "batch: items of service={} waiting={} running={} allowed={} allowedUrgent={} room={}",
+        service, waiting_.size_of(service), runs == running.end() ? 0 : runs->second,
+        share.non_urgent(), share.urgent(), !services_without_room_.contains(service));
   }
 }
 
@@ -302,7 +345,7 @@
       items.insert({ref.job, ref.item});
     }
   };
-  std::for_each(waiting_.begin(), waiting_.end(), [&](const Waiting& entry) { add(entry.ref); });
+  waiting_.for_each([&](const WaitingItem& entry) { add(entry.ref); });
   std::for_each(delayed_.begin(), delayed_.end(), [&](const auto& entry) { add(entry.second); });
   std::for_each(without_route_.begin(), without_route_.end(),
                 [&](const auto& entry) { add(entry.first); });
@@ -310,16 +353,24 @@
   return items;
 }
 
-void BatchExecutor::preempt_excess_runs(const BatchShare& share) {
+void BatchExecutor::preempt_excess_runs(const std::string& service, const BatchShare& share) {
+  std::size_t running = 0;
   std::vector<std::shared_ptr<ItemRun>> non_urgent;
-  std::copy_if(runs_.begin(), runs_.end(), std::back_inserter(non_urgent),
-               [&](const auto& run) { return !is_urgent(run->due()); });
-  const std::size_t excess = share.excess(runs_.size(), runs_.size() - non_urgent.size());
+  for (const auto& run : runs_) {
+    if (run->service() != service) {
+      continue;
+    }
+    ++running;
+    if (!is_urgent(run->due())) {
+      non_urgent.push_back(run);
+    }
+  }
+  const std::size_t excess = share.excess(running, running - non_urgent.size());
   if (excess == 0) {
     return;
   }
-  spdlog::info("batch: runs preempted by online requests count={} running={} allowed={}", excess,
-               runs_.size(), share.non_urgent());
+  spdlog::info("batch: runs preempted by online requests service={} count={} running={} allowed={}",
+               service, excess, running, share.non_urgent());
   std::sort(non_urgent.begin(), non_urgent.end(), [](const auto& left, const auto& right) {
     return left->due().at_ms > right->due().at_ms;
   });
@@ -344,11 +395,11 @@
 
 void BatchExecutor::reconsider_routes(TimePoint now) {
   std::vector<ItemRef> items;
-  std::for_each(waiting_.begin(), waiting_.end(),
-                [&](const Waiting& entry) { items.push_back(entry.ref); });
+  for (const WaitingItem& entry : waiting_.remove_if([](const auto&) { return true; })) {
+    items.push_back(entry.ref);
+  }
   std::for_each(without_route_.begin(), without_route_.end(),
                 [&](const auto& entry) { items.push_back(entry.first); });
-  waiting_.clear();
   std::for_each(items.begin(), items.end(), [&](const ItemRef& ref) { enqueue(ref); });
   if (!without_route_.empty()) {
     const Duration age = context_.configuration_age ? context_.configuration_age() : Duration{};
@@ -358,28 +409,27 @@
   }
 }
 
-bool BatchExecutor::start(const Waiting& entry, TimePoint now) {
+StartOutcome BatchExecutor::start(const WaitingItem& entry, TimePoint now) {
   const ItemRef& ref = entry.ref;
   const LedgerJob* job = job_of(ref);
   if (job == nullptr || job->ended || job->listed[ref.item]) {
-    return true;
+    return StartOutcome::kNotNow;
   }
   const BatchItem& item = job->job.items[ref.item];
   const RouteConfig* route = route_of(*job, item);
   if (route == nullptr || route->services.empty()) {
-    retry(ref, context_.knobs.item_route_wait, now);
-    return true;
+    return StartOutcome::kNoRoom;  // Until another version of the configuration queues it anew.
   }
   RequestInfo info = context_.protocol.read_item(item);
   ItemProgress& kept = progress_[ref];
   ReplicaQuery query{route->services.front().service, TrafficClass::kBatch, info.prompt, {}, {}};
   if (kept.produced.last_event && !resume_or_restart(ref, kept, query, now)) {
     retry(ref, context_.knobs.item_origin_pause, now);
-    return true;
+    return StartOutcome::kNotNow;
   }
   const ReplicaChoice choice = choose_replica(query, kept, now);
   if (choice.replica == nullptr) {
-    return false;
+    return StartOutcome::kNoRoom;
   }
   const net::RequestHead head = context_.protocol.item_request(
       job->job, item,
@@ -389,7 +439,7 @@
   runs_.insert(run);
   last_start_ = now;
   run->start(*choice.replica, net::serialize(head) + item.body, choice.missing_tokens, now);
-  return true;
+  return StartOutcome::kStarted;
 }
 
 bool BatchExecutor::resume_or_restart(const ItemRef& ref, ItemProgress& kept, ReplicaQuery& query,
@@ -440,21 +490,9 @@
 
 void BatchExecutor::give_up_expired() {
   const std::int64_t now_ms = net::unix_now_ms();
-  std::vector<ItemRef> expired;
-  for (const Waiting& entry : waiting_) {
-    if (has_expired(entry.ref, now_ms)) {
-      expired.push_back(entry.ref);
-    }
-  }
-  for (const auto& [time, ref] : delayed_) {
-    if (has_expired(ref, now_ms)) {
-      expired.push_back(ref);
-    }
-  }
-  for (const ItemRef& ref : expired) {
-    std::erase_if(waiting_, [&](const Waiting& entry) { return entry.ref == ref; });
-    std::erase_if(delayed_, [&](const auto& entry) { return entry.second == ref; });
-    give_up(ref, "its time is over");
+  for (const WaitingItem& item :
+       waiting_.remove_if([&](const WaitingItem& waiting) { return waiting.expired(now_ms); })) {
+    give_up(item.ref, "its time is over");
   }
 }
 
@@ -483,13 +521,6 @@
   complete(ref, false, {});
 }
 
-bool BatchExecutor::has_expired(const ItemRef& ref, std::int64_t now_ms) const {
-  const LedgerJob* job = job_of(ref);
-  const RouteConfig* route = job == nullptr ? nullptr : route_of(*job, job->job.items[ref.item]);
-  return route != nullptr &&
-         retention_expired(context_.knobs, job->job.submitted_ms, route->retention, now_ms);
-}
-
 void BatchExecutor::retry(const ItemRef& ref, Duration delay, TimePoint now) {
   if (owners_.contains(ref.partition)) {
     delayed_.emplace(now + delay, ref);
--- a/src/gateway/batch_executor.hpp
+++ b/src/gateway/batch_executor.hpp
@@ -1,33 +1,24 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
-#include <tuple>
+#include <vector>
 
 #include "dockpoint/batch/batch_share.hpp"
 #include "dockpoint/batch/due_time.hpp"
 #include "dockpoint/batch/item_audit.hpp"
+#include "dockpoint/batch/item_ref.hpp"
 #include "dockpoint/batch/partition_owner.hpp"
+#include "dockpoint/batch/waiting_items.hpp"
 #include "gateway/gateway_context.hpp"
 
 namespace dockpoint {
 
 class ItemRun;
 
-/// Identifies one item of a job in a partition of this node.
-struct ItemRef {
-  int partition = 0;
-  std::string job;
-  std::uint32_t item = 0;
-  friend bool operator==(const ItemRef&, const ItemRef&) = default;
-  friend bool operator<(const ItemRef& left, const ItemRef& right) {
-    return std::tie(left.partition, left.job, left.item) <
-           std::tie(right.partition, right.job, right.item);
-  }
-};
-
 /// Progress of an item, kept between runs so that an interrupted run can be resumed.
 struct ItemProgress {
   ItemCheckpoint produced;
@@ -46,14 +37,15 @@
 
 /// Runs batch items of the partitions that this node owns.
 ///
-/// Items run in order of their due times; items that are already overdue come last. An item is sent
-/// only to a replica with fewer occupied slots than the batch limit, and BatchShare limits the
-/// number of concurrent items of this node. A node that has just started waits until it can know
-/// the load of the other nodes. A run that is interrupted, or preempted by online requests, resumes
-/// after its last event at any replica of the same software version with a free slot; see
-/// partial_output.hpp for when it starts again instead. An item is owed until its result is listed:
-/// whatever happens to its replicas, it runs again after a short pause, on one replica at a time.
-/// An item whose route is missing waits for it; see missing_route.hpp for when it is given up.
+/// The items of each service run in order of their due times; items that are already overdue come
+/// last. An item is sent only to a replica with fewer occupied slots than the batch limit, and for
+/// each service BatchShare limits the number of concurrent items of this node. A node that has just
+/// started waits until it can know the load of the other nodes. A run that is interrupted, or
+/// preempted by online requests, resumes after its last event at any replica of the same software
+/// version with a free slot; see partial_output.hpp for when it starts again instead. An item is
+/// owed until its result is listed: whatever happens to its replicas, it runs again after a short
+/// pause, on one replica at a time. An item whose route is missing waits for it; see
+/// missing_route.hpp for when it is given up.
 ///
 /// Single-threaded; borrows the context. Partition owners are registered while they are active.
 class BatchExecutor {
@@ -89,29 +81,23 @@
  private:
   friend class ItemRun;
 
-  /// Entry of the queue of waiting items, in order of execution.
-  struct Waiting {
-    bool overdue = false;
-    DueTime due;
-    ItemRef ref;
-    friend bool operator<(const Waiting& left, const Waiting& right) {
-      return std::tie(left.overdue, left.due.at_ms, left.ref) <
-             std::tie(right.overdue, right.due.at_ms, right.ref);
-    }
-  };
-
-  BatchShare share() const;
+  /// Limits by service.
+  using Shares = std::map<std::string, BatchShare>;
+
+  /// @return the limits for the services with waiting or running items.
+  Shares shares() const;
+  std::map<std::string, std::size_t> running_by_service() const;
   bool is_urgent(const DueTime& due) const;
-  /// @return whether the retention of an item's job has expired, so that the item may be failed.
-  bool has_expired(const ItemRef& ref, std::int64_t now_ms) const;
-  void start_waiting(TimePoint now, const BatchShare& share);
+  void start_waiting(TimePoint now, const Shares& shares);
   /// Logs the state of all open items, and schedules those that nothing works on: none should
   /// exist.
-  void audit(TimePoint now, const BatchShare& share);
+  void audit(TimePoint now, const Shares& shares);
+  /// Logs for each service how many items wait, run and may run.
+  void log_services(const Shares& shares) const;
   /// @return the items of a partition that wait or run.
   std::set<ItemKey> scheduled_items(int partition) const;
-  /// Preempts runs that are not urgent if online requests need their slots.
-  void preempt_excess_runs(const BatchShare& share);
+  /// Preempts runs at a service that are not urgent if online requests need their slots.
+  void preempt_excess_runs(const std::string& service, const BatchShare& share);
   /// @return the replica for an item, if possible not that of its last interrupted run.
   ReplicaChoice choose_replica(ReplicaQuery query, const ItemProgress& kept, TimePoint now);
   /// Sets the software version that the item's kept output requires, or discards the output if it
@@ -120,25 +106,31 @@
   bool resume_or_restart(const ItemRef& ref, ItemProgress& kept, ReplicaQuery& query,
                          TimePoint now);
   /// Starts or reschedules an item.
-  /// @return whether the item needs no further attempt now; false if no replica has a free slot.
-  bool start(const Waiting& entry, TimePoint now);
+  StartOutcome start(const WaitingItem& entry, TimePoint now);
   /// @return the batch route of an item, or null. Routes of other kinds take no items.
   const RouteConfig* route_of(const LedgerJob& job, const BatchItem& item) const;
   /// Queues all waiting items anew, by the routes of a new version of the configuration.
   void reconsider_routes(TimePoint now);
+  /// Gives up the waiting items whose time is over.
   void give_up_expired();
   /// Gives up the items whose route was removed for good.
   void give_up_without_route(TimePoint now);
   /// Lists the item as failed. @param why for the log.
   void give_up(const ItemRef& ref, const char* why);
+  /// Takes an item's progress from its checkpoint, unless it is known already.
+  void load_progress(const ItemRef& ref);
   void save_progress(const ItemRef& ref, ItemProgress& progress);
   void save_all_progress();
+  /// Queues an item at its service; without a route, sets it aside. Gives it up if its time is
+  /// over.
   void enqueue(const ItemRef& ref);
   void retry(const ItemRef& ref, Duration delay, TimePoint now);
   void complete(const ItemRef& ref, bool succeeded, std::string text);
   /// @return the size of the largest output that the log takes as a result, in bytes.
   std::size_t largest_text(int partition) const;
   void remove_run(const std::shared_ptr<ItemRun>& run);
+  /// Forgets the items that wait and match. Neither runs nor progress are affected.
+  void remove_waiting(const std::function<bool(const ItemRef&)>& matches);
   PartitionOwner* owner_of(int partition) const;
   const LedgerJob* job_of(const ItemRef& ref) const;
 
@@ -146,7 +138,7 @@
   const double rounding_;  ///< See FleetLoad::rounding.
   std::map<int, PartitionOwner*> owners_;
   std::set<int> suspended_;
-  std::set<Waiting> waiting_;
+  WaitingItems waiting_;
   std::multimap<TimePoint, ItemRef> delayed_;
   std::map<ItemRef, TimePoint> without_route_;  ///< Since when the route is missing.
   std::uint64_t routes_version_ = 0;            ///< Of the configuration that queued the items.
@@ -155,7 +147,8 @@
   TimePoint start_allowed_at_{};  ///< No item starts earlier; set by the first tick.
   TimePoint next_expiry_check_{};
   TimePoint next_audit_{};
-  TimePoint last_start_{};  ///< When the last item was sent.
+  TimePoint last_start_{};                       ///< When the last item was sent.
+  std::set<std::string> services_without_room_;  ///< In the last round of starts.
   TimePoint next_checkpoint_{};
 };
 
--- a/src/gateway/item_run.hpp
+++ b/src/gateway/item_run.hpp
@@ -22,6 +22,7 @@
 
   const DueTime& due() const { return due_; }
   const std::string& replica() const { return attempt_.replica(); }
+  const std::string& service() const { return origin_.service; }
   const ItemRef& ref() const { return ref_; }
 
   bool on_head(const net::ResponseHead& head) override;
@@ -61,7 +62,7 @@
   ReplicaAttempt attempt_;
   StreamOrigin origin_;  ///< Of the replica that runs it.
   TimePoint started_at_{};
-  TimePoint last_progress_{};  ///< Start, head or last event of the answer.
+  TimePoint last_progress_{};                 ///< Start, head or last event of the answer.
   AnswerKind answer_ = AnswerKind::kForeign;  ///< Until the head has arrived.
   int status_ = 0;
   std::size_t answer_bytes_ = 0;         ///< Of the answer's body.
--- a/tests/batch/due_time_test.cpp
+++ b/tests/batch/due_time_test.cpp
@@ -25,12 +25,11 @@
   const std::int64_t submitted = 100'000;
   const std::int64_t submitted_by_slow_clock = submitted - 5'000;
   const std::int64_t now_by_fast_clock = submitted + 60'000 + 5'000;
-  BOOST_TEST(!retention_expired(knobs, submitted_by_slow_clock, 60s, now_by_fast_clock));
-  BOOST_TEST(retention_expired(knobs, submitted_by_slow_clock, 60s, now_by_fast_clock + 1));
+  BOOST_TEST(expiry_time(knobs, submitted_by_slow_clock, 60s).value() == now_by_fast_clock);
 }
 
 BOOST_AUTO_TEST_CASE(a_zero_retention_never_expires) {
-  BOOST_TEST(!retention_expired(Knobs{}, 0, Duration{}, 1'000'000'000));
+  BOOST_TEST(!expiry_time(Knobs{}, 0, Duration{}).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
