Batch items are sent only if they are one request

Cause: the path, id and headers of an item come as texts of a JSON body and became lines of a request; only headers were searched for line ends.

Change: net/head_check judges heads of requests as it does those of responses.

--- a/src/gateway/batch_executor.cpp
+++ b/src/gateway/batch_executor.cpp
@@ -10,6 +10,7 @@
 #include "dockpoint/core/hash.hpp"
 #include "gateway/item_run.hpp"
 #include "net/clock.hpp"
+#include "net/head_check.hpp"
 
 namespace dockpoint {
 namespace {
@@ -434,6 +435,13 @@
   const net::RequestHead head = context_.protocol.item_request(
       job->job, item,
       {choice.replica->record.registered_name(), kItemDeadline, kept.produced.last_event});
+  if (const auto fault = net::find_fault(head)) {
+    // An older build accepted it.
+    spdlog::warn("batch: item cannot be sent as one request job={} item={} fault={}", ref.job,
+                 ref.item, net::to_string(*fault));
+    give_up(ref, "it cannot be sent as one request");
+    return StartOutcome::kNotNow;
+  }
   const auto run = std::make_shared<ItemRun>(*this, ref, item.id, std::move(info),
                                              std::max(1, route->attempts), entry.due);
   runs_.insert(run);
--- a/src/net/head_check.cpp
+++ b/src/net/head_check.cpp
@@ -39,6 +39,17 @@
   return true;
 }
 
+/// @return whether the fields state one length at most and no coding.
+bool has_single_length(const Headers& headers) {
+  return headers.count("Content-Length") <= 1 && !headers.has("Transfer-Encoding");
+}
+
+/// @return whether the text is a path, with or without a query, that ends where it seems to.
+bool is_origin_form(std::string_view target) {
+  return target.starts_with('/') && is_field_text(target) &&
+         target.find_first_of(" \t") == std::string_view::npos;
+}
+
 /// @return whether the length of the body can be known.
 bool has_known_coding(const ResponseHead& head) {
   if (!allows_body(head.status) || !head.headers.has("Transfer-Encoding")) {
@@ -54,6 +65,8 @@
   switch (fault) {
     case HeadFault::kSyntax:
       break;
+    case HeadFault::kTarget:
+      return "target";
     case HeadFault::kSize:
       return "size";
     case HeadFault::kStatus:
@@ -85,4 +98,20 @@
   return std::nullopt;
 }
 
+std::optional<HeadFault> find_fault(const RequestHead& head) {
+  if (!is_token(head.method)) {
+    return HeadFault::kSyntax;
+  }
+  if (!is_origin_form(head.target)) {
+    return HeadFault::kTarget;
+  }
+  if (!has_sound_fields(head.headers)) {
+    return HeadFault::kField;
+  }
+  if (!has_single_length(head.headers)) {
+    return HeadFault::kTransferCoding;
+  }
+  return std::nullopt;
+}
+
 }  // namespace dockpoint::net
--- a/src/net/head_check.hpp
+++ b/src/net/head_check.hpp
@@ -4,13 +4,15 @@
 
 #include "net/http_message.hpp"
 
-/// Rules of HTTP for the head of a response, for what is read and for what is written (RFC 9110,
-/// RFC 9112).
+/// Rules of HTTP for the heads of messages (RFC 9110, RFC 9112): of responses that are read or
+/// written, and of requests that are made from what a caller has stated.
 namespace dockpoint::net {
 
-/// Why a response head is malformed.
+/// Why a head is malformed.
 enum class HeadFault {
   kSyntax,          ///< A line that is not HTTP, or framing that contradicts itself.
+  kTarget,          ///< A request target that does not begin with a slash, or has a blank or a
+                    ///< control byte.
   kSize,            ///< The head exceeds its limit.
   kStatus,          ///< Outside 100 to 599, or a change of protocol that was not asked for.
   kReason,          ///< A control byte in the reason phrase.
@@ -24,4 +26,8 @@
 /// @return the first fault of a head, or nothing.
 std::optional<HeadFault> find_fault(const ResponseHead& head);
 
+/// @return the first fault of a request's head, or nothing: its bytes are then read back as one
+/// request.
+std::optional<HeadFault> find_fault(const RequestHead& head);
+
 }  // namespace dockpoint::net
