--- a/src/batch/job_ledger.cpp
+++ b/src/batch/job_ledger.cpp
@@ -153,14 +153,9 @@
 
 KeyedRecord checkpoint_record(const std::string& job, std::uint32_t item,
                               const CheckpointStep& step) {
-  const StepWire wire{step.restart,
-                      step.text,
-                      step.last_event.has_value(),
-                      step.last_event.value_or(0),
-                      step.failures,
-                      step.origin.service,
-                      step.origin.software_version,
-                      true};
+  const StepWire wire{
+      step.restart,  step.text,           step.last_event.has_value(),  step.last_event.value_or(0),
+      step.failures, step.origin.service, step.origin.software_version, true};
   return {checkpoint_key(job, item, step.number), pack(wire), 0};
 }
 
--- a/tests/batch/job_ledger_test.cpp
+++ b/tests/batch/job_ledger_test.cpp
@@ -139,8 +139,7 @@
   JobLedger ledger;
   ledger.load_results({unverified(0, 0), checkpoint_record("j1", 0, {1, false, "c", 3, 0, origin}),
                        checkpoint_record("j1", 1, {0, false, "a", 1, 0, origin}), unverified(1, 1),
-                       unverified(2, 0),
-                       checkpoint_record("j1", 2, {1, true, "a", 1, 0, origin})});
+                       unverified(2, 0), checkpoint_record("j1", 2, {1, true, "a", 1, 0, origin})});
   BOOST_TEST(ledger.checkpoint("j1", 0)->checkpoint.origin.unknown());
   BOOST_TEST(ledger.checkpoint("j1", 1)->checkpoint.origin.unknown());
   BOOST_TEST((ledger.checkpoint("j1", 2)->checkpoint.origin == origin));
--- a/tests/platform/broken_peer_answers_test.cpp
+++ b/tests/platform/broken_peer_answers_test.cpp
@@ -101,8 +101,9 @@
   const TopicPartition partition{"topic", 0};
   for (const BrokenHead& head : broken_heads()) {
     BOOST_TEST_CONTEXT(head.name) {
-      answer_with(head, {},
-                  R"({"offset":1,"end":2,"requests":[],"hasMore":false,"generation":1,"parts":[]})");
+      answer_with(
+          head, {},
+          R"({"offset":1,"end":2,"requests":[],"hasMore":false,"generation":1,"parts":[]})");
       int answers = 0;
       const auto check = [&](LogStatus status) {
         ++answers;
--- a/tests/platform/foreign_answers_test.cpp
+++ b/tests/platform/foreign_answers_test.cpp
@@ -1,5 +1,5 @@
-/// Tests answers that are not the replica's own: they lack its signature or the id of the request, or
-/// their body is coded. Nothing in them is believed, neither for batch items nor for callers.
+/// Tests answers that are not the replica's own: they lack its signature or the id of the request,
+/// or their body is coded. Nothing in them is believed, neither for batch items nor for callers.
 
 #include <boost/test/unit_test.hpp>
 #include <list>
@@ -45,9 +45,9 @@
 
 /// An answer that closes its connection in place of the last chunk.
 RawReplica::Answer broken_off(const std::string& fields, const std::string& body) {
-  return {"HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" +
-              net::as_chunk(body),
-          AnswerEnding::kCloses};
+  return {
+      "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + net::as_chunk(body),
+      AnswerEnding::kCloses};
 }
 
 const RawReplica::Answer kOwnAnswer{answer("200 OK", kGenuine, kOwnEvents)};
--- a/tests/platform/job_fixture.hpp
+++ b/tests/platform/job_fixture.hpp
@@ -44,9 +44,8 @@
 
   net::SimpleCall::Outcome call(const std::string& method, const std::string& target,
                                 const std::string& body, const std::string& id = "job") {
-    const net::Headers headers{{"Host", "a.example"},
-                               {"Attempt-Id", id},
-                               {"Content-Length", std::to_string(body.size())}};
+    const net::Headers headers{
+        {"Host", "a.example"}, {"Attempt-Id", id}, {"Content-Length", std::to_string(body.size())}};
     std::optional<net::SimpleCall::Outcome> result;
     net::SimpleCall::start(caller, loop, {*Address::parse(GatewayNode::address(1, 0)), "caller"},
                            net::serialize(net::RequestHead{method, target, headers}) + body, {},
@@ -67,8 +66,8 @@
   void submit(const std::string& id, const std::string& path_prefix, int items) {
     nlohmann::json requests = nlohmann::json::array();
     for (int item = 0; item < items; ++item) {
-      requests.push_back({{"id", id + "-" + std::to_string(item)},
-                          {"path", path_prefix + std::to_string(item)}});
+      requests.push_back(
+          {{"id", id + "-" + std::to_string(item)}, {"path", path_prefix + std::to_string(item)}});
     }
     const std::string job = nlohmann::json{{"requests", requests}}.dump();
     while (call("POST", path_prefix + "x", job, id).head.status != 202) {
